Lay out the workspace, the design page and the shared contracts

Cause: the repository is empty; several crates are to be written side by side and need one set of types and messages.

--- /dev/null
+++ b/components/base/src/lib.rs
@@ -0,0 +1,23 @@
+//! Types that every crate shares: time, tokens, names, identifiers, sorted tables, seeded numbers.
+//!
+//! Nothing here reads a clock, a socket or an unseeded source of random numbers.
+
+mod ids;
+mod offset;
+mod outcome;
+mod process;
+mod rendezvous;
+mod rng;
+mod sorted;
+mod timestamp;
+mod tokens;
+
+pub use ids::{AdapterId, CustomerId, KeyId, ModelId, RouteId, ServiceId};
+pub use offset::Offset;
+pub use outcome::RanState;
+pub use process::{Incarnation, ProcessId, ProcessName, Role};
+pub use rendezvous::{hash_bytes, rank_members, rendezvous_score};
+pub use rng::seeded_rng;
+pub use sorted::SortedMap;
+pub use timestamp::Timestamp;
+pub use tokens::Tokens;
--- /dev/null
+++ b/components/wire/src/lib.rs
@@ -0,0 +1,39 @@
+//! Protocol between the processes of the fleet: messages, handshake, `h2` client and server.
+//!
+//! Messages are `bincode` in length-delimited frames inside `h2` streams. A connection starts with a
+//! handshake in which both ends prove that they know the fleet secret.
+
+mod client;
+mod codec;
+mod error;
+mod forward;
+mod frames;
+mod generate;
+mod handshake;
+mod heartbeat;
+mod message;
+mod pool;
+mod request_id;
+mod server;
+mod status;
+
+pub use client::{PeerClient, PendingReceiver};
+pub use codec::{MAX_FRAME_BYTES, decode, encode};
+pub use error::WireError;
+pub use forward::{ForwardDown, ForwardHead, ForwardUp, Header};
+pub use frames::{FrameReceiver, FrameSender};
+pub use generate::{
+    FinishReason, GenerateEvent, GenerateFrame, GenerateRequest, RefuseReason, ResumePoint,
+};
+pub use handshake::{FleetSecret, PROTOCOL_VERSION, PeerIdentity};
+pub use heartbeat::{
+    CopyState, Heartbeat, LogView, ModelCopy, ModelDemand, TargetKind, TargetReport,
+};
+pub use message::{
+    LogRecordCopy, PeerCall, PeerReply, PermitOutcome, PinOutcome, ReserveOutcome, SlotId,
+    SuggestOutcome, Suggestion,
+};
+pub use pool::PeerPool;
+pub use request_id::RequestId;
+pub use server::{Incoming, Responder, serve_connection};
+pub use status::{ProcessStatus, StatusProblem};
--- /dev/null
+++ b/src/cli.rs
@@ -0,0 +1,54 @@
+//! Dispatch of the command line to the commands.
+
+use std::ffi::OsString;
+use std::process::ExitCode;
+
+use lexopt::prelude::*;
+
+use crate::cmd;
+
+/// Exit code for wrong usage.
+pub const EXIT_USAGE: u8 = 2;
+
+const HELP: &str = "\
+plantainbeam: serves many models on fewer accelerators
+
+Usage: plantainbeam <command> [options]
+
+Commands:
+  demo     run the whole path in one process and check it
+  status   show the state of running processes
+
+Options:
+  -h, --help     show this text, or that of a command
+  -V, --version  show the version
+";
+
+/// Runs the command named by `args`; the first argument is the program itself.
+pub fn run(args: impl IntoIterator<Item = OsString>) -> ExitCode {
+    let mut parser = lexopt::Parser::from_iter(args);
+    match parser.next() {
+        Ok(Some(Value(name))) => match name.to_str() {
+            Some("demo") => cmd::demo::run(parser),
+            Some("status") => cmd::status::run(parser),
+            _ => usage_error(&format!("unknown command {}", name.to_string_lossy()), HELP),
+        },
+        Ok(Some(Short('h') | Long("help"))) => {
+            print!("{HELP}");
+            ExitCode::SUCCESS
+        }
+        Ok(Some(Short('V') | Long("version"))) => {
+            println!("plantainbeam {}", env!("CARGO_PKG_VERSION"));
+            ExitCode::SUCCESS
+        }
+        Ok(Some(argument)) => usage_error(&argument.unexpected().to_string(), HELP),
+        Ok(None) => usage_error("no command given", HELP),
+        Err(error) => usage_error(&error.to_string(), HELP),
+    }
+}
+
+/// Prints what is wrong with the usage, and the help text, to standard error.
+pub fn usage_error(message: &str, help: &str) -> ExitCode {
+    eprintln!("error: {message}\n\n{help}");
+    ExitCode::from(EXIT_USAGE)
+}
--- /dev/null
+++ b/src/cmd/mod.rs
@@ -0,0 +1,4 @@
+//! Commands, one a module.
+
+pub mod demo;
+pub mod status;
