Add membership, the VM list memory and the authority rule

Cause: the entry loop needs to know who is alive and whether it may serve keyed requests. Change: heartbeats with incarnations (older refused), liveness with intervals that follow the fleet's size, VM list memory, proof of death, heartbeat schedule in rounds, and authority as a function of recorded facts. rates uses the proof type.

--- /dev/null
+++ b/components/membership/src/authority.rs
@@ -0,0 +1,182 @@
+//! Authority to serve requests that carry a customer's key.
+//!
+//! A key may have been withdrawn on the log without this process knowing. It may serve such requests
+//! only while it is sure that its configuration was current within the limit, or that nobody could
+//! have published anything.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use base::{Offset, SortedMap, Timestamp};
+use wire::LogView;
+
+/// Entries that must all say that the log is unreachable before that counts as an outage.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Electorate {
+    /// Time before the VM list that names them was asked for.
+    pub list_asked_at: Timestamp,
+    /// Their addresses, sorted, this process excluded.
+    pub entries: Vec<SocketAddr>,
+}
+
+/// Why there is authority.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum AuthorityBasis {
+    /// The log was read to its end.
+    OwnRead,
+    /// A peer read the log to its end, and this process has what the peer has.
+    PeerRead,
+    /// The log itself answered that it is unavailable.
+    Unavailable,
+    /// No entry reaches the log.
+    NobodyReads,
+}
+
+/// Authority with its end.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct AuthorityGrant {
+    /// Reason.
+    pub basis: AuthorityBasis,
+    /// First time at which it no longer holds.
+    pub until: Timestamp,
+}
+
+/// A peer's contact with the log, in this process's time, never later than it was.
+#[derive(Clone, Copy, Debug)]
+struct PeerLog {
+    asked_at: Timestamp,
+    end_read_at: Option<Timestamp>,
+    unavailable_at: Option<Timestamp>,
+    config_offset: Offset,
+}
+
+/// Facts on contact with the log.
+#[derive(Clone, Debug)]
+pub struct Authority {
+    limit: Duration,
+    list_max_age: Duration,
+    end_read_at: Option<Timestamp>,
+    unavailable_at: Option<Timestamp>,
+    peers: SortedMap<SocketAddr, PeerLog>,
+}
+
+impl Authority {
+    /// No facts. `limit` is the setting `authority_ms`, `list_max_age` is
+    /// `authority_list_max_age_ms`.
+    pub const fn new(limit: Duration, list_max_age: Duration) -> Self {
+        Self {
+            limit,
+            list_max_age,
+            end_read_at: None,
+            unavailable_at: None,
+            peers: SortedMap::new(),
+        }
+    }
+
+    /// The log was read to its end, and all records were applied, by a call made at `asked_at`.
+    pub fn note_end_read(&mut self, asked_at: Timestamp) {
+        self.end_read_at = self.end_read_at.max(Some(asked_at));
+    }
+
+    /// The log itself answered that it is unavailable, to a call made at `asked_at`. A broken
+    /// connection or a timeout is no such answer.
+    pub fn note_unavailable(&mut self, asked_at: Timestamp) {
+        self.unavailable_at = self.unavailable_at.max(Some(asked_at));
+    }
+
+    /// A peer's reply to this process's own call, made at `asked_at`. Never pass a view that came any
+    /// other way: it may have been under way for long.
+    pub fn note_peer(
+        &mut self,
+        address: SocketAddr,
+        view: LogView,
+        config_offset: Offset,
+        asked_at: Timestamp,
+    ) {
+        if self.peers.get(&address).is_some_and(|known| known.asked_at > asked_at) {
+            return;
+        }
+        let before = |age_ms: u32| {
+            let age_micros = u64::from(age_ms) * 1_000;
+            // An age that reaches back before this process started is of no use.
+            asked_at.micros.checked_sub(age_micros).map(Timestamp::from_micros)
+        };
+        let log = PeerLog {
+            asked_at,
+            end_read_at: view.end_read_age_ms.and_then(before),
+            unavailable_at: view.unavailable_age_ms.and_then(before),
+            config_offset,
+        };
+        self.peers.insert(address, log);
+        let limit = self.limit;
+        self.peers.retain(|_, peer| asked_at.since(peer.asked_at) <= 2 * limit);
+    }
+
+    /// This process's own contact with the log, to tell others.
+    pub fn view(&self, now: Timestamp) -> LogView {
+        let age = |at: Option<Timestamp>| {
+            // Rounded up, so that nobody takes the contact for newer than it is.
+            at.map(|at| now.since(at).as_micros().div_ceil(1_000))
+                .and_then(|ms| u32::try_from(ms).ok())
+        };
+        LogView {
+            end_read_age_ms: age(self.end_read_at),
+            unavailable_age_ms: age(self.unavailable_at),
+        }
+    }
+
+    /// The authority that lasts longest, or none. `config_offset` is the version in force here.
+    pub fn grant(
+        &self,
+        config_offset: Offset,
+        electorate: Option<&Electorate>,
+        now: Timestamp,
+    ) -> Option<AuthorityGrant> {
+        let peer_read = self
+            .peers
+            .values()
+            .filter(|peer| peer.config_offset <= config_offset)
+            .filter_map(|peer| peer.end_read_at)
+            .max();
+        let unavailable = self
+            .peers
+            .values()
+            .filter_map(|peer| peer.unavailable_at)
+            .max()
+            .max(self.unavailable_at);
+        let grants = [
+            (AuthorityBasis::OwnRead, self.end_read_at),
+            (AuthorityBasis::PeerRead, peer_read),
+            (AuthorityBasis::Unavailable, unavailable),
+            (AuthorityBasis::NobodyReads, electorate.and_then(|e| self.nobody_reads(e, now))),
+        ];
+        grants
+            .into_iter()
+            .filter_map(|(basis, at)| Some(AuthorityGrant { basis, until: at? + self.limit }))
+            .filter(|grant| now < grant.until)
+            .max_by_key(|grant| (grant.until, std::cmp::Reverse(grant.basis)))
+    }
+
+    /// Whether a peer has a newer configuration that would have to be fetched before its contact with
+    /// the log counts here.
+    pub fn lags_peer(&self, config_offset: Offset) -> bool {
+        self.peers.values().any(|peer| peer.config_offset > config_offset)
+    }
+
+    /// Oldest time at which an entry said that it does not reach the log, if all of them say so.
+    fn nobody_reads(&self, electorate: &Electorate, now: Timestamp) -> Option<Timestamp> {
+        let recent = |at: Timestamp| now.since(at) < self.limit;
+        if now.since(electorate.list_asked_at) >= self.list_max_age
+            || self.end_read_at.is_some_and(recent)
+        {
+            return None;
+        }
+        electorate.entries.iter().try_fold(now, |oldest, address| {
+            let peer = self.peers.get(address)?;
+            if !recent(peer.asked_at) || peer.end_read_at.is_some_and(recent) {
+                return None;
+            }
+            Some(oldest.min(peer.asked_at))
+        })
+    }
+}
--- a/components/membership/src/lib.rs
+++ b/components/membership/src/lib.rs
@@ -1,1 +1,19 @@
-//! Placeholder.
+//! Who is alive: heartbeats, incarnations, the VM list, leaving and proof of the end; and the authority
+//! to serve requests with a key.
+//!
+//! Each process judges for itself. Everything is a function of recorded facts and `now`.
+
+mod authority;
+mod death_proof;
+mod listing;
+mod member;
+mod membership;
+mod schedule;
+mod vm_list;
+
+pub use authority::{Authority, AuthorityBasis, AuthorityGrant, Electorate};
+pub use death_proof::DeathProof;
+pub use member::{Liveness, Member};
+pub use membership::{Heard, Membership, Myself};
+pub use schedule::{LARGE_ROUND_PEERS, SMALL_FLEET_PEERS, contact_interval};
+pub use vm_list::{Vm, VmList};
--- /dev/null
+++ b/components/membership/src/membership.rs
@@ -0,0 +1,352 @@
+//! The fleet as one process sees it.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use base::{Incarnation, ProcessId, ProcessName, Role, SortedMap, Timestamp};
+use compact_str::CompactString;
+use config::MembershipSettings;
+use wire::Heartbeat;
+
+use crate::listing::Listing;
+use crate::schedule::{Schedule, contact_interval};
+use crate::{DeathProof, Electorate, Liveness, Member, VmList};
+
+/// Silence after which a process is no longer kept in the table.
+const FORGET_AFTER: Duration = Duration::from_secs(3_600);
+/// Most names whose newest incarnation is remembered.
+const MAX_INCARNATIONS: usize = 8_192;
+/// Missed contacts after which a process is suspect.
+const SUSPECT_CONTACTS: u32 = 3;
+/// Missed contacts after which a process is silent.
+const SILENT_CONTACTS: u32 = 6;
+
+/// This process.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Myself {
+    /// Identity.
+    pub process: ProcessId,
+    /// Job.
+    pub role: Role,
+    /// Region.
+    pub region: CompactString,
+    /// Data centre.
+    pub data_centre: CompactString,
+    /// Address that others are told.
+    pub address: SocketAddr,
+}
+
+/// What a heartbeat changed.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Heard {
+    /// A process that was not known, or a newer run of a known one.
+    New {
+        /// Run that it replaces.
+        former: Option<ProcessId>,
+    },
+    /// Nothing but what the heartbeat itself says.
+    Known,
+    /// Refused: a newer run of the process is known, or the sender has this process's own name.
+    Refused,
+}
+
+/// Members, the VM list and the schedule of heartbeats.
+#[derive(Clone, Debug)]
+pub struct Membership {
+    me: Myself,
+    settings: MembershipSettings,
+    started_at: Timestamp,
+    members: SortedMap<ProcessName, Member>,
+    /// Newest run of each process that is known to have started.
+    started: SortedMap<ProcessName, Incarnation>,
+    listing: Listing,
+    schedule: Schedule,
+    /// Entries heard from in each region, this process excluded; kept because every judgement of a
+    /// member needs it.
+    entries_in: SortedMap<CompactString, usize>,
+}
+
+impl Membership {
+    /// A process that knows nobody yet.
+    pub fn new(me: Myself, settings: MembershipSettings, now: Timestamp) -> Self {
+        Self {
+            me,
+            settings,
+            started_at: now,
+            members: SortedMap::new(),
+            started: SortedMap::new(),
+            listing: Listing::default(),
+            schedule: Schedule::default(),
+            entries_in: SortedMap::new(),
+        }
+    }
+
+    /// This process.
+    pub const fn me(&self) -> &Myself {
+        &self.me
+    }
+
+    /// Takes a heartbeat that came as a call.
+    pub fn heard(&mut self, heartbeat: &Heartbeat, now: Timestamp) -> Heard {
+        self.take(heartbeat, now)
+    }
+
+    /// Takes a heartbeat that came as the reply to a call made at `asked_at`.
+    pub fn heard_reply(&mut self, heartbeat: &Heartbeat, asked_at: Timestamp) -> Heard {
+        self.schedule.answered(heartbeat.address);
+        self.take(heartbeat, asked_at)
+    }
+
+    fn take(&mut self, heartbeat: &Heartbeat, heard_at: Timestamp) -> Heard {
+        let from = &heartbeat.from;
+        if from.name == self.me.process.name || !self.is_current(from) {
+            return Heard::Refused;
+        }
+        self.note_start(from);
+        let vm = self.listing.at_address(heartbeat.address);
+        let (vm_name, leaving) = (vm.map(|vm| vm.name.clone()), vm.is_some_and(|vm| vm.leaving));
+        let known = self.members.get_mut(&from.name);
+        if let Some(member) = known
+            && member.process == *from
+        {
+            member.region.clone_from(&heartbeat.region);
+            member.data_centre.clone_from(&heartbeat.data_centre);
+            member.config_offset = member.config_offset.max(heartbeat.config_offset);
+            member.draining |= heartbeat.draining;
+            member.leaving |= leaving;
+            if heard_at >= member.heard_at {
+                member.heard_at = heard_at;
+                member.contact_failed = false;
+            }
+            if member.vm.is_none() {
+                member.vm = vm_name;
+            }
+            return Heard::Known;
+        }
+        let member = Member {
+            process: from.clone(),
+            role: heartbeat.role,
+            region: heartbeat.region.clone(),
+            data_centre: heartbeat.data_centre.clone(),
+            address: heartbeat.address,
+            config_offset: heartbeat.config_offset,
+            draining: heartbeat.draining,
+            leaving,
+            heard_at,
+            contact_failed: false,
+            vm: vm_name,
+        };
+        let former = self.members.insert(from.name.clone(), member).map(|m| m.process);
+        self.count_entries();
+        Heard::New { former }
+    }
+
+    /// Takes a start record from the log stream `fleet`, or any other word that a run has started.
+    pub fn note_start(&mut self, process: &ProcessId) {
+        if let Some(known) = self.started.get_mut(&process.name) {
+            *known = (*known).max(process.incarnation);
+            return;
+        }
+        if self.started.len() >= MAX_INCARNATIONS {
+            let oldest = self.started.iter().min_by_key(|(_, i)| **i).map(|(n, _)| n.clone());
+            if let Some(name) = oldest {
+                self.started.remove(&name);
+            }
+        }
+        self.started.insert(process.name.clone(), process.incarnation);
+    }
+
+    /// Whether no newer run of the process is known; messages of an older one must be refused.
+    pub fn is_current(&self, process: &ProcessId) -> bool {
+        self.started.get(&process.name).is_none_or(|newest| *newest <= process.incarnation)
+    }
+
+    /// Takes a VM list that was asked for at `asked_at`. A list older than the last one is ignored.
+    pub fn take_vm_list(&mut self, list: &VmList, asked_at: Timestamp, now: Timestamp) {
+        if !self.listing.take(list, asked_at, now) {
+            return;
+        }
+        for member in self.members.values_mut() {
+            if let Some(vm) = self.listing.at_address(member.address) {
+                member.leaving |= vm.leaving;
+                member.vm.get_or_insert_with(|| vm.name.clone());
+            }
+        }
+    }
+
+    /// A connection or a call to the process failed: it is suspect until it is heard again.
+    pub fn note_failure(&mut self, process: &ProcessId) {
+        if let Some(member) = self.members.get_mut(&process.name)
+            && member.process == *process
+        {
+            member.contact_failed = true;
+        }
+    }
+
+    /// Drops processes that have been silent for very long.
+    pub fn expire(&mut self, now: Timestamp) {
+        self.members.retain(|_, member| now.since(member.heard_at) < FORGET_AFTER);
+        self.count_entries();
+    }
+
+    /// A process by name.
+    pub fn member(&self, name: &ProcessName) -> Option<&Member> {
+        self.members.get(name)
+    }
+
+    /// All processes heard from, by name.
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        self.members.values()
+    }
+
+    /// Judgement of a member.
+    pub fn liveness(&self, member: &Member, now: Timestamp) -> Liveness {
+        let interval = self.interval_of(member);
+        let silence = now.since(member.heard_at);
+        let after = |setting_ms: u64, contacts: u32| {
+            Duration::from_millis(setting_ms).max(interval.saturating_mul(contacts))
+        };
+        if silence >= after(self.settings.silent_after_ms, SILENT_CONTACTS) {
+            Liveness::Silent
+        } else if member.contact_failed
+            || silence >= after(self.settings.suspect_after_ms, SUSPECT_CONTACTS)
+        {
+            Liveness::Suspect
+        } else {
+            Liveness::Live
+        }
+    }
+
+    /// Whether this very run of a process is known and not silent.
+    pub fn is_reachable(&self, process: &ProcessId, now: Timestamp) -> bool {
+        self.members
+            .get(&process.name)
+            .is_some_and(|m| m.process == *process && self.liveness(m, now) != Liveness::Silent)
+    }
+
+    /// Members of a role that are not silent and take new work, by name.
+    pub fn candidates(&self, role: Role, now: Timestamp) -> impl Iterator<Item = &Member> {
+        self.members.values().filter(move |m| {
+            m.role == role && m.takes_work() && self.liveness(m, now) != Liveness::Silent
+        })
+    }
+
+    /// Whether this process is the first live entry by name, which plans and writes snapshots.
+    pub fn is_first_entry(&self, now: Timestamp) -> bool {
+        self.me.role == Role::Entry
+            && self.candidates(Role::Entry, now).all(|m| m.process.name > self.me.process.name)
+    }
+
+    /// Proof that a run of a process has ended, if there is any.
+    pub fn proof_of_death(&self, process: &ProcessId, now: Timestamp) -> Option<DeathProof> {
+        if *process == self.me.process {
+            return None;
+        }
+        if process.name == self.me.process.name {
+            let newer = self.me.process.incarnation;
+            return (newer > process.incarnation).then_some(DeathProof::NewerIncarnation(newer));
+        }
+        if let Some(newest) = self.started.get(&process.name)
+            && *newest > process.incarnation
+        {
+            return Some(DeathProof::NewerIncarnation(*newest));
+        }
+        let member = self.members.get(&process.name).filter(|m| m.process == *process)?;
+        if self.liveness(member, now) != Liveness::Silent {
+            return None;
+        }
+        // The peer address is bound exclusively: another process heard there later means that this
+        // one no longer has it, though the address is on the list again.
+        let address_taken = self.members.values().any(|other| {
+            other.address == member.address
+                && other.process.name != process.name
+                && other.heard_at > member.heard_at
+        });
+        let silence = now.since(member.heard_at.max(self.started_at));
+        let silent_ms = u64::try_from(silence.as_millis()).unwrap_or(u64::MAX);
+        self.listing.removal(member.vm.as_deref()?, address_taken, silent_ms)
+    }
+
+    /// Entries that must all say that the log is unreachable before that counts as an outage.
+    pub fn electorate(&self, now: Timestamp) -> Option<Electorate> {
+        let list_asked_at = self.listing.asked_at()?;
+        let listed = self.listing.listed().filter(|vm| vm.role == Role::Entry).map(|vm| vm.address);
+        let heard = self.members.values().filter(|m| {
+            let left = m.vm.as_deref().and_then(|vm| self.listing.absent_since(vm));
+            m.role == Role::Entry
+                && left.is_none_or(|left| m.heard_at >= left)
+                && self.proof_of_death(&m.process, now).is_none()
+        });
+        let mut entries: Vec<SocketAddr> =
+            listed.chain(heard.map(|m| m.address)).filter(|a| *a != self.me.address).collect();
+        entries.sort_unstable();
+        entries.dedup();
+        Some(Electorate { list_asked_at, entries })
+    }
+
+    /// Addresses to send a heartbeat to now.
+    pub fn due(&mut self, now: Timestamp) -> Vec<SocketAddr> {
+        let peers = self.heartbeat_peers();
+        self.schedule.due(&peers, &self.settings, now)
+    }
+
+    /// When to call [`Membership::due`] next.
+    pub fn next_due(&self) -> Timestamp {
+        self.schedule.next_at()
+    }
+
+    /// Tells every peer of a change (draining) at once, again until each has answered.
+    pub fn announce(&mut self, now: Timestamp) {
+        let peers = self.heartbeat_peers();
+        self.schedule.announce(&peers, now);
+    }
+
+    /// Peers of this process's heartbeats, sorted: an entry's are all other entries; a side's are the
+    /// entries of its region, or all if it knows none there.
+    fn heartbeat_peers(&self) -> Vec<SocketAddr> {
+        let peers_in = |region: Option<&str>| {
+            let fits = |r: &str| region.is_none_or(|wanted| wanted == r);
+            let listed = self
+                .listing
+                .listed()
+                .filter(|vm| vm.role == Role::Entry && fits(&vm.region))
+                .map(|vm| vm.address);
+            let heard = self
+                .members
+                .values()
+                .filter(|m| m.role == Role::Entry && fits(&m.region))
+                .map(|m| m.address);
+            let mut peers: Vec<SocketAddr> =
+                listed.chain(heard).filter(|a| *a != self.me.address).collect();
+            peers.sort_unstable();
+            peers.dedup();
+            peers
+        };
+        match self.me.role {
+            Role::Entry => peers_in(None),
+            Role::Side => {
+                let near = peers_in(Some(&self.me.region));
+                if near.is_empty() { peers_in(None) } else { near }
+            }
+        }
+    }
+
+    /// Time between contacts with a member, by the number of peers that it or this process has.
+    fn interval_of(&self, member: &Member) -> Duration {
+        let in_region = |region: &str| self.entries_in.get(region).copied().unwrap_or(0);
+        let peers = match (self.me.role, member.role) {
+            (Role::Entry, Role::Entry) => self.entries_in.values().sum(),
+            (Role::Entry, Role::Side) => in_region(&member.region) + 1,
+            (Role::Side, _) => in_region(&self.me.region),
+        };
+        contact_interval(peers, &self.settings)
+    }
+
+    fn count_entries(&mut self) {
+        let mut counts: SortedMap<CompactString, usize> = SortedMap::new();
+        for member in self.members.values().filter(|m| m.role == Role::Entry) {
+            *counts.get_or_insert_with(member.region.clone(), || 0) += 1;
+        }
+        self.entries_in = counts;
+    }
+}
--- /dev/null
+++ b/components/membership/src/schedule.rs
@@ -0,0 +1,82 @@
+//! When heartbeats go to whom.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use base::Timestamp;
+use config::MembershipSettings;
+
+/// Most peers to which every heartbeat goes; larger fleets take turns.
+pub const SMALL_FLEET_PEERS: usize = 16;
+/// Peers in each round of a larger fleet.
+///
+/// Bounds the cost of heartbeats: at the size to design for, 8 a second of at most 1.5 KB stay below
+/// 15 KB/s for each node.
+pub const LARGE_ROUND_PEERS: usize = 8;
+/// Time between rounds of a larger fleet.
+const LARGE_ROUND: Duration = Duration::from_secs(1);
+
+/// Time between two heartbeats to the same one of `peers` peers.
+pub fn contact_interval(peers: usize, settings: &MembershipSettings) -> Duration {
+    if peers <= SMALL_FLEET_PEERS {
+        return Duration::from_millis(settings.heartbeat_ms);
+    }
+    let rounds = peers.div_ceil(LARGE_ROUND_PEERS);
+    LARGE_ROUND * u32::try_from(rounds).unwrap_or(u32::MAX)
+}
+
+/// Rounds of heartbeats.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Schedule {
+    next_round: Timestamp,
+    cursor: usize,
+    /// Peers that must still be told at once of a change.
+    urgent: Vec<SocketAddr>,
+    /// When the urgent ones are told again, unless they answer.
+    next_urgent: Timestamp,
+}
+
+impl Schedule {
+    /// Addresses to send a heartbeat to now, out of `peers` (sorted).
+    pub(crate) fn due(
+        &mut self,
+        peers: &[SocketAddr],
+        settings: &MembershipSettings,
+        now: Timestamp,
+    ) -> Vec<SocketAddr> {
+        let mut due = Vec::new();
+        let beat = Duration::from_millis(settings.heartbeat_ms);
+        self.urgent.retain(|address| peers.binary_search(address).is_ok());
+        if !self.urgent.is_empty() && now >= self.next_urgent {
+            due.extend_from_slice(&self.urgent);
+            self.next_urgent = now + beat;
+        }
+        if now >= self.next_round {
+            let small = peers.len() <= SMALL_FLEET_PEERS;
+            let count = if small { peers.len() } else { LARGE_ROUND_PEERS };
+            self.next_round = now + if small { beat } else { LARGE_ROUND };
+            let turn = peers.iter().cycle().skip(self.cursor % peers.len().max(1)).take(count);
+            due.extend(turn.copied());
+            self.cursor = (self.cursor + count) % peers.len().max(1);
+        }
+        due.sort_unstable();
+        due.dedup();
+        due
+    }
+
+    /// Tells every peer at once, again at each heartbeat until it answers.
+    pub(crate) fn announce(&mut self, peers: &[SocketAddr], now: Timestamp) {
+        self.urgent = peers.to_vec();
+        self.next_urgent = now;
+    }
+
+    /// A peer answered.
+    pub(crate) fn answered(&mut self, address: SocketAddr) {
+        self.urgent.retain(|a| *a != address);
+    }
+
+    /// When [`Schedule::due`] has something next.
+    pub(crate) fn next_at(&self) -> Timestamp {
+        if self.urgent.is_empty() { self.next_round } else { self.next_round.min(self.next_urgent) }
+    }
+}
--- a/components/rates/src/lib.rs
+++ b/components/rates/src/lib.rs
@@ -23,8 +23,8 @@
 pub use permits::{MAX_PERMIT_HOLD_MS, PermitPool};
 pub use plan::{AppendEnd, EntryPlace, SlotPlan, SlotView, preferred_owner};
 pub use record::{
-    BucketLayoutRecord, CustomerLevel, DeathProof, ReplacedOwner, SlotEntry, SlotRecord,
-    SlotSnapshot, SnapshotSlot, WriterMark,
+    BucketLayoutRecord, CustomerLevel, ReplacedOwner, SlotEntry, SlotRecord, SlotSnapshot,
+    SnapshotSlot, WriterMark,
 };
 pub use share::{MicroTokens, Share, WEIGHT_STORE, bucket_share, partition_of, slots_of, split};
 pub use slot_owner::{ReleasedSlot, SlotOwner};
--- a/components/rates/src/plan.rs
+++ b/components/rates/src/plan.rs
@@ -5,9 +5,10 @@
 use base::{ProcessId, SortedMap, Timestamp, rendezvous_score};
 use compact_str::CompactString;
 use config::Town;
+use membership::DeathProof;
 use wire::SlotId;
 
-use crate::{DeathProof, ReplacedOwner, SlotEntry, SlotLedger, SlotOwner, SlotRecord, SlotState};
+use crate::{ReplacedOwner, SlotEntry, SlotLedger, SlotOwner, SlotRecord, SlotState};
 
 /// Time that each better-placed process has to claim a slot before the next one does.
 const CLAIM_TURN: Duration = Duration::from_secs(2);
