--- /dev/null
+++ b/components/routing/src/preference.rs
@@ -0,0 +1,90 @@
+//! Rendezvous orders of a set of targets, kept until the set changes.
+
+use base::rendezvous_score;
+use compact_str::CompactString;
+
+/// Orders kept for each set; a request's affinity picks one.
+const ORDERS: usize = 64;
+/// Targets kept of each order. Larger than the number examined, so that a few that are silent or
+/// excluded don't make the whole set be ranked again.
+const KEPT: usize = 24;
+
+/// Members of a set in rendezvous order for each of a fixed number of keys.
+///
+/// Ranking costs time linear in the set, so it is done once for each key after a change of the set, not
+/// for each request.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Preference {
+    /// Arena positions, sorted.
+    members: Vec<u32>,
+    orders: Vec<Vec<u32>>,
+}
+
+impl Preference {
+    pub(crate) fn insert(&mut self, member: u32) {
+        if let Err(at) = self.members.binary_search(&member) {
+            self.members.insert(at, member);
+            self.orders.clear();
+        }
+    }
+
+    pub(crate) fn remove(&mut self, member: u32) {
+        if let Ok(at) = self.members.binary_search(&member) {
+            self.members.remove(at);
+            self.orders.clear();
+        }
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.members.is_empty()
+    }
+
+    pub(crate) fn members(&self) -> &[u32] {
+        &self.members
+    }
+
+    /// The first members in the order for `(key, affinity)`.
+    pub(crate) fn order<'a>(
+        &mut self,
+        key: &str,
+        affinity: u64,
+        name_of: impl Fn(u32) -> &'a CompactString,
+    ) -> &[u32] {
+        if self.orders.is_empty() {
+            self.orders = vec![Vec::new(); ORDERS];
+        }
+        let at = usize::try_from(affinity % ORDERS as u64).unwrap_or(0);
+        if self.orders[at].is_empty() {
+            let ranked = rank(&self.members, key, at, name_of);
+            self.orders[at] = ranked.into_iter().take(KEPT).collect();
+        }
+        &self.orders[at]
+    }
+
+    /// All members in the order for `(key, affinity)`; for the rare case that none of the first can be
+    /// used.
+    pub(crate) fn full_order<'a>(
+        &self,
+        key: &str,
+        affinity: u64,
+        name_of: impl Fn(u32) -> &'a CompactString,
+    ) -> Vec<u32> {
+        let at = usize::try_from(affinity % ORDERS as u64).unwrap_or(0);
+        rank(&self.members, key, at, name_of)
+    }
+}
+
+fn rank<'a>(
+    members: &[u32],
+    key: &str,
+    order: usize,
+    name_of: impl Fn(u32) -> &'a CompactString,
+) -> Vec<u32> {
+    let key = compact_str::format_compact!("{key}#{order}");
+    let mut ranked: Vec<(u64, u32)> = members
+        .iter()
+        .map(|member| (rendezvous_score(key.as_bytes(), name_of(*member)), *member))
+        .collect();
+    ranked.sort_unstable_by_key(|(score, member)| (std::cmp::Reverse(*score), *member));
+    ranked.into_iter().map(|(_, member)| member).collect()
+}
--- /dev/null
+++ b/components/routing/src/retry.rs
@@ -0,0 +1,78 @@
+//! Which failures may be retried.
+
+use base::RanState;
+use wire::RefuseReason;
+
+/// What a call allows.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CallKind {
+    /// May run more than once: a generation, a safe method, a route marked so.
+    Repeatable,
+    /// At most once, and the side processes keep a claim under the caller's idempotency key.
+    OnceKeyed,
+    /// At most once, without an idempotency key.
+    Once,
+}
+
+/// How an attempt failed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Failure {
+    /// The side process refused it; the call was not run.
+    Refused(RefuseReason),
+    /// No connection to the side process; nothing was sent.
+    NotSent,
+    /// The side process answered that the attempt failed.
+    Failed(RanState),
+    /// The call was sent and the side process did not answer, or its stream broke.
+    NoAnswer,
+    /// The answer did not match the request.
+    Mismatched,
+}
+
+/// What to do after a failure.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RetryVerdict {
+    /// Another target may be tried, within budget and deadline.
+    TryAnother,
+    /// The call ends; nothing has run.
+    EndNotRun,
+    /// The call ends; it may have run.
+    EndUnknown,
+    /// The call ends; it has run.
+    EndRan,
+}
+
+/// The rule on retries.
+///
+/// A call that was not run may go to another target if the reason is one of this target. A call that
+/// may have run is tried again only if it may run twice, or if the claim under its idempotency key
+/// makes a second run impossible.
+pub const fn retry_verdict(call: CallKind, failure: Failure) -> RetryVerdict {
+    match failure {
+        Failure::NotSent => RetryVerdict::TryAnother,
+        Failure::Refused(reason) => match reason {
+            RefuseReason::Draining
+            | RefuseReason::NoCapacity
+            | RefuseReason::QueueFull
+            | RefuseReason::TargetUnhealthy
+            | RefuseReason::Unknown => RetryVerdict::TryAnother,
+            RefuseReason::ClaimUnsettled
+            | RefuseReason::DeadlineTooShort
+            | RefuseReason::IdempotencyMismatch
+            | RefuseReason::LogUnavailable => RetryVerdict::EndNotRun,
+        },
+        Failure::Failed(RanState::NotRun) => RetryVerdict::TryAnother,
+        Failure::Failed(RanState::Ran) => match call {
+            CallKind::Repeatable => RetryVerdict::TryAnother,
+            CallKind::Once | CallKind::OnceKeyed => RetryVerdict::EndRan,
+        },
+        Failure::Failed(RanState::Unknown) => match call {
+            CallKind::Repeatable => RetryVerdict::TryAnother,
+            CallKind::Once | CallKind::OnceKeyed => RetryVerdict::EndUnknown,
+        },
+        Failure::NoAnswer | Failure::Mismatched => match call {
+            CallKind::Repeatable | CallKind::OnceKeyed => RetryVerdict::TryAnother,
+            CallKind::Once => RetryVerdict::EndUnknown,
+        },
+    }
+}
--- /dev/null
+++ b/components/routing/src/router.rs
@@ -0,0 +1,343 @@
+//! The router: targets, their residency, and the choice.
+
+use base::{ProcessId, SortedMap, Timestamp};
+use compact_str::CompactString;
+use rand::Rng;
+use wire::{CopyState, Heartbeat, TargetKind};
+
+use crate::preference::Preference;
+use crate::request::{Choice, ModelNeed, NoTarget, Pick, PlainNeed, TargetInfo};
+use crate::score::{Delays, Reach, base_cost, model_cost};
+use crate::sends::SendId;
+use crate::target::Target;
+use crate::{CacheEvent, PrefixIndex};
+
+/// Most targets that are examined for one request.
+pub const MAX_CANDIDATES: usize = 8;
+/// Candidates that cost this much more than the best are left out, in microseconds.
+///
+/// About the age of a load report: smaller differences may be gone, or be the herd's own doing.
+const HERD_BAND_MICROS: u64 = 250_000;
+
+/// Targets by residency, with their load.
+#[derive(Clone, Debug)]
+pub struct Router {
+    region: CompactString,
+    data_centre: CompactString,
+    delays: Delays,
+    targets: Vec<Target>,
+    by_name: SortedMap<CompactString, u32>,
+    /// Positions in `targets` without a target.
+    vacant: Vec<u32>,
+    resident: SortedMap<CompactString, Preference>,
+    loading: SortedMap<CompactString, Preference>,
+    services: SortedMap<CompactString, Preference>,
+    prefixes: PrefixIndex,
+}
+
+impl Router {
+    /// A router at a place, which knows no target.
+    pub fn new(region: &str, data_centre: &str, delays: Delays) -> Self {
+        Self {
+            region: CompactString::new(region),
+            data_centre: CompactString::new(data_centre),
+            delays,
+            targets: Vec::new(),
+            by_name: SortedMap::new(),
+            vacant: Vec::new(),
+            resident: SortedMap::new(),
+            loading: SortedMap::new(),
+            services: SortedMap::new(),
+            prefixes: PrefixIndex::new(),
+        }
+    }
+
+    /// Takes the report in a heartbeat that the membership accepted; `heard_at` is the time of arrival,
+    /// or for a reply the time before the call.
+    pub fn take_heartbeat(&mut self, heartbeat: &Heartbeat, heard_at: Timestamp) {
+        let Some(report) = &heartbeat.target else { return };
+        let at = match self.by_name.get(&report.target) {
+            Some(at) => *at,
+            None => {
+                self.add(Target::new(heartbeat, report, heard_at));
+                return;
+            }
+        };
+        let target = &self.targets[at as usize];
+        if heartbeat.from.name == target.process.name && heartbeat.from < target.process {
+            return;
+        }
+        if heartbeat.from != target.process {
+            self.prefixes.forget(at);
+        }
+        let moved = target.report.models != report.models
+            || target.report.service != report.service
+            || target.report.kind != report.kind;
+        if moved {
+            self.leave(at);
+        }
+        self.targets[at as usize].update(heartbeat, report, heard_at);
+        if moved {
+            self.enter(at);
+        }
+    }
+
+    /// Drops the targets whose side process is not to be kept (gone for good).
+    pub fn retain(&mut self, keep: impl Fn(&ProcessId) -> bool) {
+        let gone: Vec<u32> = self
+            .by_name
+            .values()
+            .copied()
+            .filter(|at| !keep(&self.targets[*at as usize].process))
+            .collect();
+        for at in gone {
+            self.leave(at);
+            self.prefixes.forget(at);
+            self.by_name.remove(&self.targets[at as usize].name);
+            self.vacant.push(at);
+        }
+    }
+
+    fn add(&mut self, target: Target) {
+        let name = target.name.clone();
+        let at = match self.vacant.pop() {
+            Some(at) => {
+                self.targets[at as usize] = target;
+                at
+            }
+            None => {
+                let Ok(at) = u32::try_from(self.targets.len()) else { return };
+                self.targets.push(target);
+                at
+            }
+        };
+        self.by_name.insert(name, at);
+        self.enter(at);
+    }
+
+    fn enter(&mut self, at: u32) {
+        let report = &self.targets[at as usize].report;
+        self.services.get_or_insert_with(report.service.clone(), Preference::default).insert(at);
+        for copy in &report.models {
+            let index = match copy.state {
+                CopyState::Resident => &mut self.resident,
+                CopyState::Loading => &mut self.loading,
+                CopyState::Unloading => continue,
+            };
+            index.get_or_insert_with(copy.model.clone(), Preference::default).insert(at);
+        }
+    }
+
+    fn leave(&mut self, at: u32) {
+        let report = &self.targets[at as usize].report;
+        if let Some(service) = self.services.get_mut(&report.service) {
+            service.remove(at);
+        }
+        for copy in &report.models {
+            for index in [&mut self.resident, &mut self.loading] {
+                if let Some(targets) = index.get_mut(&copy.model) {
+                    targets.remove(at);
+                }
+            }
+        }
+    }
+
+    /// Takes a cache event of a target.
+    pub fn take_cache_event(&mut self, target: &str, event: &CacheEvent) {
+        if let Some(at) = self.by_name.get(target) {
+            self.prefixes.take(*at, event);
+        }
+    }
+
+    /// Replaces what is known of a target's cache by its blocks as of event `sequence`.
+    pub fn resync_cache(&mut self, target: &str, sequence: u64, blocks: Vec<u64>) {
+        if let Some(at) = self.by_name.get(target) {
+            self.prefixes.resync(*at, sequence, blocks);
+        }
+    }
+
+    /// Whether cache events of a target were missed.
+    pub fn cache_is_stale(&self, target: &str) -> bool {
+        self.by_name.get(target).is_some_and(|at| self.prefixes.is_stale(*at))
+    }
+
+    /// Records a send, so that the target counts as loaded before it reports it.
+    pub fn note_send(&mut self, target: &str, tokens: u64, now: Timestamp) -> Option<SendId> {
+        let at = *self.by_name.get(target)?;
+        Some(self.targets[at as usize].sends.add(tokens, now))
+    }
+
+    /// Records the end of a send.
+    pub fn note_end(&mut self, target: &str, send: SendId) {
+        if let Some(at) = self.by_name.get(target) {
+            self.targets[*at as usize].sends.ended(send);
+        }
+    }
+
+    /// What is known of a target.
+    pub fn target(&self, name: &str) -> Option<TargetInfo<'_>> {
+        self.by_name.get(name).map(|at| info(&self.targets[*at as usize]))
+    }
+
+    /// All targets known, by name.
+    pub fn targets(&self) -> impl Iterator<Item = TargetInfo<'_>> {
+        self.by_name.values().map(|at| info(&self.targets[*at as usize]))
+    }
+
+    /// Names of targets that said they have the model resident.
+    pub fn copies(&self, model: &str) -> impl Iterator<Item = &CompactString> {
+        let members = self.resident.get(model).map_or(&[] as &[u32], Preference::members);
+        members.iter().map(|at| &self.targets[*at as usize].name)
+    }
+
+    /// Chooses a target for a generation.
+    pub fn choose_model(
+        &mut self,
+        need: &ModelNeed<'_>,
+        reach: impl Fn(&ProcessId) -> Reach,
+        rng: &mut impl Rng,
+    ) -> Choice {
+        let usable = |target: &Target| match reach(&target.process) {
+            Reach::Unusable => None,
+            reach => {
+                let kept = target.report.healthy
+                    && !need.exclude.contains(&target.name)
+                    && target.report.service == need.service;
+                kept.then_some(reach)
+            }
+        };
+        for (index, serves) in [(&mut self.resident, true), (&mut self.loading, false)] {
+            let Some(copies) = index.get_mut(need.model) else { continue };
+            let found = examine(copies, &self.targets, need.model, need.affinity, &usable);
+            let scored = found.into_iter().map(|(at, reach)| {
+                let target = &self.targets[at as usize];
+                let one_way = self.delays.to(&self.region, &self.data_centre, target);
+                let base = base_cost(target, one_way, reach);
+                (model_cost(target, need, self.prefixes.matched(at, need.blocks), base), at)
+            });
+            if let Some((cost, at)) = pick_of_two(scored.collect(), rng) {
+                let pick = pick(&self.targets[at as usize], cost);
+                return if serves { Choice::Serve(pick) } else { Choice::Load(pick) };
+            }
+        }
+        self.choose_loader(need, usable)
+    }
+
+    /// Target that should load a model without a usable copy: the first in rendezvous order for the
+    /// model, the same at every entry, among those that could hold it.
+    fn choose_loader(
+        &mut self,
+        need: &ModelNeed<'_>,
+        usable: impl Fn(&Target) -> Option<Reach>,
+    ) -> Choice {
+        let Some(service) = self.services.get_mut(need.service).filter(|s| !s.is_empty()) else {
+            return Choice::None(NoTarget::NoneKnown);
+        };
+        let targets = &self.targets;
+        let may_load = |target: &Target| {
+            let report = &target.report;
+            let holds = report.kind == TargetKind::Engine
+                && !report.quarantined
+                && report.capacity_mb >= need.memory_mb;
+            if holds { usable(target) } else { None }
+        };
+        let found = examine(service, targets, need.model, 0, &may_load);
+        let first = found.iter().find(|(_, reach)| *reach == Reach::Usable).or(found.first());
+        match first {
+            Some((at, reach)) => {
+                let target = &targets[*at as usize];
+                let one_way = self.delays.to(&self.region, &self.data_centre, target);
+                Choice::Load(pick(target, base_cost(target, one_way, *reach)))
+            }
+            None => {
+                let any =
+                    service.members().iter().any(|at| usable(&targets[*at as usize]).is_some());
+                Choice::None(if any { NoTarget::TooLarge } else { NoTarget::NoneUsable })
+            }
+        }
+    }
+
+    /// Chooses a target of a plain service.
+    pub fn choose_plain(
+        &mut self,
+        need: &PlainNeed<'_>,
+        reach: impl Fn(&ProcessId) -> Reach,
+        rng: &mut impl Rng,
+    ) -> Choice {
+        let Some(service) = self.services.get_mut(need.service).filter(|s| !s.is_empty()) else {
+            return Choice::None(NoTarget::NoneKnown);
+        };
+        let usable = |target: &Target| match reach(&target.process) {
+            Reach::Unusable => None,
+            reach => {
+                let kept = target.report.healthy
+                    && target.report.kind == TargetKind::Plain
+                    && !need.exclude.contains(&target.name);
+                kept.then_some(reach)
+            }
+        };
+        let found = examine(service, &self.targets, need.service, need.affinity, &usable);
+        let scored = found.into_iter().map(|(at, reach)| {
+            let target = &self.targets[at as usize];
+            let one_way = self.delays.to(&self.region, &self.data_centre, target);
+            (base_cost(target, one_way, reach), at)
+        });
+        match pick_of_two(scored.collect(), rng) {
+            Some((cost, at)) => Choice::Serve(pick(&self.targets[at as usize], cost)),
+            None => Choice::None(NoTarget::NoneUsable),
+        }
+    }
+}
+
+/// The first usable targets in the order for `(key, affinity)`.
+fn examine(
+    set: &mut Preference,
+    targets: &[Target],
+    key: &str,
+    affinity: u64,
+    usable: &impl Fn(&Target) -> Option<Reach>,
+) -> Vec<(u32, Reach)> {
+    let name_of = |at: u32| &targets[at as usize].name;
+    let accept = |at: &u32| usable(&targets[*at as usize]).map(|reach| (*at, reach));
+    let near: Vec<(u32, Reach)> =
+        set.order(key, affinity, name_of).iter().filter_map(accept).take(MAX_CANDIDATES).collect();
+    if !near.is_empty() {
+        return near;
+    }
+    let all = set.full_order(key, affinity, name_of);
+    all.iter().filter_map(accept).take(MAX_CANDIDATES).collect()
+}
+
+/// The cheaper of two candidates drawn from the better half.
+///
+/// Always taking the cheapest would send every entry to the same target until its next report.
+fn pick_of_two(mut scored: Vec<(u64, u32)>, rng: &mut impl Rng) -> Option<(u64, u32)> {
+    scored.sort_unstable();
+    let (best, _) = *scored.first()?;
+    scored.truncate(scored.len().div_ceil(2).max(2));
+    scored.retain(|(cost, _)| *cost <= best.saturating_add(HERD_BAND_MICROS));
+    let first = rng.random_range(0..scored.len());
+    if scored.len() == 1 {
+        return scored.first().copied();
+    }
+    let second = (first + rng.random_range(1..scored.len())) % scored.len();
+    scored.get(first.min(second)).copied()
+}
+
+fn pick(target: &Target, score_micros: u64) -> Pick {
+    Pick {
+        target: target.name.clone(),
+        process: target.process.clone(),
+        address: target.address,
+        score_micros,
+    }
+}
+
+fn info(target: &Target) -> TargetInfo<'_> {
+    TargetInfo {
+        process: &target.process,
+        address: target.address,
+        report: &target.report,
+        unreported_tokens: target.sends.tokens(),
+    }
+}
--- /dev/null
+++ b/components/routing/src/score.rs
@@ -0,0 +1,106 @@
+//! Estimated cost of sending a request to a target.
+
+use base::{ProcessId, Timestamp};
+use membership::{Liveness, Membership};
+use wire::TargetKind;
+
+use crate::request::ModelNeed;
+use crate::target::Target;
+
+/// Cost of loading an adapter in microseconds: 5 to 10 ms while few loads are in flight.
+const ADAPTER_LOAD_MICROS: u64 = 7_500;
+/// Prompt tokens are processed this many times faster than output tokens are generated.
+const PREFILL_SPEEDUP: u64 = 10;
+/// Cost of a request in flight at a plain target, in microseconds.
+const PLAIN_REQUEST_MICROS: u64 = 2_000;
+/// Added for a target that is suspect, in microseconds: used only if the others are much worse.
+const SUSPECT_MICROS: u64 = 1_000_000;
+
+/// Whether a side process can be sent to.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Reach {
+    /// Yes.
+    Usable,
+    /// Only if nothing better is there.
+    Suspect,
+    /// No: unknown, silent, draining, leaving, or another run of the process.
+    Unusable,
+}
+
+/// Judgement of a side process by the membership.
+pub fn reach_of(membership: &Membership, process: &ProcessId, now: Timestamp) -> Reach {
+    match membership.member(&process.name) {
+        Some(member) if member.process == *process && member.takes_work() => {
+            match membership.liveness(member, now) {
+                Liveness::Live => Reach::Usable,
+                Liveness::Suspect => Reach::Suspect,
+                Liveness::Silent => Reach::Unusable,
+            }
+        }
+        _ => Reach::Unusable,
+    }
+}
+
+/// One-way network delays in microseconds.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Delays {
+    /// Inside a data centre.
+    pub data_centre_micros: u64,
+    /// Between data centres of a region.
+    pub region_micros: u64,
+    /// Between regions.
+    pub far_micros: u64,
+}
+
+impl Default for Delays {
+    fn default() -> Self {
+        Self { data_centre_micros: 100, region_micros: 500, far_micros: 15_000 }
+    }
+}
+
+impl Delays {
+    pub(crate) fn to(&self, region: &str, data_centre: &str, target: &Target) -> u64 {
+        if target.data_centre == data_centre && target.region == region {
+            self.data_centre_micros
+        } else if target.region == region {
+            self.region_micros
+        } else {
+            self.far_micros
+        }
+    }
+}
+
+/// Time until the target has worked off what is queued, in microseconds.
+fn wait_micros(target: &Target) -> u64 {
+    let report = &target.report;
+    match report.kind {
+        TargetKind::Plain => {
+            (u64::from(report.running) + target.sends.count()).saturating_mul(PLAIN_REQUEST_MICROS)
+        }
+        TargetKind::Engine => {
+            let queued = report.queued_tokens.saturating_add(target.sends.tokens());
+            let micros = u128::from(queued) * 1_000_000 / u128::from(report.tokens_per_s.max(1));
+            u64::try_from(micros).unwrap_or(u64::MAX)
+        }
+    }
+}
+
+/// Cost of waiting and distance, in microseconds.
+pub(crate) fn base_cost(target: &Target, one_way_micros: u64, reach: Reach) -> u64 {
+    let suspicion = if reach == Reach::Suspect { SUSPECT_MICROS } else { 0 };
+    wait_micros(target).saturating_add(2 * one_way_micros).saturating_add(suspicion)
+}
+
+/// Cost of a generation given `matched` leading blocks in the target's cache, in microseconds.
+pub(crate) fn model_cost(target: &Target, need: &ModelNeed<'_>, matched: usize, base: u64) -> u64 {
+    let adapter = match need.adapter {
+        Some(adapter) if !target.has_adapter(adapter) => ADAPTER_LOAD_MICROS,
+        _ => 0,
+    };
+    let blocks = need.blocks.len().max(1) as u64;
+    let uncached = need.prompt_tokens - need.prompt_tokens * matched as u64 / blocks;
+    let speed = target.report.tokens_per_s.max(1).saturating_mul(PREFILL_SPEEDUP);
+    // The prefix credit is subtracted as prefill that is not needed, so the cost stays above zero.
+    let prefill = u128::from(uncached) * 1_000_000 / u128::from(speed);
+    base.saturating_add(adapter).saturating_add(u64::try_from(prefill).unwrap_or(u64::MAX))
+}
--- /dev/null
+++ b/components/routing/src/target.rs
@@ -0,0 +1,61 @@
+//! One target as the router knows it.
+
+use std::time::Duration;
+
+use base::{ProcessId, Timestamp};
+use compact_str::CompactString;
+use wire::{Heartbeat, TargetReport};
+
+use crate::sends::Sends;
+
+/// A target with its last report.
+#[derive(Clone, Debug)]
+pub(crate) struct Target {
+    pub(crate) name: CompactString,
+    pub(crate) process: ProcessId,
+    pub(crate) address: std::net::SocketAddr,
+    pub(crate) region: CompactString,
+    pub(crate) data_centre: CompactString,
+    pub(crate) report: TargetReport,
+    pub(crate) sends: Sends,
+}
+
+impl Target {
+    pub(crate) fn new(heartbeat: &Heartbeat, report: &TargetReport, heard_at: Timestamp) -> Self {
+        let mut target = Self {
+            name: report.target.clone(),
+            process: heartbeat.from.clone(),
+            address: heartbeat.address,
+            region: heartbeat.region.clone(),
+            data_centre: heartbeat.data_centre.clone(),
+            report: report.clone(),
+            sends: Sends::default(),
+        };
+        target.sampled(heard_at);
+        target
+    }
+
+    /// Takes a newer report.
+    pub(crate) fn update(
+        &mut self,
+        heartbeat: &Heartbeat,
+        report: &TargetReport,
+        heard_at: Timestamp,
+    ) {
+        self.process = heartbeat.from.clone();
+        self.address = heartbeat.address;
+        self.region.clone_from(&heartbeat.region);
+        self.data_centre.clone_from(&heartbeat.data_centre);
+        self.report = report.clone();
+        self.sampled(heard_at);
+    }
+
+    fn sampled(&mut self, heard_at: Timestamp) {
+        let age = Duration::from_millis(u64::from(self.report.sample_age_ms));
+        self.sends.sampled(heard_at - age);
+    }
+
+    pub(crate) fn has_adapter(&self, adapter: &str) -> bool {
+        self.report.adapters.binary_search_by(|a| a.as_str().cmp(adapter)).is_ok()
+    }
+}
