Test membership and authority

Cause: I5 and I10 rest on membership and authority, which had no tests. Change: tests of incarnations, silence, leaving, the VM list with lag, proof of death, the cost of heartbeats and the authority rule; naive variants (silence as proof, a peer's age counted from the arrival of its reply) must be caught.

--- /dev/null
+++ b/components/membership/tests/membership.rs
@@ -0,0 +1,357 @@
+//! Heartbeats, liveness, the VM list and proof of death.
+#![allow(clippy::unwrap_used, reason = "a missing value fails the test")]
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use base::{Incarnation, Offset, ProcessId, ProcessName, Role, Timestamp};
+use compact_str::CompactString;
+use config::MembershipSettings;
+use membership::{
+    DeathProof, Heard, LARGE_ROUND_PEERS, Liveness, Membership, Myself, Vm, VmList,
+    contact_interval,
+};
+use proptest::prelude::*;
+use proptest::test_runner::{RngSeed, TestRunner};
+use wire::{Heartbeat, LogView};
+
+const SEED: u64 = 4_211;
+
+fn at(ms: u64) -> Timestamp {
+    Timestamp::from_millis(ms)
+}
+
+fn process(name: &str, incarnation: u64) -> ProcessId {
+    ProcessId { name: ProcessName::new(name), incarnation: Incarnation(incarnation) }
+}
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn myself(role: Role) -> Myself {
+    Myself {
+        process: process("me", 5),
+        role,
+        region: CompactString::new("north"),
+        data_centre: CompactString::new("dc-a"),
+        address: address(1),
+    }
+}
+
+fn membership(role: Role) -> Membership {
+    Membership::new(myself(role), MembershipSettings::default(), at(0))
+}
+
+fn heartbeat(name: &str, incarnation: u64, role: Role, port: u16) -> Heartbeat {
+    Heartbeat {
+        from: process(name, incarnation),
+        role,
+        region: CompactString::new("north"),
+        data_centre: CompactString::new("dc-a"),
+        address: address(port),
+        config_offset: Offset(1),
+        log: LogView::default(),
+        draining: false,
+        target: None,
+        demand: Vec::new(),
+    }
+}
+
+fn vm(name: &str, port: u16, role: Role, leaving: bool) -> Vm {
+    Vm {
+        name: CompactString::new(name),
+        address: address(port),
+        role,
+        region: CompactString::new("north"),
+        data_centre: CompactString::new("dc-a"),
+        leaving,
+    }
+}
+
+fn list(version: u64, vms: &[Vm]) -> VmList {
+    VmList { version, vms: vms.to_vec() }
+}
+
+fn names(membership: &Membership, role: Role, now: Timestamp) -> Vec<String> {
+    membership.candidates(role, now).map(|m| m.process.name.to_string()).collect()
+}
+
+#[test]
+fn messages_of_an_older_incarnation_are_refused() {
+    let mut members = membership(Role::Entry);
+    let new = Heard::New { former: None };
+    assert_eq!(members.heard(&heartbeat("e2", 7, Role::Entry, 2), at(1)), new);
+    assert_eq!(members.heard(&heartbeat("e2", 6, Role::Entry, 2), at(2)), Heard::Refused);
+    let newer = members.heard(&heartbeat("e2", 8, Role::Entry, 2), at(3));
+    assert_eq!(newer, Heard::New { former: Some(process("e2", 7)) });
+    assert!(!members.is_current(&process("e2", 7)));
+    assert!(!members.is_reachable(&process("e2", 7), at(3)));
+    // A start record on the log is enough.
+    members.note_start(&process("e2", 9));
+    assert_eq!(members.heard(&heartbeat("e2", 8, Role::Entry, 2), at(4)), Heard::Refused);
+    assert_eq!(
+        members.proof_of_death(&process("e2", 8), at(4)),
+        Some(DeathProof::NewerIncarnation(Incarnation(9)))
+    );
+    // Nobody else may speak in this process's name.
+    assert_eq!(members.heard(&heartbeat("me", 9, Role::Entry, 3), at(5)), Heard::Refused);
+}
+
+#[test]
+fn silence_is_judged_by_the_settings() {
+    let mut members = membership(Role::Entry);
+    members.heard(&heartbeat("s1", 1, Role::Side, 2), at(1_000));
+    let judge = |members: &Membership, ms| {
+        members.liveness(members.member(&ProcessName::new("s1")).unwrap(), at(ms))
+    };
+    assert_eq!(judge(&members, 1_749), Liveness::Live);
+    assert_eq!(judge(&members, 1_750), Liveness::Suspect);
+    assert_eq!(judge(&members, 2_499), Liveness::Suspect);
+    assert_eq!(judge(&members, 2_500), Liveness::Silent);
+    assert!(names(&members, Role::Side, at(2_500)).is_empty());
+    // A failed call makes it suspect at once, until it is heard again.
+    members.heard(&heartbeat("s1", 1, Role::Side, 2), at(3_000));
+    members.note_failure(&process("s1", 1));
+    assert_eq!(judge(&members, 3_000), Liveness::Suspect);
+    members.heard(&heartbeat("s1", 1, Role::Side, 2), at(3_001));
+    assert_eq!(judge(&members, 3_001), Liveness::Live);
+    // A reply says that the process was alive when it was asked, not when the reply arrived.
+    members.heard_reply(&heartbeat("s1", 1, Role::Side, 2), at(3_100));
+    assert_eq!(judge(&members, 4_599), Liveness::Suspect);
+    assert_eq!(judge(&members, 4_600), Liveness::Silent);
+}
+
+/// I10: either word takes a target out at once, and a delayed older heartbeat must not bring it back.
+#[test]
+fn a_leaving_process_is_no_candidate_from_either_word_on() {
+    let mut members = membership(Role::Entry);
+    members.heard(&heartbeat("s1", 1, Role::Side, 2), at(1));
+    members.heard(&heartbeat("s2", 1, Role::Side, 3), at(1));
+    let draining = Heartbeat { draining: true, ..heartbeat("s1", 1, Role::Side, 2) };
+    members.heard(&draining, at(2));
+    assert_eq!(names(&members, Role::Side, at(2)), ["s2"]);
+    members.heard(&heartbeat("s1", 1, Role::Side, 2), at(3));
+    assert_eq!(names(&members, Role::Side, at(3)), ["s2"], "reordered heartbeat");
+    let leaving = vm("vm-2", 3, Role::Side, true);
+    members.take_vm_list(&list(1, &[leaving]), at(4), at(5));
+    assert!(names(&members, Role::Side, at(5)).is_empty());
+    // The next run of the same process starts fresh.
+    members.heard(&heartbeat("s1", 2, Role::Side, 2), at(6));
+    assert_eq!(names(&members, Role::Side, at(6)), ["s1"]);
+}
+
+/// The list may say `leaving` before the first heartbeat.
+#[test]
+fn a_process_first_heard_on_a_leaving_vm_is_no_candidate() {
+    let mut members = membership(Role::Entry);
+    members.take_vm_list(&list(1, &[vm("vm-1", 2, Role::Side, true)]), at(1), at(1));
+    members.heard(&heartbeat("s1", 1, Role::Side, 2), at(2));
+    assert!(names(&members, Role::Side, at(2)).is_empty());
+}
+
+#[test]
+fn removal_is_proven_by_two_later_lists_and_silence_together() {
+    let listed = [vm("vm-2", 2, Role::Entry, false)];
+    let owner = process("e2", 1);
+    let mut members = membership(Role::Entry);
+    members.take_vm_list(&list(1, &listed), at(1), at(1));
+    members.heard(&heartbeat("e2", 1, Role::Entry, 2), at(2));
+    // Silent, but on the list: a paused or cut-off VM.
+    assert_eq!(members.proof_of_death(&owner, at(60_000)), None);
+    members.take_vm_list(&list(2, &[]), at(60_000), at(60_001));
+    assert_eq!(members.proof_of_death(&owner, at(60_001)), None, "one list");
+    members.take_vm_list(&list(2, &[]), at(61_000), at(61_001));
+    let proof = members.proof_of_death(&owner, at(61_001)).unwrap();
+    assert!(proof.holds_for(&owner));
+    assert!(matches!(proof, DeathProof::VmRemoved { absent_reads: 2, silent_ms: 60_999, .. }));
+    // Heard again: the list was wrong.
+    members.heard(&heartbeat("e2", 1, Role::Entry, 2), at(61_002));
+    assert_eq!(members.proof_of_death(&owner, at(61_003)), None);
+    assert!(names(&members, Role::Entry, at(61_003)).contains(&"e2".to_owned()));
+}
+
+/// The list lags: an old version from another server must not count as a later list.
+#[test]
+fn an_older_list_is_ignored() {
+    let listed = [vm("vm-2", 2, Role::Entry, false)];
+    let mut members = membership(Role::Entry);
+    members.take_vm_list(&list(7, &listed), at(1), at(1));
+    members.heard(&heartbeat("e2", 1, Role::Entry, 2), at(2));
+    for ms in 2..10 {
+        members.take_vm_list(&list(6, &[]), at(ms), at(ms));
+    }
+    assert_eq!(members.proof_of_death(&process("e2", 1), at(9_000)), None);
+    // An answer that overtook a newer one.
+    members.take_vm_list(&list(8, &[]), at(9_000), at(9_000));
+    members.take_vm_list(&list(8, &listed), at(8_000), at(9_001));
+    members.take_vm_list(&list(8, &[]), at(9_100), at(9_100));
+    assert!(members.proof_of_death(&process("e2", 1), at(9_100)).is_some());
+}
+
+/// A VM whose address is on the list again may be the same one under a new name, unless another
+/// process has been heard there.
+#[test]
+fn a_reused_address_is_no_proof_until_another_process_speaks_from_it() {
+    let mut members = membership(Role::Entry);
+    members.take_vm_list(&list(1, &[vm("vm-2", 2, Role::Entry, false)]), at(1), at(1));
+    members.heard(&heartbeat("e2", 1, Role::Entry, 2), at(2));
+    let renamed = [vm("vm-3", 2, Role::Entry, false)];
+    members.take_vm_list(&list(2, &renamed), at(5_000), at(5_000));
+    members.take_vm_list(&list(3, &renamed), at(6_000), at(6_000));
+    assert_eq!(members.proof_of_death(&process("e2", 1), at(6_000)), None);
+    members.heard(&heartbeat("e3", 1, Role::Entry, 2), at(6_001));
+    assert!(members.proof_of_death(&process("e2", 1), at(6_001)).is_some());
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Heartbeat,
+    List { listed: bool },
+    Wait { ms: u64 },
+}
+
+fn events() -> impl Strategy<Value = Vec<Event>> {
+    let event = prop_oneof![
+        Just(Event::Heartbeat),
+        any::<bool>().prop_map(|listed| Event::List { listed }),
+        (1..3_000u64).prop_map(|ms| Event::Wait { ms }),
+    ];
+    prop::collection::vec(event, 1..40)
+}
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        cases: 2_000,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(SEED),
+        ..ProptestConfig::default()
+    }
+}
+
+/// Fails if `judge` calls the process dead although it was heard lately or not on two later lists.
+fn judge_all(
+    events: &[Event],
+    judge: impl Fn(&Membership, Timestamp) -> bool,
+) -> Result<(), TestCaseError> {
+    let mut members = membership(Role::Entry);
+    let listed_vm = [vm("vm-2", 2, Role::Entry, false)];
+    let (mut now, mut version) = (at(1), 0);
+    let (mut heard, mut was_listed, mut absent) = (None, false, 0);
+    for event in events {
+        match event {
+            Event::Heartbeat => {
+                members.heard(&heartbeat("e2", 1, Role::Entry, 2), now);
+                heard = Some(now);
+            }
+            Event::List { listed } => {
+                version += 1;
+                let vms: &[Vm] = if *listed { &listed_vm } else { &[] };
+                members.take_vm_list(&list(version, vms), now, now);
+                was_listed |= listed;
+                absent = if *listed || !was_listed { 0 } else { absent + 1 };
+            }
+            Event::Wait { ms } => now = now + Duration::from_millis(*ms),
+        }
+        let silent = heard.is_some_and(|h| now.since(h) >= Duration::from_millis(1_500));
+        prop_assert!(!judge(&members, now) || (silent && absent >= 2), "at {now:?}");
+    }
+    Ok(())
+}
+
+/// Whatever is lost or delayed, a process that is on every list is never proven dead, and one that was
+/// heard within the limit never is either.
+#[test]
+fn no_proof_without_removal_and_silence() {
+    let judge = |m: &Membership, now: Timestamp| m.proof_of_death(&process("e2", 1), now).is_some();
+    TestRunner::new(config()).run(&events(), |events| judge_all(&events, judge)).unwrap();
+}
+
+/// The check must be able to fail: silence alone would take the slots of a paused process.
+#[test]
+fn check_catches_proof_by_silence_alone() {
+    let judge = |m: &Membership, now: Timestamp| {
+        m.member(&ProcessName::new("e2")).is_some_and(|e2| m.liveness(e2, now) == Liveness::Silent)
+    };
+    let caught = TestRunner::new(config()).run(&events(), |events| judge_all(&events, judge));
+    assert!(caught.is_err(), "seed {SEED}: silence passed as proof");
+}
+
+fn entries(count: u16) -> Vec<Vm> {
+    (0..count).map(|i| vm(&format!("vm-{i}"), 100 + i, Role::Entry, false)).collect()
+}
+
+fn sent_in(members: &mut Membership, seconds: u64) -> Vec<(u64, SocketAddr)> {
+    let mut sent = Vec::new();
+    let mut now = at(10_000);
+    while now < at(10_000 + seconds * 1_000) {
+        sent.extend(members.due(now).into_iter().map(|a| (now.micros / 1_000, a)));
+        now = members.next_due().max(now + Duration::from_millis(1));
+    }
+    sent
+}
+
+#[test]
+fn a_small_fleet_hears_from_everyone_at_each_heartbeat() {
+    let mut members = membership(Role::Entry);
+    members.take_vm_list(&list(1, &entries(3)), at(1), at(1));
+    let sent = sent_in(&mut members, 1);
+    assert_eq!(sent.len(), 3 * 4);
+}
+
+/// The cost of heartbeats for a node must not grow with the fleet, and every peer must get its turn.
+#[test]
+fn a_large_fleet_takes_turns_at_a_bounded_rate() {
+    for count in [17, 100, 379] {
+        let mut members = membership(Role::Entry);
+        members.take_vm_list(&list(1, &entries(count)), at(1), at(1));
+        let settings = MembershipSettings::default();
+        let interval = contact_interval(usize::from(count), &settings);
+        let sent = sent_in(&mut members, interval.as_secs());
+        assert!(sent.len() <= LARGE_ROUND_PEERS * usize::try_from(interval.as_secs()).unwrap());
+        let mut reached: Vec<SocketAddr> = sent.into_iter().map(|(_, a)| a).collect();
+        reached.sort_unstable();
+        reached.dedup();
+        assert_eq!(reached.len(), usize::from(count));
+    }
+}
+
+/// I10: in a large fleet the turns would be too slow for the announcement of a drain.
+#[test]
+fn an_announcement_reaches_everyone_at_once_and_is_repeated_until_answered() {
+    let mut members = membership(Role::Entry);
+    members.take_vm_list(&list(1, &entries(100)), at(1), at(1));
+    members.due(at(2));
+    members.announce(at(3));
+    assert_eq!(members.due(at(3)).len(), 100);
+    assert_eq!(members.next_due(), at(253));
+    for port in 100..199 {
+        let reply = heartbeat(&format!("e{port}"), 1, Role::Entry, port);
+        members.heard_reply(&reply, at(3));
+    }
+    assert_eq!(members.due(at(253)), [address(199)]);
+    members.heard_reply(&heartbeat("e199", 1, Role::Entry, 199), at(253));
+    assert_eq!(members.due(at(503)), []);
+}
+
+#[test]
+fn a_side_sends_to_the_entries_of_its_region_or_to_all_if_there_is_none() {
+    let mut members = membership(Role::Side);
+    let far = Vm { region: CompactString::new("south"), ..vm("vm-9", 9, Role::Entry, false) };
+    members.take_vm_list(&list(1, std::slice::from_ref(&far)), at(1), at(1));
+    assert_eq!(members.due(at(1)), [address(9)]);
+    let near = vm("vm-8", 8, Role::Entry, false);
+    let side = vm("vm-7", 7, Role::Side, false);
+    members.take_vm_list(&list(2, &[near, far, side]), at(2), at(2));
+    assert_eq!(members.due(at(300)), [address(8)]);
+}
+
+#[test]
+fn the_first_live_entry_by_name_plans() {
+    let mut members = membership(Role::Entry);
+    assert!(members.is_first_entry(at(1)));
+    members.heard(&heartbeat("a", 1, Role::Entry, 2), at(1));
+    members.heard(&heartbeat("b", 1, Role::Side, 3), at(1));
+    assert!(!members.is_first_entry(at(1)));
+    assert!(members.is_first_entry(at(5_000)), "the other is silent");
+}
