Test routing and keep equal candidates in rendezvous order

Cause: routing had no tests; one of them showed that equal candidates were ordered by arena position, so that 28 of 40 idle copies got all requests. Conclusion: the interface is covered; cache events still need a message in wire.

--- a/components/routing/src/router.rs
+++ b/components/routing/src/router.rs
@@ -312,7 +312,8 @@
 ///
 /// Always taking the cheapest would send every entry to the same target until its next report.
 fn pick_of_two(mut scored: Vec<(u64, u32)>, rng: &mut impl Rng) -> Option<(u64, u32)> {
-    scored.sort_unstable();
+    // Stable, so that equals stay in rendezvous order, which differs between requests.
+    scored.sort_by_key(|(cost, _)| *cost);
     let (best, _) = *scored.first()?;
     scored.truncate(scored.len().div_ceil(2).max(2));
     scored.retain(|(cost, _)| *cost <= best.saturating_add(HERD_BAND_MICROS));
--- /dev/null
+++ b/components/routing/tests/router.rs
@@ -0,0 +1,454 @@
+//! Choice of a target.
+#![allow(clippy::unwrap_used, reason = "a missing value fails the test")]
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+
+use base::{Incarnation, Offset, ProcessId, ProcessName, Role, Timestamp, seeded_rng};
+use compact_str::CompactString;
+use config::MembershipSettings;
+use membership::{Membership, Myself};
+use proptest::prelude::*;
+use proptest::test_runner::{RngSeed, TestRunner};
+use rand::Rng;
+use routing::{
+    CacheEvent, CacheEventKind, Choice, Delays, MAX_CANDIDATES, ModelNeed, NoTarget,
+    PREFIX_BLOCK_BYTES, Pick, PlainNeed, Reach, Router, prefix_blocks, reach_of,
+};
+use wire::{CopyState, Heartbeat, LogView, ModelCopy, TargetKind, TargetReport};
+
+const SEED: u64 = 4_221;
+const MODEL: &str = "eulogy";
+
+fn at(ms: u64) -> Timestamp {
+    Timestamp::from_millis(ms)
+}
+
+fn name(target: usize) -> CompactString {
+    compact_str::format_compact!("t{target}")
+}
+
+fn copies(models: &[(&str, CopyState)]) -> Vec<ModelCopy> {
+    let copy = |(model, state): &(&str, CopyState)| ModelCopy {
+        model: CompactString::new(model),
+        state: *state,
+    };
+    models.iter().map(copy).collect()
+}
+
+fn report(target: usize) -> TargetReport {
+    TargetReport {
+        target: name(target),
+        service: CompactString::new("llais"),
+        kind: TargetKind::Engine,
+        healthy: true,
+        quarantined: false,
+        models: copies(&[(MODEL, CopyState::Resident)]),
+        adapters: Vec::new(),
+        capacity_mb: 10_000,
+        used_mb: 0,
+        queued_tokens: 0,
+        running: 0,
+        batch: 8,
+        tokens_per_s: 1_000,
+        sample_age_ms: 0,
+    }
+}
+
+fn heartbeat(target: usize, report: TargetReport) -> Heartbeat {
+    Heartbeat {
+        from: ProcessId {
+            name: ProcessName::new(&format!("side-{target}")),
+            incarnation: Incarnation(1),
+        },
+        role: Role::Side,
+        region: CompactString::new("north"),
+        data_centre: CompactString::new("dc-a"),
+        address: SocketAddr::from(([127, 0, 0, 1], 1_000 + u16::try_from(target).unwrap())),
+        config_offset: Offset(1),
+        log: LogView::default(),
+        draining: false,
+        target: Some(report),
+        demand: Vec::new(),
+    }
+}
+
+fn router(targets: usize, change: impl Fn(usize, &mut TargetReport)) -> Router {
+    let mut router = Router::new("north", "dc-a", Delays::default());
+    for target in 0..targets {
+        let mut report = report(target);
+        change(target, &mut report);
+        router.take_heartbeat(&heartbeat(target, report), at(1));
+    }
+    router
+}
+
+fn need<'a>(exclude: &'a [CompactString]) -> ModelNeed<'a> {
+    ModelNeed {
+        model: MODEL,
+        service: "llais",
+        memory_mb: 1_000,
+        adapter: None,
+        blocks: &[],
+        prompt_tokens: 100,
+        affinity: 0,
+        exclude,
+    }
+}
+
+fn usable(_: &ProcessId) -> Reach {
+    Reach::Usable
+}
+
+fn served(choice: Choice) -> Pick {
+    match choice {
+        Choice::Serve(pick) => pick,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn loader(choice: Choice) -> CompactString {
+    match choice {
+        Choice::Load(pick) => pick.target,
+        other => panic!("{other:?}"),
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct State {
+    draining: bool,
+    leaving: bool,
+    silent: bool,
+    healthy: bool,
+    resident: bool,
+    excluded: bool,
+}
+
+fn states() -> impl Strategy<Value = Vec<State>> {
+    let rarely = || prop::bool::weighted(0.3);
+    let state = (rarely(), rarely(), rarely(), prop::bool::weighted(0.8), any::<bool>(), rarely())
+        .prop_map(|(draining, leaving, silent, healthy, resident, excluded)| State {
+            draining,
+            leaving,
+            silent,
+            healthy,
+            resident,
+            excluded,
+        });
+    prop::collection::vec(state, 1..40)
+}
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        cases: 500,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(SEED),
+        ..ProptestConfig::default()
+    }
+}
+
+/// Chooses for many affinities among targets in these states, and fails on a forbidden one or if a
+/// usable one is not found.
+fn choose_among(
+    states: &[State],
+    reach: impl Fn(&Membership, &ProcessId) -> Reach,
+) -> Result<(), TestCaseError> {
+    let me = Myself {
+        process: ProcessId { name: ProcessName::new("me"), incarnation: Incarnation(1) },
+        role: Role::Entry,
+        region: CompactString::new("north"),
+        data_centre: CompactString::new("dc-a"),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+    };
+    let mut members = Membership::new(me, MembershipSettings::default(), at(0));
+    let mut router = Router::new("north", "dc-a", Delays::default());
+    let mut vms = Vec::new();
+    for (target, state) in states.iter().enumerate() {
+        let mut report = report(target);
+        report.healthy = state.healthy;
+        if !state.resident {
+            report.models.clear();
+        }
+        let heartbeat = Heartbeat { draining: state.draining, ..heartbeat(target, report) };
+        let heard_at = at(if state.silent { 8_000 } else { 9_900 });
+        members.heard(&heartbeat, heard_at);
+        router.take_heartbeat(&heartbeat, heard_at);
+        vms.push(membership::Vm {
+            name: compact_str::format_compact!("vm-{target}"),
+            address: heartbeat.address,
+            role: Role::Side,
+            region: heartbeat.region.clone(),
+            data_centre: heartbeat.data_centre.clone(),
+            leaving: state.leaving,
+        });
+    }
+    members.take_vm_list(&membership::VmList { version: 1, vms }, at(9_950), at(9_960));
+    let excluded: Vec<CompactString> =
+        (0..states.len()).filter(|t| states[*t].excluded).map(name).collect();
+    let may_serve = |s: &State| !s.draining && !s.leaving && !s.silent && s.healthy && !s.excluded;
+    let mut rng = seeded_rng(SEED);
+    for affinity in 0..16 {
+        let need = ModelNeed { affinity, ..need(&excluded) };
+        let choice = router.choose_model(&need, |process| reach(&members, process), &mut rng);
+        let pick = match &choice {
+            Choice::Serve(pick) | Choice::Load(pick) => pick,
+            Choice::None(_) => {
+                prop_assert!(!states.iter().any(may_serve), "none found");
+                continue;
+            }
+        };
+        let state = states[pick.target[1..].parse::<usize>().unwrap()];
+        prop_assert!(may_serve(&state), "{pick:?}: {state:?}");
+        let copy_usable = states.iter().any(|s| may_serve(s) && s.resident);
+        prop_assert_eq!(matches!(choice, Choice::Serve(_)), copy_usable);
+        prop_assert!(state.resident || !copy_usable);
+    }
+    Ok(())
+}
+
+/// I10, and no refusal while a usable target is there.
+#[test]
+fn never_picks_a_leaving_draining_silent_unhealthy_or_excluded_target() {
+    let reach = |members: &Membership, process: &ProcessId| reach_of(members, process, at(10_000));
+    TestRunner::new(config()).run(&states(), |states| choose_among(&states, reach)).unwrap();
+}
+
+/// The check must be able to fail: liveness alone keeps sending to a target that drains.
+#[test]
+fn check_catches_a_reach_that_ignores_announcements() {
+    let reach = |members: &Membership, process: &ProcessId| {
+        if members.is_reachable(process, at(10_000)) { Reach::Usable } else { Reach::Unusable }
+    };
+    let caught = TestRunner::new(config()).run(&states(), |states| choose_among(&states, reach));
+    assert!(caught.is_err(), "seed {SEED}: liveness alone passed");
+}
+
+/// The cost of a decision must not grow with the fleet.
+#[test]
+fn examines_at_most_eight_targets_of_a_thousand() {
+    let mut router = router(1_000, |_, _| {});
+    let mut rng = seeded_rng(SEED);
+    for affinity in 0..200 {
+        let asked = Cell::new(0);
+        let reach = |_: &ProcessId| {
+            asked.set(asked.get() + 1);
+            Reach::Usable
+        };
+        served(router.choose_model(&ModelNeed { affinity, ..need(&[]) }, reach, &mut rng));
+        assert!(asked.get() <= MAX_CANDIDATES, "{} examined", asked.get());
+    }
+}
+
+/// Rendezvous orders by affinity must use every copy, not the same eight for all requests.
+#[test]
+fn all_copies_of_a_model_get_requests() {
+    let mut router = router(40, |_, _| {});
+    let mut rng = seeded_rng(SEED);
+    let mut hit: Vec<CompactString> = (0..2_000)
+        .map(|affinity| ModelNeed { affinity, ..need(&[]) })
+        .map(|need| served(router.choose_model(&need, usable, &mut rng)).target)
+        .collect();
+    hit.sort_unstable();
+    hit.dedup();
+    assert_eq!(hit.len(), 40);
+}
+
+/// Sends most and least loaded targets get while reports are old. `counted` is whether the router is
+/// told of its own sends.
+fn spread(counted: bool) -> (usize, usize) {
+    let mut router = router(2, |_, _| {});
+    let mut rng = seeded_rng(SEED);
+    let mut sends = [0, 0];
+    for ms in 0..200 {
+        let pick = served(router.choose_model(&need(&[]), usable, &mut rng));
+        sends[pick.target[1..].parse::<usize>().unwrap()] += 1;
+        if counted {
+            router.note_send(&pick.target, 200, at(10 + ms));
+        }
+    }
+    (*sends.iter().max().unwrap(), *sends.iter().min().unwrap())
+}
+
+/// Load reports lag: without its own sends an entry would send all to the target that was idle.
+#[test]
+fn own_sends_count_until_a_report_does() {
+    assert_eq!(spread(true), (100, 100));
+    let (most, least) = spread(false);
+    assert!(least == 0 && most == 200, "the naive count spread by itself: {most} {least}");
+}
+
+#[test]
+fn a_report_counts_the_sends_before_its_sample_and_no_others() {
+    let mut router = router(1, |_, _| {});
+    let tokens = |router: &Router| router.target("t0").unwrap().unreported_tokens;
+    router.note_send("t0", 10, at(100));
+    let second = router.note_send("t0", 20, at(200)).unwrap();
+    router.note_send("t0", 40, at(300));
+    let sampled = TargetReport { sample_age_ms: 250, ..report(0) };
+    router.take_heartbeat(&heartbeat(0, sampled), at(400));
+    assert_eq!(tokens(&router), 60);
+    router.note_end("t0", second);
+    router.note_end("t0", second);
+    assert_eq!(tokens(&router), 40);
+}
+
+#[test]
+fn a_cached_prefix_draws_a_request_until_events_are_missed() {
+    let mut router = router(8, |_, _| {});
+    let mut rng = seeded_rng(SEED);
+    let prompt = "x".repeat(20 * PREFIX_BLOCK_BYTES);
+    let blocks = prefix_blocks(MODEL, None, &prompt);
+    assert_eq!(blocks.len(), 20);
+    // 40,000 prompt tokens cost 4 s where nothing is cached, more than the band of equals.
+    let need = ModelNeed { blocks: &blocks, prompt_tokens: 40_000, ..need(&[]) };
+    let event = |sequence, kind, block| CacheEvent {
+        sequence,
+        kind,
+        model: CompactString::new(MODEL),
+        block,
+    };
+    for (sequence, block) in (1..).zip(&blocks) {
+        router.take_cache_event("t3", &event(sequence, CacheEventKind::Stored, *block));
+    }
+    for _ in 0..50 {
+        assert_eq!(served(router.choose_model(&need, usable, &mut rng)).target, "t3");
+    }
+    // Event 21 is missing.
+    router.take_cache_event("t3", &event(22, CacheEventKind::Stored, 9));
+    assert!(router.cache_is_stale("t3"));
+    let picks = (0..50).map(|_| served(router.choose_model(&need, usable, &mut rng)).target);
+    assert!(picks.collect::<Vec<_>>().iter().any(|target| target != "t3"));
+    router.resync_cache("t3", 22, blocks.clone());
+    assert!(!router.cache_is_stale("t3"));
+    assert_eq!(served(router.choose_model(&need, usable, &mut rng)).target, "t3");
+    // A hole makes the rest useless.
+    router.take_cache_event("t3", &event(23, CacheEventKind::Evicted, blocks[0]));
+    let picks = (0..50).map(|_| served(router.choose_model(&need, usable, &mut rng)).target);
+    assert!(picks.collect::<Vec<_>>().iter().any(|target| target != "t3"));
+}
+
+#[test]
+fn prefixes_differ_by_model_adapter_and_text() {
+    let long = "a".repeat(PREFIX_BLOCK_BYTES * 2 + 1);
+    let blocks = prefix_blocks("m", None, &long);
+    assert_eq!(blocks.len(), 2);
+    assert_ne!(blocks, prefix_blocks("n", None, &long));
+    assert_ne!(blocks, prefix_blocks("m", Some("x"), &long));
+    let other_end = format!("{}b", &long[..PREFIX_BLOCK_BYTES * 2 - 1]);
+    let other = prefix_blocks("m", None, &other_end);
+    assert_eq!(blocks[0], other[0]);
+    assert_ne!(blocks[1], other[1]);
+}
+
+#[test]
+fn distance_load_adapter_and_suspicion_count() {
+    let mut rng = seeded_rng(SEED);
+    // One candidate is worse by more than the band of equals: it is never chosen.
+    let cheapest = |change: &dyn Fn(usize, &mut TargetReport),
+                    adapter,
+                    reach: &dyn Fn(&ProcessId) -> Reach| {
+        let mut router = router(2, change);
+        let mut rng = seeded_rng(SEED);
+        let need = ModelNeed { adapter, ..need(&[]) };
+        served(router.choose_model(&need, reach, &mut rng)).target
+    };
+    let loaded = |target: usize, report: &mut TargetReport| {
+        report.queued_tokens = if target == 0 { 500 } else { 0 };
+    };
+    assert_eq!(cheapest(&loaded, None, &usable), "t1");
+    let adapter = |target: usize, report: &mut TargetReport| {
+        if target == 1 {
+            report.adapters.push(CompactString::new("choir"));
+        }
+    };
+    assert_eq!(cheapest(&adapter, Some("choir"), &usable), "t1");
+    let doubted = |process: &ProcessId| {
+        if process.name.as_str() == "side-0" { Reach::Suspect } else { Reach::Usable }
+    };
+    assert_eq!(cheapest(&|_, _| {}, None, &doubted), "t1");
+
+    let mut router = router(1, |_, _| {});
+    let far = Heartbeat {
+        region: CompactString::new("south"),
+        data_centre: CompactString::new("dc-c"),
+        ..heartbeat(1, report(1))
+    };
+    router.take_heartbeat(&far, at(1));
+    for _ in 0..50 {
+        assert_eq!(served(router.choose_model(&need(&[]), usable, &mut rng)).target, "t0");
+    }
+}
+
+/// Two entries that know the same targets must send a cold model to the same one, or it is loaded twice.
+#[test]
+fn a_model_without_a_copy_goes_to_the_same_target_from_every_entry() {
+    let mut rng = seeded_rng(SEED);
+    let cold = |target: usize, report: &mut TargetReport| {
+        report.models.clear();
+        report.quarantined = target.is_multiple_of(5);
+        report.capacity_mb = if target.is_multiple_of(3) { 500 } else { 10_000 };
+    };
+    let mut here = router(30, cold);
+    let mut there = Router::new("south", "dc-c", Delays::default());
+    for target in (0..30).rev() {
+        let mut report = report(target);
+        cold(target, &mut report);
+        report.queued_tokens = rng.random_range(0..10_000);
+        there.take_heartbeat(&heartbeat(target, report), at(1));
+    }
+    let mut excluded: Vec<CompactString> = Vec::new();
+    // 16 of the 30 can hold it; each one that fails is excluded.
+    for _ in 0..16 {
+        let affinity = rng.random_range(0..100);
+        let need = ModelNeed { affinity, ..need(&excluded) };
+        let first = loader(here.choose_model(&need, usable, &mut rng));
+        assert_eq!(loader(there.choose_model(&need, usable, &mut rng)), first);
+        let target: usize = first[1..].parse().unwrap();
+        assert!(!target.is_multiple_of(5) && !target.is_multiple_of(3), "{first}");
+        excluded.push(first);
+    }
+    let none = here.choose_model(&need(&excluded), usable, &mut rng);
+    assert_eq!(none, Choice::None(NoTarget::TooLarge));
+    // A load in progress is joined.
+    let loading = TargetReport { models: copies(&[(MODEL, CopyState::Loading)]), ..report(7) };
+    here.take_heartbeat(&heartbeat(7, loading), at(2));
+    assert_eq!(loader(here.choose_model(&need(&[]), usable, &mut rng)), "t7");
+}
+
+#[test]
+fn residency_follows_the_newest_run_of_the_side_process() {
+    let mut router = router(1, |_, _| {});
+    let mut rng = seeded_rng(SEED);
+    let mut newer = heartbeat(0, TargetReport { models: Vec::new(), ..report(0) });
+    newer.from.incarnation = Incarnation(2);
+    router.take_heartbeat(&newer, at(2));
+    router.take_heartbeat(&heartbeat(0, report(0)), at(3));
+    assert_eq!(router.copies(MODEL).count(), 0, "heartbeat of the older run");
+    assert!(matches!(router.choose_model(&need(&[]), usable, &mut rng), Choice::Load(_)));
+    router.retain(|process| process.incarnation > Incarnation(2));
+    let none = router.choose_model(&need(&[]), usable, &mut rng);
+    assert_eq!(none, Choice::None(NoTarget::NoneKnown));
+    router.take_heartbeat(&newer, at(4));
+    assert_eq!(router.targets().count(), 1);
+}
+
+#[test]
+fn plain_calls_go_to_plain_targets_with_the_least_in_flight() {
+    let plain = |target: usize, report: &mut TargetReport| {
+        report.kind = TargetKind::Plain;
+        report.models.clear();
+        report.running = if target == 2 { 0 } else { 300 };
+    };
+    let mut router = router(3, plain);
+    let mut rng = seeded_rng(SEED);
+    let need = PlainNeed { service: "llais", affinity: 0, exclude: &[] };
+    for _ in 0..50 {
+        assert_eq!(served(router.choose_plain(&need, usable, &mut rng)).target, "t2");
+    }
+    let excluded = [name(2)];
+    let rest = PlainNeed { exclude: &excluded, ..need };
+    assert_ne!(served(router.choose_plain(&rest, usable, &mut rng)).target, "t2");
+    let unknown = PlainNeed { service: "balcao", ..need };
+    let none = router.choose_plain(&unknown, usable, &mut rng);
+    assert_eq!(none, Choice::None(NoTarget::NoneKnown));
+}
