--- a/components/membership/src/listing.rs
+++ b/components/membership/src/listing.rs
@@ -31,6 +31,8 @@
     /// Time before the newest list was asked for.
     asked_at: Option<Timestamp>,
     sightings: SortedMap<CompactString, Sighting>,
+    /// Name of the VM at each address of the newest list.
+    addresses: SortedMap<SocketAddr, CompactString>,
 }
 
 impl Listing {
@@ -42,12 +44,15 @@
         }
         self.version = list.version;
         self.asked_at = Some(asked_at);
+        self.addresses = list.vms.iter().map(|vm| (vm.address, vm.name.clone())).collect();
+        let mut names: Vec<&CompactString> = list.vms.iter().map(|vm| &vm.name).collect();
+        names.sort_unstable();
         for vm in &list.vms {
             let sighting = Sighting { vm: vm.clone(), listed_version: list.version, absence: None };
             self.sightings.insert(vm.name.clone(), sighting);
         }
         for (name, sighting) in self.sightings.iter_mut() {
-            if list.vms.iter().any(|vm| vm.name == *name) {
+            if names.binary_search(&name).is_ok() {
                 continue;
             }
             match &mut sighting.absence {
@@ -88,7 +93,8 @@
 
     /// The VM at an address on the newest list.
     pub(crate) fn at_address(&self, address: SocketAddr) -> Option<&Vm> {
-        self.listed().find(|vm| vm.address == address)
+        let name = self.addresses.get(&address)?;
+        self.sightings.get(name).map(|s| &s.vm)
     }
 
     /// When the VM was first missing, if it is.
--- a/components/routing/src/preference.rs
+++ b/components/routing/src/preference.rs
@@ -61,16 +61,18 @@
         &self.orders[at]
     }
 
-    /// All members in the order for `(key, affinity)`; for the rare case that none of the first can be
-    /// used.
+    /// All members that `keep` accepts, in the order for `(key, affinity)`; for the rare case that none
+    /// of the first can be used. Its cost is linear in the set.
     pub(crate) fn full_order<'a>(
         &self,
         key: &str,
         affinity: u64,
+        keep: impl Fn(&u32) -> bool,
         name_of: impl Fn(u32) -> &'a CompactString,
     ) -> Vec<u32> {
         let at = usize::try_from(affinity % ORDERS as u64).unwrap_or(0);
-        rank(&self.members, key, at, name_of)
+        let kept: Vec<u32> = self.members.iter().copied().filter(keep).collect();
+        rank(&kept, key, at, name_of)
     }
 }
 
--- a/components/routing/src/router.rs
+++ b/components/routing/src/router.rs
@@ -304,7 +304,7 @@
     if !near.is_empty() {
         return near;
     }
-    let all = set.full_order(key, affinity, name_of);
+    let all = set.full_order(key, affinity, |at| accept(at).is_some(), name_of);
     all.iter().filter_map(accept).take(MAX_CANDIDATES).collect()
 }
 
