--- /dev/null
+++ b/components/base/tests/sorted.rs
@@ -0,0 +1,52 @@
+//! The sorted table against a model.
+
+use std::collections::BTreeMap;
+
+use base::{SortedMap, Timestamp, rank_members};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, RngSeed};
+
+proptest! {
+    #![proptest_config(Config {
+        cases: 300,
+        failure_persistence: None,
+        rng_algorithm: RngAlgorithm::ChaCha,
+        rng_seed: RngSeed::Fixed(20_261_204),
+        ..Config::default()
+    })]
+
+    #[test]
+    fn table_agrees_with_a_tree_map(
+        steps in proptest::collection::vec((0_u8..4, 0_u16..30, any::<u32>()), 0..120)
+    ) {
+        let mut table = SortedMap::new();
+        let mut model = BTreeMap::new();
+        for (step, key, value) in steps {
+            match step {
+                0 | 1 => prop_assert_eq!(table.insert(key, value), model.insert(key, value)),
+                2 => prop_assert_eq!(table.remove(&key), model.remove(&key)),
+                _ => prop_assert_eq!(table.get(&key), model.get(&key)),
+            }
+        }
+        let pairs: Vec<_> = table.iter().map(|(k, v)| (*k, *v)).collect();
+        prop_assert_eq!(pairs, model.into_iter().collect::<Vec<_>>());
+    }
+
+    /// Guards against reshuffling all keys when one member leaves.
+    #[test]
+    fn losing_a_member_moves_only_its_keys(key in any::<u64>(), gone in 0_usize..8) {
+        let members: Vec<String> = (0..8).map(|n| format!("entry-{n}")).collect();
+        let key = key.to_le_bytes();
+        let before = rank_members(&key, members.iter().map(String::as_str));
+        let rest = members.iter().enumerate().filter(|(n, _)| *n != gone).map(|(_, m)| m.as_str());
+        let after = rank_members(&key, rest);
+        let expected: Vec<&str> = before.into_iter().filter(|m| *m != members[gone]).collect();
+        prop_assert_eq!(after, expected);
+    }
+}
+
+#[test]
+fn time_before_the_start_of_an_interval_counts_as_zero() {
+    let elapsed = Timestamp::from_millis(1).since(Timestamp::from_millis(5));
+    assert_eq!(elapsed.as_micros(), 0);
+}
