--- a/components/wire/tests/codec.rs
+++ b/components/wire/tests/codec.rs
@@ -1,5 +1,7 @@
 //! Decoders under arbitrary bytes.
 
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
 use base::{Incarnation, Offset, ProcessId, ProcessName, Tokens};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, RngSeed};
--- a/components/wire/tests/connection.rs
+++ b/components/wire/tests/connection.rs
@@ -1,5 +1,7 @@
 //! Connections between real sockets: handshake, calls, streams, bad input from strangers and peers.
 
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
