Compile base file and overlays into a Town and load settings

The processes need one reader for operators' files that names the place and the remedy of every fault. Sources (base file, overlays, edits of keys) checks all sites at once and compiles one; settings files get ranges and required fields. Always models are packed with bounded backtracking, so that the verdict is the same everywhere.

--- a/components/config/src/lib.rs
+++ b/components/config/src/lib.rs
@@ -1,18 +1,41 @@
 //! Settings of a process, and the compiled configuration of the deployment.
+//!
+//! Operators write one base file and an overlay for each site. [`Sources`] checks them and compiles
+//! them into a [`Town`]; every problem names its file, its line and what to do.
 
+mod base_file;
+mod compile;
 mod entry_settings;
+mod keys;
+mod load;
+mod located;
 mod log_settings;
+mod merge;
+mod overlay_file;
+mod packing;
 mod platform_settings;
+mod problem;
 mod process_settings;
+mod report;
+mod settings_check;
 mod side_settings;
+mod source;
+mod sources;
 mod town;
+mod yaml;
 
 pub use entry_settings::{CallerLimits, EntrySettings};
+pub use keys::{AddedKey, KeyEdits, WithdrawnKey, format_sha256, parse_sha256};
+pub use load::{load_entry_settings, load_side_settings};
 pub use log_settings::LogSettings;
 pub use platform_settings::PlatformSettings;
+pub use problem::Problem;
 pub use process_settings::{MembershipSettings, ProcessSettings};
 pub use side_settings::SideSettings;
+pub use source::SourceFile;
+pub use sources::{Sources, compile};
 pub use town::{
     Access, Adapter, BucketLayout, Customer, DataCentre, KeyEntry, Model, Residency, Route,
     Service, ServiceKind, Target, Town, WeightStoreLimits,
 };
+pub use yaml::MAX_FILE_BYTES;
--- /dev/null
+++ b/components/config/src/sources.rs
@@ -0,0 +1,142 @@
+//! A configuration as published: files and edits of keys.
+
+use base::Offset;
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+
+use crate::base_file::BaseFile;
+use crate::compile::compile_merged;
+use crate::located::FileIndex;
+use crate::merge::{apply_overlay, check_overlay};
+use crate::overlay_file::OverlayFile;
+use crate::report::Report;
+use crate::yaml::read_yaml;
+use crate::{KeyEdits, Problem, SourceFile, Town, parse_sha256};
+
+/// Everything that a version of the configuration is made from.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Sources {
+    /// Base file of the deployment.
+    pub base: SourceFile,
+    /// Overlays; each applies to the site that it names.
+    pub overlays: Vec<SourceFile>,
+    /// Edits of keys on top of the base file.
+    pub keys: KeyEdits,
+}
+
+struct Parsed {
+    base: BaseFile,
+    overlays: Vec<(FileIndex, OverlayFile)>,
+}
+
+impl Sources {
+    /// Checks the files for every site.
+    ///
+    /// # Errors
+    ///
+    /// All problems found, sorted by file and line.
+    pub fn check(&self) -> Result<(), Vec<Problem>> {
+        let mut report = Report::new(&self.base, &self.overlays);
+        if let Some(parsed) = self.parse(&mut report) {
+            let mut sites: Vec<CompactString> =
+                parsed.base.data_centres.iter().map(|d| d.region.value.clone()).collect();
+            sites.sort_unstable();
+            sites.dedup();
+            if sites.is_empty() {
+                report.add_at(0, parsed.base.name.line, NO_DATA_CENTRE.to_owned());
+            }
+            for site in &sites {
+                let merged = merge_site(&mut report, &parsed, site);
+                compile_merged(&mut report, &merged, &self.keys, Offset::default());
+            }
+            self.refuse_withdrawn(&mut report, &parsed.base);
+        }
+        if report.is_empty() { Ok(()) } else { Err(report.finish()) }
+    }
+
+    /// Compiles the files for one site; a site without an overlay gets the base file alone.
+    ///
+    /// Keys that were withdrawn are left out.
+    ///
+    /// # Errors
+    ///
+    /// All problems found for the site, sorted by file and line.
+    pub fn compile(&self, site: &str, version: Offset) -> Result<Town, Vec<Problem>> {
+        let mut report = Report::new(&self.base, &self.overlays);
+        if let Some(parsed) = self.parse(&mut report) {
+            let merged = merge_site(&mut report, &parsed, site);
+            let town = compile_merged(&mut report, &merged, &self.keys, version);
+            if report.is_empty() {
+                return Ok(town);
+            }
+        }
+        Err(report.finish())
+    }
+
+    /// Hashes of the keys that the base file lists; empty if it can't be read.
+    pub fn listed_keys(&self) -> Vec<[u8; 32]> {
+        read_yaml::<BaseFile>(&self.base).map_or_else(
+            |_| Vec::new(),
+            |base| base.keys.iter().filter_map(|key| parse_sha256(&key.sha256.value)).collect(),
+        )
+    }
+
+    fn parse(&self, report: &mut Report<'_>) -> Option<Parsed> {
+        let base = match read_yaml::<BaseFile>(&self.base) {
+            Ok(base) => Some(base),
+            Err(problem) => {
+                report.add_problem(problem);
+                None
+            }
+        };
+        let mut overlays = Vec::new();
+        for (source, file) in self.overlays.iter().zip(1..) {
+            match read_yaml::<OverlayFile>(source) {
+                Ok(overlay) => overlays.push((file, overlay)),
+                Err(problem) => report.add_problem(problem),
+            }
+        }
+        base.map(|base| Parsed { base, overlays })
+    }
+
+    /// A withdrawn key must not come back with files that were made before its withdrawal.
+    fn refuse_withdrawn(&self, report: &mut Report<'_>, base: &BaseFile) {
+        for entry in &base.keys {
+            if parse_sha256(&entry.sha256.value).is_some_and(|h| self.keys.is_withdrawn(&h)) {
+                let message = format!(
+                    "key {} was withdrawn and can't come back; remove it from keys",
+                    entry.name.value
+                );
+                report.add_at(0, entry.name.line, message);
+            }
+        }
+    }
+}
+
+const NO_DATA_CENTRE: &str = "data_centres is empty; list at least one data centre";
+
+fn merge_site(report: &mut Report<'_>, parsed: &Parsed, site: &str) -> BaseFile {
+    let mut merged = parsed.base.clone();
+    for (file, overlay) in &parsed.overlays {
+        check_overlay(report, &parsed.base, overlay, *file);
+        if overlay.site.value == site {
+            apply_overlay(report, &mut merged, overlay, *file);
+        }
+    }
+    merged
+}
+
+/// Compiles a base file and overlays for one site.
+///
+/// # Errors
+///
+/// All problems found for the site, sorted by file and line.
+pub fn compile(
+    base: SourceFile,
+    overlays: &[SourceFile],
+    site: &str,
+    version: Offset,
+) -> Result<Town, Vec<Problem>> {
+    let sources = Sources { base, overlays: overlays.to_vec(), keys: KeyEdits::default() };
+    sources.compile(site, version)
+}
