--- a/components/config/src/lib.rs
+++ b/components/config/src/lib.rs
@@ -31,6 +31,7 @@
 pub use platform_settings::PlatformSettings;
 pub use problem::Problem;
 pub use process_settings::{MembershipSettings, ProcessSettings};
+pub use report::is_usable_name;
 pub use side_settings::SideSettings;
 pub use source::SourceFile;
 pub use sources::{Sources, compile};
--- a/components/config/src/report.rs
+++ b/components/config/src/report.rs
@@ -97,9 +97,7 @@
 
     /// Checks the characters of a name.
     pub(crate) fn name(&mut self, what: &str, name: &Name) {
-        let allowed = |c: char| c.is_ascii_alphanumeric() || "._-:/@".contains(c);
-        let length = name.value.chars().count();
-        if length == 0 || length > MAX_NAME_CHARS || !name.value.chars().all(allowed) {
+        if !is_usable_name(&name.value) {
             self.add_at(
                 name.file,
                 name.line,
@@ -130,3 +128,9 @@
         }
     }
 }
+
+/// Whether a name has 1 to 64 letters, digits or any of `. _ - : / @`.
+pub fn is_usable_name(name: &str) -> bool {
+    let allowed = |c: char| c.is_ascii_alphanumeric() || "._-:/@".contains(c);
+    !name.is_empty() && name.len() <= MAX_NAME_CHARS && name.chars().all(allowed)
+}
--- a/components/config/src/sources.rs
+++ b/components/config/src/sources.rs
@@ -50,6 +50,7 @@
                 compile_merged(&mut report, &merged, &self.keys, Offset::default());
             }
             self.refuse_withdrawn(&mut report, &parsed.base);
+            self.refuse_equal_names(&mut report);
         }
         if report.is_empty() { Ok(()) } else { Err(report.finish()) }
     }
@@ -99,6 +100,18 @@
         base.map(|base| Parsed { base, overlays })
     }
 
+    /// Problems name files, so two files of one name can't be told apart.
+    fn refuse_equal_names(&self, report: &mut Report<'_>) {
+        let mut names = vec![&self.base.name];
+        for (overlay, file) in self.overlays.iter().zip(1..) {
+            if names.contains(&&overlay.name) {
+                let message = format!("two files are named {}; rename one of them", overlay.name);
+                report.add_at(file, 0, message);
+            }
+            names.push(&overlay.name);
+        }
+    }
+
     /// A withdrawn key must not come back with files that were made before its withdrawal.
     fn refuse_withdrawn(&self, report: &mut Report<'_>, base: &BaseFile) {
         for entry in &base.keys {
