Add platform traits and HTTP clients for the log and the VM list

Cause: entry and side need typed access to the platform's services. Change: traits Log and VmList with hyper clients, a plain error enum by what is known about the effect, append_settled, and a client-side append budget; base64 added to the workspace for the log's payload encoding. Conclusion: signatures are ready for the other crates.

--- /dev/null
+++ b/components/platform/src/error.rs
@@ -0,0 +1,53 @@
+//! Errors of calls to the platform.
+
+use std::fmt;
+
+/// Why a call to the platform failed, by what is known about its effect.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PlatformError {
+    /// This process used up its own append budget; nothing was sent.
+    BudgetExceeded {
+        /// Time until the next append is allowed, in milliseconds.
+        retry_after_ms: u64,
+    },
+    /// The answer was not in the protocol's form. An append may have been stored.
+    Malformed,
+    /// The request was sent, but no complete answer came back. An append may have been stored.
+    OutcomeUnknown,
+    /// The service's rate limit refused the request; nothing was stored.
+    RateLimited,
+    /// The service refused the request; nothing was stored.
+    Rejected {
+        /// HTTP status.
+        status: u16,
+    },
+    /// The service itself answered that it is unavailable; nothing was stored.
+    Unavailable,
+    /// No connection could be opened; nothing was sent.
+    Unreachable,
+}
+
+impl PlatformError {
+    /// Whether a failed append may have been stored all the same.
+    pub const fn may_have_taken_effect(self) -> bool {
+        matches!(self, Self::Malformed | Self::OutcomeUnknown)
+    }
+}
+
+impl fmt::Display for PlatformError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::BudgetExceeded { retry_after_ms } => {
+                write!(f, "append budget used up, next append in {retry_after_ms} ms")
+            }
+            Self::Malformed => f.write_str("malformed answer from the platform"),
+            Self::OutcomeUnknown => f.write_str("no complete answer, outcome unknown"),
+            Self::RateLimited => f.write_str("refused by the service's rate limit"),
+            Self::Rejected { status } => write!(f, "refused with status {status}"),
+            Self::Unavailable => f.write_str("the service answered that it is unavailable"),
+            Self::Unreachable => f.write_str("no connection to the service"),
+        }
+    }
+}
+
+impl std::error::Error for PlatformError {}
--- /dev/null
+++ b/components/platform/src/http_log.rs
@@ -0,0 +1,132 @@
+//! HTTP client of the log service.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use base::{Offset, Timestamp};
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
+
+use crate::json_client::JsonClient;
+use crate::{AppendBudget, Log, LogPage, LogRecord, PlatformError};
+
+/// Limits of a log client.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct HttpLogOptions {
+    /// Longest wait for an answer, beside the wait of a long poll, in milliseconds.
+    pub request_timeout_ms: u64,
+    /// Most appends a second.
+    pub appends_per_s: u32,
+}
+
+impl Default for HttpLogOptions {
+    fn default() -> Self {
+        Self { request_timeout_ms: 1_000, appends_per_s: 20 }
+    }
+}
+
+/// Client of the log service; clones share connections and the append budget.
+#[derive(Clone, Debug)]
+pub struct HttpLog {
+    client: JsonClient,
+    timeout: Duration,
+    started: Instant,
+    budget: Arc<Mutex<AppendBudget>>,
+}
+
+#[derive(Serialize)]
+struct AppendBody<'a> {
+    id: &'a str,
+    payload_base64: String,
+}
+
+#[derive(Deserialize)]
+struct AppendAnswer {
+    offset: Offset,
+}
+
+#[derive(Deserialize)]
+struct ReadAnswer {
+    records: Vec<RecordBody>,
+    oldest: Offset,
+    end: Offset,
+}
+
+#[derive(Deserialize)]
+struct RecordBody {
+    offset: Offset,
+    id: CompactString,
+    payload_base64: String,
+}
+
+impl HttpLog {
+    /// A client of the log at `address`.
+    pub fn new(address: SocketAddr, options: HttpLogOptions) -> Self {
+        let timeout = Duration::from_millis(options.request_timeout_ms);
+        let budget = AppendBudget::new(options.appends_per_s, Timestamp::default());
+        Self {
+            client: JsonClient::new(address, timeout / 2),
+            timeout,
+            started: Instant::now(),
+            budget: Arc::new(Mutex::new(budget)),
+        }
+    }
+
+    fn take_budget(&self) -> Result<(), PlatformError> {
+        let now = Timestamp::default() + self.started.elapsed();
+        let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
+        budget.take(now).map_err(|wait| PlatformError::BudgetExceeded {
+            retry_after_ms: u64::try_from(wait.as_micros().div_ceil(1_000)).unwrap_or(u64::MAX),
+        })
+    }
+}
+
+impl Log for HttpLog {
+    async fn append(
+        &self,
+        stream: &str,
+        id: &str,
+        payload: &[u8],
+    ) -> Result<Offset, PlatformError> {
+        self.take_budget()?;
+        let body = AppendBody { id, payload_base64: STANDARD.encode(payload) };
+        let path = format!("/streams/{stream}/records");
+        let answer: AppendAnswer = self.client.post(&path, &body, self.timeout).await?;
+        Ok(answer.offset)
+    }
+
+    async fn read(
+        &self,
+        stream: &str,
+        from: Offset,
+        limit: u32,
+        wait: Duration,
+    ) -> Result<LogPage, PlatformError> {
+        let path = format!(
+            "/streams/{stream}/records?from={}&limit={limit}&wait_ms={}",
+            from.0.max(1),
+            wait.as_millis()
+        );
+        let answer: ReadAnswer = self.client.get(&path, self.timeout + wait).await?;
+        let records = answer.records.into_iter().map(LogRecord::try_from);
+        Ok(LogPage {
+            records: records.collect::<Result<_, _>>()?,
+            oldest: answer.oldest,
+            end: answer.end,
+        })
+    }
+}
+
+impl TryFrom<RecordBody> for LogRecord {
+    type Error = PlatformError;
+
+    fn try_from(body: RecordBody) -> Result<Self, PlatformError> {
+        let payload = STANDARD.decode(body.payload_base64).map_err(|_| PlatformError::Malformed)?;
+        Ok(Self { offset: body.offset, id: body.id, payload: Bytes::from(payload) })
+    }
+}
--- /dev/null
+++ b/components/platform/src/http_vm_list.rs
@@ -0,0 +1,27 @@
+//! HTTP client of the VM list.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::json_client::JsonClient;
+use crate::{PlatformError, VmList, VmSnapshot};
+
+/// Client of the VM list.
+#[derive(Clone, Debug)]
+pub struct HttpVmList {
+    client: JsonClient,
+    timeout: Duration,
+}
+
+impl HttpVmList {
+    /// A client of the list at `address` that waits up to `request_timeout` for an answer.
+    pub fn new(address: SocketAddr, request_timeout: Duration) -> Self {
+        Self { client: JsonClient::new(address, request_timeout / 2), timeout: request_timeout }
+    }
+}
+
+impl VmList for HttpVmList {
+    async fn list(&self) -> Result<VmSnapshot, PlatformError> {
+        self.client.get("/vms", self.timeout).await
+    }
+}
--- a/components/platform/src/lib.rs
+++ b/components/platform/src/lib.rs
@@ -1,1 +1,19 @@
-//! Placeholder.
+//! Clients of the platform below: the log service and the VM list.
+//!
+//! The traits are the edge of a process; the HTTP clients speak the protocol of
+//! `docs/platform-api.md`.
+
+mod budget;
+mod error;
+mod http_log;
+mod http_vm_list;
+mod json_client;
+mod log;
+mod vm_list;
+
+pub use budget::AppendBudget;
+pub use error::PlatformError;
+pub use http_log::{HttpLog, HttpLogOptions};
+pub use http_vm_list::HttpVmList;
+pub use log::{Log, LogPage, LogRecord};
+pub use vm_list::{VmEntry, VmList, VmSnapshot, VmState};
--- /dev/null
+++ b/components/platform/src/log.rs
@@ -0,0 +1,158 @@
+//! The log service as the system sees it.
+
+use std::time::Duration;
+
+use base::Offset;
+use bytes::Bytes;
+use compact_str::CompactString;
+use tokio::time::{Instant, sleep, timeout_at};
+
+use crate::PlatformError;
+
+/// Records asked for in one read while an append is settled.
+const SETTLE_PAGE: u32 = 500;
+/// Wait between attempts while an append is settled.
+const SETTLE_PAUSE: Duration = Duration::from_millis(25);
+
+/// A record of a stream.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct LogRecord {
+    /// Position in the stream.
+    pub offset: Offset,
+    /// The writer's id of the record; a record whose id was already seen is a duplicate.
+    pub id: CompactString,
+    /// Content.
+    pub payload: Bytes,
+}
+
+/// Answer to a read.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct LogPage {
+    /// Records in offset order.
+    pub records: Vec<LogRecord>,
+    /// First offset that the log still keeps; `end + 1` if it keeps none.
+    pub oldest: Offset,
+    /// Last offset written; zero if none.
+    pub end: Offset,
+}
+
+impl LogPage {
+    /// Whether a reader that asked for `from` has seen the stream to its end with this page.
+    pub fn reaches_end(&self, from: Offset) -> bool {
+        self.records.last().map_or(self.end < from, |last| last.offset >= self.end)
+    }
+}
+
+/// Append-only streams with offsets.
+#[expect(async_fn_in_trait, reason = "every process is one current-thread runtime")]
+pub trait Log {
+    /// Appends a record and returns its offset.
+    ///
+    /// # Errors
+    ///
+    /// `may_have_taken_effect` tells whether the record may be stored all the same.
+    async fn append(&self, stream: &str, id: &str, payload: &[u8])
+    -> Result<Offset, PlatformError>;
+
+    /// Reads up to `limit` records from `from` on; at the end it waits up to `wait` for one.
+    ///
+    /// # Errors
+    ///
+    /// `Unavailable` if the log itself answered so; other errors say nothing about the log's state.
+    async fn read(
+        &self,
+        stream: &str,
+        from: Offset,
+        limit: u32,
+        wait: Duration,
+    ) -> Result<LogPage, PlatformError>;
+
+    /// Appends a record and settles a lost answer by reading for `id` before it appends again.
+    ///
+    /// `from` is any offset at or before the place where the record can be, for example the one
+    /// after the last that the writer has read. The offset returned is the first one with `id`,
+    /// which is the one that counts for readers.
+    ///
+    /// # Errors
+    ///
+    /// With `may_have_taken_effect` the outcome was still open at the deadline; with any other error
+    /// nothing was stored. An outage or an unreachable log is returned at once unless the outcome of
+    /// an earlier attempt is open; rate limits are waited out.
+    async fn append_settled(
+        &self,
+        stream: &str,
+        id: &str,
+        payload: &[u8],
+        from: Offset,
+        deadline: Instant,
+    ) -> Result<Offset, PlatformError> {
+        let mut open = false;
+        loop {
+            if open {
+                match timeout_at(deadline, find(self, stream, id, from)).await {
+                    Ok(Ok(Some(offset))) => return Ok(offset),
+                    Ok(Ok(None)) => {}
+                    Ok(Err(_)) => {
+                        pause(SETTLE_PAUSE, deadline, PlatformError::OutcomeUnknown).await?;
+                        continue;
+                    }
+                    Err(_) => return Err(PlatformError::OutcomeUnknown),
+                }
+            }
+            let unsettled = |error| if open { PlatformError::OutcomeUnknown } else { error };
+            match timeout_at(deadline, self.append(stream, id, payload)).await {
+                Ok(Ok(offset)) if !open => return Ok(offset),
+                // The earlier attempt may have been stored between the read and this append; the
+                // read at the start of the loop finds the first of the two.
+                Ok(Ok(_)) => {}
+                Ok(Err(error)) if error.may_have_taken_effect() => {
+                    open = true;
+                    pause(SETTLE_PAUSE, deadline, PlatformError::OutcomeUnknown).await?;
+                }
+                Ok(Err(error @ PlatformError::BudgetExceeded { retry_after_ms })) => {
+                    let wait = Duration::from_millis(retry_after_ms.max(1));
+                    pause(wait, deadline, unsettled(error)).await?;
+                }
+                Ok(Err(error @ PlatformError::RateLimited)) => {
+                    pause(SETTLE_PAUSE, deadline, unsettled(error)).await?;
+                }
+                Ok(Err(error)) if !open => return Err(error),
+                Ok(Err(_)) => pause(SETTLE_PAUSE, deadline, PlatformError::OutcomeUnknown).await?,
+                Err(_) => return Err(PlatformError::OutcomeUnknown),
+            }
+        }
+    }
+}
+
+/// Sleeps, or fails with `error` if the deadline would pass meanwhile.
+async fn pause(
+    wait: Duration,
+    deadline: Instant,
+    error: PlatformError,
+) -> Result<(), PlatformError> {
+    if Instant::now() + wait >= deadline {
+        return Err(error);
+    }
+    sleep(wait).await;
+    Ok(())
+}
+
+/// First offset of the record `id` at or after `from`.
+async fn find<L: Log + ?Sized>(
+    log: &L,
+    stream: &str,
+    id: &str,
+    from: Offset,
+) -> Result<Option<Offset>, PlatformError> {
+    let mut next = from;
+    loop {
+        let page = log.read(stream, next, SETTLE_PAGE, Duration::ZERO).await?;
+        if let Some(record) = page.records.iter().find(|record| record.id == id) {
+            return Ok(Some(record.offset));
+        }
+        if page.reaches_end(next) {
+            return Ok(None);
+        }
+        next = page.records.last().map_or(page.oldest, |last| last.offset.next());
+    }
+}
