--- /dev/null
+++ b/components/engine/src/order.rs
@@ -0,0 +1,103 @@
+//! Orders to an engine and their results.
+
+use std::time::Duration;
+
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+
+/// What an engine does for a request.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum EngineRole {
+    /// Prefill and decode.
+    #[default]
+    Both,
+    /// Decode only.
+    Decode,
+    /// Prefill only.
+    Prefill,
+}
+
+/// What an order asks for.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+#[serde(untagged)]
+pub enum OrderKind {
+    /// Loads a model.
+    LoadModel {
+        /// Model.
+        model: CompactString,
+        /// Version.
+        version: CompactString,
+        /// Memory in MB.
+        memory_mb: u64,
+        /// Time to load at full store speed, in milliseconds.
+        load_ms: u64,
+    },
+    /// Loads an adapter.
+    LoadAdapter {
+        /// Adapter.
+        adapter: CompactString,
+        /// Base model.
+        model: CompactString,
+        /// Memory in MB.
+        memory_mb: u64,
+        /// Time to load, in milliseconds.
+        load_ms: u64,
+    },
+    /// Unloads a model.
+    UnloadModel {
+        /// Model.
+        model: CompactString,
+    },
+    /// Unloads an adapter.
+    UnloadAdapter {
+        /// Adapter.
+        adapter: CompactString,
+    },
+    /// Changes the role.
+    SetRole {
+        /// New role.
+        role: EngineRole,
+    },
+}
+
+impl OrderKind {
+    pub(crate) const fn path(&self) -> &'static str {
+        match self {
+            Self::LoadModel { .. } => "/models/load",
+            Self::LoadAdapter { .. } => "/adapters/load",
+            Self::UnloadModel { .. } => "/models/unload",
+            Self::UnloadAdapter { .. } => "/adapters/unload",
+            Self::SetRole { .. } => "/role",
+        }
+    }
+}
+
+/// An order to an engine. The same id sent again waits for the same result.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Order {
+    /// Id of the order.
+    pub id: CompactString,
+    /// Fencing number of the sender.
+    pub fencing: u64,
+    /// Time after which the engine must not begin to execute the order.
+    pub deadline: Duration,
+    /// What to do.
+    pub kind: OrderKind,
+}
+
+/// Result of an order that the engine answered.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum OrderResult {
+    /// Executed.
+    Done,
+    /// Not executed: the deadline had passed.
+    Expired,
+    /// Not executed: failed inside the engine.
+    Failed,
+    /// Not executed: the fencing number is below the engine's minimum.
+    Fenced,
+    /// Not executed: the memory does not suffice.
+    NoMemory,
+}
