Number the asks for a pin on the wire

Cause: an Unpin that arrives late, on a connection that the requester has given up, ended a newer pin that the same incarnation had since been given; the requester could then unload the last copy. A late Pin left a pin that nobody would end.

--- a/components/wire/src/message.rs
+++ b/components/wire/src/message.rs
@@ -57,6 +57,8 @@
         model: CompactString,
         /// Side process that wants to unload its own copy.
         requester: ProcessId,
+        /// Number of the ask at the requester; rises with each ask.
+        ask: u64,
     },
     /// Ends a pin.
     Unpin {
@@ -64,6 +66,8 @@
         model: CompactString,
         /// Side process that asked for the pin.
         requester: ProcessId,
+        /// Number of the ask that ends, so that a late call does not end a newer pin.
+        ask: u64,
     },
     /// Asks the owner of a slot for permission to load from the weight store.
     Permit {
