Add the fair queue

Cause: each side process needs a bounded queue that holds customers to their shares. Change: start-time fair queueing keyed by customer, cost in tokens over weight, correction at settlement, priorities inside a customer, bounds, early refusal, expiry and cancellation. A newcomer starts at the smallest tag of the waiting customers, because refunds can move those below the virtual time. Conclusion: ready for the side process to use.

--- /dev/null
+++ b/components/queue/src/fair_queue.rs
@@ -0,0 +1,300 @@
+//! The queue.
+
+use std::cmp::Reverse;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use base::{SortedMap, Timestamp, Tokens};
+use compact_str::CompactString;
+
+use crate::customer::{CustomerQueue, Ready, virtual_cost};
+use crate::{QueueLimits, QueueRefusal, QueueRequest, Started, Ticket};
+
+/// Weight of the newest settlement in the average of used to reserved tokens: 1 in 16.
+const USED_SHARE_SHIFT: u32 = 4;
+/// Scale of the average of used to reserved tokens.
+const USED_SHARE_ONE: u64 = 1 << 10;
+/// Shortest time after which a refused caller is told to try again.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
+
+#[derive(Clone, Debug)]
+struct Waiting {
+    request: QueueRequest,
+    arrived: Timestamp,
+}
+
+#[derive(Clone, Debug)]
+struct Running {
+    customer: CompactString,
+    cost: Tokens,
+}
+
+/// Start-time fair queue over customers, bounded, with at most a batch of requests in flight.
+#[derive(Clone, Debug)]
+pub struct FairQueue {
+    limits: QueueLimits,
+    next_ticket: u64,
+    /// Largest start tag served so far.
+    virtual_time: u64,
+    customers: SortedMap<CompactString, CustomerQueue>,
+    waiting: SortedMap<Ticket, Waiting>,
+    running: SortedMap<Ticket, Running>,
+    deadlines: BTreeSet<(Timestamp, Ticket)>,
+    queued_tokens: Tokens,
+    running_tokens: Tokens,
+    /// Average of used to reserved tokens, out of `USED_SHARE_ONE`.
+    used_share: u64,
+}
+
+impl FairQueue {
+    /// An empty queue.
+    pub const fn new(limits: QueueLimits) -> Self {
+        Self {
+            limits,
+            next_ticket: 0,
+            virtual_time: 0,
+            customers: SortedMap::new(),
+            waiting: SortedMap::new(),
+            running: SortedMap::new(),
+            deadlines: BTreeSet::new(),
+            queued_tokens: Tokens::ZERO,
+            running_tokens: Tokens::ZERO,
+            used_share: USED_SHARE_ONE,
+        }
+    }
+
+    /// Replaces the bounds; requests that are already queued stay.
+    pub const fn set_limits(&mut self, limits: QueueLimits) {
+        self.limits = limits;
+    }
+
+    /// The bounds in force.
+    pub const fn limits(&self) -> &QueueLimits {
+        &self.limits
+    }
+
+    /// Queues a request or refuses it at once.
+    ///
+    /// # Errors
+    ///
+    /// `Full` above the customer's bounds, `DeadlineTooShort` if the estimated wait ends after the
+    /// deadline.
+    pub fn push(&mut self, request: QueueRequest, now: Timestamp) -> Result<Ticket, QueueRefusal> {
+        let wait = self.estimated_wait(&request.customer, request.weight, request.cost);
+        let (queued_tokens, queued_requests) = self
+            .customers
+            .get(&request.customer)
+            .map_or((Tokens::ZERO, 0), |c| (c.queued_tokens, c.queued_requests));
+        let too_many_tokens =
+            queued_requests > 0 && queued_tokens + request.cost > self.limits.customer_tokens;
+        if too_many_tokens || queued_requests >= self.limits.customer_requests {
+            return Err(QueueRefusal::Full { retry_after: wait.max(MIN_RETRY_AFTER) });
+        }
+        if now + wait >= request.deadline {
+            return Err(QueueRefusal::DeadlineTooShort { wait });
+        }
+        let ticket = Ticket(self.next_ticket);
+        self.next_ticket += 1;
+        let floor = self.newcomer_start();
+        let customer = self.customers.get_or_insert_with(request.customer.clone(), || {
+            CustomerQueue { start: floor, ..CustomerQueue::default() }
+        });
+        if customer.ready.is_empty() {
+            customer.start = customer.start.max(floor);
+        }
+        customer.weight = request.weight.max(1);
+        customer.queued_tokens += request.cost;
+        customer.queued_requests += 1;
+        if request.ready {
+            customer.add_ready(ready_entry(ticket, &request));
+        }
+        self.queued_tokens += request.cost;
+        self.deadlines.insert((request.deadline, ticket));
+        self.waiting.insert(ticket, Waiting { request, arrived: now });
+        Ok(ticket)
+    }
+
+    /// Start tag of a customer that becomes active: not behind any customer that waits.
+    ///
+    /// A refund can move a waiting customer's tag below the virtual time; a newcomer at the virtual
+    /// time would then wait behind all of that refund.
+    fn newcomer_start(&self) -> u64 {
+        self.customers
+            .values()
+            .filter(|customer| !customer.ready.is_empty())
+            .map(|customer| customer.start)
+            .fold(self.virtual_time, u64::min)
+    }
+
+    /// Lets a request start that waited for something.
+    pub fn set_ready(&mut self, ticket: Ticket) {
+        let floor = self.newcomer_start();
+        let Some(waiting) = self.waiting.get_mut(&ticket) else { return };
+        if waiting.request.ready {
+            return;
+        }
+        waiting.request.ready = true;
+        let entry = ready_entry(ticket, &waiting.request);
+        if let Some(customer) = self.customers.get_mut(&waiting.request.customer) {
+            if customer.ready.is_empty() {
+                customer.start = customer.start.max(floor);
+            }
+            customer.add_ready(entry);
+        }
+    }
+
+    /// Holds a queued request back until [`FairQueue::set_ready`], for example after its model went.
+    pub fn hold(&mut self, ticket: Ticket) {
+        let Some(waiting) = self.waiting.get_mut(&ticket) else { return };
+        if !waiting.request.ready {
+            return;
+        }
+        waiting.request.ready = false;
+        let entry = ready_entry(ticket, &waiting.request);
+        if let Some(customer) = self.customers.get_mut(&waiting.request.customer) {
+            customer.remove_ready(entry);
+        }
+    }
+
+    /// Takes the next request if a slot is free; its reserved cost is charged to its customer.
+    ///
+    /// Requests past their deadline are left to [`FairQueue::expire`].
+    pub fn start_next(&mut self, now: Timestamp) -> Option<Started> {
+        if self.running.len() >= self.limits.batch as usize {
+            return None;
+        }
+        // Ties go to the older request.
+        let (start, ticket) = self
+            .customers
+            .values()
+            .filter_map(|c| c.first_ready(now).map(|ready| (c.start, ready.ticket.0)))
+            .min()?;
+        let waiting = self.take_waiting(ticket)?;
+        self.virtual_time = self.virtual_time.max(start);
+        let cost = waiting.request.cost;
+        let Some(customer) = self.customers.get_mut(&waiting.request.customer) else {
+            unreachable!("a queued request keeps its customer");
+        };
+        customer.start = start + virtual_cost(cost, customer.weight);
+        customer.running += 1;
+        self.running_tokens += cost;
+        self.running.insert(ticket, Running { customer: waiting.request.customer, cost });
+        Some(Started { ticket, waited: now.since(waiting.arrived) })
+    }
+
+    /// Ends a running request and corrects its customer's charge to the tokens used.
+    ///
+    /// Returns whether the request was running.
+    pub fn settle(&mut self, ticket: Ticket, used: Tokens) -> bool {
+        let Some(running) = self.running.remove(&ticket) else { return false };
+        self.running_tokens -= running.cost;
+        if running.cost > Tokens::ZERO {
+            let share =
+                (used.0.saturating_mul(USED_SHARE_ONE) / running.cost.0).min(USED_SHARE_ONE);
+            self.used_share = self.used_share - (self.used_share >> USED_SHARE_SHIFT)
+                + (share >> USED_SHARE_SHIFT);
+        }
+        if let Some(customer) = self.customers.get_mut(&running.customer) {
+            customer.running -= 1;
+            let reserved = virtual_cost(running.cost, customer.weight);
+            let actual = virtual_cost(used, customer.weight);
+            customer.start = (customer.start + actual).saturating_sub(reserved);
+        }
+        self.forget_idle();
+        true
+    }
+
+    /// Removes a queued request that its caller no longer wants; returns whether it was queued.
+    pub fn cancel(&mut self, ticket: Ticket) -> bool {
+        let taken = self.take_waiting(ticket).is_some();
+        self.forget_idle();
+        taken
+    }
+
+    /// Removes all queued requests whose deadline has passed, oldest deadline first.
+    pub fn expire(&mut self, now: Timestamp) -> Vec<Ticket> {
+        let mut expired = Vec::new();
+        while let Some(&(deadline, ticket)) = self.deadlines.first() {
+            if deadline > now {
+                break;
+            }
+            self.cancel(ticket);
+            expired.push(ticket);
+        }
+        expired
+    }
+
+    /// When the next queued request expires.
+    pub fn next_deadline(&self) -> Option<Timestamp> {
+        self.deadlines.first().map(|(deadline, _)| *deadline)
+    }
+
+    /// Estimate of the wait of a new request of `customer`.
+    ///
+    /// Ahead of it are at most all queued tokens, and at most what the other customers may use while
+    /// this one gets its share. Reserved tokens are scaled by the average share that was used.
+    pub fn estimated_wait(&self, customer: &str, weight: u32, cost: Tokens) -> Duration {
+        let free = self.running.len() < self.limits.batch as usize;
+        if self.limits.tokens_per_s == 0 || (free && self.queued_tokens == Tokens::ZERO) {
+            return Duration::ZERO;
+        }
+        let weight = u64::from(weight.max(1));
+        let own = self.customers.get(customer).map_or(0, |c| c.queued_tokens.0);
+        let weights: u64 = self
+            .customers
+            .iter()
+            .filter(|(name, c)| name.as_str() != customer && !c.ready.is_empty())
+            .map(|(_, c)| u64::from(c.weight))
+            .sum();
+        let others = self.queued_tokens.0 - own;
+        let share = (own + cost.0).saturating_mul(weights) / weight;
+        let slot = self.running_tokens.0 / u64::from(self.limits.batch.max(1));
+        let ahead = own + others.min(share) + if free { 0 } else { slot };
+        let used = u128::from(ahead) * u128::from(self.used_share) / u128::from(USED_SHARE_ONE);
+        let micros = used * 1_000_000 / u128::from(self.limits.tokens_per_s);
+        Duration::from_micros(u64::try_from(micros).unwrap_or(u64::MAX))
+    }
+
+    /// Reserved tokens of the queued requests.
+    pub const fn queued_tokens(&self) -> Tokens {
+        self.queued_tokens
+    }
+
+    /// Reserved tokens of one customer's queued requests.
+    pub fn queued_tokens_of(&self, customer: &str) -> Tokens {
+        self.customers.get(customer).map_or(Tokens::ZERO, |c| c.queued_tokens)
+    }
+
+    /// Number of queued requests.
+    pub fn queued(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Number of requests in flight.
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    fn take_waiting(&mut self, ticket: Ticket) -> Option<Waiting> {
+        let waiting = self.waiting.remove(&ticket)?;
+        let request = &waiting.request;
+        self.deadlines.remove(&(request.deadline, ticket));
+        self.queued_tokens -= request.cost;
+        if let Some(customer) = self.customers.get_mut(&request.customer) {
+            customer.queued_tokens -= request.cost;
+            customer.queued_requests -= 1;
+            customer.remove_ready(ready_entry(ticket, request));
+        }
+        Some(waiting)
+    }
+
+    fn forget_idle(&mut self) {
+        let virtual_time = self.virtual_time;
+        // A customer whose tag lies ahead of the virtual time still owes service, so it stays.
+        self.customers.retain(|_, c| !c.idle() || c.start > virtual_time);
+    }
+}
+
+const fn ready_entry(ticket: Ticket, request: &QueueRequest) -> Ready {
+    Ready { priority: request.priority, ticket: Reverse(ticket), deadline: request.deadline }
+}
