Add the memory ledger, orders, pins, eviction and the planner

Cause: a side process is the sole owner of its target's memory; the first live entry plans copies. Change: ledger that counts an order from before it is sent until the engine proves it undone, orders with a fencing number that are sent again under the same id, quarantine after a start, eviction by least demand per MB with least recently used adapters first, pins for the last copy, search for load permits, planner with hysteresis. Conclusion: public signatures are in place for the entry and side processes.

--- a/components/placement/src/lib.rs
+++ b/components/placement/src/lib.rs
@@ -1,1 +1,28 @@
-//! Placeholder.
+//! Placement of models and adapters: the memory ledger of one target, orders and fencing, eviction,
+//! pins for the last copy, permits for loads, and the planner.
+//!
+//! Nothing here reads a clock or a socket: time and answers are arguments, actions are values.
+
+mod demand;
+mod engine_state;
+mod eviction;
+mod item;
+mod ledger;
+mod order;
+mod permits;
+mod pins;
+mod planner;
+mod quarantine;
+
+pub use demand::DemandRate;
+pub use engine_state::{EngineCopy, EngineCopyState, EngineState};
+pub use eviction::{Room, Unloading};
+pub use item::Item;
+pub use ledger::{Holding, HoldingState, Ledger, LedgerSettings};
+pub use order::{Order, OrderId, OrderKind, OrderRefusal, OrderResult};
+pub use permits::PermitSearch;
+pub use pins::{PinAnswer, PinBook};
+pub use planner::{
+    Move, MoveKind, PlannedModel, PlannedTarget, Planner, PlannerSettings, TargetCopy,
+};
+pub use quarantine::Quarantine;
