Add stand-ins for platform, engine and plain service, and a fault proxy

Cause: demo, tests and measure need the platform and targets with every fault. Change: embeddable servers with settings that change at run time by handle or by POST /control, a TCP proxy with faults per link, the hidden command standin, and base::prefix_blocks as the definition of cache blocks that engines and routing share; both API pages name the additions.

--- a/components/base/src/lib.rs
+++ b/components/base/src/lib.rs
@@ -5,6 +5,7 @@
 mod ids;
 mod offset;
 mod outcome;
+mod prefix;
 mod process;
 mod rendezvous;
 mod rng;
@@ -15,6 +16,7 @@
 pub use ids::{AdapterId, CustomerId, KeyId, ModelId, RouteId, ServiceId};
 pub use offset::Offset;
 pub use outcome::RanState;
+pub use prefix::{PREFIX_BLOCK_BYTES, prefix_blocks};
 pub use process::{Incarnation, ProcessId, ProcessName, Role};
 pub use rendezvous::{hash_bytes, rank_members, rendezvous_score};
 pub use rng::seeded_rng;
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -30,6 +30,8 @@
     match parser.next() {
         Ok(Some(Value(name))) => match name.to_str() {
             Some("demo") => cmd::demo::run(parser),
+            // For tests only, so the help text does not list it.
+            Some("standin") => cmd::standin::run(parser),
             Some("status") => cmd::status::run(parser),
             _ => usage_error(&format!("unknown command {}", name.to_string_lossy()), HELP),
         },
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,4 +1,5 @@
 //! Commands, one a module.
 
 pub mod demo;
+pub mod standin;
 pub mod status;
