--- /dev/null
+++ b/components/auth/src/caller.rs
@@ -0,0 +1,58 @@
+//! Who a caller is.
+
+use base::{CustomerId, KeyId};
+use config::Town;
+use sha2::{Digest, Sha256};
+use subtle::ConstantTimeEq;
+
+/// A caller whose key is known in one configuration.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Caller {
+    /// Customer that the key belongs to.
+    pub customer: CustomerId,
+    /// The key's entry.
+    pub key: KeyId,
+}
+
+/// Why a caller is not accepted.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AuthFault {
+    /// The key is not in the configuration in force.
+    UnknownKey,
+    /// The customer may not use the model, adapter or route.
+    NotAllowed,
+    /// No model or adapter has this name.
+    UnknownModel,
+}
+
+/// SHA-256 of a presented key; the key itself is not kept.
+pub fn hash_key(key: &str) -> [u8; 32] {
+    Sha256::digest(key.as_bytes()).into()
+}
+
+/// Finds the customer of a presented key.
+///
+/// # Errors
+///
+/// `UnknownKey`.
+pub fn authenticate(town: &Town, key: &str) -> Result<Caller, AuthFault> {
+    authenticate_hash(town, &hash_key(key))
+}
+
+/// Finds the customer of a key by its hash; also used for requests in progress.
+///
+/// The search goes by the hash, of which a caller can't choose the bits; equality is then decided
+/// in constant time.
+///
+/// # Errors
+///
+/// `UnknownKey`.
+pub fn authenticate_hash(town: &Town, sha256: &[u8; 32]) -> Result<Caller, AuthFault> {
+    let key = town.key_by_sha256(sha256).ok_or(AuthFault::UnknownKey)?;
+    let entry = town.key(key);
+    if bool::from(entry.sha256.ct_eq(sha256)) {
+        Ok(Caller { customer: entry.customer, key })
+    } else {
+        Err(AuthFault::UnknownKey)
+    }
+}
