--- a/components/api/src/head.rs
+++ b/components/api/src/head.rs
@@ -88,8 +88,9 @@
     let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
     let mut request = httparse::Request::new(&mut fields);
     match request.parse(head) {
-        Ok(httparse::Status::Complete(_)) => {}
-        Ok(httparse::Status::Partial) => return Err(HeadFault::Malformed),
+        // A shorter head than the bytes given would leave the rest to be read as a body.
+        Ok(httparse::Status::Complete(length)) if length == head.len() => {}
+        Ok(_) => return Err(HeadFault::Malformed),
         Err(httparse::Error::TooManyHeaders) => return Err(HeadFault::TooManyFields),
         Err(_) => return Err(HeadFault::Malformed),
     }
--- /dev/null
+++ b/components/entry/src/attempt.rs
@@ -0,0 +1,178 @@
+//! One attempt of a generation at one side process.
+
+use std::pin::pin;
+use std::time::Duration;
+
+use base::{RanState, Timestamp};
+use tokio::time::{MissedTickBehavior, interval, sleep_until};
+use wire::{FinishReason, GenerateEvent, GenerateFrame, RefuseReason};
+
+use crate::choice::Choice;
+use crate::generate_job::{GenerateJob, Progress, Stop};
+use crate::outlet::Outlet;
+
+/// Time between checks whether the side process still lives.
+const LIVENESS_PERIOD: Duration = Duration::from_millis(250);
+
+/// An attempt in progress. Dropping it cancels the generation at the side process.
+pub(crate) struct Attempt<'a> {
+    /// The generation.
+    pub job: &'a GenerateJob,
+    /// Where it runs.
+    pub choice: &'a Choice,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum AttemptEnd {
+    /// The answer is whole.
+    Finished { reason: FinishReason, prompt_tokens: u64, output_tokens: u64 },
+    /// The target did not run it.
+    Refused { reason: RefuseReason, retry_after_ms: Option<u32> },
+    /// The answer broke off.
+    Broken,
+    /// Something outside ended it.
+    Stopped(Stop),
+}
+
+impl Attempt<'_> {
+    /// Runs the attempt; text goes to `outlet`.
+    pub(crate) async fn run(&self, outlet: &mut Outlet, progress: &mut Progress) -> AttemptEnd {
+        let app = &self.job.app;
+        let sent_at = app.clock.now();
+        app.record_sent(self.choice, self.job.request.prompt_tokens);
+        let connected = async {
+            let client = app.pool.client(self.choice.address).await?;
+            client.generate(&self.job.request).await
+        };
+        let deadline = sleep_until(app.clock.instant(self.job.deadline));
+        let mut deadline = pin!(deadline);
+        let mut liveness = interval(LIVENESS_PERIOD);
+        liveness.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        // Until a refusal says otherwise, the side process may have the request.
+        let before = progress.may_have_run;
+        let mut connected = pin!(connected);
+        let mut frames = loop {
+            tokio::select! {
+                result = &mut connected => match result {
+                    Ok(frames) => break frames,
+                    Err(_) => {
+                        app.pool.forget(self.choice.address);
+                        progress.may_have_run = true;
+                        return AttemptEnd::Broken;
+                    }
+                },
+                reason = self.job.ticket.cancel.cancelled() => {
+                    return AttemptEnd::Stopped(Stop::Cancelled(reason));
+                }
+                () = outlet.caller_gone() => return AttemptEnd::Stopped(Stop::CallerGone),
+                () = &mut deadline => return AttemptEnd::Stopped(Stop::Deadline),
+                _ = liveness.tick() => if app.is_gone(&self.choice.process) {
+                    return AttemptEnd::Broken;
+                },
+            }
+        };
+        progress.may_have_run = true;
+        loop {
+            let event = tokio::select! {
+                event = frames.next() => event,
+                reason = self.job.ticket.cancel.cancelled() => {
+                    return AttemptEnd::Stopped(Stop::Cancelled(reason));
+                }
+                () = outlet.caller_gone() => return AttemptEnd::Stopped(Stop::CallerGone),
+                () = &mut deadline => return AttemptEnd::Stopped(Stop::Deadline),
+                _ = liveness.tick() => {
+                    if app.is_gone(&self.choice.process) {
+                        return AttemptEnd::Broken;
+                    }
+                    continue;
+                }
+            };
+            let frame = match event {
+                Ok(Some(event)) if self.matches(&event) => event.frame,
+                Ok(Some(_)) => {
+                    app.metrics.record_late_answer();
+                    continue;
+                }
+                // Without a last frame the answer is truncated.
+                Ok(None) | Err(_) => return AttemptEnd::Broken,
+            };
+            match frame {
+                GenerateFrame::Started { queue_wait_ms } => {
+                    let wait = Duration::from_millis(u64::from(queue_wait_ms));
+                    let customer = &self.job.request.customer;
+                    app.metrics.record_queue_wait(customer, self.job.class, wait);
+                }
+                GenerateFrame::Token { index, count, text } => {
+                    if index != progress.delivered {
+                        app.metrics.record_late_answer();
+                        return AttemptEnd::Broken;
+                    }
+                    if let Some(end) = self.deliver(outlet, &text).await {
+                        return end;
+                    }
+                    progress.delivered += u64::from(count);
+                    self.record_token(progress, app.clock.now());
+                }
+                GenerateFrame::Finished { reason, prompt_tokens, output_tokens } => {
+                    // A different count means that tokens were lost on the way.
+                    if output_tokens != progress.delivered {
+                        app.metrics.record_late_answer();
+                        return AttemptEnd::Broken;
+                    }
+                    if let Err(reason) = app.check_authority() {
+                        return AttemptEnd::Stopped(Stop::Cancelled(reason.code));
+                    }
+                    app.record_finished(self.choice, app.clock.now().since(sent_at));
+                    return AttemptEnd::Finished { reason, prompt_tokens, output_tokens };
+                }
+                GenerateFrame::Refused { reason, retry_after_ms } => {
+                    progress.may_have_run = before;
+                    return AttemptEnd::Refused { reason, retry_after_ms };
+                }
+                GenerateFrame::Failed { ran } => {
+                    progress.may_have_run = before || ran != RanState::NotRun;
+                    return AttemptEnd::Broken;
+                }
+            }
+        }
+    }
+
+    fn matches(&self, event: &GenerateEvent) -> bool {
+        event.request_id == self.job.request.request_id
+            && event.attempt == self.job.request.attempt
+    }
+
+    /// Gives text to the caller; the authority to do so is checked each time.
+    async fn deliver(&self, outlet: &mut Outlet, text: &str) -> Option<AttemptEnd> {
+        if let Err(error) = self.job.app.check_authority() {
+            return Some(AttemptEnd::Stopped(Stop::Cancelled(error.code)));
+        }
+        let deadline = sleep_until(self.job.app.clock.instant(self.job.deadline));
+        tokio::select! {
+            biased;
+            reason = self.job.ticket.cancel.cancelled() => {
+                Some(AttemptEnd::Stopped(Stop::Cancelled(reason)))
+            }
+            pushed = outlet.push(text) => {
+                pushed.err().map(|_| AttemptEnd::Stopped(Stop::CallerGone))
+            }
+            () = deadline => Some(AttemptEnd::Stopped(Stop::Deadline)),
+        }
+    }
+
+    fn record_token(&self, progress: &mut Progress, now: Timestamp) {
+        let (metrics, job) = (&self.job.app.metrics, self.job);
+        match progress.last_token_at {
+            None => metrics.record_first_token(
+                &job.request.customer,
+                job.class,
+                now.since(job.arrived),
+            ),
+            Some(last) => {
+                metrics.record_between_tokens(&job.request.customer, job.class, now.since(last));
+            }
+        }
+        progress.last_token_at = Some(now);
+    }
+}
--- /dev/null
+++ b/components/entry/src/dispatch.rs
@@ -0,0 +1,174 @@
+//! From a caller's request to its answer.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use api::{ApiError, Dialect, ErrorCode, HeadFault, model_list, presented_key};
+use auth::{AuthFault, Caller, authenticate, permitted_names};
+use base::Timestamp;
+use bytes::Bytes;
+use config::Town;
+use http::{HeaderMap, Method, Request};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use tokio::time::timeout;
+use wire::RequestId;
+
+use crate::app::App;
+use crate::connection::Closer;
+use crate::forward_call::forward;
+use crate::generate_call::generate;
+use crate::request_id::new_request_id;
+use crate::respond::{CallerResponse, error_answer, json_answer};
+
+/// Wait that is advised while the process has no configuration, in milliseconds.
+const NO_CONFIGURATION_RETRY_MS: u64 = 1_000;
+
+/// A request with what is known of it on arrival.
+pub(crate) struct Arrival {
+    /// The request.
+    pub request: Request<Incoming>,
+    /// Its name.
+    pub id: RequestId,
+    /// When it arrived.
+    pub at: Timestamp,
+    /// Closes the connection after the answer.
+    pub closer: Rc<Closer>,
+}
+
+/// Answers one request.
+pub(crate) async fn dispatch(
+    app: Rc<App>,
+    request: Request<Incoming>,
+    closer: Rc<Closer>,
+) -> CallerResponse {
+    let arrival = Arrival { request, id: new_request_id(), at: app.clock.now(), closer };
+    let id = arrival.id.to_string();
+    match route(&app, arrival).await {
+        Ok(response) => response,
+        Err(error) => {
+            let code = error.code;
+            app.metrics.record_refusal(code.as_str());
+            log::info!(
+                "event=request_refused request_id={id} code={} ran={}",
+                code.as_str(),
+                error.ran.as_str()
+            );
+            error_answer(&error, &id, code == ErrorCode::KeyWithdrawn)
+        }
+    }
+}
+
+async fn route(app: &Rc<App>, arrival: Arrival) -> Result<CallerResponse, ApiError> {
+    let town = current_town(app)?;
+    let request = &arrival.request;
+    let expected = match request.uri().path() {
+        "/v1/chat/completions" | "/v1/completions" => Method::POST,
+        "/v1/models" => Method::GET,
+        _ => return forward(app, arrival, &town).await,
+    };
+    if request.method() != expected {
+        let text = format!("this path takes {expected} only");
+        return Err(ApiError::new(ErrorCode::MethodNotAllowed, text));
+    }
+    match request.uri().path() {
+        "/v1/chat/completions" => generate(app, arrival, &town, Dialect::Chat).await,
+        "/v1/completions" => generate(app, arrival, &town, Dialect::Text).await,
+        _ => {
+            let (caller, _) = authenticated(app, &town, request.headers())?;
+            let body = model_list(permitted_names(&town, caller.customer));
+            Ok(json_answer(body, &arrival.id.to_string()))
+        }
+    }
+}
+
+/// The configuration in force.
+///
+/// # Errors
+///
+/// `no_authority` before the first configuration.
+pub(crate) fn current_town(app: &App) -> Result<Rc<Town>, ApiError> {
+    app.town().ok_or_else(|| {
+        ApiError::new(ErrorCode::NoAuthority, "no configuration is in force yet")
+            .with_retry_after_ms(NO_CONFIGURATION_RETRY_MS)
+    })
+}
+
+/// The caller by its key, and the key.
+///
+/// # Errors
+///
+/// `missing_key`, `invalid_key`, `no_authority`, or `invalid_request` for a malformed credential.
+pub(crate) fn authenticated<'a>(
+    app: &App,
+    town: &Town,
+    headers: &'a HeaderMap,
+) -> Result<(Caller, &'a str), ApiError> {
+    let key = presented_key(headers)
+        .map_err(head_error)?
+        .ok_or_else(|| ApiError::new(ErrorCode::MissingKey, "no API key was presented"))?;
+    let caller = authenticate(town, key).map_err(auth_error)?;
+    app.check_authority()?;
+    Ok((caller, key))
+}
+
+/// The error for a credential that is malformed.
+pub(crate) fn head_error(fault: HeadFault) -> ApiError {
+    ApiError::new(fault.code(), fault.to_string())
+}
+
+/// The error for a caller who is not accepted.
+pub(crate) fn auth_error(fault: AuthFault) -> ApiError {
+    match fault {
+        AuthFault::NotAllowed => {
+            ApiError::new(ErrorCode::NotAllowed, "this customer may not use it")
+        }
+        AuthFault::UnknownKey => ApiError::new(ErrorCode::InvalidKey, "the API key is not valid"),
+        AuthFault::UnknownModel => {
+            ApiError::new(ErrorCode::ModelNotFound, "no model or adapter has this name")
+                .with_param("model")
+        }
+    }
+}
+
+/// Reads a body of at most `limit` bytes within `time`.
+///
+/// # Errors
+///
+/// `body_too_large`, `request_timeout`, or `invalid_request` if it breaks off.
+pub(crate) async fn read_body(
+    body: Incoming,
+    limit: usize,
+    time: Duration,
+) -> Result<Bytes, ApiError> {
+    let too_large = || {
+        let text = format!("the body is larger than {limit} bytes");
+        ApiError::new(ErrorCode::BodyTooLarge, text)
+    };
+    let announced = http_body::Body::size_hint(&body).lower();
+    if announced > limit as u64 {
+        return Err(too_large());
+    }
+    match timeout(time, Limited::new(body, limit).collect()).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(too_large()),
+        Ok(Err(_)) => Err(ApiError::new(ErrorCode::InvalidRequest, "the body broke off")),
+        Err(_) => {
+            Err(ApiError::new(ErrorCode::RequestTimeout, "the body did not arrive in time"))
+        }
+    }
+}
+
+/// The error for a request that is ended from outside.
+pub(crate) fn cancel_error(reason: ErrorCode) -> ApiError {
+    let text = match reason {
+        ErrorCode::KeyWithdrawn => "the API key was withdrawn",
+        ErrorCode::NotAllowed => "this customer may no longer use it",
+        ErrorCode::ModelNotFound => "the model or adapter was removed",
+        ErrorCode::RouteNotFound => "the route was removed",
+        ErrorCode::NoAuthority => "this process has lost touch with the log of withdrawn keys",
+        ErrorCode::Draining => "this process is shutting down",
+        _ => "the request was ended",
+    };
+    ApiError::new(reason, text)
+}
--- /dev/null
+++ b/components/entry/src/generate_call.rs
@@ -0,0 +1,111 @@
+//! Arrival of a generation: checks, permission, and the start of its job.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use api::{ApiError, Dialect, ErrorCode, GenerationCall};
+use auth::{authenticate_hash, permit_model};
+use base::Tokens;
+use config::Town;
+use telemetry::Class;
+use tokio::sync::oneshot;
+use wire::GenerateRequest;
+
+use crate::app::App;
+use crate::clock::wall_seconds;
+use crate::dispatch::{
+    Arrival, auth_error, authenticated, cancel_error, current_town, read_body,
+};
+use crate::generate_job::GenerateJob;
+use crate::in_flight::{Holder, Use};
+use crate::outlet::{AnswerHead, Outlet};
+use crate::respond::CallerResponse;
+
+/// Answers a request for generated text.
+///
+/// # Errors
+///
+/// Why it was refused before a job was started; later errors come as the response.
+pub(crate) async fn generate(
+    app: &Rc<App>,
+    arrival: Arrival,
+    town: &Town,
+    dialect: Dialect,
+) -> Result<CallerResponse, ApiError> {
+    let Arrival { request, id, at, closer } = arrival;
+    let (parts, body) = request.into_parts();
+    let (caller, key) = authenticated(app, town, &parts.headers)?;
+    let holder = Holder {
+        key_sha256: town.key(caller.key).sha256,
+        customer: town.customer(caller.customer).name.clone(),
+    };
+    let ticket = app.in_flight.enter(Some(holder.clone()), Use::Model(None));
+    let limits = app.settings.callers;
+    let time = Duration::from_millis(limits.body_timeout_ms);
+    let bytes = tokio::select! {
+        bytes = read_body(body, limits.body_bytes, time) => bytes?,
+        reason = ticket.cancel.cancelled() => return Err(cancel_error(reason)),
+    };
+    let call = GenerationCall::parse(dialect, &bytes, key).map_err(|fault| {
+        let error = ApiError::new(ErrorCode::InvalidRequest, fault.message);
+        ApiError { param: fault.param.map(str::to_owned), ..error }
+    })?;
+
+    // The configuration may have changed while the body arrived.
+    let town = current_town(app)?;
+    let caller = authenticate_hash(&town, &holder.key_sha256)
+        .map_err(|_| cancel_error(ErrorCode::KeyWithdrawn))?;
+    let permission =
+        permit_model(&town, caller.customer, &call.model).map_err(auth_error)?;
+    ticket.name_model(&call.model);
+    let model = town.model(permission.model);
+    let max_output_tokens = call
+        .max_output_tokens
+        .unwrap_or(model.default_max_output_tokens)
+        .min(model.max_output_tokens)
+        .max(1);
+    let tokens = Tokens(call.prompt_tokens.saturating_add(max_output_tokens));
+    if tokens.0 > town.customer(caller.customer).burst_tokens {
+        let text = "prompt and max_tokens together exceed the customer's burst";
+        return Err(ApiError::new(ErrorCode::ExceedsBurst, text).with_param("max_tokens"));
+    }
+    let request_id = id.to_string();
+    let head = AnswerHead {
+        dialect,
+        id: dialect.answer_id(&request_id),
+        created: wall_seconds(),
+        model: call.model.to_string(),
+        request_id,
+        stream: call.stream,
+        include_usage: call.include_usage,
+    };
+    let job = GenerateJob {
+        app: Rc::clone(app),
+        ticket,
+        closer,
+        class: if call.stream { Class::Streamed } else { Class::Whole },
+        arrived: at,
+        deadline: at + Duration::from_millis(limits.request_timeout_ms),
+        tokens,
+        request: GenerateRequest {
+            request_id: id,
+            attempt: 0,
+            customer: holder.customer,
+            model: model.name.clone(),
+            adapter: permission.adapter.map(|adapter| town.adapter(adapter).name.clone()),
+            priority: call.priority,
+            deadline_ms: 0,
+            prompt_tokens: call.prompt_tokens,
+            max_output_tokens,
+            prompt: call.prompt,
+            parameters_json: call.parameters_json,
+            resume: None,
+        },
+    };
+    let (sender, receiver) = oneshot::channel();
+    let outlet = Outlet::new(head, sender);
+    tokio::task::spawn_local(job.run(outlet));
+    receiver.await.map_err(|_| {
+        ApiError::new(ErrorCode::UpstreamFailed, "the request ended without an answer")
+    })
+}
--- /dev/null
+++ b/components/entry/src/guarded_stream.rs
@@ -0,0 +1,197 @@
+//! Caller's connection with checks of each request head before the HTTP server sees it.
+
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use api::{BodyFraming, ChunkedScanner, HeadFault, check_head};
+use bytes::{Buf, BytesMut};
+use config::CallerLimits;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::{Instant, Sleep, sleep_until};
+
+const READ_BYTES: usize = 8_192;
+const HEAD_END: &[u8] = b"\r\n\r\n";
+
+/// Reads requests from a socket and passes on only heads that are whole and well-formed.
+///
+/// After a fault it reads as closed; the fault is kept for the answer. Holds at most the limit of a
+/// head and one read buffer.
+pub(crate) struct GuardedStream {
+    inner: TcpStream,
+    limits: CallerLimits,
+    raw: BytesMut,
+    checked: BytesMut,
+    phase: Phase,
+    head_deadline: Option<Pin<Box<Sleep>>>,
+    fault: Option<HeadFault>,
+}
+
+enum Phase {
+    Head,
+    Length(u64),
+    Chunked(ChunkedScanner),
+}
+
+impl GuardedStream {
+    /// A stream whose first head is due within the limit from now.
+    pub(crate) fn new(inner: TcpStream, limits: CallerLimits) -> Self {
+        let mut stream = Self {
+            inner,
+            limits,
+            raw: BytesMut::new(),
+            checked: BytesMut::new(),
+            phase: Phase::Head,
+            head_deadline: None,
+            fault: None,
+        };
+        stream.start_head_deadline();
+        stream
+    }
+
+    /// The fault of a head that was not passed on. A fault inside a body is reported by the HTTP
+    /// server, which has the request.
+    pub(crate) const fn head_fault(&self) -> Option<HeadFault> {
+        match self.phase {
+            Phase::Head => self.fault,
+            Phase::Length(_) | Phase::Chunked(_) => None,
+        }
+    }
+
+    /// The socket, to answer a fault and to close.
+    pub(crate) fn into_socket(self) -> TcpStream {
+        self.inner
+    }
+
+    fn start_head_deadline(&mut self) {
+        let limit = Duration::from_millis(self.limits.head_timeout_ms);
+        self.head_deadline = Some(Box::pin(sleep_until(Instant::now() + limit)));
+    }
+
+    /// Moves bytes from `raw` to `checked` as far as they are known to be good.
+    fn check(&mut self) -> Result<(), HeadFault> {
+        while !self.raw.is_empty() {
+            match &mut self.phase {
+                Phase::Head => {
+                    // RFC 9112, section 2.2: empty lines before a request line are ignored.
+                    while self.raw.starts_with(b"\r\n") {
+                        self.raw.advance(2);
+                    }
+                    let end = self.raw.windows(HEAD_END.len()).position(|part| part == HEAD_END);
+                    let length = end.map_or(self.raw.len(), |at| at + HEAD_END.len());
+                    if length > self.limits.head_bytes {
+                        return Err(HeadFault::TooLarge);
+                    }
+                    if end.is_none() {
+                        if self.head_deadline.is_none() && !self.raw.is_empty() {
+                            self.start_head_deadline();
+                        }
+                        return Ok(());
+                    }
+                    self.phase = match check_head(&self.raw[..length], self.limits.header_count)? {
+                        BodyFraming::Length(0) => Phase::Head,
+                        BodyFraming::Length(bytes) => Phase::Length(bytes),
+                        BodyFraming::Chunked => Phase::Chunked(ChunkedScanner::default()),
+                    };
+                    self.head_deadline = None;
+                    self.pass_on(length);
+                }
+                Phase::Length(left) => {
+                    let length = usize::try_from(*left).unwrap_or(usize::MAX).min(self.raw.len());
+                    *left -= length as u64;
+                    if *left == 0 {
+                        self.phase = Phase::Head;
+                    }
+                    self.pass_on(length);
+                }
+                Phase::Chunked(scanner) => {
+                    let end = scanner.scan(&self.raw)?;
+                    if end.is_some() {
+                        self.phase = Phase::Head;
+                    }
+                    self.pass_on(end.unwrap_or(self.raw.len()));
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn pass_on(&mut self, length: usize) {
+        self.checked.extend_from_slice(&self.raw[..length]);
+        self.raw.advance(length);
+    }
+
+    fn poll_head_deadline(&mut self, context: &mut Context<'_>) {
+        if let Some(deadline) = &mut self.head_deadline
+            && deadline.as_mut().poll(context).is_ready()
+        {
+            self.fault = Some(HeadFault::Slow);
+        }
+    }
+}
+
+impl AsyncRead for GuardedStream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let this = self.get_mut();
+        loop {
+            if !this.checked.is_empty() {
+                let length = this.checked.len().min(buffer.remaining());
+                buffer.put_slice(&this.checked[..length]);
+                this.checked.advance(length);
+                return Poll::Ready(Ok(()));
+            }
+            if this.fault.is_none() {
+                this.poll_head_deadline(context);
+            }
+            if this.fault.is_some() {
+                return Poll::Ready(Ok(()));
+            }
+            let mut space = [0; READ_BYTES];
+            let mut read = ReadBuf::new(&mut space);
+            ready!(Pin::new(&mut this.inner).poll_read(context, &mut read))?;
+            if read.filled().is_empty() {
+                return Poll::Ready(Ok(()));
+            }
+            this.raw.extend_from_slice(read.filled());
+            if let Err(fault) = this.check() {
+                this.fault = Some(fault);
+            }
+        }
+    }
+}
+
+impl AsyncWrite for GuardedStream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.get_mut().inner).poll_write(context, bytes)
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().inner).poll_flush(context)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().inner).poll_shutdown(context)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.get_mut().inner).poll_write_vectored(context, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+}
--- /dev/null
+++ b/components/entry/src/outlet.rs
@@ -0,0 +1,182 @@
+//! Where the text of a generation goes: one JSON answer or a stream of events.
+
+use api::{
+    Answer, ApiError, DONE, Dialect, Usage, delta_event, error_event, finish_event, first_event,
+    usage_event, whole_answer,
+};
+use bytes::Bytes;
+use tokio::sync::oneshot;
+
+use crate::caller_body::{CallerGone, PartSender};
+use crate::respond::{CallerResponse, error_answer, event_stream, json_answer};
+
+/// Identity of an answer.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct AnswerHead {
+    /// Form.
+    pub dialect: Dialect,
+    /// Id of the answer.
+    pub id: String,
+    /// Seconds since 1970.
+    pub created: u64,
+    /// Model or adapter by the caller's name.
+    pub model: String,
+    /// Request id as text.
+    pub request_id: String,
+    /// Whether the caller wants events.
+    pub stream: bool,
+    /// Whether a stream ends with token counts.
+    pub include_usage: bool,
+}
+
+enum State {
+    /// The head of the answer is not sent, so that a refusal can still have its own status.
+    Waiting(oneshot::Sender<CallerResponse>),
+    /// Events flow.
+    Open(PartSender),
+    /// The answer is complete or broken off.
+    Ended,
+}
+
+/// Writes one answer.
+pub(crate) struct Outlet {
+    head: AnswerHead,
+    state: State,
+    text: String,
+}
+
+impl Outlet {
+    /// An outlet whose answer head goes to `sender`.
+    pub(crate) fn new(head: AnswerHead, sender: oneshot::Sender<CallerResponse>) -> Self {
+        Self { head, state: State::Waiting(sender), text: String::new() }
+    }
+
+    /// Text delivered or collected so far.
+    pub(crate) fn text(&self) -> &str {
+        &self.text
+    }
+
+    /// Takes generated text; waits while a streaming caller reads slowly.
+    ///
+    /// # Errors
+    ///
+    /// If the caller has gone.
+    pub(crate) async fn push(&mut self, text: &str) -> Result<(), CallerGone> {
+        self.text.push_str(text);
+        if !self.head.stream {
+            return match &self.state {
+                State::Waiting(sender) if !sender.is_closed() => Ok(()),
+                _ => Err(CallerGone),
+            };
+        }
+        let head = &self.head;
+        let event = delta_event(head.dialect, &head.id, head.created, &head.model, text);
+        self.open().await?;
+        self.send(event).await
+    }
+
+    /// Ends a whole answer.
+    ///
+    /// # Errors
+    ///
+    /// If the caller has gone.
+    pub(crate) async fn finish(&mut self, reason: &str, usage: Usage) -> Result<(), CallerGone> {
+        let head = &self.head;
+        if !head.stream {
+            let answer = Answer {
+                id: &head.id,
+                created: head.created,
+                model: &head.model,
+                text: &self.text,
+                finish_reason: reason,
+                usage,
+            };
+            let response = json_answer(whole_answer(head.dialect, &answer), &head.request_id);
+            return self.answer(response);
+        }
+        let mut events =
+            finish_event(head.dialect, &head.id, head.created, &head.model, reason);
+        if head.include_usage {
+            events +=
+                &usage_event(head.dialect, &head.id, head.created, &head.model, usage);
+        }
+        events += DONE;
+        self.open().await?;
+        self.send(events).await?;
+        self.end().await
+    }
+
+    /// Ends a failed answer: an error answer of its own, or an error event in a stream.
+    ///
+    /// # Errors
+    ///
+    /// If the caller has gone.
+    pub(crate) async fn fail(&mut self, error: &ApiError, close: bool) -> Result<(), CallerGone> {
+        if matches!(self.state, State::Open(_)) {
+            self.send(error_event(error, &self.head.request_id)).await?;
+            return self.end().await;
+        }
+        self.answer(error_answer(error, &self.head.request_id, close))
+    }
+
+    /// Ends the answer with an error in place of everything that still waits for the caller, and
+    /// closes the connection after it.
+    pub(crate) fn fail_at_once(&mut self, error: &ApiError) {
+        match std::mem::replace(&mut self.state, State::Ended) {
+            State::Open(sender) => {
+                sender.end_at_once(Bytes::from(error_event(error, &self.head.request_id)));
+            }
+            State::Waiting(sender) => {
+                // A caller that has gone needs no answer.
+                let _sent = sender.send(error_answer(error, &self.head.request_id, true));
+            }
+            State::Ended => {}
+        }
+    }
+
+    /// Waits until the caller has gone.
+    pub(crate) async fn caller_gone(&mut self) {
+        match &mut self.state {
+            State::Waiting(sender) => sender.closed().await,
+            State::Open(sender) => sender.closed().await,
+            State::Ended => {}
+        }
+    }
+
+    async fn open(&mut self) -> Result<(), CallerGone> {
+        if !matches!(self.state, State::Waiting(_)) {
+            return Ok(());
+        }
+        let (sender, response) = event_stream(&self.head.request_id);
+        self.answer(response)?;
+        self.state = State::Open(sender);
+        let head = &self.head;
+        match first_event(head.dialect, &head.id, head.created, &head.model) {
+            Some(event) => self.send(event).await,
+            None => Ok(()),
+        }
+    }
+
+    fn answer(&mut self, response: CallerResponse) -> Result<(), CallerGone> {
+        match std::mem::replace(&mut self.state, State::Ended) {
+            State::Waiting(sender) => sender.send(response).map_err(|_| CallerGone),
+            State::Open(_) | State::Ended => Err(CallerGone),
+        }
+    }
+
+    async fn end(&mut self) -> Result<(), CallerGone> {
+        match std::mem::replace(&mut self.state, State::Ended) {
+            State::Open(sender) => sender.end().await,
+            State::Waiting(_) | State::Ended => Err(CallerGone),
+        }
+    }
+
+    async fn send(&self, event: String) -> Result<(), CallerGone> {
+        match &self.state {
+            State::Open(sender) => {
+                sender.send(Bytes::from(event)).await
+            }
+            State::Waiting(_) | State::Ended => Err(CallerGone),
+        }
+    }
+}
