Add workload, fake engine and judge of the measuring program

Cause: the policy has no measure yet. Conclusion: the parts that don't depend on routing are in place.

--- /dev/null
+++ b/components/measure/src/judge.rs
@@ -0,0 +1,59 @@
+//! One exact bucket per customer for the whole fleet, against which admission is judged.
+
+use base::{CustomerId, Timestamp, Tokens};
+use config::Town;
+use rates::{Bucket, MicroTokens, Share};
+
+/// Exact fleet-wide buckets, fed with what the measured policy admitted.
+#[derive(Clone, Debug)]
+pub struct Judge {
+    buckets: Vec<Bucket>,
+    /// Tokens admitted above rate and burst.
+    excess_tokens: u64,
+}
+
+impl Judge {
+    /// Full buckets at the start.
+    pub fn new(town: &Town) -> Self {
+        let start = Timestamp::default();
+        let buckets = town
+            .customers
+            .iter()
+            .map(|customer| {
+                let share = Share {
+                    rate_tokens_per_s: customer.rate_tokens_per_s,
+                    cap_tokens: customer.burst_tokens,
+                };
+                Bucket::full(share, start)
+            })
+            .collect();
+        Self { buckets, excess_tokens: 0 }
+    }
+
+    /// Notes an admission; `number` identifies the request and rises from call to call.
+    pub fn admitted(
+        &mut self,
+        customer: CustomerId,
+        number: u64,
+        tokens: Tokens,
+        now: Timestamp,
+    ) {
+        let taken = self.buckets[customer.index()].take(number, tokens, now);
+        self.excess_tokens += tokens.saturating_sub(taken.unwrap_or_default()).0;
+    }
+
+    /// Notes a settlement.
+    pub fn settled(&mut self, customer: CustomerId, number: u64, used: Tokens, now: Timestamp) {
+        self.buckets[customer.index()].settle(number, used, now);
+    }
+
+    /// Whether a request of this size is inside the customer's rate and burst now.
+    pub fn inside(&mut self, customer: CustomerId, tokens: Tokens, now: Timestamp) -> bool {
+        self.buckets[customer.index()].level(now) >= MicroTokens::from_tokens(tokens)
+    }
+
+    /// Tokens admitted above rate and burst so far.
+    pub const fn excess_tokens(&self) -> u64 {
+        self.excess_tokens
+    }
+}
--- /dev/null
+++ b/components/measure/src/lib.rs
@@ -0,0 +1,25 @@
+//! Measures of the policy: the decision core under a seeded workload, with fakes at its interfaces,
+//! beside baselines and a bound.
+
+mod arrival;
+mod engine;
+mod entry_node;
+mod event;
+mod judge;
+mod outcome;
+mod policy;
+mod report;
+mod router;
+mod run;
+mod scenario;
+mod side_node;
+mod workload;
+
+pub use arrival::Arrival;
+pub use judge::Judge;
+pub use outcome::{Outcome, RunResult};
+pub use policy::Policy;
+pub use report::{print_json, print_table};
+pub use run::run;
+pub use scenario::{Deployment, Fault, Scenario};
+pub use workload::make_arrivals;
