--- a/components/measure/src/engine.rs
+++ b/components/measure/src/engine.rs
@@ -77,7 +77,8 @@
                 continue;
             }
             sequence.output_left -= 1;
-            let state = if sequence.output_left == 0 { Progress::Finished } else { Progress::Token };
+            let state =
+                if sequence.output_left == 0 { Progress::Finished } else { Progress::Token };
             progress.push((sequence.number, state));
         }
         self.sequences.retain(|s| s.output_left > 0);
--- a/components/measure/src/judge.rs
+++ b/components/measure/src/judge.rs
@@ -10,6 +10,8 @@
     buckets: Vec<Bucket>,
     /// Tokens admitted above rate and burst.
     excess_tokens: u64,
+    /// Next number of an admission; numbers must rise from debit to debit.
+    next_number: u64,
 }
 
 impl Judge {
@@ -27,19 +29,16 @@
                 Bucket::full(share, start)
             })
             .collect();
-        Self { buckets, excess_tokens: 0 }
+        Self { buckets, excess_tokens: 0, next_number: 1 }
     }
 
-    /// Notes an admission; `number` identifies the request and rises from call to call.
-    pub fn admitted(
-        &mut self,
-        customer: CustomerId,
-        number: u64,
-        tokens: Tokens,
-        now: Timestamp,
-    ) {
+    /// Notes an admission and returns its number, for the settlement.
+    pub fn admitted(&mut self, customer: CustomerId, tokens: Tokens, now: Timestamp) -> u64 {
+        let number = self.next_number;
+        self.next_number += 1;
         let taken = self.buckets[customer.index()].take(number, tokens, now);
         self.excess_tokens += tokens.saturating_sub(taken.unwrap_or_default()).0;
+        number
     }
 
     /// Notes a settlement.
--- a/components/measure/src/outcome.rs
+++ b/components/measure/src/outcome.rs
@@ -38,10 +38,9 @@
             Self::Answered { first_token, token_gap } => {
                 *first_token <= FIRST_TOKEN_LIMIT && *token_gap <= TOKEN_GAP_LIMIT
             }
-            Self::Broken
-            | Self::RefusedInsideRate
-            | Self::RefusedAboveRate
-            | Self::RefusedBusy => false,
+            Self::Broken | Self::RefusedInsideRate | Self::RefusedAboveRate | Self::RefusedBusy => {
+                false
+            }
         }
     }
 }
--- a/components/measure/src/scenario.rs
+++ b/components/measure/src/scenario.rs
@@ -31,7 +31,8 @@
 
 impl Fault {
     /// All faults.
-    pub const ALL: [Self; 4] = [Self::None, Self::TargetLost, Self::LogOutage, Self::RollingRestart];
+    pub const ALL: [Self; 4] =
+        [Self::None, Self::TargetLost, Self::LogOutage, Self::RollingRestart];
 
     /// Name in reports.
     pub const fn as_str(self) -> &'static str {
