--- a/components/placement/src/pins.rs
+++ b/components/placement/src/pins.rs
@@ -114,6 +114,11 @@
         self.given.keys().any(|(pinned, _)| pinned == model)
     }
 
+    /// Names of the processes that rely on a pin; one with several pins more than once.
+    pub fn requesters(&self) -> impl Iterator<Item = &ProcessName> {
+        self.given.keys().map(|(_, requester)| requester)
+    }
+
     /// Whether an ask for this model is in progress or its pin is held.
     pub fn asking(&self, model: &str) -> bool {
         self.asks.contains_key(model)
--- /dev/null
+++ b/components/side/src/core.rs
@@ -0,0 +1,222 @@
+//! The core of a side process: queue, memory ledger, pins and permits of one target.
+//!
+//! Each method takes the time and leaves its effects in a list of actions. Nothing here performs I/O.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use base::{ProcessId, ServiceId, SortedMap, Timestamp, Tokens};
+use compact_str::CompactString;
+use config::{ServiceKind, SideSettings, Target, Town};
+use placement::{DemandRate, Item, Ledger, LedgerSettings, PermitSearch, PinBook};
+use platform::VmSnapshot;
+use queue::{FairQueue, QueueLimits, Ticket};
+use wire::Heartbeat;
+
+use crate::action::{Action, SlotOwner};
+use crate::peers::{PeerNews, Peers};
+use crate::permit_state::PermitState;
+use crate::pin_round::PinRound;
+use crate::wish::Wish;
+
+/// Time without an answer after which a lost order is sent again.
+const RESEND_AFTER: Duration = Duration::from_millis(200);
+
+/// The target in the configuration in force.
+#[derive(Clone, Debug)]
+pub(crate) struct TargetPlace {
+    pub service: ServiceId,
+    pub kind: ServiceKind,
+    pub target: Target,
+}
+
+/// What a queued or running request uses.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Uses {
+    pub model: Option<Item>,
+    pub adapter: Option<Item>,
+    pub customer: CompactString,
+    pub running: bool,
+    pub ready: bool,
+}
+
+impl Uses {
+    pub fn items(&self) -> impl Iterator<Item = &Item> {
+        self.model.iter().chain(&self.adapter)
+    }
+}
+
+/// State of the target and of the requests for it.
+pub(crate) struct Core {
+    pub settings: Rc<SideSettings>,
+    pub me: ProcessId,
+    pub address: SocketAddr,
+    pub town: Rc<Town>,
+    pub place: Option<TargetPlace>,
+    pub queue: FairQueue,
+    pub ledger: Ledger,
+    pub pins: PinBook,
+    pub pin_round: Option<PinRound>,
+    pub permits: PermitSearch<SlotOwner>,
+    pub permit: PermitState,
+    pub peers: Peers,
+    pub requests: SortedMap<Ticket, Uses>,
+    pub demand: SortedMap<CompactString, DemandRate>,
+    pub wishes: Vec<Wish>,
+    pub healthy: bool,
+    pub draining: bool,
+    pub start_pending: bool,
+    pub fence_pending: bool,
+    pub actions: Vec<Action>,
+}
+
+impl Core {
+    pub fn new(
+        settings: Rc<SideSettings>,
+        me: ProcessId,
+        address: SocketAddr,
+        now: Timestamp,
+    ) -> Self {
+        let ledger = LedgerSettings {
+            capacity_mb: 0,
+            order_lifetime: Duration::from_millis(settings.order_lifetime_ms),
+            resend_after: RESEND_AFTER,
+        };
+        Self {
+            queue: FairQueue::new(QueueLimits::default()),
+            ledger: Ledger::new(ledger, now),
+            pins: PinBook::new(me.name.clone()),
+            pin_round: None,
+            permits: PermitSearch::new(),
+            permit: PermitState::Idle,
+            peers: Peers::default(),
+            requests: SortedMap::new(),
+            demand: SortedMap::new(),
+            wishes: Vec::new(),
+            healthy: false,
+            draining: false,
+            start_pending: false,
+            fence_pending: false,
+            actions: Vec::new(),
+            town: Rc::default(),
+            place: None,
+            settings,
+            me,
+            address,
+        }
+    }
+
+    /// Puts a configuration in force.
+    pub fn configure(&mut self, town: Rc<Town>, now: Timestamp) {
+        self.place = town.target(&self.settings.target).map(|(service, target)| TargetPlace {
+            service,
+            kind: town.service(service).kind,
+            target: target.clone(),
+        });
+        self.town = town;
+        if let Some(place) = &self.place {
+            self.ledger.set_capacity_mb(place.target.memory_mb);
+            self.queue.set_limits(QueueLimits {
+                batch: place.target.batch.max(1),
+                customer_requests: self.settings.queue_requests,
+                customer_tokens: Tokens(self.settings.queue_tokens),
+                tokens_per_s: place.target.tokens_per_s,
+            });
+        }
+        self.drive(now);
+    }
+
+    /// Whether requests can be taken.
+    pub fn ready(&self) -> bool {
+        self.place.is_some() && self.healthy && !self.draining
+    }
+
+    /// Whether orders to the engine are withheld.
+    pub fn quarantined(&self) -> bool {
+        self.is_engine() && !self.ledger.quarantine().over()
+    }
+
+    pub fn is_engine(&self) -> bool {
+        self.place.as_ref().is_none_or(|place| place.kind == ServiceKind::Engine)
+    }
+
+    /// Carries the state forward to `now`: expiry, starts, placement.
+    pub fn drive(&mut self, now: Timestamp) {
+        self.drive_fencing();
+        self.drive_placement(now);
+        self.drive_queue(now);
+    }
+
+    /// When [`Core::drive`] has to run again without any event.
+    pub fn next_wake(&self) -> Option<Timestamp> {
+        self.queue.next_deadline()
+    }
+
+    fn drive_fencing(&mut self) {
+        if !self.is_engine() || self.place.is_none() {
+            return;
+        }
+        if self.ledger.quarantine().fencing().is_none() {
+            if !self.start_pending {
+                self.start_pending = true;
+                self.actions.push(Action::AppendStart);
+            }
+        } else if let Some(fencing) = self.ledger.quarantine().fence_to_raise()
+            && self.healthy
+            && !self.fence_pending
+        {
+            self.fence_pending = true;
+            self.actions.push(Action::RaiseFence(fencing));
+        }
+    }
+
+    /// Takes a heartbeat.
+    pub fn heard(&mut self, heartbeat: &Heartbeat, now: Timestamp) {
+        if let Some(PeerNews::Settled(process)) = self.peers.heard(heartbeat, now) {
+            self.pins.requester_restarted(&process);
+        }
+        self.drive(now);
+    }
+
+    /// Takes a VM list.
+    pub fn vm_listed(&mut self, list: &VmSnapshot, silent_after: Duration, now: Timestamp) {
+        for news in self.peers.listed(list, silent_after, now) {
+            if let PeerNews::Gone(name) = news {
+                self.pins.requester_gone(&name);
+            }
+        }
+        self.drive(now);
+    }
+
+    /// Addresses of the side processes that rely on a pin of this one.
+    pub fn pin_requesters(&self) -> Vec<SocketAddr> {
+        self.pins.requesters().filter_map(|name| self.peers.address_of(name)).collect()
+    }
+
+    /// Memory in MB and base model of an item by the configuration.
+    pub fn describe(&self, item: &Item) -> Option<(u64, Option<CompactString>)> {
+        describe(&self.town, item)
+    }
+
+    /// Demand for an item in tokens a second.
+    pub fn demand_of(&self, item: &Item, now: Timestamp) -> u64 {
+        self.demand.get(item.name()).map_or(0, |rate| rate.tokens_per_s(now))
+    }
+
+    /// Takes the actions since the last call.
+    pub fn take_actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
+    }
+}
+
+/// Memory in MB and base model of an item by a configuration.
+pub(crate) fn describe(town: &Town, item: &Item) -> Option<(u64, Option<CompactString>)> {
+    match item {
+        Item::Adapter(name) => {
+            let adapter = town.adapter(town.adapter_id(name)?);
+            Some((adapter.memory_mb, Some(town.model(adapter.model).name.clone())))
+        }
+        Item::Model(name) => Some((town.model(town.model_id(name)?).memory_mb, None)),
+    }
+}
--- /dev/null
+++ b/components/side/src/core_requests.rs
@@ -0,0 +1,248 @@
+//! Requests in the core: admission, start, end.
+
+use std::time::Duration;
+
+use base::{Timestamp, Tokens};
+use compact_str::CompactString;
+use config::ServiceKind;
+use placement::{DemandRate, Item};
+use queue::{QueueRefusal, QueueRequest, Ticket};
+use wire::{ForwardHead, GenerateRequest, RefuseReason};
+
+use crate::action::Action;
+use crate::clock::to_millis;
+use crate::core::{Core, Uses};
+
+/// Window of the demand that eviction goes by.
+const DEMAND_WINDOW_MS: u64 = 60_000;
+/// When to try again after a refusal that passes by itself, in milliseconds.
+const RETRY_AFTER_MS: u32 = 500;
+
+/// Why a request was not taken.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct Refusal {
+    pub reason: RefuseReason,
+    pub retry_after_ms: Option<u32>,
+}
+
+impl Refusal {
+    const fn new(reason: RefuseReason) -> Self {
+        Self { reason, retry_after_ms: None }
+    }
+
+    const fn passing(reason: RefuseReason) -> Self {
+        Self { reason, retry_after_ms: Some(RETRY_AFTER_MS) }
+    }
+}
+
+impl From<QueueRefusal> for Refusal {
+    fn from(refusal: QueueRefusal) -> Self {
+        match refusal {
+            QueueRefusal::DeadlineTooShort { wait } => Self {
+                reason: RefuseReason::DeadlineTooShort,
+                retry_after_ms: Some(to_millis(wait)),
+            },
+            QueueRefusal::Full { retry_after } => Self {
+                reason: RefuseReason::QueueFull,
+                retry_after_ms: Some(to_millis(retry_after)),
+            },
+        }
+    }
+}
+
+impl Core {
+    /// Queues a generation or refuses it.
+    pub fn admit_generation(
+        &mut self,
+        request: &GenerateRequest,
+        now: Timestamp,
+    ) -> Result<Ticket, Refusal> {
+        self.check_open(ServiceKind::Engine)?;
+        let unknown = Refusal::new(RefuseReason::Unknown);
+        let weight = self.weight_of(&request.customer).ok_or(unknown)?;
+        let model_id = self.town.model_id(&request.model).ok_or(unknown)?;
+        let model = self.town.model(model_id);
+        if self.place.as_ref().is_none_or(|place| place.service != model.service) {
+            return Err(unknown);
+        }
+        if let Some(adapter) = &request.adapter {
+            let id = self.town.adapter_id(adapter).ok_or(unknown)?;
+            if self.town.adapter(id).model != model_id {
+                return Err(unknown);
+            }
+        }
+        let uses = Uses {
+            model: Some(Item::Model(request.model.clone())),
+            adapter: request.adapter.clone().map(Item::Adapter),
+            customer: request.customer.clone(),
+            running: false,
+            ready: false,
+        };
+        let ready = uses.items().all(|item| self.ledger.resident(item));
+        let fits = model.memory_mb <= self.ledger.capacity_mb();
+        if !ready && (self.quarantined() || !fits) {
+            return Err(Refusal::passing(RefuseReason::NoCapacity));
+        }
+        let cost = Tokens(request.prompt_tokens.saturating_add(request.max_output_tokens));
+        let ticket = self.queue.push(
+            QueueRequest {
+                customer: request.customer.clone(),
+                weight,
+                cost,
+                priority: request.priority,
+                deadline: now + Duration::from_millis(u64::from(request.deadline_ms)),
+                ready,
+            },
+            now,
+        )?;
+        for item in uses.items() {
+            self.demand
+                .get_or_insert_with(item.name().clone(), || DemandRate::new(DEMAND_WINDOW_MS, now))
+                .add(cost.0, now);
+        }
+        self.requests.insert(ticket, Uses { ready, ..uses });
+        self.drive(now);
+        Ok(ticket)
+    }
+
+    /// Queues a call to the plain service or refuses it.
+    pub fn admit_forward(&mut self, head: &ForwardHead, now: Timestamp) -> Result<Ticket, Refusal> {
+        self.check_open(ServiceKind::Plain)?;
+        let unknown = Refusal::new(RefuseReason::Unknown);
+        let route = self.town.route_id(&head.route).ok_or(unknown)?;
+        let service = self.town.route(route).service;
+        if self.place.as_ref().is_none_or(|place| place.service != service) {
+            return Err(unknown);
+        }
+        // Calls without a customer share one queue of weight 1.
+        let customer = head.customer.clone().unwrap_or_default();
+        let weight = match &head.customer {
+            Some(name) => self.weight_of(name).ok_or(unknown)?,
+            None => 1,
+        };
+        let ticket = self.queue.push(
+            QueueRequest {
+                customer: customer.clone(),
+                weight,
+                cost: Tokens(1),
+                priority: 0,
+                deadline: now + Duration::from_millis(u64::from(head.deadline_ms)),
+                ready: true,
+            },
+            now,
+        )?;
+        self.requests.insert(ticket, Uses { customer, ready: true, ..Uses::default() });
+        self.drive(now);
+        Ok(ticket)
+    }
+
+    fn check_open(&self, kind: ServiceKind) -> Result<(), Refusal> {
+        if self.draining {
+            return Err(Refusal::passing(RefuseReason::Draining));
+        }
+        match &self.place {
+            Some(place) if place.kind == kind => {}
+            _ => return Err(Refusal::new(RefuseReason::Unknown)),
+        }
+        if self.healthy { Ok(()) } else { Err(Refusal::passing(RefuseReason::TargetUnhealthy)) }
+    }
+
+    fn weight_of(&self, customer: &str) -> Option<u32> {
+        self.town.customer_id(customer).map(|id| self.town.customer(id).weight)
+    }
+
+    /// Ends a request that its caller gave up while it was queued.
+    pub fn cancelled(&mut self, ticket: Ticket, now: Timestamp) {
+        if self.queue.cancel(ticket) {
+            self.requests.remove(&ticket);
+        }
+        self.drive(now);
+    }
+
+    /// Ends a running request.
+    pub fn settled(&mut self, ticket: Ticket, used: Tokens, now: Timestamp) {
+        if self.queue.settle(ticket, used)
+            && let Some(uses) = self.requests.remove(&ticket)
+        {
+            for item in uses.items() {
+                self.ledger.release(item, now);
+            }
+        }
+        self.drive(now);
+    }
+
+    /// Lets queued requests wait for, or go on with, what is resident now.
+    pub fn refresh_ready(&mut self) {
+        for (ticket, uses) in self.requests.iter_mut().filter(|(_, uses)| !uses.running) {
+            let ready = uses.items().all(|item| self.ledger.resident(item));
+            if ready != uses.ready {
+                uses.ready = ready;
+                if ready {
+                    self.queue.set_ready(*ticket);
+                } else {
+                    self.queue.hold(*ticket);
+                }
+            }
+        }
+    }
+
+    /// Refuses what expired and starts what can start.
+    pub(crate) fn drive_queue(&mut self, now: Timestamp) {
+        for ticket in self.queue.expire(now) {
+            self.requests.remove(&ticket);
+            self.actions.push(Action::Refuse {
+                ticket,
+                reason: RefuseReason::DeadlineTooShort,
+                retry_after_ms: Some(RETRY_AFTER_MS),
+            });
+        }
+        while self.healthy
+            && let Some(started) = self.queue.start_next(now)
+        {
+            if let Some(uses) = self.requests.get_mut(&started.ticket) {
+                uses.running = true;
+                for item in uses.items() {
+                    self.ledger.acquire(item, now);
+                }
+            }
+            self.actions.push(Action::Start { ticket: started.ticket, waited: started.waited });
+        }
+    }
+
+    /// Ends all queued requests, for example at the start of a drain.
+    pub fn refuse_queued(&mut self, reason: RefuseReason) {
+        let queued: Vec<Ticket> = self
+            .requests
+            .iter()
+            .filter(|(_, uses)| !uses.running)
+            .map(|(ticket, _)| *ticket)
+            .collect();
+        for ticket in queued {
+            self.queue.cancel(ticket);
+            self.requests.remove(&ticket);
+            self.actions.push(Action::Refuse {
+                ticket,
+                reason,
+                retry_after_ms: Some(RETRY_AFTER_MS),
+            });
+        }
+    }
+
+    /// Whether a queued request needs an item.
+    pub fn queued_for(&self, item: &Item) -> bool {
+        self.requests.values().any(|uses| !uses.running && uses.items().any(|used| used == item))
+    }
+
+    /// Items that queued requests wait for, in order of arrival: the model before its adapter.
+    pub fn missing_items(&self) -> Vec<(Item, CompactString)> {
+        let mut missing: Vec<(Item, CompactString)> = Vec::new();
+        for uses in self.requests.values().filter(|uses| !uses.running && !uses.ready) {
+            if let Some(item) = uses.items().find(|item| !self.ledger.resident(item))
+                && !missing.iter().any(|(other, _)| other == item)
+            {
+                missing.push((item.clone(), uses.customer.clone()));
+            }
+        }
+        missing
+    }
+}
--- /dev/null
+++ b/components/side/src/driver.rs
@@ -0,0 +1,174 @@
+//! Carries out the core's actions.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use compact_str::{CompactString, format_compact};
+use engine::{Engine, HttpEngine, Order, OrderKind};
+use placement::{Item, OrderId};
+use tokio::sync::mpsc;
+use wire::{PeerCall, PeerPool, PeerReply, PermitOutcome};
+
+use crate::action::{Action, SlotOwner};
+use crate::event::Event;
+use crate::process::Shared;
+use crate::start_record::append_start;
+
+/// Pause before the result of a lost order is reported, so that sending again does not spin.
+const LOST_ORDER_PAUSE: Duration = Duration::from_millis(200);
+/// Pause before an unanswered call to raise the fencing number is reported.
+const LOST_FENCE_PAUSE: Duration = Duration::from_millis(100);
+/// Sends of one `Unpin` in a row; later ones follow with the timer.
+const UNPIN_LIMIT: Duration = Duration::from_millis(500);
+
+impl Shared {
+    /// Starts one action; its result comes back as an event.
+    pub fn carry_out(&self, action: Action) {
+        let (events, pool) = (self.events.clone(), self.pool.clone());
+        let limit = Duration::from_millis(self.settings.membership.call_timeout_ms);
+        match action {
+            Action::AppendStart => {
+                let (log, identity) = (self.log.clone(), self.identity.clone());
+                let number = self.next_start.get();
+                self.next_start.set(number + 1);
+                tokio::task::spawn_local(async move {
+                    let offset = append_start(log, identity, number).await;
+                    report(&events, Event::StartRecorded(offset));
+                });
+            }
+            Action::AskPermit { owner, hold_ms } => {
+                tokio::task::spawn_local(async move {
+                    let call = PeerCall::Permit { slot: owner.slot, hold_ms };
+                    let answer = match pool.call(owner.address, &call, limit).await {
+                        Ok(PeerReply::Permit(PermitOutcome::Granted { permit })) => Ok(permit),
+                        Ok(PeerReply::Permit(PermitOutcome::Wait { retry_after_ms })) => {
+                            Err(Some(Duration::from_millis(u64::from(retry_after_ms))))
+                        }
+                        _ => Err(None),
+                    };
+                    report(&events, Event::PermitAnswered(owner, answer));
+                });
+            }
+            Action::AskPin { giver, model, ask } => self.ask_pin(giver, model, ask, limit),
+            Action::EndPin { giver, model, ask } => {
+                let requester = self.identity.process.clone();
+                tokio::task::spawn_local(async move {
+                    let call = PeerCall::Unpin { model: model.clone(), requester, ask };
+                    if let Ok(PeerReply::Done) = pool.call(giver, &call, UNPIN_LIMIT).await {
+                        report(&events, Event::UnpinAnswered { giver, model, ask });
+                    }
+                });
+            }
+            Action::RaiseFence(fencing) => {
+                let engine = self.engine.clone();
+                tokio::task::spawn_local(async move {
+                    let answered = engine.fence(fencing.0).await.is_ok();
+                    if !answered {
+                        tokio::time::sleep(LOST_FENCE_PAUSE).await;
+                    }
+                    report(&events, Event::FenceAnswered(fencing, answered));
+                });
+            }
+            Action::Refuse { ticket, reason, retry_after_ms } => {
+                self.decide(
+                    ticket,
+                    crate::request_task::Decision::Refuse { reason, retry_after_ms },
+                );
+            }
+            Action::ReturnPermit { owner, permit } => {
+                tokio::task::spawn_local(return_permit(pool, owner, permit, limit));
+            }
+            Action::SendOrder { order, version, load_ms } => {
+                self.send_order(&order, version, load_ms);
+            }
+            Action::Start { ticket, waited } => {
+                self.decide(ticket, crate::request_task::Decision::Start { waited });
+            }
+        }
+    }
+
+    fn ask_pin(&self, giver: SocketAddr, model: CompactString, ask: u64, limit: Duration) {
+        let (events, pool) = (self.events.clone(), self.pool.clone());
+        let requester = self.identity.process.clone();
+        // The giver must know where to ask how this process does, before it gives a pin.
+        let heartbeat = PeerCall::Heartbeat(Box::new(self.heartbeat()));
+        tokio::task::spawn_local(async move {
+            let answer = async {
+                if let PeerReply::Heartbeat(heard) = pool.call(giver, &heartbeat, limit).await? {
+                    report(&events, Event::HeartbeatAnswered(heard));
+                }
+                let call = PeerCall::Pin { model: model.clone(), requester, ask };
+                pool.call(giver, &call, limit).await
+            };
+            let answer = match answer.await {
+                Ok(PeerReply::Pin(outcome)) => Some(outcome),
+                _ => None,
+            };
+            report(&events, Event::PinAnswered { giver, model, ask, answer });
+        });
+    }
+
+    fn send_order(&self, order: &placement::Order, version: CompactString, load_ms: u64) {
+        let process = &self.identity.process;
+        let id = order.id;
+        let name = order.item.name().clone();
+        let base = order.base_model.clone().unwrap_or_default();
+        let kind = match (&order.item, order.kind) {
+            (Item::Model(_), placement::OrderKind::Load) => {
+                OrderKind::LoadModel { model: name, version, memory_mb: order.memory_mb, load_ms }
+            }
+            (Item::Adapter(_), placement::OrderKind::Load) => OrderKind::LoadAdapter {
+                adapter: name,
+                model: base,
+                memory_mb: order.memory_mb,
+                load_ms,
+            },
+            (Item::Model(_), placement::OrderKind::Unload) => {
+                OrderKind::UnloadModel { model: name }
+            }
+            (Item::Adapter(_), placement::OrderKind::Unload) => {
+                OrderKind::UnloadAdapter { adapter: name }
+            }
+        };
+        log::info!(
+            "event=order_sent order={} item={} kind={:?}",
+            id.0,
+            order.item.name(),
+            order.kind
+        );
+        let order = Order {
+            id: format_compact!("{}-{}-{}", process.name, process.incarnation, id.0),
+            fencing: order.fencing.0,
+            deadline: Duration::from_millis(self.settings.order_lifetime_ms),
+            kind,
+        };
+        tokio::task::spawn_local(give_order(self.engine.clone(), order, id, self.events.clone()));
+    }
+}
+
+async fn give_order(
+    engine: HttpEngine,
+    order: Order,
+    id: OrderId,
+    events: mpsc::UnboundedSender<Event>,
+) {
+    let result = engine.order(&order).await;
+    if let Err(error) = result {
+        log::warn!("event=order_lost order={} error=\"{error}\"", order.id);
+        tokio::time::sleep(LOST_ORDER_PAUSE).await;
+    }
+    report(&events, Event::OrderAnswered(id, result));
+}
+
+async fn return_permit(pool: PeerPool, owner: SlotOwner, permit: u64, limit: Duration) {
+    let call = PeerCall::PermitDone { slot: owner.slot, permit };
+    // A permit that is not given back ends at its deadline.
+    if let Err(error) = pool.call(owner.address, &call, limit).await {
+        log::debug!("event=permit_not_returned error=\"{error}\"");
+    }
+}
+
+/// Sends an event; the loop is gone only when the process ends.
+fn report(events: &mpsc::UnboundedSender<Event>, event: Event) {
+    let _sent = events.send(event);
+}
--- /dev/null
+++ b/components/side/src/event.rs
@@ -0,0 +1,64 @@
+//! What reaches the event loop beside messages of peers.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use base::{Offset, Timestamp, Tokens};
+use compact_str::CompactString;
+use config::Town;
+use engine::{EngineError, LoadSample, OrderResult};
+use placement::{EngineState, OrderId};
+use platform::VmSnapshot;
+use queue::Ticket;
+use wire::{Heartbeat, PinOutcome};
+
+use crate::action::SlotOwner;
+
+/// Something that happened.
+pub(crate) enum Event {
+    /// A queued request was given up by its caller.
+    Cancelled(Ticket),
+    /// A configuration came into force.
+    Configured(Rc<Town>),
+    /// The engine answered the call to raise its lowest fencing number, or did not.
+    FenceAnswered(Offset, bool),
+    /// A peer answered a heartbeat.
+    HeartbeatAnswered(Box<Heartbeat>),
+    /// A load sample arrived.
+    LoadRead(LoadSample),
+    /// An order was answered, or its answer was lost.
+    OrderAnswered(OrderId, Result<OrderResult, EngineError>),
+    /// A permit was granted, refused with the time to wait, or not answered.
+    PermitAnswered(SlotOwner, Result<u64, Option<Duration>>),
+    /// An ask for a pin was answered; none if it was not.
+    PinAnswered {
+        /// Whom it went to.
+        giver: SocketAddr,
+        /// Model.
+        model: CompactString,
+        /// Number of the ask.
+        ask: u64,
+        /// Answer.
+        answer: Option<PinOutcome>,
+    },
+    /// The plain target was probed.
+    Probed(bool),
+    /// A running request ended.
+    Settled(Ticket, Tokens),
+    /// The start record was appended.
+    StartRecorded(Offset),
+    /// The engine's state was read; none if it did not answer.
+    StateRead(Timestamp, Option<EngineState>),
+    /// An `Unpin` was answered.
+    UnpinAnswered {
+        /// Whom it went to.
+        giver: SocketAddr,
+        /// Model.
+        model: CompactString,
+        /// Number of the ask.
+        ask: u64,
+    },
+    /// A VM list arrived.
+    VmListed(VmSnapshot),
+}
--- /dev/null
+++ b/components/side/src/forward.rs
@@ -0,0 +1,189 @@
+//! The task of one call to a plain service: queue, target, answer back.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use base::{RanState, Tokens};
+use bytes::Bytes;
+use http::Response;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::time::{Instant, sleep_until, timeout_at};
+use wire::{ForwardDown, ForwardHead, ForwardUp, FrameReceiver, FrameSender, RefuseReason};
+
+use crate::plain_client::{PlainConnection, end_to_end, request_of};
+use crate::request_task::{Decision, QueuePlace};
+use crate::up_body::{Part, UpBody};
+
+/// Largest part of an answer's body in one frame, in bytes; below the frame limit.
+const MAX_DATA_BYTES: usize = 256 << 10;
+/// When to try again while the target refuses connections, in milliseconds.
+const RETRY_AFTER_MS: u32 = 200;
+
+/// One call with the streams from and to its entry process.
+pub(crate) struct Forward {
+    pub head: ForwardHead,
+    pub body: FrameReceiver<ForwardUp>,
+    pub sender: FrameSender<ForwardDown>,
+    pub target: SocketAddr,
+    pub deadline: Instant,
+}
+
+/// How a call ended before its answer was whole.
+enum Broken {
+    /// With this last frame.
+    Frame(ForwardDown),
+    /// The entry process reset the stream.
+    Gone,
+}
+
+impl Forward {
+    /// Waits in the queue, makes the call and streams the answer back.
+    pub async fn run(mut self, mut place: QueuePlace) {
+        let decision = {
+            let closed = self.sender.closed();
+            place.decision(closed).await
+        };
+        match decision {
+            None => {}
+            Some(Decision::Refuse { reason, retry_after_ms }) => {
+                drop(place);
+                self.finish(ForwardDown::Refused { reason, retry_after_ms }).await;
+            }
+            Some(Decision::Start { .. }) => {
+                place.set_used(Tokens(1));
+                let ended = self.call().await;
+                drop(place);
+                match ended {
+                    Ok(()) => self.finish(ForwardDown::End).await,
+                    Err(Broken::Frame(frame)) => self.finish(frame).await,
+                    Err(Broken::Gone) => {}
+                }
+            }
+        }
+    }
+
+    /// Ends the call with a frame.
+    pub async fn finish(mut self, last: ForwardDown) {
+        let sent = timeout_at(self.deadline + Duration::from_secs(1), self.sender.send(&last));
+        if sent.await.is_ok_and(|sent| sent.is_ok())
+            && let Err(error) = self.sender.finish()
+        {
+            log::debug!("event=answer_lost error=\"{error}\"");
+        }
+    }
+
+    async fn call(&mut self) -> Result<(), Broken> {
+        let (parts, up) = UpBody::new(self.head.body_bytes);
+        let Some(request) = request_of(&self.head, self.target, up) else {
+            return Err(Broken::Frame(failed(RanState::NotRun)));
+        };
+        let Some(mut connection) = PlainConnection::open(self.target).await else {
+            return Err(Broken::Frame(ForwardDown::Refused {
+                reason: RefuseReason::TargetUnhealthy,
+                retry_after_ms: Some(RETRY_AFTER_MS),
+            }));
+        };
+        // Point of no return: from here on the call may have run.
+        let Self { body, sender, deadline, .. } = self;
+        let answer = {
+            let exchange = connection.send(request);
+            let upload = upload(body, parts);
+            tokio::pin!(exchange, upload);
+            let mut uploading = true;
+            loop {
+                tokio::select! {
+                    answer = &mut exchange => break answer,
+                    // A body that broke off is reported by the exchange.
+                    () = &mut upload, if uploading => uploading = false,
+                    () = sender.closed() => return Err(Broken::Gone),
+                    () = sleep_until(*deadline) => {
+                        return Err(Broken::Frame(failed(RanState::Unknown)));
+                    }
+                }
+            }
+        };
+        match answer {
+            Ok(answer) => self.answer(answer).await,
+            Err(error) => {
+                log::warn!(
+                    "event=call_broken request={} route={} error=\"{error}\"",
+                    self.head.request_id,
+                    self.head.route
+                );
+                Err(Broken::Frame(failed(RanState::Unknown)))
+            }
+        }
+    }
+
+    /// Streams the answer back; it is whole only if its body ends as its framing says.
+    async fn answer(&mut self, answer: Response<Incoming>) -> Result<(), Broken> {
+        let head = ForwardDown::Head {
+            request_id: self.head.request_id,
+            attempt: self.head.attempt,
+            status: answer.status().as_u16(),
+            headers: end_to_end(answer.headers()),
+            replayed: false,
+        };
+        self.send(&head).await?;
+        let mut body = answer.into_body();
+        loop {
+            let frame = tokio::select! {
+                frame = body.frame() => frame,
+                () = self.sender.closed() => return Err(Broken::Gone),
+                () = sleep_until(self.deadline) => {
+                    return Err(Broken::Frame(failed(RanState::Unknown)));
+                }
+            };
+            match frame {
+                None => return Ok(()),
+                Some(Ok(frame)) => {
+                    let Ok(mut data) = frame.into_data() else { continue };
+                    while !data.is_empty() {
+                        let part = data.split_to(data.len().min(MAX_DATA_BYTES));
+                        self.send(&ForwardDown::Data(part.to_vec())).await?;
+                    }
+                }
+                Some(Err(error)) => {
+                    log::warn!(
+                        "event=answer_broken request={} route={} error=\"{error}\"",
+                        self.head.request_id,
+                        self.head.route
+                    );
+                    return Err(Broken::Frame(failed(RanState::Unknown)));
+                }
+            }
+        }
+    }
+
+    /// Sends a frame; a receiver that does not take it before the deadline loses its stream.
+    async fn send(&mut self, frame: &ForwardDown) -> Result<(), Broken> {
+        match timeout_at(self.deadline, self.sender.send(frame)).await {
+            Ok(Ok(())) => Ok(()),
+            _ => Err(Broken::Gone),
+        }
+    }
+}
+
+/// Passes the caller's body on. Returning without [`Part::End`] breaks the request off.
+async fn upload(body: &mut FrameReceiver<ForwardUp>, parts: tokio::sync::mpsc::Sender<Part>) {
+    loop {
+        match body.next().await {
+            Ok(Some(ForwardUp::Data(data))) => {
+                if parts.send(Part::Data(Bytes::from(data))).await.is_err() {
+                    return;
+                }
+            }
+            Ok(Some(ForwardUp::End)) => {
+                // A receiver that is gone has its whole body already.
+                let _sent = parts.send(Part::End).await;
+                return;
+            }
+            Ok(Some(ForwardUp::Head(_)) | None) | Err(_) => return,
+        }
+    }
+}
+
+const fn failed(ran: RanState) -> ForwardDown {
+    ForwardDown::Failed { ran }
+}
--- /dev/null
+++ b/components/side/src/generation.rs
@@ -0,0 +1,194 @@
+//! The task of one generation: queue, engine, frames back.
+
+use std::time::Duration;
+
+use base::{RanState, Tokens};
+use compact_str::format_compact;
+use engine::{
+    Answer, AnswerError, AnswerEvent, Engine, EngineError, GenerateCall, HttpEngine, ResumeFrom,
+};
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep_until};
+use wire::{
+    FinishReason, FrameSender, GenerateEvent, GenerateFrame, GenerateRequest, RefuseReason,
+    WireError,
+};
+
+use crate::clock::to_millis;
+use crate::request_task::{Decision, QueuePlace, handed_over};
+
+/// When to try again after the engine refused a request, in milliseconds.
+const RETRY_AFTER_MS: u32 = 200;
+
+/// One generation with the stream back to its entry process.
+pub(crate) struct Generation {
+    pub request: GenerateRequest,
+    pub sender: FrameSender<GenerateEvent>,
+    pub engine: HttpEngine,
+    pub handover: watch::Receiver<bool>,
+    pub deadline: Instant,
+    pub incarnation: u64,
+}
+
+/// How a stream of tokens ended.
+enum End {
+    /// With the last frame to send.
+    Frame(GenerateFrame),
+    /// The entry process reset the stream.
+    Gone,
+}
+
+impl Generation {
+    /// Waits in the queue, runs the request at the engine and streams the answer back.
+    pub async fn run(mut self, mut place: QueuePlace) {
+        let decision = {
+            let closed = self.sender.closed();
+            place.decision(closed).await
+        };
+        let last = match decision {
+            None => return,
+            Some(Decision::Refuse { reason, retry_after_ms }) => {
+                GenerateFrame::Refused { reason, retry_after_ms }
+            }
+            Some(Decision::Start { waited }) => match self.stream(&mut place, waited).await {
+                End::Frame(frame) => frame,
+                End::Gone => return,
+            },
+        };
+        // The engine's slot is free; a slow receiver of the last frame must not hold it.
+        drop(place);
+        self.finish(last).await;
+    }
+
+    /// Ends the request with a frame, without the queue.
+    pub async fn finish(mut self, last: GenerateFrame) {
+        if self.send(last).await.is_ok()
+            && let Err(error) = self.sender.finish()
+        {
+            log::debug!("event=answer_lost error=\"{error}\"");
+        }
+    }
+
+    async fn send(&mut self, frame: GenerateFrame) -> Result<(), WireError> {
+        let event = GenerateEvent {
+            request_id: self.request.request_id,
+            attempt: self.request.attempt,
+            frame,
+        };
+        self.sender.send(&event).await
+    }
+
+    async fn stream(&mut self, place: &mut QueuePlace, waited: Duration) -> End {
+        let Ok(call) = self.call() else {
+            return End::Frame(refused(RefuseReason::Unknown));
+        };
+        let resumed = self.request.resume.as_ref().map_or(0, |resume| resume.delivered_tokens);
+        if self.send(GenerateFrame::Started { queue_wait_ms: to_millis(waited) }).await.is_err() {
+            return End::Gone;
+        }
+        let mut answer = tokio::select! {
+            answer = self.engine.generate(&call) => match answer {
+                Ok(answer) => answer,
+                Err(error) => return End::Frame(refusal_of(error)),
+            },
+            () = self.sender.closed() => return End::Gone,
+            () = sleep_until(self.deadline) => return End::Frame(failed(RanState::Unknown)),
+        };
+        let mut delivered = resumed;
+        loop {
+            let event = tokio::select! {
+                event = answer.next() => event,
+                () = self.sender.closed() => return End::Gone,
+                () = sleep_until(self.deadline) => Err(AnswerError::Timeout),
+                () = handed_over(&mut self.handover) => {
+                    log::info!("event=stream_handed_over request={}", self.request.request_id);
+                    return End::Frame(failed(RanState::Unknown));
+                }
+            };
+            match event {
+                Ok(Some(AnswerEvent::Token { index, count, text })) => {
+                    delivered = index + u64::from(count);
+                    let generated = delivered.saturating_sub(resumed);
+                    place.set_used(Tokens(self.request.prompt_tokens + generated));
+                    if self.send_by_deadline(GenerateFrame::Token { index, count, text }).await {
+                        continue;
+                    }
+                    return End::Gone;
+                }
+                Ok(Some(AnswerEvent::Finished { reason, prompt_tokens, output_tokens })) => {
+                    let generated = output_tokens.saturating_sub(resumed);
+                    place.set_used(Tokens(prompt_tokens + generated));
+                    let reason = match reason {
+                        engine::FinishReason::Length => FinishReason::Length,
+                        engine::FinishReason::Stop => FinishReason::Stop,
+                    };
+                    return End::Frame(GenerateFrame::Finished {
+                        reason,
+                        prompt_tokens,
+                        output_tokens,
+                    });
+                }
+                // The client reports the end of an answer only after `Finished`.
+                Ok(None) => return End::Frame(failed(RanState::Unknown)),
+                Err(error) => {
+                    log::warn!(
+                        "event=answer_broken request={} customer={} model={} tokens={delivered} \
+                         error=\"{error}\"",
+                        self.request.request_id,
+                        self.request.customer,
+                        self.request.model,
+                    );
+                    return End::Frame(failed(RanState::Unknown));
+                }
+            }
+        }
+    }
+
+    /// Sends a frame; a receiver that does not take it before the deadline loses its stream.
+    async fn send_by_deadline(&mut self, frame: GenerateFrame) -> bool {
+        let deadline = self.deadline;
+        tokio::time::timeout_at(deadline, self.send(frame)).await.is_ok_and(|sent| sent.is_ok())
+    }
+
+    fn call(&self) -> Result<GenerateCall, serde_json::Error> {
+        let request = &self.request;
+        let parameters = if request.parameters_json.is_empty() {
+            serde_json::Value::Object(serde_json::Map::new())
+        } else {
+            serde_json::from_str(&request.parameters_json)?
+        };
+        // The incarnation keeps ids apart when a restarted process gets the same attempt again.
+        Ok(GenerateCall {
+            id: format_compact!("{}-{}-{}", request.request_id, request.attempt, self.incarnation),
+            model: request.model.clone(),
+            adapter: request.adapter.clone(),
+            prompt: request.prompt.clone(),
+            max_tokens: request.max_output_tokens,
+            priority: request.priority,
+            parameters,
+            resume: request.resume.as_ref().map(|resume| ResumeFrom {
+                tokens: resume.delivered_tokens,
+                text: resume.delivered_text.clone(),
+            }),
+        })
+    }
+}
+
+fn refused(reason: RefuseReason) -> GenerateFrame {
+    GenerateFrame::Refused { reason, retry_after_ms: Some(RETRY_AFTER_MS) }
+}
+
+const fn failed(ran: RanState) -> GenerateFrame {
+    GenerateFrame::Failed { ran }
+}
+
+fn refusal_of(error: EngineError) -> GenerateFrame {
+    match error {
+        EngineError::Busy | EngineError::NotResident => refused(RefuseReason::NoCapacity),
+        EngineError::Unreachable => refused(RefuseReason::TargetUnhealthy),
+        EngineError::Rejected { .. } => failed(RanState::NotRun),
+        EngineError::Malformed | EngineError::Mismatched | EngineError::OutcomeUnknown => {
+            failed(RanState::Unknown)
+        }
+    }
+}
--- /dev/null
+++ b/components/side/src/incoming.rs
@@ -0,0 +1,231 @@
+//! Messages of peers.
+
+use std::time::Duration;
+
+use base::{RanState, Role};
+use queue::Ticket;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+use wire::{
+    ForwardDown, ForwardHead, ForwardUp, FrameReceiver, FrameSender, GenerateEvent, GenerateFrame,
+    GenerateRequest, Incoming, PeerCall, PeerIdentity, PeerReply,
+};
+
+use crate::event::Event;
+use crate::forward::Forward;
+use crate::generation::Generation;
+use crate::process::Shared;
+use crate::request_task::{Decision, QueuePlace};
+
+impl Shared {
+    /// Takes something that a peer asks for.
+    pub fn take_incoming(&self, incoming: Incoming) {
+        match incoming {
+            Incoming::Call { peer, call, responder } => responder.reply(self.answer(&peer, call)),
+            Incoming::Generate { request, sender, .. } => self.generate(request, sender),
+            Incoming::Forward { head, body, sender, .. } => self.forward(head, body, sender),
+        }
+    }
+
+    fn answer(&self, peer: &PeerIdentity, call: PeerCall) -> PeerReply {
+        match call {
+            PeerCall::Heartbeat(heartbeat) => {
+                if heartbeat.from != peer.process {
+                    log::warn!("event=heartbeat_refused peer={}", peer.process);
+                    return PeerReply::Unsupported;
+                }
+                self.heard(&heartbeat);
+                PeerReply::Heartbeat(Box::new(self.heartbeat()))
+            }
+            PeerCall::Status => {
+                let (source, now) = (self.source.get(), self.clock.now());
+                PeerReply::Status(Box::new(self.core.borrow().status(&source, now)))
+            }
+            PeerCall::Suggest(suggestion) => {
+                PeerReply::Suggest(self.with_core(|core, now| core.suggest(&suggestion, now)))
+            }
+            PeerCall::Pin { model, requester, ask } if requester == peer.process => {
+                PeerReply::Pin(self.with_core(|core, _| core.give_pin(&model, &requester, ask)))
+            }
+            PeerCall::Unpin { model, requester, ask } if requester == peer.process => {
+                self.with_core(|core, now| {
+                    core.pins.end(&model, &requester, ask);
+                    core.drive(now);
+                });
+                PeerReply::Done
+            }
+            PeerCall::Pin { .. }
+            | PeerCall::Unpin { .. }
+            | PeerCall::Reserve { .. }
+            | PeerCall::Settle { .. }
+            | PeerCall::CatchUp { .. }
+            | PeerCall::Permit { .. }
+            | PeerCall::PermitDone { .. } => PeerReply::Unsupported,
+        }
+    }
+
+    fn generate(&self, request: GenerateRequest, sender: FrameSender<GenerateEvent>) {
+        let deadline = Instant::now() + Duration::from_millis(u64::from(request.deadline_ms));
+        let generation = Generation {
+            engine: self.engine.clone(),
+            handover: self.handover.subscribe(),
+            deadline,
+            incarnation: self.identity.process.incarnation.0,
+            sender,
+            request,
+        };
+        let admitted = self.with_place(|core, now| core.admit_generation(&generation.request, now));
+        match admitted {
+            Ok(place) => {
+                self.tasks.borrow_mut().spawn_local(generation.run(place));
+            }
+            Err(refusal) => {
+                let last = GenerateFrame::Refused {
+                    reason: refusal.reason,
+                    retry_after_ms: refusal.retry_after_ms,
+                };
+                self.tasks.borrow_mut().spawn_local(generation.finish(last));
+            }
+        }
+    }
+
+    fn forward(
+        &self,
+        head: ForwardHead,
+        body: FrameReceiver<ForwardUp>,
+        sender: FrameSender<ForwardDown>,
+    ) {
+        let deadline = Instant::now() + Duration::from_millis(u64::from(head.deadline_ms));
+        let target = self.settings.target_address;
+        let call = Forward { head, body, sender, target, deadline };
+        if !call.head.repeatable
+            && !self.seen.borrow_mut().insert(call.head.request_id, self.clock.now())
+        {
+            log::warn!("event=call_repeated request={}", call.head.request_id);
+            let last = ForwardDown::Failed { ran: RanState::Unknown };
+            self.tasks.borrow_mut().spawn_local(call.finish(last));
+            return;
+        }
+        match self.with_place(|core, now| core.admit_forward(&call.head, now)) {
+            Ok(place) => {
+                self.tasks.borrow_mut().spawn_local(call.run(place));
+            }
+            Err(refusal) => {
+                let last = ForwardDown::Refused {
+                    reason: refusal.reason,
+                    retry_after_ms: refusal.retry_after_ms,
+                };
+                self.tasks.borrow_mut().spawn_local(call.finish(last));
+            }
+        }
+    }
+
+    /// Admits a request and makes its place in the queue.
+    ///
+    /// The actions of the admission are carried out after the place is known, since they may already
+    /// start the request.
+    fn with_place<E>(
+        &self,
+        admit: impl FnOnce(&mut crate::core::Core, base::Timestamp) -> Result<Ticket, E>,
+    ) -> Result<QueuePlace, E> {
+        let now = self.clock.now();
+        let ticket = admit(&mut self.core.borrow_mut(), now);
+        let place = ticket.map(|ticket| {
+            let (decide, decision) = oneshot::channel();
+            self.decisions.borrow_mut().insert(ticket, decide);
+            QueuePlace::new(ticket, self.events.clone(), decision)
+        });
+        self.carry_out_all();
+        place
+    }
+
+    /// Tells a request's task what was decided.
+    pub fn decide(&self, ticket: Ticket, decision: Decision) {
+        if let Some(decide) = self.decisions.borrow_mut().remove(&ticket) {
+            // A task that is gone reports the end of its request by itself.
+            let _sent = decide.send(decision);
+        }
+    }
+
+    /// Takes an event of the tasks.
+    pub fn take_event(&self, event: Event) {
+        match event {
+            Event::Cancelled(ticket) => {
+                self.decisions.borrow_mut().remove(&ticket);
+                self.with_core(|core, now| core.cancelled(ticket, now));
+            }
+            Event::Configured(town) => {
+                self.metrics.admit_customers(town.customers.iter().map(|c| c.name.as_str()));
+                self.with_core(|core, now| core.configure(town, now));
+                self.start_probes();
+            }
+            Event::FenceAnswered(fencing, answered) => self.with_core(|core, now| {
+                core.fence_pending = false;
+                if answered {
+                    core.ledger.quarantine_mut().fence_answered(fencing);
+                }
+                core.drive(now);
+            }),
+            Event::HeartbeatAnswered(heartbeat) => self.heard(&heartbeat),
+            Event::LoadRead(sample) => {
+                let age = Duration::from_millis(u64::from(sample.sample_age_ms));
+                self.sampled_at.set(self.clock.now() - age);
+            }
+            Event::OrderAnswered(id, Ok(result)) => {
+                self.with_core(|core, now| core.order_answered(id, convert(result), now));
+            }
+            Event::OrderAnswered(id, Err(_)) => {
+                self.with_core(|core, now| core.resend_order(id, now));
+                self.probe_now.notify_one();
+            }
+            Event::PermitAnswered(owner, answer) => {
+                self.with_core(|core, now| core.permit_answered(owner, answer, now));
+            }
+            Event::PinAnswered { giver, model, ask, answer } => {
+                self.with_core(|core, now| core.pin_answered(giver, &model, ask, answer, now));
+            }
+            Event::Probed(true) => self.with_core(|core, now| {
+                core.healthy = true;
+                core.drive(now);
+            }),
+            Event::Probed(false) | Event::StateRead(_, None) => {
+                self.with_core(|core, now| core.probe_failed(now));
+            }
+            Event::Settled(ticket, used) => {
+                self.with_core(|core, now| core.settled(ticket, used, now));
+            }
+            Event::StartRecorded(offset) => self.with_core(|core, now| {
+                core.start_pending = false;
+                core.ledger.quarantine_mut().set_fencing(offset);
+                core.drive(now);
+            }),
+            Event::StateRead(asked_at, Some(state)) => {
+                self.with_core(|core, now| core.state_read(&state, asked_at, now));
+            }
+            Event::UnpinAnswered { giver, model, ask } => {
+                self.with_core(|core, _| core.unpin_answered(giver, &model, ask));
+            }
+            Event::VmListed(list) => {
+                let silent = Duration::from_millis(self.settings.membership.silent_after_ms);
+                self.with_core(|core, now| core.vm_listed(&list, silent, now));
+            }
+        }
+    }
+
+    fn heard(&self, heartbeat: &wire::Heartbeat) {
+        self.with_core(|core, now| core.heard(heartbeat, now));
+        if heartbeat.role == Role::Entry {
+            self.config_wanted(heartbeat.config_offset, heartbeat.address);
+        }
+    }
+}
+
+const fn convert(result: engine::OrderResult) -> placement::OrderResult {
+    match result {
+        engine::OrderResult::Done => placement::OrderResult::Done,
+        engine::OrderResult::Expired => placement::OrderResult::Expired,
+        engine::OrderResult::Failed => placement::OrderResult::Failed,
+        engine::OrderResult::Fenced => placement::OrderResult::Fenced,
+        engine::OrderResult::NoMemory => placement::OrderResult::NoMemory,
+    }
+}
--- a/components/side/src/lib.rs
+++ b/components/side/src/lib.rs
@@ -1,1 +1,33 @@
-//! Placeholder.
+//! Side process: sole owner of one target's memory ledger, queue and orders.
+//!
+//! One event loop owns the core; each request and each connection is a task around it.
+
+mod action;
+mod clock;
+mod core;
+mod core_placement;
+mod core_requests;
+mod driver;
+mod error;
+mod event;
+mod forward;
+mod generation;
+mod heartbeats;
+mod incoming;
+mod operators;
+mod peers;
+mod permit_state;
+mod pin_round;
+mod plain_client;
+mod probe;
+mod process;
+mod report;
+mod request_task;
+mod seen_calls;
+mod source_state;
+mod start_record;
+mod up_body;
+mod wish;
+
+pub use error::SideError;
+pub use process::{SideHandle, SideProcess};
--- /dev/null
+++ b/components/side/src/plain_client.rs
@@ -0,0 +1,112 @@
+//! HTTP/1.1 client of a plain service.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::{self, HeaderName, HeaderValue};
+use http::{HeaderMap, Method, Request, Response, Uri, Version};
+use http_body::Body;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+use wire::{ForwardHead, Header};
+
+/// Longest time to open a connection to the target.
+const CONNECT_LIMIT: Duration = Duration::from_millis(500);
+/// Header fields that belong to one connection.
+const HOP_BY_HOP: [HeaderName; 8] = [
+    header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+/// A connection to the target for one call.
+///
+/// Each call has a connection of its own: on a kept-alive one, a target that closes it at the wrong
+/// moment would leave a call in doubt that was never read.
+pub(crate) struct PlainConnection<B> {
+    sender: http1::SendRequest<B>,
+}
+
+impl<B> PlainConnection<B>
+where
+    B: Body<Data = Bytes> + Send + 'static,
+    B::Error: std::error::Error + Send + Sync,
+{
+    /// Opens a connection; nothing is written of the call.
+    pub async fn open(address: SocketAddr) -> Option<Self> {
+        let stream = timeout(CONNECT_LIMIT, TcpStream::connect(address)).await.ok()?.ok()?;
+        stream.set_nodelay(true).ok()?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+        tokio::spawn(async move {
+            if let Err(error) = connection.await {
+                log::debug!("event=target_connection_ended error=\"{error}\"");
+            }
+        });
+        Some(Self { sender })
+    }
+
+    /// Writes the call; from here on it may have run.
+    pub async fn send(&mut self, request: Request<B>) -> Result<Response<Incoming>, hyper::Error> {
+        self.sender.send_request(request).await
+    }
+}
+
+/// Makes the request for a call; none if its head is not valid HTTP.
+pub(crate) fn request_of<B>(
+    head: &ForwardHead,
+    address: SocketAddr,
+    body: B,
+) -> Option<Request<B>> {
+    let method = Method::from_bytes(head.method.as_bytes()).ok()?;
+    let uri: Uri = head.path_and_query.parse().ok()?;
+    if !head.path_and_query.starts_with('/') {
+        return None;
+    }
+    let mut request = Request::new(body);
+    *request.method_mut() = method;
+    *request.uri_mut() = uri;
+    *request.version_mut() = Version::HTTP_11;
+    let headers = request.headers_mut();
+    for field in &head.headers {
+        let name = HeaderName::from_bytes(field.name.as_bytes()).ok()?;
+        // The body's length comes from the body itself, so that the two can't differ.
+        if HOP_BY_HOP.contains(&name) || name == header::CONTENT_LENGTH {
+            continue;
+        }
+        headers.append(name, HeaderValue::from_bytes(&field.value).ok()?);
+    }
+    if !headers.contains_key(header::HOST) {
+        headers.insert(header::HOST, HeaderValue::from_str(&address.to_string()).ok()?);
+    }
+    Some(request)
+}
+
+/// Header fields of an answer that go back to the caller.
+pub(crate) fn end_to_end(headers: &HeaderMap) -> Vec<Header> {
+    let listed: Vec<String> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    headers
+        .iter()
+        .filter(|(name, _)| {
+            !HOP_BY_HOP.contains(name) && !listed.iter().any(|other| other == name.as_str())
+        })
+        .map(|(name, value)| Header {
+            name: name.as_str().into(),
+            value: value.as_bytes().to_vec(),
+        })
+        .collect()
+}
--- /dev/null
+++ b/components/side/src/probe.rs
@@ -0,0 +1,95 @@
+//! Probes of the target.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use engine::{Engine, HttpEngine, ModelState};
+use http::{Request, header};
+use http_body_util::Empty;
+use placement::{EngineCopy, EngineCopyState, EngineState};
+use tokio::sync::{Notify, mpsc};
+use tokio::time::timeout;
+
+use crate::clock::Clock;
+use crate::event::Event;
+use crate::plain_client::PlainConnection;
+
+/// Longest wait for a plain target's answer.
+const PROBE_LIMIT: Duration = Duration::from_secs(1);
+
+/// Reads the engine's state and load, again after `interval` or when woken.
+pub(crate) async fn probe_engine(
+    engine: HttpEngine,
+    interval: Duration,
+    clock: Clock,
+    wake: std::rc::Rc<Notify>,
+    events: mpsc::UnboundedSender<Event>,
+) {
+    loop {
+        let asked_at = clock.now();
+        let state = engine.state().await.ok().map(|state| convert(&state));
+        if events.send(Event::StateRead(asked_at, state)).is_err() {
+            return;
+        }
+        if let Ok(sample) = engine.load().await
+            && events.send(Event::LoadRead(sample)).is_err()
+        {
+            return;
+        }
+        // Either way the next probe is due.
+        let _woken = timeout(interval, wake.notified()).await;
+    }
+}
+
+/// Asks a plain target for `/healthz`, again after `interval`. Any answer but a server error counts,
+/// since a service need not have the path.
+pub(crate) async fn probe_plain(
+    target: SocketAddr,
+    interval: Duration,
+    events: mpsc::UnboundedSender<Event>,
+) {
+    loop {
+        let healthy = timeout(PROBE_LIMIT, healthz(target)).await.is_ok_and(|ok| ok);
+        if events.send(Event::Probed(healthy)).is_err() {
+            return;
+        }
+        tokio::time::sleep(interval).await;
+    }
+}
+
+async fn healthz(target: SocketAddr) -> bool {
+    let request = Request::get("/healthz")
+        .header(header::HOST, target.to_string())
+        .body(Empty::<Bytes>::new());
+    let (Some(mut connection), Ok(request)) = (PlainConnection::open(target).await, request) else {
+        return false;
+    };
+    connection.send(request).await.is_ok_and(|answer| !answer.status().is_server_error())
+}
+
+fn convert(state: &engine::EngineState) -> EngineState {
+    let mut models: Vec<EngineCopy> = state
+        .models
+        .iter()
+        .map(|copy| EngineCopy {
+            model: copy.model.clone(),
+            version: copy.version.clone(),
+            state: match copy.state {
+                ModelState::Loading => EngineCopyState::Loading,
+                ModelState::Resident => EngineCopyState::Resident,
+                ModelState::Unloading => EngineCopyState::Unloading,
+            },
+        })
+        .collect();
+    models.sort_by(|a, b| a.model.cmp(&b.model));
+    let mut adapters = state.adapters.clone();
+    adapters.sort();
+    EngineState {
+        capacity_mb: state.capacity_mb,
+        used_mb: state.used_mb,
+        models,
+        adapters,
+        busy: !state.orders_in_progress.is_empty(),
+    }
+}
--- /dev/null
+++ b/components/side/src/process.rs
@@ -0,0 +1,360 @@
+//! The process: addresses, event loop, graceful stop.
+
+use std::cell::{Cell, RefCell};
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use base::{Incarnation, Offset, ProcessId, ProcessName, Role, SortedMap, Timestamp};
+use config::{ServiceKind, SideSettings, Town};
+use engine::{EngineLimits, HttpEngine};
+use platform::{HttpLog, HttpLogOptions, HttpVmList};
+use queue::Ticket;
+use telemetry::Metrics;
+use tokio::net::TcpListener;
+use tokio::sync::{Notify, mpsc, oneshot, watch};
+use tokio::task::{JoinSet, LocalSet, spawn_local};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
+use wire::{FleetSecret, Heartbeat, Incoming, PeerIdentity, PeerPool, RefuseReason};
+
+use crate::clock::{Clock, to_millis};
+use crate::core::Core;
+use crate::error::SideError;
+use crate::event::Event;
+use crate::heartbeats::{read_vm_list, send_heartbeats};
+use crate::operators::serve_operators;
+use crate::probe::{probe_engine, probe_plain};
+use crate::request_task::Decision;
+use crate::seen_calls::SeenCalls;
+use crate::source_state::SourceState;
+
+/// Messages of peers that may wait for the event loop.
+const INCOMING_QUEUE: usize = 1_024;
+/// Time between two looks at what depends on time alone, such as a permit's waiting time.
+const TICK: Duration = Duration::from_millis(50);
+/// Time for the last frames to leave before the process ends.
+const FLUSH_TIME: Duration = Duration::from_millis(200);
+
+/// State shared by the event loop and the tasks around it.
+pub(crate) struct Shared {
+    pub settings: Rc<SideSettings>,
+    pub identity: PeerIdentity,
+    pub address: SocketAddr,
+    pub clock: Clock,
+    pub core: Rc<RefCell<Core>>,
+    pub events: mpsc::UnboundedSender<Event>,
+    pub pool: PeerPool,
+    pub engine: HttpEngine,
+    pub log: HttpLog,
+    pub metrics: Rc<Metrics>,
+    pub decisions: RefCell<SortedMap<Ticket, oneshot::Sender<Decision>>>,
+    pub seen: RefCell<SeenCalls>,
+    pub tasks: RefCell<JoinSet<()>>,
+    pub source: Cell<SourceState>,
+    pub sampled_at: Cell<Timestamp>,
+    pub next_start: Cell<u32>,
+    pub handover: watch::Sender<bool>,
+    pub probe_now: Rc<Notify>,
+    probing: Cell<bool>,
+}
+
+impl Shared {
+    /// Works on the core and carries out the actions that result.
+    pub fn with_core<T>(&self, work: impl FnOnce(&mut Core, Timestamp) -> T) -> T {
+        let result = work(&mut self.core.borrow_mut(), self.clock.now());
+        self.carry_out_all();
+        result
+    }
+
+    /// Carries out the core's actions.
+    pub fn carry_out_all(&self) {
+        loop {
+            let actions = self.core.borrow_mut().take_actions();
+            if actions.is_empty() {
+                return;
+            }
+            for action in actions {
+                self.carry_out(action);
+            }
+        }
+    }
+
+    /// The heartbeat to send or to answer with.
+    pub fn heartbeat(&self) -> Heartbeat {
+        let now = self.clock.now();
+        let sample_age_ms = to_millis(now.since(self.sampled_at.get()));
+        self.core.borrow().heartbeat(self.address, &self.source.get(), sample_age_ms, now)
+    }
+
+    /// Starts to probe the target once its kind is known.
+    pub fn start_probes(&self) {
+        let kind = self.core.borrow().place.as_ref().map(|place| place.kind);
+        let Some(kind) = kind else { return };
+        if self.probing.replace(true) {
+            return;
+        }
+        let interval = Duration::from_millis(self.settings.probe_ms);
+        let events = self.events.clone();
+        match kind {
+            ServiceKind::Engine => spawn_local(probe_engine(
+                self.engine.clone(),
+                interval,
+                self.clock,
+                self.probe_now.clone(),
+                events,
+            )),
+            ServiceKind::Plain => {
+                spawn_local(probe_plain(self.settings.target_address, interval, events))
+            }
+        };
+    }
+}
+
+/// Gives a running side process a configuration directly, for one that has no log.
+#[derive(Clone)]
+pub struct SideHandle {
+    events: mpsc::UnboundedSender<Event>,
+}
+
+impl SideHandle {
+    /// Puts a configuration in force.
+    pub fn configure(&self, town: Rc<Town>) {
+        // The process may have ended already.
+        let _sent = self.events.send(Event::Configured(town));
+    }
+}
+
+/// A side process that holds its addresses and is ready to run.
+pub struct SideProcess {
+    settings: Rc<SideSettings>,
+    identity: PeerIdentity,
+    clock: Clock,
+    metrics: Rc<Metrics>,
+    peer_listener: TcpListener,
+    operator_listener: TcpListener,
+    peer_address: SocketAddr,
+    operator_address: SocketAddr,
+    events: mpsc::UnboundedSender<Event>,
+    event_queue: mpsc::UnboundedReceiver<Event>,
+}
+
+impl SideProcess {
+    /// Binds the addresses. The peer address is held until the process ends, which proves to a later
+    /// incarnation that this one is gone.
+    ///
+    /// # Errors
+    ///
+    /// `Bind` if an address is taken, `Metrics`.
+    pub async fn bind(settings: SideSettings, incarnation: Incarnation) -> Result<Self, SideError> {
+        let bind = async |address: SocketAddr| {
+            TcpListener::bind(address).await.map_err(|error| SideError::Bind { address, error })
+        };
+        let peer_listener = bind(settings.process.peer_address).await?;
+        let operator_listener = bind(settings.process.operator_address).await?;
+        let local = |listener: &TcpListener, address| {
+            listener.local_addr().map_err(|error| SideError::Bind { address, error })
+        };
+        let peer_address = local(&peer_listener, settings.process.peer_address)?;
+        let operator_address = local(&operator_listener, settings.process.operator_address)?;
+        let process = ProcessId { name: ProcessName(settings.process.name.clone()), incarnation };
+        let (events, event_queue) = mpsc::unbounded_channel();
+        Ok(Self {
+            settings: Rc::new(settings),
+            identity: PeerIdentity { process, role: Some(Role::Side) },
+            clock: Clock::start(),
+            metrics: Rc::new(Metrics::new().map_err(|_| SideError::Metrics)?),
+            peer_listener,
+            operator_listener,
+            peer_address,
+            operator_address,
+            events,
+            event_queue,
+        })
+    }
+
+    /// Address for peers.
+    pub const fn peer_address(&self) -> SocketAddr {
+        self.peer_address
+    }
+
+    /// Address for operators.
+    pub const fn operator_address(&self) -> SocketAddr {
+        self.operator_address
+    }
+
+    /// A handle to the process while it runs.
+    pub fn handle(&self) -> SideHandle {
+        SideHandle { events: self.events.clone() }
+    }
+
+    /// Runs until `stop` completes, then drains and ends.
+    pub async fn run(self, stop: impl Future<Output = ()>) {
+        LocalSet::new().run_until(self.serve(stop)).await;
+    }
+
+    async fn serve(mut self, stop: impl Future<Output = ()>) {
+        let secret = FleetSecret::new(self.settings.process.fleet_secret.as_bytes());
+        let shared = Rc::new(self.share(&secret));
+        let announce = Rc::new(Notify::new());
+        let (incoming, mut arrivals) = mpsc::channel(INCOMING_QUEUE);
+        spawn_local(accept_peers(self.peer_listener, self.identity.clone(), secret, incoming));
+        spawn_local(serve_operators(
+            self.operator_listener,
+            shared.core.clone(),
+            self.metrics.clone(),
+        ));
+        let interval = Duration::from_millis(self.settings.membership.vm_list_poll_ms);
+        let timeout_ms = Duration::from_millis(self.settings.platform.request_timeout_ms);
+        let list = HttpVmList::new(self.settings.platform.vm_list_address, timeout_ms);
+        spawn_local(read_vm_list(list, interval, self.events.clone()));
+        spawn_local(send_heartbeats(shared.clone(), announce.clone()));
+        log::info!(
+            "event=started process={} peer_address={} operator_address={} target={}",
+            self.identity.process,
+            self.peer_address,
+            self.operator_address,
+            self.settings.target
+        );
+        shared.run_loop(&mut arrivals, &mut self.event_queue, stop).await;
+        shared.with_core(|core, now| core.start_drain(now));
+        announce.notify_one();
+        log::info!("event=draining process={}", self.identity.process);
+        let limit = Duration::from_millis(self.settings.process.drain_limit_ms);
+        let margin = Duration::from_millis(self.settings.handover_margin_ms);
+        let end = Instant::now() + limit;
+        let finished = shared.clone();
+        let all_done = async {
+            loop {
+                while finished.tasks.borrow_mut().try_join_next().is_some() {}
+                if finished.tasks.borrow().is_empty() {
+                    return;
+                }
+                sleep(Duration::from_millis(10)).await;
+            }
+        };
+        let hand_over = async {
+            sleep(limit.saturating_sub(margin)).await;
+            shared.handover.send_replace(true);
+            sleep_until(end).await;
+        };
+        let drained = async {
+            tokio::select! {
+                () = all_done => {}
+                () = hand_over => {
+                    log::warn!("event=drain_limit process={}", self.identity.process);
+                }
+            }
+        };
+        shared.run_loop(&mut arrivals, &mut self.event_queue, drained).await;
+        // The connections' tasks still write the last frames.
+        let _flushed = timeout(
+            FLUSH_TIME,
+            shared.run_loop(&mut arrivals, &mut self.event_queue, std::future::pending()),
+        )
+        .await;
+        log::info!("event=stopped process={}", self.identity.process);
+    }
+
+    fn share(&self, secret: &FleetSecret) -> Shared {
+        let settings = &self.settings;
+        let call_limit = Duration::from_millis(settings.membership.call_timeout_ms);
+        let limits = EngineLimits {
+            event: Duration::from_millis(settings.token_timeout_ms),
+            ..EngineLimits::default()
+        };
+        let options = HttpLogOptions {
+            request_timeout_ms: settings.platform.request_timeout_ms,
+            appends_per_s: settings.platform.appends_per_s,
+        };
+        let now = self.clock.now();
+        let address = settings.process.advertised_address.unwrap_or(self.peer_address);
+        let core = Core::new(settings.clone(), self.identity.process.clone(), address, now);
+        Shared {
+            settings: settings.clone(),
+            identity: self.identity.clone(),
+            address,
+            clock: self.clock,
+            core: Rc::new(RefCell::new(core)),
+            events: self.events.clone(),
+            pool: PeerPool::new(self.identity.clone(), secret.clone(), call_limit),
+            engine: HttpEngine::new(settings.target_address, limits),
+            log: HttpLog::new(settings.platform.log_address, options),
+            metrics: self.metrics.clone(),
+            decisions: RefCell::default(),
+            seen: RefCell::default(),
+            tasks: RefCell::default(),
+            source: Cell::default(),
+            sampled_at: Cell::new(now),
+            next_start: Cell::new(0),
+            handover: watch::Sender::new(false),
+            probe_now: Rc::default(),
+            probing: Cell::new(false),
+        }
+    }
+}
+
+impl Shared {
+    /// Handles messages, events and time until `until` completes.
+    async fn run_loop(
+        &self,
+        arrivals: &mut mpsc::Receiver<Incoming>,
+        events: &mut mpsc::UnboundedReceiver<Event>,
+        until: impl Future<Output = ()>,
+    ) {
+        tokio::pin!(until);
+        loop {
+            let wake = self
+                .core
+                .borrow()
+                .next_wake()
+                .map_or(TICK, |wake| wake.since(self.clock.now()).min(TICK));
+            tokio::select! {
+                () = &mut until => return,
+                Some(incoming) = arrivals.recv() => self.take_incoming(incoming),
+                Some(event) = events.recv() => self.take_event(event),
+                () = sleep(wake) => self.with_core(|core, now| core.drive(now)),
+            }
+            while self.tasks.borrow_mut().try_join_next().is_some() {}
+        }
+    }
+
+    /// Notes that an entry process has a newer configuration.
+    pub fn config_wanted(&self, _offset: Offset, _address: SocketAddr) {}
+}
+
+impl Core {
+    /// Takes no new work and ends what has not started.
+    fn start_drain(&mut self, now: Timestamp) {
+        self.draining = true;
+        self.refuse_queued(RefuseReason::Draining);
+        self.drive(now);
+    }
+}
+
+async fn accept_peers(
+    listener: TcpListener,
+    identity: PeerIdentity,
+    secret: FleetSecret,
+    incoming: mpsc::Sender<Incoming>,
+) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, from)) => {
+                let (identity, secret, incoming) =
+                    (identity.clone(), secret.clone(), incoming.clone());
+                tokio::spawn(async move {
+                    if let Err(error) =
+                        wire::serve_connection(stream, &identity, &secret, incoming).await
+                    {
+                        log::warn!("event=peer_connection_closed from={from} error=\"{error}\"");
+                    }
+                });
+            }
+            Err(error) => {
+                log::warn!("event=accept_failed error=\"{error}\"");
+                sleep(Duration::from_millis(100)).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/components/side/src/report.rs
@@ -0,0 +1,108 @@
+//! What a side process says about itself.
+
+use std::net::SocketAddr;
+
+use base::{Role, Timestamp};
+use config::ServiceKind;
+use placement::{HoldingState, Item};
+use wire::{
+    CopyState, Heartbeat, LogView, ModelCopy, ProcessStatus, StatusProblem, TargetKind,
+    TargetReport,
+};
+
+use crate::core::Core;
+use crate::source_state::SourceState;
+
+impl Core {
+    /// State of the target for heartbeats; none before a configuration names it.
+    fn target_report(&self, sample_age_ms: u32) -> Option<TargetReport> {
+        let place = self.place.as_ref()?;
+        let kind = match place.kind {
+            ServiceKind::Engine => TargetKind::Engine,
+            ServiceKind::Plain => TargetKind::Plain,
+        };
+        let models = self.ledger.holdings().filter_map(|(item, holding)| match item {
+            Item::Model(name) => Some(ModelCopy {
+                model: name.clone(),
+                state: match holding.state {
+                    HoldingState::Loading => CopyState::Loading,
+                    HoldingState::Resident => CopyState::Resident,
+                    HoldingState::Doubtful | HoldingState::Unloading => CopyState::Unloading,
+                },
+            }),
+            Item::Adapter(_) => None,
+        });
+        let adapters = self.ledger.holdings().filter_map(|(item, holding)| match item {
+            Item::Adapter(name) if holding.state == HoldingState::Resident => Some(name.clone()),
+            _ => None,
+        });
+        Some(TargetReport {
+            target: place.target.name.clone(),
+            service: self.town.service(place.service).name.clone(),
+            kind,
+            healthy: self.healthy,
+            quarantined: self.quarantined(),
+            models: models.collect(),
+            adapters: adapters.collect(),
+            capacity_mb: self.ledger.capacity_mb(),
+            used_mb: self.ledger.used_mb(),
+            queued_tokens: self.queue.queued_tokens().0,
+            running: u32::try_from(self.queue.running()).unwrap_or(u32::MAX),
+            batch: place.target.batch,
+            tokens_per_s: place.target.tokens_per_s,
+            sample_age_ms,
+        })
+    }
+
+    /// The heartbeat to send or to answer with.
+    pub fn heartbeat(
+        &self,
+        address: SocketAddr,
+        source: &SourceState,
+        sample_age_ms: u32,
+        now: Timestamp,
+    ) -> Heartbeat {
+        Heartbeat {
+            from: self.me.clone(),
+            role: Role::Side,
+            region: self.settings.process.region.clone(),
+            data_centre: self.settings.process.data_centre.clone(),
+            address,
+            config_offset: self.town.version,
+            log: LogView {
+                end_read_age_ms: source.end_read_age_ms(now),
+                unavailable_age_ms: source.unavailable_age_ms(now),
+            },
+            draining: self.draining,
+            target: self.target_report(sample_age_ms),
+            demand: Vec::new(),
+        }
+    }
+
+    /// The answer to a status call.
+    pub fn status(&self, source: &SourceState, now: Timestamp) -> ProcessStatus {
+        let silent_after =
+            std::time::Duration::from_millis(self.settings.membership.silent_after_ms);
+        let live = self.peers.live(silent_after, now).into_iter().map(|name| name.0);
+        let problems = [
+            (self.place.is_none(), StatusProblem::NoConfiguration),
+            (source.log_unreachable, StatusProblem::LogUnreachable),
+            (source.newer_rules, StatusProblem::NewerRules),
+            (self.place.is_some() && self.quarantined(), StatusProblem::Quarantined),
+            (self.place.is_some() && !self.healthy, StatusProblem::TargetUnhealthy),
+        ];
+        ProcessStatus {
+            process: self.me.clone(),
+            role: Role::Side,
+            region: self.settings.process.region.clone(),
+            data_centre: self.settings.process.data_centre.clone(),
+            config_offset: self.town.version,
+            log_age_ms: source.end_read_age_ms(now),
+            draining: self.draining,
+            in_flight: u64::try_from(self.requests.len()).unwrap_or(u64::MAX),
+            slots_owned: 0,
+            live_peers: live.collect(),
+            problems: problems.into_iter().filter(|(is, _)| *is).map(|(_, p)| p).collect(),
+        }
+    }
+}
--- /dev/null
+++ b/components/side/src/seen_calls.rs
@@ -0,0 +1,34 @@
+//! Request ids of calls that must not run twice.
+
+use std::collections::{BTreeSet, VecDeque};
+use std::time::Duration;
+
+use base::Timestamp;
+use wire::RequestId;
+
+/// How long an id is kept; far above the time that a duplicate can be on its way.
+const KEPT: Duration = Duration::from_secs(600);
+
+/// Ids seen lately.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct SeenCalls {
+    ids: BTreeSet<RequestId>,
+    arrivals: VecDeque<(Timestamp, RequestId)>,
+}
+
+impl SeenCalls {
+    /// Notes an id; returns whether it is new.
+    pub fn insert(&mut self, id: RequestId, now: Timestamp) -> bool {
+        while let Some((arrived, oldest)) = self.arrivals.front()
+            && now.since(*arrived) > KEPT
+        {
+            self.ids.remove(oldest);
+            self.arrivals.pop_front();
+        }
+        let new = self.ids.insert(id);
+        if new {
+            self.arrivals.push_back((now, id));
+        }
+        new
+    }
+}
--- /dev/null
+++ b/components/side/src/source_state.rs
@@ -0,0 +1,25 @@
+//! This process's own contact with the log.
+
+use base::Timestamp;
+
+use crate::clock::to_millis;
+
+/// When the log was last read, and what was found.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct SourceState {
+    pub end_read: Option<Timestamp>,
+    pub unavailable: Option<Timestamp>,
+    /// Neither an entry process nor the log gave records.
+    pub log_unreachable: bool,
+    pub newer_rules: bool,
+}
+
+impl SourceState {
+    pub fn end_read_age_ms(&self, now: Timestamp) -> Option<u32> {
+        self.end_read.map(|at| to_millis(now.since(at)))
+    }
+
+    pub fn unavailable_age_ms(&self, now: Timestamp) -> Option<u32> {
+        self.unavailable.map(|at| to_millis(now.since(at)))
+    }
+}
--- /dev/null
+++ b/components/side/src/start_record.rs
@@ -0,0 +1,35 @@
+//! The start record, whose offset is the fencing number.
+
+use std::time::Duration;
+
+use base::{Offset, ProcessId};
+use compact_str::format_compact;
+use platform::{HttpLog, Log};
+use tokio::time::{Instant, sleep};
+use wire::{PeerIdentity, encode};
+
+/// Stream of start records.
+const STREAM: &str = "fleet";
+/// Time to settle one append.
+const APPEND_LIMIT: Duration = Duration::from_secs(3);
+/// Pause after a failed append.
+const PAUSE: Duration = Duration::from_millis(500);
+
+/// Appends start record number `number` of this incarnation; tries until the log takes it.
+///
+/// The id is the same for each attempt, so a lost answer is settled by reading.
+pub(crate) async fn append_start(log: HttpLog, identity: PeerIdentity, number: u32) -> Offset {
+    let ProcessId { name, incarnation } = &identity.process;
+    let id = format_compact!("{name}#{incarnation}/start/{number}");
+    loop {
+        let Ok(payload) = encode(&identity) else {
+            unreachable!("an identity is far below the frame limit");
+        };
+        let deadline = Instant::now() + APPEND_LIMIT;
+        match log.append_settled(STREAM, &id, &payload, Offset(1), deadline).await {
+            Ok(offset) => return offset,
+            Err(error) => log::warn!("event=start_record_failed error=\"{error}\""),
+        }
+        sleep(PAUSE).await;
+    }
+}
--- /dev/null
+++ b/components/side/tests/common/mod.rs
@@ -0,0 +1,428 @@
+//! Stand-in platform, a configuration, and the entry process's part of the protocol.
+
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+use std::cell::{Cell, RefCell};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+
+use base::{CustomerId, Incarnation, ModelId, Offset, ProcessId, ProcessName, Role, ServiceId};
+use config::{
+    Access, Adapter, Customer, DataCentre, Model, PlatformSettings, ProcessSettings, Residency,
+    Route, Service, ServiceKind, SideSettings, Target, Town,
+};
+use side::{SideHandle, SideProcess};
+use standin::{
+    EngineServer, EngineSettings, ListedState, ListedVm, LogServer, LogServerSettings,
+    PreloadedModel, Server, VmListServer, VmListSettings,
+};
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::{JoinHandle, LocalSet, spawn_local};
+use wire::{
+    FleetSecret, FrameReceiver, GenerateEvent, GenerateFrame, GenerateRequest, Heartbeat, Incoming,
+    LogView, PeerCall, PeerClient, PeerIdentity, PeerReply, PermitOutcome, ProcessStatus,
+    RequestId,
+};
+
+pub const SECRET: &str = "a secret of the test fleet";
+pub const CALL_LIMIT: Duration = Duration::from_secs(5);
+/// Bound on each wait for a condition; far above what any of them takes.
+pub const WAIT_LIMIT: Duration = Duration::from_secs(20);
+pub const ORDER_LIFETIME_MS: u64 = 300;
+
+/// Runs a test on one current-thread runtime.
+pub fn run_test(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(LocalSet::new().run_until(test));
+}
+
+/// Waits until `condition` holds.
+pub async fn wait_for<F: Future<Output = bool>>(what: &str, mut condition: impl FnMut() -> F) {
+    let end = tokio::time::Instant::now() + WAIT_LIMIT;
+    while !condition().await {
+        assert!(tokio::time::Instant::now() < end, "timed out waiting for: {what}");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+fn model(name: &str, memory_mb: u64, residency: Residency) -> Model {
+    Model {
+        name: name.into(),
+        version: "1".into(),
+        service: ServiceId(1),
+        memory_mb,
+        residency,
+        default_max_output_tokens: 16,
+        max_output_tokens: 1_000,
+        load_ms: 20,
+        access: Access::All,
+    }
+}
+
+fn target(name: &str, memory_mb: u64) -> Target {
+    Target {
+        name: name.into(),
+        data_centre: "dc".into(),
+        memory_mb,
+        batch: 4,
+        tokens_per_s: if memory_mb == 0 { 0 } else { 100_000 },
+        honours_fencing: true,
+    }
+}
+
+/// Engine targets `t1` to `t3` of 2,500 MB, plain target `p1`; models of 1,000 MB, `base` always
+/// resident, the others on demand; adapters of 100 MB on `base`.
+pub fn town() -> Town {
+    let customer = |name: &str| Customer {
+        name: name.into(),
+        rate_tokens_per_s: 1_000,
+        burst_tokens: 1_000,
+        weight: 1,
+    };
+    let adapter = |name: &str| Adapter {
+        name: name.into(),
+        model: ModelId(0),
+        memory_mb: 100,
+        access: Access::Customers(vec![CustomerId(0)]),
+    };
+    Town {
+        version: Offset(1),
+        name: "test".into(),
+        customers: vec![customer("ann"), customer("bob")],
+        models: vec![
+            model("base", 1_000, Residency::Always),
+            model("big", 9_000, Residency::OnDemand),
+            model("first", 1_000, Residency::OnDemand),
+            model("second", 1_000, Residency::OnDemand),
+        ],
+        adapters: vec![adapter("tone"), adapter("voice")],
+        services: vec![
+            Service {
+                name: "desk".into(),
+                kind: ServiceKind::Plain,
+                targets: vec![target("p1", 0)],
+            },
+            Service {
+                name: "models".into(),
+                kind: ServiceKind::Engine,
+                targets: vec![target("t1", 2_500), target("t2", 2_500), target("t3", 2_500)],
+            },
+        ],
+        routes: vec![Route {
+            name: "orders".into(),
+            prefix: "/orders/".into(),
+            service: ServiceId(0),
+            access: Access::All,
+            repeatable: false,
+            timeout_ms: 5_000,
+        }],
+        data_centres: vec![DataCentre { name: "dc".into(), region: "r".into() }],
+        ..Town::default()
+    }
+}
+
+/// Engine settings with `base` resident.
+pub fn engine_settings() -> EngineSettings {
+    EngineSettings {
+        capacity_mb: 2_500,
+        models: vec![PreloadedModel {
+            model: "base".into(),
+            version: "1".into(),
+            memory_mb: 1_000,
+        }],
+        token_us: 500,
+        ..EngineSettings::default()
+    }
+}
+
+/// Log and VM list.
+pub struct Platform {
+    pub log: LogServer,
+    pub vms: VmListServer,
+}
+
+impl Platform {
+    pub async fn start() -> Self {
+        Self {
+            log: Server::start(LogServerSettings::default()).await.unwrap(),
+            vms: Server::start(VmListSettings::default()).await.unwrap(),
+        }
+    }
+
+    /// Puts a VM on the list.
+    pub fn list(&self, name: &str, address: SocketAddr, role: Role) {
+        self.vms.update(|settings| {
+            settings.vms.retain(|vm| vm.name != name);
+            settings.vms.push(ListedVm {
+                name: name.into(),
+                address,
+                role,
+                region: "r".into(),
+                data_centre: "dc".into(),
+                state: ListedState::Live,
+            });
+        });
+    }
+}
+
+/// Settings of a side process beside `target`.
+pub fn side_settings(platform: &Platform, target: &str, address: SocketAddr) -> SideSettings {
+    SideSettings {
+        process: ProcessSettings {
+            name: format!("side-{target}").into(),
+            vm: format!("vm-{target}").into(),
+            region: "r".into(),
+            data_centre: "dc".into(),
+            fleet_secret: SECRET.into(),
+            drain_limit_ms: 2_000,
+            ..ProcessSettings::default()
+        },
+        platform: PlatformSettings {
+            log_address: platform.log.address(),
+            vm_list_address: platform.vms.address(),
+            ..PlatformSettings::default()
+        },
+        target: target.into(),
+        target_address: address,
+        order_lifetime_ms: ORDER_LIFETIME_MS,
+        probe_ms: 20,
+        token_timeout_ms: 1_000,
+        claim_timeout_ms: 2_000,
+        handover_margin_ms: 1_000,
+        ..SideSettings::default()
+    }
+}
+
+thread_local! {
+    static NEXT: Cell<u64> = const { Cell::new(1) };
+}
+
+/// A number that rises with each call.
+pub fn next_number() -> u64 {
+    NEXT.with(|next| {
+        next.set(next.get() + 1);
+        next.get()
+    })
+}
+
+/// A running side process.
+pub struct RunningSide {
+    pub address: SocketAddr,
+    pub operators: SocketAddr,
+    pub handle: SideHandle,
+    stop: Option<oneshot::Sender<()>>,
+    task: JoinHandle<()>,
+}
+
+impl RunningSide {
+    /// Starts a side process with `town` in force.
+    pub async fn start(settings: SideSettings, town: Town) -> Self {
+        let process = SideProcess::bind(settings, Incarnation(next_number())).await.unwrap();
+        let (address, operators) = (process.peer_address(), process.operator_address());
+        let handle = process.handle();
+        handle.configure(Rc::new(town));
+        let (stop, stopped) = oneshot::channel::<()>();
+        let task = spawn_local(process.run(async {
+            let _stopped = stopped.await;
+        }));
+        Self { address, operators, handle, stop: Some(stop), task }
+    }
+
+    /// Asks for a graceful stop.
+    pub fn stop(&mut self) {
+        if let Some(stop) = self.stop.take() {
+            let _sent = stop.send(());
+        }
+    }
+
+    /// Waits until the process has ended.
+    pub async fn ended(&mut self) {
+        (&mut self.task).await.unwrap();
+    }
+
+    /// Ends the process's event loop at once. Connections that it serves end with it.
+    pub async fn kill(&mut self) {
+        self.task.abort();
+        assert!((&mut self.task).await.is_err());
+    }
+
+    /// Waits for a state that its status call shows.
+    pub async fn wait_status(&self, what: &str, holds: impl Fn(&ProcessStatus) -> bool) {
+        let client = connect(self.address).await;
+        wait_for(what, async || match client.call(&PeerCall::Status, CALL_LIMIT).await {
+            Ok(PeerReply::Status(status)) => holds(&status),
+            _ => false,
+        })
+        .await;
+    }
+
+    /// Waits until it takes requests and gives orders.
+    pub async fn wait_open(&self) {
+        self.wait_status("no problem left", |status| status.problems.is_empty()).await;
+    }
+}
+
+pub fn identity(name: &str, role: Role) -> PeerIdentity {
+    let process =
+        ProcessId { name: ProcessName::new(name), incarnation: Incarnation(next_number()) };
+    PeerIdentity { process, role: Some(role) }
+}
+
+/// A connection as entry process `entry-test`.
+pub async fn connect(address: SocketAddr) -> PeerClient {
+    let identity = identity("entry-test", Role::Entry);
+    let secret = FleetSecret::new(SECRET.as_bytes());
+    PeerClient::connect(address, &identity, &secret, CALL_LIMIT).await.unwrap()
+}
+
+/// A request of customer `ann` for a model.
+pub fn request(model: &str) -> GenerateRequest {
+    GenerateRequest {
+        request_id: RequestId(u128::from(next_number())),
+        attempt: 0,
+        customer: "ann".into(),
+        model: model.into(),
+        adapter: None,
+        priority: 0,
+        deadline_ms: 10_000,
+        prompt_tokens: 4,
+        max_output_tokens: 8,
+        prompt: "one two three four".into(),
+        parameters_json: "{}".into(),
+        resume: None,
+    }
+}
+
+/// The text and the last frame of an answer; checks ids and indices on the way.
+pub async fn collect(
+    receiver: &mut FrameReceiver<GenerateEvent>,
+    request: &GenerateRequest,
+) -> (String, Option<GenerateFrame>) {
+    let (mut text, mut next) = (String::new(), 0);
+    loop {
+        let event = match tokio::time::timeout(WAIT_LIMIT, receiver.next()).await.unwrap() {
+            Ok(Some(event)) => event,
+            Ok(None) | Err(_) => return (text, None),
+        };
+        assert_eq!((event.request_id, event.attempt), (request.request_id, request.attempt));
+        match event.frame {
+            GenerateFrame::Started { .. } => {}
+            GenerateFrame::Token { index, count, text: part } => {
+                assert_eq!(index, next, "token index");
+                next += u64::from(count);
+                text.push_str(&part);
+            }
+            last => return (text, Some(last)),
+        }
+    }
+}
+
+/// Runs a request and returns its text and last frame.
+pub async fn generate(
+    client: &PeerClient,
+    request: &GenerateRequest,
+) -> (String, Option<GenerateFrame>) {
+    let mut receiver = client.generate(request).await.unwrap();
+    collect(&mut receiver, request).await
+}
+
+/// The part of an entry process that a side process needs: heartbeats and permits.
+pub struct FakeEntry {
+    pub address: SocketAddr,
+    pub heartbeats: Rc<RefCell<Vec<Heartbeat>>>,
+    pub permits: Rc<Cell<u64>>,
+    pub returned: Rc<Cell<u64>>,
+}
+
+impl FakeEntry {
+    /// Starts it and puts its VM on the list.
+    pub async fn start(platform: &Platform) -> Self {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+        let address = listener.local_addr().unwrap();
+        platform.list("vm-entry", address, Role::Entry);
+        let entry = Self {
+            address,
+            heartbeats: Rc::default(),
+            permits: Rc::default(),
+            returned: Rc::default(),
+        };
+        let me = identity("entry-1", Role::Entry);
+        let (incoming, mut arrivals) = mpsc::channel(64);
+        let serve_as = me.clone();
+        spawn_local(async move {
+            loop {
+                let (stream, _) = listener.accept().await.unwrap();
+                let (me, incoming) = (serve_as.clone(), incoming.clone());
+                spawn_local(async move {
+                    let secret = FleetSecret::new(SECRET.as_bytes());
+                    let _ended = wire::serve_connection(stream, &me, &secret, incoming).await;
+                });
+            }
+        });
+        let (heartbeats, permits) = (entry.heartbeats.clone(), entry.permits.clone());
+        let returned = entry.returned.clone();
+        spawn_local(async move {
+            while let Some(incoming) = arrivals.recv().await {
+                let Incoming::Call { call, responder, .. } = incoming else { continue };
+                responder.reply(match call {
+                    PeerCall::Heartbeat(heartbeat) => {
+                        heartbeats.borrow_mut().push(*heartbeat);
+                        PeerReply::Heartbeat(Box::new(entry_heartbeat(&me, address)))
+                    }
+                    PeerCall::Permit { slot, .. } if slot.index == 1 => {
+                        permits.set(permits.get() + 1);
+                        PeerReply::Permit(PermitOutcome::Granted { permit: permits.get() })
+                    }
+                    PeerCall::Permit { .. } => PeerReply::Permit(PermitOutcome::NotOwner),
+                    PeerCall::PermitDone { .. } => {
+                        returned.set(returned.get() + 1);
+                        PeerReply::Done
+                    }
+                    _ => PeerReply::Unsupported,
+                });
+            }
+        });
+        entry
+    }
+}
+
+fn entry_heartbeat(me: &PeerIdentity, address: SocketAddr) -> Heartbeat {
+    Heartbeat {
+        from: me.process.clone(),
+        role: Role::Entry,
+        region: "r".into(),
+        data_centre: "dc".into(),
+        address,
+        config_offset: Offset(1),
+        log: LogView::default(),
+        draining: false,
+        target: None,
+        demand: Vec::new(),
+    }
+}
+
+/// A side process beside a stand-in engine, with a platform and an entry process.
+pub struct Scene {
+    pub platform: Platform,
+    pub entry: FakeEntry,
+    pub engine: EngineServer,
+    pub side: RunningSide,
+    pub client: PeerClient,
+}
+
+impl Scene {
+    /// Starts everything and waits until the side process gives orders.
+    pub async fn start(settings: EngineSettings) -> Self {
+        let platform = Platform::start().await;
+        let entry = FakeEntry::start(&platform).await;
+        let engine = EngineServer::start(settings).await.unwrap();
+        let settings = side_settings(&platform, "t1", engine.address());
+        let side = RunningSide::start(settings, town()).await;
+        platform.list("vm-t1", side.address, Role::Side);
+        side.wait_open().await;
+        let client = connect(side.address).await;
+        Self { platform, entry, engine, side, client }
+    }
+}
