--- /dev/null
+++ b/components/changes/src/judge.rs
@@ -0,0 +1,156 @@
+//! The verdict on a record: a pure function of the state before it and the record.
+
+use std::sync::Arc;
+
+use base::Offset;
+use config::{AddedKey, SourceFile, Sources, Town, WithdrawnKey, is_usable_name};
+
+use crate::snapshot::SeenId;
+use crate::{Change, Record, RecordId, Rejection, Snapshot, Verdict};
+
+/// Most bytes of base file and overlays together under rules 1.
+///
+/// With the key edits at their limits a snapshot stays within one record.
+pub const MAX_FILES_BYTES: usize = 600 << 10;
+/// Most keys added without being listed in the base file.
+pub const MAX_ADDED_KEYS: usize = 1_024;
+/// Withdrawn keys that are remembered although the base file does not list them.
+const MAX_WITHDRAWN_KEYS: usize = 2_048;
+/// Record ids remembered to recognise duplicates, which follow their originals within seconds.
+const MAX_RECENT_IDS: usize = 256;
+
+/// State after a record.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Judge {
+    pub(crate) state: Snapshot,
+    pub(crate) town: Option<Arc<Town>>,
+}
+
+impl Judge {
+    /// Takes the state of a snapshot for one site; `None` if its files don't compile.
+    pub(crate) fn restore(state: Snapshot, site: &str) -> Option<Self> {
+        if state.version == Offset::default() {
+            return Some(Self { state, town: None });
+        }
+        let town = state.sources.compile(site, state.version).ok()?;
+        Some(Self { state, town: Some(Arc::new(town)) })
+    }
+
+    /// Judges the record after the last one.
+    pub(crate) fn judge(&mut self, offset: Offset, record: Record, site: &str) -> Verdict {
+        self.state.through = offset;
+        if matches!(record.change, Change::Snapshot(_)) {
+            return Verdict::Snapshot;
+        }
+        if let Some(seen) = self.state.recent.iter().find(|seen| seen.id == record.id) {
+            return Verdict::Duplicate { first: seen.offset };
+        }
+        self.remember(offset, record.id);
+        let outcome = match record.change {
+            Change::Files { base_version, base, overlays } => {
+                self.files(offset, base_version, base, overlays, site)
+            }
+            Change::AddKey(key) => self.add_key(offset, key, site),
+            Change::WithdrawKey { name } => self.withdraw_key(offset, &name, site),
+            Change::Snapshot(_) => return Verdict::Snapshot,
+        };
+        match outcome {
+            Ok(()) => Verdict::Accepted,
+            Err(rejection) => Verdict::Rejected(rejection),
+        }
+    }
+
+    /// Notes a record that can't be decoded.
+    pub(crate) fn judge_malformed(&mut self, offset: Offset) -> Verdict {
+        self.state.through = offset;
+        Verdict::Rejected(Rejection::Malformed)
+    }
+
+    fn remember(&mut self, offset: Offset, id: RecordId) {
+        let recent = &mut self.state.recent;
+        if recent.len() >= MAX_RECENT_IDS {
+            recent.remove(0);
+        }
+        recent.push(SeenId { offset, id });
+    }
+
+    fn files(
+        &mut self,
+        offset: Offset,
+        base_version: Offset,
+        base: SourceFile,
+        overlays: Vec<SourceFile>,
+        site: &str,
+    ) -> Result<(), Rejection> {
+        let in_force = self.state.version;
+        if base_version != in_force {
+            return Err(Rejection::Raced { base_version, in_force });
+        }
+        let length = |file: &SourceFile| file.name.len() + file.text.len();
+        let bytes = length(&base) + overlays.iter().map(length).sum::<usize>();
+        if bytes > MAX_FILES_BYTES {
+            return Err(Rejection::TooLong { bytes, limit: MAX_FILES_BYTES });
+        }
+        let keys = self.state.sources.keys.clone();
+        let mut sources = Sources { base, overlays, keys };
+        sources.check().map_err(Rejection::Invalid)?;
+        let listed = sources.listed_keys();
+        sources.keys.added.retain(|key| !listed.contains(&key.sha256));
+        let excess = sources.keys.withdrawn.len().saturating_sub(MAX_WITHDRAWN_KEYS);
+        // The check passed, so the files list no withdrawn key and the oldest can be forgotten.
+        sources.keys.withdrawn.drain(..excess);
+        self.adopt(offset, sources, site)
+    }
+
+    fn add_key(&mut self, offset: Offset, key: AddedKey, site: &str) -> Result<(), Rejection> {
+        let town = self.town.as_ref().ok_or(Rejection::NoFiles)?;
+        if !is_usable_name(&key.name) {
+            return Err(Rejection::KeyName(key.name));
+        }
+        let same = |k: &&config::KeyEntry| k.name == key.name || k.sha256 == key.sha256;
+        if let Some(existing) = town.keys.iter().find(same) {
+            return Err(Rejection::KeyExists(existing.name.clone()));
+        }
+        let edits = &self.state.sources.keys;
+        if let Some(withdrawn) = edits.withdrawn.iter().find(|w| w.sha256 == key.sha256) {
+            return Err(Rejection::KeyWithdrawn(withdrawn.name.clone()));
+        }
+        if town.customer_id(&key.customer).is_none() {
+            return Err(Rejection::UnknownCustomer(key.customer));
+        }
+        if edits.added.len() >= MAX_ADDED_KEYS {
+            return Err(Rejection::TooManyKeys { limit: MAX_ADDED_KEYS });
+        }
+        let mut sources = self.state.sources.clone();
+        sources.keys.added.push(key);
+        self.adopt(offset, sources, site)
+    }
+
+    fn withdraw_key(&mut self, offset: Offset, name: &str, site: &str) -> Result<(), Rejection> {
+        let town = self.town.as_ref().ok_or(Rejection::NoFiles)?;
+        let Some(key) = town.keys.iter().find(|key| key.name == name) else {
+            return Err(Rejection::UnknownKey(name.into()));
+        };
+        let (name, sha256) = (key.name.clone(), key.sha256);
+        let mut sources = self.state.sources.clone();
+        sources.keys.added.retain(|key| key.sha256 != sha256);
+        sources.keys.withdrawn.push(WithdrawnKey { name, sha256 });
+        if sources.keys.withdrawn.len() > MAX_WITHDRAWN_KEYS {
+            // A withdrawn key that the files still list must never be forgotten.
+            let listed = sources.listed_keys();
+            let oldest = sources.keys.withdrawn.iter().position(|w| !listed.contains(&w.sha256));
+            if let Some(oldest) = oldest {
+                sources.keys.withdrawn.remove(oldest);
+            }
+        }
+        self.adopt(offset, sources, site)
+    }
+
+    fn adopt(&mut self, offset: Offset, sources: Sources, site: &str) -> Result<(), Rejection> {
+        let town = sources.compile(site, offset).map_err(Rejection::Invalid)?;
+        self.state.sources = sources;
+        self.state.version = offset;
+        self.town = Some(Arc::new(town));
+        Ok(())
+    }
+}
--- a/components/changes/src/lib.rs
+++ b/components/changes/src/lib.rs
@@ -1,1 +1,19 @@
-//! Placeholder.
+//! Configuration log: verdict on each record, version in force, snapshots, catch-up from peers.
+//!
+//! The verdict on a record depends only on the records before it, so that all processes agree. A
+//! [`ConfigLog`] takes records with their offsets, from the log or from a peer, and tells when
+//! another configuration is in force.
+
+mod config_log;
+mod judge;
+mod record;
+mod snapshot;
+mod verdict;
+
+pub use config_log::{ConfigLog, KeptRecord, NewerRules, Progress};
+pub use judge::{MAX_ADDED_KEYS, MAX_FILES_BYTES};
+pub use record::{
+    CONFIG_STREAM, Change, Decoded, MAX_RECORD_BYTES, RULES, Record, RecordId, encode_envelope,
+};
+pub use snapshot::{SeenId, Snapshot};
+pub use verdict::{Judgement, Rejection, Verdict};
--- /dev/null
+++ b/components/changes/tests/stream/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the configuration stream.
+
+mod common;
+mod replicas;
+mod snapshots;
+mod verdicts;
--- /dev/null
+++ b/components/changes/tests/stream/snapshots.rs
@@ -0,0 +1,132 @@
+//! Snapshots, gaps and catch-up from peers.
+
+use crate::common::{feed, feed_all, files, key, record, replica, withdraw};
+use base::{Offset, Timestamp};
+use changes::{Change, RecordId};
+
+fn history() -> Vec<Vec<u8>> {
+    vec![
+        record("a", files(0, 10)),
+        record("b", Change::AddKey(key("k", 1))),
+        record("c", files(2, 20)),
+        record("d", withdraw("k")),
+    ]
+}
+
+#[test]
+fn a_reader_begins_at_the_newest_snapshot_of_a_trimmed_log() {
+    let mut writer = replica();
+    let mut log = history();
+    feed_all(&mut writer, &log[..3]);
+    log.insert(3, writer.take_snapshot(RecordId("s".into()), Timestamp::default()).unwrap());
+    feed_all(&mut writer, &log);
+    // Offsets 1 and 2 are gone.
+    let mut reader = replica();
+    assert!(feed(&mut reader, 3, &log[2]).town.is_none());
+    assert!(reader.is_waiting());
+    assert_eq!(reader.next_offset(Offset(3)), Offset(4));
+    let progress = feed(&mut reader, 4, &log[3]);
+    assert_eq!(progress.town.unwrap().version, Offset(3));
+    feed(&mut reader, 5, &log[4]);
+    assert_eq!((reader.version(), reader.position()), (writer.version(), writer.position()));
+    assert_eq!(reader.sources(), writer.sources());
+    // The ids came with the snapshot, so a repeated record is still recognised.
+    assert_eq!(reader.find(&RecordId("b".into())), Some(Offset(2)));
+}
+
+#[test]
+fn a_snapshot_older_than_the_reader_is_ignored() {
+    let mut writer = replica();
+    let log = history();
+    feed_all(&mut writer, &log[..1]);
+    let late = writer.take_snapshot(RecordId("s".into()), Timestamp::default()).unwrap();
+    let mut reader = replica();
+    feed_all(&mut reader, &log);
+    assert!(feed(&mut reader, 5, &late).town.is_none());
+    assert_eq!((reader.version(), reader.position()), (Offset(4), Offset(5)));
+    // Also across a gap.
+    assert!(feed(&mut reader, 9, &late).town.is_none());
+    assert_eq!(reader.position(), Offset(5));
+}
+
+#[test]
+fn records_between_a_snapshot_and_its_offset_are_still_judged() {
+    // Guards against a reader that takes the snapshot's offset for the state's.
+    let mut writer = replica();
+    let log = history();
+    feed_all(&mut writer, &log[..2]);
+    let snapshot = writer.take_snapshot(RecordId("s".into()), Timestamp::default()).unwrap();
+    // Covers offsets 1 and 2, stands at 5, and the reader has not seen 3.
+    let mut reader = replica();
+    feed(&mut reader, 4, &log[3]);
+    feed(&mut reader, 5, &snapshot);
+    assert_eq!((reader.version(), reader.is_waiting()), (Offset(2), true));
+    assert_eq!(reader.next_offset(Offset(1)), Offset(3));
+    feed(&mut reader, 3, &log[2]);
+    assert_eq!((reader.version(), reader.is_waiting()), (Offset(4), false));
+    assert_eq!(reader.position(), Offset(5));
+}
+
+#[test]
+fn a_peer_serves_records_or_a_snapshot_that_lead_to_its_version() {
+    let mut peer = replica();
+    feed_all(&mut peer, &history());
+    let mut late = replica();
+    feed(&mut late, 1, &history()[0]);
+    let records = peer.records_from(late.position().next());
+    assert_eq!(records.iter().map(|r| r.offset.0).collect::<Vec<_>>(), [2, 3, 4]);
+    for kept in &records {
+        late.apply(kept.offset, &kept.payload, Timestamp::default());
+    }
+    assert_eq!(late.sources(), peer.sources());
+    assert!(peer.records_from(Offset(5)).is_empty());
+
+    // A peer that itself began at a snapshot has no older records.
+    let mut second = replica();
+    for kept in peer.records_from(Offset(0)) {
+        second.apply(kept.offset, &kept.payload, Timestamp::default());
+    }
+    assert_eq!((second.version(), second.sources()), (peer.version(), peer.sources()));
+    let mut third = replica();
+    feed_all(&mut third, &history()[..3]);
+    let records = second.records_from(Offset(4));
+    assert_eq!(records.len(), 1);
+    // The snapshot stands right behind the third's position; it must be adopted, not counted.
+    third.apply(records[0].offset, &records[0].payload, Timestamp::default());
+    assert_eq!((third.version(), third.sources()), (peer.version(), peer.sources()));
+}
+
+#[test]
+fn a_reader_never_goes_back_to_an_older_version_from_a_peer() {
+    let mut old = replica();
+    feed_all(&mut old, &history()[..2]);
+    let mut new = replica();
+    feed_all(&mut new, &history());
+    for kept in old.records_from(Offset(0)) {
+        assert!(new.apply(kept.offset, &kept.payload, Timestamp::default()).town.is_none());
+    }
+    assert_eq!(new.version(), Offset(4));
+}
+
+#[test]
+fn a_snapshot_is_due_after_the_start_and_not_before_the_end_was_read() {
+    let mut log = replica();
+    let late = Timestamp::from_millis(3_600_000);
+    assert!(!log.is_snapshot_due(late));
+    feed_all(&mut log, &history());
+    assert!(!log.is_snapshot_due(late));
+    log.note_end(Timestamp::default());
+    assert!(log.is_snapshot_due(late));
+    assert!(log.take_snapshot(RecordId("s".into()), late).is_some());
+    assert!(!log.is_snapshot_due(late));
+    // A reader with a gap has nothing to vouch for.
+    feed(&mut log, 9, &history()[0]);
+    assert!(!log.is_snapshot_due(late + std::time::Duration::from_secs(60)));
+}
+
+#[test]
+fn an_empty_replica_has_nothing_to_keep() {
+    let mut log = replica();
+    assert!(log.take_snapshot(RecordId("s".into()), Timestamp::default()).is_none());
+    assert!(log.records_from(Offset(1)).is_empty());
+}
