Add the start record of the fleet stream to wire

Cause: entry and side processes both append start records to the stream fleet, and no crate defined their form. Change: wire gets StartRecord and FLEET_STREAM.

--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -15,6 +15,7 @@
 mod pool;
 mod request_id;
 mod server;
+mod start_record;
 mod status;
 
 pub use client::{PeerClient, PendingReceiver};
@@ -36,4 +37,5 @@
 pub use pool::PeerPool;
 pub use request_id::RequestId;
 pub use server::{Incoming, Responder, serve_connection};
+pub use start_record::{FLEET_STREAM, StartRecord};
 pub use status::{ProcessStatus, StatusProblem};
