--- a/components/api/src/headers.rs
+++ b/components/api/src/headers.rs
@@ -20,12 +20,11 @@
     "upgrade",
 ];
 /// Header fields that carry credentials, or that the client to the target writes itself.
-const WITHHELD: [&str; 7] = [
+const WITHHELD: [&str; 6] = [
     "authorization",
     "content-length",
     "cookie",
     "host",
-    "idempotency-key",
     "proxy-authorization",
     API_KEY_HEADER,
 ];
--- a/components/api/src/lib.rs
+++ b/components/api/src/lib.rs
@@ -22,5 +22,5 @@
 pub use head::{BodyFraming, ChunkedScanner, HeadFault, check_head};
 pub use headers::{forwardable_headers, is_forwardable, presented_key, response_headers};
 pub use models::model_list;
-pub use query::{path_holds_key, strip_query};
+pub use query::{is_plain_path, path_holds_key, strip_query};
 pub use sse::{DONE, Usage, delta_event, error_event, finish_event, first_event, usage_event};
--- a/components/api/src/query.rs
+++ b/components/api/src/query.rs
@@ -29,3 +29,15 @@
 pub fn path_holds_key(path: &str, key: &str) -> bool {
     path.contains(key) || percent_decode_str(path).decode_utf8_lossy().contains(key)
 }
+
+/// Whether a path reads the same to every server: no dot segments, no encoded or backward slashes.
+///
+/// A target that resolves `/public/../private` would otherwise serve a path that the route of
+/// `/public/` does not cover.
+pub fn is_plain_path(path: &str) -> bool {
+    let decoded = percent_decode_str(path).decode_utf8_lossy();
+    let slashes = |text: &str| text.matches('/').count();
+    !decoded.contains(['\\', '\0'])
+        && slashes(&decoded) == slashes(path)
+        && !decoded.split('/').any(|segment| matches!(segment, "." | ".."))
+}
--- /dev/null
+++ b/components/entry/src/app.rs
@@ -0,0 +1,165 @@
+//! State of an entry process that its tasks share.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use api::{ApiError, ErrorCode};
+use base::{Offset, ProcessId, Timestamp};
+use changes::ConfigLog;
+use config::{EntrySettings, Town};
+use membership::{Authority, Membership};
+use platform::{HttpLog, HttpVmList};
+use telemetry::Metrics;
+use tokio::sync::watch;
+use wire::{PeerPool, ProcessStatus, StatusProblem};
+
+use crate::clock::Clock;
+use crate::fleet::Fleet;
+use crate::in_flight::InFlight;
+use crate::slots::Slots;
+use crate::stage::Stage;
+
+/// Wait that is advised while there is no authority, in milliseconds.
+const NO_AUTHORITY_RETRY_MS: u64 = 1_000;
+
+/// Shared state. Everything runs on one thread, so that a borrow never outlives a step.
+pub(crate) struct App {
+    /// Settings.
+    pub settings: EntrySettings,
+    /// This run.
+    pub me: ProcessId,
+    /// Where others reach this process.
+    pub address: SocketAddr,
+    /// Clock.
+    pub clock: Clock,
+    /// Connections to peers.
+    pub pool: PeerPool,
+    /// Log service.
+    pub log: HttpLog,
+    /// VM list.
+    pub vm_list: HttpVmList,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Requests in progress.
+    pub in_flight: Rc<InFlight>,
+    /// Callers' connections.
+    pub connections: Cell<usize>,
+    /// Stage of life.
+    pub stage: watch::Sender<Stage>,
+    /// Configuration.
+    pub config: RefCell<ConfigLog>,
+    /// Bucket slots.
+    pub slots: RefCell<Slots>,
+    /// Who is alive.
+    pub membership: RefCell<Membership>,
+    /// Contact with the log.
+    pub authority: RefCell<Authority>,
+    /// Targets and the choice among them.
+    pub fleet: RefCell<Fleet>,
+    /// End of the authority that was last found, so that not every frame asks for it.
+    pub granted_until: Cell<Timestamp>,
+    /// Whether a catch-up from a peer is under way.
+    pub catching_up: Cell<bool>,
+}
+
+impl App {
+    /// Configuration in force.
+    pub(crate) fn town(&self) -> Option<Arc<Town>> {
+        self.config.borrow().town().cloned()
+    }
+
+    /// Version in force.
+    pub(crate) fn version(&self) -> Offset {
+        self.config.borrow().version()
+    }
+
+    /// Longest wait for a reply of a peer.
+    pub(crate) fn call_timeout(&self) -> Duration {
+        Duration::from_millis(self.settings.membership.call_timeout_ms)
+    }
+
+    /// Whether requests with a key may be served now.
+    ///
+    /// # Errors
+    ///
+    /// `no_authority`.
+    pub(crate) fn check_authority(&self) -> Result<(), ApiError> {
+        let now = self.clock.now();
+        if now < self.granted_until.get() {
+            return Ok(());
+        }
+        let electorate = self.membership.borrow().electorate(now);
+        match self.authority.borrow().grant(self.version(), electorate.as_ref(), now) {
+            Some(grant) => {
+                self.granted_until.set(grant.until);
+                Ok(())
+            }
+            None => Err(ApiError::new(
+                ErrorCode::NoAuthority,
+                "this process has lost touch with the log of withdrawn keys",
+            )
+            .with_retry_after_ms(NO_AUTHORITY_RETRY_MS)),
+        }
+    }
+
+    /// Why the load balancer should look elsewhere, if it should.
+    pub(crate) fn not_ready_reason(&self) -> Option<&'static str> {
+        if *self.stage.borrow() > Stage::Serving {
+            Some("shutting down")
+        } else if self.town().is_none() {
+            Some("no configuration in force")
+        } else if self.check_authority().is_err() {
+            Some("no contact with the log")
+        } else {
+            None
+        }
+    }
+
+    /// Puts a configuration in force.
+    pub(crate) fn adopt(&self, town: &Arc<Town>) {
+        let now = self.clock.now();
+        log::info!("event=configuration_in_force version={}", town.version.0);
+        self.slots.borrow_mut().owner.adopt_town(Rc::new(Town::clone(town)), now);
+        self.metrics.admit_customers(town.customers.iter().map(|customer| customer.name.as_str()));
+        self.in_flight.authorise_again(town);
+    }
+
+    /// State for operators.
+    pub(crate) fn status(&self) -> ProcessStatus {
+        let now = self.clock.now();
+        let view = self.authority.borrow().view(now);
+        let config = self.config.borrow();
+        let mut problems = Vec::new();
+        if self.check_authority().is_err() {
+            problems.push(StatusProblem::NoAuthority);
+        }
+        if config.town().is_none() {
+            problems.push(StatusProblem::NoConfiguration);
+        }
+        let limit_ms = u32::try_from(self.settings.authority_ms).unwrap_or(u32::MAX);
+        if view.end_read_age_ms.is_none_or(|age| age > limit_ms) {
+            problems.push(StatusProblem::LogUnreachable);
+        }
+        if config.newer_rules().is_some() {
+            problems.push(StatusProblem::NewerRules);
+        }
+        let process = &self.settings.process;
+        ProcessStatus {
+            process: self.me.clone(),
+            role: base::Role::Entry,
+            region: process.region.clone(),
+            data_centre: process.data_centre.clone(),
+            config_offset: config.version(),
+            log_age_ms: view.end_read_age_ms,
+            draining: *self.stage.borrow() > Stage::Serving,
+            in_flight: self.in_flight.len() as u64,
+            slots_owned: u32::try_from(self.slots.borrow().owner.open_slots().count())
+                .unwrap_or(u32::MAX),
+            live_peers: self.live_peers(),
+            problems,
+        }
+    }
+}
--- /dev/null
+++ b/components/entry/src/forward_job.rs
@@ -0,0 +1,201 @@
+//! One call to a plain service, with the rules for calls that may run only once.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use api::{ApiError, ErrorCode};
+use base::{ProcessName, RanState, Timestamp};
+use bytes::Bytes;
+use compact_str::CompactString;
+use hyper::body::Incoming;
+use telemetry::{Class, quote};
+use tokio::sync::oneshot;
+use tokio::time::{sleep, sleep_until};
+use wire::ForwardHead;
+
+use crate::app::App;
+use crate::choice::Choice;
+use crate::connection::Closer;
+use crate::dispatch::cancel_error;
+use crate::forward_attempt::{ForwardAttempt, ForwardEnd};
+use crate::generate_job::refusal_error;
+use crate::in_flight::Ticket;
+use crate::respond::{CallerResponse, error_answer};
+
+/// Time that is kept back from the deadline that a side process is told.
+const DEADLINE_MARGIN: Duration = Duration::from_millis(50);
+const NO_CAPACITY_RETRY_MS: u64 = 1_000;
+
+/// Body of a call.
+pub(crate) enum Payload {
+    /// Read; can be sent again.
+    Whole(Bytes),
+    /// Passed on as it arrives; can be sent once.
+    Streamed(Incoming),
+    /// Passed on.
+    Spent,
+}
+
+/// A call in progress.
+pub(crate) struct ForwardJob {
+    /// Process state.
+    pub app: Rc<App>,
+    /// Place among the requests in progress.
+    pub ticket: Ticket,
+    /// Closes the caller's connection.
+    pub closer: Rc<Closer>,
+    /// Class in metrics.
+    pub class: Class,
+    /// When the call arrived.
+    pub arrived: Timestamp,
+    /// When it must be answered.
+    pub deadline: Timestamp,
+    /// Plain service.
+    pub service: CompactString,
+    /// What a side process is sent; attempt and deadline are set for each attempt.
+    pub head: ForwardHead,
+    /// Body.
+    pub payload: Payload,
+    /// Where the answer's head goes; none once it is sent.
+    pub answer: Option<oneshot::Sender<CallerResponse>>,
+    /// Whether the target may have the call.
+    pub reached_target: bool,
+}
+
+impl ForwardJob {
+    /// Runs the call to its end.
+    pub(crate) async fn run(mut self) {
+        let customer = self.head.customer.clone().unwrap_or_default();
+        self.app.metrics.record_request(&customer, self.class);
+        let error = self.run_attempts().await;
+        let took = self.app.clock.now().since(self.arrived);
+        self.app.metrics.record_total(&customer, self.class, took, 0);
+        let result = error.as_ref().map_or("finished", |error| error.code.as_str());
+        log::info!(
+            "event=request_end request_id={} customer={} route={} result={result} attempts={} \
+             took_ms={}",
+            self.head.request_id,
+            quote(&customer),
+            quote(&self.head.route),
+            self.head.attempt + 1,
+            took.as_millis()
+        );
+        if let Some(error) = error {
+            self.app.metrics.record_refusal(error.code.as_str());
+            let close = error.code == ErrorCode::KeyWithdrawn;
+            if close {
+                self.closer.close();
+            }
+            // Without a sender the head is out, and the dropped body breaks the connection off.
+            if let Some(sender) = self.answer.take() {
+                let id = self.head.request_id.to_string();
+                let _told = sender.send(error_answer(&error, &id, close));
+            }
+        }
+    }
+
+    /// Runs attempts until one decides the call; returns the error, if any.
+    async fn run_attempts(&mut self) -> Option<ApiError> {
+        let mut tried: Vec<ProcessName> = Vec::new();
+        let mut last_error = None;
+        loop {
+            let Some(choice) = self.app.choose_plain(&self.service, &self.head.route, &tried)
+            else {
+                return Some(last_error.unwrap_or_else(|| {
+                    ApiError::new(ErrorCode::NoCapacity, "no target can take this call now")
+                        .with_retry_after_ms(NO_CAPACITY_RETRY_MS)
+                }));
+            };
+            let left = self.deadline.since(self.app.clock.now()).saturating_sub(DEADLINE_MARGIN);
+            self.head.deadline_ms = u32::try_from(left.as_millis()).unwrap_or(u32::MAX);
+            let end = self.guarded_attempt(&choice).await;
+            let error = match end {
+                ForwardEnd::Answered | ForwardEnd::CallerGone => return None,
+                ForwardEnd::Stopped(error) => return Some(error),
+                ForwardEnd::NotSent => {
+                    ApiError::new(ErrorCode::NoCapacity, "no target can take this call now")
+                        .with_ran(self.ran())
+                        .with_retry_after_ms(NO_CAPACITY_RETRY_MS)
+                }
+                ForwardEnd::Refused { reason, retry_after_ms } => {
+                    let error = refusal_error(reason, retry_after_ms).with_ran(self.ran());
+                    if !Choice::may_try_another(reason) {
+                        return Some(error);
+                    }
+                    error
+                }
+                ForwardEnd::Lost => {
+                    let error = self.lost_error();
+                    if !self.may_repeat() {
+                        return Some(error);
+                    }
+                    error
+                }
+            };
+            log::info!(
+                "event=attempt_failed request_id={} attempt={} target={} code={}",
+                self.head.request_id,
+                self.head.attempt,
+                quote(&choice.target),
+                error.code.as_str()
+            );
+            tried.push(choice.process.name.clone());
+            if self.answer.is_none() || matches!(self.payload, Payload::Spent) {
+                return Some(error);
+            }
+            let Some(wait) = self.app.next_retry(self.head.attempt) else { return Some(error) };
+            if self.app.clock.now() + wait >= self.deadline {
+                return Some(error);
+            }
+            self.app.metrics.record_retry();
+            last_error = Some(error);
+            tokio::select! {
+                () = sleep(wait) => {}
+                reason = self.ticket.cancel.cancelled() => {
+                    return Some(cancel_error(reason).with_ran(self.ran()));
+                }
+            }
+            self.head.attempt += 1;
+        }
+    }
+
+    /// One attempt, ended by the deadline or from outside.
+    async fn guarded_attempt(&mut self, choice: &Choice) -> ForwardEnd {
+        let cancel = Rc::clone(&self.ticket.cancel);
+        let deadline = sleep_until(self.app.clock.instant(self.deadline));
+        let reason = tokio::select! {
+            end = ForwardAttempt { job: self, choice }.run() => return end,
+            reason = cancel.cancelled() => reason,
+            () = deadline => ErrorCode::DeadlineExceeded,
+        };
+        ForwardEnd::Stopped(match reason {
+            ErrorCode::DeadlineExceeded if self.reached_target && !self.head.repeatable => {
+                ApiError::new(ErrorCode::OutcomeUnknown, "no answer in the time allowed")
+            }
+            ErrorCode::DeadlineExceeded => {
+                ApiError::new(ErrorCode::DeadlineExceeded, "no answer in the time allowed")
+                    .with_ran(self.ran())
+            }
+            reason => cancel_error(reason).with_ran(self.ran()),
+        })
+    }
+
+    /// Whether another side process may be asked after one that may have passed the call on.
+    fn may_repeat(&self) -> bool {
+        // A second claim under an idempotency key loses, so that asking again is safe.
+        self.head.repeatable || self.head.idempotency_key_sha256.is_some() || !self.reached_target
+    }
+
+    fn ran(&self) -> RanState {
+        if self.reached_target { RanState::Unknown } else { RanState::NotRun }
+    }
+
+    fn lost_error(&self) -> ApiError {
+        if self.head.repeatable || !self.reached_target {
+            ApiError::new(ErrorCode::UpstreamFailed, "the target did not answer")
+                .with_ran(self.ran())
+        } else {
+            ApiError::new(ErrorCode::OutcomeUnknown, "the call may have run; its answer is lost")
+        }
+    }
+}
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -1,1 +1,36 @@
-//! Placeholder.
+//! Entry process: callers' HTTP in front, side processes behind.
+
+mod app;
+mod attempt;
+mod caller_body;
+mod callers;
+mod cancel;
+mod choice;
+mod clock;
+mod config_reader;
+mod connection;
+mod dispatch;
+mod error;
+mod fleet;
+mod forward_attempt;
+mod forward_call;
+mod forward_job;
+mod generate_call;
+mod generate_job;
+mod guarded_stream;
+mod handle;
+mod heartbeats;
+mod in_flight;
+mod log_reader;
+mod operators;
+mod outlet;
+mod peer_server;
+mod request_id;
+mod reserve;
+mod respond;
+mod shutdown;
+mod slots;
+mod stage;
+
+pub use error::EntryError;
+pub use handle::{EntryHandle, start};
