--- a/components/entry/src/app.rs
+++ b/components/entry/src/app.rs
@@ -13,7 +13,7 @@
 use membership::{Authority, Membership};
 use platform::{HttpLog, HttpVmList};
 use telemetry::Metrics;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use wire::{PeerPool, ProcessStatus, StatusProblem};
 
 use crate::clock::Clock;
@@ -63,6 +63,10 @@
     pub granted_until: Cell<Timestamp>,
     /// Whether a catch-up from a peer is under way.
     pub catching_up: Cell<bool>,
+    /// Last number of a record that this run has written.
+    pub record_number: Cell<u64>,
+    /// Wakes the sender of heartbeats for an announcement.
+    pub announced: Notify,
 }
 
 impl App {
@@ -76,6 +80,13 @@
         self.config.borrow().version()
     }
 
+    /// A number for the next record that this run writes.
+    pub(crate) fn next_record_number(&self) -> u64 {
+        let number = self.record_number.get() + 1;
+        self.record_number.set(number);
+        number
+    }
+
     /// Longest wait for a reply of a peer.
     pub(crate) fn call_timeout(&self) -> Duration {
         Duration::from_millis(self.settings.membership.call_timeout_ms)
--- a/components/entry/src/in_flight.rs
+++ b/components/entry/src/in_flight.rs
@@ -77,6 +77,11 @@
         }
     }
 
+    /// Ends every request.
+    pub(crate) fn cancel_all(&self, reason: ErrorCode) {
+        self.running.borrow().values().for_each(|running| running.cancel.cancel(reason));
+    }
+
     /// Ends every request that runs under a key.
     pub(crate) fn cancel_keyed(&self, reason: ErrorCode) {
         for running in self.running.borrow().values().filter(|r| r.holder.is_some()) {
--- a/components/entry/src/slots.rs
+++ b/components/entry/src/slots.rs
@@ -9,7 +9,7 @@
 use platform::{Log, LogPage};
 use rates::{
     AppendEnd, Distance, EntryPlace, SlotEntry, SlotHolder, SlotLedger, SlotOwner, SlotPlan,
-    SlotRecord, SlotView, slot_holders,
+    SlotRecord, SlotView, Verdict, VoidReason, slot_holders,
 };
 use tokio::time::{MissedTickBehavior, interval};
 use wire::{LogRecordCopy, PeerReply};
@@ -127,7 +127,13 @@
     pub(crate) fn take_slot_record(&self, offset: Offset, payload: &[u8]) {
         let mut slots = self.slots.borrow_mut();
         let verdict = slots.ledger.apply_payload(offset, payload);
-        slots.schedule.note_record();
+        match verdict {
+            Verdict::Restored | Verdict::Void(VoidReason::OldSnapshot) => {
+                let now = self.clock.now();
+                slots.schedule.note_snapshot(now);
+            }
+            _ => slots.schedule.note_record(),
+        }
         log::debug!("event=slot_record offset={} verdict=\"{verdict:?}\"", offset.0);
     }
 
