--- /dev/null
+++ b/components/entry/src/handle.rs
@@ -0,0 +1,210 @@
+//! Start of an entry process.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use base::{ProcessId, ProcessName, Role, Timestamp};
+use changes::ConfigLog;
+use config::EntrySettings;
+use membership::{Authority, Membership, Myself};
+use platform::{HttpLog, HttpLogOptions, HttpVmList, Log};
+use telemetry::Metrics;
+use tokio::net::TcpListener;
+use tokio::sync::{Notify, watch};
+use tokio::task::{JoinHandle, JoinSet};
+use wire::{FLEET_STREAM, FleetSecret, PeerIdentity, PeerPool, StartRecord};
+
+use crate::EntryError;
+use crate::app::App;
+use crate::callers::accept_callers;
+use crate::clock::{Clock, new_incarnation};
+use crate::config_reader::{ConfigFollower, FleetFollower};
+use crate::fleet::Fleet;
+use crate::heartbeats::{send_heartbeats, watch_authority, watch_vm_list};
+use crate::in_flight::InFlight;
+use crate::log_reader::follow;
+use crate::operators::serve_operators;
+use crate::peer_server::accept_peers;
+use crate::shutdown::drain;
+use crate::slots::{SlotFollower, Slots, plan_slots};
+use crate::stage::Stage;
+
+/// Pause between attempts to write the start record.
+const START_RECORD_PAUSE: Duration = Duration::from_millis(500);
+/// Longest time to settle one attempt to write the start record.
+const START_RECORD_LIMIT: Duration = Duration::from_secs(5);
+
+/// A running entry process.
+pub struct EntryHandle {
+    app: Rc<App>,
+    caller_address: SocketAddr,
+    operator_address: SocketAddr,
+    finished: JoinHandle<()>,
+}
+
+impl EntryHandle {
+    /// Where callers connect.
+    pub const fn caller_address(&self) -> SocketAddr {
+        self.caller_address
+    }
+
+    /// Where operators connect.
+    pub const fn operator_address(&self) -> SocketAddr {
+        self.operator_address
+    }
+
+    /// Where peers connect.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.app.address
+    }
+
+    /// Whether the process would pass its readiness check.
+    pub fn is_ready(&self) -> bool {
+        self.app.not_ready_reason().is_none()
+    }
+
+    /// Starts a graceful stop; a second call changes nothing.
+    pub fn stop(&self) {
+        self.app.stage.send_if_modified(|stage| {
+            let serving = *stage == Stage::Serving;
+            if serving {
+                *stage = Stage::Notice;
+            }
+            serving
+        });
+    }
+
+    /// Waits until the process has stopped.
+    pub async fn finished(self) {
+        // An error means that the task was cancelled with its runtime.
+        let _joined = self.finished.await;
+    }
+}
+
+async fn bind(address: SocketAddr) -> Result<(TcpListener, SocketAddr), EntryError> {
+    let listener =
+        TcpListener::bind(address).await.map_err(|error| EntryError::Bind { address, error })?;
+    let bound = listener.local_addr().map_err(|error| EntryError::Bind { address, error })?;
+    Ok((listener, bound))
+}
+
+/// Starts an entry process on the current `LocalSet`.
+///
+/// # Errors
+///
+/// If an address can't be bound or metrics can't be set up.
+pub async fn start(settings: EntrySettings) -> Result<EntryHandle, EntryError> {
+    // Bound first and held to the end: no other run of this process can live beside this one.
+    let (peer_listener, peer_address) = bind(settings.process.peer_address).await?;
+    let (caller_listener, caller_address) = bind(settings.caller_address).await?;
+    let (operator_listener, operator_address) = bind(settings.process.operator_address).await?;
+    let clock = Clock::start();
+    let me = ProcessId {
+        name: ProcessName(settings.process.name.clone()),
+        incarnation: new_incarnation(),
+    };
+    let address = settings.process.advertised_address.unwrap_or(peer_address);
+    let secret = FleetSecret::new(settings.process.fleet_secret.as_bytes());
+    let app = Rc::new(make_app(settings, me, address, clock, secret.clone())?);
+    log::info!(
+        "event=entry_started process={} callers={caller_address} peers={peer_address} \
+         operators={operator_address}",
+        app.me
+    );
+    let peer_listener = Rc::new(peer_listener);
+    let mut tasks = JoinSet::new();
+    tasks.spawn_local(accept_peers(Rc::clone(&app), Rc::clone(&peer_listener), secret));
+    tasks.spawn_local(serve_operators(Rc::clone(&app), operator_listener));
+    tasks.spawn_local(accept_callers(Rc::clone(&app), caller_listener));
+    tasks.spawn_local(follow(Rc::clone(&app), ConfigFollower));
+    tasks.spawn_local(follow(Rc::clone(&app), SlotFollower));
+    tasks.spawn_local(follow(Rc::clone(&app), FleetFollower::default()));
+    tasks.spawn_local(plan_slots(Rc::clone(&app)));
+    tasks.spawn_local(send_heartbeats(Rc::clone(&app)));
+    tasks.spawn_local(watch_vm_list(Rc::clone(&app)));
+    tasks.spawn_local(watch_authority(Rc::clone(&app)));
+    tasks.spawn_local(write_start_record(Rc::clone(&app)));
+    let finished = tokio::task::spawn_local({
+        let app = Rc::clone(&app);
+        async move {
+            drain(&app).await;
+            tasks.shutdown().await;
+            drop(peer_listener);
+            log::info!("event=entry_stopped process={}", app.me);
+        }
+    });
+    Ok(EntryHandle { app, caller_address, operator_address, finished })
+}
+
+fn make_app(
+    settings: EntrySettings,
+    me: ProcessId,
+    address: SocketAddr,
+    clock: Clock,
+    secret: FleetSecret,
+) -> Result<App, EntryError> {
+    let process = &settings.process;
+    let platform = settings.platform;
+    let retention = Duration::from_secs(platform.log_retention_s);
+    let myself = Myself {
+        process: me.clone(),
+        role: Role::Entry,
+        region: process.region.clone(),
+        data_centre: process.data_centre.clone(),
+        address,
+    };
+    let identity = PeerIdentity { process: me.clone(), role: Some(Role::Entry) };
+    let options = HttpLogOptions {
+        request_timeout_ms: platform.request_timeout_ms,
+        appends_per_s: platform.appends_per_s,
+    };
+    let request_timeout = Duration::from_millis(platform.request_timeout_ms);
+    let call_timeout = Duration::from_millis(settings.membership.call_timeout_ms);
+    let authority = Authority::new(
+        Duration::from_millis(settings.authority_ms),
+        Duration::from_millis(settings.authority_list_max_age_ms),
+    );
+    Ok(App {
+        address,
+        clock,
+        pool: PeerPool::new(identity, secret, call_timeout),
+        log: HttpLog::new(platform.log_address, options),
+        vm_list: HttpVmList::new(platform.vm_list_address, request_timeout),
+        metrics: Metrics::new().map_err(EntryError::Metrics)?,
+        in_flight: Rc::default(),
+        connections: Cell::new(0),
+        stage: watch::Sender::new(Stage::Serving),
+        config: RefCell::new(ConfigLog::new(&process.region, retention)),
+        slots: RefCell::new(Slots::new(me.clone(), retention)),
+        membership: RefCell::new(Membership::new(myself, settings.membership, clock.now())),
+        authority: RefCell::new(authority),
+        fleet: RefCell::new(Fleet::default()),
+        granted_until: Cell::new(Timestamp::default()),
+        catching_up: Cell::new(false),
+        record_number: Cell::new(0),
+        announced: Notify::new(),
+        me,
+        settings,
+    })
+}
+
+/// Writes the start record, again until it is stored.
+async fn write_start_record(app: Rc<App>) {
+    let record = StartRecord { process: app.me.clone(), role: Role::Entry };
+    let Ok(payload) = wire::encode(&record) else { return };
+    let id = format!("{}/start", app.me);
+    loop {
+        let deadline = tokio::time::Instant::now() + START_RECORD_LIMIT;
+        let from = base::Offset(1);
+        match app.log.append_settled(FLEET_STREAM, &id, &payload, from, deadline).await {
+            Ok(offset) => {
+                log::info!("event=start_recorded offset={}", offset.0);
+                return;
+            }
+            Err(error) => log::warn!("event=start_record_failed error=\"{error}\""),
+        }
+        tokio::time::sleep(START_RECORD_PAUSE).await;
+    }
+}
