Take the configuration from entries or the log, and add the command side

Cause: a side process must not poll the log while an entry answers, and operators start it with a settings file. A call's upload goes on while its answer already streams; it had been cut off when the answer's head arrived first.

--- /dev/null
+++ b/components/side/src/config_source.rs
@@ -0,0 +1,113 @@
+//! The configuration: from entry processes, or from the log if none answers.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use base::{Offset, Role};
+use changes::{CONFIG_STREAM, ConfigLog};
+use platform::{Log, PlatformError};
+use tokio::time::timeout;
+use wire::{PeerCall, PeerReply};
+
+use crate::event::Event;
+use crate::process::Shared;
+
+/// Time between two reads without news; entries' heartbeats tell of newer versions at once.
+const INTERVAL: Duration = Duration::from_secs(1);
+/// Time between two reads while there is no configuration.
+const FIRST_INTERVAL: Duration = Duration::from_millis(100);
+/// Records read from the log at once.
+const PAGE: u32 = 500;
+/// Most pages read in a row before the other tasks get their turn.
+const PAGES_IN_A_ROW: usize = 64;
+
+/// Follows the configuration stream and reports each version that comes into force.
+pub(crate) async fn follow_config(shared: Rc<Shared>) {
+    let retention = Duration::from_secs(shared.settings.platform.log_retention_s);
+    let mut records = ConfigLog::new(&shared.settings.process.region, retention);
+    let mut next_entry = 0;
+    loop {
+        let entries = shared.core.borrow().peers.addresses(Role::Entry);
+        let from_peer = match entries.get(next_entry % entries.len().max(1)) {
+            Some(address) => read_peer(&shared, &mut records, *address).await,
+            None => false,
+        };
+        next_entry = next_entry.wrapping_add(1);
+        if !from_peer || records.town().is_none() || records.is_waiting() {
+            read_log(&shared, &mut records).await;
+        }
+        let mut source = shared.source.get();
+        source.newer_rules = records.newer_rules().is_some();
+        source.log_unreachable = !from_peer && source.log_unreachable;
+        shared.source.set(source);
+        let interval = if records.town().is_some() { INTERVAL } else { FIRST_INTERVAL };
+        // Either way the next read is due.
+        let _woken = timeout(interval, shared.read_config_now.notified()).await;
+    }
+}
+
+/// Feeds records and reports a version that comes into force.
+fn feed<'a>(
+    shared: &Shared,
+    log: &mut ConfigLog,
+    records: impl Iterator<Item = (Offset, &'a [u8])>,
+) {
+    for (offset, payload) in records {
+        let progress = log.apply(offset, payload, shared.clock.now());
+        if let Some(town) = progress.town {
+            log::info!("event=configuration version={}", town.version.0);
+            shared.take_event(Event::Configured(town));
+        }
+    }
+}
+
+/// Reads from an entry process up to what it has; returns whether it answered.
+async fn read_peer(shared: &Shared, log: &mut ConfigLog, address: SocketAddr) -> bool {
+    let limit = Duration::from_millis(shared.settings.membership.call_timeout_ms);
+    for _ in 0..PAGES_IN_A_ROW {
+        let from = log.position().next();
+        let call = PeerCall::CatchUp { stream: CONFIG_STREAM.into(), from };
+        let Ok(PeerReply::Records { records, end }) = shared.pool.call(address, &call, limit).await
+        else {
+            return false;
+        };
+        feed(shared, log, records.iter().map(|r| (r.offset, r.payload.as_slice())));
+        if log.position() >= end || log.position() < from {
+            return true;
+        }
+    }
+    true
+}
+
+/// Reads from the log to its end.
+async fn read_log(shared: &Shared, log: &mut ConfigLog) {
+    let mut next = log.position().next();
+    for _ in 0..PAGES_IN_A_ROW {
+        let page = shared.log.read(CONFIG_STREAM, next, PAGE, Duration::ZERO).await;
+        let mut source = shared.source.get();
+        let page = match page {
+            Ok(page) => page,
+            Err(error) => {
+                log::debug!("event=config_read_failed error=\"{error}\"");
+                source.log_unreachable = true;
+                if error == PlatformError::Unavailable {
+                    source.unavailable = Some(shared.clock.now());
+                }
+                shared.source.set(source);
+                return;
+            }
+        };
+        feed(shared, log, page.records.iter().map(|r| (r.offset, r.payload.as_ref())));
+        source.log_unreachable = false;
+        if page.reaches_end(next) {
+            let now = shared.clock.now();
+            log.note_end(now);
+            source.end_read = Some(now);
+            shared.source.set(source);
+            return;
+        }
+        shared.source.set(source);
+        next = page.records.last().map_or(page.oldest, |last| last.offset.next());
+    }
+}
--- a/components/side/src/core.rs
+++ b/components/side/src/core.rs
@@ -4,6 +4,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use base::{ProcessId, ServiceId, SortedMap, Timestamp, Tokens};
@@ -52,7 +53,7 @@
     pub settings: Rc<SideSettings>,
     pub me: ProcessId,
     pub address: SocketAddr,
-    pub town: Rc<Town>,
+    pub town: Arc<Town>,
     pub place: Option<TargetPlace>,
     pub queue: FairQueue,
     pub ledger: Ledger,
@@ -99,7 +100,7 @@
             start_pending: false,
             fence_pending: false,
             actions: Vec::new(),
-            town: Rc::default(),
+            town: Arc::default(),
             place: None,
             settings,
             me,
@@ -108,7 +109,7 @@
     }
 
     /// Puts a configuration in force.
-    pub fn configure(&mut self, town: Rc<Town>, now: Timestamp) {
+    pub fn configure(&mut self, town: Arc<Town>, now: Timestamp) {
         self.place = town.target(&self.settings.target).map(|(service, target)| TargetPlace {
             service,
             kind: town.service(service).kind,
--- a/components/side/src/event.rs
+++ b/components/side/src/event.rs
@@ -1,7 +1,7 @@
 //! What reaches the event loop beside messages of peers.
 
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use base::{Offset, Timestamp, Tokens};
@@ -20,7 +20,7 @@
     /// A queued request was given up by its caller.
     Cancelled(Ticket),
     /// A configuration came into force.
-    Configured(Rc<Town>),
+    Configured(Arc<Town>),
     /// The engine answered the call to raise its lowest fencing number, or did not.
     FenceAnswered(Offset, bool),
     /// A peer answered a heartbeat.
--- a/components/side/src/forward.rs
+++ b/components/side/src/forward.rs
@@ -5,9 +5,8 @@
 
 use base::{RanState, Tokens};
 use bytes::Bytes;
-use http::Response;
+use http::Request;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use tokio::time::{Instant, sleep_until, timeout_at};
 use wire::{ForwardDown, ForwardHead, ForwardUp, FrameReceiver, FrameSender, RefuseReason};
 
@@ -85,83 +84,76 @@
             }));
         };
         // Point of no return: from here on the call may have run.
-        let Self { body, sender, deadline, .. } = self;
-        let answer = {
-            let exchange = connection.send(request);
-            let upload = upload(body, parts);
-            tokio::pin!(exchange, upload);
-            let mut uploading = true;
-            loop {
-                tokio::select! {
-                    answer = &mut exchange => break answer,
-                    // A body that broke off is reported by the exchange.
-                    () = &mut upload, if uploading => uploading = false,
-                    () = sender.closed() => return Err(Broken::Gone),
-                    () = sleep_until(*deadline) => {
-                        return Err(Broken::Frame(failed(RanState::Unknown)));
-                    }
-                }
-            }
-        };
-        match answer {
-            Ok(answer) => self.answer(answer).await,
-            Err(error) => {
-                log::warn!(
-                    "event=call_broken request={} route={} error=\"{error}\"",
-                    self.head.request_id,
-                    self.head.route
-                );
-                Err(Broken::Frame(failed(RanState::Unknown)))
+        let Self { head, body, sender, deadline, .. } = self;
+        let exchange = exchange(&mut connection, request, head, sender, *deadline);
+        // An answer may begin before the caller's body has ended, so both go on together.
+        let upload = upload(body, parts);
+        tokio::pin!(exchange, upload);
+        let mut uploading = true;
+        loop {
+            tokio::select! {
+                ended = &mut exchange => return ended,
+                // A body that broke off is reported by the exchange.
+                () = &mut upload, if uploading => uploading = false,
             }
         }
     }
+}
 
-    /// Streams the answer back; it is whole only if its body ends as its framing says.
-    async fn answer(&mut self, answer: Response<Incoming>) -> Result<(), Broken> {
-        let head = ForwardDown::Head {
-            request_id: self.head.request_id,
-            attempt: self.head.attempt,
-            status: answer.status().as_u16(),
-            headers: end_to_end(answer.headers()),
-            replayed: false,
+/// Writes the call and streams the answer back; it is whole only if its body ends as its framing
+/// says.
+async fn exchange(
+    connection: &mut PlainConnection<UpBody>,
+    request: Request<UpBody>,
+    head: &ForwardHead,
+    sender: &mut FrameSender<ForwardDown>,
+    deadline: Instant,
+) -> Result<(), Broken> {
+    let answer = tokio::select! {
+        answer = connection.send(request) => answer.map_err(|error| broken(head, &error))?,
+        () = sender.closed() => return Err(Broken::Gone),
+        () = sleep_until(deadline) => return Err(Broken::Frame(failed(RanState::Unknown))),
+    };
+    let first = ForwardDown::Head {
+        request_id: head.request_id,
+        attempt: head.attempt,
+        status: answer.status().as_u16(),
+        headers: end_to_end(answer.headers()),
+        replayed: false,
+    };
+    send(sender, &first, deadline).await?;
+    let mut body = answer.into_body();
+    loop {
+        let frame = tokio::select! {
+            frame = body.frame() => frame,
+            () = sender.closed() => return Err(Broken::Gone),
+            () = sleep_until(deadline) => return Err(Broken::Frame(failed(RanState::Unknown))),
         };
-        self.send(&head).await?;
-        let mut body = answer.into_body();
-        loop {
-            let frame = tokio::select! {
-                frame = body.frame() => frame,
-                () = self.sender.closed() => return Err(Broken::Gone),
-                () = sleep_until(self.deadline) => {
-                    return Err(Broken::Frame(failed(RanState::Unknown)));
-                }
-            };
-            match frame {
-                None => return Ok(()),
-                Some(Ok(frame)) => {
-                    let Ok(mut data) = frame.into_data() else { continue };
-                    while !data.is_empty() {
-                        let part = data.split_to(data.len().min(MAX_DATA_BYTES));
-                        self.send(&ForwardDown::Data(part.to_vec())).await?;
-                    }
-                }
-                Some(Err(error)) => {
-                    log::warn!(
-                        "event=answer_broken request={} route={} error=\"{error}\"",
-                        self.head.request_id,
-                        self.head.route
-                    );
-                    return Err(Broken::Frame(failed(RanState::Unknown)));
-                }
-            }
+        let Some(frame) = frame else { return Ok(()) };
+        let frame = frame.map_err(|error| broken(head, &error))?;
+        let Ok(mut data) = frame.into_data() else { continue };
+        while !data.is_empty() {
+            let part = data.split_to(data.len().min(MAX_DATA_BYTES));
+            send(sender, &ForwardDown::Data(part.to_vec()), deadline).await?;
         }
     }
+}
 
-    /// Sends a frame; a receiver that does not take it before the deadline loses its stream.
-    async fn send(&mut self, frame: &ForwardDown) -> Result<(), Broken> {
-        match timeout_at(self.deadline, self.sender.send(frame)).await {
-            Ok(Ok(())) => Ok(()),
-            _ => Err(Broken::Gone),
-        }
+fn broken(head: &ForwardHead, error: &hyper::Error) -> Broken {
+    let (request, route) = (head.request_id, &head.route);
+    log::warn!("event=call_broken request={request} route={route} error=\"{error}\"");
+    Broken::Frame(failed(RanState::Unknown))
+}
+
+/// Sends a frame; a receiver that does not take it before the deadline loses its stream.
+async fn send(
+    sender: &mut FrameSender<ForwardDown>,
+    frame: &ForwardDown,
+    deadline: Instant,
+) -> Result<(), Broken> {
+    match timeout_at(deadline, sender.send(frame)).await {
+        Ok(Ok(())) => Ok(()),
+        _ => Err(Broken::Gone),
     }
 }
 
--- a/components/side/src/incoming.rs
+++ b/components/side/src/incoming.rs
@@ -214,8 +214,9 @@
 
     fn heard(&self, heartbeat: &wire::Heartbeat) {
         self.with_core(|core, now| core.heard(heartbeat, now));
-        if heartbeat.role == Role::Entry {
-            self.config_wanted(heartbeat.config_offset, heartbeat.address);
+        let newer = heartbeat.config_offset > self.core.borrow().town.version;
+        if heartbeat.role == Role::Entry && newer {
+            self.read_config_now.notify_one();
         }
     }
 }
--- a/components/side/src/lib.rs
+++ b/components/side/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod action;
 mod clock;
+mod config_source;
 mod core;
 mod core_placement;
 mod core_requests;
--- a/components/side/src/process.rs
+++ b/components/side/src/process.rs
@@ -4,9 +4,10 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
-use base::{Incarnation, Offset, ProcessId, ProcessName, Role, SortedMap, Timestamp};
+use base::{Incarnation, ProcessId, ProcessName, Role, SortedMap, Timestamp};
 use config::{ServiceKind, SideSettings, Town};
 use engine::{EngineLimits, HttpEngine};
 use platform::{HttpLog, HttpLogOptions, HttpVmList};
@@ -19,6 +20,7 @@
 use wire::{FleetSecret, Heartbeat, Incoming, PeerIdentity, PeerPool, RefuseReason};
 
 use crate::clock::{Clock, to_millis};
+use crate::config_source::follow_config;
 use crate::core::Core;
 use crate::error::SideError;
 use crate::event::Event;
@@ -56,6 +58,7 @@
     pub next_start: Cell<u32>,
     pub handover: watch::Sender<bool>,
     pub probe_now: Rc<Notify>,
+    pub read_config_now: Rc<Notify>,
     probing: Cell<bool>,
 }
 
@@ -111,7 +114,7 @@
     }
 }
 
-/// Gives a running side process a configuration directly, for one that has no log.
+/// Gives a side process a configuration directly, without entry processes and log.
 #[derive(Clone)]
 pub struct SideHandle {
     events: mpsc::UnboundedSender<Event>,
@@ -119,7 +122,7 @@
 
 impl SideHandle {
     /// Puts a configuration in force.
-    pub fn configure(&self, town: Rc<Town>) {
+    pub fn configure(&self, town: Arc<Town>) {
         // The process may have ended already.
         let _sent = self.events.send(Event::Configured(town));
     }
@@ -137,6 +140,7 @@
     operator_address: SocketAddr,
     events: mpsc::UnboundedSender<Event>,
     event_queue: mpsc::UnboundedReceiver<Event>,
+    follow_log: bool,
 }
 
 impl SideProcess {
@@ -170,6 +174,7 @@
             operator_address,
             events,
             event_queue,
+            follow_log: true,
         })
     }
 
@@ -183,8 +188,9 @@
         self.operator_address
     }
 
-    /// A handle to the process while it runs.
-    pub fn handle(&self) -> SideHandle {
+    /// Takes the configuration from the handle only, not from entry processes or the log.
+    pub fn detach(&mut self) -> SideHandle {
+        self.follow_log = false;
         SideHandle { events: self.events.clone() }
     }
 
@@ -209,6 +215,9 @@
         let list = HttpVmList::new(self.settings.platform.vm_list_address, timeout_ms);
         spawn_local(read_vm_list(list, interval, self.events.clone()));
         spawn_local(send_heartbeats(shared.clone(), announce.clone()));
+        if self.follow_log {
+            spawn_local(follow_config(shared.clone()));
+        }
         log::info!(
             "event=started process={} peer_address={} operator_address={} target={}",
             self.identity.process,
@@ -289,6 +298,7 @@
             next_start: Cell::new(0),
             handover: watch::Sender::new(false),
             probe_now: Rc::default(),
+            read_config_now: Rc::default(),
             probing: Cell::new(false),
         }
     }
@@ -318,9 +328,6 @@
             while self.tasks.borrow_mut().try_join_next().is_some() {}
         }
     }
-
-    /// Notes that an entry process has a newer configuration.
-    pub fn config_wanted(&self, _offset: Offset, _address: SocketAddr) {}
 }
 
 impl Core {
--- a/components/side/src/start_record.rs
+++ b/components/side/src/start_record.rs
@@ -2,14 +2,12 @@
 
 use std::time::Duration;
 
-use base::{Offset, ProcessId};
+use base::{Offset, ProcessId, Role};
 use compact_str::format_compact;
 use platform::{HttpLog, Log};
 use tokio::time::{Instant, sleep};
-use wire::{PeerIdentity, encode};
+use wire::{FLEET_STREAM, PeerIdentity, StartRecord, encode};
 
-/// Stream of start records.
-const STREAM: &str = "fleet";
 /// Time to settle one append.
 const APPEND_LIMIT: Duration = Duration::from_secs(3);
 /// Pause after a failed append.
@@ -20,13 +18,14 @@
 /// The id is the same for each attempt, so a lost answer is settled by reading.
 pub(crate) async fn append_start(log: HttpLog, identity: PeerIdentity, number: u32) -> Offset {
     let ProcessId { name, incarnation } = &identity.process;
+    let record = StartRecord { process: identity.process.clone(), role: Role::Side };
     let id = format_compact!("{name}#{incarnation}/start/{number}");
     loop {
-        let Ok(payload) = encode(&identity) else {
-            unreachable!("an identity is far below the frame limit");
+        let Ok(payload) = encode(&record) else {
+            unreachable!("a start record is far below the frame limit");
         };
         let deadline = Instant::now() + APPEND_LIMIT;
-        match log.append_settled(STREAM, &id, &payload, Offset(1), deadline).await {
+        match log.append_settled(FLEET_STREAM, &id, &payload, Offset(1), deadline).await {
             Ok(offset) => return offset,
             Err(error) => log::warn!("event=start_record_failed error=\"{error}\""),
         }
--- a/components/side/tests/common/mod.rs
+++ b/components/side/tests/common/mod.rs
@@ -5,9 +5,12 @@
 use std::cell::{Cell, RefCell};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
-use base::{CustomerId, Incarnation, ModelId, Offset, ProcessId, ProcessName, Role, ServiceId};
+use base::{
+    CustomerId, Incarnation, ModelId, Offset, ProcessId, ProcessName, RanState, Role, ServiceId,
+};
 use config::{
     Access, Adapter, Customer, DataCentre, Model, PlatformSettings, ProcessSettings, Residency,
     Route, Service, ServiceKind, SideSettings, Target, Town,
@@ -21,9 +24,9 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::{JoinHandle, LocalSet, spawn_local};
 use wire::{
-    FleetSecret, FrameReceiver, GenerateEvent, GenerateFrame, GenerateRequest, Heartbeat, Incoming,
-    LogView, PeerCall, PeerClient, PeerIdentity, PeerReply, PermitOutcome, ProcessStatus,
-    RequestId,
+    FleetSecret, ForwardDown, ForwardHead, ForwardUp, FrameReceiver, GenerateEvent, GenerateFrame,
+    GenerateRequest, Header, Heartbeat, Incoming, LogView, PeerCall, PeerClient, PeerIdentity,
+    PeerReply, PendingReceiver, PermitOutcome, ProcessStatus, RefuseReason, RequestId,
 };
 
 pub const SECRET: &str = "a secret of the test fleet";
@@ -219,10 +222,10 @@
 impl RunningSide {
     /// Starts a side process with `town` in force.
     pub async fn start(settings: SideSettings, town: Town) -> Self {
-        let process = SideProcess::bind(settings, Incarnation(next_number())).await.unwrap();
+        let mut process = SideProcess::bind(settings, Incarnation(next_number())).await.unwrap();
         let (address, operators) = (process.peer_address(), process.operator_address());
-        let handle = process.handle();
-        handle.configure(Rc::new(town));
+        let handle = process.detach();
+        handle.configure(Arc::new(town));
         let (stop, stopped) = oneshot::channel::<()>();
         let task = spawn_local(process.run(async {
             let _stopped = stopped.await;
@@ -426,3 +429,66 @@
         Self { platform, entry, engine, side, client }
     }
 }
+
+/// Head of a call that may not be repeated.
+pub fn head() -> ForwardHead {
+    ForwardHead {
+        request_id: RequestId(u128::from(next_number())),
+        attempt: 0,
+        customer: Some("ann".into()),
+        route: "orders".into(),
+        repeatable: false,
+        idempotency_key_sha256: None,
+        method: "POST".into(),
+        path_and_query: "/orders/1?x=2".into(),
+        headers: vec![Header { name: "content-type".into(), value: b"text/plain".to_vec() }],
+        body_bytes: None,
+        deadline_ms: 10_000,
+    }
+}
+
+/// What came back of a call.
+#[derive(Debug, Default)]
+pub struct CallAnswer {
+    pub status: u16,
+    pub replayed: bool,
+    pub body: Vec<u8>,
+    pub whole: bool,
+    pub failed: Option<RanState>,
+    pub refused: Option<RefuseReason>,
+}
+
+/// Makes a call; sends and receives at the same time, since an echo fills both windows.
+pub async fn call(client: &PeerClient, head: &ForwardHead, body: &[u8]) -> CallAnswer {
+    let (mut sender, receiver) = client.forward().await.unwrap();
+    let (head, body) = (head.clone(), body.to_vec());
+    let upload = spawn_local(async move {
+        sender.send(&ForwardUp::Head(head)).await?;
+        for part in body.chunks(60_000) {
+            sender.send(&ForwardUp::Data(part.to_vec())).await?;
+        }
+        sender.send(&ForwardUp::End).await?;
+        sender.finish()
+    });
+    let answer = collect_call(receiver).await;
+    upload.abort();
+    answer
+}
+
+/// Collects the frames of a call's answer.
+pub async fn collect_call(receiver: PendingReceiver<ForwardDown>) -> CallAnswer {
+    let mut answer = CallAnswer::default();
+    let mut receiver = receiver.ready().await.unwrap();
+    loop {
+        match tokio::time::timeout(WAIT_LIMIT, receiver.next()).await.unwrap() {
+            Ok(Some(ForwardDown::Head { status, replayed, .. })) => {
+                (answer.status, answer.replayed) = (status, replayed);
+            }
+            Ok(Some(ForwardDown::Data(data))) => answer.body.extend(data),
+            Ok(Some(ForwardDown::End)) => answer.whole = true,
+            Ok(Some(ForwardDown::Refused { reason, .. })) => answer.refused = Some(reason),
+            Ok(Some(ForwardDown::Failed { ran })) => answer.failed = Some(ran),
+            Ok(None) | Err(_) => return answer,
+        }
+    }
+}
--- a/components/side/tests/generate.rs
+++ b/components/side/tests/generate.rs
@@ -1,5 +1,7 @@
 //! Generations through a real side process against a stand-in engine.
 
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
 mod common;
 
 use common::{Scene, engine_settings, generate, request, run_test, wait_for};
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -17,6 +17,7 @@
 
 Commands:
   demo     run the whole path in one process and check it
+  side     run the process beside one target
   status   show the state of running processes
 
 Options:
@@ -32,6 +33,7 @@
             Some("demo") => cmd::demo::run(parser),
             // For tests only, so the help text does not list it.
             Some("standin") => cmd::standin::run(parser),
+            Some("side") => cmd::side::run(parser),
             Some("status") => cmd::status::run(parser),
             _ => usage_error(&format!("unknown command {}", name.to_string_lossy()), HELP),
         },
