--- a/components/api/src/headers.rs
+++ b/components/api/src/headers.rs
@@ -20,14 +20,8 @@
     "upgrade",
 ];
 /// Header fields that carry credentials, or that the client to the target writes itself.
-const WITHHELD: [&str; 6] = [
-    "authorization",
-    "content-length",
-    "cookie",
-    "host",
-    "proxy-authorization",
-    API_KEY_HEADER,
-];
+const WITHHELD: [&str; 6] =
+    ["authorization", "content-length", "cookie", "host", "proxy-authorization", API_KEY_HEADER];
 
 /// The key that the caller presents, if any.
 ///
--- a/components/entry/src/attempt.rs
+++ b/components/entry/src/attempt.rs
@@ -4,10 +4,10 @@
 use std::time::Duration;
 
 use base::{RanState, Timestamp};
+use routing::{Failure, Pick};
 use tokio::time::{MissedTickBehavior, interval, sleep_until};
-use wire::{FinishReason, GenerateEvent, GenerateFrame, RefuseReason};
+use wire::{FinishReason, GenerateEvent, GenerateFrame};
 
-use crate::choice::Choice;
 use crate::generate_job::{GenerateJob, Progress, Stop};
 use crate::outlet::Outlet;
 
@@ -19,7 +19,7 @@
     /// The generation.
     pub job: &'a GenerateJob,
     /// Where it runs.
-    pub choice: &'a Choice,
+    pub pick: &'a Pick,
 }
 
 /// How an attempt ended.
@@ -27,22 +27,28 @@
 pub(crate) enum AttemptEnd {
     /// The answer is whole.
     Finished { reason: FinishReason, prompt_tokens: u64, output_tokens: u64 },
-    /// The target did not run it.
-    Refused { reason: RefuseReason, retry_after_ms: Option<u32> },
-    /// The answer broke off.
-    Broken,
+    /// There is no whole answer.
+    Failed {
+        /// Why.
+        failure: Failure,
+        /// When to try again, in milliseconds, if the side process says so.
+        retry_after_ms: Option<u32>,
+    },
     /// Something outside ended it.
     Stopped(Stop),
 }
 
+const fn failed(failure: Failure) -> AttemptEnd {
+    AttemptEnd::Failed { failure, retry_after_ms: None }
+}
+
 impl Attempt<'_> {
     /// Runs the attempt; text goes to `outlet`.
     pub(crate) async fn run(&self, outlet: &mut Outlet, progress: &mut Progress) -> AttemptEnd {
         let app = &self.job.app;
-        let sent_at = app.clock.now();
-        app.record_sent(self.choice, self.job.request.prompt_tokens);
+        let _sent = app.note_send(self.pick, self.job.tokens.0);
         let connected = async {
-            let client = app.pool.client(self.choice.address).await?;
+            let client = app.pool.client(self.pick.address).await?;
             client.generate(&self.job.request).await
         };
         let deadline = sleep_until(app.clock.instant(self.job.deadline));
@@ -57,9 +63,9 @@
                 result = &mut connected => match result {
                     Ok(frames) => break frames,
                     Err(_) => {
-                        app.pool.forget(self.choice.address);
+                        app.pool.forget(self.pick.address);
                         progress.may_have_run = true;
-                        return AttemptEnd::Broken;
+                        return failed(Failure::NoAnswer);
                     }
                 },
                 reason = self.job.ticket.cancel.cancelled() => {
@@ -67,8 +73,8 @@
                 }
                 () = outlet.caller_gone() => return AttemptEnd::Stopped(Stop::CallerGone),
                 () = &mut deadline => return AttemptEnd::Stopped(Stop::Deadline),
-                _ = liveness.tick() => if app.is_gone(&self.choice.process) {
-                    return AttemptEnd::Broken;
+                _ = liveness.tick() => if app.is_gone(&self.pick.process) {
+                    return failed(Failure::NoAnswer);
                 },
             }
         };
@@ -82,8 +88,8 @@
                 () = outlet.caller_gone() => return AttemptEnd::Stopped(Stop::CallerGone),
                 () = &mut deadline => return AttemptEnd::Stopped(Stop::Deadline),
                 _ = liveness.tick() => {
-                    if app.is_gone(&self.choice.process) {
-                        return AttemptEnd::Broken;
+                    if app.is_gone(&self.pick.process) {
+                        return failed(Failure::NoAnswer);
                     }
                     continue;
                 }
@@ -95,7 +101,7 @@
                     continue;
                 }
                 // Without a last frame the answer is truncated.
-                Ok(None) | Err(_) => return AttemptEnd::Broken,
+                Ok(None) | Err(_) => return failed(Failure::NoAnswer),
             };
             match frame {
                 GenerateFrame::Started { queue_wait_ms } => {
@@ -106,7 +112,7 @@
                 GenerateFrame::Token { index, count, text } => {
                     if index != progress.delivered {
                         app.metrics.record_late_answer();
-                        return AttemptEnd::Broken;
+                        return failed(Failure::Mismatched);
                     }
                     if let Some(end) = self.deliver(outlet, &text).await {
                         return end;
@@ -118,29 +124,30 @@
                     // A different count means that tokens were lost on the way.
                     if output_tokens != progress.delivered {
                         app.metrics.record_late_answer();
-                        return AttemptEnd::Broken;
+                        return failed(Failure::Mismatched);
                     }
                     if let Err(reason) = app.check_authority() {
                         return AttemptEnd::Stopped(Stop::Cancelled(reason.code));
                     }
-                    app.record_finished(self.choice, app.clock.now().since(sent_at));
                     return AttemptEnd::Finished { reason, prompt_tokens, output_tokens };
                 }
                 GenerateFrame::Refused { reason, retry_after_ms } => {
                     progress.may_have_run = before;
-                    return AttemptEnd::Refused { reason, retry_after_ms };
+                    return AttemptEnd::Failed {
+                        failure: Failure::Refused(reason),
+                        retry_after_ms,
+                    };
                 }
                 GenerateFrame::Failed { ran } => {
                     progress.may_have_run = before || ran != RanState::NotRun;
-                    return AttemptEnd::Broken;
+                    return failed(Failure::Failed(ran));
                 }
             }
         }
     }
 
     fn matches(&self, event: &GenerateEvent) -> bool {
-        event.request_id == self.job.request.request_id
-            && event.attempt == self.job.request.attempt
+        event.request_id == self.job.request.request_id && event.attempt == self.job.request.attempt
     }
 
     /// Gives text to the caller; the authority to do so is checked each time.
@@ -164,11 +171,9 @@
     fn record_token(&self, progress: &mut Progress, now: Timestamp) {
         let (metrics, job) = (&self.job.app.metrics, self.job);
         match progress.last_token_at {
-            None => metrics.record_first_token(
-                &job.request.customer,
-                job.class,
-                now.since(job.arrived),
-            ),
+            None => {
+                metrics.record_first_token(&job.request.customer, job.class, now.since(job.arrived))
+            }
             Some(last) => {
                 metrics.record_between_tokens(&job.request.customer, job.class, now.since(last));
             }
--- a/components/entry/src/cancel.rs
+++ b/components/entry/src/cancel.rs
@@ -21,11 +21,6 @@
         self.notify.notify_waiters();
     }
 
-    /// Why the request must end, if it must.
-    pub(crate) fn reason(&self) -> Option<ErrorCode> {
-        self.reason.get()
-    }
-
     /// Waits until the request must end.
     pub(crate) async fn cancelled(&self) -> ErrorCode {
         loop {
--- a/components/entry/src/config_reader.rs
+++ b/components/entry/src/config_reader.rs
@@ -17,16 +17,21 @@
 const CATCH_UP_ROUNDS: u32 = 64;
 
 /// Follows the configuration.
-pub(crate) struct ConfigFollower;
+#[derive(Default)]
+pub(crate) struct ConfigFollower {
+    /// First offset that the log still keeps.
+    oldest: std::cell::Cell<Offset>,
+}
 
 impl Follower for ConfigFollower {
     const STREAM: &'static str = CONFIG_STREAM;
 
     fn next_offset(&self, app: &App) -> Offset {
-        app.config.borrow().next_offset()
+        app.config.borrow().next_offset(self.oldest.get())
     }
 
     fn take(&self, app: &Rc<App>, page: &LogPage, at_end: bool, asked_at: Timestamp) {
+        self.oldest.set(page.oldest);
         for record in &page.records {
             apply_record(app, record.offset, &record.payload);
         }
--- a/components/entry/src/dispatch.rs
+++ b/components/entry/src/dispatch.rs
@@ -1,6 +1,7 @@
 //! From a caller's request to its answer.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use api::{ApiError, Dialect, ErrorCode, HeadFault, model_list, presented_key};
@@ -87,7 +88,7 @@
 /// # Errors
 ///
 /// `no_authority` before the first configuration.
-pub(crate) fn current_town(app: &App) -> Result<Rc<Town>, ApiError> {
+pub(crate) fn current_town(app: &App) -> Result<Arc<Town>, ApiError> {
     app.town().ok_or_else(|| {
         ApiError::new(ErrorCode::NoAuthority, "no configuration is in force yet")
             .with_retry_after_ms(NO_CONFIGURATION_RETRY_MS)
@@ -153,9 +154,7 @@
         Ok(Ok(collected)) => Ok(collected.to_bytes()),
         Ok(Err(error)) if error.is::<LengthLimitError>() => Err(too_large()),
         Ok(Err(_)) => Err(ApiError::new(ErrorCode::InvalidRequest, "the body broke off")),
-        Err(_) => {
-            Err(ApiError::new(ErrorCode::RequestTimeout, "the body did not arrive in time"))
-        }
+        Err(_) => Err(ApiError::new(ErrorCode::RequestTimeout, "the body did not arrive in time")),
     }
 }
 
--- a/components/entry/src/fleet.rs
+++ b/components/entry/src/fleet.rs
@@ -1,148 +1,186 @@
-//! Targets as their side processes report them, and the choice among them.
+//! The choice of a target for each attempt, and the budget of retries.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use base::{ProcessId, ProcessName, SortedMap, Timestamp, rank_members};
-use membership::Liveness;
-use wire::{CopyState, GenerateRequest, ModelDemand, TargetKind, TargetReport};
+use base::{ProcessId, Timestamp, seeded_rng};
+use compact_str::CompactString;
+use config::EntrySettings;
+use membership::{Liveness, Membership};
+use rand_chacha::ChaCha8Rng;
+use routing::{
+    Backoff, Choice, Delays, ModelNeed, Pick, PlainNeed, RetryBudget, Router, SendId,
+    prefix_blocks, reach_of,
+};
+use wire::{GenerateRequest, Heartbeat, ModelDemand};
 
 use crate::app::App;
-use crate::choice::Choice;
+use crate::demand::DemandMeter;
 
-struct Seen {
-    process: ProcessId,
-    address: SocketAddr,
-    report: TargetReport,
-    sent_since: u64,
-}
+/// Most attempts after the first for one request.
+const MAX_RETRIES: u32 = 4;
 
-/// Targets by the name of their side process.
-#[derive(Default)]
+/// Targets as this process knows them.
 pub(crate) struct Fleet {
-    targets: SortedMap<ProcessName, Seen>,
+    router: Router,
+    budget: RetryBudget,
+    backoff: Backoff,
+    demand: DemandMeter,
+    rng: ChaCha8Rng,
 }
 
 impl Fleet {
-    pub(crate) fn take_report(
-        &mut self,
-        process: &ProcessId,
-        address: SocketAddr,
-        report: &TargetReport,
-        _now: Timestamp,
-    ) {
-        let seen = Seen { process: process.clone(), address, report: report.clone(), sent_since: 0 };
-        self.targets.insert(process.name.clone(), seen);
+    /// A process that knows no target; `seed` differs between processes.
+    pub(crate) fn new(settings: &EntrySettings, seed: u64, now: Timestamp) -> Self {
+        let place = &settings.process;
+        Self {
+            router: Router::new(&place.region, &place.data_centre, Delays::default()),
+            budget: RetryBudget::new(
+                settings.retry_budget_percent,
+                settings.retry_floor_per_s,
+                now,
+            ),
+            backoff: Backoff::default(),
+            demand: DemandMeter::default(),
+            rng: seeded_rng(seed),
+        }
+    }
+
+    /// Takes a heartbeat that the membership accepted.
+    pub(crate) fn take_heartbeat(&mut self, heartbeat: &Heartbeat, heard_at: Timestamp) {
+        self.router.take_heartbeat(heartbeat, heard_at);
     }
 
-    pub(crate) fn demand(&mut self, _now: Timestamp) -> Vec<ModelDemand> {
-        Vec::new()
+    /// Demand for each model here.
+    pub(crate) fn demand(&mut self, now: Timestamp) -> Vec<ModelDemand> {
+        self.demand.report(now)
+    }
+}
+
+/// A request on its way to a target, counted as load until it ends.
+pub(crate) struct Sent<'a> {
+    app: &'a App,
+    target: CompactString,
+    send: Option<SendId>,
+}
+
+impl Drop for Sent<'_> {
+    fn drop(&mut self) {
+        if let Some(send) = self.send {
+            self.app.fleet.borrow_mut().router.note_end(&self.target, send);
+        }
     }
 }
 
 impl App {
+    /// Whether a run of a process is silent, replaced or unknown.
     pub(crate) fn is_gone(&self, process: &ProcessId) -> bool {
         !self.membership.borrow().is_reachable(process, self.clock.now())
     }
 
+    /// Peer address of a run of a process.
     pub(crate) fn address_of(&self, process: &ProcessId) -> Option<SocketAddr> {
         let membership = self.membership.borrow();
         membership.member(&process.name).filter(|m| m.process == *process).map(|m| m.address)
     }
 
-    fn candidates(&self, keep: impl Fn(&Seen) -> bool, tried: &[ProcessName]) -> Vec<Choice> {
+    /// Counts a request in the demand for its model and in the budget of retries.
+    pub(crate) fn note_generation(&self, model: &str, tokens: u64) {
         let now = self.clock.now();
-        let membership = self.membership.borrow();
-        let fleet = self.fleet.borrow();
-        let mut found: Vec<(bool, u64, Choice)> = fleet
-            .targets
-            .values()
-            .filter(|seen| seen.report.healthy && keep(seen))
-            .filter_map(|seen| {
-                let member = membership.member(&seen.process.name)?;
-                let liveness = membership.liveness(member, now);
-                if member.process != seen.process
-                    || !member.takes_work()
-                    || liveness == Liveness::Silent
-                {
-                    return None;
-                }
-                let load = seen.report.queued_tokens
-                    + u64::from(seen.report.running) * 64
-                    + seen.sent_since;
-                let choice = Choice {
-                    process: seen.process.clone(),
-                    target: seen.report.target.clone(),
-                    address: seen.address,
-                };
-                let second = tried.contains(&seen.process.name) || liveness == Liveness::Suspect;
-                Some((second, load, choice))
-            })
-            .collect();
-        found.sort_by(|a, b| (a.0, a.1).cmp(&(b.0, b.1)));
-        found.into_iter().map(|(_, _, choice)| choice).collect()
+        let mut fleet = self.fleet.borrow_mut();
+        fleet.budget.note_request();
+        fleet.demand.note(model, tokens, now);
     }
 
+    /// Counts a call to a plain service in the budget of retries.
+    pub(crate) fn note_call(&self) {
+        self.fleet.borrow_mut().budget.note_request();
+    }
+
+    /// A target for a generation, other than those tried before if there is one.
     pub(crate) fn choose_engine(
         &self,
         request: &GenerateRequest,
-        tried: &[ProcessName],
-    ) -> Option<Choice> {
+        tried: &[CompactString],
+    ) -> Option<Pick> {
         let town = self.town()?;
         let model = town.model(town.model_id(&request.model)?);
-        let service = town.service(model.service).name.clone();
-        let in_service = |seen: &Seen| {
-            seen.report.kind == TargetKind::Engine && seen.report.service == service
+        let adapter = request.adapter.as_deref();
+        let blocks = prefix_blocks(&request.model, adapter, &request.prompt);
+        let mut need = ModelNeed {
+            model: &request.model,
+            service: &town.service(model.service).name,
+            memory_mb: model.memory_mb,
+            adapter,
+            blocks: &blocks,
+            prompt_tokens: request.prompt_tokens,
+            affinity: blocks.first().copied().unwrap_or_default(),
+            exclude: tried,
         };
-        let resident = self.candidates(
-            |seen| {
-                in_service(seen)
-                    && seen
-                        .report
-                        .models
-                        .iter()
-                        .any(|c| c.model == request.model && c.state == CopyState::Resident)
-            },
-            tried,
-        );
-        if let Some(first) = resident.into_iter().next() {
-            return Some(first);
-        }
-        let holders = self.candidates(
-            |seen| in_service(seen) && seen.report.capacity_mb >= model.memory_mb,
-            tried,
-        );
-        let first = *rank_members(
-            request.model.as_bytes(),
-            holders.iter().map(|choice| choice.process.name.as_str()),
-        )
-        .first()?;
-        holders.iter().find(|choice| choice.process.name.as_str() == first).cloned()
+        let membership = self.membership.borrow();
+        let now = self.clock.now();
+        let fleet = &mut *self.fleet.borrow_mut();
+        let reach = |process: &ProcessId| reach_of(&membership, process, now);
+        let choice = fleet.router.choose_model(&need, reach, &mut fleet.rng);
+        picked(choice).or_else(|| {
+            // A target that failed once is better than none.
+            need.exclude = &[];
+            picked(fleet.router.choose_model(&need, reach, &mut fleet.rng))
+        })
     }
 
+    /// A target of a plain service, other than those tried before if there is one.
     pub(crate) fn choose_plain(
         &self,
         service: &str,
-        _route: &str,
-        tried: &[ProcessName],
-    ) -> Option<Choice> {
-        self.candidates(
-            |seen| seen.report.kind == TargetKind::Plain && seen.report.service == service,
-            tried,
-        )
-        .into_iter()
-        .next()
+        affinity: u64,
+        tried: &[CompactString],
+    ) -> Option<Pick> {
+        let mut need = PlainNeed { service, affinity, exclude: tried };
+        let membership = self.membership.borrow();
+        let now = self.clock.now();
+        let fleet = &mut *self.fleet.borrow_mut();
+        let reach = |process: &ProcessId| reach_of(&membership, process, now);
+        let choice = fleet.router.choose_plain(&need, reach, &mut fleet.rng);
+        picked(choice).or_else(|| {
+            need.exclude = &[];
+            picked(fleet.router.choose_plain(&need, reach, &mut fleet.rng))
+        })
+    }
+
+    /// Counts a request as load of a target until the value is dropped.
+    pub(crate) fn note_send(&self, pick: &Pick, tokens: u64) -> Sent<'_> {
+        let now = self.clock.now();
+        let send = self.fleet.borrow_mut().router.note_send(&pick.target, tokens, now);
+        Sent { app: self, target: pick.target.clone(), send }
     }
 
-    pub(crate) fn record_sent(&self, choice: &Choice, tokens: u64) {
-        if let Some(seen) = self.fleet.borrow_mut().targets.get_mut(&choice.process.name) {
-            seen.sent_since += tokens;
+    /// Wait before the retry after attempt number `attempt`; none if there may be no more.
+    pub(crate) fn next_retry(&self, attempt: u32) -> Option<Duration> {
+        let now = self.clock.now();
+        let fleet = &mut *self.fleet.borrow_mut();
+        if attempt >= MAX_RETRIES || !fleet.budget.try_spend(now) {
+            return None;
         }
+        Some(fleet.backoff.delay(attempt, &mut fleet.rng))
     }
 
-    pub(crate) fn record_finished(&self, _choice: &Choice, _took: Duration) {}
+    /// Forgets targets of processes that are no longer remembered.
+    pub(crate) fn expire_targets(&self, membership: &Membership) {
+        let now = self.clock.now();
+        self.fleet.borrow_mut().router.retain(|process| {
+            membership.member(&process.name).is_some_and(|member| {
+                member.process == *process
+                    && (membership.liveness(member, now) != Liveness::Silent
+                        || membership.proof_of_death(process, now).is_none())
+            })
+        });
+    }
+}
 
-    pub(crate) fn next_retry(&self, attempt: u32) -> Option<Duration> {
-        (attempt < 3).then_some(Duration::from_millis(20 << attempt))
+fn picked(choice: Choice) -> Option<Pick> {
+    match choice {
+        Choice::Serve(pick) | Choice::Load(pick) => Some(pick),
+        Choice::None(_) => None,
     }
 }
--- a/components/entry/src/forward_attempt.rs
+++ b/components/entry/src/forward_attempt.rs
@@ -7,10 +7,10 @@
 use http::{Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use wire::{ForwardDown, ForwardUp, FrameReceiver, FrameSender, Header, RefuseReason, WireError};
+use routing::{Failure, Pick};
+use wire::{ForwardDown, ForwardUp, FrameReceiver, FrameSender, Header, WireError};
 
 use crate::caller_body::CallerBody;
-use crate::choice::Choice;
 use crate::forward_job::{ForwardJob, Payload};
 use crate::respond::{CallerResponse, with_request_id};
 
@@ -24,7 +24,7 @@
     /// The call.
     pub job: &'a mut ForwardJob,
     /// Where it runs.
-    pub choice: &'a Choice,
+    pub pick: &'a Pick,
 }
 
 /// How an attempt ended.
@@ -34,12 +34,13 @@
     Answered,
     /// The caller has gone.
     CallerGone,
-    /// Nothing reached the side process.
-    NotSent,
-    /// The side process did not run it.
-    Refused { reason: RefuseReason, retry_after_ms: Option<u32> },
-    /// There is no complete answer.
-    Lost,
+    /// There is no whole answer.
+    Failed {
+        /// Why.
+        failure: Failure,
+        /// When to try again, in milliseconds, if the side process says so.
+        retry_after_ms: Option<u32>,
+    },
     /// It is over with this error.
     Stopped(ApiError),
 }
@@ -47,20 +48,20 @@
 impl ForwardAttempt<'_> {
     /// Runs the attempt.
     pub(crate) async fn run(self) -> ForwardEnd {
-        let Self { job, choice } = self;
+        let Self { job, pick } = self;
         let app = std::rc::Rc::clone(&job.app);
-        let opened = match app.pool.client(choice.address).await {
+        let opened = match app.pool.client(pick.address).await {
             Ok(client) => client.forward().await,
             Err(error) => Err(error),
         };
         let Ok((mut sender, receiver)) = opened else {
-            app.pool.forget(choice.address);
-            return ForwardEnd::NotSent;
+            app.pool.forget(pick.address);
+            return failed(Failure::NotSent);
         };
         let before = job.reached_target;
         job.reached_target = true;
         if sender.send(&ForwardUp::Head(job.head.clone())).await.is_err() {
-            return ForwardEnd::Lost;
+            return failed(Failure::NoAnswer);
         }
         let payload = match &job.payload {
             Payload::Whole(bytes) => Payload::Whole(bytes.clone()),
@@ -74,7 +75,7 @@
             tokio::select! {
                 frames = &mut receiver => match frames {
                     Ok(frames) => break frames,
-                    Err(_) => return ForwardEnd::Lost,
+                    Err(_) => return failed(Failure::NoAnswer),
                 },
                 sent = &mut upload, if uploading => {
                     uploading = false;
@@ -165,29 +166,32 @@
     frames: &mut FrameReceiver<ForwardDown>,
     reached_before: bool,
 ) -> ForwardEnd {
-    let (status, headers, replayed) = loop {
-        match frames.next().await {
-            Ok(Some(ForwardDown::Head { request_id, attempt, status, headers, replayed })) => {
-                if request_id == job.head.request_id && attempt == job.head.attempt {
-                    break (status, headers, replayed);
-                }
+    let (status, headers, replayed) = match frames.next().await {
+        Ok(Some(ForwardDown::Head { request_id, attempt, status, headers, replayed })) => {
+            if request_id != job.head.request_id || attempt != job.head.attempt {
                 job.app.metrics.record_late_answer();
-                return ForwardEnd::Lost;
+                return failed(Failure::Mismatched);
             }
-            Ok(Some(ForwardDown::Refused { reason, retry_after_ms })) => {
+            (status, headers, replayed)
+        }
+        Ok(Some(ForwardDown::Refused { reason, retry_after_ms })) => {
+            job.reached_target = reached_before;
+            return ForwardEnd::Failed { failure: Failure::Refused(reason), retry_after_ms };
+        }
+        Ok(Some(ForwardDown::Failed { ran })) => {
+            if ran == RanState::NotRun {
                 job.reached_target = reached_before;
-                return ForwardEnd::Refused { reason, retry_after_ms };
-            }
-            Ok(Some(ForwardDown::Failed { ran })) => return failed(job, ran, reached_before),
-            Ok(Some(ForwardDown::Data(_) | ForwardDown::End) | None) | Err(_) => {
-                return ForwardEnd::Lost;
             }
+            return failed(Failure::Failed(ran));
+        }
+        Ok(Some(ForwardDown::Data(_) | ForwardDown::End) | None) | Err(_) => {
+            return failed(Failure::NoAnswer);
         }
     };
     if replayed {
         job.app.metrics.record_replay();
     }
-    let Some(sender) = job.answer.take() else { return ForwardEnd::Lost };
+    let Some(sender) = job.answer.take() else { return failed(Failure::NoAnswer) };
     let bodiless = job.head.method == "HEAD" || matches!(status, 204 | 304);
     let (mut response, length) = answer_head(status, &headers, bodiless);
     let (body, parts) = if bodiless {
@@ -215,7 +219,7 @@
         match (next, &parts) {
             (Ok(Some(ForwardDown::Data(bytes))), Some(parts)) => {
                 if job.head.customer.is_some() && job.app.check_authority().is_err() {
-                    return ForwardEnd::Lost;
+                    return failed(Failure::NoAnswer);
                 }
                 if parts.send(Bytes::from(bytes)).await.is_err() {
                     return ForwardEnd::CallerGone;
@@ -224,7 +228,7 @@
             (Ok(Some(ForwardDown::Data(_))), None) => {}
             (Ok(Some(ForwardDown::End)), _) => break,
             // Dropping the body without its end breaks the connection off.
-            _ => return ForwardEnd::Lost,
+            _ => return failed(Failure::NoAnswer),
         }
     }
     if let Some(parts) = parts {
@@ -234,26 +238,11 @@
     ForwardEnd::Answered
 }
 
-fn failed(job: &mut ForwardJob, ran: RanState, reached_before: bool) -> ForwardEnd {
-    match ran {
-        RanState::NotRun => {
-            job.reached_target = reached_before;
-            ForwardEnd::Lost
-        }
-        RanState::Unknown => ForwardEnd::Lost,
-        RanState::Ran => {
-            let text = "the call ran; its answer is not kept";
-            let error = ApiError::new(ErrorCode::OutcomeUnknown, text);
-            ForwardEnd::Stopped(error.with_ran(RanState::Ran))
-        }
-    }
+const fn failed(failure: Failure) -> ForwardEnd {
+    ForwardEnd::Failed { failure, retry_after_ms: None }
 }
 
-fn answer_head(
-    status: u16,
-    headers: &[Header],
-    bodiless: bool,
-) -> (CallerResponse, Option<u64>) {
+fn answer_head(status: u16, headers: &[Header], bodiless: bool) -> (CallerResponse, Option<u64>) {
     let mut response = Response::new(CallerBody::whole(Bytes::new()));
     *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
     let mut length = None;
--- a/components/entry/src/forward_call.rs
+++ b/components/entry/src/forward_call.rs
@@ -13,7 +13,7 @@
 use config::Town;
 use http::request::Parts;
 use http::{HeaderMap, Method};
-use hyper::body::{Body, Incoming};
+use hyper::body::Body;
 use telemetry::Class;
 use tokio::sync::oneshot;
 use wire::{ForwardHead, Header};
@@ -52,8 +52,8 @@
     let key = presented_key(&parts.headers).map_err(head_error)?;
     let holder = holder_of(app, town, route_id, key)?;
     let route = town.route(route_id);
-    let repeatable = route.repeatable
-        || matches!(parts.method, Method::GET | Method::HEAD | Method::OPTIONS);
+    let repeatable =
+        route.repeatable || matches!(parts.method, Method::GET | Method::HEAD | Method::OPTIONS);
     let idempotency_key = if repeatable { None } else { idempotency_key(&parts.headers)? };
     let path_and_query = forwarded_target(&parts, key)?;
     let limits = app.settings.callers;
--- a/components/entry/src/forward_job.rs
+++ b/components/entry/src/forward_job.rs
@@ -4,17 +4,17 @@
 use std::time::Duration;
 
 use api::{ApiError, ErrorCode};
-use base::{ProcessName, RanState, Timestamp};
+use base::{RanState, Timestamp, hash_bytes};
 use bytes::Bytes;
 use compact_str::CompactString;
 use hyper::body::Incoming;
+use routing::{CallKind, Failure, Pick, RetryVerdict, retry_verdict};
 use telemetry::{Class, quote};
 use tokio::sync::oneshot;
 use tokio::time::{sleep, sleep_until};
 use wire::ForwardHead;
 
 use crate::app::App;
-use crate::choice::Choice;
 use crate::connection::Closer;
 use crate::dispatch::cancel_error;
 use crate::forward_attempt::{ForwardAttempt, ForwardEnd};
@@ -67,6 +67,7 @@
     pub(crate) async fn run(mut self) {
         let customer = self.head.customer.clone().unwrap_or_default();
         self.app.metrics.record_request(&customer, self.class);
+        self.app.note_call();
         let error = self.run_attempts().await;
         let took = self.app.clock.now().since(self.arrived);
         self.app.metrics.record_total(&customer, self.class, took, 0);
@@ -96,11 +97,11 @@
 
     /// Runs attempts until one decides the call; returns the error, if any.
     async fn run_attempts(&mut self) -> Option<ApiError> {
-        let mut tried: Vec<ProcessName> = Vec::new();
+        let affinity = hash_bytes(&self.head.request_id.0.to_le_bytes());
+        let mut tried: Vec<CompactString> = Vec::new();
         let mut last_error = None;
         loop {
-            let Some(choice) = self.app.choose_plain(&self.service, &self.head.route, &tried)
-            else {
+            let Some(pick) = self.app.choose_plain(&self.service, affinity, &tried) else {
                 return Some(last_error.unwrap_or_else(|| {
                     ApiError::new(ErrorCode::NoCapacity, "no target can take this call now")
                         .with_retry_after_ms(NO_CAPACITY_RETRY_MS)
@@ -108,25 +109,14 @@
             };
             let left = self.deadline.since(self.app.clock.now()).saturating_sub(DEADLINE_MARGIN);
             self.head.deadline_ms = u32::try_from(left.as_millis()).unwrap_or(u32::MAX);
-            let end = self.guarded_attempt(&choice).await;
+            let end = self.guarded_attempt(&pick).await;
             let error = match end {
                 ForwardEnd::Answered | ForwardEnd::CallerGone => return None,
                 ForwardEnd::Stopped(error) => return Some(error),
-                ForwardEnd::NotSent => {
-                    ApiError::new(ErrorCode::NoCapacity, "no target can take this call now")
-                        .with_ran(self.ran())
-                        .with_retry_after_ms(NO_CAPACITY_RETRY_MS)
-                }
-                ForwardEnd::Refused { reason, retry_after_ms } => {
-                    let error = refusal_error(reason, retry_after_ms).with_ran(self.ran());
-                    if !Choice::may_try_another(reason) {
-                        return Some(error);
-                    }
-                    error
-                }
-                ForwardEnd::Lost => {
-                    let error = self.lost_error();
-                    if !self.may_repeat() {
+                ForwardEnd::Failed { failure, retry_after_ms } => {
+                    let verdict = retry_verdict(self.kind(), failure);
+                    let error = self.failure_error(failure, verdict, retry_after_ms);
+                    if verdict != RetryVerdict::TryAnother {
                         return Some(error);
                     }
                     error
@@ -136,10 +126,10 @@
                 "event=attempt_failed request_id={} attempt={} target={} code={}",
                 self.head.request_id,
                 self.head.attempt,
-                quote(&choice.target),
+                quote(&pick.target),
                 error.code.as_str()
             );
-            tried.push(choice.process.name.clone());
+            tried.push(pick.target.clone());
             if self.answer.is_none() || matches!(self.payload, Payload::Spent) {
                 return Some(error);
             }
@@ -160,11 +150,11 @@
     }
 
     /// One attempt, ended by the deadline or from outside.
-    async fn guarded_attempt(&mut self, choice: &Choice) -> ForwardEnd {
+    async fn guarded_attempt(&mut self, pick: &Pick) -> ForwardEnd {
         let cancel = Rc::clone(&self.ticket.cancel);
         let deadline = sleep_until(self.app.clock.instant(self.deadline));
         let reason = tokio::select! {
-            end = ForwardAttempt { job: self, choice }.run() => return end,
+            end = ForwardAttempt { job: self, pick }.run() => return end,
             reason = cancel.cancelled() => reason,
             () = deadline => ErrorCode::DeadlineExceeded,
         };
@@ -180,22 +170,48 @@
         })
     }
 
-    /// Whether another side process may be asked after one that may have passed the call on.
-    fn may_repeat(&self) -> bool {
-        // A second claim under an idempotency key loses, so that asking again is safe.
-        self.head.repeatable || self.head.idempotency_key_sha256.is_some() || !self.reached_target
+    fn kind(&self) -> CallKind {
+        if self.head.repeatable {
+            CallKind::Repeatable
+        } else if self.head.idempotency_key_sha256.is_some() {
+            CallKind::OnceKeyed
+        } else {
+            CallKind::Once
+        }
     }
 
     fn ran(&self) -> RanState {
         if self.reached_target { RanState::Unknown } else { RanState::NotRun }
     }
 
-    fn lost_error(&self) -> ApiError {
-        if self.head.repeatable || !self.reached_target {
-            ApiError::new(ErrorCode::UpstreamFailed, "the target did not answer")
+    fn failure_error(
+        &self,
+        failure: Failure,
+        verdict: RetryVerdict,
+        retry_after_ms: Option<u32>,
+    ) -> ApiError {
+        let not_run = || {
+            ApiError::new(ErrorCode::NoCapacity, "no target can take this call now")
                 .with_ran(self.ran())
-        } else {
-            ApiError::new(ErrorCode::OutcomeUnknown, "the call may have run; its answer is lost")
+                .with_retry_after_ms(NO_CAPACITY_RETRY_MS)
+        };
+        match (failure, verdict) {
+            (Failure::Refused(reason), _) => {
+                refusal_error(reason, retry_after_ms).with_ran(self.ran())
+            }
+            (Failure::NotSent | Failure::Failed(RanState::NotRun), _) => not_run(),
+            (_, RetryVerdict::EndRan) => {
+                let text = "the call ran; its answer is not kept";
+                ApiError::new(ErrorCode::OutcomeUnknown, text).with_ran(RanState::Ran)
+            }
+            _ if self.head.repeatable => {
+                ApiError::new(ErrorCode::UpstreamFailed, "the target did not answer")
+                    .with_ran(self.ran())
+            }
+            _ => ApiError::new(
+                ErrorCode::OutcomeUnknown,
+                "the call may have run; its answer is lost",
+            ),
         }
     }
 }
--- a/components/entry/src/generate_call.rs
+++ b/components/entry/src/generate_call.rs
@@ -13,9 +13,7 @@
 
 use crate::app::App;
 use crate::clock::wall_seconds;
-use crate::dispatch::{
-    Arrival, auth_error, authenticated, cancel_error, current_town, read_body,
-};
+use crate::dispatch::{Arrival, auth_error, authenticated, cancel_error, current_town, read_body};
 use crate::generate_job::GenerateJob;
 use crate::in_flight::{Holder, Use};
 use crate::outlet::{AnswerHead, Outlet};
@@ -55,8 +53,7 @@
     let town = current_town(app)?;
     let caller = authenticate_hash(&town, &holder.key_sha256)
         .map_err(|_| cancel_error(ErrorCode::KeyWithdrawn))?;
-    let permission =
-        permit_model(&town, caller.customer, &call.model).map_err(auth_error)?;
+    let permission = permit_model(&town, caller.customer, &call.model).map_err(auth_error)?;
     ticket.name_model(&call.model);
     let model = town.model(permission.model);
     let max_output_tokens = call
--- a/components/entry/src/generate_job.rs
+++ b/components/entry/src/generate_job.rs
@@ -5,14 +5,15 @@
 use std::time::Duration;
 
 use api::{ApiError, ErrorCode, Usage};
-use base::{ProcessName, RanState, Timestamp, Tokens};
+use base::{RanState, Timestamp, Tokens};
+use compact_str::CompactString;
+use routing::{CallKind, Failure, RetryVerdict, retry_verdict};
 use telemetry::{Class, quote};
 use tokio::time::{sleep, sleep_until};
 use wire::{FinishReason, GenerateRequest, RefuseReason, ResumePoint};
 
 use crate::app::App;
 use crate::attempt::{Attempt, AttemptEnd};
-use crate::choice::Choice;
 use crate::connection::Closer;
 use crate::dispatch::cancel_error;
 use crate::in_flight::Ticket;
@@ -76,6 +77,7 @@
     /// Runs the job to its end.
     pub(crate) async fn run(mut self, mut outlet: Outlet) {
         self.app.metrics.record_request(&self.request.customer, self.class);
+        self.app.note_generation(&self.request.model, self.tokens.0);
         let mut progress = Progress::default();
         let reserved = tokio::select! {
             reserved = reserve(&self.app, &self.request.customer, self.tokens) => Ok(reserved),
@@ -85,8 +87,7 @@
             Err(stop) => (Outcome::Stopped(stop), None),
             Ok(Err(error)) => (Outcome::Failed(error), None),
             Ok(Ok(mut reservation)) => {
-                let outcome =
-                    self.run_attempts(&mut outlet, &mut progress, &mut reservation).await;
+                let outcome = self.run_attempts(&mut outlet, &mut progress, &mut reservation).await;
                 (outcome, Some(reservation))
             }
         };
@@ -114,20 +115,20 @@
         progress: &mut Progress,
         reservation: &mut Reservation,
     ) -> Outcome {
-        let mut tried: Vec<ProcessName> = Vec::new();
+        let mut tried: Vec<CompactString> = Vec::new();
         let mut last_error = None;
         loop {
-            let Some(choice) = self.app.choose_engine(&self.request, &tried) else {
+            let Some(pick) = self.app.choose_engine(&self.request, &tried) else {
                 return Outcome::Failed(last_error.unwrap_or_else(|| {
                     ApiError::new(ErrorCode::NoCapacity, "no target can take this request now")
                         .with_retry_after_ms(NO_CAPACITY_RETRY_MS)
                 }));
             };
             self.prepare(outlet, progress);
-            let attempt = Attempt { job: self, choice: &choice };
+            let attempt = Attempt { job: self, pick: &pick };
             let end = attempt.run(outlet, progress).await;
             reservation.set_used(self.used(progress));
-            let error = match end {
+            let end = match end {
                 AttemptEnd::Finished { reason, prompt_tokens, output_tokens } => {
                     let usage = Usage::new(prompt_tokens, output_tokens);
                     let reason = match reason {
@@ -139,22 +140,28 @@
                     return Outcome::Finished { output_tokens, used: Tokens(usage.total_tokens) };
                 }
                 AttemptEnd::Stopped(stop) => return Outcome::Stopped(stop),
-                AttemptEnd::Refused { reason, retry_after_ms } => {
-                    refusal_error(reason, retry_after_ms)
-                }
-                AttemptEnd::Broken => {
-                    ApiError::new(ErrorCode::UpstreamFailed, "the target broke off its answer")
+                AttemptEnd::Failed { failure, retry_after_ms } => {
+                    let error = match failure {
+                        Failure::Refused(reason) => refusal_error(reason, retry_after_ms),
+                        _ => ApiError::new(ErrorCode::UpstreamFailed, "the target did not answer"),
+                    };
+                    let verdict = retry_verdict(CallKind::Repeatable, failure);
+                    (error, verdict == RetryVerdict::TryAnother)
                 }
             };
+            let (error, may_retry) = end;
             log::info!(
                 "event=attempt_failed request_id={} attempt={} target={} code={}",
                 self.request.request_id,
                 self.request.attempt,
-                quote(&choice.target),
+                quote(&pick.target),
                 error.code.as_str()
             );
-            tried.push(choice.process.name.clone());
+            tried.push(pick.target.clone());
             let error = error.with_ran(self.ran(progress));
+            if !may_retry {
+                return Outcome::Failed(error);
+            }
             let Some(wait) = self.app.next_retry(self.request.attempt) else {
                 return Outcome::Failed(error);
             };
@@ -245,36 +252,20 @@
         RefuseReason::DeadlineTooShort => {
             (ErrorCode::DeadlineExceeded, "the request could not run in the time allowed")
         }
-        RefuseReason::IdempotencyMismatch => (
-            ErrorCode::IdempotencyMismatch,
-            "another body was sent under the same idempotency key",
-        ),
-        RefuseReason::LogUnavailable => (
-            ErrorCode::LogUnavailable,
-            "the log that records idempotency keys is unavailable",
-        ),
+        RefuseReason::IdempotencyMismatch => {
+            (ErrorCode::IdempotencyMismatch, "another body was sent under the same idempotency key")
+        }
+        RefuseReason::LogUnavailable => {
+            (ErrorCode::LogUnavailable, "the log that records idempotency keys is unavailable")
+        }
         RefuseReason::QueueFull => (ErrorCode::QueueFull, "the customer's queue is full"),
         RefuseReason::Draining
         | RefuseReason::NoCapacity
         | RefuseReason::TargetUnhealthy
-        | RefuseReason::Unknown => {
-            (ErrorCode::NoCapacity, "no target can take this request now")
-        }
+        | RefuseReason::Unknown => (ErrorCode::NoCapacity, "no target can take this request now"),
     };
     let error = ApiError::new(code, text).with_ran(RanState::NotRun);
     let helps = !matches!(code, ErrorCode::IdempotencyMismatch | ErrorCode::ClaimUnsettled);
     let wait = retry_after_ms.map_or(NO_CAPACITY_RETRY_MS, u64::from);
     if helps { error.with_retry_after_ms(wait) } else { error }
 }
-
-impl Choice {
-    /// Whether another target may be tried after this refusal.
-    pub(crate) const fn may_try_another(reason: RefuseReason) -> bool {
-        !matches!(
-            reason,
-            RefuseReason::ClaimUnsettled
-                | RefuseReason::IdempotencyMismatch
-                | RefuseReason::LogUnavailable
-        )
-    }
-}
--- a/components/entry/src/handle.rs
+++ b/components/entry/src/handle.rs
@@ -23,7 +23,6 @@
 use crate::config_reader::{ConfigFollower, FleetFollower};
 use crate::fleet::Fleet;
 use crate::heartbeats::{send_heartbeats, watch_authority, watch_vm_list};
-use crate::in_flight::InFlight;
 use crate::log_reader::follow;
 use crate::operators::serve_operators;
 use crate::peer_server::accept_peers;
@@ -118,7 +117,7 @@
     tasks.spawn_local(accept_peers(Rc::clone(&app), Rc::clone(&peer_listener), secret));
     tasks.spawn_local(serve_operators(Rc::clone(&app), operator_listener));
     tasks.spawn_local(accept_callers(Rc::clone(&app), caller_listener));
-    tasks.spawn_local(follow(Rc::clone(&app), ConfigFollower));
+    tasks.spawn_local(follow(Rc::clone(&app), ConfigFollower::default()));
     tasks.spawn_local(follow(Rc::clone(&app), SlotFollower));
     tasks.spawn_local(follow(Rc::clone(&app), FleetFollower::default()));
     tasks.spawn_local(plan_slots(Rc::clone(&app)));
@@ -180,7 +179,7 @@
         slots: RefCell::new(Slots::new(me.clone(), retention)),
         membership: RefCell::new(Membership::new(myself, settings.membership, clock.now())),
         authority: RefCell::new(authority),
-        fleet: RefCell::new(Fleet::default()),
+        fleet: RefCell::new(Fleet::new(&settings, rand::random(), clock.now())),
         granted_until: Cell::new(Timestamp::default()),
         catching_up: Cell::new(false),
         record_number: Cell::new(0),
--- a/components/entry/src/heartbeats.rs
+++ b/components/entry/src/heartbeats.rs
@@ -60,9 +60,7 @@
     }
 
     fn note_peer_state(self: &Rc<Self>, heartbeat: &Heartbeat, now: Timestamp) {
-        if let Some(report) = &heartbeat.target {
-            self.fleet.borrow_mut().take_report(&heartbeat.from, heartbeat.address, report, now);
-        }
+        self.fleet.borrow_mut().take_heartbeat(heartbeat, now);
         if heartbeat.role == Role::Entry && heartbeat.config_offset > self.version() {
             start_catch_up(self, heartbeat.address);
         }
@@ -87,6 +85,7 @@
         let (due, next) = {
             let mut membership = app.membership.borrow_mut();
             membership.expire(now);
+            app.expire_targets(&membership);
             (membership.due(now), membership.next_due())
         };
         for address in due {
--- a/components/entry/src/outlet.rs
+++ b/components/entry/src/outlet.rs
@@ -94,11 +94,9 @@
             let response = json_answer(whole_answer(head.dialect, &answer), &head.request_id);
             return self.answer(response);
         }
-        let mut events =
-            finish_event(head.dialect, &head.id, head.created, &head.model, reason);
+        let mut events = finish_event(head.dialect, &head.id, head.created, &head.model, reason);
         if head.include_usage {
-            events +=
-                &usage_event(head.dialect, &head.id, head.created, &head.model, usage);
+            events += &usage_event(head.dialect, &head.id, head.created, &head.model, usage);
         }
         events += DONE;
         self.open().await?;
@@ -173,9 +171,7 @@
 
     async fn send(&self, event: String) -> Result<(), CallerGone> {
         match &self.state {
-            State::Open(sender) => {
-                sender.send(Bytes::from(event)).await
-            }
+            State::Open(sender) => sender.send(Bytes::from(event)).await,
             State::Waiting(_) | State::Ended => Err(CallerGone),
         }
     }
--- a/components/entry/src/peer_server.rs
+++ b/components/entry/src/peer_server.rs
@@ -17,8 +17,7 @@
 
 /// Accepts peers until the task is aborted.
 pub(crate) async fn accept_peers(app: Rc<App>, listener: Rc<TcpListener>, secret: FleetSecret) {
-    let identity =
-        PeerIdentity { process: app.me.clone(), role: Some(base::Role::Entry) };
+    let identity = PeerIdentity { process: app.me.clone(), role: Some(base::Role::Entry) };
     let (sender, incoming) = mpsc::channel(INCOMING_BUFFER);
     tokio::task::spawn_local(answer_calls(app, incoming));
     loop {
--- a/components/entry/src/reserve.rs
+++ b/components/entry/src/reserve.rs
@@ -109,11 +109,7 @@
 }
 
 impl Running {
-    fn take_reply(
-        &mut self,
-        slot: SlotId,
-        outcome: Option<ReserveOutcome>,
-    ) -> Vec<CollectAction> {
+    fn take_reply(&mut self, slot: SlotId, outcome: Option<ReserveOutcome>) -> Vec<CollectAction> {
         let now = self.app.clock.now();
         match outcome {
             Some(outcome) => self.collection.replied(slot, &outcome, now),
--- a/components/entry/src/respond.rs
+++ b/components/entry/src/respond.rs
@@ -1,9 +1,7 @@
 //! Answers to callers.
 
 use api::ApiError;
-use http::header::{
-    CACHE_CONTROL, CONNECTION, CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER,
-};
+use http::header::{CACHE_CONTROL, CONNECTION, CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER};
 use http::{Response, StatusCode};
 
 use crate::caller_body::{CallerBody, PartSender};
