--- a/components/standin/src/engine_generate.rs
+++ b/components/standin/src/engine_generate.rs
@@ -29,6 +29,8 @@
 
 /// Events that may wait for a slow reader.
 const EVENTS: usize = 64;
+/// Time for hyper to write out the last events before a break, in milliseconds.
+const BREAK_PAUSE_MS: u64 = 20;
 /// Bytes of a request body kept in the journal.
 const JOURNAL_BODY_BYTES: usize = 16 << 10;
 /// Id of events that belong to another request, when no other request runs.
@@ -171,6 +173,9 @@
             };
             drop(admitted);
             if matches!(end, End::Break) {
+                // A broken body discards what hyper has not written yet; the tokens before the
+                // break are meant to arrive.
+                wait_ms(BREAK_PAUSE_MS).await;
                 sender.abort(Hangup);
             }
         });
--- a/components/standin/src/plain.rs
+++ b/components/standin/src/plain.rs
@@ -16,6 +16,8 @@
 
 /// Frames of an echoed body that may wait for a slow reader.
 const ECHO_FRAMES: usize = 8;
+/// Time for hyper to write out the last bytes before a break, in milliseconds.
+const BREAK_PAUSE_MS: u64 = 20;
 
 /// Settings of the stand-in plain service.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -178,7 +180,7 @@
             let (mut sender, channel) = Channel::new(ECHO_FRAMES);
             tokio::spawn(async move {
                 if sender.send_data(Bytes::from(settings.answer)).await.is_ok() {
-                    wait_ms(settings.chunk_delay_ms.max(1)).await;
+                    wait_ms(BREAK_PAUSE_MS).await;
                 }
                 sender.abort(Hangup);
             });
@@ -196,6 +198,7 @@
             if let Some(sender) = sender
                 && fate.breaks
             {
+                wait_ms(BREAK_PAUSE_MS).await;
                 sender.abort(Hangup);
             }
         });
