Bound the delay of a newcomer behind refunds, and test the queue

Cause: a refund that arrived after a small customer could move the large one's tag below the small one's, so that up to a batch of its requests started first (found by the property test, batch 2, nothing of the reserved tokens used). Change: a refund does not pass the smallest waiting tag; the rest becomes a credit on the next charges. Of equal tags the customer served longest ago goes first.

--- a/components/queue/src/customer.rs
+++ b/components/queue/src/customer.rs
@@ -29,6 +29,11 @@
     /// Start tag of the next request to start: the finish tag of the last one, or the virtual time
     /// at which the customer became active.
     pub start: u64,
+    /// Virtual time refunded beyond the smallest tag of the other waiting customers; it reduces the
+    /// next charges, so that a refund never lets this customer pass one that waits already.
+    pub credit: u64,
+    /// Number of the customer's last start among all starts; of equal tags the smaller goes first.
+    pub last_start: u64,
     pub ready: Vec<Ready>,
     pub queued_tokens: Tokens,
     pub queued_requests: usize,
@@ -47,6 +52,21 @@
         }
     }
 
+    /// Charges a start.
+    pub fn charge(&mut self, amount: u64) {
+        let credited = amount.min(self.credit);
+        self.credit -= credited;
+        self.start += amount - credited;
+    }
+
+    /// Gives back a charge, but lets the tag not fall below `floor`.
+    pub fn refund(&mut self, amount: u64, floor: u64) {
+        let lowest = floor.min(self.start);
+        let lowered = self.start.saturating_sub(amount).max(lowest);
+        self.credit += amount - (self.start - lowered);
+        self.start = lowered;
+    }
+
     /// The first request in order whose deadline has not passed.
     pub fn first_ready(&self, now: Timestamp) -> Option<Ready> {
         self.ready.iter().rev().find(|ready| ready.deadline > now).copied()
--- a/components/queue/src/fair_queue.rs
+++ b/components/queue/src/fair_queue.rs
@@ -36,6 +36,8 @@
     next_ticket: u64,
     /// Largest start tag served so far.
     virtual_time: u64,
+    /// Number of starts so far.
+    starts: u64,
     customers: SortedMap<CompactString, CustomerQueue>,
     waiting: SortedMap<Ticket, Waiting>,
     running: SortedMap<Ticket, Running>,
@@ -53,6 +55,7 @@
             limits,
             next_ticket: 0,
             virtual_time: 0,
+            starts: 0,
             customers: SortedMap::new(),
             waiting: SortedMap::new(),
             running: SortedMap::new(),
@@ -95,7 +98,9 @@
         }
         let ticket = Ticket(self.next_ticket);
         self.next_ticket += 1;
-        let floor = self.newcomer_start();
+        // A refund can move a waiting customer's tag below the virtual time; a newcomer at the virtual
+        // time would then wait behind all of that refund.
+        let floor = self.smallest_start(&request.customer);
         let customer = self.customers.get_or_insert_with(request.customer.clone(), || {
             CustomerQueue { start: floor, ..CustomerQueue::default() }
         });
@@ -114,25 +119,24 @@
         Ok(ticket)
     }
 
-    /// Start tag of a customer that becomes active: not behind any customer that waits.
-    ///
-    /// A refund can move a waiting customer's tag below the virtual time; a newcomer at the virtual
-    /// time would then wait behind all of that refund.
-    fn newcomer_start(&self) -> u64 {
+    /// Smallest start tag of the waiting customers but `except`; the virtual time if none waits or
+    /// that is smaller.
+    fn smallest_start(&self, except: &str) -> u64 {
         self.customers
-            .values()
-            .filter(|customer| !customer.ready.is_empty())
-            .map(|customer| customer.start)
+            .iter()
+            .filter(|(name, customer)| name.as_str() != except && !customer.ready.is_empty())
+            .map(|(_, customer)| customer.start)
             .fold(self.virtual_time, u64::min)
     }
 
     /// Lets a request start that waited for something.
     pub fn set_ready(&mut self, ticket: Ticket) {
-        let floor = self.newcomer_start();
-        let Some(waiting) = self.waiting.get_mut(&ticket) else { return };
+        let Some(waiting) = self.waiting.get(&ticket) else { return };
         if waiting.request.ready {
             return;
         }
+        let floor = self.smallest_start(&waiting.request.customer);
+        let Some(waiting) = self.waiting.get_mut(&ticket) else { return };
         waiting.request.ready = true;
         let entry = ready_entry(ticket, &waiting.request);
         if let Some(customer) = self.customers.get_mut(&waiting.request.customer) {
@@ -163,11 +167,11 @@
         if self.running.len() >= self.limits.batch as usize {
             return None;
         }
-        // Ties go to the older request.
-        let (start, ticket) = self
+        // Of equal tags the customer served longest ago goes first, so that a newcomer does not wait.
+        let (start, _, ticket) = self
             .customers
             .values()
-            .filter_map(|c| c.first_ready(now).map(|ready| (c.start, ready.ticket.0)))
+            .filter_map(|c| c.first_ready(now).map(|ready| (c.start, c.last_start, ready.ticket.0)))
             .min()?;
         let waiting = self.take_waiting(ticket)?;
         self.virtual_time = self.virtual_time.max(start);
@@ -175,7 +179,9 @@
         let Some(customer) = self.customers.get_mut(&waiting.request.customer) else {
             unreachable!("a queued request keeps its customer");
         };
-        customer.start = start + virtual_cost(cost, customer.weight);
+        customer.charge(virtual_cost(cost, customer.weight));
+        self.starts += 1;
+        customer.last_start = self.starts;
         customer.running += 1;
         self.running_tokens += cost;
         self.running.insert(ticket, Running { customer: waiting.request.customer, cost });
@@ -194,11 +200,16 @@
             self.used_share = self.used_share - (self.used_share >> USED_SHARE_SHIFT)
                 + (share >> USED_SHARE_SHIFT);
         }
+        let floor = self.smallest_start(&running.customer);
         if let Some(customer) = self.customers.get_mut(&running.customer) {
             customer.running -= 1;
             let reserved = virtual_cost(running.cost, customer.weight);
             let actual = virtual_cost(used, customer.weight);
-            customer.start = (customer.start + actual).saturating_sub(reserved);
+            if actual > reserved {
+                customer.charge(actual - reserved);
+            } else {
+                customer.refund(reserved - actual, floor);
+            }
         }
         self.forget_idle();
         true
--- /dev/null
+++ b/components/queue/tests/bounds.rs
@@ -0,0 +1,257 @@
+//! Bounds, deadlines, priorities and bookkeeping of the queue under random operations.
+
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use base::{Timestamp, Tokens};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, RngSeed, TestRunner};
+use queue::{FairQueue, QueueLimits, QueueRefusal, QueueRequest, Ticket};
+
+const SEED: u64 = 20_261_205;
+const CASES: u32 = 512;
+const LIMITS: QueueLimits =
+    QueueLimits { batch: 3, customer_requests: 4, customer_tokens: Tokens(1_000), tokens_per_s: 0 };
+
+fn fixed_seed() -> Config {
+    Config {
+        cases: CASES,
+        failure_persistence: None,
+        rng_algorithm: RngAlgorithm::ChaCha,
+        rng_seed: RngSeed::Fixed(SEED),
+        ..Config::default()
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Push { customer: u8, cost: u64, priority: u8, life_ms: u64, ready: bool },
+    Start,
+    Settle { nth: usize, used: u64 },
+    Cancel { nth: usize },
+    Ready { nth: usize },
+    Hold { nth: usize },
+    Expire,
+    Wait { ms: u64 },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (0..3_u8, 1..700_u64, 0..3_u8, 1..200_u64, any::<bool>()).prop_map(
+            |(customer, cost, priority, life_ms, ready)| {
+                Step::Push { customer, cost, priority, life_ms, ready }
+            }
+        ),
+        3 => Just(Step::Start),
+        2 => (0..8_usize, 0..900_u64).prop_map(|(nth, used)| Step::Settle { nth, used }),
+        1 => (0..8_usize).prop_map(|nth| Step::Cancel { nth }),
+        1 => (0..8_usize).prop_map(|nth| Step::Ready { nth }),
+        1 => (0..8_usize).prop_map(|nth| Step::Hold { nth }),
+        1 => Just(Step::Expire),
+        2 => (1..80_u64).prop_map(|ms| Step::Wait { ms }),
+    ]
+}
+
+#[derive(Clone, Debug)]
+struct Waiting {
+    request: QueueRequest,
+}
+
+/// The rules, kept by the test itself.
+#[derive(Default)]
+struct Model {
+    waiting: BTreeMap<Ticket, Waiting>,
+    running: Vec<Ticket>,
+}
+
+impl Model {
+    fn nth_waiting(&self, nth: usize) -> Option<Ticket> {
+        self.waiting.keys().nth(nth).copied()
+    }
+
+    fn check(&self, queue: &FairQueue) -> Result<(), String> {
+        let fail = |what: &str| Err(what.to_owned());
+        if self.running.len() > LIMITS.batch as usize {
+            return fail("more in flight than the batch");
+        }
+        for customer in ["c0", "c1", "c2"] {
+            let own: Vec<&Waiting> =
+                self.waiting.values().filter(|w| w.request.customer == customer).collect();
+            let tokens: Tokens = own.iter().map(|w| w.request.cost).sum();
+            if own.len() > LIMITS.customer_requests {
+                return fail("more requests queued than a customer may have");
+            }
+            if own.len() > 1 && tokens > LIMITS.customer_tokens {
+                return fail("more tokens queued than a customer may have");
+            }
+            if tokens != queue.queued_tokens_of(customer) {
+                return fail("queued tokens are miscounted");
+            }
+        }
+        if queue.queued() != self.waiting.len() || queue.running() != self.running.len() {
+            return fail("a request was lost or counted twice");
+        }
+        Ok(())
+    }
+
+    /// Whether a start of `ticket` is within deadline, readiness and priority.
+    fn check_start(&self, ticket: Ticket, now: Timestamp) -> Result<(), String> {
+        let Some(started) = self.waiting.get(&ticket) else {
+            return Err("started a request that was not queued".into());
+        };
+        if started.request.deadline <= now {
+            return Err("started a request past its deadline".into());
+        }
+        if !started.request.ready {
+            return Err("started a request that was held back".into());
+        }
+        let sooner = self.waiting.iter().any(|(other, w)| {
+            w.request.customer == started.request.customer
+                && w.request.ready
+                && w.request.deadline > now
+                && (w.request.priority, std::cmp::Reverse(*other))
+                    > (started.request.priority, std::cmp::Reverse(ticket))
+        });
+        if sooner { Err("a request of higher priority waits".into()) } else { Ok(()) }
+    }
+}
+
+/// Drives a queue through the steps. `clock` gives the time that the queue is told.
+fn check(
+    mut queue: FairQueue,
+    steps: &[Step],
+    clock: impl Fn(Timestamp) -> Timestamp,
+) -> Result<(), String> {
+    let (mut model, mut now) = (Model::default(), Timestamp::from_millis(1));
+    for step in steps {
+        match *step {
+            Step::Push { customer, cost, priority, life_ms, ready } => {
+                let request = QueueRequest {
+                    customer: format!("c{customer}").into(),
+                    weight: 1,
+                    cost: Tokens(cost),
+                    priority,
+                    deadline: now + Duration::from_millis(life_ms),
+                    ready,
+                };
+                if let Ok(ticket) = queue.push(request.clone(), clock(now)) {
+                    model.waiting.insert(ticket, Waiting { request });
+                }
+            }
+            Step::Start => {
+                if let Some(started) = queue.start_next(clock(now)) {
+                    model.check_start(started.ticket, now)?;
+                    model.waiting.remove(&started.ticket);
+                    model.running.push(started.ticket);
+                }
+            }
+            Step::Settle { nth, used } => {
+                if let Some(ticket) = model.running.get(nth).copied() {
+                    model.running.remove(nth);
+                    if !queue.settle(ticket, Tokens(used)) {
+                        return Err("a running request was unknown".into());
+                    }
+                }
+            }
+            Step::Cancel { nth } => {
+                if let Some(ticket) = model.nth_waiting(nth) {
+                    model.waiting.remove(&ticket);
+                    if !queue.cancel(ticket) {
+                        return Err("a queued request was unknown".into());
+                    }
+                }
+            }
+            Step::Ready { nth } | Step::Hold { nth } => {
+                if let Some(ticket) = model.nth_waiting(nth) {
+                    let ready = matches!(step, Step::Ready { .. });
+                    if ready {
+                        queue.set_ready(ticket)
+                    } else {
+                        queue.hold(ticket)
+                    }
+                    model.waiting.get_mut(&ticket).unwrap().request.ready = ready;
+                }
+            }
+            Step::Expire => {
+                for ticket in queue.expire(clock(now)) {
+                    match model.waiting.remove(&ticket) {
+                        Some(expired) if expired.request.deadline <= now => {}
+                        _ => return Err("expired too early, or twice".into()),
+                    }
+                }
+                if model.waiting.values().any(|w| w.request.deadline <= now) {
+                    return Err("a request past its deadline is still queued".into());
+                }
+            }
+            Step::Wait { ms } => now = now + Duration::from_millis(ms),
+        }
+        model.check(&queue)?;
+    }
+    Ok(())
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    proptest::collection::vec(step(), 1..120)
+}
+
+/// Whether the check fails in at least one of the cases.
+fn caught(limits: QueueLimits, clock: impl Fn(Timestamp) -> Timestamp + Copy) -> bool {
+    TestRunner::new(fixed_seed())
+        .run(&steps(), |steps| {
+            check(FairQueue::new(limits), &steps, clock).map_err(TestCaseError::fail)
+        })
+        .is_err()
+}
+
+/// Guards against lost or doubled requests, exceeded bounds, late starts and wrong priorities.
+#[test]
+fn bounds_hold_under_random_operations() {
+    TestRunner::new(fixed_seed())
+        .run(&steps(), |steps| {
+            check(FairQueue::new(LIMITS), &steps, |now| now).map_err(TestCaseError::fail)
+        })
+        .unwrap();
+}
+
+/// Shows that the check catches a queue without a bound on requests, on tokens, or on the batch.
+#[test]
+fn check_catches_missing_bounds() {
+    assert!(caught(QueueLimits { customer_requests: 100, ..LIMITS }, |now| now));
+    assert!(caught(QueueLimits { customer_tokens: Tokens(100_000), ..LIMITS }, |now| now));
+    assert!(caught(QueueLimits { batch: LIMITS.batch + 1, ..LIMITS }, |now| now));
+}
+
+/// Shows that the check catches a queue that does not look at the time.
+#[test]
+fn check_catches_ignored_deadlines() {
+    assert!(caught(LIMITS, |_| Timestamp::default()));
+}
+
+/// Guards against a request that waits in vain for a deadline that can't be met.
+#[test]
+fn deadline_that_cannot_be_met_is_refused_at_once() {
+    let now = Timestamp::from_millis(1);
+    let limits = QueueLimits { batch: 1, tokens_per_s: 1_000, ..QueueLimits::default() };
+    let mut queue = FairQueue::new(limits);
+    let request = |customer: &str, life_ms: u64| QueueRequest {
+        customer: customer.into(),
+        weight: 1,
+        cost: Tokens(1_000),
+        priority: 0,
+        deadline: now + Duration::from_millis(life_ms),
+        ready: true,
+    };
+    queue.push(request("large", 10_000), now).unwrap();
+    queue.start_next(now).unwrap();
+    for _ in 0..5 {
+        queue.push(request("large", 60_000), now).unwrap();
+    }
+    assert_eq!(
+        queue.push(request("large", 3_000), now),
+        Err(QueueRefusal::DeadlineTooShort { wait: Duration::from_secs(6) })
+    );
+    // Another customer waits for the one in flight and its fair part, not for the whole backlog.
+    assert!(queue.push(request("small", 3_000), now).is_ok());
+}
