--- a/components/placement/tests/ledger.rs
+++ b/components/placement/tests/ledger.rs
@@ -28,7 +28,7 @@
 fn fixed_seed() -> Config {
     Config {
         cases: CASES,
-        max_shrink_iters: 2_000,
+        max_shrink_iters: 0,
         failure_persistence: None,
         rng_algorithm: RngAlgorithm::ChaCha,
         rng_seed: RngSeed::Fixed(SEED),
