Show that answers and ends of asks need their numbers

The random check keeps the three rules that it catches. Conclusion: the numbers on Pin and Unpin are needed for safety.

--- a/components/placement/tests/pins.rs
+++ b/components/placement/tests/pins.rs
@@ -29,15 +29,22 @@
     /// A given pin is kept.
     keeps_pins: bool,
     /// An answer counts only for the ask that it names.
-    numbers_asks: bool,
+    numbers_answers: bool,
+    /// `Unpin` ends only the ask that it names.
+    numbers_unpins: bool,
     /// A new incarnation neither unloads nor gives pins before old orders have arrived.
     quarantine: bool,
     /// A side process whose unload is on its way gives no pin.
     unloading_gives_nothing: bool,
 }
 
-const ALL_RULES: Rules =
-    Rules { keeps_pins: true, numbers_asks: true, quarantine: true, unloading_gives_nothing: true };
+const ALL_RULES: Rules = Rules {
+    keeps_pins: true,
+    numbers_answers: true,
+    numbers_unpins: true,
+    quarantine: true,
+    unloading_gives_nothing: true,
+};
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum View {
@@ -194,12 +201,17 @@
             Message::Answer { giver, to, ask, answer } => {
                 let name = self.sides[giver].id.name.clone();
                 let Some(side) = self.sides.iter().position(|s| s.id == to) else { return };
-                let ask = if self.rules.numbers_asks { ask } else { self.sides[side].last_ask };
+                let ask = if self.rules.numbers_answers { ask } else { self.sides[side].last_ask };
                 self.sides[side].book.answered(MODEL, &name, ask, answer);
                 self.sides[side].waiting = false;
             }
             Message::Unpin { from, to, ask } => {
-                self.sides[to].book.end(MODEL, &from, ask);
+                let book = &mut self.sides[to].book;
+                if self.rules.numbers_unpins {
+                    book.end(MODEL, &from, ask);
+                } else {
+                    book.requester_gone(&from.name);
+                }
                 self.messages.push(Message::UnpinAnswer { giver: to, to: from, ask });
             }
             Message::UnpinAnswer { giver, to, ask } => {
@@ -370,11 +382,45 @@
 #[test]
 fn check_catches_each_missing_rule() {
     assert!(caught(Rules { keeps_pins: false, ..ALL_RULES }), "pins not kept");
-    assert!(caught(Rules { numbers_asks: false, ..ALL_RULES }), "answers without a number");
     assert!(caught(Rules { quarantine: false, ..ALL_RULES }), "no quarantine");
     assert!(caught(Rules { unloading_gives_nothing: false, ..ALL_RULES }), "unloading gives a pin");
 }
 
+/// Guards against an answer to an ended ask that counts for a newer one: the giver has unloaded since.
+#[test]
+fn late_answer_does_not_count_for_a_newer_ask() {
+    use Step::{Deliver, GiveUp, Read, Unload, Want};
+    let steps = [
+        // Side 1 asks side 0, which agrees; the answer is late and the ask is given up.
+        &[Want(1), Deliver(0), GiveUp(1), Deliver(1), Deliver(1)][..],
+        // Side 0 unloads with a pin of side 1.
+        &[Want(0), Deliver(1), Deliver(1), Unload(0), Deliver(1), Read(0), Deliver(1), Deliver(1)],
+        // Side 1 asks again, and the old answer arrives.
+        &[Want(1), Deliver(0), Unload(1), Deliver(1)],
+    ]
+    .concat();
+    run(ALL_RULES, 2, &steps).unwrap();
+    assert!(run(Rules { numbers_answers: false, ..ALL_RULES }, 2, &steps).is_err());
+}
+
+/// Guards against a late end of an older ask that ends a newer pin: both copies would go.
+#[test]
+fn late_unpin_does_not_end_a_newer_pin() {
+    use Step::{Deliver, GiveUp, Read, Repeat, Unload, Want};
+    let steps = [
+        // Side 1 is given a pin and ends it; a copy of the end is late.
+        &[Want(1), Deliver(0), Deliver(0), GiveUp(1), Repeat(0), Deliver(1)][..],
+        // Side 1 is given a pin again, and then the late copy arrives.
+        &[Want(1), Deliver(1), Deliver(1), Deliver(0), Deliver(0)],
+        // Side 0 unloads if nothing holds it, and side 1 relies on its pin.
+        &[Want(0), Deliver(0), Deliver(0), Unload(0), Deliver(0), Read(0), Deliver(0), Deliver(0)],
+        &[Unload(1), Deliver(0)],
+    ]
+    .concat();
+    run(ALL_RULES, 2, &steps).unwrap();
+    assert!(run(Rules { numbers_unpins: false, ..ALL_RULES }, 2, &steps).is_err());
+}
+
 /// Guards against a pin that nobody ends: an ask that arrives after its own end, and an end of an older
 /// ask that arrives during a newer one.
 #[test]
