--- a/components/entry/src/fleet.rs
+++ b/components/entry/src/fleet.rs
@@ -12,7 +12,7 @@
     Backoff, Choice, Delays, ModelNeed, Pick, PlainNeed, RetryBudget, Router, SendId,
     prefix_blocks, reach_of,
 };
-use wire::{GenerateRequest, Heartbeat, ModelDemand};
+use wire::{GenerateRequest, Heartbeat, ModelDemand, SlotId};
 
 use crate::app::App;
 use crate::demand::DemandMeter;
@@ -84,6 +84,24 @@
         membership.member(&process.name).filter(|m| m.process == *process).map(|m| m.address)
     }
 
+    /// Whether every bucket slot has a live owner and every target has reported itself healthy.
+    pub(crate) fn knows_fleet(&self) -> bool {
+        let Some(town) = self.town() else { return false };
+        let slots = self.slots.borrow();
+        let slots_owned = (0..town.buckets.partitions.max(1)).all(|partition| {
+            (0..town.buckets.slots.max(1)).all(|index| {
+                let owner = slots.ledger.owner(SlotId { partition, index });
+                owner.is_some_and(|owner| *owner == self.me || !self.is_gone(owner))
+            })
+        });
+        let fleet = self.fleet.borrow();
+        let mut targets = town.services.iter().flat_map(|service| &service.targets);
+        slots_owned
+            && targets.all(|target| {
+                fleet.router.target(&target.name).is_some_and(|info| info.report.healthy)
+            })
+    }
+
     /// Counts a request in the demand for its model and in the budget of retries.
     pub(crate) fn note_generation(&self, model: &str, tokens: u64) {
         let now = self.clock.now();
--- a/components/entry/src/handle.rs
+++ b/components/entry/src/handle.rs
@@ -64,6 +64,11 @@
         self.app.not_ready_reason().is_none()
     }
 
+    /// Whether every bucket slot has a live owner and every target has reported itself healthy.
+    pub fn knows_fleet(&self) -> bool {
+        self.app.knows_fleet()
+    }
+
     /// Starts a graceful stop; a second call changes nothing.
     pub fn stop(&self) {
         self.app.stage.send_if_modified(|stage| {
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -17,6 +17,7 @@
 
 Commands:
   demo     run the whole path in one process and check it
+  entry    answer callers
   status   show the state of running processes
 
 Options:
@@ -30,6 +31,7 @@
     match parser.next() {
         Ok(Some(Value(name))) => match name.to_str() {
             Some("demo") => cmd::demo::run(parser),
+            Some("entry") => cmd::entry::run(parser),
             // For tests only, so the help text does not list it.
             Some("standin") => cmd::standin::run(parser),
             Some("status") => cmd::status::run(parser),
