--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -2,5 +2,6 @@
 
 pub mod demo;
 pub mod entry;
+pub mod side;
 pub mod standin;
 pub mod status;
