--- a/components/entry/src/fleet.rs
+++ b/components/entry/src/fleet.rs
@@ -84,7 +84,7 @@
         membership.member(&process.name).filter(|m| m.process == *process).map(|m| m.address)
     }
 
-    /// Whether every bucket slot has a live owner and every target has reported itself healthy.
+    /// Whether every bucket slot has a live owner and every target takes requests and orders.
     pub(crate) fn knows_fleet(&self) -> bool {
         let Some(town) = self.town() else { return false };
         let slots = self.slots.borrow();
@@ -98,7 +98,10 @@
         let mut targets = town.services.iter().flat_map(|service| &service.targets);
         slots_owned
             && targets.all(|target| {
-                fleet.router.target(&target.name).is_some_and(|info| info.report.healthy)
+                fleet
+                    .router
+                    .target(&target.name)
+                    .is_some_and(|info| info.report.healthy && !info.report.quarantined)
             })
     }
 
--- a/components/entry/src/handle.rs
+++ b/components/entry/src/handle.rs
@@ -64,7 +64,7 @@
         self.app.not_ready_reason().is_none()
     }
 
-    /// Whether every bucket slot has a live owner and every target has reported itself healthy.
+    /// Whether every bucket slot has a live owner and every target takes requests and orders.
     pub fn knows_fleet(&self) -> bool {
         self.app.knows_fleet()
     }
--- a/src/cmd/demo/checks.rs
+++ b/src/cmd/demo/checks.rs
@@ -229,7 +229,7 @@
 async fn metrics(site: &Site, report: &mut Report) -> Result<(), Error> {
     let call = Call::new(Method::GET, "/metrics", None, String::new());
     let answer = call_once(site.entries[0].operator_address(), call).await?;
-    let series = "time_to_first_token_seconds_count{class=\"whole\",customer=\"capel\"}";
+    let series = "time_to_first_token_seconds_count{class=\"whole\",customer=\"capel\"";
     let found = answer.text.lines().any(|line| line.starts_with(series));
     report.add("metrics by customer and class", "yes", if found { "yes" } else { "no" });
     Ok(())
