--- /dev/null
+++ b/components/auth/tests/callers.rs
@@ -0,0 +1,105 @@
+//! Keys, customers and permissions.
+
+use auth::{
+    AuthFault, authenticate, authenticate_hash, hash_key, permit_model, permit_route,
+    permitted_names,
+};
+use base::{AdapterId, CustomerId, ModelId, RouteId};
+use config::{Access, Adapter, Customer, KeyEntry, Model, Route, Town};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const CAPEL: CustomerId = CustomerId(0);
+const STIWDIO: CustomerId = CustomerId(1);
+
+fn town() -> Town {
+    let customer = |name: &str| Customer { name: name.into(), ..Customer::default() };
+    let mut keys = vec![
+        KeyEntry { sha256: hash_key("key-capel"), name: "k1".into(), customer: CAPEL },
+        KeyEntry { sha256: hash_key("key-stiwdio"), name: "k2".into(), customer: STIWDIO },
+    ];
+    keys.sort_by_key(|key| key.sha256);
+    let only = |customer| Access::Customers(vec![customer]);
+    let model = |name: &str, access| Model { name: name.into(), access, ..Model::default() };
+    let adapter = |name: &str, access| Adapter { name: name.into(), access, ..Adapter::default() };
+    let route = |name: &str, access| Route { name: name.into(), access, ..Route::default() };
+    Town {
+        customers: vec![customer("capel"), customer("stiwdio")],
+        keys,
+        models: vec![model("open", Access::All), model("own", only(STIWDIO))],
+        adapters: vec![adapter("open-capel", only(CAPEL))],
+        routes: vec![route("pay", only(CAPEL)), route("public", Access::All)],
+        ..Town::default()
+    }
+}
+
+/// Guards against a key that stands for another customer, or for none.
+#[test]
+fn a_key_stands_for_its_customer_only() {
+    let town = town();
+    assert_eq!(authenticate(&town, "key-capel").map(|caller| caller.customer), Ok(CAPEL));
+    assert_eq!(authenticate(&town, "key-stiwdio").map(|caller| caller.customer), Ok(STIWDIO));
+    for wrong in ["", "key", "key-capel ", "KEY-CAPEL", "k1"] {
+        assert_eq!(authenticate(&town, wrong), Err(AuthFault::UnknownKey), "{wrong:?}");
+    }
+}
+
+/// Guards against a running request that outlives the withdrawal of its key.
+#[test]
+fn a_withdrawn_key_is_unknown_by_its_hash() {
+    let mut town = town();
+    let hash = hash_key("key-capel");
+    assert!(authenticate_hash(&town, &hash).is_ok());
+    town.keys.retain(|key| key.sha256 != hash);
+    assert_eq!(authenticate_hash(&town, &hash), Err(AuthFault::UnknownKey));
+}
+
+/// Guards against use of another customer's model or adapter.
+#[test]
+fn names_resolve_to_models_and_adapters_that_the_customer_may_use() {
+    let town = town();
+    let permitted = permit_model(&town, CAPEL, "open").map(|p| (p.model, p.adapter));
+    assert_eq!(permitted, Ok((ModelId(0), None)));
+    let permitted = permit_model(&town, CAPEL, "open-capel").map(|p| (p.model, p.adapter));
+    assert_eq!(permitted, Ok((ModelId(0), Some(AdapterId(0)))));
+    assert_eq!(permit_model(&town, CAPEL, "own"), Err(AuthFault::NotAllowed));
+    assert_eq!(permit_model(&town, STIWDIO, "open-capel"), Err(AuthFault::NotAllowed));
+    assert_eq!(permit_model(&town, CAPEL, "none"), Err(AuthFault::UnknownModel));
+    let names: Vec<&str> = permitted_names(&town, CAPEL).collect();
+    assert_eq!(names, ["open", "open-capel"]);
+    let names: Vec<&str> = permitted_names(&town, STIWDIO).collect();
+    assert_eq!(names, ["open", "own"]);
+}
+
+/// Guards against calls on a customer's route by others, and against a key needed on a public one.
+#[test]
+fn routes_are_public_or_for_their_customers() {
+    let town = town();
+    let (pay, public) = (RouteId(0), RouteId(1));
+    assert_eq!(permit_route(&town, Some(CAPEL), pay), Ok(()));
+    assert_eq!(permit_route(&town, Some(STIWDIO), pay), Err(AuthFault::NotAllowed));
+    assert_eq!(permit_route(&town, None, pay), Err(AuthFault::UnknownKey));
+    assert_eq!(permit_route(&town, None, public), Ok(()));
+    assert_eq!(permit_route(&town, Some(STIWDIO), public), Ok(()));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 512,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(7),
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against any other text that passes for a key.
+    #[test]
+    fn no_other_text_is_a_key(text in "\\PC{0,24}") {
+        let expected = match text.as_str() {
+            "key-capel" => Ok(CAPEL),
+            "key-stiwdio" => Ok(STIWDIO),
+            _ => Err(AuthFault::UnknownKey),
+        };
+        let found = authenticate(&town(), &text).map(|caller| caller.customer);
+        prop_assert_eq!(found, expected);
+    }
+}
