Test bad input at a real caller's socket; bound the bytes read after an answer

Cause: after refusing an endless body, the connection was read for 500 ms to let the caller see its answer, which on loopback took more than 32 MiB. Change: at most 1 MiB is read then.

--- a/components/entry/src/connection.rs
+++ b/components/entry/src/connection.rs
@@ -29,6 +29,8 @@
 /// Longest time that a closed connection is read from, so that the caller can read its answer before
 /// the reset that unread bytes cause.
 const LINGER_LIMIT: Duration = Duration::from_millis(500);
+/// Most bytes read in that time.
+const LINGER_BYTES: usize = 1 << 20;
 /// Room of the parser; heads are already checked against the limit in the settings.
 const PARSER_HEADERS: usize = 256;
 
@@ -107,12 +109,18 @@
     }
 }
 
-/// Says that nothing more comes, then reads what the caller still sends, within a limit.
+/// Says that nothing more comes, then reads what the caller still sends, within limits.
 async fn linger(mut socket: TcpStream) {
     let mut space = [0; 8_192];
     let drain = async {
         if socket.shutdown().await.is_ok() {
-            while matches!(socket.read(&mut space).await, Ok(length) if length > 0) {}
+            let mut read = 0;
+            while read < LINGER_BYTES {
+                match socket.read(&mut space).await {
+                    Ok(length) if length > 0 => read += length,
+                    Ok(_) | Err(_) => return,
+                }
+            }
         }
     };
     // The socket is dropped either way.
--- a/components/entry/src/fleet.rs
+++ b/components/entry/src/fleet.rs
@@ -84,25 +84,33 @@
         membership.member(&process.name).filter(|m| m.process == *process).map(|m| m.address)
     }
 
-    /// Whether every bucket slot has a live owner and every target takes requests and orders.
-    pub(crate) fn knows_fleet(&self) -> bool {
+    /// Whether every bucket slot has a live owner.
+    pub(crate) fn all_slots_owned(&self) -> bool {
         let Some(town) = self.town() else { return false };
         let slots = self.slots.borrow();
-        let slots_owned = (0..town.buckets.partitions.max(1)).all(|partition| {
+        (0..town.buckets.partitions.max(1)).all(|partition| {
             (0..town.buckets.slots.max(1)).all(|index| {
                 let owner = slots.ledger.owner(SlotId { partition, index });
                 owner.is_some_and(|owner| *owner == self.me || !self.is_gone(owner))
             })
-        });
+        })
+    }
+
+    /// Whether a target takes requests and orders.
+    pub(crate) fn knows_target(&self, target: &str) -> bool {
         let fleet = self.fleet.borrow();
-        let mut targets = town.services.iter().flat_map(|service| &service.targets);
-        slots_owned
-            && targets.all(|target| {
-                fleet
-                    .router
-                    .target(&target.name)
-                    .is_some_and(|info| info.report.healthy && !info.report.quarantined)
-            })
+        fleet
+            .router
+            .target(target)
+            .is_some_and(|info| info.report.healthy && !info.report.quarantined)
+    }
+
+    /// Whether every target of the configuration takes requests and orders.
+    pub(crate) fn knows_all_targets(&self) -> bool {
+        self.town().is_some_and(|town| {
+            let mut targets = town.services.iter().flat_map(|service| &service.targets);
+            targets.all(|target| self.knows_target(&target.name))
+        })
     }
 
     /// Counts a request in the demand for its model and in the budget of retries.
--- a/components/entry/src/handle.rs
+++ b/components/entry/src/handle.rs
@@ -64,9 +64,19 @@
         self.app.not_ready_reason().is_none()
     }
 
+    /// Whether every bucket slot has a live owner.
+    pub fn all_slots_owned(&self) -> bool {
+        self.app.all_slots_owned()
+    }
+
+    /// Whether the target takes requests and orders.
+    pub fn knows_target(&self, target: &str) -> bool {
+        self.app.knows_target(target)
+    }
+
     /// Whether every bucket slot has a live owner and every target takes requests and orders.
     pub fn knows_fleet(&self) -> bool {
-        self.app.knows_fleet()
+        self.app.all_slots_owned() && self.app.knows_all_targets()
     }
 
     /// Starts a graceful stop; a second call changes nothing.
--- /dev/null
+++ b/components/entry/tests/common/mod.rs
@@ -0,0 +1,173 @@
+//! A real entry process between raw sockets and scripted side processes.
+
+#![allow(dead_code, reason = "each test binary uses a part")]
+#![expect(clippy::unwrap_used, reason = "helpers of tests may panic")]
+
+pub mod fake_side;
+pub mod raw;
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use base::{Incarnation, Offset, ProcessId, ProcessName, Role};
+use changes::{CONFIG_STREAM, Change, Record, RecordId};
+use config::{EntrySettings, PlatformSettings, ProcessSettings, SourceFile, format_sha256};
+use entry::EntryHandle;
+use standin::{ListedState, ListedVm, LogServer, LogServerSettings, VmListServer, VmListSettings};
+use tokio::task::LocalSet;
+
+use self::fake_side::FakeSide;
+
+pub const SECRET: &str = "test-fleet-secret-0123456789";
+/// Key of `capel`, with a rate that no test reaches.
+pub const KEY: &str = "sk-capel-0001";
+/// Second key of `capel`.
+pub const OLD_KEY: &str = "sk-capel-old-0002";
+/// Key of `stiwdio`: 100 tokens at once, then one a second.
+pub const SMALL_KEY: &str = "sk-stiwdio-0003";
+
+/// Runs a test on one thread, with a limit that only a hang reaches.
+pub fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let limited = async { tokio::time::timeout(Duration::from_secs(60), test).await.unwrap() };
+    LocalSet::new().block_on(&runtime, limited);
+}
+
+/// Waits until `condition` holds.
+pub async fn eventually(mut condition: impl FnMut() -> bool) {
+    let wait = async {
+        while !condition() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(Duration::from_secs(20), wait).await.expect("condition never held");
+}
+
+fn base_file() -> String {
+    let hash = |key: &str| format_sha256(&auth::hash_key(key));
+    format!(
+        "\
+name: town
+data_centres: [{{name: dc-a, region: north}}]
+customers:
+  - {{name: capel, rate_tokens_per_s: 1000000, burst_tokens: 4000000}}
+  - {{name: stiwdio, rate_tokens_per_s: 1, burst_tokens: 100}}
+keys:
+  - {{name: capel-1, customer: capel, sha256: {}}}
+  - {{name: capel-old, customer: capel, sha256: {}}}
+  - {{name: stiwdio-1, customer: stiwdio, sha256: {}}}
+services:
+  - name: engines
+    targets:
+      - {{name: e1, data_centre: dc-a, memory_mb: 1000, tokens_per_s: 1000}}
+      - {{name: e2, data_centre: dc-a, memory_mb: 1000, tokens_per_s: 1000}}
+  - name: shop
+    kind: plain
+    targets: [{{name: s1, data_centre: dc-a}}, {{name: s2, data_centre: dc-a}}]
+models:
+  - {{name: m, version: v1, service: engines, memory_mb: 100, default_max_output_tokens: 8}}
+  - {{name: theirs, version: v1, service: engines, memory_mb: 100, customers: [stiwdio]}}
+adapters:
+  - {{name: m-fish, model: m, memory_mb: 5}}
+routes:
+  - {{name: pay, prefix: /pay/, service: shop, customers: [capel], timeout_ms: 3000}}
+  - {{name: look, prefix: /look/, service: shop, customers: [capel], repeatable: true, timeout_ms: 3000}}
+  - {{name: public, prefix: /public/, service: shop, public: true, repeatable: true}}
+",
+        hash(KEY),
+        hash(OLD_KEY),
+        hash(SMALL_KEY)
+    )
+}
+
+/// A log, a VM list, one entry process and scripted side processes.
+pub struct Site {
+    pub log: LogServer,
+    pub vm_list: VmListServer,
+    pub entry: EntryHandle,
+    pub sides: Vec<FakeSide>,
+    published: u64,
+}
+
+pub fn settings() -> EntrySettings {
+    EntrySettings {
+        process: ProcessSettings {
+            name: "entry-1".into(),
+            vm: "vm-entry-1".into(),
+            region: "north".into(),
+            data_centre: "dc-a".into(),
+            fleet_secret: SECRET.into(),
+            drain_limit_ms: 5_000,
+            ..ProcessSettings::default()
+        },
+        drain_notice_ms: 50,
+        ..EntrySettings::default()
+    }
+}
+
+impl Site {
+    /// Starts an entry with these settings and the side processes of `targets`, and waits until it
+    /// serves.
+    pub async fn start(settings: EntrySettings, targets: &[&str]) -> Self {
+        let log = LogServer::start(LogServerSettings::default()).await.unwrap();
+        let vm_list = VmListServer::start(VmListSettings::default()).await.unwrap();
+        let settings = EntrySettings {
+            platform: PlatformSettings {
+                log_address: log.address(),
+                vm_list_address: vm_list.address(),
+                ..settings.platform
+            },
+            ..settings
+        };
+        let entry = entry::start(settings).await.unwrap();
+        let mut sides = Vec::new();
+        for target in targets {
+            sides.push(FakeSide::start(target, entry.peer_address()).await);
+        }
+        let listed = ListedVm {
+            name: "vm-entry-1".into(),
+            address: entry.peer_address(),
+            role: Role::Entry,
+            region: "north".into(),
+            data_centre: "dc-a".into(),
+            state: ListedState::Live,
+        };
+        vm_list.update(|settings| settings.vms = vec![listed]);
+        let mut site = Self { log, vm_list, entry, sides, published: 0 };
+        let base = SourceFile::new("base.yaml", &base_file());
+        let overlays = Vec::new();
+        site.publish(Change::Files { base_version: Offset(0), base, overlays });
+        site.wait_until_ready(targets).await;
+        site
+    }
+
+    async fn wait_until_ready(&self, targets: &[&str]) {
+        eventually(|| self.entry.is_ready() && self.entry.all_slots_owned()).await;
+        eventually(|| targets.iter().all(|target| self.entry.knows_target(target))).await;
+    }
+
+    /// Puts a change on the log.
+    pub fn publish(&mut self, change: Change) {
+        self.published += 1;
+        let writer = ProcessId { name: ProcessName::new("test"), incarnation: Incarnation(1) };
+        let id = RecordId::new(&writer, self.published);
+        let payload = Record { id: id.clone(), change }.encode().unwrap();
+        self.log.append(CONFIG_STREAM, &id.0, &payload);
+    }
+
+    /// Withdraws a key.
+    pub fn withdraw(&mut self, name: &str) {
+        self.publish(Change::WithdrawKey { name: name.into() });
+    }
+
+    /// Where callers connect.
+    pub fn callers(&self) -> SocketAddr {
+        self.entry.caller_address()
+    }
+}
+
+/// Body of a completion.
+pub fn completion(model: &str, tokens: u64, stream: bool) -> String {
+    format!(r#"{{"model":"{model}","prompt":"hello","max_tokens":{tokens},"stream":{stream}}}"#)
+}
