--- a/components/entry/src/fleet.rs
+++ b/components/entry/src/fleet.rs
@@ -12,7 +12,7 @@
     Backoff, Choice, Delays, ModelNeed, Pick, PlainNeed, RetryBudget, Router, SendId,
     prefix_blocks, reach_of,
 };
-use wire::{GenerateRequest, Heartbeat, ModelDemand};
+use wire::{GenerateRequest, Heartbeat, ModelDemand, SlotId};
 
 use crate::app::App;
 use crate::demand::DemandMeter;
@@ -84,6 +84,35 @@
         membership.member(&process.name).filter(|m| m.process == *process).map(|m| m.address)
     }
 
+    /// Whether every bucket slot has a live owner.
+    pub(crate) fn all_slots_owned(&self) -> bool {
+        let Some(town) = self.town() else { return false };
+        let slots = self.slots.borrow();
+        (0..town.buckets.partitions.max(1)).all(|partition| {
+            (0..town.buckets.slots.max(1)).all(|index| {
+                let owner = slots.ledger.owner(SlotId { partition, index });
+                owner.is_some_and(|owner| *owner == self.me || !self.is_gone(owner))
+            })
+        })
+    }
+
+    /// Whether a target takes requests and orders.
+    pub(crate) fn knows_target(&self, target: &str) -> bool {
+        let fleet = self.fleet.borrow();
+        fleet
+            .router
+            .target(target)
+            .is_some_and(|info| info.report.healthy && !info.report.quarantined)
+    }
+
+    /// Whether every target of the configuration takes requests and orders.
+    pub(crate) fn knows_all_targets(&self) -> bool {
+        self.town().is_some_and(|town| {
+            let mut targets = town.services.iter().flat_map(|service| &service.targets);
+            targets.all(|target| self.knows_target(&target.name))
+        })
+    }
+
     /// Counts a request in the demand for its model and in the budget of retries.
     pub(crate) fn note_generation(&self, model: &str, tokens: u64) {
         let now = self.clock.now();
