--- /dev/null
+++ b/components/once/tests/claims/main.rs
@@ -0,0 +1,6 @@
+//! Tests of at-most-once claims.
+
+mod common;
+mod random;
+mod replay;
+mod settle;
--- /dev/null
+++ b/components/once/tests/claims/random.rs
@@ -0,0 +1,312 @@
+//! Random histories: whatever is lost, repeated, delayed or restarted, a call runs at most once.
+
+use base::{Offset, Timestamp};
+use once::{Append, AttemptId, Begin, Claims, Settlement, SettlementResult};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+
+use crate::common::{START_MS, body, key, outcome, side};
+
+const SIDES: usize = 3;
+const NAMES: [&str; SIDES] = ["a", "b", "c"];
+const KEYS: u8 = 3;
+
+#[derive(Clone, Debug)]
+enum Step {
+    /// A side starts an attempt; the append may be stored at once, late, twice or never.
+    Begin {
+        side: usize,
+        key: u8,
+        append: Fate,
+    },
+    /// A delayed append reaches the log.
+    Arrive(usize),
+    /// A record of the log is appended again.
+    Repeat(usize),
+    /// A side reads some records.
+    Read(usize, usize),
+    /// A side gets one record out of order.
+    Stray(usize, usize),
+    Tick,
+    GiveUp(usize),
+    /// A run ends with an answer, without one, or before anything was sent.
+    Finish {
+        run: usize,
+        append: Fate,
+    },
+    Lose(usize),
+    Release {
+        run: usize,
+        append: Fate,
+    },
+    Snapshot {
+        side: usize,
+        append: Fate,
+    },
+    Trim,
+    Restart(usize),
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Fate {
+    Stored,
+    StoredTwice,
+    Delayed,
+    Lost,
+}
+
+fn fate() -> impl Strategy<Value = Fate> {
+    prop_oneof![
+        4 => Just(Fate::Stored),
+        1 => Just(Fate::StoredTwice),
+        2 => Just(Fate::Delayed),
+        1 => Just(Fate::Lost),
+    ]
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let side = 0..SIDES;
+    let any = 0..60_usize;
+    prop_oneof![
+        6 => (side.clone(), 0..KEYS, fate())
+            .prop_map(|(side, key, append)| Step::Begin { side, key, append }),
+        2 => any.clone().prop_map(Step::Arrive),
+        1 => any.clone().prop_map(Step::Repeat),
+        8 => (side.clone(), 1..6_usize).prop_map(|(side, count)| Step::Read(side, count)),
+        2 => (side.clone(), any.clone()).prop_map(|(side, at)| Step::Stray(side, at)),
+        2 => Just(Step::Tick),
+        1 => any.clone().prop_map(Step::GiveUp),
+        2 => (any.clone(), fate()).prop_map(|(run, append)| Step::Finish { run, append }),
+        1 => any.clone().prop_map(Step::Lose),
+        2 => (any, fate()).prop_map(|(run, append)| Step::Release { run, append }),
+        1 => (side.clone(), fate())
+            .prop_map(|(side, append)| Step::Snapshot { side, append }),
+        1 => Just(Step::Trim),
+        1 => side.prop_map(Step::Restart),
+    ]
+}
+
+/// An attempt that was told to run.
+struct Run {
+    side: usize,
+    attempt: AttemptId,
+    key: u8,
+    /// Nothing was sent to the target.
+    unsent: bool,
+}
+
+struct World {
+    log: Vec<Vec<u8>>,
+    oldest: u64,
+    delayed: Vec<Append>,
+    sides: Vec<Claims>,
+    incarnations: u64,
+    begun: Vec<(AttemptId, u8)>,
+    told_not_run: Vec<AttemptId>,
+    runs: Vec<Run>,
+    now: Timestamp,
+}
+
+impl World {
+    fn new() -> Self {
+        Self {
+            log: Vec::new(),
+            oldest: 1,
+            delayed: Vec::new(),
+            sides: NAMES.iter().map(|name| side(name, 1)).collect(),
+            incarnations: 1,
+            begun: Vec::new(),
+            told_not_run: Vec::new(),
+            runs: Vec::new(),
+            now: Timestamp::default(),
+        }
+    }
+
+    fn append(&mut self, append: Append, fate: Fate) {
+        match fate {
+            Fate::Stored => self.log.push(append.payload),
+            Fate::StoredTwice => {
+                self.log.push(append.payload.clone());
+                self.delayed.push(append.clone());
+                self.log.push(append.payload);
+            }
+            Fate::Delayed => self.delayed.push(append),
+            Fate::Lost => {}
+        }
+    }
+
+    fn settle(&mut self, at: usize, settlements: Vec<Settlement>) {
+        for Settlement { attempt, result } in settlements {
+            match result {
+                SettlementResult::Run => {
+                    let Some((_, key)) = self.begun.iter().find(|(id, _)| *id == attempt) else {
+                        panic!("run of an attempt that never began: {attempt:?}")
+                    };
+                    let key = *key;
+                    assert!(
+                        !self.told_not_run.contains(&attempt),
+                        "run after not_run: {attempt:?}"
+                    );
+                    let earlier = self.runs.iter().filter(|run| run.key == key && !run.unsent);
+                    assert_eq!(earlier.count(), 0, "key {key} ran before {attempt:?}");
+                    self.runs.push(Run { side: at, attempt, key, unsent: false });
+                }
+                SettlementResult::Lost(_) | SettlementResult::Unsettled => {
+                    self.told_not_run.push(attempt);
+                }
+                SettlementResult::Late(append) => {
+                    assert!(self.told_not_run.contains(&attempt), "freed after a run: {attempt:?}");
+                    self.append(append, Fate::Stored);
+                }
+            }
+        }
+    }
+
+    fn feed(&mut self, at: usize, offset: u64) {
+        if offset < self.oldest || offset > self.log.len() as u64 {
+            return;
+        }
+        let payload = self.log[offset as usize - 1].clone();
+        let settlements = self.sides[at].apply(Offset(offset), &payload, self.now);
+        self.settle(at, settlements);
+    }
+
+    fn read(&mut self, at: usize, count: usize) {
+        for _ in 0..count {
+            let next = self.sides[at].next_offset(Offset(self.oldest));
+            self.feed(at, next.0);
+        }
+    }
+
+    fn take_run(&self, index: usize) -> Option<usize> {
+        (!self.runs.is_empty()).then(|| index % self.runs.len())
+    }
+
+    fn run(&mut self, step: &Step) {
+        self.now = self.now + std::time::Duration::from_millis(200);
+        match *step {
+            Step::Begin { side, key: n, append } => {
+                let skew = side as u64 * 120_000;
+                let begun = self.sides[side].begin(key(n), body(n), self.now, START_MS + skew);
+                if let Begin::Append { attempt, claim } = begun {
+                    self.begun.push((attempt, n));
+                    self.append(claim, append);
+                }
+            }
+            Step::Arrive(index) => {
+                if !self.delayed.is_empty() {
+                    let late = self.delayed.swap_remove(index % self.delayed.len());
+                    self.log.push(late.payload);
+                }
+            }
+            Step::Repeat(index) => {
+                if let Some(payload) = self.log.get(index).cloned() {
+                    self.log.push(payload);
+                }
+            }
+            Step::Read(side, count) => self.read(side, count),
+            Step::Stray(side, offset) => self.feed(side, offset as u64),
+            Step::Tick => {
+                for at in 0..SIDES {
+                    let settlements = self.sides[at].tick(self.now);
+                    self.settle(at, settlements);
+                }
+            }
+            Step::GiveUp(index) => {
+                let ran = |id: &AttemptId| self.runs.iter().any(|run| run.attempt == *id);
+                let waiting: Vec<AttemptId> =
+                    self.begun.iter().map(|(id, _)| id.clone()).filter(|id| !ran(id)).collect();
+                if let Some(attempt) = waiting.get(index) {
+                    for side in &mut self.sides {
+                        side.give_up(attempt);
+                    }
+                    self.told_not_run.push(attempt.clone());
+                }
+            }
+            Step::Finish { run, append } => {
+                let Some(run) = self.take_run(run) else { return };
+                let (at, attempt) = (self.runs[run].side, self.runs[run].attempt.clone());
+                if let Some(record) = self.sides[at].finish(&attempt, outcome("ok")) {
+                    self.append(record, append);
+                }
+            }
+            Step::Lose(run) => {
+                if let Some(run) = self.take_run(run) {
+                    let (at, attempt) = (self.runs[run].side, self.runs[run].attempt.clone());
+                    self.sides[at].lose_outcome(&attempt);
+                }
+            }
+            Step::Release { run, append } => {
+                let Some(run) = self.take_run(run) else { return };
+                let (at, attempt) = (self.runs[run].side, self.runs[run].attempt.clone());
+                if let Some(record) = self.sides[at].release(&attempt) {
+                    self.runs[run].unsent = true;
+                    self.told_not_run.push(attempt);
+                    self.append(record, append);
+                }
+            }
+            Step::Snapshot { side, append } => {
+                if self.sides[side].is_waiting() {
+                    return;
+                }
+                for part in self.sides[side].take_snapshot(self.now, START_MS) {
+                    self.append(part, append);
+                }
+            }
+            Step::Trim => self.oldest = self.trim_to(),
+            Step::Restart(at) => {
+                self.incarnations += 1;
+                self.sides[at] = side(NAMES[at], self.incarnations);
+            }
+        }
+    }
+
+    /// The log may drop the records that its newest snapshot covers.
+    fn trim_to(&self) -> u64 {
+        let covered =
+            self.log.iter().filter_map(|payload| match once::ClaimRecord::decode(payload) {
+                once::DecodedClaim::Record(once::ClaimRecord::Snapshot(part)) => {
+                    Some(part.through.0 + 1)
+                }
+                _ => None,
+            });
+        covered.max().unwrap_or(1).max(self.oldest)
+    }
+}
+
+proptest! {
+    #![proptest_config(Config {
+        cases: 1_000,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(0x5eed_0002),
+        ..Config::default()
+    })]
+
+    #[test]
+    fn a_key_runs_at_most_once_and_all_sides_agree(
+        steps in proptest::collection::vec(step(), 1..80)
+    ) {
+        let mut world = World::new();
+        for step in &steps {
+            world.run(step);
+        }
+        // A second pass reads the releases that the first one caused.
+        for at in (0..SIDES).chain(0..SIDES) {
+            world.read(at, world.log.len() + SIDES * steps.len() + 1);
+        }
+        let reference = &world.sides[0];
+        for at in 1..SIDES {
+            prop_assert_eq!(world.sides[at].position(), reference.position());
+            for n in 0..KEYS {
+                let known = |claims: &Claims| {
+                    claims.look_up(&key(n), body(n), START_MS).map(|answer| {
+                        matches!(answer, once::Answer::Ran(_))
+                    })
+                };
+                // The side that ran a call may know an answer whose record was lost.
+                let (left, right) = (known(&world.sides[at]), known(reference));
+                prop_assert_eq!(left.is_some(), right.is_some());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/components/once/tests/claims/replay.rs
@@ -0,0 +1,164 @@
+//! Replays, gaps and snapshots.
+
+use base::Offset;
+use once::{Answer, Begin, Claims, SettlementResult};
+
+use crate::common::{START_MS, at, body, claim, feed, key, limits, outcome, results, side};
+
+/// Feeds records that start at `first`.
+fn feed_from(side: &mut Claims, first: u64, log: &[Vec<u8>]) -> Vec<once::Settlement> {
+    log.iter().zip(first..).flat_map(|(p, offset)| side.apply(Offset(offset), p, at(0))).collect()
+}
+
+#[test]
+fn feeding_the_same_records_again_changes_nothing() {
+    let mut a = side("a", 1);
+    let (attempt, first) = claim(&mut a, key(1), body(1));
+    let mut log = vec![first.payload.clone(), first.payload, b"?".to_vec()];
+    assert_eq!(results(feed(&mut a, &log)), [SettlementResult::Run]);
+    assert!(feed(&mut a, &log).is_empty());
+    let done = a.finish(&attempt, outcome("one")).unwrap().payload;
+    log.extend([done.clone(), done]);
+    assert!(feed(&mut a, &log).is_empty());
+    assert!(feed(&mut a, &log).is_empty());
+    assert_eq!(a.look_up(&key(1), body(1), START_MS), Some(Answer::Ran(outcome("one"))));
+    assert_eq!((a.position(), a.mark_count()), (Offset(5), 1));
+}
+
+#[test]
+fn a_new_run_of_a_side_never_runs_the_claims_of_the_old_one() {
+    let mut old = side("a", 1);
+    let (_, first) = claim(&mut old, key(1), body(1));
+    let mut new = side("a", 2);
+    let (_, _) = claim(&mut new, key(2), body(2));
+    assert!(feed(&mut new, &[first.payload]).is_empty());
+    assert_eq!(new.look_up(&key(1), body(1), START_MS), Some(Answer::Unknown));
+}
+
+#[test]
+fn a_claim_behind_a_gap_is_not_run_until_the_gap_is_closed() {
+    // Guards against a run while an earlier claim of another side was not read yet.
+    let (mut a, mut b) = (side("a", 1), side("b", 1));
+    let (_, first) = claim(&mut a, key(1), body(1));
+    let (_, second) = claim(&mut b, key(1), body(1));
+    assert!(b.apply(Offset(2), &second.payload, at(0)).is_empty());
+    assert!(b.is_waiting());
+    assert_eq!(b.begin(key(3), body(3), at(0), START_MS), Begin::NotReady);
+    assert_eq!(b.next_offset(Offset(1)), Offset(1));
+    let settled = results(b.apply(Offset(1), &first.payload, at(0)));
+    assert_eq!(settled, [SettlementResult::Lost(Answer::Unknown)]);
+}
+
+/// A log of `calls` finished calls, and the writer.
+fn finished_calls(calls: u8, text: &str) -> (Claims, Vec<Vec<u8>>) {
+    let mut writer = side("w", 1);
+    let mut log = Vec::new();
+    for n in 0..calls {
+        let (attempt, append) = claim(&mut writer, key(n), body(n));
+        log.push(append.payload);
+        feed(&mut writer, &log);
+        log.extend(writer.finish(&attempt, outcome(text)).map(|append| append.payload));
+        feed(&mut writer, &log);
+    }
+    (writer, log)
+}
+
+#[test]
+fn marks_outlive_the_records_of_the_log() {
+    let (mut writer, mut log) = finished_calls(4, "ok");
+    let parts = writer.take_snapshot(at(0), START_MS);
+    let (_, late) = claim(&mut writer, key(9), body(9));
+    log.push(late.payload);
+    log.extend(parts.iter().map(|part| part.payload.clone()));
+    // Offsets 1 to 8 are gone; the claim at 9 came between the state and its snapshot.
+    let mut reader = side("r", 1);
+    feed_from(&mut reader, 9, &log[8..]);
+    assert!(!reader.is_waiting());
+    assert_eq!(reader.mark_count(), 5);
+    assert_eq!(reader.look_up(&key(3), body(3), START_MS), Some(Answer::Ran(outcome("ok"))));
+    assert_eq!(reader.look_up(&key(9), body(9), START_MS), Some(Answer::Unknown));
+}
+
+#[test]
+fn a_snapshot_in_parts_is_taken_only_when_it_is_whole() {
+    let mut writer = Claims::new(
+        base::ProcessId { name: base::ProcessName::new("w"), incarnation: base::Incarnation(1) },
+        once::ClaimLimits { outcome_body_bytes: 1 << 20, ..limits() },
+    );
+    let mut log = Vec::new();
+    for n in 0..5 {
+        let (attempt, append) = claim(&mut writer, key(n), body(n));
+        log.push(append.payload);
+        feed(&mut writer, &log);
+        let large = outcome(&"x".repeat(100 << 10));
+        log.push(writer.finish(&attempt, large).unwrap().payload);
+        feed(&mut writer, &log);
+    }
+    let parts = writer.take_snapshot(at(0), START_MS);
+    assert_eq!(parts.len(), 3);
+    let mut ids: Vec<_> = parts.iter().map(|part| part.id.clone()).collect();
+    ids.dedup();
+    assert_eq!(ids.len(), 3);
+    log.extend(parts.iter().map(|part| part.payload.clone()));
+    let mut reader = side("r", 1);
+    // The second part twice: an append whose answer was lost.
+    feed_from(&mut reader, 11, &[log[10].clone(), log[11].clone(), log[11].clone()]);
+    assert_eq!((reader.position(), reader.mark_count()), (Offset(0), 0));
+    feed_from(&mut reader, 14, &log[12..]);
+    assert_eq!((reader.position(), reader.mark_count()), (Offset(14), 5));
+}
+
+#[test]
+fn a_snapshot_leaves_out_what_has_expired() {
+    let (mut writer, _) = finished_calls(3, "ok");
+    let much_later = START_MS + 3_600_000 + 600_001;
+    let parts = writer.take_snapshot(at(0), much_later);
+    let mut reader = side("r", 1);
+    feed_from(&mut reader, 7, &[parts[0].payload.clone()]);
+    assert_eq!((reader.position(), reader.mark_count()), (Offset(7), 0));
+}
+
+#[test]
+fn a_snapshot_is_due_only_for_a_reader_without_gaps() {
+    let (mut writer, log) = finished_calls(1, "ok");
+    assert!(!writer.is_snapshot_due(at(9_000)));
+    writer.note_end(Offset(1), at(0));
+    assert!(writer.is_snapshot_due(at(9_000)));
+    writer.apply(Offset(7), &log[0], at(0));
+    assert!(!writer.is_snapshot_due(at(9_000)));
+}
+
+#[test]
+fn a_gap_that_no_snapshot_closes_ends_when_all_it_held_has_expired() {
+    // Guards against sides that refuse calls for ever after a long night without any side.
+    let (_, log) = finished_calls(2, "ok");
+    let mut reader = side("r", 1);
+    feed_from(&mut reader, 4, &log[3..]);
+    // Retention 3,000 s, window 3,600 s, clock margin 600 s.
+    reader.note_end(Offset(4), at(100));
+    assert!(reader.is_waiting());
+    reader.note_end(Offset(5), at(1_299));
+    assert!(reader.is_waiting());
+    reader.note_end(Offset(5), at(1_300));
+    assert!(!reader.is_waiting());
+    assert_eq!(reader.position(), Offset(4));
+    assert!(matches!(reader.begin(key(1), body(1), at(0), START_MS), Begin::Append { .. }));
+}
+
+#[test]
+fn a_snapshot_older_than_the_reader_is_ignored_across_a_gap() {
+    // Guards against a side that reads its own claim a second time and frees the key of a call that
+    // ran.
+    let mut old = side("old", 1);
+    let mut a = side("a", 1);
+    let (_, other) = claim(&mut old, key(2), body(2));
+    let (attempt, first) = claim(&mut a, key(1), body(1));
+    let log = [other.payload, first.payload];
+    feed(&mut old, &log[..1]);
+    let snapshot = old.take_snapshot(at(0), START_MS).remove(0).payload;
+    feed(&mut a, &log);
+    a.lose_outcome(&attempt);
+    assert!(a.apply(Offset(5), &snapshot, at(0)).is_empty());
+    assert_eq!(a.position(), Offset(2));
+    assert_eq!(a.look_up(&key(1), body(1), START_MS), Some(Answer::Unknown));
+}
