--- a/components/config/src/settings_check.rs
+++ b/components/config/src/settings_check.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     EntrySettings, MembershipSettings, PlatformSettings, Problem, ProcessSettings, SideSettings,
-    SourceFile,
+    SourceFile, Town,
 };
 
 const MIN_SECRET_CHARS: usize = 16;
@@ -99,6 +99,28 @@
         }
     }
 
+    /// Checks that the place of a process is one of the configuration.
+    fn place(&mut self, process: &ProcessSettings, town: &Town) {
+        let ProcessSettings { region, data_centre, .. } = process;
+        match town.region_of(data_centre) {
+            None => {
+                let message = format!(
+                    "there is no data centre {data_centre} in the base file; define it or correct \
+                     the name"
+                );
+                self.add("process", "data_centre", message);
+            }
+            Some(actual) if actual != region => {
+                let message = format!(
+                    "data centre {data_centre} is in region {actual}, not {region}; correct one of \
+                     them"
+                );
+                self.add("process", "region", message);
+            }
+            Some(_) => {}
+        }
+    }
+
     fn log(&mut self, level: &str) {
         if !LOG_LEVELS.contains(&level) {
             let message =
@@ -145,7 +167,40 @@
     }
 }
 
+impl EntrySettings {
+    /// Checks the settings against a configuration.
+    pub fn check_against(&self, town: &Town, source: &SourceFile) -> Vec<Problem> {
+        let mut check = Check { source, problems: Vec::new() };
+        check.place(&self.process, town);
+        check.problems
+    }
+}
+
 impl SideSettings {
+    /// Checks the settings against a configuration.
+    pub fn check_against(&self, town: &Town, source: &SourceFile) -> Vec<Problem> {
+        let mut check = Check { source, problems: Vec::new() };
+        check.place(&self.process, town);
+        match town.target(&self.target) {
+            None => {
+                let message = format!(
+                    "there is no target {} in the base file; define it or correct the name",
+                    self.target
+                );
+                check.add("", "target", message);
+            }
+            Some((_, target)) if target.data_centre != self.process.data_centre => {
+                let message = format!(
+                    "target {} is in data centre {}, not {}; a side process runs beside its target",
+                    self.target, target.data_centre, self.process.data_centre
+                );
+                check.add("process", "data_centre", message);
+            }
+            Some(_) => {}
+        }
+        check.problems
+    }
+
     pub(crate) fn problems(&self, source: &SourceFile) -> Vec<Problem> {
         let mut check = Check { source, problems: Vec::new() };
         check.process(&self.process);
--- a/components/config/tests/compile.rs
+++ b/components/config/tests/compile.rs
@@ -412,3 +412,13 @@
     "#]]
     .assert_eq(&problems(&sources));
 }
+
+#[test]
+fn refuses_two_files_of_one_name() {
+    let mut sources = sources(BASE, &["site: north\n", "site: south\n"]);
+    sources.overlays[1].name = "o1.yaml".into();
+    expect![[r#"
+        o1.yaml:0: two files are named o1.yaml; rename one of them
+    "#]]
+    .assert_eq(&problems(&sources));
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -16,7 +16,9 @@
 Usage: plantainbeam <command> [options]
 
 Commands:
+  check    check configuration and settings files
   demo     run the whole path in one process and check it
+  publish  change the configuration of a running deployment
   status   show the state of running processes
 
 Options:
@@ -29,7 +31,9 @@
     let mut parser = lexopt::Parser::from_iter(args);
     match parser.next() {
         Ok(Some(Value(name))) => match name.to_str() {
+            Some("check") => cmd::check::run(parser),
             Some("demo") => cmd::demo::run(parser),
+            Some("publish") => cmd::publish::run(parser),
             // For tests only, so the help text does not list it.
             Some("standin") => cmd::standin::run(parser),
             Some("status") => cmd::status::run(parser),
