--- a/components/config/src/compile.rs
+++ b/components/config/src/compile.rs
@@ -399,7 +399,7 @@
     for entry in &base.adapters {
         let found = base.models.iter().find(|m| m.name.value == entry.model.value);
         let Some(service) = found.and_then(|m| service_entry(base, &m.service)) else { continue };
-        let needed = found.map_or(0, |m| m.memory_mb.value) + entry.memory_mb.value;
+        let needed = found.map_or(0, |m| m.memory_mb.value).saturating_add(entry.memory_mb.value);
         let largest = largest_memory(service);
         if needed > largest {
             let message = format!(
--- a/components/config/src/sources.rs
+++ b/components/config/src/sources.rs
@@ -30,7 +30,9 @@
 }
 
 impl Sources {
-    /// Checks the files for every site.
+    /// Checks the files for every site, and the base file alone.
+    ///
+    /// What passes compiles for any site, so that the verdict on a change is the same everywhere.
     ///
     /// # Errors
     ///
@@ -45,6 +47,8 @@
             if sites.is_empty() {
                 report.add_at(0, parsed.base.name.line, NO_DATA_CENTRE.to_owned());
             }
+            // The base file alone is what a reader without a site compiles.
+            sites.push(CompactString::default());
             for site in &sites {
                 let merged = merge_site(&mut report, &parsed, site);
                 compile_merged(&mut report, &merged, &self.keys, Offset::default());
--- a/components/config/tests/compile.rs
+++ b/components/config/tests/compile.rs
@@ -270,6 +270,23 @@
     );
 }
 
+#[test]
+fn refuses_a_base_file_that_only_an_overlay_makes_right() {
+    // Guards against a verdict that depends on the site of the process that reaches it.
+    let base = with("memory_mb: 60, residency", "memory_mb: 101, residency")
+        .replace("region: south", "region: north")
+        .replace("{name: order-fish, model: order", "{name: order-fish, model: caption");
+    let overlay = "site: north\nmodels:\n  - {name: order, memory_mb: 60}\n";
+    assert!(sources(&base, &[overlay]).compile("north", Offset(1)).is_ok());
+    refused(
+        &base,
+        &[overlay],
+        &expect![[r#"
+        base.yaml:20: model order needs 101 MB, but the largest target of service engines has 100; give a target more memory or move the model to another service
+    "#]],
+    );
+}
+
 #[test]
 fn refuses_two_overlays_that_set_a_field_differently() {
     let one = "site: north\nmodels:\n  - {name: order, load_ms: 5, version: v2}\n";
--- a/src/cmd/publish_session.rs
+++ b/src/cmd/publish_session.rs
@@ -176,11 +176,9 @@
         lines.extend(sources.keys.added.iter().map(|key| {
             format!("key {} of customer {} was added since the files", key.name, key.customer)
         }));
-        lines.extend(
-            sources.keys.withdrawn.iter().map(|key| {
-                format!("key {} was withdrawn; files that list it are refused", key.name)
-            }),
-        );
+        lines.extend(sources.keys.withdrawn.iter().map(|key| {
+            format!("key {} was withdrawn; remove it from keys if the files list it", key.name)
+        }));
         Ok(lines.join("\n"))
     }
 
