--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,7 +1,11 @@
 //! Commands, one a module.
 
+pub mod check;
 pub mod demo;
 pub mod entry;
+mod files;
+pub mod publish;
+mod publish_session;
 pub mod side;
 pub mod standin;
 pub mod status;
