Run calls with an idempotency key at most once

Change: the body is collected, the claim appended and read back after the call got its slot, the outcome recorded; a call of which nothing was sent frees its key; the call goes on when its caller leaves. The id of a call that was provably not run may come again.

--- /dev/null
+++ b/components/side/src/claim_desk.rs
@@ -0,0 +1,263 @@
+//! At-most-once claims of this process on the log.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use base::{Offset, ProcessId, SortedMap, hash_bytes};
+use config::SideSettings;
+use once::{
+    Answer, Append, AttemptId, Begin, CLAIMS_STREAM, ClaimKey, ClaimLimits, Claims, Fingerprint,
+    Settlement, SettlementResult, StoredOutcome,
+};
+use platform::{HttpLog, Log};
+use tokio::sync::{Notify, oneshot};
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::clock::Clock;
+
+/// Records read at once.
+const PAGE: u32 = 500;
+/// Time between two reads while no claim waits; keeps the replica within the log's retention.
+const IDLE_INTERVAL: Duration = Duration::from_secs(30);
+/// Pause after a failed read.
+const READ_PAUSE: Duration = Duration::from_millis(50);
+/// Time to settle the append of an outcome or a release.
+const MARK_LIMIT: Duration = Duration::from_secs(60);
+/// Spread of the snapshots of several side processes, so that the first one spares the others.
+const SNAPSHOT_SPREAD: Duration = Duration::from_secs(20);
+
+/// How an attempt to claim a call ended.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum ClaimResult {
+    /// The call is claimed: run it now.
+    Run(AttemptId),
+    /// The call is not to be run; this is what is known about it.
+    Known(Answer),
+    /// The log took no claim.
+    LogUnavailable,
+    /// The claim could not be settled in time.
+    Unsettled,
+}
+
+/// The replica of the claims stream, and the calls that wait for their claims.
+pub(crate) struct ClaimDesk {
+    claims: RefCell<Claims>,
+    waiting: RefCell<SortedMap<AttemptId, oneshot::Sender<SettlementResult>>>,
+    read_now: Notify,
+    log: HttpLog,
+    clock: Clock,
+    claim_timeout: Duration,
+    outcome_body_bytes: usize,
+    poll: Duration,
+    snapshot_delay: Duration,
+}
+
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
+
+impl ClaimDesk {
+    pub fn new(settings: &SideSettings, own: ProcessId, log: HttpLog, clock: Clock) -> Rc<Self> {
+        let limits = ClaimLimits {
+            window: Duration::from_secs(settings.idempotency_window_h * 3_600),
+            claim_timeout: Duration::from_millis(settings.claim_timeout_ms),
+            outcome_body_bytes: settings.outcome_body_bytes,
+            retention: Duration::from_secs(settings.platform.log_retention_s),
+        };
+        let spread = u64::try_from(SNAPSHOT_SPREAD.as_millis()).unwrap_or(u64::MAX);
+        let share = hash_bytes(own.name.as_str().as_bytes()) % spread;
+        Rc::new(Self {
+            claims: RefCell::new(Claims::new(own, limits)),
+            waiting: RefCell::default(),
+            read_now: Notify::new(),
+            log,
+            clock,
+            claim_timeout: limits.claim_timeout,
+            outcome_body_bytes: limits.outcome_body_bytes,
+            poll: Duration::from_millis(settings.platform.log_poll_ms),
+            snapshot_delay: Duration::from_millis(share),
+        })
+    }
+
+    /// Largest body of a stored answer in bytes.
+    pub const fn outcome_body_bytes(&self) -> usize {
+        self.outcome_body_bytes
+    }
+
+    /// What is known about a call without a claim.
+    pub fn look_up(&self, key: &ClaimKey, fingerprint: Fingerprint) -> Option<Answer> {
+        self.claims.borrow().look_up(key, fingerprint, unix_ms())
+    }
+
+    /// Claims a call on the log. Dropping the future gives the attempt up.
+    pub async fn claim(self: &Rc<Self>, key: ClaimKey, fingerprint: Fingerprint) -> ClaimResult {
+        let begun = self.claims.borrow_mut().begin(key, fingerprint, self.clock.now(), unix_ms());
+        let (attempt, claim) = match begun {
+            Begin::Append { attempt, claim } => (attempt, claim),
+            Begin::Known(answer) => return ClaimResult::Known(answer),
+            Begin::NotReady => return ClaimResult::LogUnavailable,
+        };
+        let (settle, mut settled) = oneshot::channel();
+        self.waiting.borrow_mut().insert(attempt.clone(), settle);
+        let mut guard = AttemptGuard { desk: self.clone(), attempt: Some(attempt.clone()) };
+        self.read_now.notify_one();
+        let from = self.claims.borrow().position().next();
+        let deadline = Instant::now() + self.claim_timeout;
+        let append =
+            self.log.append_settled(CLAIMS_STREAM, &claim.id, &claim.payload, from, deadline);
+        tokio::pin!(append);
+        let mut appending = true;
+        loop {
+            tokio::select! {
+                result = &mut settled => {
+                    guard.attempt = None;
+                    return match result {
+                        Ok(SettlementResult::Run) => ClaimResult::Run(attempt),
+                        Ok(SettlementResult::Lost(answer)) => ClaimResult::Known(answer),
+                        Ok(SettlementResult::Unsettled | SettlementResult::Late(_)) | Err(_) => {
+                            ClaimResult::Unsettled
+                        }
+                    };
+                }
+                appended = &mut append, if appending => match appended {
+                    Ok(_) => appending = false,
+                    Err(error) => {
+                        log::warn!("event=claim_append_failed error=\"{error}\"");
+                        if !error.may_have_taken_effect() {
+                            return ClaimResult::LogUnavailable;
+                        }
+                        appending = false;
+                    }
+                },
+            }
+        }
+    }
+
+    /// Stores the answer of a call that ran, here at once and then on the log.
+    pub fn finish(self: &Rc<Self>, attempt: &AttemptId, outcome: StoredOutcome) {
+        let append = self.claims.borrow_mut().finish(attempt, outcome);
+        self.append_mark(append);
+    }
+
+    /// Frees the key of a claimed call of which nothing was sent.
+    pub fn release(self: &Rc<Self>, attempt: &AttemptId) {
+        let append = self.claims.borrow_mut().release(attempt);
+        self.append_mark(append);
+    }
+
+    /// Ends a claimed call that was sent without a complete answer.
+    pub fn lose(&self, attempt: &AttemptId) {
+        self.claims.borrow_mut().lose_outcome(attempt);
+    }
+
+    fn append_mark(self: &Rc<Self>, append: Option<Append>) {
+        let Some(append) = append else { return };
+        let desk = self.clone();
+        tokio::task::spawn_local(async move {
+            let deadline = Instant::now() + MARK_LIMIT;
+            let from = desk.claims.borrow().position().next();
+            let (id, payload) = (&append.id, &append.payload);
+            while Instant::now() < deadline {
+                match desk.log.append_settled(CLAIMS_STREAM, id, payload, from, deadline).await {
+                    Ok(_) => return,
+                    Err(error) => {
+                        log::warn!("event=mark_append_failed record={id} error=\"{error}\"");
+                    }
+                }
+                sleep(READ_PAUSE).await;
+            }
+        });
+    }
+
+    /// Ends the waits that lasted too long.
+    pub fn tick(self: &Rc<Self>) {
+        let late = self.claims.borrow_mut().tick(self.clock.now());
+        self.settle(late);
+    }
+
+    fn settle(self: &Rc<Self>, settlements: Vec<Settlement>) {
+        for Settlement { attempt, result } in settlements {
+            if let SettlementResult::Late(append) = result {
+                self.append_mark(Some(append));
+                continue;
+            }
+            let waiting = self.waiting.borrow_mut().remove(&attempt);
+            let run = result == SettlementResult::Run;
+            let taken = waiting.is_some_and(|settle| settle.send(result).is_ok());
+            if run && !taken {
+                self.release(&attempt);
+            }
+        }
+    }
+
+    /// Follows the stream while claims wait, and from time to time otherwise.
+    pub async fn follow(self: Rc<Self>) {
+        let mut oldest = Offset(1);
+        loop {
+            let waiting = !self.waiting.borrow().is_empty();
+            let next = self.claims.borrow().next_offset(oldest);
+            let wait = if waiting { self.poll } else { Duration::ZERO };
+            let page = match self.log.read(CLAIMS_STREAM, next, PAGE, wait).await {
+                Ok(page) => page,
+                Err(error) => {
+                    log::debug!("event=claims_read_failed error=\"{error}\"");
+                    sleep(READ_PAUSE).await;
+                    continue;
+                }
+            };
+            oldest = page.oldest;
+            for record in &page.records {
+                let now = self.clock.now();
+                let settlements =
+                    self.claims.borrow_mut().apply(record.offset, &record.payload, now);
+                self.settle(settlements);
+            }
+            if !page.reaches_end(next) {
+                continue;
+            }
+            let settlements = self.claims.borrow_mut().note_end(oldest, self.clock.now());
+            self.settle(settlements);
+            self.claims.borrow_mut().purge(unix_ms());
+            if !waiting {
+                // Either way the next read is due.
+                let _woken = timeout(IDLE_INTERVAL, self.read_now.notified()).await;
+            }
+        }
+    }
+
+    /// Writes snapshots when they are due.
+    pub async fn write_snapshots(self: Rc<Self>) {
+        loop {
+            sleep(IDLE_INTERVAL).await;
+            if !self.claims.borrow().is_snapshot_due(self.clock.now()) {
+                continue;
+            }
+            sleep(self.snapshot_delay).await;
+            let now = self.clock.now();
+            if self.claims.borrow().is_snapshot_due(now) {
+                let parts = self.claims.borrow_mut().take_snapshot(now, unix_ms());
+                for part in parts {
+                    self.append_mark(Some(part));
+                }
+            }
+        }
+    }
+}
+
+/// Gives an attempt up when its call goes away before the claim is settled.
+struct AttemptGuard {
+    desk: Rc<ClaimDesk>,
+    attempt: Option<AttemptId>,
+}
+
+impl Drop for AttemptGuard {
+    fn drop(&mut self) {
+        let Some(attempt) = self.attempt.take() else { return };
+        self.desk.waiting.borrow_mut().remove(&attempt);
+        self.desk.claims.borrow_mut().give_up(&attempt);
+        // The claim may have been settled at the same moment; nothing was sent.
+        self.desk.release(&attempt);
+    }
+}
--- a/components/side/src/forward.rs
+++ b/components/side/src/forward.rs
@@ -1,6 +1,8 @@
 //! The task of one call to a plain service: queue, target, answer back.
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use base::{RanState, Tokens};
@@ -12,10 +14,11 @@
 
 use crate::plain_client::{PlainConnection, end_to_end, request_of};
 use crate::request_task::{Decision, QueuePlace};
+use crate::seen_calls::SeenCalls;
 use crate::up_body::{Part, UpBody};
 
 /// Largest part of an answer's body in one frame, in bytes; below the frame limit.
-const MAX_DATA_BYTES: usize = 256 << 10;
+pub(crate) const MAX_DATA_BYTES: usize = 256 << 10;
 /// When to try again while the target refuses connections, in milliseconds.
 const RETRY_AFTER_MS: u32 = 200;
 
@@ -38,7 +41,7 @@
 
 impl Forward {
     /// Waits in the queue, makes the call and streams the answer back.
-    pub async fn run(mut self, mut place: QueuePlace) {
+    pub async fn run(mut self, mut place: QueuePlace, seen: Rc<RefCell<SeenCalls>>) {
         let decision = {
             let closed = self.sender.closed();
             place.decision(closed).await
@@ -47,6 +50,7 @@
             None => {}
             Some(Decision::Refuse { reason, retry_after_ms }) => {
                 drop(place);
+                seen.borrow_mut().forget(self.head.request_id);
                 self.finish(ForwardDown::Refused { reason, retry_after_ms }).await;
             }
             Some(Decision::Start { .. }) => {
@@ -55,7 +59,12 @@
                 drop(place);
                 match ended {
                     Ok(()) => self.finish(ForwardDown::End).await,
-                    Err(Broken::Frame(frame)) => self.finish(frame).await,
+                    Err(Broken::Frame(frame)) => {
+                        if matches!(frame, ForwardDown::Refused { .. }) {
+                            seen.borrow_mut().forget(self.head.request_id);
+                        }
+                        self.finish(frame).await;
+                    }
                     Err(Broken::Gone) => {}
                 }
             }
@@ -78,10 +87,7 @@
             return Err(Broken::Frame(failed(RanState::NotRun)));
         };
         let Some(mut connection) = PlainConnection::open(self.target).await else {
-            return Err(Broken::Frame(ForwardDown::Refused {
-                reason: RefuseReason::TargetUnhealthy,
-                retry_after_ms: Some(RETRY_AFTER_MS),
-            }));
+            return Err(Broken::Frame(refused(RefuseReason::TargetUnhealthy)));
         };
         // Point of no return: from here on the call may have run.
         let Self { head, body, sender, deadline, .. } = self;
@@ -176,6 +182,12 @@
     }
 }
 
-const fn failed(ran: RanState) -> ForwardDown {
+/// Last frame of a call that broke off.
+pub(crate) const fn failed(ran: RanState) -> ForwardDown {
     ForwardDown::Failed { ran }
 }
+
+/// Last frame of a call that was not run and may be tried again soon.
+pub(crate) const fn refused(reason: RefuseReason) -> ForwardDown {
+    ForwardDown::Refused { reason, retry_after_ms: Some(RETRY_AFTER_MS) }
+}
--- a/components/side/src/incoming.rs
+++ b/components/side/src/incoming.rs
@@ -1,5 +1,6 @@
 //! Messages of peers.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use base::{RanState, Role};
@@ -14,12 +15,13 @@
 use crate::event::Event;
 use crate::forward::Forward;
 use crate::generation::Generation;
+use crate::keyed_call::KeyedCall;
 use crate::process::Shared;
 use crate::request_task::{Decision, QueuePlace};
 
 impl Shared {
     /// Takes something that a peer asks for.
-    pub fn take_incoming(&self, incoming: Incoming) {
+    pub fn take_incoming(self: &Rc<Self>, incoming: Incoming) {
         match incoming {
             Incoming::Call { peer, call, responder } => responder.reply(self.answer(&peer, call)),
             Incoming::Generate { request, sender, .. } => self.generate(request, sender),
@@ -90,7 +92,7 @@
     }
 
     fn forward(
-        &self,
+        self: &Rc<Self>,
         head: ForwardHead,
         body: FrameReceiver<ForwardUp>,
         sender: FrameSender<ForwardDown>,
@@ -98,6 +100,13 @@
         let deadline = Instant::now() + Duration::from_millis(u64::from(head.deadline_ms));
         let target = self.settings.target_address;
         let call = Forward { head, body, sender, target, deadline };
+        if !call.head.repeatable
+            && let Some(key_sha256) = call.head.idempotency_key_sha256
+        {
+            let keyed = KeyedCall { call, key_sha256 };
+            self.tasks.borrow_mut().spawn_local(keyed.run(self.clone()));
+            return;
+        }
         if !call.head.repeatable
             && !self.seen.borrow_mut().insert(call.head.request_id, self.clock.now())
         {
@@ -108,9 +117,10 @@
         }
         match self.with_place(|core, now| core.admit_forward(&call.head, now)) {
             Ok(place) => {
-                self.tasks.borrow_mut().spawn_local(call.run(place));
+                self.tasks.borrow_mut().spawn_local(call.run(place, self.seen.clone()));
             }
             Err(refusal) => {
+                self.seen.borrow_mut().forget(call.head.request_id);
                 let last = ForwardDown::Refused {
                     reason: refusal.reason,
                     retry_after_ms: refusal.retry_after_ms,
@@ -124,7 +134,7 @@
     ///
     /// The actions of the admission are carried out after the place is known, since they may already
     /// start the request.
-    fn with_place<E>(
+    pub fn with_place<E>(
         &self,
         admit: impl FnOnce(&mut crate::core::Core, base::Timestamp) -> Result<Ticket, E>,
     ) -> Result<QueuePlace, E> {
--- /dev/null
+++ b/components/side/src/keyed_call.rs
@@ -0,0 +1,242 @@
+//! The task of a call that must run at most once under its idempotency key.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use base::{RanState, Tokens};
+use bytes::{Bytes, BytesMut};
+use http::Response;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use once::{Answer, AttemptId, ClaimKey, Fingerprint, StoredHeader, StoredOutcome};
+use tokio::time::{Instant, sleep_until, timeout_at};
+use wire::{ForwardDown, ForwardHead, ForwardUp, FrameSender, Header, RefuseReason};
+
+use crate::claim_desk::{ClaimDesk, ClaimResult};
+use crate::forward::{Forward, MAX_DATA_BYTES, failed, refused};
+use crate::plain_client::{PlainConnection, end_to_end, request_of};
+use crate::process::Shared;
+use crate::request_task::Decision;
+
+/// Largest body of a call with an idempotency key, in bytes; entry processes have a smaller limit.
+const MAX_BODY_BYTES: usize = 1 << 20;
+
+/// A call with an idempotency key.
+pub(crate) struct KeyedCall {
+    pub call: Forward,
+    pub key_sha256: [u8; 32],
+}
+
+/// The caller's end of a call; the call goes on without it, so that its outcome is recorded.
+struct Listener {
+    sender: Option<FrameSender<ForwardDown>>,
+    deadline: Instant,
+}
+
+impl Listener {
+    async fn send(&mut self, frame: &ForwardDown) {
+        if let Some(sender) = &mut self.sender {
+            let sent = timeout_at(self.deadline, sender.send(frame)).await;
+            if !sent.is_ok_and(|sent| sent.is_ok()) {
+                self.sender = None;
+            }
+        }
+    }
+
+    async fn finish(mut self, last: &ForwardDown) {
+        self.send(last).await;
+        if let Some(sender) = self.sender.take()
+            && let Err(error) = sender.finish()
+        {
+            log::debug!("event=answer_lost error=\"{error}\"");
+        }
+    }
+}
+
+impl KeyedCall {
+    /// Waits in the queue, claims the call, makes it and records its outcome.
+    pub async fn run(mut self, shared: Rc<Shared>) {
+        let Some(body) = self.collect_body().await else { return };
+        let head = &self.call.head;
+        let key = ClaimKey {
+            customer: head.customer.clone().unwrap_or_default(),
+            route: head.route.clone(),
+            key_sha256: self.key_sha256,
+        };
+        let fingerprint = Fingerprint::of(&head.method, &head.path_and_query, &body);
+        let desk = shared.claims.clone();
+        if let Some(answer) = desk.look_up(&key, fingerprint) {
+            return self.reply(answer).await;
+        }
+        let mut place = match shared.with_place(|core, now| core.admit_forward(head, now)) {
+            Ok(place) => place,
+            Err(refusal) => {
+                let last = ForwardDown::Refused {
+                    reason: refusal.reason,
+                    retry_after_ms: refusal.retry_after_ms,
+                };
+                return self.call.finish(last).await;
+            }
+        };
+        let decision = {
+            let closed = self.call.sender.closed();
+            place.decision(closed).await
+        };
+        match decision {
+            None => return,
+            Some(Decision::Refuse { reason, retry_after_ms }) => {
+                drop(place);
+                return self.call.finish(ForwardDown::Refused { reason, retry_after_ms }).await;
+            }
+            Some(Decision::Start { .. }) => place.set_used(Tokens(1)),
+        }
+        let claimed = tokio::select! {
+            claimed = desk.claim(key, fingerprint) => Some(claimed),
+            () = sleep_until(self.call.deadline) => None,
+            () = self.call.sender.closed() => return,
+        };
+        match claimed {
+            Some(ClaimResult::Run(attempt)) => {
+                let Forward { head, sender, target, deadline, .. } = self.call;
+                let listener = Listener { sender: Some(sender), deadline };
+                run_claimed(&desk, &attempt, &head, target, body, listener).await;
+            }
+            Some(ClaimResult::Known(answer)) => self.reply(answer).await,
+            Some(ClaimResult::LogUnavailable) => {
+                self.call.finish(refused(RefuseReason::LogUnavailable)).await;
+            }
+            Some(ClaimResult::Unsettled) | None => {
+                self.call.finish(refused(RefuseReason::ClaimUnsettled)).await;
+            }
+        }
+    }
+
+    /// The whole body; none if it broke off, after the caller was told where that is possible.
+    async fn collect_body(&mut self) -> Option<Bytes> {
+        let mut body = BytesMut::new();
+        loop {
+            let frame = timeout_at(self.call.deadline, self.call.body.next()).await.ok()?;
+            match frame {
+                Ok(Some(ForwardUp::Data(data))) if body.len() + data.len() <= MAX_BODY_BYTES => {
+                    body.extend_from_slice(&data);
+                }
+                Ok(Some(ForwardUp::End)) => return Some(body.freeze()),
+                // Dropping the stream tells the entry process that nothing ran of it.
+                _ => return None,
+            }
+        }
+    }
+
+    /// Answers with what is known about a call that is not to be run.
+    async fn reply(mut self, answer: Answer) {
+        let last = match answer {
+            Answer::Ran(outcome) => match outcome.body {
+                None => failed(RanState::Ran),
+                Some(body) => {
+                    let head = ForwardDown::Head {
+                        request_id: self.call.head.request_id,
+                        attempt: self.call.head.attempt,
+                        status: outcome.status,
+                        headers: outcome.headers.into_iter().map(from_stored).collect(),
+                        replayed: true,
+                    };
+                    let deadline = self.call.deadline;
+                    let frames = std::iter::once(head)
+                        .chain(body.chunks(MAX_DATA_BYTES).map(|p| ForwardDown::Data(p.to_vec())));
+                    for frame in frames {
+                        let sent = timeout_at(deadline, self.call.sender.send(&frame)).await;
+                        if !sent.is_ok_and(|sent| sent.is_ok()) {
+                            return;
+                        }
+                    }
+                    ForwardDown::End
+                }
+            },
+            Answer::Unknown => failed(RanState::Unknown),
+            Answer::Mismatch => ForwardDown::Refused {
+                reason: RefuseReason::IdempotencyMismatch,
+                retry_after_ms: None,
+            },
+        };
+        self.call.finish(last).await;
+    }
+}
+
+/// Makes a claimed call and records what became of it.
+async fn run_claimed(
+    desk: &Rc<ClaimDesk>,
+    attempt: &AttemptId,
+    head: &ForwardHead,
+    target: SocketAddr,
+    body: Bytes,
+    mut listener: Listener,
+) {
+    let Some(request) = request_of(head, target, Full::new(body)) else {
+        desk.release(attempt);
+        return listener.finish(&failed(RanState::NotRun)).await;
+    };
+    let Some(mut connection) = PlainConnection::open(target).await else {
+        desk.release(attempt);
+        return listener.finish(&refused(RefuseReason::TargetUnhealthy)).await;
+    };
+    // Point of no return: from here on the call may have run.
+    let deadline = listener.deadline;
+    let answer = match timeout_at(deadline, connection.send(request)).await {
+        Ok(Ok(answer)) => pass_on(answer, head, desk, &mut listener).await,
+        Ok(Err(_)) | Err(_) => None,
+    };
+    match answer {
+        Some(outcome) => {
+            desk.finish(attempt, outcome);
+            listener.finish(&ForwardDown::End).await;
+        }
+        None => {
+            log::warn!("event=call_broken request={} route={}", head.request_id, head.route);
+            desk.lose(attempt);
+            listener.finish(&failed(RanState::Unknown)).await;
+        }
+    }
+}
+
+/// Streams the answer to the caller and collects it; none if it is not whole.
+async fn pass_on(
+    answer: Response<Incoming>,
+    head: &ForwardHead,
+    desk: &ClaimDesk,
+    listener: &mut Listener,
+) -> Option<StoredOutcome> {
+    let status = answer.status().as_u16();
+    let headers = end_to_end(answer.headers());
+    let first = ForwardDown::Head {
+        request_id: head.request_id,
+        attempt: head.attempt,
+        status,
+        headers: headers.clone(),
+        replayed: false,
+    };
+    listener.send(&first).await;
+    let limit = desk.outcome_body_bytes();
+    let mut kept = Some(Vec::new());
+    let mut body = answer.into_body();
+    while let Some(frame) = timeout_at(listener.deadline, body.frame()).await.ok()? {
+        let Ok(mut data) = frame.ok()?.into_data() else { continue };
+        kept = kept.filter(|kept| kept.len() + data.len() <= limit);
+        if let Some(kept) = &mut kept {
+            kept.extend_from_slice(&data);
+        }
+        while !data.is_empty() {
+            let part = data.split_to(data.len().min(MAX_DATA_BYTES));
+            listener.send(&ForwardDown::Data(part.to_vec())).await;
+        }
+    }
+    let headers = headers.into_iter().map(to_stored).collect();
+    Some(StoredOutcome { status, headers, body: kept })
+}
+
+fn to_stored(header: Header) -> StoredHeader {
+    StoredHeader { name: header.name, value: header.value }
+}
+
+fn from_stored(header: StoredHeader) -> Header {
+    Header { name: header.name, value: header.value }
+}
--- a/components/side/src/lib.rs
+++ b/components/side/src/lib.rs
@@ -3,6 +3,7 @@
 //! One event loop owns the core; each request and each connection is a task around it.
 
 mod action;
+mod claim_desk;
 mod clock;
 mod config_source;
 mod core;
@@ -15,6 +16,7 @@
 mod generation;
 mod heartbeats;
 mod incoming;
+mod keyed_call;
 mod operators;
 mod peers;
 mod permit_state;
--- a/components/side/src/process.rs
+++ b/components/side/src/process.rs
@@ -19,6 +19,7 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 use wire::{FleetSecret, Heartbeat, Incoming, PeerIdentity, PeerPool, RefuseReason};
 
+use crate::claim_desk::ClaimDesk;
 use crate::clock::{Clock, to_millis};
 use crate::config_source::follow_config;
 use crate::core::Core;
@@ -51,7 +52,8 @@
     pub log: HttpLog,
     pub metrics: Rc<Metrics>,
     pub decisions: RefCell<SortedMap<Ticket, oneshot::Sender<Decision>>>,
-    pub seen: RefCell<SeenCalls>,
+    pub seen: Rc<RefCell<SeenCalls>>,
+    pub claims: Rc<ClaimDesk>,
     pub tasks: RefCell<JoinSet<()>>,
     pub source: Cell<SourceState>,
     pub sampled_at: Cell<Timestamp>,
@@ -108,6 +110,8 @@
                 events,
             )),
             ServiceKind::Plain => {
+                spawn_local(self.claims.clone().follow());
+                spawn_local(self.claims.clone().write_snapshots());
                 spawn_local(probe_plain(self.settings.target_address, interval, events))
             }
         };
@@ -279,6 +283,9 @@
         let now = self.clock.now();
         let address = settings.process.advertised_address.unwrap_or(self.peer_address);
         let core = Core::new(settings.clone(), self.identity.process.clone(), address, now);
+        let log = HttpLog::new(settings.platform.log_address, options);
+        let own = self.identity.process.clone();
+        let claims = ClaimDesk::new(settings, own, log.clone(), self.clock);
         Shared {
             settings: settings.clone(),
             identity: self.identity.clone(),
@@ -288,10 +295,11 @@
             events: self.events.clone(),
             pool: PeerPool::new(self.identity.clone(), secret.clone(), call_limit),
             engine: HttpEngine::new(settings.target_address, limits),
-            log: HttpLog::new(settings.platform.log_address, options),
+            log,
             metrics: self.metrics.clone(),
             decisions: RefCell::default(),
-            seen: RefCell::default(),
+            seen: Rc::default(),
+            claims,
             tasks: RefCell::default(),
             source: Cell::default(),
             sampled_at: Cell::new(now),
@@ -307,7 +315,7 @@
 impl Shared {
     /// Handles messages, events and time until `until` completes.
     async fn run_loop(
-        &self,
+        self: &Rc<Self>,
         arrivals: &mut mpsc::Receiver<Incoming>,
         events: &mut mpsc::UnboundedReceiver<Event>,
         until: impl Future<Output = ()>,
@@ -325,6 +333,7 @@
                 Some(event) = events.recv() => self.take_event(event),
                 () = sleep(wake) => self.with_core(|core, now| core.drive(now)),
             }
+            self.claims.tick();
             while self.tasks.borrow_mut().try_join_next().is_some() {}
         }
     }
--- a/components/side/src/seen_calls.rs
+++ b/components/side/src/seen_calls.rs
@@ -22,6 +22,8 @@
         while let Some((arrived, oldest)) = self.arrivals.front()
             && now.since(*arrived) > KEPT
         {
+            // An id that was forgotten and came again leaves early with its first arrival; by then a
+            // duplicate of the second one is just as late.
             self.ids.remove(oldest);
             self.arrivals.pop_front();
         }
@@ -31,4 +33,9 @@
         }
         new
     }
+
+    /// Forgets an id whose call was not run, so that it may be tried again.
+    pub fn forget(&mut self, id: RequestId) {
+        self.ids.remove(&id);
+    }
 }
--- a/components/side/tests/common/mod.rs
+++ b/components/side/tests/common/mod.rs
@@ -75,7 +75,7 @@
     }
 }
 
-/// Engine targets `t1` to `t3` of 2,500 MB, plain target `p1`; models of 1,000 MB, `base` always
+/// Engine targets `t1` to `t3` of 2,500 MB, plain targets `p1` and `p2`; models of 1,000 MB, `base` always
 /// resident, the others on demand; adapters of 100 MB on `base`.
 pub fn town() -> Town {
     let customer = |name: &str| Customer {
@@ -105,7 +105,7 @@
             Service {
                 name: "desk".into(),
                 kind: ServiceKind::Plain,
-                targets: vec![target("p1", 0)],
+                targets: vec![target("p1", 0), target("p2", 0)],
             },
             Service {
                 name: "models".into(),
