--- a/components/side/src/core_requests.rs
+++ b/components/side/src/core_requests.rs
@@ -152,11 +152,15 @@
     }
 
     /// Ends a request that its caller gave up while it was queued.
+    ///
+    /// It may have been started at the same moment; its task is gone, so nothing of it runs.
     pub fn cancelled(&mut self, ticket: Ticket, now: Timestamp) {
         if self.queue.cancel(ticket) {
             self.requests.remove(&ticket);
+            self.drive(now);
+        } else {
+            self.settled(ticket, Tokens::ZERO, now);
         }
-        self.drive(now);
     }
 
     /// Ends a running request.
--- a/components/side/src/incoming.rs
+++ b/components/side/src/incoming.rs
@@ -152,7 +152,7 @@
     /// Tells a request's task what was decided.
     pub fn decide(&self, ticket: Ticket, decision: Decision) {
         if let Some(decide) = self.decisions.borrow_mut().remove(&ticket) {
-            // A task that is gone reports the end of its request by itself.
+            // A task that is gone has reported its request as cancelled.
             let _sent = decide.send(decision);
         }
     }
--- a/components/side/tests/common/mod.rs
+++ b/components/side/tests/common/mod.rs
@@ -12,8 +12,8 @@
     CustomerId, Incarnation, ModelId, Offset, ProcessId, ProcessName, RanState, Role, ServiceId,
 };
 use config::{
-    Access, Adapter, Customer, DataCentre, Model, PlatformSettings, ProcessSettings, Residency,
-    Route, Service, ServiceKind, SideSettings, Target, Town,
+    Access, Adapter, Customer, DataCentre, MembershipSettings, Model, PlatformSettings,
+    ProcessSettings, Residency, Route, Service, ServiceKind, SideSettings, Target, Town,
 };
 use side::{SideHandle, SideProcess};
 use standin::{
@@ -187,6 +187,7 @@
             vm_list_address: platform.vms.address(),
             ..PlatformSettings::default()
         },
+        membership: MembershipSettings { heartbeat_ms: 20, ..MembershipSettings::default() },
         target: target.into(),
         target_address: address,
         order_lifetime_ms: ORDER_LIFETIME_MS,
@@ -340,6 +341,11 @@
 }
 
 impl FakeEntry {
+    /// Whether the last heartbeat's target report is as wanted.
+    pub fn reports(&self, holds: &dyn Fn(&TargetReport) -> bool) -> bool {
+        self.heartbeats.borrow().last().and_then(|h| h.target.as_ref()).is_some_and(holds)
+    }
+
     /// Starts it and puts its VM on the list.
     pub async fn start(platform: &Platform) -> Self {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
--- /dev/null
+++ b/components/side/tests/drain.rs
@@ -0,0 +1,82 @@
+//! Graceful stop of a side process.
+
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+mod common;
+
+use base::RanState;
+use common::{Scene, collect, engine_settings, generate, request, run_test, wait_for};
+use standin::EngineSettings;
+use wire::{GenerateFrame, RefuseReason};
+
+fn slow_engine() -> EngineSettings {
+    EngineSettings { token_us: 30_000, ..engine_settings() }
+}
+
+/// Guards against a stop that cuts streams, takes new work, or goes unannounced.
+#[test]
+fn stop_finishes_streams_and_refuses_new_work() {
+    run_test(async {
+        let mut scene = Scene::start(slow_engine()).await;
+        let running = request("base");
+        let mut stream = scene.client.generate(&running).await.unwrap();
+        wait_for("the request runs", async || scene.engine.requests_inside() == 1).await;
+        scene.side.stop();
+        wait_for("the drain is announced", async || {
+            scene.entry.heartbeats.borrow().last().is_some_and(|heartbeat| heartbeat.draining)
+        })
+        .await;
+        let (_, last) = generate(&scene.client, &request("base")).await;
+        let expected = RefuseReason::Draining;
+        assert!(matches!(last, Some(GenerateFrame::Refused { reason, .. }) if reason == expected));
+        let (text, last) = collect(&mut stream, &running).await;
+        assert_eq!(text, standin::answer_text("base", None, "one two three four", 8));
+        assert!(matches!(last, Some(GenerateFrame::Finished { .. })), "{last:?}");
+        scene.side.ended().await;
+        assert!(scene.engine.journal().orders.is_empty(), "a stop unloads nothing");
+    });
+}
+
+/// Guards against queued requests that are lost with the process.
+#[test]
+fn stop_gives_queued_requests_back_as_not_run() {
+    run_test(async {
+        let mut scene = Scene::start(slow_engine()).await;
+        let mut streams = Vec::new();
+        for _ in 0..6 {
+            let request = request("base");
+            streams.push((scene.client.generate(&request).await.unwrap(), request));
+        }
+        wait_for("the batch is full", async || scene.engine.requests_inside() == 4).await;
+        scene.side.stop();
+        let mut refused = 0;
+        for (stream, request) in &mut streams {
+            match collect(stream, request).await.1 {
+                Some(GenerateFrame::Refused { reason: RefuseReason::Draining, .. }) => refused += 1,
+                last => assert!(matches!(last, Some(GenerateFrame::Finished { .. })), "{last:?}"),
+            }
+        }
+        assert_eq!(refused, 2);
+        scene.side.ended().await;
+    });
+}
+
+/// Guards against a stop that waits for a long stream beyond its limit, or cuts it without a word.
+#[test]
+fn long_streams_are_handed_over_before_the_limit() {
+    run_test(async {
+        let mut scene = Scene::start(slow_engine()).await;
+        let mut long = request("base");
+        (long.max_output_tokens, long.deadline_ms) = (1_000, 60_000);
+        let mut stream = scene.client.generate(&long).await.unwrap();
+        wait_for("the request runs", async || scene.engine.requests_inside() == 1).await;
+        let stopped = tokio::time::Instant::now();
+        scene.side.stop();
+        let (text, last) = collect(&mut stream, &long).await;
+        assert!(!text.is_empty(), "the entry process goes on from what was delivered");
+        assert_eq!(last, Some(GenerateFrame::Failed { ran: RanState::Unknown }));
+        scene.side.ended().await;
+        let limit = std::time::Duration::from_millis(2_000);
+        assert!(stopped.elapsed() < limit, "handed over within the limit");
+    });
+}
