--- a/components/side/tests/common/mod.rs
+++ b/components/side/tests/common/mod.rs
@@ -27,6 +27,7 @@
     FleetSecret, ForwardDown, ForwardHead, ForwardUp, FrameReceiver, GenerateEvent, GenerateFrame,
     GenerateRequest, Header, Heartbeat, Incoming, LogView, PeerCall, PeerClient, PeerIdentity,
     PeerReply, PendingReceiver, PermitOutcome, ProcessStatus, RefuseReason, RequestId,
+    TargetReport,
 };
 
 pub const SECRET: &str = "a secret of the test fleet";
