Test generations and plain calls through a real entry process

Cause: retries, resumes, key withdrawal and the at-most-once rules of the entry had no test. Change: scripted side processes speak the real protocol and meet each attempt with one act (truncate, gap, wrong count, foreign or doubled frames, refusals, reset, silence). A token frame that was already delivered is now dropped and counted instead of ending the attempt.

--- a/components/entry/src/attempt.rs
+++ b/components/entry/src/attempt.rs
@@ -110,6 +110,10 @@
                     app.metrics.record_queue_wait(customer, self.job.class, wait);
                 }
                 GenerateFrame::Token { index, count, text } => {
+                    if index + u64::from(count) <= progress.delivered {
+                        app.metrics.record_late_answer();
+                        continue;
+                    }
                     if index != progress.delivered {
                         app.metrics.record_late_answer();
                         return failed(Failure::Mismatched);
--- a/components/entry/tests/common/fake_side.rs
+++ b/components/entry/tests/common/fake_side.rs
@@ -30,7 +30,7 @@
     Gap,
     /// Ends with a count that is larger than what was sent.
     ShortCount,
-    /// Sends frames of another request and of another attempt among its own.
+    /// Sends frames of another request and of another attempt among its own, and its own twice.
     Mixed,
     /// Refuses.
     Refuse(RefuseReason),
@@ -42,19 +42,22 @@
     Endless,
     /// Sends nothing.
     Hang,
-    /// Sends the head of an answer and half of its body, then resets (calls to plain services).
+    /// Sends the head of an answer and half of its body, then ends the stream (plain services).
     HalfBody,
 }
 
 #[derive(Default)]
 struct State {
-    acts: VecDeque<Act>,
+    acts: Script,
     generations: Vec<GenerateRequest>,
     calls: Vec<(ForwardHead, Vec<u8>)>,
     cancelled: u32,
     draining: bool,
 }
 
+/// What the next requests meet, at whichever side process they arrive; later ones are answered.
+pub type Script = Rc<RefCell<VecDeque<Act>>>;
+
 /// A running side process.
 pub struct FakeSide {
     state: Rc<RefCell<State>>,
@@ -64,10 +67,10 @@
 impl FakeSide {
     /// Starts the side process of a target; engines start with `e`, plain services with another
     /// letter.
-    pub async fn start(target: &str, entry: SocketAddr) -> Self {
+    pub async fn start(target: &str, entry: SocketAddr, acts: Script) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
-        let state = Rc::new(RefCell::new(State::default()));
+        let state = Rc::new(RefCell::new(State { acts, ..State::default() }));
         let process = ProcessId {
             name: ProcessName::new(&format!("side-{target}")),
             incarnation: Incarnation(1),
@@ -116,11 +119,6 @@
         Self { state, tasks: vec![beats, accept, serve] }
     }
 
-    /// Sets what the next requests meet; later ones are answered.
-    pub fn script(&self, acts: &[Act]) {
-        self.state.borrow_mut().acts = acts.iter().copied().collect();
-    }
-
     /// Generations received.
     pub fn generations(&self) -> Vec<GenerateRequest> {
         self.state.borrow().generations.clone()
@@ -196,12 +194,16 @@
     (0..tokens).map(token).collect()
 }
 
+fn next_act(state: &RefCell<State>) -> Act {
+    state.borrow().acts.borrow_mut().pop_front().unwrap_or(Act::Answer)
+}
+
 async fn generate(
     state: Rc<RefCell<State>>,
     request: GenerateRequest,
     mut sender: FrameSender<GenerateEvent>,
 ) {
-    let act = state.borrow_mut().acts.pop_front().unwrap_or(Act::Answer);
+    let act = next_act(&state);
     state.borrow_mut().generations.push(request.clone());
     let event =
         |frame| GenerateEvent { request_id: request.request_id, attempt: request.attempt, frame };
@@ -233,7 +235,7 @@
                 let id = wire::RequestId(request.request_id.0 ^ 1);
                 frames.push(GenerateEvent { request_id: id, ..event(other.clone()) });
                 frames.push(GenerateEvent { attempt: request.attempt + 1, ..event(other) });
-                frames.push(event(word(index)));
+                frames.extend([event(word(index)), event(word(index))]);
             }
             frames.push(event(finished(total)));
         }
@@ -271,7 +273,7 @@
     mut body: FrameReceiver<ForwardUp>,
     mut sender: FrameSender<ForwardDown>,
 ) {
-    let act = state.borrow_mut().acts.pop_front().unwrap_or(Act::Answer);
+    let act = next_act(&state);
     state.borrow_mut().calls.push((head.clone(), Vec::new()));
     let at = state.borrow().calls.len() - 1;
     if let Act::Refuse(reason) = act {
@@ -311,14 +313,16 @@
                 replayed: false,
             }]
         }
-        _ => vec![answer, ForwardDown::Data(echoed), ForwardDown::End],
+        _ => {
+            let parts = echoed.chunks(100_000).map(|part| ForwardDown::Data(part.to_vec()));
+            [answer].into_iter().chain(parts).chain([ForwardDown::End]).collect()
+        }
     };
     for frame in frames {
         if sender.send(&frame).await.is_err() {
             return;
         }
     }
-    if !matches!(act, Act::HalfBody) {
-        let _finished = sender.finish();
-    }
+    // Without a reset, since that may overtake what was sent before it.
+    let _finished = sender.finish();
 }
--- a/components/entry/tests/common/mod.rs
+++ b/components/entry/tests/common/mod.rs
@@ -17,7 +17,7 @@
 use standin::{ListedState, ListedVm, LogServer, LogServerSettings, VmListServer, VmListSettings};
 use tokio::task::LocalSet;
 
-use self::fake_side::FakeSide;
+use self::fake_side::{Act, FakeSide, Script};
 
 pub const SECRET: &str = "test-fleet-secret-0123456789";
 /// Key of `capel`, with a rate that no test reaches.
@@ -87,6 +87,7 @@
     pub vm_list: VmListServer,
     pub entry: EntryHandle,
     pub sides: Vec<FakeSide>,
+    acts: Script,
     published: u64,
 }
 
@@ -121,9 +122,10 @@
             ..settings
         };
         let entry = entry::start(settings).await.unwrap();
+        let acts = Script::default();
         let mut sides = Vec::new();
         for target in targets {
-            sides.push(FakeSide::start(target, entry.peer_address()).await);
+            sides.push(FakeSide::start(target, entry.peer_address(), acts.clone()).await);
         }
         let listed = ListedVm {
             name: "vm-entry-1".into(),
@@ -134,7 +136,7 @@
             state: ListedState::Live,
         };
         vm_list.update(|settings| settings.vms = vec![listed]);
-        let mut site = Self { log, vm_list, entry, sides, published: 0 };
+        let mut site = Self { log, vm_list, entry, sides, acts, published: 0 };
         let base = SourceFile::new("base.yaml", &base_file());
         let overlays = Vec::new();
         site.publish(Change::Files { base_version: Offset(0), base, overlays });
@@ -147,6 +149,17 @@
         eventually(|| targets.iter().all(|target| self.entry.knows_target(target))).await;
     }
 
+    /// Sets what the next requests meet, at whichever side process they arrive.
+    pub fn script(&self, acts: &[Act]) {
+        *self.acts.borrow_mut() = acts.iter().copied().collect();
+    }
+
+    /// Adds the side process of a target.
+    pub async fn add_side(&mut self, target: &str) {
+        let side = FakeSide::start(target, self.entry.peer_address(), self.acts.clone()).await;
+        self.sides.push(side);
+    }
+
     /// Puts a change on the log.
     pub fn publish(&mut self, change: Change) {
         self.published += 1;
