Test authority, catch-up, graceful stop and shared bursts of entries

Cause: serving without the log, learning of withdrawals through a peer and the hand-over of bucket slots at a stop had no test at process level. Change: the test site starts several entries, each with its own faulty link to the log.

--- a/components/entry/tests/common/fake_side.rs
+++ b/components/entry/tests/common/fake_side.rs
@@ -40,6 +40,8 @@
     Reset,
     /// Sends tokens without end, one each millisecond.
     Endless,
+    /// Answers whole with this many tokens, one each 10 ms.
+    Slow(u64),
     /// Sends nothing.
     Hang,
     /// Sends the head of an answer and half of its body, then ends the stream (plain services).
@@ -58,8 +60,12 @@
 /// What the next requests meet, at whichever side process they arrive; later ones are answered.
 pub type Script = Rc<RefCell<VecDeque<Act>>>;
 
+/// Entry processes that side processes send heartbeats to.
+pub type Addresses = Rc<RefCell<Vec<SocketAddr>>>;
+
 /// A running side process.
 pub struct FakeSide {
+    target: String,
     state: Rc<RefCell<State>>,
     tasks: Vec<JoinHandle<()>>,
 }
@@ -67,7 +73,7 @@
 impl FakeSide {
     /// Starts the side process of a target; engines start with `e`, plain services with another
     /// letter.
-    pub async fn start(target: &str, entry: SocketAddr, acts: Script) -> Self {
+    pub async fn start(target: &str, entries: Addresses, acts: Script) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let state = Rc::new(RefCell::new(State { acts, ..State::default() }));
@@ -85,7 +91,10 @@
                 loop {
                     let heartbeat = heartbeat(&identity, address, &target, state.borrow().draining);
                     let call = PeerCall::Heartbeat(Box::new(heartbeat));
-                    let _answered = pool.call(entry, &call, Duration::from_secs(1)).await;
+                    let entries = entries.borrow().clone();
+                    for entry in entries {
+                        let _answered = pool.call(entry, &call, Duration::from_secs(1)).await;
+                    }
                     tokio::time::sleep(Duration::from_millis(50)).await;
                 }
             }
@@ -116,7 +125,12 @@
                 }
             }
         });
-        Self { state, tasks: vec![beats, accept, serve] }
+        Self { target: target.to_owned(), state, tasks: vec![beats, accept, serve] }
+    }
+
+    /// Name of the target.
+    pub fn target(&self) -> &str {
+        &self.target
     }
 
     /// Generations received.
@@ -249,6 +263,15 @@
             state.borrow_mut().cancelled += 1;
             return;
         }
+        Act::Slow(tokens) => {
+            for index in first..tokens {
+                if sender.send(&event(word(index))).await.is_err() {
+                    return;
+                }
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+            frames = vec![event(finished(tokens))];
+        }
         Act::Endless => {
             for index in first.. {
                 if sender.send(&event(word(index))).await.is_err() {
--- a/components/entry/tests/common/mod.rs
+++ b/components/entry/tests/common/mod.rs
@@ -14,10 +14,12 @@
 use changes::{CONFIG_STREAM, Change, Record, RecordId};
 use config::{EntrySettings, PlatformSettings, ProcessSettings, SourceFile, format_sha256};
 use entry::EntryHandle;
-use standin::{ListedState, ListedVm, LogServer, LogServerSettings, VmListServer, VmListSettings};
+use standin::{
+    Link, ListedState, ListedVm, LogServer, LogServerSettings, VmListServer, VmListSettings,
+};
 use tokio::task::LocalSet;
 
-use self::fake_side::{Act, FakeSide, Script};
+use self::fake_side::{Act, Addresses, FakeSide, Script};
 
 pub const SECRET: &str = "test-fleet-secret-0123456789";
 /// Key of `capel`, with a rate that no test reaches.
@@ -81,21 +83,33 @@
     )
 }
 
-/// A log, a VM list, one entry process and scripted side processes.
+/// An entry process with a link of its own to the log.
+pub struct Node {
+    pub handle: EntryHandle,
+    pub log_link: Link,
+}
+
+/// A log, a VM list, entry processes and scripted side processes.
 pub struct Site {
     pub log: LogServer,
     pub vm_list: VmListServer,
-    pub entry: EntryHandle,
+    pub nodes: Vec<Node>,
     pub sides: Vec<FakeSide>,
+    entries: Addresses,
     acts: Script,
     published: u64,
 }
 
 pub fn settings() -> EntrySettings {
+    named_settings("entry-1")
+}
+
+/// Settings of an entry process of this name.
+pub fn named_settings(name: &str) -> EntrySettings {
     EntrySettings {
         process: ProcessSettings {
-            name: "entry-1".into(),
-            vm: "vm-entry-1".into(),
+            name: name.into(),
+            vm: format!("vm-{name}").into(),
             region: "north".into(),
             data_centre: "dc-a".into(),
             fleet_secret: SECRET.into(),
@@ -111,42 +125,77 @@
     /// Starts an entry with these settings and the side processes of `targets`, and waits until it
     /// serves.
     pub async fn start(settings: EntrySettings, targets: &[&str]) -> Self {
+        Self::start_all(vec![settings], targets).await
+    }
+
+    /// Starts several entries and the side processes of `targets`, and waits until all serve.
+    pub async fn start_all(settings: Vec<EntrySettings>, targets: &[&str]) -> Self {
         let log = LogServer::start(LogServerSettings::default()).await.unwrap();
         let vm_list = VmListServer::start(VmListSettings::default()).await.unwrap();
-        let settings = EntrySettings {
-            platform: PlatformSettings {
-                log_address: log.address(),
-                vm_list_address: vm_list.address(),
-                ..settings.platform
-            },
-            ..settings
+        let mut site = Self {
+            log,
+            vm_list,
+            nodes: Vec::new(),
+            sides: Vec::new(),
+            entries: Addresses::default(),
+            acts: Script::default(),
+            published: 0,
         };
-        let entry = entry::start(settings).await.unwrap();
-        let acts = Script::default();
-        let mut sides = Vec::new();
+        for settings in settings {
+            site.add_entry(settings).await;
+        }
         for target in targets {
-            sides.push(FakeSide::start(target, entry.peer_address(), acts.clone()).await);
+            site.add_side(target).await;
         }
+        let base = SourceFile::new("base.yaml", &base_file());
+        let overlays = Vec::new();
+        site.publish(Change::Files { base_version: Offset(0), base, overlays });
+        site.wait_until_ready().await;
+        site
+    }
+
+    /// Starts an entry process and lists its VM.
+    pub async fn add_entry(&mut self, settings: EntrySettings) {
+        let log_link = Link::start(self.log.address()).await.unwrap();
+        let platform = PlatformSettings {
+            log_address: log_link.address(),
+            vm_list_address: self.vm_list.address(),
+            ..settings.platform
+        };
+        let vm = settings.process.vm.clone();
+        let handle = entry::start(EntrySettings { platform, ..settings }).await.unwrap();
+        self.list_entry(&vm, handle.peer_address());
+        self.entries.borrow_mut().push(handle.peer_address());
+        self.nodes.push(Node { handle, log_link });
+    }
+
+    /// Puts an entry's VM on the list.
+    pub fn list_entry(&self, vm: &str, address: SocketAddr) {
         let listed = ListedVm {
-            name: "vm-entry-1".into(),
-            address: entry.peer_address(),
+            name: vm.into(),
+            address,
             role: Role::Entry,
             region: "north".into(),
             data_centre: "dc-a".into(),
             state: ListedState::Live,
         };
-        vm_list.update(|settings| settings.vms = vec![listed]);
-        let mut site = Self { log, vm_list, entry, sides, acts, published: 0 };
-        let base = SourceFile::new("base.yaml", &base_file());
-        let overlays = Vec::new();
-        site.publish(Change::Files { base_version: Offset(0), base, overlays });
-        site.wait_until_ready(targets).await;
-        site
+        self.vm_list.update(|settings| settings.vms.push(listed));
+    }
+
+    /// Waits until every entry serves and knows every target.
+    pub async fn wait_until_ready(&self) {
+        let ready = |node: &Node| {
+            let handle = &node.handle;
+            handle.is_ready()
+                && handle.all_slots_owned()
+                && self.sides.iter().all(|side| handle.knows_target(side.target()))
+        };
+        eventually(|| self.nodes.iter().all(ready)).await;
     }
 
-    async fn wait_until_ready(&self, targets: &[&str]) {
-        eventually(|| self.entry.is_ready() && self.entry.all_slots_owned()).await;
-        eventually(|| targets.iter().all(|target| self.entry.knows_target(target))).await;
+    /// The first entry.
+    pub fn entry(&self) -> &EntryHandle {
+        &self.nodes[0].handle
     }
 
     /// Sets what the next requests meet, at whichever side process they arrive.
@@ -156,7 +205,7 @@
 
     /// Adds the side process of a target.
     pub async fn add_side(&mut self, target: &str) {
-        let side = FakeSide::start(target, self.entry.peer_address(), self.acts.clone()).await;
+        let side = FakeSide::start(target, self.entries.clone(), self.acts.clone()).await;
         self.sides.push(side);
     }
 
@@ -174,9 +223,9 @@
         self.publish(Change::WithdrawKey { name: name.into() });
     }
 
-    /// Where callers connect.
+    /// Where callers of the first entry connect.
     pub fn callers(&self) -> SocketAddr {
-        self.entry.caller_address()
+        self.entry().caller_address()
     }
 }
 
