--- a/components/entry/tests/common/fake_side.rs
+++ b/components/entry/tests/common/fake_side.rs
@@ -30,7 +30,7 @@
     Gap,
     /// Ends with a count that is larger than what was sent.
     ShortCount,
-    /// Sends frames of another request and of another attempt among its own.
+    /// Sends frames of another request and of another attempt among its own, and its own twice.
     Mixed,
     /// Refuses.
     Refuse(RefuseReason),
@@ -40,23 +40,32 @@
     Reset,
     /// Sends tokens without end, one each millisecond.
     Endless,
+    /// Answers whole with this many tokens, one each 10 ms.
+    Slow(u64),
     /// Sends nothing.
     Hang,
-    /// Sends the head of an answer and half of its body, then resets (calls to plain services).
+    /// Sends the head of an answer and half of its body, then ends the stream (plain services).
     HalfBody,
 }
 
 #[derive(Default)]
 struct State {
-    acts: VecDeque<Act>,
+    acts: Script,
     generations: Vec<GenerateRequest>,
     calls: Vec<(ForwardHead, Vec<u8>)>,
     cancelled: u32,
     draining: bool,
 }
 
+/// What the next requests meet, at whichever side process they arrive; later ones are answered.
+pub type Script = Rc<RefCell<VecDeque<Act>>>;
+
+/// Entry processes that side processes send heartbeats to.
+pub type Addresses = Rc<RefCell<Vec<SocketAddr>>>;
+
 /// A running side process.
 pub struct FakeSide {
+    target: String,
     state: Rc<RefCell<State>>,
     tasks: Vec<JoinHandle<()>>,
 }
@@ -64,10 +73,10 @@
 impl FakeSide {
     /// Starts the side process of a target; engines start with `e`, plain services with another
     /// letter.
-    pub async fn start(target: &str, entry: SocketAddr) -> Self {
+    pub async fn start(target: &str, entries: Addresses, acts: Script) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
-        let state = Rc::new(RefCell::new(State::default()));
+        let state = Rc::new(RefCell::new(State { acts, ..State::default() }));
         let process = ProcessId {
             name: ProcessName::new(&format!("side-{target}")),
             incarnation: Incarnation(1),
@@ -82,7 +91,10 @@
                 loop {
                     let heartbeat = heartbeat(&identity, address, &target, state.borrow().draining);
                     let call = PeerCall::Heartbeat(Box::new(heartbeat));
-                    let _answered = pool.call(entry, &call, Duration::from_secs(1)).await;
+                    let entries = entries.borrow().clone();
+                    for entry in entries {
+                        let _answered = pool.call(entry, &call, Duration::from_secs(1)).await;
+                    }
                     tokio::time::sleep(Duration::from_millis(50)).await;
                 }
             }
@@ -113,12 +125,12 @@
                 }
             }
         });
-        Self { state, tasks: vec![beats, accept, serve] }
+        Self { target: target.to_owned(), state, tasks: vec![beats, accept, serve] }
     }
 
-    /// Sets what the next requests meet; later ones are answered.
-    pub fn script(&self, acts: &[Act]) {
-        self.state.borrow_mut().acts = acts.iter().copied().collect();
+    /// Name of the target.
+    pub fn target(&self) -> &str {
+        &self.target
     }
 
     /// Generations received.
@@ -196,12 +208,16 @@
     (0..tokens).map(token).collect()
 }
 
+fn next_act(state: &RefCell<State>) -> Act {
+    state.borrow().acts.borrow_mut().pop_front().unwrap_or(Act::Answer)
+}
+
 async fn generate(
     state: Rc<RefCell<State>>,
     request: GenerateRequest,
     mut sender: FrameSender<GenerateEvent>,
 ) {
-    let act = state.borrow_mut().acts.pop_front().unwrap_or(Act::Answer);
+    let act = next_act(&state);
     state.borrow_mut().generations.push(request.clone());
     let event =
         |frame| GenerateEvent { request_id: request.request_id, attempt: request.attempt, frame };
@@ -233,7 +249,7 @@
                 let id = wire::RequestId(request.request_id.0 ^ 1);
                 frames.push(GenerateEvent { request_id: id, ..event(other.clone()) });
                 frames.push(GenerateEvent { attempt: request.attempt + 1, ..event(other) });
-                frames.push(event(word(index)));
+                frames.extend([event(word(index)), event(word(index))]);
             }
             frames.push(event(finished(total)));
         }
@@ -247,6 +263,15 @@
             state.borrow_mut().cancelled += 1;
             return;
         }
+        Act::Slow(tokens) => {
+            for index in first..tokens {
+                if sender.send(&event(word(index))).await.is_err() {
+                    return;
+                }
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+            frames = vec![event(finished(tokens))];
+        }
         Act::Endless => {
             for index in first.. {
                 if sender.send(&event(word(index))).await.is_err() {
@@ -271,7 +296,7 @@
     mut body: FrameReceiver<ForwardUp>,
     mut sender: FrameSender<ForwardDown>,
 ) {
-    let act = state.borrow_mut().acts.pop_front().unwrap_or(Act::Answer);
+    let act = next_act(&state);
     state.borrow_mut().calls.push((head.clone(), Vec::new()));
     let at = state.borrow().calls.len() - 1;
     if let Act::Refuse(reason) = act {
@@ -311,14 +336,16 @@
                 replayed: false,
             }]
         }
-        _ => vec![answer, ForwardDown::Data(echoed), ForwardDown::End],
+        _ => {
+            let parts = echoed.chunks(100_000).map(|part| ForwardDown::Data(part.to_vec()));
+            [answer].into_iter().chain(parts).chain([ForwardDown::End]).collect()
+        }
     };
     for frame in frames {
         if sender.send(&frame).await.is_err() {
             return;
         }
     }
-    if !matches!(act, Act::HalfBody) {
-        let _finished = sender.finish();
-    }
+    // Without a reset, since that may overtake what was sent before it.
+    let _finished = sender.finish();
 }
