--- a/components/side/tests/common/mod.rs
+++ b/components/side/tests/common/mod.rs
@@ -15,7 +15,7 @@
     Access, Adapter, Customer, DataCentre, MembershipSettings, Model, PlatformSettings,
     ProcessSettings, Residency, Route, Service, ServiceKind, SideSettings, Target, Town,
 };
-use side::{SideHandle, SideProcess};
+use side::SideProcess;
 use standin::{
     EngineServer, EngineSettings, ListedState, ListedVm, LogServer, LogServerSettings,
     PreloadedModel, Server, VmListServer, VmListSettings,
@@ -25,9 +25,9 @@
 use tokio::task::{JoinHandle, LocalSet, spawn_local};
 use wire::{
     FleetSecret, ForwardDown, ForwardHead, ForwardUp, FrameReceiver, GenerateEvent, GenerateFrame,
-    GenerateRequest, Header, Heartbeat, Incoming, LogView, PeerCall, PeerClient, PeerIdentity,
-    PeerReply, PendingReceiver, PermitOutcome, ProcessStatus, RefuseReason, RequestId,
-    TargetReport,
+    GenerateRequest, Header, Heartbeat, Incoming, LogRecordCopy, LogView, PeerCall, PeerClient,
+    PeerIdentity, PeerReply, PendingReceiver, PermitOutcome, ProcessStatus, RefuseReason,
+    RequestId, TargetReport,
 };
 
 pub const SECRET: &str = "a secret of the test fleet";
@@ -216,7 +216,6 @@
 pub struct RunningSide {
     pub address: SocketAddr,
     pub operators: SocketAddr,
-    pub handle: SideHandle,
     stop: Option<oneshot::Sender<()>>,
     task: JoinHandle<()>,
 }
@@ -225,14 +224,23 @@
     /// Starts a side process with `town` in force.
     pub async fn start(settings: SideSettings, town: Town) -> Self {
         let mut process = SideProcess::bind(settings, Incarnation(next_number())).await.unwrap();
+        process.detach().configure(Arc::new(town));
+        Self::run(process)
+    }
+
+    /// Starts a side process that takes its configuration from entry processes and the log.
+    pub async fn follow(settings: SideSettings) -> Self {
+        let process = SideProcess::bind(settings, Incarnation(next_number())).await.unwrap();
+        Self::run(process)
+    }
+
+    fn run(process: SideProcess) -> Self {
         let (address, operators) = (process.peer_address(), process.operator_address());
-        let handle = process.detach();
-        handle.configure(Arc::new(town));
         let (stop, stopped) = oneshot::channel::<()>();
         let task = spawn_local(process.run(async {
             let _stopped = stopped.await;
         }));
-        Self { address, operators, handle, stop: Some(stop), task }
+        Self { address, operators, stop: Some(stop), task }
     }
 
     /// Asks for a graceful stop.
@@ -339,6 +347,8 @@
     pub heartbeats: Rc<RefCell<Vec<Heartbeat>>>,
     pub permits: Rc<Cell<u64>>,
     pub returned: Rc<Cell<u64>>,
+    /// Configuration records that it has.
+    pub records: Rc<RefCell<Vec<LogRecordCopy>>>,
 }
 
 impl FakeEntry {
@@ -357,6 +367,7 @@
             heartbeats: Rc::default(),
             permits: Rc::default(),
             returned: Rc::default(),
+            records: Rc::default(),
         };
         let me = identity("entry-1", Role::Entry);
         let (incoming, mut arrivals) = mpsc::channel(64);
@@ -372,7 +383,7 @@
             }
         });
         let (heartbeats, permits) = (entry.heartbeats.clone(), entry.permits.clone());
-        let returned = entry.returned.clone();
+        let (returned, records) = (entry.returned.clone(), entry.records.clone());
         spawn_local(async move {
             while let Some(incoming) = arrivals.recv().await {
                 let Incoming::Call { call, responder, .. } = incoming else { continue };
@@ -386,6 +397,12 @@
                         PeerReply::Permit(PermitOutcome::Granted { permit: permits.get() })
                     }
                     PeerCall::Permit { .. } => PeerReply::Permit(PermitOutcome::NotOwner),
+                    PeerCall::CatchUp { from, .. } => {
+                        let kept = records.borrow();
+                        let end = kept.last().map_or(Offset(0), |record| record.offset);
+                        let records = kept.iter().filter(|record| record.offset >= from);
+                        PeerReply::Records { records: records.cloned().collect(), end }
+                    }
                     PeerCall::PermitDone { .. } => {
                         returned.set(returned.get() + 1);
                         PeerReply::Done
