--- a/components/changes/src/judge.rs
+++ b/components/changes/src/judge.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use base::Offset;
-use config::{AddedKey, SourceFile, Sources, Town, WithdrawnKey, is_usable_name};
+use config::{AddedKey, KeyEntry, SourceFile, Sources, Town, WithdrawnKey, is_usable_name};
 
 use crate::snapshot::SeenId;
 use crate::{Change, Record, RecordId, Rejection, Snapshot, Verdict};
@@ -50,8 +50,8 @@
             Change::Files { base_version, base, overlays } => {
                 self.files(offset, base_version, base, overlays, site)
             }
-            Change::AddKey(key) => self.add_key(offset, key, site),
-            Change::WithdrawKey { name } => self.withdraw_key(offset, &name, site),
+            Change::AddKey(key) => self.add_key(offset, key),
+            Change::WithdrawKey { name } => self.withdraw_key(offset, &name),
             Change::Snapshot(_) => return Verdict::Snapshot,
         };
         match outcome {
@@ -93,21 +93,23 @@
         }
         let keys = self.state.sources.keys.clone();
         let mut sources = Sources { base, overlays, keys };
-        sources.check().map_err(Rejection::Invalid)?;
-        let listed = sources.listed_keys();
-        sources.keys.added.retain(|key| !listed.contains(&key.sha256));
+        let checked = sources.check_and_compile(site, offset).map_err(Rejection::Invalid)?;
+        let listed = |hash: &[u8; 32]| checked.listed_keys.binary_search(hash).is_ok();
+        sources.keys.added.retain(|key| !listed(&key.sha256));
         let excess = sources.keys.withdrawn.len().saturating_sub(MAX_WITHDRAWN_KEYS);
         // The check passed, so the files list no withdrawn key and the oldest can be forgotten.
         sources.keys.withdrawn.drain(..excess);
-        self.adopt(offset, sources, site)
+        self.state.sources = sources;
+        self.adopt(offset, checked.town);
+        Ok(())
     }
 
-    fn add_key(&mut self, offset: Offset, key: AddedKey, site: &str) -> Result<(), Rejection> {
+    fn add_key(&mut self, offset: Offset, key: AddedKey) -> Result<(), Rejection> {
         let town = self.town.as_ref().ok_or(Rejection::NoFiles)?;
         if !is_usable_name(&key.name) {
             return Err(Rejection::KeyName(key.name));
         }
-        let same = |k: &&config::KeyEntry| k.name == key.name || k.sha256 == key.sha256;
+        let same = |k: &&KeyEntry| k.name == key.name || k.sha256 == key.sha256;
         if let Some(existing) = town.keys.iter().find(same) {
             return Err(Rejection::KeyExists(existing.name.clone()));
         }
@@ -115,42 +117,43 @@
         if let Some(withdrawn) = edits.withdrawn.iter().find(|w| w.sha256 == key.sha256) {
             return Err(Rejection::KeyWithdrawn(withdrawn.name.clone()));
         }
-        if town.customer_id(&key.customer).is_none() {
+        let Some(customer) = town.customer_id(&key.customer) else {
             return Err(Rejection::UnknownCustomer(key.customer));
-        }
+        };
         if edits.added.len() >= MAX_ADDED_KEYS {
             return Err(Rejection::TooManyKeys { limit: MAX_ADDED_KEYS });
         }
-        let mut sources = self.state.sources.clone();
-        sources.keys.added.push(key);
-        self.adopt(offset, sources, site)
+        let (sha256, name) = (key.sha256, key.name.clone());
+        let town = town.with_key(offset, KeyEntry { sha256, name, customer });
+        self.state.sources.keys.added.push(key);
+        self.adopt(offset, town);
+        Ok(())
     }
 
-    fn withdraw_key(&mut self, offset: Offset, name: &str, site: &str) -> Result<(), Rejection> {
+    fn withdraw_key(&mut self, offset: Offset, name: &str) -> Result<(), Rejection> {
         let town = self.town.as_ref().ok_or(Rejection::NoFiles)?;
         let Some(key) = town.keys.iter().find(|key| key.name == name) else {
             return Err(Rejection::UnknownKey(name.into()));
         };
         let (name, sha256) = (key.name.clone(), key.sha256);
-        let mut sources = self.state.sources.clone();
+        let town = town.without_key(offset, &sha256);
+        let sources = &mut self.state.sources;
         sources.keys.added.retain(|key| key.sha256 != sha256);
         sources.keys.withdrawn.push(WithdrawnKey { name, sha256 });
         if sources.keys.withdrawn.len() > MAX_WITHDRAWN_KEYS {
             // A withdrawn key that the files still list must never be forgotten.
             let listed = sources.listed_keys();
-            let oldest = sources.keys.withdrawn.iter().position(|w| !listed.contains(&w.sha256));
-            if let Some(oldest) = oldest {
+            let forgettable = |w: &WithdrawnKey| listed.binary_search(&w.sha256).is_err();
+            if let Some(oldest) = sources.keys.withdrawn.iter().position(forgettable) {
                 sources.keys.withdrawn.remove(oldest);
             }
         }
-        self.adopt(offset, sources, site)
+        self.adopt(offset, town);
+        Ok(())
     }
 
-    fn adopt(&mut self, offset: Offset, sources: Sources, site: &str) -> Result<(), Rejection> {
-        let town = sources.compile(site, offset).map_err(Rejection::Invalid)?;
-        self.state.sources = sources;
+    fn adopt(&mut self, offset: Offset, town: Town) {
         self.state.version = offset;
         self.town = Some(Arc::new(town));
-        Ok(())
     }
 }
--- a/components/config/src/compile.rs
+++ b/components/config/src/compile.rs
@@ -1,17 +1,17 @@
 //! Checks of the merged configuration and its compilation into a [`Town`].
 
 use base::{CustomerId, ModelId, Offset, ServiceId};
-use compact_str::CompactString;
 
 use crate::base_file::{
     AdapterEntry, BaseFile, CustomerEntry, KindEntry, ModelEntry, Name, ResidencyEntry, RouteEntry,
     ServiceEntry, TargetEntry,
 };
-use crate::packing::fits;
+use crate::compile_keys::compile_keys;
+use crate::memory_check::check_memory;
 use crate::report::Report;
 use crate::{
-    Access, Adapter, BucketLayout, Customer, DataCentre, KeyEdits, KeyEntry, Model, Residency,
-    Route, Service, ServiceKind, Target, Town, WeightStoreLimits, parse_sha256,
+    Access, Adapter, BucketLayout, Customer, DataCentre, KeyEdits, Model, Residency, Route,
+    Service, ServiceKind, Target, Town, WeightStoreLimits,
 };
 
 /// Largest rate, burst or token limit; sums over all customers stay far below 64 bits.
@@ -44,14 +44,19 @@
     models(report, base, &mut town);
     adapters(report, base, &mut town);
     routes(report, base, &mut town);
-    keys(report, base, edits, &mut town);
+    compile_keys(report, base, edits, &mut town);
     limits(report, base, &mut town);
-    memory(report, base, &town);
+    check_memory(report, base, &town);
     town
 }
 
 /// Position of a name in an arena, or a problem.
-fn resolve(report: &mut Report<'_>, what: &str, name: &Name, found: Option<u32>) -> Option<u32> {
+pub(crate) fn resolve(
+    report: &mut Report<'_>,
+    what: &str,
+    name: &Name,
+    found: Option<u32>,
+) -> Option<u32> {
     if found.is_none() {
         let message = format!("there is no {what} {}; define it or correct the name", name.value);
         report.add_at(name.file, name.line, message);
@@ -317,64 +322,6 @@
     }
 }
 
-fn keys(report: &mut Report<'_>, base: &BaseFile, edits: &KeyEdits, town: &mut Town) {
-    let mut names: Vec<(CompactString, u64)> = Vec::new();
-    for entry in &base.keys {
-        let name = &entry.name;
-        report.name("key", name);
-        let found = town.customer_id(&entry.customer.value).map(|id| id.0);
-        let customer = resolve(report, "customer", &entry.customer, found);
-        let Some(sha256) = parse_sha256(&entry.sha256.value) else {
-            // The text may be a key in the clear, so it is not repeated.
-            let message = format!(
-                "sha256 of key {} is not 64 hexadecimal digits; write the SHA-256 of the key, never \
-                 the key itself",
-                name.value
-            );
-            report.add_at(entry.sha256.file, entry.sha256.line, message);
-            continue;
-        };
-        if edits.is_withdrawn(&sha256) {
-            continue;
-        }
-        if let Some(other) = town.keys.iter().find(|key| key.sha256 == sha256) {
-            let message = format!(
-                "key {} has the hash of key {}; create a key of its own for it",
-                name.value, other.name
-            );
-            report.add_at(entry.sha256.file, entry.sha256.line, message);
-            continue;
-        }
-        names.push((name.value.clone(), name.line));
-        let customer = CustomerId(customer.unwrap_or_default());
-        town.keys.push(KeyEntry { sha256, name: name.value.clone(), customer });
-    }
-    report.unique("key", base.keys.iter().map(|k| &k.name));
-    for added in &edits.added {
-        if town.keys.iter().any(|key| key.sha256 == added.sha256) {
-            continue;
-        }
-        if let Some((_, line)) = names.iter().find(|(name, _)| *name == added.name) {
-            let message = format!(
-                "key {} was already added by an edit with another hash; rename the one in this line",
-                added.name
-            );
-            report.add_at(0, *line, message);
-        } else if let Some(customer) = town.customer_id(&added.customer) {
-            let (sha256, name) = (added.sha256, added.name.clone());
-            town.keys.push(KeyEntry { sha256, name, customer });
-        } else {
-            let message = format!(
-                "there is no customer {}, but the added key {} belongs to it; define the customer \
-                 or withdraw the key first",
-                added.customer, added.name
-            );
-            report.add_at(0, 0, message);
-        }
-    }
-    town.keys.sort_by_key(|key| key.sha256);
-}
-
 fn limits(report: &mut Report<'_>, base: &BaseFile, town: &mut Town) {
     let (store, buckets, name) = (&base.weight_store, &base.buckets, &base.name);
     let loads = &store.loads_per_1000_s;
@@ -393,64 +340,3 @@
     let slots = report.number32("slots", &buckets.slots, name, 1..=MAX_SLOTS);
     town.buckets = BucketLayout { partitions: small(partitions), slots: small(slots) };
 }
-
-/// Refuses models and adapters that fit no target, and `always` models that don't fit together.
-fn memory(report: &mut Report<'_>, base: &BaseFile, town: &Town) {
-    for entry in &base.adapters {
-        let found = base.models.iter().find(|m| m.name.value == entry.model.value);
-        let Some(service) = found.and_then(|m| service_entry(base, &m.service)) else { continue };
-        let needed = found.map_or(0, |m| m.memory_mb.value).saturating_add(entry.memory_mb.value);
-        let largest = largest_memory(service);
-        if needed > largest {
-            let message = format!(
-                "adapter {} and its model need {needed} MB, but the largest target of service {} \
-                 has {largest}; give a target more memory",
-                entry.name.value, service.name.value
-            );
-            report.add_at(entry.name.file, entry.name.line, message);
-        }
-    }
-    for entry in &base.models {
-        let Some(service) = service_entry(base, &entry.service) else { continue };
-        let (needed, largest) = (entry.memory_mb.value, largest_memory(service));
-        if needed > largest {
-            let message = format!(
-                "model {} needs {needed} MB, but the largest target of service {} has {largest}; \
-                 give a target more memory or move the model to another service",
-                entry.name.value, service.name.value
-            );
-            report.add(&entry.memory_mb, &entry.name, message);
-        }
-    }
-    if !report.is_empty() {
-        return;
-    }
-    for (service, id) in town.services.iter().zip((0..).map(ServiceId)) {
-        let always = |m: &&Model| m.service == id && m.residency == Residency::Always;
-        let sizes: Vec<u64> = town.models.iter().filter(always).map(|m| m.memory_mb).collect();
-        let capacities: Vec<u64> = service.targets.iter().map(|t| t.memory_mb).collect();
-        if fits(&sizes, &capacities) == Some(true) {
-            continue;
-        }
-        let Some(entry) = base.services.iter().find(|s| s.name.value == service.name) else {
-            continue;
-        };
-        let message = format!(
-            "the always models of service {} need {} MB and don't fit its {} targets with {} MB \
-             together; add targets or make a model on_demand",
-            service.name,
-            sizes.iter().sum::<u64>(),
-            capacities.len(),
-            capacities.iter().sum::<u64>()
-        );
-        report.add_at(entry.name.file, entry.name.line, message);
-    }
-}
-
-fn service_entry<'b>(base: &'b BaseFile, name: &Name) -> Option<&'b ServiceEntry> {
-    base.services.iter().find(|s| s.name.value == name.value && s.kind == KindEntry::Engine)
-}
-
-fn largest_memory(service: &ServiceEntry) -> i128 {
-    service.targets.iter().map(|t| t.memory_mb.value).max().unwrap_or(0)
-}
--- a/components/config/src/lib.rs
+++ b/components/config/src/lib.rs
@@ -5,11 +5,13 @@
 
 mod base_file;
 mod compile;
+mod compile_keys;
 mod entry_settings;
 mod keys;
 mod load;
 mod located;
 mod log_settings;
+mod memory_check;
 mod merge;
 mod overlay_file;
 mod packing;
@@ -34,7 +36,7 @@
 pub use report::is_usable_name;
 pub use side_settings::SideSettings;
 pub use source::SourceFile;
-pub use sources::{Sources, compile};
+pub use sources::{Checked, Sources, compile};
 pub use town::{
     Access, Adapter, BucketLayout, Customer, DataCentre, KeyEntry, Model, Residency, Route,
     Service, ServiceKind, Target, Town, WeightStoreLimits,
--- a/components/config/src/sources.rs
+++ b/components/config/src/sources.rs
@@ -1,7 +1,6 @@
 //! A configuration as published: files and edits of keys.
 
 use base::Offset;
-use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
 use crate::base_file::BaseFile;
@@ -24,6 +23,15 @@
     pub keys: KeyEdits,
 }
 
+/// Result of a check without problems.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Checked {
+    /// The configuration for the site asked for.
+    pub town: Town,
+    /// Hashes of the keys that the base file lists, sorted.
+    pub listed_keys: Vec<[u8; 32]>,
+}
+
 struct Parsed {
     base: BaseFile,
     overlays: Vec<(FileIndex, OverlayFile)>,
@@ -38,25 +46,40 @@
     ///
     /// All problems found, sorted by file and line.
     pub fn check(&self) -> Result<(), Vec<Problem>> {
+        self.check_and_compile("", Offset::default()).map(|_| ())
+    }
+
+    /// Checks the files for every site and compiles them for one, reading them only once.
+    ///
+    /// # Errors
+    ///
+    /// As [`Sources::check`].
+    pub fn check_and_compile(&self, site: &str, version: Offset) -> Result<Checked, Vec<Problem>> {
         let mut report = Report::new(&self.base, &self.overlays);
-        if let Some(parsed) = self.parse(&mut report) {
-            let mut sites: Vec<CompactString> =
-                parsed.base.data_centres.iter().map(|d| d.region.value.clone()).collect();
-            sites.sort_unstable();
-            sites.dedup();
-            if sites.is_empty() {
-                report.add_at(0, parsed.base.name.line, NO_DATA_CENTRE.to_owned());
-            }
-            // The base file alone is what a reader without a site compiles.
-            sites.push(CompactString::default());
-            for site in &sites {
-                let merged = merge_site(&mut report, &parsed, site);
-                compile_merged(&mut report, &merged, &self.keys, Offset::default());
+        let Some(parsed) = self.parse(&mut report) else { return Err(report.finish()) };
+        let mut sites: Vec<&str> =
+            parsed.base.data_centres.iter().map(|d| d.region.value.as_str()).collect();
+        if sites.is_empty() {
+            report.add_at(0, parsed.base.name.line, NO_DATA_CENTRE.to_owned());
+        }
+        // The base file alone is what a reader without a site compiles.
+        sites.extend(["", site]);
+        sites.sort_unstable();
+        sites.dedup();
+        let mut town = Town::default();
+        for checked in sites {
+            let merged = merge_site(&mut report, &parsed, checked);
+            let compiled = compile_merged(&mut report, &merged, &self.keys, version);
+            if checked == site {
+                town = compiled;
             }
-            self.refuse_withdrawn(&mut report, &parsed.base);
-            self.refuse_equal_names(&mut report);
         }
-        if report.is_empty() { Ok(()) } else { Err(report.finish()) }
+        self.refuse_withdrawn(&mut report, &parsed.base);
+        self.refuse_equal_names(&mut report);
+        if !report.is_empty() {
+            return Err(report.finish());
+        }
+        Ok(Checked { town, listed_keys: listed_keys(&parsed.base) })
     }
 
     /// Compiles the files for one site; a site without an overlay gets the base file alone.
@@ -80,10 +103,7 @@
 
     /// Hashes of the keys that the base file lists; empty if it can't be read.
     pub fn listed_keys(&self) -> Vec<[u8; 32]> {
-        read_yaml::<BaseFile>(&self.base).map_or_else(
-            |_| Vec::new(),
-            |base| base.keys.iter().filter_map(|key| parse_sha256(&key.sha256.value)).collect(),
-        )
+        read_yaml::<BaseFile>(&self.base).map_or_else(|_| Vec::new(), |base| listed_keys(&base))
     }
 
     fn parse(&self, report: &mut Report<'_>) -> Option<Parsed> {
@@ -132,6 +152,13 @@
 
 const NO_DATA_CENTRE: &str = "data_centres is empty; list at least one data centre";
 
+fn listed_keys(base: &BaseFile) -> Vec<[u8; 32]> {
+    let mut hashes: Vec<[u8; 32]> =
+        base.keys.iter().filter_map(|key| parse_sha256(&key.sha256.value)).collect();
+    hashes.sort_unstable();
+    hashes
+}
+
 fn merge_site(report: &mut Report<'_>, parsed: &Parsed, site: &str) -> BaseFile {
     let mut merged = parsed.base.clone();
     for (file, overlay) in &parsed.overlays {
--- a/components/config/src/town.rs
+++ b/components/config/src/town.rs
@@ -243,6 +243,23 @@
         u32::try_from(at).ok().map(KeyId)
     }
 
+    /// The same configuration as a later version with one more key.
+    ///
+    /// The key's hash must not be present.
+    pub fn with_key(&self, version: Offset, key: KeyEntry) -> Self {
+        let mut town = Self { version, ..self.clone() };
+        let at = town.keys.partition_point(|other| other.sha256 < key.sha256);
+        town.keys.insert(at, key);
+        town
+    }
+
+    /// The same configuration as a later version without one key.
+    pub fn without_key(&self, version: Offset, sha256: &[u8; 32]) -> Self {
+        let mut town = Self { version, ..self.clone() };
+        town.keys.retain(|key| key.sha256 != *sha256);
+        town
+    }
+
     /// A customer.
     pub fn customer(&self, id: CustomerId) -> &Customer {
         &self.customers[id.index()]
--- a/components/config/tests/compile.rs
+++ b/components/config/tests/compile.rs
@@ -2,7 +2,7 @@
 
 use base::Offset;
 use config::{
-    Access, KeyEdits, Residency, SourceFile, Sources, WithdrawnKey, compile, parse_sha256,
+    Access, AddedKey, KeyEdits, Residency, SourceFile, Sources, WithdrawnKey, compile, parse_sha256,
 };
 use expect_test::{Expect, expect};
 
@@ -439,3 +439,29 @@
     "#]]
     .assert_eq(&problems(&sources));
 }
+
+#[test]
+fn refuses_two_keys_with_one_hash_and_edits_that_clash_with_the_file() {
+    let second = format!("keys:\n  - {{name: other, customer: studio, sha256: {HASH}}}");
+    refused(
+        &with("keys:", &second),
+        &[],
+        &expect![[r#"
+        base.yaml:10: key chapel-1 has the hash of key other; create a key of its own for it
+    "#]],
+    );
+    let mut sources = sources(BASE, &[]);
+    let added = |name: &str, customer: &str, byte: u8| AddedKey {
+        name: name.into(),
+        customer: customer.into(),
+        sha256: [byte; 32],
+    };
+    sources.keys.added = vec![added("chapel-1", "chapel", 1), added("x", "nobody", 2)];
+    expect![[r#"
+        base.yaml:0: there is no customer nobody, but the added key x belongs to it; define the customer or withdraw the key first
+        base.yaml:9: key chapel-1 was already added by an edit with another hash; rename the one in this line
+    "#]].assert_eq(&problems(&sources));
+    sources.keys.added = vec![added("chapel-2", "chapel", 1)];
+    let town = sources.compile("north", Offset(1)).unwrap();
+    assert!(town.key_by_sha256(&[1; 32]).is_some());
+}
--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -129,6 +129,5 @@
         return Err(problems);
     }
     let sources = Sources { base, overlays, keys: KeyEdits::default() };
-    sources.check()?;
-    sources.compile("", Offset::default())
+    Ok(sources.check_and_compile("", Offset::default())?.town)
 }
