--- /dev/null
+++ b/components/entry/src/fleet.rs
@@ -0,0 +1,215 @@
+//! The choice of a target for each attempt, and the budget of retries.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use base::{ProcessId, Timestamp, seeded_rng};
+use compact_str::CompactString;
+use config::EntrySettings;
+use membership::{Liveness, Membership};
+use rand_chacha::ChaCha8Rng;
+use routing::{
+    Backoff, Choice, Delays, ModelNeed, Pick, PlainNeed, RetryBudget, Router, SendId,
+    prefix_blocks, reach_of,
+};
+use wire::{GenerateRequest, Heartbeat, ModelDemand, SlotId};
+
+use crate::app::App;
+use crate::demand::DemandMeter;
+
+/// Most attempts after the first for one request.
+const MAX_RETRIES: u32 = 4;
+
+/// Targets as this process knows them.
+pub(crate) struct Fleet {
+    router: Router,
+    budget: RetryBudget,
+    backoff: Backoff,
+    demand: DemandMeter,
+    rng: ChaCha8Rng,
+}
+
+impl Fleet {
+    /// A process that knows no target; `seed` differs between processes.
+    pub(crate) fn new(settings: &EntrySettings, seed: u64, now: Timestamp) -> Self {
+        let place = &settings.process;
+        Self {
+            router: Router::new(&place.region, &place.data_centre, Delays::default()),
+            budget: RetryBudget::new(
+                settings.retry_budget_percent,
+                settings.retry_floor_per_s,
+                now,
+            ),
+            backoff: Backoff::default(),
+            demand: DemandMeter::default(),
+            rng: seeded_rng(seed),
+        }
+    }
+
+    /// Takes a heartbeat that the membership accepted.
+    pub(crate) fn take_heartbeat(&mut self, heartbeat: &Heartbeat, heard_at: Timestamp) {
+        self.router.take_heartbeat(heartbeat, heard_at);
+    }
+
+    /// Demand for each model here.
+    pub(crate) fn demand(&mut self, now: Timestamp) -> Vec<ModelDemand> {
+        self.demand.report(now)
+    }
+}
+
+/// A request on its way to a target, counted as load until it ends.
+pub(crate) struct Sent<'a> {
+    app: &'a App,
+    target: CompactString,
+    send: Option<SendId>,
+}
+
+impl Drop for Sent<'_> {
+    fn drop(&mut self) {
+        if let Some(send) = self.send {
+            self.app.fleet.borrow_mut().router.note_end(&self.target, send);
+        }
+    }
+}
+
+impl App {
+    /// Whether a run of a process is silent, replaced or unknown.
+    pub(crate) fn is_gone(&self, process: &ProcessId) -> bool {
+        !self.membership.borrow().is_reachable(process, self.clock.now())
+    }
+
+    /// Peer address of a run of a process.
+    pub(crate) fn address_of(&self, process: &ProcessId) -> Option<SocketAddr> {
+        let membership = self.membership.borrow();
+        membership.member(&process.name).filter(|m| m.process == *process).map(|m| m.address)
+    }
+
+    /// Whether every bucket slot has a live owner.
+    pub(crate) fn all_slots_owned(&self) -> bool {
+        let Some(town) = self.town() else { return false };
+        let slots = self.slots.borrow();
+        (0..town.buckets.partitions.max(1)).all(|partition| {
+            (0..town.buckets.slots.max(1)).all(|index| {
+                let owner = slots.ledger.owner(SlotId { partition, index });
+                owner.is_some_and(|owner| *owner == self.me || !self.is_gone(owner))
+            })
+        })
+    }
+
+    /// Whether a target takes requests and orders.
+    pub(crate) fn knows_target(&self, target: &str) -> bool {
+        let fleet = self.fleet.borrow();
+        fleet
+            .router
+            .target(target)
+            .is_some_and(|info| info.report.healthy && !info.report.quarantined)
+    }
+
+    /// Whether every target of the configuration takes requests and orders.
+    pub(crate) fn knows_all_targets(&self) -> bool {
+        self.town().is_some_and(|town| {
+            let mut targets = town.services.iter().flat_map(|service| &service.targets);
+            targets.all(|target| self.knows_target(&target.name))
+        })
+    }
+
+    /// Counts a request in the demand for its model and in the budget of retries.
+    pub(crate) fn note_generation(&self, model: &str, tokens: u64) {
+        let now = self.clock.now();
+        let mut fleet = self.fleet.borrow_mut();
+        fleet.budget.note_request();
+        fleet.demand.note(model, tokens, now);
+    }
+
+    /// Counts a call to a plain service in the budget of retries.
+    pub(crate) fn note_call(&self) {
+        self.fleet.borrow_mut().budget.note_request();
+    }
+
+    /// A target for a generation, other than those tried before if there is one.
+    pub(crate) fn choose_engine(
+        &self,
+        request: &GenerateRequest,
+        tried: &[CompactString],
+    ) -> Option<Pick> {
+        let town = self.town()?;
+        let model = town.model(town.model_id(&request.model)?);
+        let adapter = request.adapter.as_deref();
+        let blocks = prefix_blocks(&request.model, adapter, &request.prompt);
+        let mut need = ModelNeed {
+            model: &request.model,
+            service: &town.service(model.service).name,
+            memory_mb: model.memory_mb,
+            adapter,
+            blocks: &blocks,
+            prompt_tokens: request.prompt_tokens,
+            affinity: blocks.first().copied().unwrap_or_default(),
+            exclude: tried,
+        };
+        let membership = self.membership.borrow();
+        let now = self.clock.now();
+        let fleet = &mut *self.fleet.borrow_mut();
+        let reach = |process: &ProcessId| reach_of(&membership, process, now);
+        let choice = fleet.router.choose_model(&need, reach, &mut fleet.rng);
+        picked(choice).or_else(|| {
+            // A target that failed once is better than none.
+            need.exclude = &[];
+            picked(fleet.router.choose_model(&need, reach, &mut fleet.rng))
+        })
+    }
+
+    /// A target of a plain service, other than those tried before if there is one.
+    pub(crate) fn choose_plain(
+        &self,
+        service: &str,
+        affinity: u64,
+        tried: &[CompactString],
+    ) -> Option<Pick> {
+        let mut need = PlainNeed { service, affinity, exclude: tried };
+        let membership = self.membership.borrow();
+        let now = self.clock.now();
+        let fleet = &mut *self.fleet.borrow_mut();
+        let reach = |process: &ProcessId| reach_of(&membership, process, now);
+        let choice = fleet.router.choose_plain(&need, reach, &mut fleet.rng);
+        picked(choice).or_else(|| {
+            need.exclude = &[];
+            picked(fleet.router.choose_plain(&need, reach, &mut fleet.rng))
+        })
+    }
+
+    /// Counts a request as load of a target until the value is dropped.
+    pub(crate) fn note_send(&self, pick: &Pick, tokens: u64) -> Sent<'_> {
+        let now = self.clock.now();
+        let send = self.fleet.borrow_mut().router.note_send(&pick.target, tokens, now);
+        Sent { app: self, target: pick.target.clone(), send }
+    }
+
+    /// Wait before the retry after attempt number `attempt`; none if there may be no more.
+    pub(crate) fn next_retry(&self, attempt: u32) -> Option<Duration> {
+        let now = self.clock.now();
+        let fleet = &mut *self.fleet.borrow_mut();
+        if attempt >= MAX_RETRIES || !fleet.budget.try_spend(now) {
+            return None;
+        }
+        Some(fleet.backoff.delay(attempt, &mut fleet.rng))
+    }
+
+    /// Forgets targets of processes that are no longer remembered.
+    pub(crate) fn expire_targets(&self, membership: &Membership) {
+        let now = self.clock.now();
+        self.fleet.borrow_mut().router.retain(|process| {
+            membership.member(&process.name).is_some_and(|member| {
+                member.process == *process
+                    && (membership.liveness(member, now) != Liveness::Silent
+                        || membership.proof_of_death(process, now).is_none())
+            })
+        });
+    }
+}
+
+fn picked(choice: Choice) -> Option<Pick> {
+    match choice {
+        Choice::Serve(pick) | Choice::Load(pick) => Some(pick),
+        Choice::None(_) => None,
+    }
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -16,7 +16,11 @@
 Usage: plantainbeam <command> [options]
 
 Commands:
+  check    check configuration and settings files
   demo     run the whole path in one process and check it
+  entry    answer callers
+  publish  change the configuration of a running deployment
+  side     run the process beside one target
   status   show the state of running processes
 
 Options:
@@ -29,7 +33,13 @@
     let mut parser = lexopt::Parser::from_iter(args);
     match parser.next() {
         Ok(Some(Value(name))) => match name.to_str() {
+            Some("check") => cmd::check::run(parser),
             Some("demo") => cmd::demo::run(parser),
+            Some("entry") => cmd::entry::run(parser),
+            Some("publish") => cmd::publish::run(parser),
+            Some("side") => cmd::side::run(parser),
+            // For tests only, so the help text does not list it.
+            Some("standin") => cmd::standin::run(parser),
             Some("status") => cmd::status::run(parser),
             _ => usage_error(&format!("unknown command {}", name.to_string_lossy()), HELP),
         },
