Tell moved slots from empty ones; simulate planned stops

Cause: an owner that has just handed a slot over answers NotOwner, and the collection counted that as an answer about the customer's rate, so that a rolling replacement could refuse requests inside the rate. Change: only grants and empty buckets count as answers; met_moved_slot says that the log should be read on and the collection repeated. The fleet simulation stops processes by plan. Conclusion: requesters can repeat a collection that met a moving slot.

--- a/components/rates/src/collection.rs
+++ b/components/rates/src/collection.rs
@@ -76,7 +76,8 @@
     Refused {
         /// Advice, in milliseconds.
         retry_after_ms: u32,
-        /// Whether any owner answered; if not, the fleet is at fault and not the customer.
+        /// Whether any owner granted or had nothing; if not, the fleet is at fault and not the
+        /// customer.
         answered: bool,
     },
 }
@@ -112,6 +113,7 @@
     held_since: Option<Timestamp>,
     round: u32,
     answered: bool,
+    met_moved_slot: bool,
 }
 
 impl Collection {
@@ -125,6 +127,7 @@
             held_since: None,
             round: 0,
             answered: false,
+            met_moved_slot: false,
             request,
         };
         let mut actions = Vec::new();
@@ -150,9 +153,9 @@
             Ask::Asked { at } => Some(at),
             _ => None,
         };
-        self.answered = true;
         match outcome {
             ReserveOutcome::Granted { reservation, tokens } => {
+                self.answered = true;
                 let part = Part {
                     slot,
                     owner: self.request.holders[at].owner.clone(),
@@ -172,10 +175,15 @@
                     }
                 }
             }
-            ReserveOutcome::Empty { .. } => self.asks[at] = Ask::Empty,
-            ReserveOutcome::NotOwner | ReserveOutcome::UnknownCustomer => {
+            ReserveOutcome::Empty { .. } => {
+                self.answered = true;
+                self.asks[at] = Ask::Empty;
+            }
+            ReserveOutcome::NotOwner => {
+                self.met_moved_slot = true;
                 self.asks[at] = Ask::Failed;
             }
+            ReserveOutcome::UnknownCustomer => self.asks[at] = Ask::Failed,
         }
         self.proceed(now, &mut actions);
         actions
@@ -214,6 +222,14 @@
         self.asks.iter().any(|ask| matches!(ask, Ask::Asked { .. }))
     }
 
+    /// Whether a process that was asked no longer owned its slot.
+    ///
+    /// A slot changes hands within a few hundred milliseconds. If such a collection is refused, the
+    /// requester should read the log on and collect once more before it refuses the caller.
+    pub const fn met_moved_slot(&self) -> bool {
+        self.met_moved_slot
+    }
+
     /// When to call [`Collection::tick`].
     pub fn deadline(&self) -> Option<Timestamp> {
         match self.phase {
--- a/components/rates/tests/collection.rs
+++ b/components/rates/tests/collection.rs
@@ -277,6 +277,22 @@
     );
 }
 
+/// A slot that is changing hands is no reason to tell the customer that its rate is used up.
+#[test]
+fn a_moved_slot_is_told_apart_from_an_empty_one() {
+    let now = Timestamp::default();
+    let (mut collection, _) = Collection::start(request(50, 2), now);
+    collection.replied(slot(0), &ReserveOutcome::NotOwner, now);
+    let end = collection.replied(slot(1), &ReserveOutcome::UnknownCustomer, now);
+    assert!(matches!(&end[..], [CollectAction::Refused { answered: false, .. }]));
+    assert!(collection.met_moved_slot());
+    let (mut collection, _) = Collection::start(request(50, 1), now);
+    let empty = ReserveOutcome::Empty { retry_after_ms: 1 };
+    let end = collection.replied(slot(0), &empty, now);
+    assert!(matches!(&end[..], [CollectAction::Refused { answered: true, .. }]));
+    assert!(!collection.met_moved_slot());
+}
+
 /// With a wait allowed, a request waits for tokens that accrue in time, and no longer.
 #[test]
 fn waits_for_tokens_that_accrue_within_the_allowed_time() {
--- a/components/rates/tests/fleet.rs
+++ b/components/rates/tests/fleet.rs
@@ -55,6 +55,8 @@
     /// When it died, or since when it is paused.
     silent_since: Timestamp,
     paused_until: Timestamp,
+    /// Hands its slots over and then exits.
+    stopping: bool,
     adopt_at: Timestamp,
     town: Rc<Town>,
     owner: SlotOwner,
@@ -78,6 +80,7 @@
     next_request: u64,
     takeovers: u32,
     handovers: u32,
+    stops: u32,
     admitted: u32,
 }
 
@@ -91,6 +94,7 @@
             alive: true,
             silent_since: Timestamp::default(),
             paused_until: Timestamp::default(),
+            stopping: false,
             adopt_at: Timestamp::default(),
             town,
             ledger: SlotLedger::new(),
@@ -121,6 +125,7 @@
             next_request: 0,
             takeovers: 0,
             handovers: 0,
+            stops: 0,
             admitted: 0,
         }
     }
@@ -177,6 +182,7 @@
                 self.nodes[at].paused_until = now + pause;
                 self.nodes[at].silent_since = now;
             }
+            28..31 if self.nodes[at].alive => self.nodes[at].stopping = true,
             24..26 => self.log_down_until = now + Duration::from_secs(3),
             26..28 if self.nodes.iter().all(|n| n.town.version == self.town.version) => {
                 self.publish();
@@ -338,7 +344,7 @@
             self.plan(at);
         }
         let me = self.nodes[at].id.clone();
-        if self.chance(60) {
+        if !self.nodes[at].stopping && self.chance(60) {
             self.start_request(at);
         }
         self.nodes[at].requests.retain(|_, entry| {
@@ -383,12 +389,20 @@
     }
 
     fn plan(&mut self, at: usize) {
+        let node = &mut self.nodes[at];
+        let handed_over = node.ledger.owned_by(&node.id).next().is_none();
+        if node.stopping && handed_over && node.requests.is_empty() {
+            node.alive = false;
+            node.silent_since = self.now;
+            self.stops += 1;
+            return;
+        }
         let (now, naive) = (self.now, self.naive);
         let live: Vec<EntryPlace> = self
             .nodes
             .iter()
             .zip(PLACES)
-            .filter(|(node, _)| node.runs(now))
+            .filter(|(node, _)| node.runs(now) && !node.stopping)
             .map(|(node, (region, data_centre))| EntryPlace {
                 process: node.id.clone(),
                 region: CompactString::new(region),
@@ -421,7 +435,7 @@
             live: &live,
             proof: &proof,
             read_end_at: node.read_end_at,
-            stopping: false,
+            stopping: node.stopping,
         };
         if let Some(entry) = node.plan.next_entry(&view, &mut node.owner, now) {
             let from = node.id.clone();
@@ -493,20 +507,21 @@
 
 #[test]
 fn fleet_admits_no_more_than_burst_and_rate_under_faults() {
-    let (mut takeovers, mut handovers, mut admitted) = (0, 0, 0);
+    let (mut takeovers, mut handovers, mut stops, mut admitted) = (0, 0, 0, 0);
     for seed in 0..60 {
         let (world, result) = simulate(seed, Naive::default());
         result.unwrap();
         takeovers += world.takeovers;
         handovers += world.handovers;
+        stops += world.stops;
         admitted += world.admitted;
     }
     // The check would say nothing if slots never moved or nothing was admitted.
     assert!(
-        takeovers > 100 && handovers > 20 && admitted > 1_000,
-        "takeovers={takeovers} handovers={handovers} admitted={admitted}"
+        takeovers > 100 && handovers > 20 && stops > 20 && admitted > 1_000,
+        "takeovers={takeovers} handovers={handovers} stops={stops} admitted={admitted}"
     );
-    println!("takeovers={takeovers} handovers={handovers} admitted={admitted}");
+    println!("takeovers={takeovers} handovers={handovers} stops={stops} admitted={admitted}");
 }
 
 /// The oracle must be able to fail: a takeover at a full level spends the dead owner's tokens again.
