Repeat a reservation that met a moving slot

Cause: while a slot changes hands its former owner answers NotOwner; a request that needs its tokens was refused although it was inside the customer's rate. Change: entry waits 100 ms and collects again, up to three attempts, if a collection fell short and met such a slot.

--- a/components/entry/src/reserve.rs
+++ b/components/entry/src/reserve.rs
@@ -9,13 +9,16 @@
 use compact_str::CompactString;
 use rates::{CollectAction, CollectRequest, Collection, Part, settle_parts};
 use tokio::sync::mpsc;
-use tokio::time::sleep_until;
+use tokio::time::{sleep, sleep_until};
 use wire::{PeerCall, PeerReply, ReserveOutcome, SlotId};
 
 use crate::app::App;
 
-/// Attempts to reserve when a pause of the process made the first reservation too old.
-const ATTEMPTS: u32 = 2;
+/// Attempts to reserve, since a pause of the process may make the first reservation too old, and a
+/// slot may change hands while it is asked.
+const ATTEMPTS: u32 = 3;
+/// Time for the record of a slot that changes hands to be read, before the next attempt.
+const MOVED_SLOT_WAIT: Duration = Duration::from_millis(100);
 /// Advice when no owner of a slot answered, in milliseconds.
 const NO_OWNER_RETRY_MS: u64 = 1_000;
 
@@ -84,8 +87,8 @@
     customer: &str,
     tokens: Tokens,
 ) -> Result<Reservation, ApiError> {
-    for _ in 0..ATTEMPTS {
-        if let Some(reservation) = collect(app, customer, tokens).await? {
+    for attempt in 1..=ATTEMPTS {
+        if let Some(reservation) = collect(app, customer, tokens, attempt == ATTEMPTS).await? {
             return Ok(reservation);
         }
     }
@@ -149,11 +152,13 @@
     }
 }
 
-/// One collection; none if its parts grew too old before they could be used.
+/// One collection; none if its parts grew too old before they could be used, or if it is not the last
+/// attempt and fell short while a slot changed hands.
 async fn collect(
     app: &Rc<App>,
     customer: &str,
     tokens: Tokens,
+    last: bool,
 ) -> Result<Option<Reservation>, ApiError> {
     let Some(town) = app.town() else { return Err(no_owner()) };
     let Some(id) = town.customer_id(customer) else {
@@ -212,6 +217,10 @@
                         "prompt and max_tokens together exceed the customer's burst",
                     ));
                 }
+                CollectAction::Refused { .. } if !last && running.collection.met_moved_slot() => {
+                    sleep(MOVED_SLOT_WAIT).await;
+                    return Ok(None);
+                }
                 CollectAction::Refused { retry_after_ms, answered: true } => {
                     return Err(ApiError::new(
                         ErrorCode::RateExceeded,
