Ask entries that left the VM list at each heartbeat

Cause: in a fleet of more than 16 entries heartbeats take turns (48 s for 380 entries at 8 a second), so a removed VM was judged silent, and its slots taken over, only after minutes. Change: entries that left the list are asked at each heartbeat for 10 s or until they answer, and count as silent for the proof of death after silent_after_ms; a process not heard since its VM left the list is suspect. The interval of sides without an entry in their region counts all entries. Conclusion: takeover after a VM's removal takes seconds at the design size too.

--- a/components/membership/src/membership.rs
+++ b/components/membership/src/membership.rs
@@ -172,6 +172,26 @@
                 member.vm.get_or_insert_with(|| vm.name.clone());
             }
         }
+        self.probe_absent(now);
+    }
+
+    /// Asks entries that left the list whether they are alive, at each heartbeat: in a large fleet
+    /// their turn would come too late for their slots to be taken over soon.
+    fn probe_absent(&mut self, now: Timestamp) {
+        let absent: Vec<SocketAddr> = self
+            .members
+            .values()
+            .filter(|m| m.role == Role::Entry && self.absent_since(m).is_some())
+            .filter(|m| self.liveness(m, now) != Liveness::Silent)
+            .map(|m| m.address)
+            .collect();
+        if self.me.role == Role::Entry {
+            self.schedule.urge(&absent, now);
+        }
+    }
+
+    fn absent_since(&self, member: &Member) -> Option<Timestamp> {
+        self.listing.absent_since(member.vm.as_deref()?)
     }
 
     /// A connection or a call to the process failed: it is suspect until it is heard again.
@@ -209,6 +229,7 @@
         if silence >= after(self.settings.silent_after_ms, SILENT_CONTACTS) {
             Liveness::Silent
         } else if member.contact_failed
+            || self.absent_since(member).is_some_and(|absent| member.heard_at < absent)
             || silence >= after(self.settings.suspect_after_ms, SUSPECT_CONTACTS)
         {
             Liveness::Suspect
@@ -252,7 +273,14 @@
             return Some(DeathProof::NewerIncarnation(*newest));
         }
         let member = self.members.get(&process.name).filter(|m| m.process == *process)?;
-        if self.liveness(member, now) != Liveness::Silent {
+        // An entry asks another that left the list at each heartbeat, in a large fleet too.
+        let asked = self.me.role == Role::Entry && member.role == Role::Entry;
+        let silent_after = Duration::from_millis(self.settings.silent_after_ms);
+        let no_answer = asked
+            && self
+                .absent_since(member)
+                .is_some_and(|absent| now.since(member.heard_at.max(absent)) >= silent_after);
+        if !no_answer && self.liveness(member, now) != Liveness::Silent {
             return None;
         }
         // The peer address is bound exclusively: another process heard there later means that this
@@ -336,7 +364,11 @@
         let in_region = |region: &str| self.entries_in.get(region).copied().unwrap_or(0);
         let peers = match (self.me.role, member.role) {
             (Role::Entry, Role::Entry) => self.entries_in.values().sum(),
-            (Role::Entry, Role::Side) => in_region(&member.region) + 1,
+            (Role::Entry, Role::Side) => match in_region(&member.region) {
+                // It has no entry in its region, or this one.
+                0 => self.entries_in.values().sum::<usize>() + 1,
+                entries => entries + 1,
+            },
             (Role::Side, _) => in_region(&self.me.region),
         };
         contact_interval(peers, &self.settings)
--- a/components/membership/src/schedule.rs
+++ b/components/membership/src/schedule.rs
@@ -10,9 +10,10 @@
 pub const SMALL_FLEET_PEERS: usize = 16;
 /// Peers in each round of a larger fleet.
 ///
-/// Bounds the cost of heartbeats: at the size to design for, 8 a second of at most 1.5 KB stay below
-/// 15 KB/s for each node.
+/// Bounds the cost of heartbeats, whatever the size of the fleet.
 pub const LARGE_ROUND_PEERS: usize = 8;
+/// How long a peer is told or asked at each heartbeat until it answers.
+const URGENT_FOR: Duration = Duration::from_secs(10);
 /// Time between rounds of a larger fleet.
 const LARGE_ROUND: Duration = Duration::from_secs(1);
 
@@ -30,12 +31,18 @@
 pub(crate) struct Schedule {
     next_round: Timestamp,
     cursor: usize,
-    /// Peers that must still be told at once of a change.
-    urgent: Vec<SocketAddr>,
+    /// Peers that must be told of a change, or asked whether they are alive, at each heartbeat.
+    urgent: Vec<Urgent>,
     /// When the urgent ones are told again, unless they answer.
     next_urgent: Timestamp,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct Urgent {
+    address: SocketAddr,
+    until: Timestamp,
+}
+
 impl Schedule {
     /// Addresses to send a heartbeat to now, out of `peers` (sorted).
     pub(crate) fn due(
@@ -46,9 +53,9 @@
     ) -> Vec<SocketAddr> {
         let mut due = Vec::new();
         let beat = Duration::from_millis(settings.heartbeat_ms);
-        self.urgent.retain(|address| peers.binary_search(address).is_ok());
+        self.urgent.retain(|u| now < u.until && peers.binary_search(&u.address).is_ok());
         if !self.urgent.is_empty() && now >= self.next_urgent {
-            due.extend_from_slice(&self.urgent);
+            due.extend(self.urgent.iter().map(|u| u.address));
             self.next_urgent = now + beat;
         }
         if now >= self.next_round {
@@ -64,15 +71,28 @@
         due
     }
 
-    /// Tells every peer at once, again at each heartbeat until it answers.
+    /// Adds peers to be told or asked at once, and again at each heartbeat until they answer.
+    pub(crate) fn urge(&mut self, peers: &[SocketAddr], now: Timestamp) {
+        let before = self.urgent.len();
+        for address in peers {
+            if !self.urgent.iter().any(|u| u.address == *address) {
+                self.urgent.push(Urgent { address: *address, until: now + URGENT_FOR });
+            }
+        }
+        if before == 0 {
+            self.next_urgent = now;
+        }
+    }
+
+    /// Tells every peer at once of a change, also those that were just asked something else.
     pub(crate) fn announce(&mut self, peers: &[SocketAddr], now: Timestamp) {
-        self.urgent = peers.to_vec();
-        self.next_urgent = now;
+        self.urgent.clear();
+        self.urge(peers, now);
     }
 
     /// A peer answered.
     pub(crate) fn answered(&mut self, address: SocketAddr) {
-        self.urgent.retain(|a| *a != address);
+        self.urgent.retain(|u| u.address != address);
     }
 
     /// When [`Schedule::due`] has something next.
--- a/components/membership/tests/membership.rs
+++ b/components/membership/tests/membership.rs
@@ -334,6 +334,32 @@
     assert_eq!(members.due(at(503)), []);
 }
 
+/// In a large fleet the turns are too slow to tell a removed VM from a live one, so it is asked at each
+/// heartbeat and its slots can be taken over within seconds.
+#[test]
+fn an_entry_that_left_the_list_is_asked_until_it_answers_or_is_proven_dead() {
+    let all = entries(100);
+    let mut members = membership(Role::Entry);
+    members.take_vm_list(&list(1, &all), at(1), at(1));
+    for port in 100..200 {
+        members.heard(&heartbeat(&format!("e{port}"), 1, Role::Entry, port), at(2));
+    }
+    members.due(at(10_000));
+    for (version, ms) in [(2, 10_100), (3, 11_100)] {
+        members.take_vm_list(&list(version, &all[2..]), at(ms), at(ms));
+    }
+    assert_eq!(members.due(at(11_100)).len(), LARGE_ROUND_PEERS + 2);
+    let answer = heartbeat("e100", 1, Role::Entry, 100);
+    members.heard_reply(&answer, at(11_100));
+    assert_eq!(members.due(at(11_350)), [address(101)]);
+    let (alive, dead) = (process("e100", 1), process("e101", 1));
+    assert_eq!(members.proof_of_death(&dead, at(11_599)), None);
+    assert!(members.proof_of_death(&dead, at(11_600)).is_some());
+    assert_eq!(members.proof_of_death(&alive, at(12_599)), None);
+    let suspect = members.member(&dead.name).unwrap();
+    assert_eq!(members.liveness(suspect, at(11_600)), Liveness::Suspect);
+}
+
 #[test]
 fn a_side_sends_to_the_entries_of_its_region_or_to_all_if_there_is_none() {
     let mut members = membership(Role::Side);
