Judge wrongful refusals by a bucket that pays for them

Cause: a run under a lost target never ended, because requests past their deadline stayed queued and each arrival added one more retry of the same order; and one lost token of the judge's lead counted as a wrongful refusal again and again, since a refused request did not debit the judge. Change: expiry and one pending retry for each target; the judge debits a refusal that it finds wrongful.

--- a/components/measure/src/judge.rs
+++ b/components/measure/src/judge.rs
@@ -46,6 +46,23 @@
         self.buckets[customer.index()].settle(number, used, now);
     }
 
+    /// Judges a refusal: whether the request was inside rate and burst. If so the bucket is debited as
+    /// it would have been, since the customer could have used these tokens only once.
+    pub fn refused(
+        &mut self,
+        customer: CustomerId,
+        reserved: Tokens,
+        used: Tokens,
+        now: Timestamp,
+    ) -> bool {
+        let inside = self.inside(customer, reserved, now);
+        if inside {
+            let number = self.admitted(customer, reserved, now);
+            self.settled(customer, number, used, now);
+        }
+        inside
+    }
+
     /// Whether a request of this size is inside the customer's rate and burst now.
     pub fn inside(&mut self, customer: CustomerId, tokens: Tokens, now: Timestamp) -> bool {
         self.buckets[customer.index()].level(now) >= MicroTokens::from_tokens(tokens)
--- a/components/measure/src/run.rs
+++ b/components/measure/src/run.rs
@@ -229,7 +229,10 @@
             Event::OrderDone { target, order, kind, epoch } => {
                 self.order_done(target, order, kind, epoch, now);
             }
-            Event::TryOrder(target) => self.try_order(target, now),
+            Event::TryOrder(target) => {
+                self.sides[target].order_retry_scheduled = false;
+                self.try_order(target, now);
+            }
             Event::SendHeartbeats => self.send_heartbeats(now),
             Event::Heartbeat { entry, heartbeat } => {
                 self.entries[entry].router.take_heartbeat(&heartbeat, now);
@@ -381,7 +384,7 @@
 
     fn refuse_rate(&mut self, request: usize, now: Timestamp) {
         let arrival = self.requests[request].arrival;
-        let inside = self.judge.inside(arrival.customer, arrival.reserved(), now);
+        let inside = self.judge.refused(arrival.customer, arrival.reserved(), arrival.used(), now);
         let outcome = if inside { Outcome::RefusedInsideRate } else { Outcome::RefusedAboveRate };
         self.end(request, outcome);
     }
@@ -640,6 +643,10 @@
 
     /// Works on the oldest item that a queued request waits for.
     fn try_order(&mut self, target: usize, now: Timestamp) {
+        for request in self.sides[target].expire(now) {
+            self.end_send(request);
+            self.settle(request, Outcome::RefusedBusy, now);
+        }
         if !self.sides[target].alive || self.sides[target].outstanding().is_some() {
             return;
         }
@@ -648,6 +655,13 @@
         self.begin_load(target, &item, now);
     }
 
+    fn retry_order(&mut self, target: usize, at: Timestamp) {
+        if !self.sides[target].order_retry_scheduled {
+            self.sides[target].order_retry_scheduled = true;
+            self.agenda.push(at, Event::TryOrder(target));
+        }
+    }
+
     fn begin_load(&mut self, target: usize, item: &Item, now: Timestamp) {
         if !self.sides[target].alive || self.sides[target].outstanding().is_some() {
             return;
@@ -662,7 +676,7 @@
         );
         match room {
             Room::Evict(other) | Room::AskPin(other) => self.begin_unload(target, &other, now),
-            Room::Impossible => self.agenda.push(now + ORDER_RETRY, Event::TryOrder(target)),
+            Room::Impossible => self.retry_order(target, now + ORDER_RETRY),
             Room::Enough => {
                 let Some(duration) = self.load_duration(target, item, now) else { return };
                 let side = &mut self.sides[target];
@@ -693,7 +707,7 @@
             }
             wire::PermitOutcome::Wait { retry_after_ms } => {
                 let again = now + Duration::from_millis(u64::from(retry_after_ms.max(1)));
-                self.agenda.push(again, Event::TryOrder(target));
+                self.retry_order(target, again);
                 None
             }
             wire::PermitOutcome::NotOwner => None,
--- a/components/measure/src/side_node.rs
+++ b/components/measure/src/side_node.rs
@@ -46,6 +46,8 @@
     pub(crate) items: SortedMap<Ticket, Vec<Item>>,
     pub(crate) demand: SortedMap<CompactString, DemandRate>,
     first_come_first_served: bool,
+    /// Whether an event to look for an order again is on the agenda.
+    pub(crate) order_retry_scheduled: bool,
 }
 
 impl SideNode {
@@ -107,6 +109,7 @@
             items: SortedMap::new(),
             demand: SortedMap::new(),
             first_come_first_served: policy == Policy::FirstComeFirstServed,
+            order_retry_scheduled: false,
         }
     }
 
@@ -169,6 +172,12 @@
         self.forget(ticket, now)
     }
 
+    /// Drops queued requests past their deadline and returns them.
+    pub(crate) fn expire(&mut self, now: Timestamp) -> Vec<usize> {
+        let expired = self.queue.expire(now);
+        expired.into_iter().filter_map(|t| self.forget(t, now)).map(|w| w.request).collect()
+    }
+
     /// Drops the bookkeeping of a request.
     pub(crate) fn forget(&mut self, ticket: Ticket, now: Timestamp) -> Option<Waiting> {
         self.needs.retain(|(waiting, _)| *waiting != ticket);
