Keep the time at which a VM left the list with the member

Change: the time is stored when a list is taken. Conclusion: judging a process no longer depends on the list.

--- a/components/membership/src/member.rs
+++ b/components/membership/src/member.rs
@@ -41,6 +41,8 @@
     pub contact_failed: bool,
     /// VM that it runs on, by the list.
     pub(crate) vm: Option<CompactString>,
+    /// When that VM was first missing from the list, if it is.
+    pub(crate) absent_since: Option<Timestamp>,
 }
 
 impl Member {
--- a/components/membership/src/membership.rs
+++ b/components/membership/src/membership.rs
@@ -135,6 +135,7 @@
             heard_at,
             contact_failed: false,
             vm: vm_name,
+            absent_since: None,
         };
         let former = self.members.insert(from.name.clone(), member).map(|m| m.process);
         self.count_entries();
@@ -171,6 +172,7 @@
                 member.leaving |= vm.leaving;
                 member.vm.get_or_insert_with(|| vm.name.clone());
             }
+            member.absent_since = member.vm.as_deref().and_then(|vm| self.listing.absent_since(vm));
         }
         self.probe_absent(now);
     }
@@ -181,7 +183,7 @@
         let absent: Vec<SocketAddr> = self
             .members
             .values()
-            .filter(|m| m.role == Role::Entry && self.absent_since(m).is_some())
+            .filter(|m| m.role == Role::Entry && m.absent_since.is_some())
             .filter(|m| self.liveness(m, now) != Liveness::Silent)
             .map(|m| m.address)
             .collect();
@@ -190,10 +192,6 @@
         }
     }
 
-    fn absent_since(&self, member: &Member) -> Option<Timestamp> {
-        self.listing.absent_since(member.vm.as_deref()?)
-    }
-
     /// A connection or a call to the process failed: it is suspect until it is heard again.
     pub fn note_failure(&mut self, process: &ProcessId) {
         if let Some(member) = self.members.get_mut(&process.name)
@@ -229,7 +227,7 @@
         if silence >= after(self.settings.silent_after_ms, SILENT_CONTACTS) {
             Liveness::Silent
         } else if member.contact_failed
-            || self.absent_since(member).is_some_and(|absent| member.heard_at < absent)
+            || member.absent_since.is_some_and(|absent| member.heard_at < absent)
             || silence >= after(self.settings.suspect_after_ms, SUSPECT_CONTACTS)
         {
             Liveness::Suspect
@@ -277,8 +275,8 @@
         let asked = self.me.role == Role::Entry && member.role == Role::Entry;
         let silent_after = Duration::from_millis(self.settings.silent_after_ms);
         let no_answer = asked
-            && self
-                .absent_since(member)
+            && member
+                .absent_since
                 .is_some_and(|absent| now.since(member.heard_at.max(absent)) >= silent_after);
         if !no_answer && self.liveness(member, now) != Liveness::Silent {
             return None;
@@ -300,7 +298,7 @@
         let list_asked_at = self.listing.asked_at()?;
         let listed = self.listing.listed().filter(|vm| vm.role == Role::Entry).map(|vm| vm.address);
         let heard = self.members.values().filter(|m| {
-            let left = m.vm.as_deref().and_then(|vm| self.listing.absent_since(vm));
+            let left = m.absent_since;
             m.role == Role::Entry
                 && left.is_none_or(|left| m.heard_at >= left)
                 && self.proof_of_death(&m.process, now).is_none()
