Ask the fullest slot first and measure on both deployments

Cause: an entry process drained its own slots first, so that others were full and lost their refill and refunds: the customer got less than its rate although every slot was exact. Change: owners tell the level that is left, requesters ask the fullest slot first; the command measure runs both fixtures beside baselines and an oracle; the judge follows debits at the owners. Ruled out: late settlements as the cause (one slot with the same delays had no wrongful refusal).

--- a/components/measure/src/judge.rs
+++ b/components/measure/src/judge.rs
@@ -7,7 +7,10 @@
 /// Exact fleet-wide buckets, fed with what the measured policy admitted.
 #[derive(Clone, Debug)]
 pub struct Judge {
+    /// Debited by what was admitted, and by refusals that it finds wrongful.
     buckets: Vec<Bucket>,
+    /// Debited by what was admitted alone.
+    admissions: Vec<Bucket>,
     /// Tokens admitted above rate and burst.
     excess_tokens: u64,
     /// Next number of an admission; numbers must rise from debit to debit.
@@ -18,7 +21,7 @@
     /// Full buckets at the start.
     pub fn new(town: &Town) -> Self {
         let start = Timestamp::default();
-        let buckets = town
+        let buckets: Vec<Bucket> = town
             .customers
             .iter()
             .map(|customer| {
@@ -29,20 +32,22 @@
                 Bucket::full(share, start)
             })
             .collect();
-        Self { buckets, excess_tokens: 0, next_number: 1 }
+        Self { admissions: buckets.clone(), buckets, excess_tokens: 0, next_number: 1 }
     }
 
     /// Notes an admission and returns its number, for the settlement.
     pub fn admitted(&mut self, customer: CustomerId, tokens: Tokens, now: Timestamp) -> u64 {
         let number = self.next_number;
         self.next_number += 1;
-        let taken = self.buckets[customer.index()].take(number, tokens, now);
+        let taken = self.admissions[customer.index()].take(number, tokens, now);
         self.excess_tokens += tokens.saturating_sub(taken.unwrap_or_default()).0;
+        self.buckets[customer.index()].take(number, tokens, now);
         number
     }
 
     /// Notes a settlement.
     pub fn settled(&mut self, customer: CustomerId, number: u64, used: Tokens, now: Timestamp) {
+        self.admissions[customer.index()].settle(number, used, now);
         self.buckets[customer.index()].settle(number, used, now);
     }
 
@@ -57,8 +62,10 @@
     ) -> bool {
         let inside = self.inside(customer, reserved, now);
         if inside {
-            let number = self.admitted(customer, reserved, now);
-            self.settled(customer, number, used, now);
+            let number = self.next_number;
+            self.next_number += 1;
+            self.buckets[customer.index()].take(number, reserved, now);
+            self.buckets[customer.index()].settle(number, used, now);
         }
         inside
     }
--- a/components/measure/src/lib.rs
+++ b/components/measure/src/lib.rs
@@ -2,6 +2,7 @@
 //! beside baselines and a bound.
 
 mod arrival;
+mod deployments;
 mod engine;
 mod entry_node;
 mod event;
@@ -16,10 +17,11 @@
 mod workload;
 
 pub use arrival::Arrival;
+pub use deployments::deployments;
 pub use judge::Judge;
 pub use outcome::{Outcome, RunResult};
 pub use policy::Policy;
 pub use report::{print_json, print_table};
 pub use run::run;
 pub use scenario::{Deployment, Fault, Scenario};
-pub use workload::make_arrivals;
+pub use workload::{make_arrivals, scale_rates};
--- a/components/measure/src/run.rs
+++ b/components/measure/src/run.rs
@@ -14,7 +14,7 @@
 use queue::Ticket;
 use rates::{
     CollectAction, CollectRequest, Collection, Distance, Part, SlotEntry, SlotLedger, SlotRecord,
-    settle_parts, slot_holders, slots_of,
+    bucket_share, settle_parts, slot_holders, slots_of,
 };
 use wire::{CopyState, ReserveOutcome, SlotId};
 
@@ -49,8 +49,10 @@
     attempts: u32,
     excluded: Vec<compact_str::CompactString>,
     send: Option<(usize, routing::SendId)>,
-    /// Number of the admission at the judge.
-    admission: u64,
+    /// Number of the admission at the judge, for policies without slots.
+    admission: Option<u64>,
+    /// Whether one exact bucket would have admitted it.
+    inside_at_arrival: bool,
     outcome: Option<Outcome>,
 }
 
@@ -67,6 +69,8 @@
     slots: SlotLedger,
     slot_records: u64,
     judge: Judge,
+    /// Numbers at the judge of open reservations, by owner and reservation.
+    admissions: SortedMap<(base::ProcessId, u64), u64>,
     planner: Planner,
     demand: Vec<(DemandRate, DemandRate)>,
     store: rates::PermitPool,
@@ -98,7 +102,9 @@
         policy: Policy,
         arrivals: &[Arrival],
     ) -> Self {
-        let town = Rc::new(deployment.town.clone());
+        let mut town = deployment.town.clone();
+        town.buckets.slots = scenario.slots;
+        let town = Rc::new(town);
         let start = Timestamp::default();
         let mut sides: Vec<SideNode> = Vec::new();
         let targets =
@@ -130,6 +136,7 @@
             slots: SlotLedger::new(),
             slot_records: 0,
             judge: Judge::new(&town),
+            admissions: SortedMap::new(),
             planner: Planner::new(PlannerSettings::default()),
             demand: town
                 .models
@@ -200,6 +207,9 @@
                 self.reserve(request, owner, slot, tokens, now);
             }
             Event::Reserved { request, slot, outcome } => {
+                let customer = self.customer_name(request);
+                let entry = self.requests[request].entry;
+                self.entries[entry].hints.note(&customer, slot, &outcome, now);
                 if let Some(collection) = &mut self.requests[request].collection {
                     let actions = collection.replied(slot, &outcome, now);
                     self.collect(request, actions, now);
@@ -222,6 +232,11 @@
                 let entry = &mut self.entries[owner];
                 if entry.alive && entry.id == part.owner {
                     entry.owner.settle(part.slot, &customer, part.reservation, used, now);
+                    let key = (part.owner, part.reservation);
+                    if let Some(number) = self.admissions.remove(&key) {
+                        let customer = self.requests[request].arrival.customer;
+                        self.judge.settled(customer, number, used, now);
+                    }
                 }
             }
             Event::Dispatch { request, target } => self.dispatched(request, target, now),
@@ -257,6 +272,8 @@
         let (fast, slow) = &mut self.demand[arrival.model.index()];
         fast.add(arrival.used().0, now);
         slow.add(arrival.used().0, now);
+        let inside = self.judge.inside(arrival.customer, arrival.reserved(), now);
+        self.requests[request].inside_at_arrival = inside;
         let at = self.requests[request].entry;
         if !self.entries[at].alive {
             // The load balancer takes the next one.
@@ -296,7 +313,7 @@
         let arrival = self.requests[request].arrival;
         let customer = self.town.customer(arrival.customer);
         let me = &self.entries[self.requests[request].entry];
-        let holders = slot_holders(&customer.name, self.town.buckets, &self.slots, |owner| {
+        let mut holders = slot_holders(&customer.name, self.town.buckets, &self.slots, |owner| {
             if *owner == me.id {
                 return Some(Distance::Local);
             }
@@ -304,6 +321,8 @@
             let near = other.data_centre == me.data_centre;
             Some(if near { Distance::DataCentre } else { Distance::Region })
         });
+        let share_of = |slot| bucket_share(&self.town, &customer.name, slot);
+        me.hints.sort(&customer.name, &mut holders, share_of, now);
         let slot_count = slots_of(&customer.name, self.town.buckets).count();
         let (collection, actions) = Collection::start(
             CollectRequest {
@@ -315,7 +334,7 @@
                 holders,
                 validity: Duration::from_secs(2),
                 call_timeout: CALL_TIMEOUT,
-                max_wait: Duration::ZERO,
+                max_wait: Duration::from_millis(self.scenario.rate_wait_ms),
                 seed: request as u64,
             },
             now,
@@ -372,6 +391,11 @@
             ReserveOutcome::NotOwner
         };
         let id = self.entries[owner].id.clone();
+        if let ReserveOutcome::Granted { reservation, tokens, .. } = &outcome {
+            let customer = self.requests[request].arrival.customer;
+            let number = self.judge.admitted(customer, *tokens, now);
+            self.admissions.insert((id.clone(), *reservation), number);
+        }
         let delay = self.delay_to_owner(request, &id);
         self.agenda.push(now + delay, Event::Reserved { request, slot, outcome });
     }
@@ -384,15 +408,18 @@
 
     fn refuse_rate(&mut self, request: usize, now: Timestamp) {
         let arrival = self.requests[request].arrival;
-        let inside = self.judge.refused(arrival.customer, arrival.reserved(), arrival.used(), now);
+        let inside = self.requests[request].inside_at_arrival
+            && self.judge.refused(arrival.customer, arrival.reserved(), arrival.used(), now);
         let outcome = if inside { Outcome::RefusedInsideRate } else { Outcome::RefusedAboveRate };
         self.end(request, outcome);
     }
 
     fn admitted(&mut self, request: usize, parts: Vec<Part>, now: Timestamp) {
         let arrival = self.requests[request].arrival;
-        let number = self.judge.admitted(arrival.customer, arrival.reserved(), now);
-        self.requests[request].admission = number;
+        if parts.is_empty() {
+            let number = self.judge.admitted(arrival.customer, arrival.reserved(), now);
+            self.requests[request].admission = Some(number);
+        }
         self.requests[request].parts = parts;
         self.send(request, now);
     }
@@ -542,7 +569,9 @@
             let bucket = &mut self.entries[entry].split[arrival.customer.index()];
             bucket.settle(request as u64, used, now);
         }
-        self.judge.settled(arrival.customer, self.requests[request].admission, used, now);
+        if let Some(number) = self.requests[request].admission {
+            self.judge.settled(arrival.customer, number, used, now);
+        }
         self.end(request, outcome);
     }
 
@@ -898,7 +927,8 @@
             attempts: 0,
             excluded: Vec::new(),
             send: None,
-            admission: 0,
+            admission: None,
+            inside_at_arrival: false,
             outcome: None,
         }
     }
--- a/components/measure/src/scenario.rs
+++ b/components/measure/src/scenario.rs
@@ -1,7 +1,7 @@
 //! What a run measures: deployment, load and fault.
 
 use base::Timestamp;
-use config::Town;
+use config::{BucketLayout, EntrySettings, Town};
 
 /// A deployment at its size of today.
 #[derive(Clone, Debug)]
@@ -60,6 +60,10 @@
     pub model_factor: u64,
     /// Fault.
     pub fault: Fault,
+    /// Slots of each customer's bucket.
+    pub slots: u16,
+    /// Longest wait for tokens to accrue, in milliseconds.
+    pub rate_wait_ms: u64,
 }
 
 impl Default for Scenario {
@@ -71,6 +75,8 @@
             overload_factor: 4,
             model_factor: 10,
             fault: Fault::None,
+            slots: BucketLayout::default().slots,
+            rate_wait_ms: EntrySettings::default().rate_wait_ms,
         }
     }
 }
--- a/components/measure/src/workload.rs
+++ b/components/measure/src/workload.rs
@@ -21,6 +21,8 @@
 /// Length of a burst in steps, and one in how many steps is the first of a burst.
 const BURST_STEPS: u64 = 10;
 const BURST_ONE_IN: f64 = 100.0;
+/// Share of its rate that a customer uses on average.
+const RATE_USE: f64 = 0.8;
 /// Factor of the rate during a burst.
 const BURST_FACTOR: f64 = 3.0;
 
@@ -57,10 +59,28 @@
     arrivals
 }
 
-fn make_sources(town: &Town, scenario: &Scenario) -> Vec<Source> {
+/// Requests a second that load the engines of a deployment to `load_percent`.
+fn requests_per_s(town: &Town, load_percent: u64) -> f64 {
     let capacity: u64 = town.services.iter().flat_map(|s| &s.targets).map(|t| t.tokens_per_s).sum();
-    let requests_per_s =
-        capacity as f64 * scenario.load_percent as f64 / 100.0 / MEAN_OUTPUT_TOKENS;
+    capacity as f64 * load_percent as f64 / 100.0 / MEAN_OUTPUT_TOKENS
+}
+
+/// Scales rates and bursts, in their proportions, so that the demand of `load_percent` is 80% of them.
+///
+/// The engines of a deployment would be idle most of the time at its configured rates, and a policy
+/// shows its worth only under load.
+pub fn scale_rates(town: &mut Town, load_percent: u64) {
+    let demand = requests_per_s(town, load_percent) * (MEAN_PROMPT_TOKENS + MEAN_OUTPUT_TOKENS);
+    let configured: u64 = town.customers.iter().map(|c| c.rate_tokens_per_s).sum();
+    let factor = demand / RATE_USE / configured.max(1) as f64;
+    for customer in &mut town.customers {
+        customer.rate_tokens_per_s = (customer.rate_tokens_per_s as f64 * factor).round() as u64;
+        customer.burst_tokens = (customer.burst_tokens as f64 * factor).round() as u64;
+    }
+}
+
+fn make_sources(town: &Town, scenario: &Scenario) -> Vec<Source> {
+    let requests_per_s = requests_per_s(town, scenario.load_percent);
     let rates: u64 = town.customers.iter().map(|c| c.rate_tokens_per_s).sum();
     let largest = town.customers.iter().map(|c| c.rate_tokens_per_s).max();
     town.customers
--- a/components/measure/tests/runs.rs
+++ b/components/measure/tests/runs.rs
@@ -53,10 +53,7 @@
         }],
         data_centres: vec![data_centre("dc-a"), data_centre("dc-b")],
         weight_store: WeightStoreLimits { loads_per_1000_s: 1_500, concurrent_loads: 5 },
-        buckets: BucketLayout {
-            partitions: 1,
-            slots: std::env::var("K").map_or(4, |k| k.parse().unwrap()),
-        },
+        buckets: BucketLayout::default(),
         ..Town::default()
     }
 }
--- a/components/rates/src/slot_owner.rs
+++ b/components/rates/src/slot_owner.rs
@@ -148,7 +148,8 @@
             Some(granted) => {
                 let reservation = self.next_number;
                 self.next_number += 1;
-                ReserveOutcome::Granted { reservation, tokens: granted }
+                let left = bucket.level(now).whole_tokens();
+                ReserveOutcome::Granted { reservation, tokens: granted, left }
             }
             None => ReserveOutcome::Empty {
                 retry_after_ms: millis_up(bucket.time_until(Tokens(1), now)),
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -19,6 +19,7 @@
   check    check configuration and settings files
   demo     run the whole path in one process and check it
   entry    answer callers
+  measure  measure the policy beside baselines and a bound
   publish  change the configuration of a running deployment
   side     run the process beside one target
   status   show the state of running processes
@@ -36,6 +37,7 @@
             Some("check") => cmd::check::run(parser),
             Some("demo") => cmd::demo::run(parser),
             Some("entry") => cmd::entry::run(parser),
+            Some("measure") => cmd::measure::run_command(parser),
             Some("publish") => cmd::publish::run(parser),
             Some("side") => cmd::side::run(parser),
             // For tests only, so the help text does not list it.
--- /dev/null
+++ b/src/cmd/measure.rs
@@ -0,0 +1,114 @@
+//! `measure`: the policy beside baselines and a bound.
+
+use std::process::ExitCode;
+
+use config::{BucketLayout, EntrySettings};
+use lexopt::prelude::*;
+use measure::{Fault, Policy, Scenario, deployments, make_arrivals, print_json, print_table, run};
+
+use crate::cli::usage_error;
+
+const HELP: &str = "\
+Measure the policy beside baselines and a bound, on both deployments.
+
+Usage: plantainbeam measure [options]
+
+Options:
+      --json             JSON instead of a table
+      --seed N           seed of the workload (default 20261204)
+      --length-s N       length of a run in seconds (default 300)
+      --load-percent N   load as a share of the engines' capacity (default 60)
+      --slots N          slots of each customer's bucket (default as configured)
+      --rate-wait-ms N   longest wait for tokens to accrue (default as configured)
+      --fault NAME       only this fault: none, target-lost, log-outage, rolling-restart
+      --policy NAME      only this policy, for example core or oracle
+  -h, --help             show this text
+
+Exit code: 1 if any run admits tokens above rate and burst.
+";
+
+struct Options {
+    json: bool,
+    scenario: Scenario,
+    fault: Option<String>,
+    policy: Option<String>,
+}
+
+/// Runs the command.
+pub fn run_command(parser: lexopt::Parser) -> ExitCode {
+    match parse(parser) {
+        Ok(Some(options)) => measure_all(&options),
+        Ok(None) => {
+            print!("{HELP}");
+            ExitCode::SUCCESS
+        }
+        Err(error) => usage_error(&error.to_string(), HELP),
+    }
+}
+
+fn parse(mut parser: lexopt::Parser) -> Result<Option<Options>, lexopt::Error> {
+    let scenario = Scenario {
+        slots: BucketLayout::default().slots,
+        rate_wait_ms: EntrySettings::default().rate_wait_ms,
+        ..Scenario::default()
+    };
+    let mut options = Options { json: false, scenario, fault: None, policy: None };
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Long("json") => options.json = true,
+            Long("seed") => options.scenario.seed = parser.value()?.parse()?,
+            Long("length-s") => options.scenario.length_s = parser.value()?.parse()?,
+            Long("load-percent") => options.scenario.load_percent = parser.value()?.parse()?,
+            Long("slots") => options.scenario.slots = parser.value()?.parse()?,
+            Long("rate-wait-ms") => options.scenario.rate_wait_ms = parser.value()?.parse()?,
+            Long("fault") => options.fault = Some(parser.value()?.string()?),
+            Long("policy") => options.policy = Some(parser.value()?.string()?),
+            Short('h') | Long("help") => return Ok(None),
+            _ => return Err(argument.unexpected()),
+        }
+    }
+    let known_fault = |name: &String| Fault::ALL.iter().any(|fault| fault.as_str() == name);
+    let known_policy = |name: &String| Policy::ALL.iter().any(|policy| policy.as_str() == name);
+    if !options.fault.as_ref().is_none_or(known_fault) {
+        return Err("unknown fault".into());
+    }
+    if !options.policy.as_ref().is_none_or(known_policy) {
+        return Err("unknown policy".into());
+    }
+    Ok(Some(options))
+}
+
+fn measure_all(options: &Options) -> ExitCode {
+    let deployments = match deployments(options.scenario.load_percent) {
+        Ok(deployments) => deployments,
+        Err(problems) => {
+            for problem in problems {
+                eprintln!("error: {problem}");
+            }
+            return ExitCode::FAILURE;
+        }
+    };
+    let wanted = |filter: &Option<String>, name: &str| filter.as_ref().is_none_or(|f| f == name);
+    let mut results = Vec::new();
+    for deployment in &deployments {
+        let arrivals = make_arrivals(deployment, &options.scenario);
+        for fault in Fault::ALL.iter().filter(|f| wanted(&options.fault, f.as_str())) {
+            let scenario = Scenario { fault: *fault, ..options.scenario };
+            for policy in Policy::ALL.iter().filter(|p| wanted(&options.policy, p.as_str())) {
+                results.push(run(deployment, &scenario, *policy, &arrivals));
+            }
+        }
+    }
+    if options.json {
+        if let Err(error) = print_json(&results) {
+            eprintln!("error: {error}");
+            return ExitCode::FAILURE;
+        }
+    } else {
+        print_table(&results);
+    }
+    if results.iter().any(|result| result.excess_tokens > 0) {
+        return ExitCode::FAILURE;
+    }
+    ExitCode::SUCCESS
+}
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -4,6 +4,7 @@
 pub mod demo;
 pub mod entry;
 mod files;
+pub mod measure;
 pub mod publish;
 mod publish_session;
 pub mod side;
