--- a/components/rates/benches/rates.rs
+++ b/components/rates/benches/rates.rs
@@ -133,7 +133,11 @@
                 let now = Timestamp::from_millis(1);
                 let (mut collection, mut actions) = Collection::start(request, now);
                 while let Some(CollectAction::Reserve { slot, .. }) = actions.first() {
-                    let granted = ReserveOutcome::Granted { reservation: 1, tokens: Tokens(100) };
+                    let granted = ReserveOutcome::Granted {
+                        reservation: 1,
+                        tokens: Tokens(100),
+                        left: Tokens::ZERO,
+                    };
                     actions = collection.replied(*slot, &granted, now);
                 }
                 black_box(actions)
--- a/components/rates/src/collection.rs
+++ b/components/rates/src/collection.rs
@@ -40,7 +40,7 @@
     pub rate_tokens_per_s: u64,
     /// Slots of the customer's bucket altogether.
     pub slot_count: u16,
-    /// Slots that can be asked, nearest first.
+    /// Slots that can be asked.
     pub holders: Vec<SlotHolder>,
     /// Whether the requester's own slot has plenty, by `SlotOwner::has_plenty`.
     pub local_plenty: bool,
@@ -172,7 +172,7 @@
             _ => None,
         };
         match outcome {
-            ReserveOutcome::Granted { reservation, tokens } => {
+            ReserveOutcome::Granted { reservation, tokens, .. } => {
                 self.answered = true;
                 let part = Part {
                     slot,
@@ -330,16 +330,21 @@
             }
             chosen = self.askable(|distance| distance == Distance::Far);
         }
-        let Some(first) = chosen.first().copied() else { return false };
-        let local = self.request.local_plenty
-            && self.asks[first] == Ask::NotAsked
-            && self.request.holders[first].distance == Distance::Local;
-        let smallest = (self.request.burst.0 / SMALLEST_SHARE_DIVISOR).max(1);
-        let shares = if local { 1 } else { (tokens.0 / smallest).clamp(1, chosen.len() as u64) };
-        if !local {
-            let turn = self.request.seed % chosen.len() as u64;
-            chosen.rotate_left(usize::try_from(turn).unwrap_or(0));
+        if chosen.is_empty() {
+            return false;
+        }
+        if self.request.local_plenty {
+            let own = |at: &usize| self.request.holders[*at].distance == Distance::Local;
+            if let Some(own) = chosen.iter().copied().find(own)
+                && self.asks[own] == Ask::NotAsked
+            {
+                chosen = vec![own];
+            }
         }
+        let turn = self.request.seed % chosen.len() as u64;
+        chosen.rotate_left(usize::try_from(turn).unwrap_or(0));
+        let smallest = (self.request.burst.0 / SMALLEST_SHARE_DIVISOR).max(1);
+        let shares = (tokens.0 / smallest).clamp(1, chosen.len() as u64);
         for (at, share) in chosen.into_iter().zip(0..shares) {
             let tokens = Tokens(tokens.0 / shares + u64::from(share < tokens.0 % shares));
             self.asks[at] = Ask::Asked { at: now, tokens };
--- a/components/rates/tests/inside_rate.rs
+++ b/components/rates/tests/inside_rate.rs
@@ -140,7 +140,7 @@
         for index in 0..SLOTS {
             let slot = SlotId { partition: 0, index };
             if missing > Tokens::ZERO
-                && let ReserveOutcome::Granted { reservation, tokens } =
+                && let ReserveOutcome::Granted { reservation, tokens, .. } =
                     self.reserve(slot, missing, now)
             {
                 missing -= tokens;
