--- a/components/entry/src/reserve.rs
+++ b/components/entry/src/reserve.rs
@@ -111,9 +111,6 @@
 impl Running {
     fn take_reply(&mut self, slot: SlotId, outcome: Option<ReserveOutcome>) -> Vec<CollectAction> {
         let now = self.app.clock.now();
-        if let Some(outcome) = &outcome {
-            self.app.slots.borrow_mut().hints.note(&self.customer, slot, outcome, now);
-        }
         match outcome {
             Some(outcome) => self.collection.replied(slot, &outcome, now),
             None => self.collection.failed(slot, now),
--- a/components/entry/src/slots.rs
+++ b/components/entry/src/slots.rs
@@ -8,8 +8,8 @@
 use config::Town;
 use platform::{Log, LogPage};
 use rates::{
-    AppendEnd, Distance, EntryPlace, LevelHints, SlotEntry, SlotHolder, SlotLedger, SlotOwner,
-    SlotPlan, SlotRecord, SlotView, Verdict, VoidReason, bucket_share, slot_holders,
+    AppendEnd, Distance, EntryPlace, SlotEntry, SlotHolder, SlotLedger, SlotOwner, SlotPlan,
+    SlotRecord, SlotView, Verdict, VoidReason, slot_holders,
 };
 use tokio::time::{MissedTickBehavior, interval};
 use wire::{LogRecordCopy, PeerReply};
@@ -31,8 +31,6 @@
     pub ledger: SlotLedger,
     /// Slots owned here.
     pub owner: SlotOwner,
-    /// Levels of slots as their owners last told them.
-    pub hints: LevelHints,
     plan: SlotPlan,
     schedule: SnapshotSchedule,
     read_end_at: Option<Timestamp>,
@@ -44,7 +42,6 @@
         Self {
             ledger: SlotLedger::new(),
             owner: SlotOwner::new(me.clone(), Rc::new(Town::default())),
-            hints: LevelHints::default(),
             plan: SlotPlan::new(me),
             schedule: SnapshotSchedule::new(retention, RECORDS_PER_SNAPSHOT),
             read_end_at: None,
@@ -183,7 +180,7 @@
         own.into_iter().chain(others).collect()
     }
 
-    /// Owned slots of a customer's bucket in the order to ask: fullest first, then nearest.
+    /// Owned slots of a customer's bucket, nearest first.
     pub(crate) fn slot_holders(&self, customer: &str, town: &Town) -> Vec<SlotHolder> {
         let now = self.clock.now();
         let membership = self.membership.borrow();
@@ -203,11 +200,7 @@
                 Some(Distance::Far)
             }
         };
-        let slots = self.slots.borrow();
-        let mut holders = slot_holders(customer, town.buckets, &slots.ledger, distance);
-        let share_of = |slot| bucket_share(town, customer, slot);
-        slots.hints.sort(customer, &mut holders, share_of, now);
-        holders
+        slot_holders(customer, town.buckets, &self.slots.borrow().ledger, distance)
     }
 
     fn write_slot_snapshot_if_due(self: &Rc<Self>) {
--- a/components/measure/src/entry_node.rs
+++ b/components/measure/src/entry_node.rs
@@ -5,7 +5,7 @@
 use base::{Incarnation, ProcessId, ProcessName, Timestamp};
 use compact_str::CompactString;
 use config::Town;
-use rates::{Bucket, LevelHints, Share, SlotLedger, SlotOwner};
+use rates::{Bucket, Share, SlotLedger, SlotOwner};
 use routing::{Delays, Router};
 
 use crate::Policy;
@@ -19,7 +19,6 @@
     pub(crate) alive: bool,
     pub(crate) owner: SlotOwner,
     pub(crate) router: PolicyRouter,
-    pub(crate) hints: LevelHints,
     /// Buckets of the equal-split baseline.
     pub(crate) split: Vec<Bucket>,
 }
@@ -47,7 +46,6 @@
             data_centre: data_centre.name.clone(),
             alive: true,
             router: PolicyRouter::new(policy, router),
-            hints: LevelHints::default(),
             split,
         }
     }
--- a/components/measure/src/run.rs
+++ b/components/measure/src/run.rs
@@ -14,7 +14,7 @@
 use queue::Ticket;
 use rates::{
     CollectAction, CollectRequest, Collection, Distance, Part, SlotEntry, SlotLedger, SlotRecord,
-    bucket_share, settle_parts, slot_holders, slots_of,
+    settle_parts, slot_holders, slots_of,
 };
 use wire::{CopyState, ReserveOutcome, SlotId};
 
@@ -207,9 +207,6 @@
                 self.reserve(request, owner, slot, tokens, now);
             }
             Event::Reserved { request, slot, outcome } => {
-                let customer = self.customer_name(request);
-                let entry = self.requests[request].entry;
-                self.entries[entry].hints.note(&customer, slot, &outcome, now);
                 if let Some(collection) = &mut self.requests[request].collection {
                     let actions = collection.replied(slot, &outcome, now);
                     self.collect(request, actions, now);
@@ -313,7 +310,7 @@
         let arrival = self.requests[request].arrival;
         let customer = self.town.customer(arrival.customer);
         let me = &self.entries[self.requests[request].entry];
-        let mut holders = slot_holders(&customer.name, self.town.buckets, &self.slots, |owner| {
+        let holders = slot_holders(&customer.name, self.town.buckets, &self.slots, |owner| {
             if *owner == me.id {
                 return Some(Distance::Local);
             }
@@ -321,8 +318,6 @@
             let near = other.data_centre == me.data_centre;
             Some(if near { Distance::DataCentre } else { Distance::Region })
         });
-        let share_of = |slot| bucket_share(&self.town, &customer.name, slot);
-        me.hints.sort(&customer.name, &mut holders, share_of, now);
         let slot_count = slots_of(&customer.name, self.town.buckets).count();
         let (collection, actions) = Collection::start(
             CollectRequest {
--- a/components/rates/src/collection.rs
+++ b/components/rates/src/collection.rs
@@ -152,7 +152,7 @@
         };
         self.answered = true;
         match outcome {
-            ReserveOutcome::Granted { reservation, tokens, .. } => {
+            ReserveOutcome::Granted { reservation, tokens } => {
                 let part = Part {
                     slot,
                     owner: self.request.holders[at].owner.clone(),
--- a/components/rates/src/lib.rs
+++ b/components/rates/src/lib.rs
@@ -6,7 +6,6 @@
 mod bucket;
 mod collection;
 mod headroom;
-mod hints;
 mod holders;
 mod ledger;
 mod parts;
@@ -18,7 +17,6 @@
 
 pub use bucket::Bucket;
 pub use collection::{CollectAction, CollectRequest, Collection};
-pub use hints::LevelHints;
 pub use holders::{Distance, SlotHolder, slot_holders};
 pub use ledger::{Opening, SlotLedger, SlotState, Verdict, VoidReason};
 pub use parts::{Part, PartUse, settle_parts};
--- a/components/rates/src/slot_owner.rs
+++ b/components/rates/src/slot_owner.rs
@@ -148,8 +148,7 @@
             Some(granted) => {
                 let reservation = self.next_number;
                 self.next_number += 1;
-                let left = bucket.level(now).whole_tokens();
-                ReserveOutcome::Granted { reservation, tokens: granted, left }
+                ReserveOutcome::Granted { reservation, tokens: granted }
             }
             None => ReserveOutcome::Empty {
                 retry_after_ms: millis_up(bucket.time_until(Tokens(1), now)),
--- a/components/rates/tests/collection.rs
+++ b/components/rates/tests/collection.rs
@@ -73,7 +73,7 @@
         Some(match bucket.take(reservation, tokens, now) {
             Some(tokens) => {
                 self.open.insert(reservation, tokens);
-                ReserveOutcome::Granted { reservation, tokens, left: Tokens::ZERO }
+                ReserveOutcome::Granted { reservation, tokens }
             }
             None => ReserveOutcome::Empty { retry_after_ms: 10 },
         })
@@ -253,11 +253,7 @@
     assert_eq!(first.len(), 1);
     let hedged = collection.tick(now + 30 * MS);
     assert!(matches!(&hedged[..], [CollectAction::Reserve { slot: s, .. }] if *s == slot(1)));
-    let grant = |reservation| ReserveOutcome::Granted {
-        reservation,
-        tokens: Tokens(50),
-        left: Tokens::ZERO,
-    };
+    let grant = |reservation| ReserveOutcome::Granted { reservation, tokens: Tokens(50) };
     let done = collection.replied(slot(1), &grant(7), now + 31 * MS);
     assert!(matches!(&done[..], [CollectAction::Admitted { parts, .. }] if parts.len() == 1));
     for reservation in [8, 9] {
@@ -273,7 +269,7 @@
 fn validity_counts_from_before_the_first_call() {
     let start = Timestamp::from_millis(100);
     let (mut collection, _) = Collection::start(request(50, 1), start);
-    let grant = ReserveOutcome::Granted { reservation: 1, tokens: Tokens(50), left: Tokens::ZERO };
+    let grant = ReserveOutcome::Granted { reservation: 1, tokens: Tokens(50) };
     let done = collection.replied(slot(0), &grant, start + 400 * MS);
     let until = start + Duration::from_secs(2);
     assert!(
@@ -288,12 +284,12 @@
     wanted.max_wait = 200 * MS;
     let now = Timestamp::default();
     let (mut collection, _) = Collection::start(wanted.clone(), now);
-    let part = ReserveOutcome::Granted { reservation: 1, tokens: Tokens(20), left: Tokens::ZERO };
+    let part = ReserveOutcome::Granted { reservation: 1, tokens: Tokens(20) };
     assert_eq!(collection.replied(slot(0), &part, now), []);
     assert_eq!(collection.deadline(), Some(now + 100 * MS));
     let again = collection.tick(now + 100 * MS);
     assert!(matches!(&again[..], [CollectAction::Reserve { tokens: Tokens(10), .. }]));
-    let rest = ReserveOutcome::Granted { reservation: 2, tokens: Tokens(10), left: Tokens::ZERO };
+    let rest = ReserveOutcome::Granted { reservation: 2, tokens: Tokens(10) };
     let done = collection.replied(slot(0), &rest, now + 101 * MS);
     assert!(matches!(&done[..], [CollectAction::Admitted { parts, .. }] if parts.len() == 2));
 
--- a/components/rates/tests/fleet.rs
+++ b/components/rates/tests/fleet.rs
@@ -276,7 +276,7 @@
     }
 
     fn count(&mut self, outcome: &ReserveOutcome) {
-        if let ReserveOutcome::Granted { reservation, tokens, .. } = outcome {
+        if let ReserveOutcome::Granted { reservation, tokens } = outcome {
             let debit = Debit { at: self.now, micros: u128::from(tokens.0) * 1_000_000 };
             let before = self.debits.insert(*reservation, debit);
             assert!(before.is_none(), "reservation {reservation} was given out twice");
--- a/components/wire/src/message.rs
+++ b/components/wire/src/message.rs
@@ -133,8 +133,6 @@
         reservation: u64,
         /// Tokens debited; at most the amount asked for.
         tokens: Tokens,
-        /// Whole tokens left after the debit.
-        left: Tokens,
     },
     /// Nothing left.
     Empty {
