--- a/components/config/src/entry_settings.rs
+++ b/components/config/src/entry_settings.rs
@@ -49,7 +49,7 @@
             caller_address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
             authority_ms: 2_000,
             authority_list_max_age_ms: 60_000,
-            rate_wait_ms: 0,
+            rate_wait_ms: 50,
             reservation_validity_ms: 2_000,
             retry_budget_percent: 10,
             retry_floor_per_s: 3,
--- a/components/measure/src/run.rs
+++ b/components/measure/src/run.rs
@@ -13,8 +13,8 @@
 };
 use queue::Ticket;
 use rates::{
-    CollectAction, CollectRequest, Collection, Distance, Part, SlotEntry, SlotLedger, SlotRecord,
-    settle_parts, slot_holders, slots_of,
+    CollectAction, CollectRequest, Collection, Distance, Part, SlotEntry, SlotHolder, SlotLedger,
+    SlotRecord, settle_parts, slot_holders, slots_of,
 };
 use wire::{CopyState, ReserveOutcome, SlotId};
 
@@ -308,15 +308,14 @@
 
     fn start_collection(&mut self, request: usize, now: Timestamp) {
         let arrival = self.requests[request].arrival;
-        let customer = self.town.customer(arrival.customer);
-        let me = &self.entries[self.requests[request].entry];
-        let holders = slot_holders(&customer.name, self.town.buckets, &self.slots, |owner| {
-            if *owner == me.id {
-                return Some(Distance::Local);
-            }
-            let other = self.entries.iter().find(|e| e.id == *owner && e.alive)?;
-            let near = other.data_centre == me.data_centre;
-            Some(if near { Distance::DataCentre } else { Distance::Region })
+        let customer = self.town.customer(arrival.customer).clone();
+        let me = self.requests[request].entry;
+        let holders = self.holders(me, &customer.name);
+        let local_plenty = holders.first().is_some_and(|nearest| {
+            let entry = &mut self.entries[me];
+            let tokens = arrival.reserved();
+            nearest.owner == entry.id
+                && entry.owner.has_plenty(nearest.slot, &customer.name, tokens, now)
         });
         let slot_count = slots_of(&customer.name, self.town.buckets).count();
         let (collection, actions) = Collection::start(
@@ -327,6 +326,7 @@
                 rate_tokens_per_s: customer.rate_tokens_per_s,
                 slot_count: u16::try_from(slot_count).unwrap_or(u16::MAX),
                 holders,
+                local_plenty,
                 validity: Duration::from_secs(2),
                 call_timeout: CALL_TIMEOUT,
                 max_wait: Duration::from_millis(self.scenario.rate_wait_ms),
@@ -338,6 +338,19 @@
         self.collect(request, actions, now);
     }
 
+    /// Owners of a customer's slots as entry process `me` sees them.
+    fn holders(&self, me: usize, customer: &str) -> Vec<SlotHolder> {
+        let me = &self.entries[me];
+        slot_holders(customer, self.town.buckets, &self.slots, |owner| {
+            if *owner == me.id {
+                return Some(Distance::Local);
+            }
+            let other = self.entries.iter().find(|e| e.id == *owner && e.alive)?;
+            let near = other.data_centre == me.data_centre;
+            Some(if near { Distance::DataCentre } else { Distance::Region })
+        })
+    }
+
     fn collect(&mut self, request: usize, actions: Vec<CollectAction>, now: Timestamp) {
         for action in actions {
             match action {
--- a/src/cmd/measure.rs
+++ b/src/cmd/measure.rs
@@ -1,10 +1,14 @@
 //! `measure`: the policy beside baselines and a bound.
 
+use std::panic::resume_unwind;
 use std::process::ExitCode;
 
 use config::{BucketLayout, EntrySettings};
 use lexopt::prelude::*;
-use measure::{Fault, Policy, Scenario, deployments, make_arrivals, print_json, print_table, run};
+use measure::{
+    Deployment, Fault, Policy, RunResult, Scenario, deployments, make_arrivals, print_json,
+    print_table, run,
+};
 
 use crate::cli::usage_error;
 
@@ -88,17 +92,7 @@
             return ExitCode::FAILURE;
         }
     };
-    let wanted = |filter: &Option<String>, name: &str| filter.as_ref().is_none_or(|f| f == name);
-    let mut results = Vec::new();
-    for deployment in &deployments {
-        let arrivals = make_arrivals(deployment, &options.scenario);
-        for fault in Fault::ALL.iter().filter(|f| wanted(&options.fault, f.as_str())) {
-            let scenario = Scenario { fault: *fault, ..options.scenario };
-            for policy in Policy::ALL.iter().filter(|p| wanted(&options.policy, p.as_str())) {
-                results.push(run(deployment, &scenario, *policy, &arrivals));
-            }
-        }
-    }
+    let results = run_all(&deployments, options);
     if options.json {
         if let Err(error) = print_json(&results) {
             eprintln!("error: {error}");
@@ -112,3 +106,27 @@
     }
     ExitCode::SUCCESS
 }
+
+/// Runs each wanted combination, one thread a combination of deployment and fault.
+fn run_all(deployments: &[Deployment], options: &Options) -> Vec<RunResult> {
+    let wanted = |filter: &Option<String>, name: &str| filter.as_ref().is_none_or(|f| f == name);
+    let faults = || Fault::ALL.iter().filter(|f| wanted(&options.fault, f.as_str()));
+    let policies = || Policy::ALL.iter().filter(|p| wanted(&options.policy, p.as_str()));
+    std::thread::scope(|scope| {
+        let mut runs = Vec::new();
+        for deployment in deployments {
+            for fault in faults() {
+                let scenario = Scenario { fault: *fault, ..options.scenario };
+                runs.push(scope.spawn(move || {
+                    let arrivals = make_arrivals(deployment, &scenario);
+                    let run = |policy: &Policy| run(deployment, &scenario, *policy, &arrivals);
+                    policies().map(run).collect::<Vec<_>>()
+                }));
+            }
+        }
+        // A panic in a run is a broken invariant and ends the command.
+        runs.into_iter()
+            .flat_map(|run| run.join().unwrap_or_else(|panic| resume_unwind(panic)))
+            .collect()
+    })
+}
