Count in metrics, unload what is idle, and ask only reachable entries for permits

Cause: an on-demand model stayed for ever; permits were asked of entries long gone, at half a second each; the side process recorded no metrics. Change: adapters and on-demand models unused for ten minutes are unloaded, peers silent for a minute and not on the VM list are forgotten, requests, refusals, queue wait, replays and late answers are counted, and a failed start of a generation leads to a read of the engine's state at once.

--- a/components/placement/src/eviction.rs
+++ b/components/placement/src/eviction.rs
@@ -103,7 +103,8 @@
         }
     }
 
-    /// The on-demand item idle the longest, if idle since before `idle_since`.
+    /// The item idle the longest, if idle since before `idle_since`; a model only once its adapters
+    /// are gone.
     pub fn idle_item(
         &self,
         idle_since: Timestamp,
@@ -115,8 +116,13 @@
                     && !self.in_use(item)
                     && h.last_used < idle_since
                     && unloading(item) == Unloading::Allowed
+                    && !self.has_adapters(item)
             })
-            .min_by_key(|(item, h)| (h.last_used, matches!(item, Item::Model(_))))
+            .min_by_key(|(item, h)| (h.last_used, *item))
             .map(|(item, _)| item.clone())
     }
+
+    fn has_adapters(&self, item: &Item) -> bool {
+        self.holdings().any(|(_, h)| h.base_model.as_ref() == Some(item.name()))
+    }
 }
--- a/components/side/src/core_placement.rs
+++ b/components/side/src/core_placement.rs
@@ -17,6 +17,8 @@
 
 /// How long a suggestion that was taken up is pursued.
 const WISH_LIFETIME: Duration = Duration::from_secs(30);
+/// Time without use after which an adapter or an on-demand model is unloaded.
+const IDLE_AFTER: Duration = Duration::from_secs(600);
 /// Time between two rounds of asks for a pin.
 const PIN_ROUND_PAUSE: Duration = Duration::from_secs(1);
 /// Most side processes asked in one round.
@@ -57,6 +59,11 @@
                 return;
             }
         }
+        if !self.draining
+            && let Some(item) = self.ledger.idle_item(now - IDLE_AFTER, |item| self.unloading(item))
+        {
+            self.pursue_unload(&item, now);
+        }
     }
 
     /// Makes progress towards a load; returns whether an order was made.
@@ -149,7 +156,8 @@
             PermitState::Idle => {}
         }
         let slots: Vec<SlotId> = slots_of(WEIGHT_STORE, self.town.buckets).collect();
-        let owners = self.peers.addresses(Role::Entry);
+        let silent_after = Duration::from_millis(self.settings.membership.silent_after_ms);
+        let owners = self.peers.reachable(Role::Entry, silent_after, now);
         let candidates = owners
             .into_iter()
             .flat_map(|address| slots.iter().map(move |slot| SlotOwner { address, slot: *slot }));
--- a/components/side/src/generation.rs
+++ b/components/side/src/generation.rs
@@ -1,5 +1,6 @@
 //! The task of one generation: queue, engine, frames back.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use base::{RanState, Tokens};
@@ -7,7 +8,8 @@
 use engine::{
     Answer, AnswerError, AnswerEvent, Engine, EngineError, GenerateCall, HttpEngine, ResumeFrom,
 };
-use tokio::sync::watch;
+use telemetry::{Class, Metrics};
+use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, sleep_until};
 use wire::{
     FinishReason, FrameSender, GenerateEvent, GenerateFrame, GenerateRequest, RefuseReason,
@@ -15,6 +17,7 @@
 };
 
 use crate::clock::to_millis;
+use crate::labels::refuse_label;
 use crate::request_task::{Decision, QueuePlace, handed_over};
 
 /// When to try again after the engine refused a request, in milliseconds.
@@ -28,6 +31,9 @@
     pub handover: watch::Receiver<bool>,
     pub deadline: Instant,
     pub incarnation: u64,
+    /// Asks for a read of the engine's state.
+    pub probe_now: Rc<Notify>,
+    pub metrics: Rc<Metrics>,
 }
 
 /// How a stream of tokens ended.
@@ -48,6 +54,7 @@
         let last = match decision {
             None => return,
             Some(Decision::Refuse { reason, retry_after_ms }) => {
+                self.metrics.record_refusal(refuse_label(reason));
                 GenerateFrame::Refused { reason, retry_after_ms }
             }
             Some(Decision::Start { waited }) => match self.stream(&mut place, waited).await {
@@ -82,6 +89,8 @@
         let Ok(call) = self.call() else {
             return End::Frame(refused(RefuseReason::Unknown));
         };
+        let customer = self.request.customer.as_str();
+        self.metrics.record_queue_wait(customer, Class::Streamed, waited);
         let resumed = self.request.resume.as_ref().map_or(0, |resume| resume.delivered_tokens);
         if self.send(GenerateFrame::Started { queue_wait_ms: to_millis(waited) }).await.is_err() {
             return End::Gone;
@@ -89,7 +98,14 @@
         let mut answer = tokio::select! {
             answer = self.engine.generate(&call) => match answer {
                 Ok(answer) => answer,
-                Err(error) => return End::Frame(refusal_of(error)),
+                Err(error) => {
+                    // The engine may have restarted, or be gone.
+                    self.probe_now.notify_one();
+                    if error == EngineError::Mismatched {
+                        self.metrics.record_late_answer();
+                    }
+                    return End::Frame(refusal_of(error));
+                }
             },
             () = self.sender.closed() => return End::Gone,
             () = sleep_until(self.deadline) => return End::Frame(failed(RanState::Unknown)),
--- a/components/side/src/incoming.rs
+++ b/components/side/src/incoming.rs
@@ -5,6 +5,7 @@
 
 use base::{RanState, Role};
 use queue::Ticket;
+use telemetry::Class;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 use wire::{
@@ -16,6 +17,7 @@
 use crate::forward::Forward;
 use crate::generation::Generation;
 use crate::keyed_call::KeyedCall;
+use crate::labels::refuse_label;
 use crate::process::Shared;
 use crate::request_task::{Decision, QueuePlace};
 
@@ -68,11 +70,14 @@
 
     fn generate(&self, request: GenerateRequest, sender: FrameSender<GenerateEvent>) {
         let deadline = Instant::now() + Duration::from_millis(u64::from(request.deadline_ms));
+        self.metrics.record_request(&request.customer, Class::Streamed);
         let generation = Generation {
             engine: self.engine.clone(),
             handover: self.handover.subscribe(),
             deadline,
             incarnation: self.identity.process.incarnation.0,
+            probe_now: self.probe_now.clone(),
+            metrics: self.metrics.clone(),
             sender,
             request,
         };
@@ -82,6 +87,7 @@
                 self.tasks.borrow_mut().spawn_local(generation.run(place));
             }
             Err(refusal) => {
+                self.metrics.record_refusal(refuse_label(refusal.reason));
                 let last = GenerateFrame::Refused {
                     reason: refusal.reason,
                     retry_after_ms: refusal.retry_after_ms,
@@ -98,6 +104,7 @@
         sender: FrameSender<ForwardDown>,
     ) {
         let deadline = Instant::now() + Duration::from_millis(u64::from(head.deadline_ms));
+        self.metrics.record_request(head.customer.as_deref().unwrap_or_default(), Class::Plain);
         let target = self.settings.target_address;
         let call = Forward { head, body, sender, target, deadline };
         if !call.head.repeatable
@@ -121,6 +128,7 @@
             }
             Err(refusal) => {
                 self.seen.borrow_mut().forget(call.head.request_id);
+                self.metrics.record_refusal(refuse_label(refusal.reason));
                 let last = ForwardDown::Refused {
                     reason: refusal.reason,
                     retry_after_ms: refusal.retry_after_ms,
--- a/components/side/src/keyed_call.rs
+++ b/components/side/src/keyed_call.rs
@@ -66,6 +66,7 @@
         let fingerprint = Fingerprint::of(&head.method, &head.path_and_query, &body);
         let desk = shared.claims.clone();
         if let Some(answer) = desk.look_up(&key, fingerprint) {
+            shared.metrics.record_replay();
             return self.reply(answer).await;
         }
         let mut place = match shared.with_place(|core, now| core.admit_forward(head, now)) {
--- /dev/null
+++ b/components/side/src/labels.rs
@@ -0,0 +1,18 @@
+//! Label values of metrics.
+
+use wire::RefuseReason;
+
+/// The label for a refusal.
+pub(crate) const fn refuse_label(reason: RefuseReason) -> &'static str {
+    match reason {
+        RefuseReason::ClaimUnsettled => "claim_unsettled",
+        RefuseReason::DeadlineTooShort => "deadline_too_short",
+        RefuseReason::Draining => "draining",
+        RefuseReason::IdempotencyMismatch => "idempotency_mismatch",
+        RefuseReason::LogUnavailable => "log_unavailable",
+        RefuseReason::NoCapacity => "no_capacity",
+        RefuseReason::TargetUnhealthy => "target_unhealthy",
+        RefuseReason::QueueFull => "queue_full",
+        RefuseReason::Unknown => "unknown",
+    }
+}
--- a/components/side/src/lib.rs
+++ b/components/side/src/lib.rs
@@ -17,6 +17,7 @@
 mod heartbeats;
 mod incoming;
 mod keyed_call;
+mod labels;
 mod operators;
 mod peers;
 mod permit_state;
--- a/components/side/src/peers.rs
+++ b/components/side/src/peers.rs
@@ -7,6 +7,9 @@
 use platform::VmSnapshot;
 use wire::Heartbeat;
 
+/// Silence after which a process that is not on the list is forgotten; entries and sides that still
+/// run are heard from many times in it.
+const FORGET_AFTER: Duration = Duration::from_secs(60);
 /// Lists after which an absent VM counts as gone.
 const LISTS_FOR_GONE: u32 = 2;
 
@@ -88,6 +91,11 @@
                 gone.push(PeerNews::Gone(peer.process.name.clone()));
             }
         }
+        let listed = &self.listed;
+        self.peers.retain(|_, peer| {
+            now.since(peer.heard) < FORGET_AFTER
+                || listed.iter().any(|(address, _)| *address == peer.address)
+        });
         gone
     }
 
@@ -101,6 +109,22 @@
         addresses
     }
 
+    /// Addresses of processes with a role that were heard from within `silent_after`; those of the list
+    /// if there is none.
+    pub fn reachable(&self, role: Role, silent_after: Duration, now: Timestamp) -> Vec<SocketAddr> {
+        let mut reachable: Vec<SocketAddr> = self
+            .peers
+            .values()
+            .filter(|p| p.role == role && now.since(p.heard) < silent_after)
+            .map(|p| p.address)
+            .collect();
+        if reachable.is_empty() {
+            return self.addresses(role);
+        }
+        reachable.sort_unstable();
+        reachable
+    }
+
     /// Address of a process that was heard from.
     pub fn address_of(&self, name: &ProcessName) -> Option<SocketAddr> {
         self.peers.get(name).map(|peer| peer.address)
--- a/components/side/src/process.rs
+++ b/components/side/src/process.rs
@@ -334,6 +334,8 @@
                 () = sleep(wake) => self.with_core(|core, now| core.drive(now)),
             }
             self.claims.tick();
+            let in_flight = self.core.borrow().requests.len();
+            self.metrics.set_in_flight(u64::try_from(in_flight).unwrap_or(u64::MAX));
             while self.tasks.borrow_mut().try_join_next().is_some() {}
         }
     }
