--- a/components/placement/src/eviction.rs
+++ b/components/placement/src/eviction.rs
@@ -36,7 +36,8 @@
 
 impl Ledger {
     /// How to make room for `wanted`: the least recently used adapters if they are enough, otherwise
-    /// models by least demand per MB, those that need a pin last.
+    /// models by least demand per MB, those that need a pin only where the others
+    /// don't suffice.
     ///
     /// `demand` is in tokens a second.
     pub fn room_for(
@@ -79,7 +80,8 @@
             .filter(|c| !adapter(c) && (free(c) || !without_pins))
             .min_by_key(|c| {
                 let per_gb = demand(c.item) * 1_024 / c.holding.memory_mb.max(1);
-                (!free(c), per_gb, c.holding.last_used, c.item)
+                // Where a pin is needed it is asked for first, so that nothing goes in vain.
+                (free(c), per_gb, c.holding.last_used, c.item)
             });
         match victim {
             None => Room::Impossible,
