--- a/components/side/src/core.rs
+++ b/components/side/src/core.rs
@@ -66,6 +66,8 @@
     pub demand: SortedMap<CompactString, DemandRate>,
     pub wishes: Vec<Wish>,
     pub healthy: bool,
+    /// Tokens that wait inside the engine, by its last sample.
+    pub engine_waiting_tokens: u64,
     pub draining: bool,
     pub start_pending: bool,
     pub fence_pending: bool,
@@ -96,6 +98,7 @@
             demand: SortedMap::new(),
             wishes: Vec::new(),
             healthy: false,
+            engine_waiting_tokens: 0,
             draining: false,
             start_pending: false,
             fence_pending: false,
--- a/components/side/src/incoming.rs
+++ b/components/side/src/incoming.rs
@@ -186,8 +186,7 @@
             }),
             Event::HeartbeatAnswered(heartbeat) => self.heard(&heartbeat),
             Event::LoadRead(sample) => {
-                let age = Duration::from_millis(u64::from(sample.sample_age_ms));
-                self.sampled_at.set(self.clock.now() - age);
+                self.core.borrow_mut().engine_waiting_tokens = sample.waiting_tokens;
             }
             Event::OrderAnswered(id, Ok(result)) => {
                 self.with_core(|core, now| core.order_answered(id, convert(result), now));
--- a/components/side/src/process.rs
+++ b/components/side/src/process.rs
@@ -20,7 +20,7 @@
 use wire::{FleetSecret, Heartbeat, Incoming, PeerIdentity, PeerPool, RefuseReason};
 
 use crate::claim_desk::ClaimDesk;
-use crate::clock::{Clock, to_millis};
+use crate::clock::Clock;
 use crate::config_source::follow_config;
 use crate::core::Core;
 use crate::error::SideError;
@@ -56,7 +56,6 @@
     pub claims: Rc<ClaimDesk>,
     pub tasks: RefCell<JoinSet<()>>,
     pub source: Cell<SourceState>,
-    pub sampled_at: Cell<Timestamp>,
     pub next_start: Cell<u32>,
     pub handover: watch::Sender<bool>,
     pub probe_now: Rc<Notify>,
@@ -88,8 +87,7 @@
     /// The heartbeat to send or to answer with.
     pub fn heartbeat(&self) -> Heartbeat {
         let now = self.clock.now();
-        let sample_age_ms = to_millis(now.since(self.sampled_at.get()));
-        self.core.borrow().heartbeat(self.address, &self.source.get(), sample_age_ms, now)
+        self.core.borrow().heartbeat(self.address, &self.source.get(), now)
     }
 
     /// Starts to probe the target once its kind is known.
@@ -302,7 +300,6 @@
             claims,
             tasks: RefCell::default(),
             source: Cell::default(),
-            sampled_at: Cell::new(now),
             next_start: Cell::new(0),
             handover: watch::Sender::new(false),
             probe_now: Rc::default(),
--- a/components/side/src/report.rs
+++ b/components/side/src/report.rs
@@ -15,7 +15,7 @@
 
 impl Core {
     /// State of the target for heartbeats; none before a configuration names it.
-    fn target_report(&self, sample_age_ms: u32) -> Option<TargetReport> {
+    fn target_report(&self) -> Option<TargetReport> {
         let place = self.place.as_ref()?;
         let kind = match place.kind {
             ServiceKind::Engine => TargetKind::Engine,
@@ -46,11 +46,12 @@
             adapters: adapters.collect(),
             capacity_mb: self.ledger.capacity_mb(),
             used_mb: self.ledger.used_mb(),
-            queued_tokens: self.queue.queued_tokens().0,
+            queued_tokens: self.queue.queued_tokens().0.saturating_add(self.engine_waiting_tokens),
             running: u32::try_from(self.queue.running()).unwrap_or(u32::MAX),
             batch: place.target.batch,
             tokens_per_s: place.target.tokens_per_s,
-            sample_age_ms,
+            // Queue and requests in flight are counted here, at this moment.
+            sample_age_ms: 0,
         })
     }
 
@@ -59,7 +60,6 @@
         &self,
         address: SocketAddr,
         source: &SourceState,
-        sample_age_ms: u32,
         now: Timestamp,
     ) -> Heartbeat {
         Heartbeat {
@@ -74,7 +74,7 @@
                 unavailable_age_ms: source.unavailable_age_ms(now),
             },
             draining: self.draining,
-            target: self.target_report(sample_age_ms),
+            target: self.target_report(),
             demand: Vec::new(),
         }
     }
--- a/components/wire/src/heartbeat.rs
+++ b/components/wire/src/heartbeat.rs
@@ -79,7 +79,7 @@
     pub batch: u32,
     /// Tokens a second the target generates at full batch.
     pub tokens_per_s: u64,
-    /// Age of the engine's load sample in milliseconds.
+    /// Age of the load figures above in milliseconds.
     pub sample_age_ms: u32,
 }
 
