Add the call for cache events to wire

Cause: the prefix index in crate routing has no source; no message carries cache events. Change: CacheEvents{after}, answered with the events since or with the blocks known now; an entry process answers Unsupported, which needs one arm in its match.

--- a/components/entry/src/peer_server.rs
+++ b/components/entry/src/peer_server.rs
@@ -87,8 +87,9 @@
             PeerReply::Done
         }
         PeerCall::Status => PeerReply::Status(Box::new(app.status())),
-        PeerCall::Suggest(_) | PeerCall::Pin { .. } | PeerCall::Unpin { .. } => {
-            PeerReply::Unsupported
-        }
+        PeerCall::CacheEvents { .. }
+        | PeerCall::Suggest(_)
+        | PeerCall::Pin { .. }
+        | PeerCall::Unpin { .. } => PeerReply::Unsupported,
     })
 }
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -3,6 +3,7 @@
 //! Messages are `bincode` in length-delimited frames inside `h2` streams. A connection starts with a
 //! handshake in which both ends prove that they know the fleet secret.
 
+mod cache;
 mod client;
 mod codec;
 mod error;
@@ -18,6 +19,7 @@
 mod start_record;
 mod status;
 
+pub use cache::{CacheChange, CacheEventCopy, CacheUpdate};
 pub use client::{PeerClient, PendingReceiver};
 pub use codec::{MAX_FRAME_BYTES, decode, encode};
 pub use error::WireError;
--- a/components/wire/src/message.rs
+++ b/components/wire/src/message.rs
@@ -4,7 +4,7 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
-use crate::{Heartbeat, ProcessStatus};
+use crate::{CacheUpdate, Heartbeat, ProcessStatus};
 
 /// A bucket slot: one of K parts of the buckets of a partition of customers.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
@@ -85,6 +85,11 @@
     },
     /// Asks for the state of the process.
     Status,
+    /// Asks a side process for the events of its engine's prompt prefix cache.
+    CacheEvents {
+        /// Last event that the sender knows.
+        after: u64,
+    },
 }
 
 /// Reply to a call.
@@ -113,6 +118,8 @@
     Suggest(SuggestOutcome),
     /// The call does not suit the role of the receiver.
     Unsupported,
+    /// To `CacheEvents`.
+    CacheEvents(CacheUpdate),
 }
 
 /// A record of the log as kept by a peer.
