Pass the engine's cache events on

Cause: entry processes can't credit cached prefixes without them. Conclusion: an entry process can feed its router by asking; it does not do so yet.

--- a/components/side/src/core.rs
+++ b/components/side/src/core.rs
@@ -16,6 +16,7 @@
 use wire::Heartbeat;
 
 use crate::action::{Action, SlotOwner};
+use crate::cache_log::CacheLog;
 use crate::peers::{PeerNews, Peers};
 use crate::permit_state::PermitState;
 use crate::pin_round::PinRound;
@@ -65,6 +66,7 @@
     pub requests: SortedMap<Ticket, Uses>,
     pub demand: SortedMap<CompactString, DemandRate>,
     pub wishes: Vec<Wish>,
+    pub cache: CacheLog,
     pub healthy: bool,
     /// Tokens that wait inside the engine, by its last sample.
     pub engine_waiting_tokens: u64,
@@ -97,6 +99,7 @@
             requests: SortedMap::new(),
             demand: SortedMap::new(),
             wishes: Vec::new(),
+            cache: CacheLog::default(),
             healthy: false,
             engine_waiting_tokens: 0,
             draining: false,
--- a/components/side/src/event.rs
+++ b/components/side/src/event.rs
@@ -7,7 +7,7 @@
 use base::{Offset, Timestamp, Tokens};
 use compact_str::CompactString;
 use config::Town;
-use engine::{EngineError, LoadSample, OrderResult};
+use engine::{CacheEvents, EngineError, LoadSample, OrderResult};
 use placement::{EngineState, OrderId};
 use platform::VmSnapshot;
 use queue::Ticket;
@@ -17,6 +17,8 @@
 
 /// Something that happened.
 pub(crate) enum Event {
+    /// Events of the engine's prompt prefix cache arrived.
+    CacheRead(CacheEvents),
     /// A queued request was given up by its caller.
     Cancelled(Ticket),
     /// A configuration came into force.
--- a/components/side/src/incoming.rs
+++ b/components/side/src/incoming.rs
@@ -45,6 +45,9 @@
                 let (source, now) = (self.source.get(), self.clock.now());
                 PeerReply::Status(Box::new(self.core.borrow().status(&source, now)))
             }
+            PeerCall::CacheEvents { after } => {
+                PeerReply::CacheEvents(self.core.borrow().cache.update_after(after))
+            }
             PeerCall::Suggest(suggestion) => {
                 PeerReply::Suggest(self.with_core(|core, now| core.suggest(&suggestion, now)))
             }
@@ -168,6 +171,7 @@
     /// Takes an event of the tasks.
     pub fn take_event(&self, event: Event) {
         match event {
+            Event::CacheRead(answer) => self.core.borrow_mut().cache.take(&answer),
             Event::Cancelled(ticket) => {
                 self.decisions.borrow_mut().remove(&ticket);
                 self.with_core(|core, now| core.cancelled(ticket, now));
--- a/components/side/src/lib.rs
+++ b/components/side/src/lib.rs
@@ -3,6 +3,7 @@
 //! One event loop owns the core; each request and each connection is a task around it.
 
 mod action;
+mod cache_log;
 mod claim_desk;
 mod clock;
 mod config_source;
--- a/components/side/src/probe.rs
+++ b/components/side/src/probe.rs
@@ -1,6 +1,8 @@
 //! Probes of the target.
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -12,18 +14,20 @@
 use tokio::time::timeout;
 
 use crate::clock::Clock;
+use crate::core::Core;
 use crate::event::Event;
 use crate::plain_client::PlainConnection;
 
 /// Longest wait for a plain target's answer.
 const PROBE_LIMIT: Duration = Duration::from_secs(1);
 
-/// Reads the engine's state and load, again after `interval` or when woken.
+/// Reads the engine's state, load and cache events, again after `interval` or when woken.
 pub(crate) async fn probe_engine(
     engine: HttpEngine,
     interval: Duration,
     clock: Clock,
-    wake: std::rc::Rc<Notify>,
+    wake: Rc<Notify>,
+    core: Rc<RefCell<Core>>,
     events: mpsc::UnboundedSender<Event>,
 ) {
     loop {
@@ -37,6 +41,12 @@
         {
             return;
         }
+        let after = core.borrow().cache.last();
+        if let Ok(answer) = engine.cache_events(after).await
+            && events.send(Event::CacheRead(answer)).is_err()
+        {
+            return;
+        }
         // Either way the next probe is due.
         let _woken = timeout(interval, wake.notified()).await;
     }
--- a/components/side/src/process.rs
+++ b/components/side/src/process.rs
@@ -105,6 +105,7 @@
                 interval,
                 self.clock,
                 self.probe_now.clone(),
+                self.core.clone(),
                 events,
             )),
             ServiceKind::Plain => {
--- a/components/side/tests/common/mod.rs
+++ b/components/side/tests/common/mod.rs
@@ -43,7 +43,7 @@
 }
 
 /// Waits until `condition` holds.
-pub async fn wait_for<F: Future<Output = bool>>(what: &str, mut condition: impl FnMut() -> F) {
+pub async fn wait_for(what: &str, mut condition: impl AsyncFnMut() -> bool) {
     let end = tokio::time::Instant::now() + WAIT_LIMIT;
     while !condition().await {
         assert!(tokio::time::Instant::now() < end, "timed out waiting for: {what}");
