Give no pin and no order while draining; test broken uploads and repeated ids

Cause: a draining process still gave pins, although its VM and copy may go with it, and followed suggestions, although a stop unloads nothing. Change: it gives neither. Tests: a draining process gives no pin, a caller's body that breaks off or has another length does not arrive as whole, a refused call may come again under its id.

--- a/components/side/src/core_placement.rs
+++ b/components/side/src/core_placement.rs
@@ -39,11 +39,13 @@
         if self.ledger.outstanding().is_some() {
             return;
         }
-        let mut wanted: Vec<Item> = if self.draining {
-            Vec::new()
-        } else {
-            self.missing_items().into_iter().map(|(item, _)| item).collect()
-        };
+        if self.draining {
+            // What is loaded stays as it is; the target may live on with the next process.
+            self.drop_unused_permit(&[]);
+            return;
+        }
+        let mut wanted: Vec<Item> =
+            self.missing_items().into_iter().map(|(item, _)| item).collect();
         let loads = self.wishes.iter().filter(|wish| wish.load);
         wanted.extend(loads.map(|wish| Item::Model(wish.model.clone())));
         for item in &wanted {
@@ -59,9 +61,7 @@
                 return;
             }
         }
-        if !self.draining
-            && let Some(item) = self.ledger.idle_item(now - IDLE_AFTER, |item| self.unloading(item))
-        {
+        if let Some(item) = self.ledger.idle_item(now - IDLE_AFTER, |item| self.unloading(item)) {
             self.pursue_unload(&item, now);
         }
     }
@@ -342,7 +342,9 @@
         requester: &base::ProcessId,
         ask: u64,
     ) -> PinOutcome {
-        let keepable = !self.quarantined() && self.ledger.resident(&Item::Model(model.clone()));
+        // A process that stops may take its VM, and the copy, with it.
+        let open = !self.quarantined() && !self.draining;
+        let keepable = open && self.ledger.resident(&Item::Model(model.clone()));
         if self.peers.superseded(requester) {
             return PinOutcome::Refused;
         }
@@ -377,11 +379,11 @@
                 |other| self.demand_of(other, now),
                 |other| self.unloading(other),
             );
-            !self.draining && room != Room::Impossible
+            room != Room::Impossible
         } else {
             self.unloading(&item) != Unloading::Forbidden
         };
-        if !ours || !possible || self.quarantined() || !self.healthy {
+        if !ours || !possible || self.quarantined() || self.draining || !self.healthy {
             return SuggestOutcome::Declined;
         }
         if !self.wishes.iter().any(|wish| wish.model == *model) {
--- a/components/side/tests/drain.rs
+++ b/components/side/tests/drain.rs
@@ -4,10 +4,13 @@
 
 mod common;
 
-use base::RanState;
-use common::{Scene, collect, engine_settings, generate, request, run_test, wait_for};
+use base::{RanState, Role};
+use common::{
+    CALL_LIMIT, SECRET, Scene, collect, engine_settings, generate, identity, request, run_test,
+    wait_for,
+};
 use standin::EngineSettings;
-use wire::{GenerateFrame, RefuseReason};
+use wire::{FleetSecret, GenerateFrame, PeerCall, PeerClient, PeerReply, PinOutcome, RefuseReason};
 
 fn slow_engine() -> EngineSettings {
     EngineSettings { token_us: 30_000, ..engine_settings() }
@@ -29,6 +32,14 @@
         let (_, last) = generate(&scene.client, &request("base")).await;
         let expected = RefuseReason::Draining;
         assert!(matches!(last, Some(GenerateFrame::Refused { reason, .. }) if reason == expected));
+        // The copy may go with the VM, so nobody may rely on it.
+        let me = identity("side-x", Role::Side);
+        let secret = FleetSecret::new(SECRET.as_bytes());
+        let other =
+            PeerClient::connect(scene.side.address, &me, &secret, CALL_LIMIT).await.unwrap();
+        let pin = PeerCall::Pin { model: "base".into(), requester: me.process.clone(), ask: 1 };
+        let reply = other.call(&pin, CALL_LIMIT).await.unwrap();
+        assert_eq!(reply, PeerReply::Pin(PinOutcome::NotResident));
         let (text, last) = collect(&mut stream, &running).await;
         assert_eq!(text, standin::answer_text("base", None, "one two three four", 8));
         assert!(matches!(last, Some(GenerateFrame::Finished { .. })), "{last:?}");
--- a/components/side/tests/forward.rs
+++ b/components/side/tests/forward.rs
@@ -4,10 +4,13 @@
 
 mod common;
 
+use base::RanState;
 use common::{
     Platform, RunningSide, call, collect_call, connect, head, run_test, side_settings, town,
+    wait_for,
 };
 use standin::{PlainServer, PlainSettings};
+use wire::{ForwardUp, RefuseReason};
 
 async fn start(settings: PlainSettings) -> (Platform, PlainServer, RunningSide) {
     let platform = Platform::start().await;
@@ -47,9 +50,9 @@
         let head = head();
         assert_eq!(call(&client, &head, b"pay").await.status, 200);
         let (mut sender, receiver) = client.forward().await.unwrap();
-        sender.send(&wire::ForwardUp::Head(head)).await.unwrap();
+        sender.send(&ForwardUp::Head(head)).await.unwrap();
         let answer = collect_call(receiver).await;
-        assert_eq!(answer.failed, Some(base::RanState::Unknown));
+        assert_eq!(answer.failed, Some(RanState::Unknown));
         assert_eq!(service.requests().len(), 1);
     });
 }
@@ -64,10 +67,59 @@
         let client = connect(side.address).await;
         let answer = call(&client, &head(), &[7; 100_000]).await;
         assert!(!answer.whole);
-        assert_eq!(answer.failed, Some(base::RanState::Unknown));
+        assert_eq!(answer.failed, Some(RanState::Unknown));
         service.update(|settings| settings.lose_answers = 1);
         let answer = call(&client, &head(), b"pay").await;
-        assert_eq!(answer.failed, Some(base::RanState::Unknown));
+        assert_eq!(answer.failed, Some(RanState::Unknown));
         assert_eq!(service.requests().len(), 2);
     });
 }
+
+/// Guards against a call that reaches the service as whole although its caller broke off, or sent
+/// another length than it stated.
+#[test]
+fn broken_uploads_do_not_arrive_as_whole() {
+    run_test(async {
+        let (_platform, service, side) = start(PlainSettings::default()).await;
+        let client = connect(side.address).await;
+        for (length, sent) in [(None, 5), (Some(10), 5), (Some(3), 5)] {
+            let mut head = head();
+            head.body_bytes = length;
+            let (mut sender, receiver) = client.forward().await.unwrap();
+            sender.send(&ForwardUp::Head(head)).await.unwrap();
+            sender.send(&ForwardUp::Data(vec![7; sent])).await.unwrap();
+            if length.is_some() {
+                sender.send(&ForwardUp::End).await.unwrap();
+                let answer = collect_call(receiver).await;
+                assert_eq!((answer.whole, answer.failed), (false, Some(RanState::Unknown)));
+            } else {
+                // The caller goes away in the middle of its body.
+                drop((sender, receiver));
+            }
+        }
+        assert_eq!(call(&client, &head(), b"whole").await.status, 200);
+        let ran = |request: &&standin::SeenRequest| request.ran;
+        wait_for("only the whole call ran", async || {
+            service.requests().iter().filter(ran).count() == 1
+        })
+        .await;
+        assert!(service.requests().iter().filter(ran).all(|request| request.body_bytes == 5));
+    });
+}
+
+/// Guards against a call that was refused as not run and can't be tried again under its id.
+#[test]
+fn refused_call_may_come_again() {
+    run_test(async {
+        let (_platform, mut service, side) = start(PlainSettings::default()).await;
+        let client = connect(side.address).await;
+        let head = head();
+        service.stop().await;
+        let refused = call(&client, &head, b"pay").await.refused;
+        assert_eq!(refused, Some(RefuseReason::TargetUnhealthy));
+        service.restart().await.unwrap();
+        side.wait_open().await;
+        assert_eq!(call(&client, &head, b"pay").await.status, 200);
+        assert_eq!(service.requests().len(), 1);
+    });
+}
