Replace copies of older model versions

Cause: a model whose version changed in the configuration kept its old copies for ever. Change: a copy of another version is unloaded once its running requests have ended, while requests queue for the new copy, and then loaded again; one that must stay is replaced while another side process pins its own. A lone copy that must stay keeps its version until the planner adds a second one.

--- a/components/placement/src/ledger.rs
+++ b/components/placement/src/ledger.rs
@@ -51,6 +51,8 @@
     pub memory_mb: u64,
     /// Base model of an adapter.
     pub base_model: Option<CompactString>,
+    /// Version of a model by the engine's account; none before a read shows it.
+    pub version: Option<CompactString>,
     /// What is known.
     pub state: HoldingState,
     /// When a request last used it.
@@ -218,6 +220,7 @@
         let holding = Holding {
             memory_mb,
             base_model: base_model.clone(),
+            version: None,
             state: HoldingState::Loading,
             last_used: now,
             doubt_until: now,
@@ -360,6 +363,11 @@
         self.settle_outstanding(state, asked_at);
         self.settle_holdings(state, asked_at, now);
         self.adopt(state, now, &describe);
+        for copy in &state.models {
+            if let Some(holding) = self.holdings.get_mut(&Item::Model(copy.model.clone())) {
+                holding.version = Some(copy.version.clone());
+            }
+        }
         let known: u64 = state
             .items()
             .filter_map(|(item, _)| self.holdings.get(&item).map(|h| h.memory_mb))
@@ -443,6 +451,7 @@
             let holding = Holding {
                 memory_mb,
                 base_model,
+                version: None,
                 state: if resident { HoldingState::Resident } else { HoldingState::Doubtful },
                 last_used: now,
                 doubt_until: now,
--- a/components/side/src/core.rs
+++ b/components/side/src/core.rs
@@ -66,6 +66,10 @@
     pub requests: SortedMap<Ticket, Uses>,
     pub demand: SortedMap<CompactString, DemandRate>,
     pub wishes: Vec<Wish>,
+    /// Model whose copy of an older version is being replaced; requests for it wait.
+    pub retiring: Option<Item>,
+    /// Load that follows the unload of an older version.
+    pub reload: Option<Wish>,
     pub cache: CacheLog,
     pub healthy: bool,
     /// Tokens that wait inside the engine, by its last sample.
@@ -99,6 +103,8 @@
             requests: SortedMap::new(),
             demand: SortedMap::new(),
             wishes: Vec::new(),
+            retiring: None,
+            reload: None,
             cache: CacheLog::default(),
             healthy: false,
             engine_waiting_tokens: 0,
--- a/components/side/src/core_requests.rs
+++ b/components/side/src/core_requests.rs
@@ -78,7 +78,7 @@
             running: false,
             ready: false,
         };
-        let ready = uses.items().all(|item| self.ledger.resident(item));
+        let ready = uses.items().all(|item| self.servable(item));
         let fits = model.memory_mb <= self.ledger.capacity_mb();
         if !ready && (self.quarantined() || !fits) {
             return Err(Refusal::passing(RefuseReason::NoCapacity));
@@ -175,10 +175,17 @@
         self.drive(now);
     }
 
+    /// Whether requests may start to use an item.
+    fn servable(&self, item: &Item) -> bool {
+        self.ledger.resident(item) && self.retiring.as_ref() != Some(item)
+    }
+
     /// Lets queued requests wait for, or go on with, what is resident now.
     pub fn refresh_ready(&mut self) {
+        let (ledger, retiring) = (&self.ledger, &self.retiring);
         for (ticket, uses) in self.requests.iter_mut().filter(|(_, uses)| !uses.running) {
-            let ready = uses.items().all(|item| self.ledger.resident(item));
+            let ready =
+                uses.items().all(|item| ledger.resident(item) && retiring.as_ref() != Some(item));
             if ready != uses.ready {
                 uses.ready = ready;
                 if ready {
--- a/components/side/tests/common/mod.rs
+++ b/components/side/tests/common/mod.rs
@@ -15,7 +15,7 @@
     Access, Adapter, Customer, DataCentre, MembershipSettings, Model, PlatformSettings,
     ProcessSettings, Residency, Route, Service, ServiceKind, SideSettings, Target, Town,
 };
-use side::SideProcess;
+use side::{SideHandle, SideProcess};
 use standin::{
     EngineServer, EngineSettings, ListedState, ListedVm, LogServer, LogServerSettings,
     PreloadedModel, Server, VmListServer, VmListSettings,
@@ -216,6 +216,7 @@
 pub struct RunningSide {
     pub address: SocketAddr,
     pub operators: SocketAddr,
+    handle: Option<SideHandle>,
     stop: Option<oneshot::Sender<()>>,
     task: JoinHandle<()>,
 }
@@ -224,8 +225,9 @@
     /// Starts a side process with `town` in force.
     pub async fn start(settings: SideSettings, town: Town) -> Self {
         let mut process = SideProcess::bind(settings, Incarnation(next_number())).await.unwrap();
-        process.detach().configure(Arc::new(town));
-        Self::run(process)
+        let handle = process.detach();
+        handle.configure(Arc::new(town));
+        Self { handle: Some(handle), ..Self::run(process) }
     }
 
     /// Starts a side process that takes its configuration from entry processes and the log.
@@ -240,7 +242,12 @@
         let task = spawn_local(process.run(async {
             let _stopped = stopped.await;
         }));
-        Self { address, operators, stop: Some(stop), task }
+        Self { address, operators, handle: None, stop: Some(stop), task }
+    }
+
+    /// Puts another configuration in force.
+    pub fn configure(&self, town: Town) {
+        self.handle.as_ref().unwrap().configure(Arc::new(town));
     }
 
     /// Asks for a graceful stop.
--- /dev/null
+++ b/components/side/tests/versions.rs
@@ -0,0 +1,109 @@
+//! Copies follow the configured version of their model.
+
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+mod common;
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use base::{Offset, Role};
+use common::{
+    FakeEntry, Platform, RunningSide, Scene, connect, engine_settings, generate, request, run_test,
+    side_settings, town, wait_for,
+};
+use config::Town;
+use engine::{Engine, EngineLimits, HttpEngine, ModelState};
+use standin::{EngineServer, answer_text};
+use tokio::task::spawn_local;
+use wire::GenerateFrame;
+
+fn newer_town() -> Town {
+    let mut town = town();
+    town.version = Offset(2);
+    for model in &mut town.models {
+        model.version = "2".into();
+    }
+    town
+}
+
+/// Version of a resident copy; none if there is none.
+async fn version(engine: &EngineServer, model: &str) -> Option<String> {
+    let state = HttpEngine::new(engine.address(), EngineLimits::default()).state().await.unwrap();
+    let copy = state.models.into_iter().find(|copy| copy.model == model)?;
+    (copy.state == ModelState::Resident).then(|| copy.version.to_string())
+}
+
+/// Guards against a copy that stays at an older version, or is replaced under a running request.
+#[test]
+fn on_demand_copy_is_replaced_between_requests() {
+    run_test(async {
+        let scene = Scene::start(engine_settings()).await;
+        generate(&scene.client, &request("first")).await;
+        let mut long = request("first");
+        long.max_output_tokens = 100;
+        let running = generate(&scene.client, &long);
+        let configured = async {
+            wait_for("the request runs", async || scene.engine.requests_inside() == 1).await;
+            scene.side.configure(newer_town());
+        };
+        let ((text, last), ()) = tokio::join!(running, configured);
+        assert_eq!(text, answer_text("first", None, &long.prompt, 100));
+        assert!(matches!(last, Some(GenerateFrame::Finished { .. })), "{last:?}");
+        wait_for("version 2", async || {
+            version(&scene.engine, "first").await.as_deref() == Some("2")
+        })
+        .await;
+        let (_, last) = generate(&scene.client, &request("first")).await;
+        assert!(matches!(last, Some(GenerateFrame::Finished { .. })), "{last:?}");
+        assert_eq!(version(&scene.engine, "base").await.as_deref(), Some("1"), "the last copy");
+    });
+}
+
+/// Guards against copies of a model that must stay which are replaced at the same time, and against
+/// requests refused or cut meanwhile.
+#[test]
+fn copies_that_must_stay_are_replaced_one_after_the_other_under_load() {
+    run_test(async {
+        let platform = Platform::start().await;
+        let _entry = FakeEntry::start(&platform).await;
+        let (mut engines, mut sides) = (Vec::new(), Vec::new());
+        for target in ["t1", "t2"] {
+            let engine = EngineServer::start(engine_settings()).await.unwrap();
+            let settings = side_settings(&platform, target, engine.address());
+            let side = RunningSide::start(settings, town()).await;
+            platform.list(target, side.address, Role::Side);
+            engines.push(engine);
+            sides.push(side);
+        }
+        let done = Rc::new(Cell::new(false));
+        let mut load = Vec::new();
+        for side in &sides {
+            side.wait_open().await;
+            let (client, done) = (connect(side.address).await, done.clone());
+            load.push(spawn_local(async move {
+                let mut whole = 0;
+                while !done.get() {
+                    let (_, last) = generate(&client, &request("base")).await;
+                    assert!(matches!(last, Some(GenerateFrame::Finished { .. })), "{last:?}");
+                    whole += 1;
+                }
+                whole
+            }));
+        }
+        sides.iter().for_each(|side| side.configure(newer_town()));
+        wait_for("both have version 2", async || {
+            let a = version(&engines[0], "base").await;
+            let b = version(&engines[1], "base").await;
+            assert!(a.is_some() || b.is_some(), "no copy is left");
+            a.as_deref() == Some("2") && b.as_deref() == Some("2")
+        })
+        .await;
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        done.set(true);
+        for task in load {
+            assert!(task.await.unwrap() > 0);
+        }
+    });
+}
