Refuse calls of replaced incarnations, and bound the wait for slow receivers

Cause: an older incarnation's late call was taken; a generation whose entry process takes no bytes kept its engine slot while its first frame waited. Change: calls of a replaced incarnation get Unsupported; the first and the last frame have a time limit.

--- a/components/side/src/generation.rs
+++ b/components/side/src/generation.rs
@@ -10,7 +10,7 @@
 };
 use telemetry::{Class, Metrics};
 use tokio::sync::{Notify, watch};
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep_until, timeout_at};
 use wire::{
     FinishReason, FrameSender, GenerateEvent, GenerateFrame, GenerateRequest, RefuseReason,
     WireError,
@@ -23,6 +23,9 @@
 /// When to try again after the engine refused a request, in milliseconds.
 const RETRY_AFTER_MS: u32 = 200;
 
+/// Time beyond the deadline for the last frame to be taken.
+const LAST_FRAME_MARGIN: Duration = Duration::from_secs(1);
+
 /// One generation with the stream back to its entry process.
 pub(crate) struct Generation {
     pub request: GenerateRequest,
@@ -69,7 +72,8 @@
 
     /// Ends the request with a frame, without the queue.
     pub async fn finish(mut self, last: GenerateFrame) {
-        if self.send(last).await.is_ok()
+        let limit = self.deadline + LAST_FRAME_MARGIN;
+        if timeout_at(limit, self.send(last)).await.is_ok_and(|sent| sent.is_ok())
             && let Err(error) = self.sender.finish()
         {
             log::debug!("event=answer_lost error=\"{error}\"");
@@ -92,7 +96,8 @@
         let customer = self.request.customer.as_str();
         self.metrics.record_queue_wait(customer, Class::Streamed, waited);
         let resumed = self.request.resume.as_ref().map_or(0, |resume| resume.delivered_tokens);
-        if self.send(GenerateFrame::Started { queue_wait_ms: to_millis(waited) }).await.is_err() {
+        if !self.send_by_deadline(GenerateFrame::Started { queue_wait_ms: to_millis(waited) }).await
+        {
             return End::Gone;
         }
         let mut answer = tokio::select! {
@@ -163,7 +168,7 @@
     /// Sends a frame; a receiver that does not take it before the deadline loses its stream.
     async fn send_by_deadline(&mut self, frame: GenerateFrame) -> bool {
         let deadline = self.deadline;
-        tokio::time::timeout_at(deadline, self.send(frame)).await.is_ok_and(|sent| sent.is_ok())
+        timeout_at(deadline, self.send(frame)).await.is_ok_and(|sent| sent.is_ok())
     }
 
     fn call(&self) -> Result<GenerateCall, serde_json::Error> {
--- a/components/side/src/incoming.rs
+++ b/components/side/src/incoming.rs
@@ -32,6 +32,10 @@
     }
 
     fn answer(&self, peer: &PeerIdentity, call: PeerCall) -> PeerReply {
+        if self.core.borrow().peers.superseded(&peer.process) {
+            log::warn!("event=call_refused peer={} reason=superseded", peer.process);
+            return PeerReply::Unsupported;
+        }
         match call {
             PeerCall::Heartbeat(heartbeat) => {
                 if heartbeat.from != peer.process {
--- a/components/side/tests/common/mod.rs
+++ b/components/side/tests/common/mod.rs
@@ -397,7 +397,7 @@
                 responder.reply(match call {
                     PeerCall::Heartbeat(heartbeat) => {
                         heartbeats.borrow_mut().push(*heartbeat);
-                        PeerReply::Heartbeat(Box::new(entry_heartbeat(&me, address)))
+                        PeerReply::Heartbeat(Box::new(plain_heartbeat(&me, address)))
                     }
                     PeerCall::Permit { slot, .. } if slot.index == 1 => {
                         permits.set(permits.get() + 1);
@@ -422,10 +422,11 @@
     }
 }
 
-fn entry_heartbeat(me: &PeerIdentity, address: SocketAddr) -> Heartbeat {
+/// A heartbeat of a process without a target.
+pub fn plain_heartbeat(me: &PeerIdentity, address: SocketAddr) -> Heartbeat {
     Heartbeat {
         from: me.process.clone(),
-        role: Role::Entry,
+        role: me.role.unwrap(),
         region: "r".into(),
         data_centre: "dc".into(),
         address,
--- a/components/side/tests/placement.rs
+++ b/components/side/tests/placement.rs
@@ -8,11 +8,14 @@
 
 use base::Role;
 use common::{
-    CALL_LIMIT, FakeEntry, Platform, RunningSide, connect, engine_settings, identity, run_test,
-    side_settings, town, wait_for,
+    CALL_LIMIT, FakeEntry, Platform, RunningSide, connect, engine_settings, identity,
+    plain_heartbeat, run_test, side_settings, town, wait_for,
 };
 use standin::EngineServer;
-use wire::{FleetSecret, PeerCall, PeerClient, PeerReply, PinOutcome, SuggestOutcome, Suggestion};
+use wire::{
+    FleetSecret, PeerCall, PeerClient, PeerIdentity, PeerReply, PinOutcome, SuggestOutcome,
+    Suggestion,
+};
 
 /// Side processes beside engines that all hold `base`.
 struct Fleet {
@@ -156,3 +159,30 @@
         assert_eq!(suggest(&client, unload("base")).await, SuggestOutcome::Accepted);
     });
 }
+
+/// Guards against messages of an incarnation that has been replaced, for example a late ask or `Unpin`.
+#[test]
+fn calls_of_an_older_incarnation_are_refused() {
+    run_test(async {
+        let fleet = Fleet::start(1).await;
+        let address = fleet.sides[0].address;
+        let secret = FleetSecret::new(common::SECRET.as_bytes());
+        let (older, newer) = (identity("side-x", Role::Side), identity("side-x", Role::Side));
+        let old_client = PeerClient::connect(address, &older, &secret, CALL_LIMIT).await.unwrap();
+        let new_client = PeerClient::connect(address, &newer, &secret, CALL_LIMIT).await.unwrap();
+        let pin = |me: &PeerIdentity| PeerCall::Pin {
+            model: "base".into(),
+            requester: me.process.clone(),
+            ask: 1,
+        };
+        let reply = old_client.call(&pin(&older), CALL_LIMIT).await.unwrap();
+        assert_eq!(reply, PeerReply::Pin(PinOutcome::Held));
+        // The newer incarnation is past its quarantine, which ends the older one's pin.
+        let heartbeat = PeerCall::Heartbeat(Box::new(plain_heartbeat(&newer, address)));
+        let reply = new_client.call(&heartbeat, CALL_LIMIT).await.unwrap();
+        assert!(matches!(reply, PeerReply::Heartbeat(_)));
+        let reply = old_client.call(&pin(&older), CALL_LIMIT).await.unwrap();
+        assert_eq!(reply, PeerReply::Unsupported);
+        assert_eq!(suggest(&new_client, unload("base")).await, SuggestOutcome::Accepted);
+    });
+}
