Take a target for faulty after three lost probes

Cause: one slow answer to a probe made the side process refuse every request until the next one. Change: three probes in a row without an answer, or one refused connection, count as a fault.

--- a/components/side/src/core.rs
+++ b/components/side/src/core.rs
@@ -72,6 +72,7 @@
     pub reload: Option<Wish>,
     pub cache: CacheLog,
     pub healthy: bool,
+    pub failed_probes: u32,
     /// Tokens that wait inside the engine, by its last sample.
     pub engine_waiting_tokens: u64,
     pub draining: bool,
@@ -107,6 +108,7 @@
             reload: None,
             cache: CacheLog::default(),
             healthy: false,
+            failed_probes: 0,
             engine_waiting_tokens: 0,
             draining: false,
             start_pending: false,
--- a/components/side/src/core_placement.rs
+++ b/components/side/src/core_placement.rs
@@ -10,11 +10,14 @@
 
 use crate::action::Action;
 use crate::core::{Core, describe};
+use crate::event::ProbeFailure;
 use crate::permit_state::PermitState;
 use crate::wish::Wish;
 
 /// How long a suggestion that was taken up is pursued.
 pub(crate) const WISH_LIFETIME: Duration = Duration::from_secs(30);
+/// Probes in a row without an answer after which a target counts as faulty.
+const PROBES_FOR_FAULT: u32 = 3;
 /// Time without use after which an adapter or an on-demand model is unloaded.
 const IDLE_AFTER: Duration = Duration::from_secs(600);
 
@@ -221,19 +224,28 @@
 
     /// Takes a read of the engine's state.
     pub fn state_read(&mut self, state: &EngineState, asked_at: Timestamp, now: Timestamp) {
-        self.healthy = true;
+        self.probe_answered();
         let town = self.town.clone();
         self.ledger.observe(state, asked_at, now, |item| describe(&town, item));
         self.refresh_ready();
         self.drive(now);
     }
 
-    /// Notes that the target did not answer a probe.
-    pub fn probe_failed(&mut self, now: Timestamp) {
-        if self.healthy {
+    /// Notes that the target answered a probe.
+    pub fn probe_answered(&mut self) {
+        self.healthy = true;
+        self.failed_probes = 0;
+    }
+
+    /// Notes that the target did not answer a probe. A single slow answer is no proof of a fault, and
+    /// each request refused for it would be refused wrongly.
+    pub fn probe_failed(&mut self, failure: ProbeFailure, now: Timestamp) {
+        self.failed_probes += 1;
+        let faulty = failure == ProbeFailure::Unreachable || self.failed_probes >= PROBES_FOR_FAULT;
+        if self.healthy && faulty {
             log::warn!("event=target_unhealthy target={}", self.settings.target);
+            self.healthy = false;
         }
-        self.healthy = false;
         self.drive(now);
     }
 }
--- a/components/side/src/event.rs
+++ b/components/side/src/event.rs
@@ -15,6 +15,15 @@
 
 use crate::action::SlotOwner;
 
+/// How a probe of the target failed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum ProbeFailure {
+    /// No connection could be opened.
+    Unreachable,
+    /// No good answer came in time.
+    NoAnswer,
+}
+
 /// Something that happened.
 pub(crate) enum Event {
     /// Events of the engine's prompt prefix cache arrived.
@@ -45,13 +54,13 @@
         answer: Option<PinOutcome>,
     },
     /// The plain target was probed.
-    Probed(bool),
+    Probed(Result<(), ProbeFailure>),
     /// A running request ended.
     Settled(Ticket, Tokens),
     /// The start record was appended.
     StartRecorded(Offset),
-    /// The engine's state was read; none if it did not answer.
-    StateRead(Timestamp, Option<EngineState>),
+    /// The engine's state was asked for at a time.
+    StateRead(Timestamp, Result<EngineState, ProbeFailure>),
     /// An `Unpin` was answered.
     UnpinAnswered {
         /// Whom it went to.
--- a/components/side/src/incoming.rs
+++ b/components/side/src/incoming.rs
@@ -209,12 +209,12 @@
             Event::PinAnswered { giver, model, ask, answer } => {
                 self.with_core(|core, now| core.pin_answered(giver, &model, ask, answer, now));
             }
-            Event::Probed(true) => self.with_core(|core, now| {
-                core.healthy = true;
+            Event::Probed(Ok(())) => self.with_core(|core, now| {
+                core.probe_answered();
                 core.drive(now);
             }),
-            Event::Probed(false) | Event::StateRead(_, None) => {
-                self.with_core(|core, now| core.probe_failed(now));
+            Event::Probed(Err(failure)) | Event::StateRead(_, Err(failure)) => {
+                self.with_core(|core, now| core.probe_failed(failure, now));
             }
             Event::Settled(ticket, used) => {
                 self.with_core(|core, now| core.settled(ticket, used, now));
@@ -224,7 +224,7 @@
                 core.ledger.quarantine_mut().set_fencing(offset);
                 core.drive(now);
             }),
-            Event::StateRead(asked_at, Some(state)) => {
+            Event::StateRead(asked_at, Ok(state)) => {
                 self.with_core(|core, now| core.state_read(&state, asked_at, now));
             }
             Event::UnpinAnswered { giver, model, ask } => {
--- a/components/side/src/probe.rs
+++ b/components/side/src/probe.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use engine::{Engine, HttpEngine, ModelState};
+use engine::{Engine, EngineError, HttpEngine, ModelState};
 use http::{Request, header};
 use http_body_util::Empty;
 use placement::{EngineCopy, EngineCopyState, EngineState};
@@ -15,7 +15,7 @@
 
 use crate::clock::Clock;
 use crate::core::Core;
-use crate::event::Event;
+use crate::event::{Event, ProbeFailure};
 use crate::plain_client::PlainConnection;
 
 /// Longest wait for a plain target's answer.
@@ -32,7 +32,11 @@
 ) {
     loop {
         let asked_at = clock.now();
-        let state = engine.state().await.ok().map(|state| convert(&state));
+        let state =
+            engine.state().await.map(|state| convert(&state)).map_err(|error| match error {
+                EngineError::Unreachable => ProbeFailure::Unreachable,
+                _ => ProbeFailure::NoAnswer,
+            });
         if events.send(Event::StateRead(asked_at, state)).is_err() {
             return;
         }
@@ -60,22 +64,25 @@
     events: mpsc::UnboundedSender<Event>,
 ) {
     loop {
-        let healthy = timeout(PROBE_LIMIT, healthz(target)).await.is_ok_and(|ok| ok);
-        if events.send(Event::Probed(healthy)).is_err() {
+        let answered = timeout(PROBE_LIMIT, healthz(target));
+        let answered = answered.await.unwrap_or(Err(ProbeFailure::NoAnswer));
+        if events.send(Event::Probed(answered)).is_err() {
             return;
         }
         tokio::time::sleep(interval).await;
     }
 }
 
-async fn healthz(target: SocketAddr) -> bool {
+async fn healthz(target: SocketAddr) -> Result<(), ProbeFailure> {
+    let mut connection = PlainConnection::open(target).await.ok_or(ProbeFailure::Unreachable)?;
     let request = Request::get("/healthz")
         .header(header::HOST, target.to_string())
-        .body(Empty::<Bytes>::new());
-    let (Some(mut connection), Ok(request)) = (PlainConnection::open(target).await, request) else {
-        return false;
-    };
-    connection.send(request).await.is_ok_and(|answer| !answer.status().is_server_error())
+        .body(Empty::<Bytes>::new())
+        .map_err(|_| ProbeFailure::NoAnswer)?;
+    match connection.send(request).await {
+        Ok(answer) if !answer.status().is_server_error() => Ok(()),
+        _ => Err(ProbeFailure::NoAnswer),
+    }
 }
 
 fn convert(state: &engine::EngineState) -> EngineState {
--- a/components/side/tests/forward.rs
+++ b/components/side/tests/forward.rs
@@ -4,12 +4,14 @@
 
 mod common;
 
+use std::time::Duration;
+
 use base::RanState;
 use common::{
     Platform, RunningSide, call, collect_call, connect, head, run_test, side_settings, town,
     wait_for,
 };
-use standin::{PlainServer, PlainSettings};
+use standin::{Blocked, Link, LinkFaults, PlainServer, PlainSettings};
 use wire::{ForwardUp, RefuseReason};
 
 async fn start(settings: PlainSettings) -> (Platform, PlainServer, RunningSide) {
@@ -123,3 +125,29 @@
         assert_eq!(service.requests().len(), 1);
     });
 }
+
+/// Guards against calls refused for a single lost probe, and against a fault that goes unnoticed.
+#[test]
+fn target_counts_as_faulty_after_several_lost_probes() {
+    run_test(async {
+        let platform = Platform::start().await;
+        let service = PlainServer::start(PlainSettings::default()).await.unwrap();
+        let link = Link::start(service.address()).await.unwrap();
+        let settings = side_settings(&platform, "p1", link.address());
+        let side = RunningSide::start(settings, town()).await;
+        side.wait_open().await;
+        let client = connect(side.address).await;
+        // A probe is given up after a second, so one or two are lost.
+        link.set(LinkFaults { blocked: Blocked::Both, ..LinkFaults::default() });
+        tokio::time::sleep(Duration::from_millis(1_300)).await;
+        link.set(LinkFaults::default());
+        assert_eq!(call(&client, &head(), b"pay").await.status, 200);
+        service.update(|settings| settings.healthy = false);
+        side.wait_status("the fault is seen", |status| !status.problems.is_empty()).await;
+        let refused = call(&client, &head(), b"pay").await.refused;
+        assert_eq!(refused, Some(RefuseReason::TargetUnhealthy));
+        service.update(|settings| settings.healthy = true);
+        side.wait_open().await;
+        assert_eq!(call(&client, &head(), b"pay").await.status, 200);
+    });
+}
