--- a/components/side/src/event.rs
+++ b/components/side/src/event.rs
@@ -7,7 +7,7 @@
 use base::{Offset, Timestamp, Tokens};
 use compact_str::CompactString;
 use config::Town;
-use engine::{EngineError, LoadSample, OrderResult};
+use engine::{CacheEvents, EngineError, LoadSample, OrderResult};
 use placement::{EngineState, OrderId};
 use platform::VmSnapshot;
 use queue::Ticket;
@@ -15,8 +15,19 @@
 
 use crate::action::SlotOwner;
 
+/// How a probe of the target failed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum ProbeFailure {
+    /// No connection could be opened.
+    Unreachable,
+    /// No good answer came in time.
+    NoAnswer,
+}
+
 /// Something that happened.
 pub(crate) enum Event {
+    /// Events of the engine's prompt prefix cache arrived.
+    CacheRead(CacheEvents),
     /// A queued request was given up by its caller.
     Cancelled(Ticket),
     /// A configuration came into force.
@@ -43,13 +54,13 @@
         answer: Option<PinOutcome>,
     },
     /// The plain target was probed.
-    Probed(bool),
+    Probed(Result<(), ProbeFailure>),
     /// A running request ended.
     Settled(Ticket, Tokens),
     /// The start record was appended.
     StartRecorded(Offset),
-    /// The engine's state was read; none if it did not answer.
-    StateRead(Timestamp, Option<EngineState>),
+    /// The engine's state was asked for at a time.
+    StateRead(Timestamp, Result<EngineState, ProbeFailure>),
     /// An `Unpin` was answered.
     UnpinAnswered {
         /// Whom it went to.
--- a/components/side/src/generation.rs
+++ b/components/side/src/generation.rs
@@ -1,5 +1,6 @@
 //! The task of one generation: queue, engine, frames back.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use base::{RanState, Tokens};
@@ -7,19 +8,24 @@
 use engine::{
     Answer, AnswerError, AnswerEvent, Engine, EngineError, GenerateCall, HttpEngine, ResumeFrom,
 };
-use tokio::sync::watch;
-use tokio::time::{Instant, sleep_until};
+use telemetry::{Class, Metrics};
+use tokio::sync::{Notify, watch};
+use tokio::time::{Instant, sleep_until, timeout_at};
 use wire::{
     FinishReason, FrameSender, GenerateEvent, GenerateFrame, GenerateRequest, RefuseReason,
     WireError,
 };
 
 use crate::clock::to_millis;
+use crate::labels::refuse_label;
 use crate::request_task::{Decision, QueuePlace, handed_over};
 
 /// When to try again after the engine refused a request, in milliseconds.
 const RETRY_AFTER_MS: u32 = 200;
 
+/// Time beyond the deadline for the last frame to be taken.
+const LAST_FRAME_MARGIN: Duration = Duration::from_secs(1);
+
 /// One generation with the stream back to its entry process.
 pub(crate) struct Generation {
     pub request: GenerateRequest,
@@ -28,6 +34,9 @@
     pub handover: watch::Receiver<bool>,
     pub deadline: Instant,
     pub incarnation: u64,
+    /// Asks for a read of the engine's state.
+    pub probe_now: Rc<Notify>,
+    pub metrics: Rc<Metrics>,
 }
 
 /// How a stream of tokens ended.
@@ -48,6 +57,7 @@
         let last = match decision {
             None => return,
             Some(Decision::Refuse { reason, retry_after_ms }) => {
+                self.metrics.record_refusal(refuse_label(reason));
                 GenerateFrame::Refused { reason, retry_after_ms }
             }
             Some(Decision::Start { waited }) => match self.stream(&mut place, waited).await {
@@ -62,7 +72,8 @@
 
     /// Ends the request with a frame, without the queue.
     pub async fn finish(mut self, last: GenerateFrame) {
-        if self.send(last).await.is_ok()
+        let limit = self.deadline + LAST_FRAME_MARGIN;
+        if timeout_at(limit, self.send(last)).await.is_ok_and(|sent| sent.is_ok())
             && let Err(error) = self.sender.finish()
         {
             log::debug!("event=answer_lost error=\"{error}\"");
@@ -82,14 +93,24 @@
         let Ok(call) = self.call() else {
             return End::Frame(refused(RefuseReason::Unknown));
         };
+        let customer = self.request.customer.as_str();
+        self.metrics.record_queue_wait(customer, Class::Streamed, waited);
         let resumed = self.request.resume.as_ref().map_or(0, |resume| resume.delivered_tokens);
-        if self.send(GenerateFrame::Started { queue_wait_ms: to_millis(waited) }).await.is_err() {
+        if !self.send_by_deadline(GenerateFrame::Started { queue_wait_ms: to_millis(waited) }).await
+        {
             return End::Gone;
         }
         let mut answer = tokio::select! {
             answer = self.engine.generate(&call) => match answer {
                 Ok(answer) => answer,
-                Err(error) => return End::Frame(refusal_of(error)),
+                Err(error) => {
+                    // The engine may have restarted, or be gone.
+                    self.probe_now.notify_one();
+                    if error == EngineError::Mismatched {
+                        self.metrics.record_late_answer();
+                    }
+                    return End::Frame(refusal_of(error));
+                }
             },
             () = self.sender.closed() => return End::Gone,
             () = sleep_until(self.deadline) => return End::Frame(failed(RanState::Unknown)),
@@ -147,7 +168,7 @@
     /// Sends a frame; a receiver that does not take it before the deadline loses its stream.
     async fn send_by_deadline(&mut self, frame: GenerateFrame) -> bool {
         let deadline = self.deadline;
-        tokio::time::timeout_at(deadline, self.send(frame)).await.is_ok_and(|sent| sent.is_ok())
+        timeout_at(deadline, self.send(frame)).await.is_ok_and(|sent| sent.is_ok())
     }
 
     fn call(&self) -> Result<GenerateCall, serde_json::Error> {
