Define the blocks of prompt prefixes once, in base

Cause: base (for the stand-in engine) and routing defined block hashes each for itself, and not alike: an engine's cache events would never have matched a prompt. Run: cargo test -p base -p routing -p engine -p standin -p platform: all pass. Conclusion: one definition. Nothing reads /cache-events yet, so prefix affinity has no data in the shipped processes.

--- a/components/engine/tests/reports.rs
+++ b/components/engine/tests/reports.rs
@@ -62,7 +62,7 @@
     sleep(Duration::from_millis(250)).await;
     let events = client.cache_events(0).await.unwrap();
     let blocks: Vec<u64> = events.events.iter().map(|event| event.block).collect();
-    assert_eq!(blocks, prefix_blocks(None, &prompt));
+    assert_eq!(blocks, prefix_blocks("m", None, &prompt).collect::<Vec<_>>());
     assert!(events.events.iter().all(|event| event.kind == CacheEventKind::Stored));
     assert_eq!(events.last, 2);
     assert_eq!(client.cache_events(1).await.unwrap().events.len(), 1);
@@ -92,7 +92,7 @@
     let events = client.cache_events(0).await.unwrap().events;
     let evicted: Vec<_> = events.iter().filter(|e| e.kind == CacheEventKind::Evicted).collect();
     assert_eq!(evicted.len(), 1);
-    assert_eq!(evicted[0].block, prefix_blocks(None, &prompt)[0]);
+    assert_eq!(Some(evicted[0].block), prefix_blocks("m", None, &prompt).next());
 }
 
 #[tokio::test]
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -14,7 +14,8 @@
 mod target;
 
 pub use backoff::{Backoff, RetryBudget, remaining_for_hop};
-pub use prefix::{CacheEvent, CacheEventKind, PREFIX_BLOCK_BYTES, PrefixIndex, prefix_blocks};
+pub use base::PREFIX_BLOCK_BYTES;
+pub use prefix::{CacheEvent, CacheEventKind, PrefixIndex, prefix_blocks};
 pub use request::{Choice, ModelNeed, NoTarget, Pick, PlainNeed, TargetInfo};
 pub use retry::{CallKind, Failure, RetryVerdict, retry_verdict};
 pub use router::{MAX_CANDIDATES, Router};
--- a/components/routing/src/prefix.rs
+++ b/components/routing/src/prefix.rs
@@ -1,11 +1,8 @@
 //! Which targets have which prompt prefixes cached.
 
-use base::{SortedMap, hash_bytes};
+use base::SortedMap;
 use compact_str::CompactString;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// Bytes of prompt text in one block.
-pub const PREFIX_BLOCK_BYTES: usize = 256;
 /// Most blocks of a prompt that are looked up.
 const MAX_BLOCKS: usize = 64;
 /// Most cached blocks remembered for each target.
@@ -37,16 +34,7 @@
 
 /// Hashes of the whole blocks of a prompt, each over the model, the adapter and all text up to its end.
 pub fn prefix_blocks(model: &str, adapter: Option<&str>, prompt: &str) -> Vec<u64> {
-    let start = xxh3_64_with_seed(adapter.unwrap_or("").as_bytes(), hash_bytes(model.as_bytes()));
-    prompt
-        .as_bytes()
-        .chunks_exact(PREFIX_BLOCK_BYTES)
-        .take(MAX_BLOCKS)
-        .scan(start, |seed, block| {
-            *seed = xxh3_64_with_seed(block, *seed);
-            Some(*seed)
-        })
-        .collect()
+    base::prefix_blocks(model, adapter, prompt).take(MAX_BLOCKS).collect()
 }
 
 /// Blocks cached at one target.
--- a/components/standin/src/engine_generate.rs
+++ b/components/standin/src/engine_generate.rs
@@ -249,7 +249,8 @@
     }
 
     async fn prefill(&self, call: &GenerateBody, settings: &EngineSettings) {
-        let blocks = prefix_blocks(call.adapter.as_deref(), &call.prompt);
+        let blocks: Vec<u64> =
+            prefix_blocks(&call.model, call.adapter.as_deref(), &call.prompt).collect();
         let tokens = count_tokens(&call.prompt);
         let missing = {
             let mut state = lock(&self.state);
