--- a/components/entry/src/reserve.rs
+++ b/components/entry/src/reserve.rs
@@ -9,13 +9,16 @@
 use compact_str::CompactString;
 use rates::{CollectAction, CollectRequest, Collection, Part, settle_parts};
 use tokio::sync::mpsc;
-use tokio::time::sleep_until;
+use tokio::time::{sleep, sleep_until};
 use wire::{PeerCall, PeerReply, ReserveOutcome, SlotId};
 
 use crate::app::App;
 
-/// Attempts to reserve when a pause of the process made the first reservation too old.
-const ATTEMPTS: u32 = 2;
+/// Attempts to reserve, since a pause of the process may make the first reservation too old, and a
+/// slot may change hands while it is asked.
+const ATTEMPTS: u32 = 3;
+/// Time for the record of a slot that changes hands to be read, before the next attempt.
+const MOVED_SLOT_WAIT: Duration = Duration::from_millis(100);
 /// Advice when no owner of a slot answered, in milliseconds.
 const NO_OWNER_RETRY_MS: u64 = 1_000;
 
@@ -84,8 +87,8 @@
     customer: &str,
     tokens: Tokens,
 ) -> Result<Reservation, ApiError> {
-    for _ in 0..ATTEMPTS {
-        if let Some(reservation) = collect(app, customer, tokens).await? {
+    for attempt in 1..=ATTEMPTS {
+        if let Some(reservation) = collect(app, customer, tokens, attempt == ATTEMPTS).await? {
             return Ok(reservation);
         }
     }
@@ -149,23 +152,32 @@
     }
 }
 
-/// One collection; none if its parts grew too old before they could be used.
+/// One collection; none if its parts grew too old before they could be used, or if it is not the last
+/// attempt and fell short while a slot changed hands.
 async fn collect(
     app: &Rc<App>,
     customer: &str,
     tokens: Tokens,
+    last: bool,
 ) -> Result<Option<Reservation>, ApiError> {
     let Some(town) = app.town() else { return Err(no_owner()) };
     let Some(id) = town.customer_id(customer) else {
         return Err(ApiError::new(ErrorCode::KeyWithdrawn, "the customer was removed"));
     };
+    let holders = app.slot_holders(customer, &town);
+    let local_plenty = holders.first().is_some_and(|nearest| {
+        let now = app.clock.now();
+        nearest.owner == app.me
+            && app.slots.borrow_mut().owner.has_plenty(nearest.slot, customer, tokens, now)
+    });
     let request = CollectRequest {
         customer: CompactString::new(customer),
         tokens,
         burst: Tokens(town.customer(id).burst_tokens),
         rate_tokens_per_s: town.customer(id).rate_tokens_per_s,
         slot_count: town.buckets.slots,
-        holders: app.slot_holders(customer, &town),
+        holders,
+        local_plenty,
         validity: Duration::from_millis(app.settings.reservation_validity_ms),
         call_timeout: app.call_timeout(),
         max_wait: Duration::from_millis(app.settings.rate_wait_ms),
@@ -212,6 +224,10 @@
                         "prompt and max_tokens together exceed the customer's burst",
                     ));
                 }
+                CollectAction::Refused { .. } if !last && running.collection.met_moved_slot() => {
+                    sleep(MOVED_SLOT_WAIT).await;
+                    return Ok(None);
+                }
                 CollectAction::Refused { retry_after_ms, answered: true } => {
                     return Err(ApiError::new(
                         ErrorCode::RateExceeded,
