--- a/components/entry/src/reserve.rs
+++ b/components/entry/src/reserve.rs
@@ -7,7 +7,7 @@
 use api::{ApiError, ErrorCode};
 use base::Tokens;
 use compact_str::CompactString;
-use rates::{CollectAction, CollectRequest, Collection, Distance, Part, settle_parts};
+use rates::{CollectAction, CollectRequest, Collection, Part, settle_parts};
 use tokio::sync::mpsc;
 use tokio::time::{sleep, sleep_until};
 use wire::{PeerCall, PeerReply, ReserveOutcome, SlotId};
@@ -114,9 +114,6 @@
 impl Running {
     fn take_reply(&mut self, slot: SlotId, outcome: Option<ReserveOutcome>) -> Vec<CollectAction> {
         let now = self.app.clock.now();
-        if let Some(outcome) = &outcome {
-            self.app.slots.borrow_mut().hints.note(&self.customer, slot, outcome, now);
-        }
         match outcome {
             Some(outcome) => self.collection.replied(slot, &outcome, now),
             None => self.collection.failed(slot, now),
@@ -168,9 +165,10 @@
         return Err(ApiError::new(ErrorCode::KeyWithdrawn, "the customer was removed"));
     };
     let holders = app.slot_holders(customer, &town);
-    let local_plenty = holders.iter().find(|h| h.distance == Distance::Local).is_some_and(|own| {
+    let local_plenty = holders.first().is_some_and(|nearest| {
         let now = app.clock.now();
-        app.slots.borrow_mut().owner.has_plenty(own.slot, customer, tokens, now)
+        nearest.owner == app.me
+            && app.slots.borrow_mut().owner.has_plenty(nearest.slot, customer, tokens, now)
     });
     let request = CollectRequest {
         customer: CompactString::new(customer),
--- a/components/measure/src/run.rs
+++ b/components/measure/src/run.rs
@@ -13,8 +13,8 @@
 };
 use queue::Ticket;
 use rates::{
-    CollectAction, CollectRequest, Collection, Distance, Part, SlotEntry, SlotLedger, SlotRecord,
-    bucket_share, settle_parts, slot_holders, slots_of,
+    CollectAction, CollectRequest, Collection, Distance, Part, SlotEntry, SlotHolder, SlotLedger,
+    SlotRecord, settle_parts, slot_holders, slots_of,
 };
 use wire::{CopyState, ReserveOutcome, SlotId};
 
@@ -207,9 +207,6 @@
                 self.reserve(request, owner, slot, tokens, now);
             }
             Event::Reserved { request, slot, outcome } => {
-                let customer = self.customer_name(request);
-                let entry = self.requests[request].entry;
-                self.entries[entry].hints.note(&customer, slot, &outcome, now);
                 if let Some(collection) = &mut self.requests[request].collection {
                     let actions = collection.replied(slot, &outcome, now);
                     self.collect(request, actions, now);
@@ -311,24 +308,16 @@
 
     fn start_collection(&mut self, request: usize, now: Timestamp) {
         let arrival = self.requests[request].arrival;
-        let customer = self.town.customer(arrival.customer);
-        let me = &self.entries[self.requests[request].entry];
-        let mut holders = slot_holders(&customer.name, self.town.buckets, &self.slots, |owner| {
-            if *owner == me.id {
-                return Some(Distance::Local);
-            }
-            let other = self.entries.iter().find(|e| e.id == *owner && e.alive)?;
-            let near = other.data_centre == me.data_centre;
-            Some(if near { Distance::DataCentre } else { Distance::Region })
+        let customer = self.town.customer(arrival.customer).clone();
+        let me = self.requests[request].entry;
+        let holders = self.holders(me, &customer.name);
+        let local_plenty = holders.first().is_some_and(|nearest| {
+            let entry = &mut self.entries[me];
+            let tokens = arrival.reserved();
+            nearest.owner == entry.id
+                && entry.owner.has_plenty(nearest.slot, &customer.name, tokens, now)
         });
-        let share_of = |slot| bucket_share(&self.town, &customer.name, slot);
-        me.hints.sort(&customer.name, &mut holders, share_of, now);
         let slot_count = slots_of(&customer.name, self.town.buckets).count();
-        let local_plenty =
-            holders.iter().find(|h| h.distance == Distance::Local).is_some_and(|own| {
-                let entry = &mut self.entries[self.requests[request].entry];
-                entry.owner.has_plenty(own.slot, &customer.name, arrival.reserved(), now)
-            });
         let (collection, actions) = Collection::start(
             CollectRequest {
                 customer: customer.name.clone(),
@@ -349,6 +338,19 @@
         self.collect(request, actions, now);
     }
 
+    /// Owners of a customer's slots as entry process `me` sees them.
+    fn holders(&self, me: usize, customer: &str) -> Vec<SlotHolder> {
+        let me = &self.entries[me];
+        slot_holders(customer, self.town.buckets, &self.slots, |owner| {
+            if *owner == me.id {
+                return Some(Distance::Local);
+            }
+            let other = self.entries.iter().find(|e| e.id == *owner && e.alive)?;
+            let near = other.data_centre == me.data_centre;
+            Some(if near { Distance::DataCentre } else { Distance::Region })
+        })
+    }
+
     fn collect(&mut self, request: usize, actions: Vec<CollectAction>, now: Timestamp) {
         for action in actions {
             match action {
--- a/components/side/src/core.rs
+++ b/components/side/src/core.rs
@@ -16,6 +16,7 @@
 use wire::Heartbeat;
 
 use crate::action::{Action, SlotOwner};
+use crate::cache_log::CacheLog;
 use crate::peers::{PeerNews, Peers};
 use crate::permit_state::PermitState;
 use crate::pin_round::PinRound;
@@ -65,7 +66,15 @@
     pub requests: SortedMap<Ticket, Uses>,
     pub demand: SortedMap<CompactString, DemandRate>,
     pub wishes: Vec<Wish>,
+    /// Model whose copy of an older version is being replaced; requests for it wait.
+    pub retiring: Option<Item>,
+    /// Load that follows the unload of an older version.
+    pub reload: Option<Wish>,
+    pub cache: CacheLog,
     pub healthy: bool,
+    pub failed_probes: u32,
+    /// Tokens that wait inside the engine, by its last sample.
+    pub engine_waiting_tokens: u64,
     pub draining: bool,
     pub start_pending: bool,
     pub fence_pending: bool,
@@ -95,7 +104,12 @@
             requests: SortedMap::new(),
             demand: SortedMap::new(),
             wishes: Vec::new(),
+            retiring: None,
+            reload: None,
+            cache: CacheLog::default(),
             healthy: false,
+            failed_probes: 0,
+            engine_waiting_tokens: 0,
             draining: false,
             start_pending: false,
             fence_pending: false,
