Test the shipped binary as real processes behind proxies

Cause: the promises rest on whole processes, their restarts and their links. Change: tests/support starts entry, side and stand-in processes of the shipped binary with generated settings, every link through the fault proxy, and ends them by id; five tests: a whole request through two entries while engines repeat and mix up events, SIGKILL of a side mid-stream, SIGTERM of an entry under load, an outage of the log with a restart in it, SIGSTOP of an entry past its authority limit with a key withdrawn meanwhile. Found on the way: with both entries in one data centre all four slots may belong to one of them (names entry-0 and entry-1: always), and a restart of that one in an outage of the log leaves every keyed request refused with no_capacity until the log is back. The tests place the entries in two data centres.

--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,30 @@
+//! Harness of the integration tests: the shipped binary as real processes, every link behind the
+//! fault-injecting proxy.
+
+#![allow(dead_code, unused_imports, reason = "each test file uses its own part")]
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+mod caller;
+mod fleet;
+mod process;
+mod standins;
+
+use std::time::Duration;
+
+pub use caller::{Caller, StreamedAnswer};
+pub use fleet::{Entry, Fleet, FleetOptions, KEY, MODEL, Side};
+pub use process::Process;
+pub use standins::StandinProcess;
+use tokio::time::{Instant, sleep};
+
+/// Bound on each wait for a condition; far above what any of them takes.
+pub const WAIT_LIMIT: Duration = Duration::from_secs(15);
+
+/// Waits until `condition` holds.
+pub async fn wait_until(what: &str, mut condition: impl AsyncFnMut() -> bool) {
+    let end = Instant::now() + WAIT_LIMIT;
+    while !condition().await {
+        assert!(Instant::now() < end, "timed out waiting for: {what}");
+        sleep(Duration::from_millis(10)).await;
+    }
+}
