--- a/components/rates/src/slot_owner.rs
+++ b/components/rates/src/slot_owner.rs
@@ -12,6 +12,9 @@
     WEIGHT_STORE,
 };
 
+/// Part of the cap that may be missing from a bucket that has plenty, as a divisor.
+const PLENTY_DIVISOR: u64 = 16;
+
 /// Level of a bucket that is first seen after its slot was opened.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Unseen {
@@ -156,7 +159,25 @@
         }
     }
 
-    /// Settles a reservation; an unknown one changes nothing.
+    /// Whether a slot is open here and stays nearly full after a debit of `tokens`, so that it alone can
+    /// serve a request without the tokens that accrue at the other slots being lost.
+    pub fn has_plenty(
+        &mut self,
+        slot: SlotId,
+        customer: &str,
+        tokens: Tokens,
+        now: Timestamp,
+    ) -> bool {
+        let Some(share) = bucket_share(&self.town, customer, slot) else { return false };
+        let Some(owned) = self.slots.get_mut(&slot).filter(|owned| owned.released.is_none()) else {
+            return false;
+        };
+        let level = owned.bucket(customer, share).level(now).whole_tokens();
+        let spared = share.cap_tokens - share.cap_tokens / PLENTY_DIVISOR;
+        level >= tokens && level.0 - tokens.0 >= spared
+    }
+
+    /// Settles a reservation and returns the refund; an unknown one changes nothing.
     pub fn settle(
         &mut self,
         slot: SlotId,
@@ -164,12 +185,9 @@
         reservation: u64,
         used: Tokens,
         now: Timestamp,
-    ) {
-        if let Some(owned) = self.slots.get_mut(&slot).filter(|owned| owned.released.is_none())
-            && let Some(bucket) = owned.buckets.get_mut(customer)
-        {
-            bucket.settle(reservation, used, now);
-        }
+    ) -> Option<MicroTokens> {
+        let owned = self.slots.get_mut(&slot).filter(|owned| owned.released.is_none())?;
+        owned.buckets.get_mut(customer)?.settle(reservation, used, now)
     }
 
     /// Gives a permit for a load from the weight store.
--- a/components/routing/src/router.rs
+++ b/components/routing/src/router.rs
@@ -304,7 +304,7 @@
     if !near.is_empty() {
         return near;
     }
-    let all = set.full_order(key, affinity, name_of);
+    let all = set.full_order(key, affinity, |at| accept(at).is_some(), name_of);
     all.iter().filter_map(accept).take(MAX_CANDIDATES).collect()
 }
 
@@ -312,7 +312,8 @@
 ///
 /// Always taking the cheapest would send every entry to the same target until its next report.
 fn pick_of_two(mut scored: Vec<(u64, u32)>, rng: &mut impl Rng) -> Option<(u64, u32)> {
-    scored.sort_unstable();
+    // Stable, so that equals stay in rendezvous order, which differs between requests.
+    scored.sort_by_key(|(cost, _)| *cost);
     let (best, _) = *scored.first()?;
     scored.truncate(scored.len().div_ceil(2).max(2));
     scored.retain(|(cost, _)| *cost <= best.saturating_add(HERD_BAND_MICROS));
--- a/components/side/src/lib.rs
+++ b/components/side/src/lib.rs
@@ -3,12 +3,16 @@
 //! One event loop owns the core; each request and each connection is a task around it.
 
 mod action;
+mod cache_log;
 mod claim_desk;
 mod clock;
 mod config_source;
 mod core;
+mod core_permits;
+mod core_pins;
 mod core_placement;
 mod core_requests;
+mod core_versions;
 mod driver;
 mod error;
 mod event;
@@ -17,6 +21,7 @@
 mod heartbeats;
 mod incoming;
 mod keyed_call;
+mod labels;
 mod operators;
 mod peers;
 mod permit_state;
