Plan placement in the first live entry

Cause: nobody ran the planner, so a model that must have a copy got one only once a request asked for it. Change: every second the first live entry plans from the targets' reports and the demand of all live entries, and sends suggestions to side processes.

--- a/components/entry/src/fleet.rs
+++ b/components/entry/src/fleet.rs
@@ -3,13 +3,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use base::{ProcessId, Timestamp, seeded_rng};
+use base::{ProcessId, ProcessName, Role, SortedMap, Timestamp, seeded_rng};
 use compact_str::CompactString;
 use config::EntrySettings;
 use membership::{Liveness, Membership};
 use rand_chacha::ChaCha8Rng;
 use routing::{
-    Backoff, Choice, Delays, ModelNeed, Pick, PlainNeed, RetryBudget, Router, SendId,
+    Backoff, Choice, Delays, ModelNeed, Pick, PlainNeed, RetryBudget, Router, SendId, TargetInfo,
     prefix_blocks, reach_of,
 };
 use wire::{GenerateRequest, Heartbeat, ModelDemand, SlotId};
@@ -26,6 +26,8 @@
     budget: RetryBudget,
     backoff: Backoff,
     demand: DemandMeter,
+    /// Demand that other entries reported last.
+    demand_elsewhere: SortedMap<ProcessName, Vec<ModelDemand>>,
     rng: ChaCha8Rng,
 }
 
@@ -42,6 +44,7 @@
             ),
             backoff: Backoff::default(),
             demand: DemandMeter::default(),
+            demand_elsewhere: SortedMap::new(),
             rng: seeded_rng(seed),
         }
     }
@@ -49,6 +52,19 @@
     /// Takes a heartbeat that the membership accepted.
     pub(crate) fn take_heartbeat(&mut self, heartbeat: &Heartbeat, heard_at: Timestamp) {
         self.router.take_heartbeat(heartbeat, heard_at);
+        if heartbeat.role == Role::Entry {
+            self.demand_elsewhere.insert(heartbeat.from.name.clone(), heartbeat.demand.clone());
+        }
+    }
+
+    /// Demand that another entry reported last.
+    pub(crate) fn demand_at(&self, entry: &ProcessName) -> &[ModelDemand] {
+        self.demand_elsewhere.get(entry).map_or(&[], Vec::as_slice)
+    }
+
+    /// Targets that were heard of.
+    pub(crate) fn targets(&self) -> impl Iterator<Item = TargetInfo<'_>> {
+        self.router.targets()
     }
 
     /// Demand for each model here.
@@ -197,7 +213,9 @@
     /// Forgets targets of processes that are no longer remembered.
     pub(crate) fn expire_targets(&self, membership: &Membership) {
         let now = self.clock.now();
-        self.fleet.borrow_mut().router.retain(|process| {
+        let mut fleet = self.fleet.borrow_mut();
+        fleet.demand_elsewhere.retain(|name, _| membership.member(name).is_some());
+        fleet.router.retain(|process| {
             membership.member(&process.name).is_some_and(|member| {
                 member.process == *process
                     && (membership.liveness(member, now) != Liveness::Silent
--- a/components/entry/src/handle.rs
+++ b/components/entry/src/handle.rs
@@ -9,6 +9,7 @@
 use changes::ConfigLog;
 use config::EntrySettings;
 use membership::{Authority, Membership, Myself};
+use placement::{Planner, PlannerSettings};
 use platform::{HttpLog, HttpLogOptions, HttpVmList, Log};
 use telemetry::Metrics;
 use tokio::net::TcpListener;
@@ -26,6 +27,7 @@
 use crate::log_reader::follow;
 use crate::operators::serve_operators;
 use crate::peer_server::accept_peers;
+use crate::planning::plan_placement;
 use crate::shutdown::drain;
 use crate::slots::{SlotFollower, Slots, plan_slots};
 use crate::stage::Stage;
@@ -144,6 +146,8 @@
     tasks.spawn_local(send_heartbeats(Rc::clone(&app)));
     tasks.spawn_local(watch_vm_list(Rc::clone(&app)));
     tasks.spawn_local(watch_authority(Rc::clone(&app)));
+    let planner = Planner::new(PlannerSettings::default());
+    tasks.spawn_local(plan_placement(Rc::clone(&app), planner));
     tasks.spawn_local(write_start_record(Rc::clone(&app)));
     let finished = tokio::task::spawn_local({
         let app = Rc::clone(&app);
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -25,6 +25,7 @@
 mod operators;
 mod outlet;
 mod peer_server;
+mod planning;
 mod request_id;
 mod reserve;
 mod respond;
--- a/components/entry/tests/common/fake_side.rs
+++ b/components/entry/tests/common/fake_side.rs
@@ -13,8 +13,8 @@
 use wire::{
     CopyState, FinishReason, FleetSecret, ForwardDown, ForwardHead, ForwardUp, FrameReceiver,
     FrameSender, GenerateEvent, GenerateFrame, GenerateRequest, Header, Heartbeat, Incoming,
-    LogView, ModelCopy, PeerCall, PeerIdentity, PeerPool, RefuseReason, TargetKind, TargetReport,
-    serve_connection,
+    LogView, ModelCopy, PeerCall, PeerIdentity, PeerPool, PeerReply, RefuseReason, SuggestOutcome,
+    Suggestion, TargetKind, TargetReport, serve_connection,
 };
 
 use super::SECRET;
@@ -55,6 +55,7 @@
     acts: Script,
     generations: Vec<GenerateRequest>,
     calls: Vec<(ForwardHead, Vec<u8>)>,
+    suggestions: Vec<(ProcessName, Suggestion)>,
     cancelled: u32,
     draining: bool,
 }
@@ -122,6 +123,10 @@
                         Incoming::Forward { head, body, sender, .. } => {
                             tokio::task::spawn_local(forward(state, head, body, sender));
                         }
+                        Incoming::Call { peer, call: PeerCall::Suggest(suggestion), responder } => {
+                            state.borrow_mut().suggestions.push((peer.process.name, suggestion));
+                            responder.reply(PeerReply::Suggest(SuggestOutcome::Accepted));
+                        }
                         Incoming::Call { .. } => {}
                     }
                 }
@@ -145,6 +150,11 @@
         self.state.borrow().calls.clone()
     }
 
+    /// Suggestions received, with the entry that made them.
+    pub fn suggestions(&self) -> Vec<(ProcessName, Suggestion)> {
+        self.state.borrow().suggestions.clone()
+    }
+
     /// Generations that were cancelled by the entry.
     pub fn cancelled(&self) -> u32 {
         self.state.borrow().cancelled
--- a/components/entry/tests/common/mod.rs
+++ b/components/entry/tests/common/mod.rs
@@ -69,6 +69,7 @@
     targets: [{{name: s1, data_centre: dc-a}}, {{name: s2, data_centre: dc-a}}]
 models:
   - {{name: m, version: v1, service: engines, memory_mb: 100, default_max_output_tokens: 8}}
+  - {{name: tribute, version: v1, service: engines, memory_mb: 100, residency: always}}
   - {{name: theirs, version: v1, service: engines, memory_mb: 100, customers: [stiwdio]}}
 adapters:
   - {{name: m-fish, model: m, memory_mb: 5}}
