--- a/components/entry/tests/common/fake_side.rs
+++ b/components/entry/tests/common/fake_side.rs
@@ -13,8 +13,8 @@
 use wire::{
     CopyState, FinishReason, FleetSecret, ForwardDown, ForwardHead, ForwardUp, FrameReceiver,
     FrameSender, GenerateEvent, GenerateFrame, GenerateRequest, Header, Heartbeat, Incoming,
-    LogView, ModelCopy, PeerCall, PeerIdentity, PeerPool, RefuseReason, TargetKind, TargetReport,
-    serve_connection,
+    LogView, ModelCopy, PeerCall, PeerIdentity, PeerPool, PeerReply, RefuseReason, SuggestOutcome,
+    Suggestion, TargetKind, TargetReport, serve_connection,
 };
 
 use super::SECRET;
@@ -46,6 +46,8 @@
     Hang,
     /// Sends the head of an answer and half of its body, then ends the stream (plain services).
     HalfBody,
+    /// The same without a length in the head.
+    HalfChunked,
 }
 
 #[derive(Default)]
@@ -53,6 +55,7 @@
     acts: Script,
     generations: Vec<GenerateRequest>,
     calls: Vec<(ForwardHead, Vec<u8>)>,
+    suggestions: Vec<(ProcessName, Suggestion)>,
     cancelled: u32,
     draining: bool,
 }
@@ -120,6 +123,10 @@
                         Incoming::Forward { head, body, sender, .. } => {
                             tokio::task::spawn_local(forward(state, head, body, sender));
                         }
+                        Incoming::Call { peer, call: PeerCall::Suggest(suggestion), responder } => {
+                            state.borrow_mut().suggestions.push((peer.process.name, suggestion));
+                            responder.reply(PeerReply::Suggest(SuggestOutcome::Accepted));
+                        }
                         Incoming::Call { .. } => {}
                     }
                 }
@@ -143,6 +150,11 @@
         self.state.borrow().calls.clone()
     }
 
+    /// Suggestions received, with the entry that made them.
+    pub fn suggestions(&self) -> Vec<(ProcessName, Suggestion)> {
+        self.state.borrow().suggestions.clone()
+    }
+
     /// Generations that were cancelled by the entry.
     pub fn cancelled(&self) -> u32 {
         self.state.borrow().cancelled
@@ -257,7 +269,7 @@
             frames = vec![event(GenerateFrame::Refused { reason, retry_after_ms: Some(1_500) })];
         }
         Act::Fail(ran) => frames.push(event(GenerateFrame::Failed { ran })),
-        Act::Reset | Act::HalfBody => return,
+        Act::Reset | Act::HalfBody | Act::HalfChunked => return,
         Act::Hang => {
             sender.closed().await;
             state.borrow_mut().cancelled += 1;
@@ -312,10 +324,13 @@
         }
     }
     let echoed = state.borrow().calls[at].1.clone();
-    let headers = vec![
+    let mut headers = vec![
         Header { name: "x-target".into(), value: b"yes".to_vec() },
         Header { name: "content-length".into(), value: echoed.len().to_string().into_bytes() },
     ];
+    if matches!(act, Act::HalfChunked) {
+        headers.truncate(1);
+    }
     let (request_id, attempt) = (head.request_id, head.attempt);
     let answer = ForwardDown::Head { request_id, attempt, status: 201, headers, replayed: false };
     let frames = match act {
@@ -325,7 +340,9 @@
             return;
         }
         Act::Fail(ran) => vec![ForwardDown::Failed { ran }],
-        Act::HalfBody => vec![answer, ForwardDown::Data(echoed[..echoed.len() / 2].to_vec())],
+        Act::HalfBody | Act::HalfChunked => {
+            vec![answer, ForwardDown::Data(echoed[..echoed.len() / 2].to_vec())]
+        }
         Act::Mixed => {
             let attempt = attempt + 1;
             vec![ForwardDown::Head {
