Tell a request that never left from one that may have run

Cause: a refused connection to a side process counted as "may have run" and was answered 502 upstream_failed; and a request that was ended from outside while it was being sent was reported as not run although it might have arrived. Change: without a connection the attempt counts as not sent, the member becomes suspect and the final answer is 503 no_capacity not_run; from the moment of sending on the request may have run until a refusal says otherwise.

--- a/components/entry/src/attempt.rs
+++ b/components/entry/src/attempt.rs
@@ -48,8 +48,8 @@
         let app = &self.job.app;
         let _sent = app.note_send(self.pick, self.job.tokens.0);
         let connected = async {
-            let client = app.pool.client(self.pick.address).await?;
-            client.generate(&self.job.request).await
+            let client = app.pool.client(self.pick.address).await.map_err(|_| Failure::NotSent)?;
+            client.generate(&self.job.request).await.map_err(|_| Failure::NoAnswer)
         };
         let deadline = sleep_until(app.clock.instant(self.job.deadline));
         let mut deadline = pin!(deadline);
@@ -57,15 +57,17 @@
         liveness.set_missed_tick_behavior(MissedTickBehavior::Delay);
         // Until a refusal says otherwise, the side process may have the request.
         let before = progress.may_have_run;
+        progress.may_have_run = true;
         let mut connected = pin!(connected);
         let mut frames = loop {
             tokio::select! {
                 result = &mut connected => match result {
                     Ok(frames) => break frames,
-                    Err(_) => {
+                    Err(failure) => {
                         app.pool.forget(self.pick.address);
-                        progress.may_have_run = true;
-                        return failed(Failure::NoAnswer);
+                        app.note_failure_at(self.pick.address);
+                        progress.may_have_run = before || failure != Failure::NotSent;
+                        return failed(failure);
                     }
                 },
                 reason = self.job.ticket.cancel.cancelled() => {
@@ -78,7 +80,6 @@
                 },
             }
         };
-        progress.may_have_run = true;
         loop {
             let event = tokio::select! {
                 event = frames.next() => event,
--- a/components/entry/src/forward_attempt.rs
+++ b/components/entry/src/forward_attempt.rs
@@ -56,6 +56,7 @@
         };
         let Ok((mut sender, receiver)) = opened else {
             app.pool.forget(pick.address);
+            app.note_failure_at(pick.address);
             return failed(Failure::NotSent);
         };
         let before = job.reached_target;
--- a/components/entry/src/generate_job.rs
+++ b/components/entry/src/generate_job.rs
@@ -119,10 +119,7 @@
         let mut last_error = None;
         loop {
             let Some(pick) = self.app.choose_engine(&self.request, &tried) else {
-                return Outcome::Failed(last_error.unwrap_or_else(|| {
-                    ApiError::new(ErrorCode::NoCapacity, "no target can take this request now")
-                        .with_retry_after_ms(NO_CAPACITY_RETRY_MS)
-                }));
+                return Outcome::Failed(last_error.unwrap_or_else(no_capacity));
             };
             self.prepare(outlet, progress);
             let attempt = Attempt { job: self, pick: &pick };
@@ -143,6 +140,7 @@
                 AttemptEnd::Failed { failure, retry_after_ms } => {
                     let error = match failure {
                         Failure::Refused(reason) => refusal_error(reason, retry_after_ms),
+                        Failure::NotSent => no_capacity(),
                         _ => ApiError::new(ErrorCode::UpstreamFailed, "the target did not answer"),
                     };
                     let verdict = retry_verdict(CallKind::Repeatable, failure);
@@ -232,6 +230,11 @@
     }
 }
 
+fn no_capacity() -> ApiError {
+    ApiError::new(ErrorCode::NoCapacity, "no target can take this request now")
+        .with_retry_after_ms(NO_CAPACITY_RETRY_MS)
+}
+
 /// Waits until something outside ends the job.
 async fn stopped(job: &GenerateJob, outlet: &mut Outlet) -> Stop {
     let deadline = pin!(sleep_until(job.app.clock.instant(job.deadline)));
--- a/components/entry/tests/common/fake_side.rs
+++ b/components/entry/tests/common/fake_side.rs
@@ -140,6 +140,14 @@
         &self.target
     }
 
+    /// A side process that sends heartbeats and accepts nothing.
+    pub async fn start_unreachable(target: &str, entries: Addresses) -> Self {
+        let side = Self::start(target, entries, Script::default()).await;
+        side.tasks[1].abort();
+        tokio::task::yield_now().await;
+        side
+    }
+
     /// Generations received.
     pub fn generations(&self) -> Vec<GenerateRequest> {
         self.state.borrow().generations.clone()
--- a/components/entry/tests/common/mod.rs
+++ b/components/entry/tests/common/mod.rs
@@ -210,6 +210,13 @@
         self.sides.push(side);
     }
 
+    /// Adds the side process of a target; it sends heartbeats and accepts nothing.
+    pub async fn add_unreachable_side(&mut self, target: &str) {
+        let side = FakeSide::start_unreachable(target, self.entries.clone()).await;
+        self.sides.push(side);
+        self.wait_until_ready().await;
+    }
+
     /// Puts a change on the log.
     pub fn publish(&mut self, change: Change) {
         self.published += 1;
--- a/components/entry/tests/generations.rs
+++ b/components/entry/tests/generations.rs
@@ -149,6 +149,21 @@
     }
 }
 
+/// Guards against a request that never left and is said to have run perhaps.
+#[test]
+fn a_target_that_accepts_nothing_has_not_run_the_request() {
+    run(async {
+        let mut site = Site::start(settings(), &[]).await;
+        site.add_unreachable_side("e1").await;
+        let answer = complete(&site, &completion("m", 8, true)).await;
+        assert_eq!(answer.summary(), "503 no_capacity not_run");
+        site.add_side("e2").await;
+        site.wait_until_ready().await;
+        let answer = complete(&site, &completion("m", 8, true)).await;
+        check_whole(&answer, true, Act::Answer);
+    });
+}
+
 /// Guards against a request that goes to a target without capacity to answer.
 #[test]
 fn without_a_target_the_refusal_comes_at_once() {
