Wait for a read of the engine after an unload that failed

Cause: after an unload that the engine refused as failed, the ledger took the item for resident again at once. If the engine had restarted and held no copy, the next unload could be ordered in the same moment; the answer to each made the read before it stale, so that no read was ever taken and the orders went on without end.

Change: such an item is in doubt until a read, as after a repeated order.

Run: cargo test -p placement: before, failed_unload_waits_for_a_read fails ("no read came between"); after, 12 tests pass. cargo test -p side passes.

--- a/components/placement/src/ledger.rs
+++ b/components/placement/src/ledger.rs
@@ -315,10 +315,12 @@
                 }
                 self.remove(&item, now);
             }
-            // An order that was refused once may have been carried out by an earlier copy.
+            // An order that was refused once may have been carried out by an earlier copy. A failure
+            // may mean that the engine restarted and has no copy; without a read before the next
+            // order, orders that fail at once would follow each other and no read would count.
             (OrderKind::Unload, _) => {
                 if let Some(holding) = self.holdings.get_mut(&item) {
-                    let certain = outstanding.sends == 1;
+                    let certain = outstanding.sends == 1 && result != OrderResult::Failed;
                     holding.state =
                         if certain { HoldingState::Resident } else { HoldingState::Doubtful };
                     holding.doubt_until = holding.doubt_until.max(doubt_until);
--- a/components/placement/tests/ledger.rs
+++ b/components/placement/tests/ledger.rs
@@ -539,3 +539,26 @@
 fn check_catches_a_start_without_quarantine() {
     assert!(caught::<Trusting<false, true>>());
 }
+
+/// Guards against an endless row of unload orders to an engine that has lost its copies: each answer made
+/// the read before it stale, so that no read was ever taken.
+#[test]
+fn failed_unload_waits_for_a_read() {
+    let at = Timestamp::from_millis;
+    let mut ledger = Ledger::new(SETTINGS, at(0));
+    Books::fence(&mut ledger, Offset(1));
+    let empty = EngineState { capacity_mb: CAPACITY_MB, ..EngineState::default() };
+    let model = EngineCopy {
+        model: item(0).name().clone(),
+        version: "1".into(),
+        state: EngineCopyState::Resident,
+    };
+    let full = EngineState { used_mb: SIZES_MB[0], models: vec![model], ..empty.clone() };
+    Books::observe(&mut ledger, &full, at(101), at(102));
+    Books::observe(&mut ledger, &full, at(103), at(104));
+    let order = ledger.begin_unload(&item(0), at(110)).unwrap();
+    assert!(ledger.answered(order.id, OrderResult::Failed, at(111)));
+    assert!(ledger.begin_unload(&item(0), at(112)).is_err(), "no read came between");
+    Books::observe(&mut ledger, &empty, at(112), at(113));
+    assert_eq!(Books::used_mb(&ledger), 0);
+}
