Add the fault matrix with calls that run once and orders to engines

Change: test-only crate `faults`. A run without faults gives the steps of a protocol; then each fault is applied at each step, and each pair of faults. The world checks its invariants after every message and must reach its end once the faults are over.

--- /dev/null
+++ b/components/faults/tests/matrix/main.rs
@@ -0,0 +1,6 @@
+//! Every fault at every step of every protocol, with exact invariants.
+#![allow(clippy::unwrap_used, reason = "a missing value fails the test")]
+
+mod once_call;
+mod orders;
+mod support;
