Add the unload with a pin to the fault matrix

Cause: the matrix had no unload between side processes.

Change: side processes with two and three copies of one model, each with its engine, all of which want to unload.

An unload without a pin is caught.

--- a/components/faults/src/lib.rs
+++ b/components/faults/src/lib.rs
@@ -11,6 +11,6 @@
 mod protocol;
 
 pub use fault::{Fault, Injection, Step};
-pub use matrix::{Matrix, enumerate};
+pub use matrix::{Matrix, cells, enumerate, enumerate_some};
 pub use network::{Network, Timing};
 pub use protocol::{Outcome, Protocol, run};
--- a/components/faults/src/matrix.rs
+++ b/components/faults/src/matrix.rs
@@ -13,6 +13,8 @@
     pub faults: Vec<Fault>,
     /// Single faults that struck, with the violation if any.
     pub singles: Vec<(Injection, Result<(), String>)>,
+    /// Pairs of faults that there are.
+    pub pairs: usize,
     /// Pairs of faults that were run.
     pub pairs_run: usize,
     /// Pairs of which both struck; after the first, the step of the second may not come.
@@ -24,25 +26,17 @@
 /// Runs a protocol with each fault at each step, and with each pair of them whose second step does not
 /// come before the first. `repeats` is how many messages of one kind count as steps of their own.
 pub fn enumerate<P: Protocol>(make: impl Fn() -> P, repeats: u32) -> Matrix {
+    enumerate_some(make, repeats, 1)
+}
+
+/// As [`enumerate`], with one in `stride` pairs, for protocols whose runs take long.
+pub fn enumerate_some<P: Protocol>(make: impl Fn() -> P, repeats: u32, stride: usize) -> Matrix {
     let clean = run(make(), &[]);
     assert!(clean.result.is_ok(), "without a fault: {:?}", clean.result);
     let steps: Vec<Step> = clean.steps.into_iter().filter(|step| step.nth < repeats).collect();
     let protocol = make();
-    let (log, regions) = (protocol.log().is_some(), protocol.regions());
-    let cuttable = regions.iter().any(|region| *region != regions[0]);
-    let faults: Vec<Fault> = Fault::ALL
-        .into_iter()
-        .filter(|fault| match fault {
-            Fault::LogDown | Fault::LogAnswerLost => log,
-            Fault::RegionCut => cuttable,
-            _ => true,
-        })
-        .collect();
-    let injections: Vec<Injection> = steps
-        .iter()
-        .flat_map(|step| faults.iter().map(|fault| Injection { step: *step, fault: *fault }))
-        .filter(|cell| protocol.applies(cell.step.kind, cell.fault))
-        .collect();
+    let faults = faults_of(&protocol);
+    let injections = cells(&protocol, &steps);
     let mut matrix = Matrix { steps, faults, ..Matrix::default() };
     for injection in &injections {
         let outcome = run(make(), &[*injection]);
@@ -51,6 +45,10 @@
     }
     for (at, first) in injections.iter().enumerate() {
         for second in &injections[at + 1..] {
+            matrix.pairs += 1;
+            if !matrix.pairs.is_multiple_of(stride) {
+                continue;
+            }
             let outcome = run(make(), &[*first, *second]);
             matrix.pairs_run += 1;
             matrix.pairs_met += usize::from(outcome.met.iter().all(|met| *met));
@@ -62,6 +60,30 @@
     matrix
 }
 
+/// Faults that can strike a protocol.
+fn faults_of<P: Protocol>(protocol: &P) -> Vec<Fault> {
+    let (log, regions) = (protocol.log().is_some(), protocol.regions());
+    let cuttable = regions.iter().any(|region| *region != regions[0]);
+    Fault::ALL
+        .into_iter()
+        .filter(|fault| match fault {
+            Fault::LogDown | Fault::LogAnswerLost => log,
+            Fault::RegionCut => cuttable,
+            _ => true,
+        })
+        .collect()
+}
+
+/// Each fault that can strike a protocol at each of the steps.
+pub fn cells<P: Protocol>(protocol: &P, steps: &[Step]) -> Vec<Injection> {
+    let faults = faults_of(protocol);
+    steps
+        .iter()
+        .flat_map(|step| faults.iter().map(|fault| Injection { step: *step, fault: *fault }))
+        .filter(|cell| protocol.applies(cell.step.kind, cell.fault))
+        .collect()
+}
+
 impl Matrix {
     /// The table of single faults and a line on pairs, as Markdown.
     pub fn table(&self) -> String {
@@ -87,10 +109,11 @@
         }
         let _ = writeln!(
             text,
-            "\n{} single cells, {} red; {} pairs run, {} with both faults met, {} red.",
+            "\n{} single cells, {} red; {} of {} pairs run, {} with both faults met, {} red.",
             self.singles.len(),
             self.singles.iter().filter(|(_, result)| result.is_err()).count(),
             self.pairs_run,
+            self.pairs,
             self.pairs_met,
             self.pair_failures.len()
         );
--- a/components/faults/src/network.rs
+++ b/components/faults/src/network.rs
@@ -6,6 +6,9 @@
 
 use crate::{Fault, Injection, Step};
 
+/// Most messages of one kind that are steps of their own.
+const MAX_REPEATS: u32 = 8;
+
 /// Times of a run.
 #[derive(Clone, Copy, Debug)]
 pub struct Timing {
@@ -60,6 +63,8 @@
     plan: Vec<Injection>,
     pub(crate) met: Vec<bool>,
     pub(crate) steps: Vec<Step>,
+    /// Last step of each kind.
+    counts: Vec<Step>,
     /// End of the time in which a process is dead or, for the log, down without an answer.
     pub(crate) dead_until: Vec<Option<Timestamp>>,
     paused_until: Vec<Timestamp>,
@@ -88,6 +93,7 @@
             plan: plan.to_vec(),
             met: vec![false; plan.len()],
             steps: Vec::new(),
+            counts: Vec::new(),
             dead_until: vec![None; nodes],
             paused_until: vec![Timestamp::default(); nodes],
             log_down_until: Timestamp::default(),
@@ -140,9 +146,7 @@
         if self.deaths.contains(&from) || self.is_dead(from) || self.mute_to == Some(to) {
             return;
         }
-        let nth = self.steps.iter().filter(|step| step.kind == kind).count();
-        let step = Step { kind, nth: u32::try_from(nth).unwrap_or(u32::MAX) };
-        self.steps.push(step);
+        let step = self.next_step(kind);
         if self.log == Some(from) && kind.starts_with("stored") && self.lose_append_answer {
             self.lose_append_answer = false;
             return;
@@ -199,6 +203,24 @@
         }
     }
 
+    fn next_step(&mut self, kind: &'static str) -> Step {
+        let step = match self.counts.iter_mut().find(|step| step.kind == kind) {
+            Some(last) => {
+                last.nth += 1;
+                *last
+            }
+            None => {
+                let first = Step { kind, nth: 0 };
+                self.counts.push(first);
+                first
+            }
+        };
+        if step.nth < MAX_REPEATS {
+            self.steps.push(step);
+        }
+        step
+    }
+
     /// Takes the earliest message that is due.
     pub(crate) fn next(&mut self) -> Next<M> {
         loop {
--- a/components/faults/tests/matrix/main.rs
+++ b/components/faults/tests/matrix/main.rs
@@ -3,4 +3,7 @@
 
 mod once_call;
 mod orders;
+mod pins;
+mod slots;
 mod support;
+mod windows;
