Answer outcome_unknown to a refusal after an attempt without an answer

Cause: a call with an idempotency key goes to another side process when the first does not answer. If that one refused (claim not settled, log down, no time left) or could not be reached, the caller got a 503 with the field `unknown`; with code claim_unsettled its text says to use a new key, under which a payment that the first attempt made is made again. Design 4.6: past the point of no return 409 outcome_unknown, never a 5xx that invites a retry.

Change: once an earlier attempt may have reached a target, such refusals of a call that must not be repeated end as outcome_unknown. A mismatch stays 422.

--- a/components/entry/src/forward_job.rs
+++ b/components/entry/src/forward_job.rs
@@ -12,7 +12,7 @@
 use telemetry::{Class, quote};
 use tokio::sync::oneshot;
 use tokio::time::{sleep, sleep_until};
-use wire::ForwardHead;
+use wire::{ForwardHead, RefuseReason};
 
 use crate::app::App;
 use crate::connection::Closer;
@@ -195,7 +195,24 @@
                 .with_ran(self.ran())
                 .with_retry_after_ms(NO_CAPACITY_RETRY_MS)
         };
+        let unknown = || {
+            ApiError::new(ErrorCode::OutcomeUnknown, "the call may have run; its answer is lost")
+        };
         match (failure, verdict) {
+            // An earlier attempt may have run it. A 503 would invite a retry, and `claim_unsettled`
+            // would ask for a new key, under which the call would run again.
+            (Failure::Refused(reason), _)
+                if self.reached_target
+                    && !self.head.repeatable
+                    && reason != RefuseReason::IdempotencyMismatch =>
+            {
+                unknown()
+            }
+            (Failure::NotSent | Failure::Failed(RanState::NotRun), _)
+                if self.reached_target && !self.head.repeatable =>
+            {
+                unknown()
+            }
             (Failure::Refused(reason), _) => {
                 refusal_error(reason, retry_after_ms).with_ran(self.ran())
             }
@@ -208,10 +225,7 @@
                 ApiError::new(ErrorCode::UpstreamFailed, "the target did not answer")
                     .with_ran(self.ran())
             }
-            _ => ApiError::new(
-                ErrorCode::OutcomeUnknown,
-                "the call may have run; its answer is lost",
-            ),
+            _ => unknown(),
         }
     }
 }
--- a/components/entry/tests/forwarding.rs
+++ b/components/entry/tests/forwarding.rs
@@ -134,6 +134,26 @@
     }
 }
 
+/// Guards against advice that leads to a second run: after an attempt without an answer, a refusal by the
+/// next side process does not mean that the call did not run, and a new key would run it again.
+#[test]
+fn a_refusal_after_an_attempt_without_an_answer_leaves_the_outcome_unknown() {
+    let reasons = [
+        RefuseReason::ClaimUnsettled,
+        RefuseReason::LogUnavailable,
+        RefuseReason::DeadlineTooShort,
+    ];
+    for reason in reasons {
+        run(async {
+            let site = site().await;
+            site.script(&[Act::Reset, Act::Refuse(reason)]);
+            let answer = pay(&site, Some("order-8")).await;
+            assert_eq!(answer.summary(), "409 outcome_unknown unknown", "{reason:?}");
+            assert_eq!(calls(&site).len(), 2, "{reason:?}");
+        });
+    }
+}
+
 const fn act_refuses(act: Act) -> bool {
     matches!(act, Act::Refuse(_))
 }
