Add the drain of a target to the fault matrix

Cause: I10 was tested in process tests without faults at each step.

Change: two entries, the side process of a target that stops, and the VM list, with the real membership.

--- a/components/faults/tests/matrix/main.rs
+++ b/components/faults/tests/matrix/main.rs
@@ -2,6 +2,7 @@
 #![allow(clippy::unwrap_used, reason = "a missing value fails the test")]
 
 mod configuration;
+mod drain;
 mod once_call;
 mod orders;
 mod pins;
