--- a/components/faults/tests/matrix/drain.rs
+++ b/components/faults/tests/matrix/drain.rs
@@ -51,9 +51,18 @@
     Unknown,
 }
 
-struct World {
-    /// Naive: entries go by silence alone and ignore announcements.
+#[derive(Clone, Copy, Default)]
+struct Naive {
+    /// Entries go by silence alone.
     ignores_announcements: bool,
+    /// The side process exits at once when it is told to stop.
+    exits_at_once: bool,
+    /// The side process refuses a request after it has begun it.
+    refuses_late: bool,
+}
+
+struct World {
+    naive: Naive,
     nodes: Vec<Node>,
     draining: bool,
     announced_at: Option<Timestamp>,
@@ -88,10 +97,10 @@
 }
 
 impl World {
-    fn new(ignores_announcements: bool) -> Self {
+    fn new(naive: Naive) -> Self {
         let now = Timestamp::from_millis(1);
         Self {
-            ignores_announcements,
+            naive,
             nodes: (0..3).map(|node| start(node, 1, now)).collect(),
             draining: false,
             announced_at: None,
@@ -136,7 +145,7 @@
     /// Whether an entry would send new work to the side process.
     fn sends_to_side(&self, entry: usize) -> bool {
         let membership = &self.nodes[entry].membership;
-        if self.ignores_announcements {
+        if self.naive.ignores_announcements {
             let live = |m| membership.liveness(m, self.now) != Liveness::Silent;
             return membership.member(&process(NAMES[SIDE], 1).name).is_some_and(live);
         }
@@ -156,7 +165,8 @@
         }
         // Exits once nothing is in flight and the announcement had time to arrive.
         let told = self.announced_at.is_some_and(|at| now.since(at) >= NO_WORK_AFTER);
-        if self.draining && self.in_flight.is_empty() && told {
+        let ready = self.in_flight.is_empty() && told;
+        if self.draining && (ready || self.naive.exits_at_once) {
             self.exited = true;
         }
     }
@@ -230,6 +240,9 @@
                     return;
                 }
                 if self.draining {
+                    if self.naive.refuses_late {
+                        self.started.push(id);
+                    }
                     network.send(SIDE, from, "refused", Message::Refused { id });
                     return;
                 }
@@ -325,12 +338,27 @@
 /// Guards against new work for a target that is leaving, and against a stop that cuts requests.
 #[test]
 fn a_leaving_target_gets_no_work_under_every_fault() {
-    let matrix = enumerate_some(|| World::new(false), 1, 6);
+    let matrix = enumerate_some(|| World::new(Naive::default()), 1, 6);
     report("Drain of a target", &matrix, 88, 634);
 }
 
 /// Guards against a check of I10 that cannot fail.
 #[test]
 fn check_catches_entries_that_ignore_announcements() {
-    red_run("announcement ignored", || World::new(true), "I10");
+    let naive = Naive { ignores_announcements: true, ..Naive::default() };
+    red_run("announcement ignored", || World::new(naive), "I10");
+}
+
+/// Guards against a check of I11 that cannot fail.
+#[test]
+fn check_catches_an_exit_with_requests_in_flight() {
+    let naive = Naive { exits_at_once: true, ..Naive::default() };
+    red_run("exit at once", || World::new(naive), "I11");
+}
+
+/// Guards against a check of I8 that cannot fail.
+#[test]
+fn check_catches_a_refusal_of_what_was_begun() {
+    let naive = Naive { refuses_late: true, ..Naive::default() };
+    red_run("refusal of what was begun", || World::new(naive), "I8");
 }
