--- a/components/faults/tests/matrix/orders.rs
+++ b/components/faults/tests/matrix/orders.rs
@@ -87,6 +87,8 @@
     quarantine: bool,
     /// An order counts until it is proven undone.
     keeps_doubt: bool,
+    /// Time to restart, and length of a pause or an outage.
+    outage: Duration,
 }
 
 struct World {
@@ -178,7 +180,7 @@
             tick: Duration::from_millis(1),
             latency: Duration::from_millis(1),
             delay: Duration::from_millis(45),
-            outage: Duration::from_millis(30),
+            outage: self.rules.outage,
             horizon: Duration::from_secs(3),
         }
     }
@@ -361,7 +363,13 @@
     fresh
 }
 
-const RULES: Rules = Rules { honours_fencing: false, quarantine: true, keeps_doubt: true };
+/// Shorter than a late order is on its way.
+const SHORT: Duration = Duration::from_millis(30);
+/// Longer than any order may be on its way.
+const LONG: Duration = Duration::from_millis(250);
+
+const RULES: Rules =
+    Rules { honours_fencing: false, quarantine: true, keeps_doubt: true, outage: SHORT };
 
 /// Guards against memory given twice, with an engine that ignores fencing numbers.
 #[test]
@@ -370,6 +378,14 @@
     report("Order to an engine that ignores fencing numbers", &matrix, 169, 14_144);
 }
 
+/// Guards against memory given twice after a pause past the lifetime of an order.
+#[test]
+fn memory_is_never_overcommitted_after_long_pauses() {
+    let rules = Rules { outage: LONG, ..RULES };
+    let matrix = enumerate(|| World::new(rules), 1);
+    report("Order to an engine, pauses past the lifetime of an order", &matrix, 117, 6_747);
+}
+
 /// Guards against memory given twice, with an engine that honours fencing numbers.
 #[test]
 fn memory_is_never_overcommitted_at_an_engine_that_fences() {
