--- a/components/membership/src/membership.rs
+++ b/components/membership/src/membership.rs
@@ -135,6 +135,7 @@
             heard_at,
             contact_failed: false,
             vm: vm_name,
+            absent_since: None,
         };
         let former = self.members.insert(from.name.clone(), member).map(|m| m.process);
         self.count_entries();
@@ -171,6 +172,23 @@
                 member.leaving |= vm.leaving;
                 member.vm.get_or_insert_with(|| vm.name.clone());
             }
+            member.absent_since = member.vm.as_deref().and_then(|vm| self.listing.absent_since(vm));
+        }
+        self.probe_absent(now);
+    }
+
+    /// Asks entries that left the list whether they are alive, at each heartbeat: in a large fleet
+    /// their turn would come too late for their slots to be taken over soon.
+    fn probe_absent(&mut self, now: Timestamp) {
+        let absent: Vec<SocketAddr> = self
+            .members
+            .values()
+            .filter(|m| m.role == Role::Entry && m.absent_since.is_some())
+            .filter(|m| self.liveness(m, now) != Liveness::Silent)
+            .map(|m| m.address)
+            .collect();
+        if self.me.role == Role::Entry {
+            self.schedule.urge(&absent, now);
         }
     }
 
@@ -209,6 +227,7 @@
         if silence >= after(self.settings.silent_after_ms, SILENT_CONTACTS) {
             Liveness::Silent
         } else if member.contact_failed
+            || member.absent_since.is_some_and(|absent| member.heard_at < absent)
             || silence >= after(self.settings.suspect_after_ms, SUSPECT_CONTACTS)
         {
             Liveness::Suspect
@@ -252,7 +271,14 @@
             return Some(DeathProof::NewerIncarnation(*newest));
         }
         let member = self.members.get(&process.name).filter(|m| m.process == *process)?;
-        if self.liveness(member, now) != Liveness::Silent {
+        // An entry asks another that left the list at each heartbeat, in a large fleet too.
+        let asked = self.me.role == Role::Entry && member.role == Role::Entry;
+        let silent_after = Duration::from_millis(self.settings.silent_after_ms);
+        let no_answer = asked
+            && member
+                .absent_since
+                .is_some_and(|absent| now.since(member.heard_at.max(absent)) >= silent_after);
+        if !no_answer && self.liveness(member, now) != Liveness::Silent {
             return None;
         }
         // The peer address is bound exclusively: another process heard there later means that this
@@ -272,7 +298,7 @@
         let list_asked_at = self.listing.asked_at()?;
         let listed = self.listing.listed().filter(|vm| vm.role == Role::Entry).map(|vm| vm.address);
         let heard = self.members.values().filter(|m| {
-            let left = m.vm.as_deref().and_then(|vm| self.listing.absent_since(vm));
+            let left = m.absent_since;
             m.role == Role::Entry
                 && left.is_none_or(|left| m.heard_at >= left)
                 && self.proof_of_death(&m.process, now).is_none()
@@ -336,7 +362,11 @@
         let in_region = |region: &str| self.entries_in.get(region).copied().unwrap_or(0);
         let peers = match (self.me.role, member.role) {
             (Role::Entry, Role::Entry) => self.entries_in.values().sum(),
-            (Role::Entry, Role::Side) => in_region(&member.region) + 1,
+            (Role::Entry, Role::Side) => match in_region(&member.region) {
+                // It has no entry in its region, or this one.
+                0 => self.entries_in.values().sum::<usize>() + 1,
+                entries => entries + 1,
+            },
             (Role::Side, _) => in_region(&self.me.region),
         };
         contact_interval(peers, &self.settings)
--- a/components/side/src/incoming.rs
+++ b/components/side/src/incoming.rs
@@ -5,6 +5,7 @@
 
 use base::{RanState, Role};
 use queue::Ticket;
+use telemetry::Class;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 use wire::{
@@ -16,6 +17,7 @@
 use crate::forward::Forward;
 use crate::generation::Generation;
 use crate::keyed_call::KeyedCall;
+use crate::labels::refuse_label;
 use crate::process::Shared;
 use crate::request_task::{Decision, QueuePlace};
 
@@ -30,6 +32,10 @@
     }
 
     fn answer(&self, peer: &PeerIdentity, call: PeerCall) -> PeerReply {
+        if self.core.borrow().peers.superseded(&peer.process) {
+            log::warn!("event=call_refused peer={} reason=superseded", peer.process);
+            return PeerReply::Unsupported;
+        }
         match call {
             PeerCall::Heartbeat(heartbeat) => {
                 if heartbeat.from != peer.process {
@@ -43,6 +49,9 @@
                 let (source, now) = (self.source.get(), self.clock.now());
                 PeerReply::Status(Box::new(self.core.borrow().status(&source, now)))
             }
+            PeerCall::CacheEvents { after } => {
+                PeerReply::CacheEvents(self.core.borrow().cache.update_after(after))
+            }
             PeerCall::Suggest(suggestion) => {
                 PeerReply::Suggest(self.with_core(|core, now| core.suggest(&suggestion, now)))
             }
@@ -68,11 +77,14 @@
 
     fn generate(&self, request: GenerateRequest, sender: FrameSender<GenerateEvent>) {
         let deadline = Instant::now() + Duration::from_millis(u64::from(request.deadline_ms));
+        self.metrics.record_request(&request.customer, Class::Streamed);
         let generation = Generation {
             engine: self.engine.clone(),
             handover: self.handover.subscribe(),
             deadline,
             incarnation: self.identity.process.incarnation.0,
+            probe_now: self.probe_now.clone(),
+            metrics: self.metrics.clone(),
             sender,
             request,
         };
@@ -82,6 +94,7 @@
                 self.tasks.borrow_mut().spawn_local(generation.run(place));
             }
             Err(refusal) => {
+                self.metrics.record_refusal(refuse_label(refusal.reason));
                 let last = GenerateFrame::Refused {
                     reason: refusal.reason,
                     retry_after_ms: refusal.retry_after_ms,
@@ -98,6 +111,7 @@
         sender: FrameSender<ForwardDown>,
     ) {
         let deadline = Instant::now() + Duration::from_millis(u64::from(head.deadline_ms));
+        self.metrics.record_request(head.customer.as_deref().unwrap_or_default(), Class::Plain);
         let target = self.settings.target_address;
         let call = Forward { head, body, sender, target, deadline };
         if !call.head.repeatable
@@ -121,6 +135,7 @@
             }
             Err(refusal) => {
                 self.seen.borrow_mut().forget(call.head.request_id);
+                self.metrics.record_refusal(refuse_label(refusal.reason));
                 let last = ForwardDown::Refused {
                     reason: refusal.reason,
                     retry_after_ms: refusal.retry_after_ms,
@@ -160,6 +175,7 @@
     /// Takes an event of the tasks.
     pub fn take_event(&self, event: Event) {
         match event {
+            Event::CacheRead(answer) => self.core.borrow_mut().cache.take(&answer),
             Event::Cancelled(ticket) => {
                 self.decisions.borrow_mut().remove(&ticket);
                 self.with_core(|core, now| core.cancelled(ticket, now));
@@ -178,8 +194,7 @@
             }),
             Event::HeartbeatAnswered(heartbeat) => self.heard(&heartbeat),
             Event::LoadRead(sample) => {
-                let age = Duration::from_millis(u64::from(sample.sample_age_ms));
-                self.sampled_at.set(self.clock.now() - age);
+                self.core.borrow_mut().engine_waiting_tokens = sample.waiting_tokens;
             }
             Event::OrderAnswered(id, Ok(result)) => {
                 self.with_core(|core, now| core.order_answered(id, convert(result), now));
@@ -194,12 +209,12 @@
             Event::PinAnswered { giver, model, ask, answer } => {
                 self.with_core(|core, now| core.pin_answered(giver, &model, ask, answer, now));
             }
-            Event::Probed(true) => self.with_core(|core, now| {
-                core.healthy = true;
+            Event::Probed(Ok(())) => self.with_core(|core, now| {
+                core.probe_answered();
                 core.drive(now);
             }),
-            Event::Probed(false) | Event::StateRead(_, None) => {
-                self.with_core(|core, now| core.probe_failed(now));
+            Event::Probed(Err(failure)) | Event::StateRead(_, Err(failure)) => {
+                self.with_core(|core, now| core.probe_failed(failure, now));
             }
             Event::Settled(ticket, used) => {
                 self.with_core(|core, now| core.settled(ticket, used, now));
@@ -209,7 +224,7 @@
                 core.ledger.quarantine_mut().set_fencing(offset);
                 core.drive(now);
             }),
-            Event::StateRead(asked_at, Some(state)) => {
+            Event::StateRead(asked_at, Ok(state)) => {
                 self.with_core(|core, now| core.state_read(&state, asked_at, now));
             }
             Event::UnpinAnswered { giver, model, ask } => {
