Keep a process suspect whose calls fail, and a lone entry without outage evidence

Change: a failed call counts until a later call is answered or for silent_after_ms; a lone entry needs the log's own word. Conclusion: the budget of retries is left for targets that can answer.

--- a/components/entry/src/heartbeats.rs
+++ b/components/entry/src/heartbeats.rs
@@ -115,10 +115,11 @@
 impl App {
     /// Notes that the process at an address could not be reached.
     pub(crate) fn note_failure_at(&self, address: SocketAddr) {
+        let now = self.clock.now();
         let mut membership = self.membership.borrow_mut();
         let process = membership.members().find(|m| m.address == address).map(|m| &m.process);
         if let Some(process) = process.cloned() {
-            membership.note_failure(&process);
+            membership.note_failure(&process, now);
         }
     }
 }
--- a/components/membership/src/authority.rs
+++ b/components/membership/src/authority.rs
@@ -163,10 +163,14 @@
         self.peers.values().any(|peer| peer.config_offset > config_offset)
     }
 
-    /// Oldest time at which an entry said that it does not reach the log, if all of them say so.
+    /// Oldest time at which an entry said that it does not reach the log, if there are others and all of
+    /// them say so.
+    ///
+    /// A lone entry has no evidence: it can't tell an outage of the log from being cut off.
     fn nobody_reads(&self, electorate: &Electorate, now: Timestamp) -> Option<Timestamp> {
         let recent = |at: Timestamp| now.since(at) < self.limit;
-        if now.since(electorate.list_asked_at) >= self.list_max_age
+        if electorate.entries.is_empty()
+            || now.since(electorate.list_asked_at) >= self.list_max_age
             || self.end_read_at.is_some_and(recent)
         {
             return None;
--- a/components/membership/src/member.rs
+++ b/components/membership/src/member.rs
@@ -37,8 +37,8 @@
     pub leaving: bool,
     /// When it was last heard; for a reply, the time before the call.
     pub heard_at: Timestamp,
-    /// A connection or a call to it failed since it was heard.
-    pub contact_failed: bool,
+    /// When a connection or a call to it last failed, unless it has answered a call since.
+    pub contact_failed_at: Option<Timestamp>,
     /// VM that it runs on, by the list.
     pub(crate) vm: Option<CompactString>,
     /// When that VM was first missing from the list, if it is.
--- a/components/membership/src/membership.rs
+++ b/components/membership/src/membership.rs
@@ -94,7 +94,14 @@
     /// Takes a heartbeat that came as the reply to a call made at `asked_at`.
     pub fn heard_reply(&mut self, heartbeat: &Heartbeat, asked_at: Timestamp) -> Heard {
         self.schedule.answered(heartbeat.address);
-        self.take(heartbeat, asked_at)
+        let heard = self.take(heartbeat, asked_at);
+        if heard != Heard::Refused
+            && let Some(member) = self.members.get_mut(&heartbeat.from.name)
+            && member.contact_failed_at.is_some_and(|failed| failed <= asked_at)
+        {
+            member.contact_failed_at = None;
+        }
+        heard
     }
 
     fn take(&mut self, heartbeat: &Heartbeat, heard_at: Timestamp) -> Heard {
@@ -116,7 +123,6 @@
             member.leaving |= leaving;
             if heard_at >= member.heard_at {
                 member.heard_at = heard_at;
-                member.contact_failed = false;
             }
             if member.vm.is_none() {
                 member.vm = vm_name;
@@ -133,7 +139,7 @@
             draining: heartbeat.draining,
             leaving,
             heard_at,
-            contact_failed: false,
+            contact_failed_at: None,
             vm: vm_name,
             absent_since: None,
         };
@@ -192,12 +198,15 @@
         }
     }
 
-    /// A connection or a call to the process failed: it is suspect until it is heard again.
-    pub fn note_failure(&mut self, process: &ProcessId) {
+    /// A connection or a call to the process failed: it is suspect until it answers a later call, or for
+    /// as long as silence would count.
+    ///
+    /// Its own heartbeats don't clear this: they only show that the other direction works.
+    pub fn note_failure(&mut self, process: &ProcessId, now: Timestamp) {
         if let Some(member) = self.members.get_mut(&process.name)
             && member.process == *process
         {
-            member.contact_failed = true;
+            member.contact_failed_at = Some(now);
         }
     }
 
@@ -224,9 +233,10 @@
         let after = |setting_ms: u64, contacts: u32| {
             Duration::from_millis(setting_ms).max(interval.saturating_mul(contacts))
         };
+        let failure_counts = Duration::from_millis(self.settings.silent_after_ms);
         if silence >= after(self.settings.silent_after_ms, SILENT_CONTACTS) {
             Liveness::Silent
-        } else if member.contact_failed
+        } else if member.contact_failed_at.is_some_and(|at| now.since(at) < failure_counts)
             || member.absent_since.is_some_and(|absent| member.heard_at < absent)
             || silence >= after(self.settings.suspect_after_ms, SUSPECT_CONTACTS)
         {
