--- a/components/faults/tests/matrix/slots.rs
+++ b/components/faults/tests/matrix/slots.rs
@@ -260,6 +260,7 @@
             validity: Duration::from_secs(2),
             call_timeout: Duration::from_millis(500),
             max_wait: Duration::ZERO,
+            local_plenty: false,
             seed: number,
         };
         let (collection, actions) = Collection::start(collect, self.now);
