--- a/src/cmd/measure.rs
+++ b/src/cmd/measure.rs
@@ -16,6 +16,7 @@
 Measure the policy beside baselines and a bound, on both deployments.
 
 Usage: plantainbeam measure [options]
+       plantainbeam measure --load --help
 
 Options:
       --json             JSON instead of a table
@@ -39,7 +40,14 @@
 }
 
 /// Runs the command.
-pub fn run_command(parser: lexopt::Parser) -> ExitCode {
+pub fn run_command(mut parser: lexopt::Parser) -> ExitCode {
+    // `--load` has options of its own, so it comes first.
+    if parser.try_raw_args().and_then(|rest| rest.peek().map(|first| first == "--load"))
+        == Some(true)
+    {
+        let _load = parser.next();
+        return crate::cmd::measure_load::run(parser);
+    }
     match parse(parser) {
         Ok(Some(options)) => measure_all(&options),
         Ok(None) => {
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -5,6 +5,7 @@
 pub mod entry;
 mod files;
 pub mod measure;
+pub mod measure_load;
 pub mod publish;
 mod publish_session;
 pub mod side;
