Bound the heartbeats of a side process in large fleets

Cause: a side process told 16 entry processes every 250 ms whatever their number: 64 heartbeats of 375 bytes (15 copies) a second are 24 KB/s, above the 15 KB/s for control. Change: membership and side use one rule for rounds: all peers at each heartbeat up to 16 peers, else 8 peers a second. Conclusion: both kinds of process have a fixed cost; an entry of 380 hears a side every 48 s, which docs/CAPACITY.md names as the price.

--- a/components/membership/src/lib.rs
+++ b/components/membership/src/lib.rs
@@ -15,5 +15,5 @@
 pub use death_proof::DeathProof;
 pub use member::{Liveness, Member};
 pub use membership::{Heard, Membership, Myself};
-pub use schedule::{LARGE_ROUND_PEERS, SMALL_FLEET_PEERS, contact_interval};
+pub use schedule::{LARGE_ROUND_PEERS, Round, SMALL_FLEET_PEERS, contact_interval};
 pub use vm_list::{Vm, VmList};
--- a/components/membership/src/schedule.rs
+++ b/components/membership/src/schedule.rs
@@ -17,13 +17,31 @@
 /// Time between rounds of a larger fleet.
 const LARGE_ROUND: Duration = Duration::from_secs(1);
 
+/// How many of a number of peers get a heartbeat in one round, and how often rounds come.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Round {
+    /// Peers in one round.
+    pub peers: usize,
+    /// Time between rounds.
+    pub interval: Duration,
+}
+
+impl Round {
+    /// The rounds of a process that has `peers` to tell.
+    pub fn new(peers: usize, settings: &MembershipSettings) -> Self {
+        if peers <= SMALL_FLEET_PEERS {
+            let interval = Duration::from_millis(settings.heartbeat_ms);
+            return Self { peers, interval };
+        }
+        Self { peers: LARGE_ROUND_PEERS, interval: LARGE_ROUND }
+    }
+}
+
 /// Time between two heartbeats to the same one of `peers` peers.
 pub fn contact_interval(peers: usize, settings: &MembershipSettings) -> Duration {
-    if peers <= SMALL_FLEET_PEERS {
-        return Duration::from_millis(settings.heartbeat_ms);
-    }
-    let rounds = peers.div_ceil(LARGE_ROUND_PEERS);
-    LARGE_ROUND * u32::try_from(rounds).unwrap_or(u32::MAX)
+    let round = Round::new(peers, settings);
+    let rounds = peers.div_ceil(round.peers.max(1)).max(1);
+    round.interval * u32::try_from(rounds).unwrap_or(u32::MAX)
 }
 
 /// Rounds of heartbeats.
--- a/components/membership/tests/membership.rs
+++ b/components/membership/tests/membership.rs
@@ -8,7 +8,7 @@
 use compact_str::CompactString;
 use config::MembershipSettings;
 use membership::{
-    DeathProof, Heard, LARGE_ROUND_PEERS, Liveness, Membership, Myself, Vm, VmList,
+    DeathProof, Heard, LARGE_ROUND_PEERS, Liveness, Membership, Myself, Round, Vm, VmList,
     contact_interval,
 };
 use proptest::prelude::*;
@@ -403,3 +403,17 @@
     assert!(!members.is_first_entry(at(1)));
     assert!(members.is_first_entry(at(5_000)), "the other is silent");
 }
+
+/// Guards against heartbeats whose cost grows with the fleet: a process of the design size must stay
+/// within 15 KB a second for control.
+#[test]
+fn rounds_of_a_large_fleet_have_a_fixed_size() {
+    let settings = MembershipSettings::default();
+    let small = Round::new(16, &settings);
+    assert_eq!((small.peers, small.interval), (16, Duration::from_millis(settings.heartbeat_ms)));
+    for peers in [17, 380, 1_380] {
+        let large = Round::new(peers, &settings);
+        assert_eq!((large.peers, large.interval), (LARGE_ROUND_PEERS, Duration::from_secs(1)));
+    }
+    assert_eq!(contact_interval(380, &settings), Duration::from_secs(48));
+}
--- a/components/side/src/heartbeats.rs
+++ b/components/side/src/heartbeats.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use base::Role;
+use membership::Round;
 use platform::{HttpVmList, VmList};
 use tokio::sync::{Notify, mpsc};
 use tokio::time::{sleep, timeout};
@@ -13,17 +14,14 @@
 use crate::event::Event;
 use crate::process::Shared;
 
-/// Most entry processes that get a heartbeat in one round; further ones follow in the next rounds.
-const PEERS_PER_ROUND: usize = 16;
-
 /// Sends heartbeats in rounds; `now` starts a round to all at once.
 pub(crate) async fn send_heartbeats(shared: Rc<Shared>, now: Rc<Notify>) {
-    let interval = Duration::from_millis(shared.settings.membership.heartbeat_ms);
     let mut next = 0;
     let mut all = true;
     loop {
         let entries = shared.core.borrow().peers.addresses(Role::Entry);
-        let count = if all { entries.len() } else { entries.len().min(PEERS_PER_ROUND) };
+        let round = Round::new(entries.len(), &shared.settings.membership);
+        let count = if all { entries.len() } else { entries.len().min(round.peers) };
         for offset in 0..count {
             send_heartbeat(&shared, entries[(next + offset) % entries.len()]);
         }
@@ -34,7 +32,7 @@
             send_heartbeat(&shared, address);
         }
         shared.with_core(|core, _| core.send_unpins());
-        all = timeout(interval, now.notified()).await.is_ok();
+        all = timeout(round.interval, now.notified()).await.is_ok();
     }
 }
 
