--- a/components/routing/src/score.rs
+++ b/components/routing/src/score.rs
@@ -13,6 +13,8 @@
 const PREFILL_SPEEDUP: u64 = 10;
 /// Cost of a request in flight at a plain target, in microseconds.
 const PLAIN_REQUEST_MICROS: u64 = 2_000;
+/// Queued tokens that a sequence in flight counts for: it makes every step of the batch longer.
+const RUNNING_TOKENS: u64 = 16;
 /// Added for a target that is suspect, in microseconds: used only if the others are much worse.
 const SUSPECT_MICROS: u64 = 1_000_000;
 
@@ -78,7 +80,9 @@
             (u64::from(report.running) + target.sends.count()).saturating_mul(PLAIN_REQUEST_MICROS)
         }
         TargetKind::Engine => {
-            let queued = report.queued_tokens.saturating_add(target.sends.tokens());
+            let running = u64::from(report.running).saturating_mul(RUNNING_TOKENS);
+            let queued =
+                report.queued_tokens.saturating_add(target.sends.tokens()).saturating_add(running);
             let micros = u128::from(queued) * 1_000_000 / u128::from(report.tokens_per_s.max(1));
             u64::try_from(micros).unwrap_or(u64::MAX)
         }
--- a/components/routing/tests/router.rs
+++ b/components/routing/tests/router.rs
@@ -380,6 +380,19 @@
 }
 
 /// Two entries that know the same targets must send a cold model to the same one, or it is loaded twice.
+/// Guards against a full batch that counts as idle because nothing is queued behind it.
+#[test]
+fn a_batch_in_flight_counts_although_nothing_is_queued() {
+    let mut router = router(2, |target, report| report.running = if target == 0 { 8 } else { 0 });
+    let mut rng = seeded_rng(SEED);
+    let mut picks = [0, 0];
+    for _ in 0..200 {
+        let pick = served(router.choose_model(&need(&[]), usable, &mut rng));
+        picks[usize::from(pick.target == "t1")] += 1;
+    }
+    assert_eq!(picks, [0, 200]);
+}
+
 #[test]
 fn a_model_without_a_copy_goes_to_the_same_target_from_every_entry() {
     let mut rng = seeded_rng(SEED);
