Use one log key for the request id and one way to connect in the wire tests

Cause: entry processes logged request_id=, side processes and the engine client request=, so that a search for one request missed half its lines; the connection tests repeated the same four lines six times. Conclusion: a request's lines are found by one key.

--- a/components/engine/src/http_answer.rs
+++ b/components/engine/src/http_answer.rs
@@ -109,7 +109,7 @@
 
     fn count_dropped(&self, reason: &str) {
         self.dropped.fetch_add(1, Ordering::Relaxed);
-        log::warn!("event=engine_event_dropped request={} reason={reason}", self.id);
+        log::warn!("event=engine_event_dropped request_id={} reason={reason}", self.id);
     }
 }
 
--- a/components/engine/src/http_engine.rs
+++ b/components/engine/src/http_engine.rs
@@ -110,7 +110,7 @@
         if response.headers().get(REQUEST_ID).is_none_or(|value| value.as_bytes() != id.as_bytes())
         {
             self.dropped.fetch_add(1, Ordering::Relaxed);
-            log::warn!("event=engine_answer_dropped request={id} path={path}");
+            log::warn!("event=engine_answer_dropped request_id={id} path={path}");
             return Err(EngineError::Mismatched);
         }
         match response.status() {
--- a/components/side/src/forward.rs
+++ b/components/side/src/forward.rs
@@ -147,7 +147,7 @@
 
 fn broken(head: &ForwardHead, error: &hyper::Error) -> Broken {
     let (request, route) = (head.request_id, &head.route);
-    log::warn!("event=call_broken request={request} route={route} error=\"{error}\"");
+    log::warn!("event=call_broken request_id={request} route={route} error=\"{error}\"");
     Broken::Frame(failed(RanState::Unknown))
 }
 
--- a/components/side/src/generation.rs
+++ b/components/side/src/generation.rs
@@ -122,7 +122,7 @@
                 () = self.sender.closed() => return End::Gone,
                 () = sleep_until(self.deadline) => Err(AnswerError::Timeout),
                 () = handed_over(&mut self.handover) => {
-                    log::info!("event=stream_handed_over request={}", self.request.request_id);
+                    log::info!("event=stream_handed_over request_id={}", self.request.request_id);
                     return End::Frame(failed(RanState::Unknown));
                 }
             };
@@ -153,7 +153,7 @@
                 Ok(None) => return End::Frame(failed(RanState::Unknown)),
                 Err(error) => {
                     log::warn!(
-                        "event=answer_broken request={} customer={} model={} tokens={delivered} \
+                        "event=answer_broken request_id={} customer={} model={} tokens={delivered} \
                          error=\"{error}\"",
                         self.request.request_id,
                         self.request.customer,
--- a/components/side/src/incoming.rs
+++ b/components/side/src/incoming.rs
@@ -124,7 +124,7 @@
         if !call.head.repeatable
             && !self.seen.borrow_mut().insert(call.head.request_id, self.clock.now())
         {
-            log::warn!("event=call_repeated request={}", call.head.request_id);
+            log::warn!("event=call_repeated request_id={}", call.head.request_id);
             let last = ForwardDown::Failed { ran: RanState::Unknown };
             self.tasks.borrow_mut().spawn_local(call.finish(last));
             return;
--- a/components/side/src/keyed_call.rs
+++ b/components/side/src/keyed_call.rs
@@ -192,7 +192,7 @@
             listener.finish(&ForwardDown::End).await;
         }
         None => {
-            log::warn!("event=call_broken request={} route={}", head.request_id, head.route);
+            log::warn!("event=call_broken request_id={} route={}", head.request_id, head.route);
             desk.lose(attempt);
             listener.finish(&failed(RanState::Unknown)).await;
         }
--- a/components/wire/tests/connection.rs
+++ b/components/wire/tests/connection.rs
@@ -52,6 +52,11 @@
     Server { address, incoming, results }
 }
 
+async fn connect(server: &Server) -> PeerClient {
+    let (identity, secret) = (identity("client"), secret("fleet-secret"));
+    PeerClient::connect(server.address, &identity, &secret, LIMIT).await.unwrap()
+}
+
 fn reserve_call() -> PeerCall {
     PeerCall::Reserve {
         slot: SlotId { partition: 0, index: 1 },
@@ -81,10 +86,7 @@
 #[tokio::test]
 async fn call_reaches_the_server_and_its_reply_comes_back() {
     let mut server = start_server().await;
-    let client =
-        PeerClient::connect(server.address, &identity("client"), &secret("fleet-secret"), LIMIT)
-            .await
-            .unwrap();
+    let client = connect(&server).await;
     assert_eq!(client.peer(), &identity("server"));
     let answer = tokio::spawn(async move { client.call(&reserve_call(), LIMIT).await });
     let Some(Incoming::Call { peer, call, responder }) = server.incoming.recv().await else {
@@ -99,10 +101,7 @@
 #[tokio::test]
 async fn stream_ends_only_after_its_last_frame() {
     let mut server = start_server().await;
-    let client =
-        PeerClient::connect(server.address, &identity("client"), &secret("fleet-secret"), LIMIT)
-            .await
-            .unwrap();
+    let client = connect(&server).await;
     let mut frames = client.generate(&generate_request()).await.unwrap();
     let Some(Incoming::Generate { request, mut sender, .. }) = server.incoming.recv().await else {
         panic!("expected a generation");
@@ -127,10 +126,7 @@
 #[tokio::test]
 async fn stream_dropped_by_the_sender_ends_with_an_error() {
     let mut server = start_server().await;
-    let client =
-        PeerClient::connect(server.address, &identity("client"), &secret("fleet-secret"), LIMIT)
-            .await
-            .unwrap();
+    let client = connect(&server).await;
     let mut frames = client.generate(&generate_request()).await.unwrap();
     let Some(Incoming::Generate { sender, .. }) = server.incoming.recv().await else {
         panic!("expected a generation");
@@ -143,10 +139,7 @@
 #[tokio::test]
 async fn dropped_receiver_is_seen_by_the_sender() {
     let mut server = start_server().await;
-    let client =
-        PeerClient::connect(server.address, &identity("client"), &secret("fleet-secret"), LIMIT)
-            .await
-            .unwrap();
+    let client = connect(&server).await;
     let frames = client.generate(&generate_request()).await.unwrap();
     let Some(Incoming::Generate { mut sender, .. }) = server.incoming.recv().await else {
         panic!("expected a generation");
@@ -159,10 +152,7 @@
 #[tokio::test]
 async fn slow_stream_does_not_hold_up_calls() {
     let mut server = start_server().await;
-    let client =
-        PeerClient::connect(server.address, &identity("client"), &secret("fleet-secret"), LIMIT)
-            .await
-            .unwrap();
+    let client = connect(&server).await;
     let _unread = client.generate(&generate_request()).await.unwrap();
     let Some(Incoming::Generate { mut sender, .. }) = server.incoming.recv().await else {
         panic!("expected a generation");
@@ -200,10 +190,7 @@
 #[tokio::test]
 async fn malformed_message_from_a_peer_closes_its_connection() {
     let mut server = start_server().await;
-    let client =
-        PeerClient::connect(server.address, &identity("client"), &secret("fleet-secret"), LIMIT)
-            .await
-            .unwrap();
+    let client = connect(&server).await;
     // A forward stream must start with its head.
     let (mut sender, _pending) = client.forward().await.unwrap();
     sender.send(&ForwardUp::Data(vec![1, 2, 3])).await.unwrap();
