Hold readiness back until a new entry process knows its peers

Change: /readyz waits until every live process of the VM list was heard and the slots were read to the end, for at most 3 s after the start.

--- a/components/entry/src/app.rs
+++ b/components/entry/src/app.rs
@@ -25,6 +25,9 @@
 /// Wait that is advised while there is no authority, in milliseconds.
 const NO_AUTHORITY_RETRY_MS: u64 = 1_000;
 
+/// Longest time after the start for which readiness waits for peers that have not been heard.
+const WARM_UP_LIMIT: Duration = Duration::from_secs(3);
+
 /// Shared state. Everything runs on one thread, so that a borrow never outlives a step.
 pub(crate) struct App {
     /// Settings.
@@ -61,6 +64,8 @@
     pub fleet: RefCell<Fleet>,
     /// End of the authority that was last found, so that not every frame asks for it.
     pub granted_until: Cell<Timestamp>,
+    /// Whether the process has known its peers well enough to serve; never taken back.
+    pub warm: Cell<bool>,
     /// Whether a catch-up from a peer is under way.
     pub catching_up: Cell<bool>,
     /// Last number of a record that this run has written.
@@ -116,6 +121,21 @@
         }
     }
 
+    /// Whether this process knows the owners of the bucket slots and the targets, as far as they are
+    /// alive.
+    ///
+    /// Without this a process that replaces another one gets requests that it must refuse, because it
+    /// has not heard from an owner or a target yet.
+    fn is_warm(&self) -> bool {
+        if !self.warm.get() {
+            let knows_peers = self.membership.borrow().has_heard_all_listed();
+            let knows_owners = self.slots.borrow().is_read();
+            let waited = self.clock.now().since(Timestamp::default()) >= WARM_UP_LIMIT;
+            self.warm.set(waited || (knows_peers && knows_owners));
+        }
+        self.warm.get()
+    }
+
     /// Why the load balancer should look elsewhere, if it should.
     pub(crate) fn not_ready_reason(&self) -> Option<&'static str> {
         if *self.stage.borrow() > Stage::Serving {
@@ -124,6 +144,8 @@
             Some("no configuration in force")
         } else if self.check_authority().is_err() {
             Some("no contact with the log")
+        } else if !self.is_warm() {
+            Some("not all peers have been heard yet")
         } else {
             None
         }
--- a/components/entry/src/handle.rs
+++ b/components/entry/src/handle.rs
@@ -205,6 +205,7 @@
         authority: RefCell::new(authority),
         fleet: RefCell::new(Fleet::new(&settings, rand::random(), clock.now())),
         granted_until: Cell::new(Timestamp::default()),
+        warm: Cell::new(false),
         catching_up: Cell::new(false),
         record_number: Cell::new(0),
         announced: Notify::new(),
--- a/components/entry/src/slots.rs
+++ b/components/entry/src/slots.rs
@@ -48,6 +48,11 @@
         }
     }
 
+    /// Whether the stream has been read to its end.
+    pub(crate) fn is_read(&self) -> bool {
+        self.read_end_at.is_some() && self.ledger.is_complete()
+    }
+
     /// The ledger as a snapshot at its last offset, for a peer that lacks records.
     pub(crate) fn records_for_peer(&self, me: &ProcessId, from: Offset) -> PeerReply {
         let offset = self.ledger.through();
--- a/components/membership/src/listing.rs
+++ b/components/membership/src/listing.rs
@@ -67,6 +67,14 @@
         true
     }
 
+    /// Addresses of the VMs on the newest list that are not leaving.
+    pub(crate) fn live_addresses(&self) -> impl Iterator<Item = SocketAddr> {
+        self.addresses.iter().filter_map(|(address, name)| {
+            let sighting = self.sightings.get(name)?;
+            (!sighting.vm.leaving).then_some(*address)
+        })
+    }
+
     fn forget(&mut self) {
         let absent = self.sightings.values().filter(|s| s.absence.is_some()).count();
         if absent > MAX_ABSENT {
--- a/components/membership/src/membership.rs
+++ b/components/membership/src/membership.rs
@@ -266,6 +266,17 @@
             && self.candidates(Role::Entry, now).all(|m| m.process.name > self.me.process.name)
     }
 
+    /// Whether every process on a live VM of the list has been heard; false before the first list.
+    pub fn has_heard_all_listed(&self) -> bool {
+        let mut heard: Vec<SocketAddr> = self.members.values().map(|m| m.address).collect();
+        heard.sort_unstable();
+        self.listing.asked_at().is_some()
+            && self
+                .listing
+                .live_addresses()
+                .all(|address| address == self.me.address || heard.binary_search(&address).is_ok())
+    }
+
     /// Whether the process at an address is the first live entry by name.
     pub fn is_first_entry_at(&self, address: SocketAddr, now: Timestamp) -> bool {
         let first = self.candidates(Role::Entry, now).min_by_key(|member| &member.process.name);
--- a/components/membership/tests/membership.rs
+++ b/components/membership/tests/membership.rs
@@ -417,3 +417,22 @@
     }
     assert_eq!(contact_interval(380, &settings), Duration::from_secs(48));
 }
+
+/// Guards against readiness of a process that would have to refuse requests, because it has not heard
+/// from the owners of slots or from targets.
+#[test]
+fn all_listed_processes_are_heard_only_once_each_live_one_was() {
+    let mut members = membership(Role::Entry);
+    assert!(!members.has_heard_all_listed(), "no list was read");
+    let vms = [
+        vm("me", 1, Role::Entry, false),
+        vm("a", 2, Role::Side, false),
+        vm("b", 3, Role::Entry, false),
+        vm("c", 4, Role::Side, true),
+    ];
+    members.take_vm_list(&list(1, &vms), at(1), at(2));
+    members.heard(&heartbeat("s1", 1, Role::Side, 2), at(3));
+    assert!(!members.has_heard_all_listed(), "the other entry was not heard");
+    members.heard(&heartbeat("e1", 1, Role::Entry, 3), at(4));
+    assert!(members.has_heard_all_listed(), "a leaving process is not waited for");
+}
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -362,6 +362,11 @@
     /// Kills the process and starts it again on the same VM.
     pub async fn restart(&mut self) {
         self.process.kill().await;
+        self.start_again();
+    }
+
+    /// Starts the process again after it has ended.
+    pub fn start_again(&mut self) {
         self.process = Process::start("entry restarted", &self.arguments);
     }
 }
