Convert a target's report for the planner in one place

Cause: entry and measure each had the same 14 lines that turn a report into a planned target; the measuring program counted loads in flight and never read the count. Change: From<&TargetReport> for PlannedTarget in placement, used by both; the dead count is gone. Conclusion: no behaviour changed; a new field of the report is handled once.

--- a/components/entry/src/planning.rs
+++ b/components/entry/src/planning.rs
@@ -7,10 +7,10 @@
 use base::{Role, Timestamp};
 use compact_str::CompactString;
 use config::{Residency, Town};
-use placement::{Move, MoveKind, PlannedModel, PlannedTarget, Planner, TargetCopy};
+use placement::{Move, MoveKind, PlannedModel, PlannedTarget, Planner};
 use telemetry::quote;
 use tokio::time::{MissedTickBehavior, interval};
-use wire::{CopyState, ModelDemand, PeerCall, PeerReply, Suggestion, TargetKind};
+use wire::{ModelDemand, PeerCall, PeerReply, Suggestion, TargetKind};
 
 use crate::app::App;
 use crate::stage::Stage;
@@ -109,21 +109,7 @@
                     && membership.is_reachable(info.process, now)
                     && member.is_some_and(membership::Member::takes_work)
             })
-            .map(|info| PlannedTarget {
-                name: info.report.target.clone(),
-                service: info.report.service.clone(),
-                free_mb: info.report.capacity_mb.saturating_sub(info.report.used_mb),
-                tokens_per_s: info.report.tokens_per_s,
-                copies: info
-                    .report
-                    .models
-                    .iter()
-                    .map(|copy| TargetCopy {
-                        model: copy.model.clone(),
-                        unloading: copy.state == CopyState::Unloading,
-                    })
-                    .collect(),
-            })
+            .map(|info| PlannedTarget::from(info.report))
             .collect()
     }
 
--- a/components/measure/src/run.rs
+++ b/components/measure/src/run.rs
@@ -44,7 +44,6 @@
     pub(crate) store: rates::PermitPool,
     pub(crate) permits: SortedMap<usize, u64>,
     pub(crate) next_permit: u64,
-    pub(crate) loads_in_flight: u32,
     pub(crate) rng: rand_chacha::ChaCha8Rng,
     pub(crate) model_moves: u64,
 }
@@ -114,7 +113,6 @@
             store,
             permits: SortedMap::new(),
             next_permit: 1,
-            loads_in_flight: 0,
             rng: seeded_rng(scenario.seed),
             model_moves: 0,
             town,
--- a/components/measure/src/run_placement.rs
+++ b/components/measure/src/run_placement.rs
@@ -5,10 +5,8 @@
 use base::Timestamp;
 use config::Residency;
 use placement::{
-    Item, MoveKind, OrderId, OrderKind, OrderResult, PlannedModel, PlannedTarget, Room, TargetCopy,
-    Unloading,
+    Item, MoveKind, OrderId, OrderKind, OrderResult, PlannedModel, PlannedTarget, Room, Unloading,
 };
-use wire::CopyState;
 
 use crate::Outcome;
 use crate::Policy;
@@ -43,21 +41,7 @@
             .core()
             .targets()
             .filter(|info| self.sides.iter().any(|s| s.alive && s.id == *info.process))
-            .map(|info| PlannedTarget {
-                name: info.report.target.clone(),
-                service: info.report.service.clone(),
-                free_mb: info.report.capacity_mb.saturating_sub(info.report.used_mb),
-                tokens_per_s: info.report.tokens_per_s,
-                copies: info
-                    .report
-                    .models
-                    .iter()
-                    .map(|copy| TargetCopy {
-                        model: copy.model.clone(),
-                        unloading: copy.state == CopyState::Unloading,
-                    })
-                    .collect(),
-            })
+            .map(|info| PlannedTarget::from(info.report))
             .collect();
         for planned in self.planner.plan(&models, &targets, now) {
             if let Some(target) = self.sides.iter().position(|s| s.target.name == planned.target) {
@@ -164,7 +148,6 @@
             wire::PermitOutcome::Granted { .. } => {
                 self.next_permit += 1;
                 self.permits.insert(target, number);
-                self.loads_in_flight += 1;
                 Some(load)
             }
             wire::PermitOutcome::Wait { retry_after_ms } => {
@@ -179,7 +162,6 @@
     pub(crate) fn release_permit(&mut self, target: usize) {
         if let Some(permit) = self.permits.remove(&target) {
             self.store.done(permit);
-            self.loads_in_flight -= 1;
         }
     }
 
--- a/components/placement/src/planner.rs
+++ b/components/placement/src/planner.rs
@@ -4,6 +4,7 @@
 
 use base::{SortedMap, Timestamp, rendezvous_score};
 use compact_str::CompactString;
+use wire::{CopyState, ModelCopy, TargetReport};
 
 /// Settings of the planner.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -73,6 +74,22 @@
     pub copies: Vec<TargetCopy>,
 }
 
+impl From<&TargetReport> for PlannedTarget {
+    fn from(report: &TargetReport) -> Self {
+        let copy = |copy: &ModelCopy| TargetCopy {
+            model: copy.model.clone(),
+            unloading: copy.state == CopyState::Unloading,
+        };
+        Self {
+            name: report.target.clone(),
+            service: report.service.clone(),
+            free_mb: report.capacity_mb.saturating_sub(report.used_mb),
+            tokens_per_s: report.tokens_per_s,
+            copies: report.models.iter().map(copy).collect(),
+        }
+    }
+}
+
 impl PlannedTarget {
     fn has(&self, model: &str) -> bool {
         self.copies.iter().any(|copy| copy.model == model && !copy.unloading)
