--- /dev/null
+++ b/components/agent/src/app.rs
@@ -0,0 +1,49 @@
+//! State of an agent that its tasks share.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+
+use base::{Incarnation, ProcessId, ProcessName, SortedMap, Timestamp};
+use clock::BootClock;
+use config::AgentSettings;
+use placement::EngineDesk;
+use platform::{EngineClient, StoreClient};
+use tokio::net::UdpSocket;
+use tokio::sync::Notify;
+
+/// A gateway that asked lately.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Asker {
+    /// Where its datagrams come from.
+    pub address: SocketAddr,
+    /// Run of it.
+    pub incarnation: Incarnation,
+    /// Its clock in its newest datagram, in microseconds.
+    pub sent_micros: u64,
+    /// When it asked.
+    pub at: Timestamp,
+}
+
+/// Shared state. Everything runs on one thread, so that a borrow never outlives a step.
+pub(crate) struct App {
+    /// Settings.
+    pub settings: AgentSettings,
+    /// This run.
+    pub me: ProcessId,
+    /// Clock.
+    pub clock: BootClock,
+    /// Store.
+    pub store: StoreClient,
+    /// Engine.
+    pub engine: EngineClient,
+    /// Orders.
+    pub desk: RefCell<EngineDesk>,
+    /// Fencing number of this run; none until the store has given one.
+    pub fencing: Cell<Option<u64>>,
+    /// Datagrams.
+    pub socket: UdpSocket,
+    /// Gateways that asked lately.
+    pub askers: RefCell<SortedMap<ProcessName, Asker>>,
+    /// Rings when there may be an order to give.
+    pub work: Notify,
+}
--- /dev/null
+++ b/components/agent/src/engine_driver.rs
@@ -0,0 +1,88 @@
+//! Reads the engine's reports and gives it the orders of the desk.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use telemetry::quote;
+use tokio::time::timeout;
+
+use crate::app::App;
+use crate::gateway_link::tell_all;
+
+/// Time between two reports while nothing is awaited. A report is free on the engine's own machine.
+const CALM_INTERVAL: Duration = Duration::from_millis(200);
+/// Time between two reports while an order is carried out: an adapter takes 5 to 10 ms to load.
+const BUSY_INTERVAL: Duration = Duration::from_millis(6);
+/// Time between two reports while a model is loaded or unloaded, which takes 400 ms and more.
+const CHANGE_INTERVAL: Duration = Duration::from_millis(25);
+
+/// Drives the engine until the task is aborted.
+pub(crate) async fn drive_engine(app: Rc<App>) {
+    let mut reachable = true;
+    loop {
+        match app.engine.report().await {
+            Ok(report) => {
+                if !reachable {
+                    log::info!("event=engine_regained");
+                    reachable = true;
+                }
+                let now = app.clock.now();
+                let changed = {
+                    let mut desk = app.desk.borrow_mut();
+                    let before = desk.report();
+                    let changed = before.models != report.models
+                        || before.born_ms != report.born_ms
+                        || before.warm != report.warm;
+                    let changing = desk.change(now).is_some();
+                    desk.take_report(report, now);
+                    changed || changing != desk.change(now).is_some()
+                };
+                if changed {
+                    tell_all(&app);
+                }
+                give_order(&app).await;
+            }
+            Err(error) => {
+                if reachable {
+                    log::warn!("event=engine_lost error=\"{error}\"");
+                    reachable = false;
+                }
+            }
+        }
+        let interval = interval(&app);
+        // Either there is work or the next report is due.
+        let _woken = timeout(interval, app.work.notified()).await;
+    }
+}
+
+fn interval(app: &App) -> Duration {
+    let desk = app.desk.borrow();
+    if !desk.report().incoming.is_empty() || desk.next_order(app.clock.now()).is_some() {
+        BUSY_INTERVAL
+    } else if desk.awaits_report() {
+        CHANGE_INTERVAL
+    } else {
+        CALM_INTERVAL
+    }
+}
+
+async fn give_order(app: &App) {
+    let Some(fencing) = app.fencing.get() else { return };
+    let Some(due) = app.desk.borrow().next_order(app.clock.now()) else { return };
+    let asked_at = app.clock.now();
+    let answer = app.engine.order(&due, &app.settings.name, fencing).await;
+    let now = app.clock.now();
+    log::info!(
+        "event=order_given order={} model={} adapter={} target={} expected={} answer={} after_ms={}",
+        due.order.as_str(),
+        quote(due.order.model()),
+        due.order.adapter().map_or("-", |adapter| adapter.as_str()),
+        quote(&due.target),
+        due.expected,
+        answer.as_str(),
+        now.since(asked_at).as_millis()
+    );
+    app.desk.borrow_mut().take_answer(&due, answer, now);
+    // The next report shows what the order did.
+    app.work.notify_one();
+}
--- /dev/null
+++ b/components/agent/src/gateway_link.rs
@@ -0,0 +1,120 @@
+//! Datagrams to and from gateways.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use telemetry::quote;
+use wire::{AgentAsk, AgentState, Datagram, Echo};
+
+use crate::app::{App, Asker};
+
+/// Time after its last datagram for which a gateway is told of changes.
+const ASKER_LIFETIME: Duration = Duration::from_secs(2);
+/// Largest datagram.
+const MAX_BYTES: usize = 60_000;
+
+/// Takes datagrams until the task is aborted.
+pub(crate) async fn hear_gateways(app: Rc<App>) {
+    let mut space = vec![0; MAX_BYTES];
+    loop {
+        let (length, from) = match app.socket.recv_from(&mut space).await {
+            Ok(received) => received,
+            Err(error) => {
+                log::debug!("event=datagram_error error=\"{error}\"");
+                continue;
+            }
+        };
+        match wire::decode::<Datagram>(&space[..length]) {
+            Ok(Datagram::Ask(ask)) => take_ask(&app, &ask, from),
+            Ok(Datagram::Agent(_) | Datagram::Gateway(_)) => {
+                log::debug!("event=datagram_misplaced from={from}");
+            }
+            Err(error) => log::warn!("event=datagram_rejected from={from} error=\"{error}\""),
+        }
+    }
+}
+
+fn take_ask(app: &App, ask: &AgentAsk, from: SocketAddr) {
+    let now = app.clock.now();
+    let asker = Asker {
+        address: from,
+        incarnation: ask.from.incarnation,
+        sent_micros: ask.echo.sent_micros,
+        at: now,
+    };
+    {
+        let mut askers = app.askers.borrow_mut();
+        let known = askers.get(&ask.from.name).map(|known| (known.incarnation, known.sent_micros));
+        if known.is_some_and(|known| known >= (asker.incarnation, asker.sent_micros)) {
+            return;
+        }
+        if askers.insert(ask.from.name.clone(), asker).is_none() {
+            log::info!("event=gateway_heard gateway={} address={from}", ask.from);
+        }
+        askers.retain(|_, asker| now.since(asker.at) < ASKER_LIFETIME);
+    }
+    let (life_before, life_after) = {
+        let mut desk = app.desk.borrow_mut();
+        let before = desk.life().0.clone();
+        desk.take_ask(ask, now);
+        (before, desk.life().0.clone())
+    };
+    if life_before != life_after {
+        log::info!("event=engine_known target={} told_by={}", quote(&life_after), ask.from);
+    }
+    app.work.notify_one();
+    tell(app, &asker);
+}
+
+/// Tells all gateways that asked lately.
+pub(crate) fn tell_all(app: &App) {
+    let now = app.clock.now();
+    let askers: Vec<Asker> = app.askers.borrow().values().copied().collect();
+    for asker in askers.iter().filter(|asker| now.since(asker.at) < ASKER_LIFETIME) {
+        tell(app, asker);
+    }
+}
+
+fn tell(app: &App, asker: &Asker) {
+    let now = app.clock.now();
+    let desk = app.desk.borrow();
+    let report = desk.report();
+    let (target, born_ms) = desk.life();
+    if target.is_empty() {
+        return;
+    }
+    let state = AgentState {
+        from: app.me.clone(),
+        echo: Echo {
+            sent_micros: now.micros,
+            heard_micros: asker.sent_micros,
+            heard_incarnation: asker.incarnation.0,
+        },
+        target: target.clone(),
+        born_ms,
+        orders_accepted: report.orders_accepted,
+        models: report.models.clone(),
+        changing: desk.change(now),
+        free_adapter_slots: u32::try_from(desk.free_adapter_slots(now)).unwrap_or(u32::MAX),
+        running: report.running,
+        waiting: report.waiting,
+        cache_used_tokens: report.cache_used_tokens,
+        warm: report.warm.clone(),
+        fetch_ages_ms: desk
+            .fetch_ages(now)
+            .map(|age| u32::try_from(age.as_millis()).unwrap_or(u32::MAX))
+            .collect(),
+    };
+    let bytes = match wire::encode(&Datagram::Agent(state)) {
+        Ok(bytes) => bytes,
+        Err(error) => {
+            log::error!("event=datagram_unsent to={} error=\"{error}\"", asker.address);
+            return;
+        }
+    };
+    // A datagram that can't be sent now is made up for by the next one.
+    if let Err(error) = app.socket.try_send_to(&bytes, asker.address) {
+        log::debug!("event=datagram_unsent to={} error=\"{error}\"", asker.address);
+    }
+}
--- /dev/null
+++ b/components/agent/src/handle.rs
@@ -0,0 +1,61 @@
+//! Starts an agent.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use base::{ProcessId, ProcessName, SortedMap};
+use clock::{BootClock, new_incarnation};
+use config::AgentSettings;
+use placement::EngineDesk;
+use platform::{EngineClient, StoreClient};
+use tokio::net::UdpSocket;
+use tokio::sync::Notify;
+use tokio::task::JoinSet;
+
+use crate::app::App;
+use crate::configuration_watch::watch_configuration;
+use crate::engine_driver::drive_engine;
+use crate::error::AgentError;
+use crate::gateway_link::hear_gateways;
+use crate::start_record::write_start_record;
+
+/// A running agent; its tasks end when it is dropped.
+pub struct AgentHandle {
+    _tasks: JoinSet<()>,
+}
+
+/// Starts an agent as tasks of the current `LocalSet`.
+///
+/// # Errors
+///
+/// If the address for datagrams can't be bound.
+pub async fn start(settings: AgentSettings) -> Result<AgentHandle, AgentError> {
+    let address = SocketAddr::new(settings.ip, settings.peer_port);
+    let socket =
+        UdpSocket::bind(address).await.map_err(|error| AgentError::Bind { address, error })?;
+    let me = ProcessId { name: ProcessName::new(&settings.name), incarnation: new_incarnation() };
+    log::info!(
+        "event=agent_started process={me} engine={} data_centre={}",
+        settings.engine_address,
+        settings.data_centre
+    );
+    let app = Rc::new(App {
+        clock: BootClock::start(),
+        store: StoreClient::new(settings.store_address),
+        engine: EngineClient::new(settings.engine_address),
+        desk: RefCell::new(EngineDesk::new()),
+        fencing: Cell::new(None),
+        askers: RefCell::new(SortedMap::new()),
+        work: Notify::new(),
+        socket,
+        me,
+        settings,
+    });
+    let mut tasks = JoinSet::new();
+    tasks.spawn_local(watch_configuration(Rc::clone(&app)));
+    tasks.spawn_local(write_start_record(Rc::clone(&app)));
+    tasks.spawn_local(hear_gateways(Rc::clone(&app)));
+    tasks.spawn_local(drive_engine(app));
+    Ok(AgentHandle { _tasks: tasks })
+}
--- /dev/null
+++ b/components/agent/src/lib.rs
@@ -0,0 +1,12 @@
+//! Agent process: gives all orders to the engine beside it, and tells the gateways what it holds.
+
+mod app;
+mod configuration_watch;
+mod engine_driver;
+mod error;
+mod gateway_link;
+mod handle;
+mod start_record;
+
+pub use error::AgentError;
+pub use handle::{AgentHandle, start};
--- /dev/null
+++ b/components/agent/src/start_record.rs
@@ -0,0 +1,35 @@
+//! Gets the fencing number of this run.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use store::{KeyedLog, Topic};
+use tokio::time::sleep;
+
+use crate::app::App;
+
+/// Pause after a failed call.
+const FAILURE_PAUSE: Duration = Duration::from_millis(400);
+
+/// Writes the record of this start; its offset is larger than that of every run before.
+///
+/// A record whose answer was lost is written again: the number is the offset of the last one, which
+/// is larger still.
+pub(crate) async fn write_start_record(app: Rc<App>) {
+    let Ok(value) = wire::encode(&app.me) else { return };
+    loop {
+        match app.store.put(Topic::Agents, &app.settings.name, Some(&value)).await {
+            Ok(offset) => {
+                let fencing = offset.next().0;
+                log::info!("event=fencing_number_taken number={fencing}");
+                app.fencing.set(Some(fencing));
+                app.work.notify_one();
+                return;
+            }
+            Err(error) => {
+                log::warn!("event=store_call_failed topic=agents error=\"{error}\"");
+                sleep(FAILURE_PAUSE).await;
+            }
+        }
+    }
+}
--- a/components/base/src/lib.rs
+++ b/components/base/src/lib.rs
@@ -3,6 +3,7 @@
 //! Nothing here reads a clock, a socket or an unseeded source of random numbers.
 
 mod ids;
+mod loaded_model;
 mod offset;
 mod outcome;
 mod prefix;
@@ -15,6 +16,7 @@
 mod tokens;
 
 pub use ids::{AdapterId, CustomerId, KeyId, ModelId, RouteId, ServiceId};
+pub use loaded_model::{LoadedModel, WarmCopies};
 pub use offset::Offset;
 pub use outcome::RanState;
 pub use prefix::{PREFIX_BLOCK_BYTES, prefix_blocks};
--- /dev/null
+++ b/components/clock/src/lib.rs
@@ -0,0 +1,5 @@
+//! Clocks of a process.
+
+mod boot_clock;
+
+pub use boot_clock::{BootClock, new_incarnation};
--- a/components/config/src/compile.rs
+++ b/components/config/src/compile.rs
@@ -85,6 +85,7 @@
             rate_tokens_per_s: report.number("rate_tokens_per_s", rate, name, 1..=MAX_TOKENS),
             burst_tokens: report.number("burst_tokens", &entry.burst_tokens, name, 1..=MAX_TOKENS),
             weight: report.number32("weight", &entry.weight, name, 1..=MAX_WEIGHT),
+            ..Customer::default()
         });
     }
     report.unique("customer", entries.iter().map(|c| &c.name));
@@ -101,7 +102,12 @@
             KindEntry::Engine => ServiceKind::Engine,
             KindEntry::Plain => ServiceKind::Plain,
         };
-        town.services.push(Service { name: entry.name.value.clone(), kind, targets });
+        town.services.push(Service {
+            name: entry.name.value.clone(),
+            kind,
+            targets,
+            ..Service::default()
+        });
     }
     report.unique("service", base.services.iter().map(|s| &s.name));
     report.unique("target", base.services.iter().flat_map(|s| &s.targets).map(|t| &t.name));
@@ -235,6 +241,7 @@
         max_output_tokens,
         load_ms: report.number("load_ms", &entry.load_ms, name, 0..=MAX_TIME_MS),
         access: access(report, town, entry.customers.as_ref()),
+        ..Model::default()
     }
 }
 
@@ -319,6 +326,7 @@
         access,
         repeatable: entry.repeatable.value,
         timeout_ms: report.number("timeout_ms", &entry.timeout_ms, name, 1..=MAX_TIME_MS),
+        ..Route::default()
     }
 }
 
--- /dev/null
+++ b/components/config/src/gateway_settings.rs
@@ -0,0 +1,53 @@
+//! Settings of a gateway process.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+
+use compact_str::CompactString;
+
+use crate::FleetBounds;
+
+/// What a gateway process learns about its place when it starts.
+#[derive(Clone, Debug, PartialEq)]
+pub struct GatewaySettings {
+    /// Unique name of the VM.
+    pub name: CompactString,
+    /// Region.
+    pub region: CompactString,
+    /// Data centre.
+    pub data_centre: CompactString,
+    /// Address of the VM.
+    pub ip: IpAddr,
+    /// Address for callers.
+    pub caller_address: SocketAddr,
+    /// Address for the readiness check.
+    pub ready_address: SocketAddr,
+    /// Port for messages between the processes of the fleet; the same on all VMs.
+    pub peer_port: u16,
+    /// Address of the store.
+    pub store_address: SocketAddr,
+    /// Whether the fleet starts for the first time, so that nothing was admitted before.
+    pub first_start: bool,
+    /// File descriptors of the process.
+    pub file_descriptors: u64,
+    /// Bounds of the fleet.
+    pub bounds: FleetBounds,
+}
+
+impl Default for GatewaySettings {
+    fn default() -> Self {
+        let nowhere = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        Self {
+            name: CompactString::default(),
+            region: CompactString::default(),
+            data_centre: CompactString::default(),
+            ip: nowhere.ip(),
+            caller_address: nowhere,
+            ready_address: nowhere,
+            peer_port: 0,
+            store_address: nowhere,
+            first_start: false,
+            file_descriptors: 1_024,
+            bounds: FleetBounds::default(),
+        }
+    }
+}
--- a/components/config/src/lib.rs
+++ b/components/config/src/lib.rs
@@ -3,10 +3,15 @@
 //! Operators write one base file and an overlay for each site. [`Sources`] checks them and compiles
 //! them into a [`Town`]; every problem names its file, its line and what to do.
 
+mod agent_settings;
 mod base_file;
 mod compile;
 mod compile_keys;
+mod direct_route;
+mod engine_limits;
 mod entry_settings;
+mod fleet_bounds;
+mod gateway_settings;
 mod keys;
 mod load;
 mod located;
@@ -26,7 +31,12 @@
 mod town;
 mod yaml;
 
+pub use agent_settings::AgentSettings;
+pub use direct_route::{DirectKind, DirectRoute, ServiceShare};
+pub use engine_limits::EngineLimits;
 pub use entry_settings::{CallerLimits, EntrySettings};
+pub use fleet_bounds::FleetBounds;
+pub use gateway_settings::GatewaySettings;
 pub use keys::{AddedKey, KeyEdits, WithdrawnKey, format_sha256, parse_sha256};
 pub use load::{load_entry_settings, load_side_settings};
 pub use log_settings::LogSettings;
@@ -38,7 +48,7 @@
 pub use source::SourceFile;
 pub use sources::{Checked, Sources, compile};
 pub use town::{
-    Access, Adapter, BucketLayout, Customer, DataCentre, KeyEntry, Model, Residency, Route,
-    Service, ServiceKind, Target, Town, WeightStoreLimits,
+    Access, Adapter, BucketLayout, CallerBounds, Customer, DataCentre, KeyEntry, Model, Residency,
+    Route, Service, ServiceKind, Target, Town, WeightStoreLimits,
 };
 pub use yaml::MAX_FILE_BYTES;
--- a/components/config/src/town.rs
+++ b/components/config/src/town.rs
@@ -5,6 +5,8 @@
 use base::{AdapterId, CustomerId, KeyId, ModelId, Offset, RouteId, ServiceId};
 use compact_str::CompactString;
 
+use crate::{DirectRoute, EngineLimits};
+
 /// Everything that operators configure, as one process uses it.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Town {
@@ -30,6 +32,21 @@
     pub weight_store: WeightStoreLimits,
     /// How customers' buckets are split.
     pub buckets: BucketLayout,
+    /// Limits for callers that the operators set; none if those of the process apply.
+    pub caller_bounds: Option<CallerBounds>,
+}
+
+/// Limits for callers that are part of the configuration.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct CallerBounds {
+    /// Most bytes of a request's head.
+    pub head_bytes: usize,
+    /// Most bytes of a body.
+    pub body_bytes: usize,
+    /// Longest time to receive a request's head, in milliseconds.
+    pub head_timeout_ms: u64,
+    /// Longest time that a connection may be idle between requests, in milliseconds.
+    pub idle_timeout_ms: u64,
 }
 
 /// A customer: owner of keys, with a rate across the whole fleet.
@@ -43,6 +60,10 @@
     pub burst_tokens: u64,
     /// Weight in fair queueing; at least 1.
     pub weight: u32,
+    /// Rank that goes before that of the route, if there is one; 0 is the most urgent.
+    pub priority: Option<u8>,
+    /// Tokens that a request without a token count is charged.
+    pub uncounted_tokens: u64,
 }
 
 /// A key, known only by its hash.
@@ -95,6 +116,12 @@
     pub max_output_tokens: u64,
     /// Time to load a copy at full store speed, in milliseconds.
     pub load_ms: u64,
+    /// Time to load a copy that is in the memory of the host, in milliseconds.
+    pub host_load_ms: u64,
+    /// Time to load a copy that is on the disk of the host, in milliseconds.
+    pub disk_load_ms: u64,
+    /// Accelerator memory of each of its adapters in MB, if they are not listed one by one.
+    pub adapter_mb: u64,
     /// Who may use it.
     pub access: Access,
 }
@@ -129,8 +156,14 @@
     pub name: CompactString,
     /// Kind.
     pub kind: ServiceKind,
-    /// Targets, sorted by name.
+    /// Targets, sorted by name; empty if targets register themselves.
     pub targets: Vec<Target>,
+    /// Path of the health check of its targets.
+    pub health_path: CompactString,
+    /// Most connections that a target accepts from all callers together; zero for no limit.
+    pub connection_limit: u32,
+    /// Limits of its engines, if its targets register themselves.
+    pub engine: Option<EngineLimits>,
 }
 
 /// One engine or one instance of a plain service.
@@ -165,6 +198,8 @@
     pub repeatable: bool,
     /// Longest time for an answer in milliseconds.
     pub timeout_ms: u64,
+    /// Part for a gateway without side processes.
+    pub direct: DirectRoute,
 }
 
 /// A data centre and its region.
@@ -308,6 +343,19 @@
             .map(|(_, at)| RouteId(at))
     }
 
+    /// The route of a gateway with this host and the longest prefix of `path`.
+    pub fn match_direct(&self, host: &str, path: &str) -> Option<RouteId> {
+        self.routes
+            .iter()
+            .zip(0..)
+            .filter(|(route, _)| {
+                (route.direct.host.is_empty() || route.direct.host.eq_ignore_ascii_case(host))
+                    && path.starts_with(route.prefix.as_str())
+            })
+            .max_by_key(|(route, _)| (!route.direct.host.is_empty(), route.prefix.len()))
+            .map(|(_, at)| RouteId(at))
+    }
+
     /// The region of a data centre.
     pub fn region_of(&self, data_centre: &str) -> Option<&str> {
         let at = self.data_centres.binary_search_by(|d| d.name.as_str().cmp(data_centre)).ok()?;
--- a/components/entry/src/app.rs
+++ b/components/entry/src/app.rs
@@ -11,7 +11,7 @@
 use changes::ConfigLog;
 use config::{EntrySettings, Town};
 use membership::{Authority, Membership};
-use platform::{HttpLog, HttpVmList};
+use store::{HttpLog, HttpVmList};
 use telemetry::Metrics;
 use tokio::sync::{Notify, watch};
 use wire::{PeerPool, ProcessStatus, StatusProblem};
--- a/components/entry/src/callers.rs
+++ b/components/entry/src/callers.rs
@@ -4,14 +4,19 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::net::TcpListener;
+use api::{ApiError, HeadFault};
+use ingress::{ConnectionOptions, raw_error_answer, serve_caller};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 
 use crate::app::App;
-use crate::connection::serve_caller;
+use crate::dispatch::dispatch;
+use crate::request_id::new_request_id;
 
 /// Pause after a failed accept, most likely for want of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Longest time that a connection may be idle between requests.
+const IDLE_LIMIT: Duration = Duration::from_secs(75);
 
 /// Accepts connections up to the limit until the process drains; then closes the listener.
 pub(crate) async fn accept_callers(app: Rc<App>, listener: TcpListener) {
@@ -36,12 +41,31 @@
         let app = Rc::clone(&app);
         tokio::task::spawn_local(async move {
             let _counted = Counted::new(&app.connections);
-            serve_caller(Rc::clone(&app), socket).await;
+            serve(&app, socket).await;
             drop(permit);
         });
     }
 }
 
+async fn serve(app: &Rc<App>, socket: TcpStream) {
+    let options = ConnectionOptions { limits: app.settings.callers, idle_limit: IDLE_LIMIT };
+    let mut stage = app.stage.subscribe();
+    let draining = async {
+        // The sender lives as long as the process.
+        let _draining = stage.wait_for(|stage| stage.is_draining()).await;
+    };
+    let answer = |request, closer| dispatch(Rc::clone(app), request, closer);
+    serve_caller(socket, options, answer, |fault| refuse_head(app, fault), draining).await;
+}
+
+fn refuse_head(app: &App, fault: HeadFault) -> String {
+    let id = new_request_id().to_string();
+    let error = ApiError::new(fault.code(), fault.to_string());
+    app.metrics.record_refusal(error.code.as_str());
+    log::info!("event=head_refused request_id={id} code={}", error.code.as_str());
+    raw_error_answer(&error, &id)
+}
+
 /// Counts a connection while it lives.
 struct Counted<'a>(&'a Cell<usize>);
 
--- a/components/entry/src/config_reader.rs
+++ b/components/entry/src/config_reader.rs
@@ -5,7 +5,7 @@
 
 use base::{Offset, Timestamp};
 use changes::{CONFIG_STREAM, RecordId};
-use platform::{Log, LogPage};
+use store::{Log, LogPage};
 use telemetry::quote;
 use wire::{FLEET_STREAM, LogRecordCopy, PeerCall, PeerReply, StartRecord};
 
--- a/components/entry/src/dispatch.rs
+++ b/components/entry/src/dispatch.rs
@@ -16,11 +16,11 @@
 use wire::RequestId;
 
 use crate::app::App;
-use crate::connection::Closer;
 use crate::forward_call::forward;
 use crate::generate_call::generate;
 use crate::request_id::new_request_id;
-use crate::respond::{CallerResponse, error_answer, json_answer};
+use ingress::Closer;
+use ingress::{CallerResponse, error_answer, json_answer};
 
 /// Wait that is advised while the process has no configuration, in milliseconds.
 const NO_CONFIGURATION_RETRY_MS: u64 = 1_000;
--- a/components/entry/src/forward_attempt.rs
+++ b/components/entry/src/forward_attempt.rs
@@ -10,9 +10,9 @@
 use routing::{Failure, Pick};
 use wire::{ForwardDown, ForwardUp, FrameReceiver, FrameSender, Header, WireError};
 
-use crate::caller_body::CallerBody;
 use crate::forward_job::{ForwardJob, Payload};
-use crate::respond::{CallerResponse, with_request_id};
+use ingress::CallerBody;
+use ingress::{CallerResponse, with_request_id};
 
 /// Most bytes of a body in one frame.
 const PART_BYTES: usize = 64 << 10;
--- a/components/entry/src/forward_call.rs
+++ b/components/entry/src/forward_call.rs
@@ -22,7 +22,7 @@
 use crate::dispatch::{Arrival, auth_error, cancel_error, head_error, read_body};
 use crate::forward_job::{ForwardJob, Payload};
 use crate::in_flight::{Holder, Use};
-use crate::respond::CallerResponse;
+use ingress::CallerResponse;
 
 /// Header that makes a call run at most once over all its attempts.
 const IDEMPOTENCY_KEY: &str = "idempotency-key";
--- a/components/entry/src/forward_job.rs
+++ b/components/entry/src/forward_job.rs
@@ -15,12 +15,12 @@
 use wire::{ForwardHead, RefuseReason};
 
 use crate::app::App;
-use crate::connection::Closer;
 use crate::dispatch::cancel_error;
 use crate::forward_attempt::{ForwardAttempt, ForwardEnd};
 use crate::generate_job::refusal_error;
 use crate::in_flight::Ticket;
-use crate::respond::{CallerResponse, error_answer};
+use ingress::Closer;
+use ingress::{CallerResponse, error_answer};
 
 /// Time that is kept back from the deadline that a side process is told.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(50);
--- a/components/entry/src/generate_call.rs
+++ b/components/entry/src/generate_call.rs
@@ -17,7 +17,7 @@
 use crate::generate_job::GenerateJob;
 use crate::in_flight::{Holder, Use};
 use crate::outlet::{AnswerHead, Outlet};
-use crate::respond::CallerResponse;
+use ingress::CallerResponse;
 
 /// Answers a request for generated text.
 ///
--- a/components/entry/src/generate_job.rs
+++ b/components/entry/src/generate_job.rs
@@ -14,11 +14,11 @@
 
 use crate::app::App;
 use crate::attempt::{Attempt, AttemptEnd};
-use crate::connection::Closer;
 use crate::dispatch::cancel_error;
 use crate::in_flight::Ticket;
 use crate::outlet::Outlet;
 use crate::reserve::{Reservation, reserve};
+use ingress::Closer;
 
 /// Wait that is advised when no target can take a request, in milliseconds.
 const NO_CAPACITY_RETRY_MS: u64 = 1_000;
--- a/components/entry/src/handle.rs
+++ b/components/entry/src/handle.rs
@@ -10,7 +10,7 @@
 use config::EntrySettings;
 use membership::{Authority, Membership, Myself};
 use placement::{Planner, PlannerSettings};
-use platform::{HttpLog, HttpLogOptions, HttpVmList, Log};
+use store::{HttpLog, HttpLogOptions, HttpVmList, Log};
 use telemetry::Metrics;
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, watch};
--- a/components/entry/src/heartbeats.rs
+++ b/components/entry/src/heartbeats.rs
@@ -8,7 +8,7 @@
 use base::{Role, Timestamp};
 use compact_str::CompactString;
 use membership::{Heard, Liveness, Vm, VmList as VmListing};
-use platform::{VmList, VmState};
+use store::{VmList, VmState};
 use tokio::time::{MissedTickBehavior, interval, sleep_until};
 use wire::{Heartbeat, PeerCall, PeerReply};
 
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -2,12 +2,10 @@
 
 mod app;
 mod attempt;
-mod caller_body;
 mod callers;
 mod cancel;
 mod clock;
 mod config_reader;
-mod connection;
 mod demand;
 mod dispatch;
 mod error;
@@ -17,7 +15,6 @@
 mod forward_job;
 mod generate_call;
 mod generate_job;
-mod guarded_stream;
 mod handle;
 mod heartbeats;
 mod in_flight;
@@ -28,7 +25,6 @@
 mod planning;
 mod request_id;
 mod reserve;
-mod respond;
 mod shutdown;
 mod slots;
 mod stage;
--- a/components/entry/src/log_reader.rs
+++ b/components/entry/src/log_reader.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use base::{Offset, Timestamp};
-use platform::{Log, LogPage, PlatformError};
+use store::{Log, LogPage, StoreError};
 use tokio::time::sleep;
 
 use crate::app::App;
@@ -54,7 +54,7 @@
                     "event=log_read_failed stream={} error=\"{error}\"",
                     stream_of(&follower)
                 );
-                if error == PlatformError::Unavailable {
+                if error == StoreError::Unavailable {
                     follower.unavailable(&app, asked_at);
                 }
                 sleep(RETRY_PAUSE).await;
--- a/components/entry/src/outlet.rs
+++ b/components/entry/src/outlet.rs
@@ -7,8 +7,8 @@
 use bytes::Bytes;
 use tokio::sync::oneshot;
 
-use crate::caller_body::{CallerGone, PartSender};
-use crate::respond::{CallerResponse, error_answer, event_stream, json_answer};
+use ingress::{CallerGone, PartSender};
+use ingress::{CallerResponse, error_answer, event_stream, json_answer};
 
 /// Identity of an answer.
 #[derive(Clone, Debug, Eq, PartialEq)]
--- a/components/entry/src/slots.rs
+++ b/components/entry/src/slots.rs
@@ -6,11 +6,11 @@
 use base::{Offset, ProcessId, Role, SnapshotSchedule, Timestamp};
 use compact_str::format_compact;
 use config::Town;
-use platform::{Log, LogPage};
 use rates::{
     AppendEnd, Distance, EntryPlace, SlotEntry, SlotHolder, SlotLedger, SlotOwner, SlotPlan,
     SlotRecord, SlotView, Verdict, VoidReason, slot_holders,
 };
+use store::{Log, LogPage};
 use tokio::time::{MissedTickBehavior, interval};
 use wire::{LogRecordCopy, PeerReply};
 
--- a/components/faults/tests/matrix/slots.rs
+++ b/components/faults/tests/matrix/slots.rs
@@ -131,6 +131,7 @@
             rate_tokens_per_s: RATE,
             burst_tokens: BURST,
             weight: 1,
+            ..Customer::default()
         }],
         data_centres: PLACES.into_iter().map(data_centre).collect(),
         weight_store: WeightStoreLimits {
--- /dev/null
+++ b/components/gateway/src/answer.rs
@@ -0,0 +1,193 @@
+//! From a caller's request to its answer.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use api::{ApiError, ErrorCode};
+use base::Timestamp;
+use bytes::Bytes;
+use http::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use http::{Request, Response};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use ingress::{CallerBody, CallerResponse, Closer};
+use platform::{CallerHead, forwarded_answer_headers, own_answer_headers};
+use telemetry::{Class, quote};
+use tokio::time::timeout;
+
+use crate::app::App;
+use crate::call::{Call, CallEnd, WholeAnswer};
+use crate::fleet_link::FleetLink;
+use crate::relay::Relay;
+use crate::request::{Arrival, CallerRequest, understand};
+
+/// Most bytes of a body while no configuration says otherwise.
+const USUAL_BODY_BYTES: usize = 4 << 20;
+/// Longest time to receive a body.
+const BODY_LIMIT: Duration = Duration::from_secs(10);
+
+/// Counts a request while it is in progress.
+struct InFlight(Rc<App>);
+
+impl InFlight {
+    fn new(app: &Rc<App>) -> Self {
+        app.in_flight.set(app.in_flight.get() + 1);
+        Self(Rc::clone(app))
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.set(self.0.in_flight.get() - 1);
+    }
+}
+
+/// Answers one request.
+pub(crate) async fn answer(
+    app: Rc<App>,
+    link: Rc<FleetLink>,
+    request: Request<Incoming>,
+    _closer: Rc<Closer>,
+) -> CallerResponse {
+    let arrived = app.clock.now();
+    let in_flight = InFlight::new(&app);
+    let (parts, body) = request.into_parts();
+    let head = CallerHead::decode(&parts.headers);
+    let id = head.request_id.clone().unwrap_or_default();
+    for field in &head.unreadable {
+        log::info!("event=header_unreadable request_id={} field={}", quote(&id), field.as_str());
+    }
+    let arrival = Arrival {
+        id: id.clone(),
+        method: parts.method,
+        uri: parts.uri,
+        headers: parts.headers,
+        head,
+        arrived,
+    };
+    let outcome = async {
+        let body = read_body(&app, body).await?;
+        if arrival.id.is_empty() {
+            return Err(ApiError::new(ErrorCode::InvalidRequest, "the request has no id"));
+        }
+        understand(&app, arrival, body).map(Rc::new)
+    };
+    let request = match outcome.await {
+        Ok(request) => request,
+        Err(error) => return refuse(&app, &error, &id, None, arrived),
+    };
+    let mut call = Call::new(Rc::clone(&app), link, Rc::clone(&request));
+    match call.run().await {
+        Ok(CallEnd::Whole(whole)) => {
+            log_end(&app, &request, "whole", whole.status.as_u16(), call.sends, None, 0);
+            whole_response(whole)
+        }
+        Ok(CallEnd::Stream(answer, send)) => {
+            let mut response = Response::new(());
+            *response.status_mut() = answer.status;
+            *response.headers_mut() = forwarded_answer_headers(&answer.headers);
+            let (parts, body) = CallerBody::parts(None);
+            let relay = Relay { call, parts, first_event_at: None, events: 0 };
+            tokio::task::spawn_local(async move {
+                let (relay, end) = relay.run(*answer, send).await;
+                let request = Rc::clone(&relay.call.request);
+                let first = relay.first_event_at;
+                log_end(&app, &request, end.as_str(), 200, relay.call.sends, first, relay.events);
+                if end == crate::relay::RelayEnd::Whole {
+                    // A caller that has gone needs no end.
+                    let _ended = relay.parts.end().await;
+                }
+                drop(in_flight);
+            });
+            response.map(|()| body)
+        }
+        Err(error) => refuse(&app, &error, &id, Some(&request), arrived),
+    }
+}
+
+async fn read_body(app: &App, body: Incoming) -> Result<Bytes, ApiError> {
+    let limit = app
+        .town()
+        .and_then(|town| town.caller_bounds)
+        .map_or(USUAL_BODY_BYTES, |bounds| bounds.body_bytes);
+    match timeout(BODY_LIMIT, Limited::new(body, limit).collect()).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            let text = format!("the body is larger than {limit} bytes");
+            Err(ApiError::new(ErrorCode::BodyTooLarge, text))
+        }
+        Ok(Err(_)) => Err(ApiError::new(ErrorCode::InvalidRequest, "the body broke off")),
+        Err(_) => Err(ApiError::new(ErrorCode::RequestTimeout, "the body did not arrive in time")),
+    }
+}
+
+fn whole_response(whole: WholeAnswer) -> CallerResponse {
+    let mut response = Response::new(CallerBody::whole(whole.body));
+    *response.status_mut() = whole.status;
+    *response.headers_mut() = whole.headers;
+    response
+}
+
+/// Answer of this process itself.
+fn refuse(
+    app: &App,
+    error: &ApiError,
+    id: &str,
+    request: Option<&CallerRequest>,
+    arrived: Timestamp,
+) -> CallerResponse {
+    app.metrics.record_refusal(error.code.as_str());
+    log::info!(
+        "event=request_refused request_id={} code={} ran={} retry_after_ms={} route={} customer={} after_ms={} config={} evidence_age_ms={}",
+        quote(id),
+        error.code.as_str(),
+        error.ran.as_str(),
+        error.retry_after_ms.unwrap_or_default(),
+        request.map_or("-", |request| request.plan.route.as_str()),
+        request.and_then(|request| request.customer.as_deref()).unwrap_or("-"),
+        app.clock.now().since(arrived).as_millis(),
+        app.version().0,
+        app.evidence_age(app.clock.now()).map_or(-1, |age| age.as_millis() as i64)
+    );
+    let mut response = Response::new(CallerBody::whole(error.to_json(id)));
+    *response.status_mut() = error.code.status();
+    *response.headers_mut() = own_answer_headers((!id.is_empty()).then_some(id));
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    if let Some(retry_ms) = error.retry_after_ms {
+        let seconds = format!("{:.3}", retry_ms as f64 / 1_000.0);
+        if let Ok(value) = HeaderValue::from_str(&seconds) {
+            response.headers_mut().insert(RETRY_AFTER, value);
+        }
+    }
+    response
+}
+
+fn log_end(
+    app: &App,
+    request: &CallerRequest,
+    end: &str,
+    status: u16,
+    sends: u32,
+    first_event_at: Option<Timestamp>,
+    events: u64,
+) {
+    let now = app.clock.now();
+    let total = now.since(request.arrived);
+    let customer = request.customer.as_deref().unwrap_or("-");
+    let class = if request.plan.kind.is_stream() { Class::Streamed } else { Class::Plain };
+    app.metrics.record_request(customer, class);
+    if let Some(first) = first_event_at {
+        app.metrics.record_first_token(customer, class, first.since(request.arrived));
+    }
+    app.metrics.record_total(customer, class, total, request.output_tokens());
+    log::info!(
+        "event=request_ended request_id={} end={end} status={status} route={} kind={} customer={} sends={sends} events={events} first_event_ms={} total_ms={} objective_ms={}",
+        quote(&request.id),
+        quote(&request.plan.route),
+        request.plan.kind.as_str(),
+        quote(customer),
+        first_event_at.map_or(-1, |at| at.since(request.arrived).as_millis() as i64),
+        total.as_millis(),
+        request.plan.objective.as_millis()
+    );
+}
--- /dev/null
+++ b/components/gateway/src/app.rs
@@ -0,0 +1,133 @@
+//! State of a gateway that its tasks share.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::{Offset, ProcessId, Timestamp};
+use clock::BootClock;
+use config::{GatewaySettings, Town};
+use membership::{Authority, GatewayTable, TargetDirectory};
+use platform::StoreClient;
+use routing::DirectFleet;
+use telemetry::Metrics;
+use tokio::sync::{Notify, watch};
+
+use crate::rates_desk::RatesDesk;
+use crate::stage::Stage;
+use crate::target_pool::TargetPool;
+
+/// Part of the time until a withdrawn key must be dead for which evidence counts. The rest covers
+/// the way from the caller and the resolution of the clocks.
+const EVIDENCE_PART: f64 = 0.9;
+/// Longest time after the start for which readiness waits for peers that have not been heard.
+const WARM_UP_LIMIT: Duration = Duration::from_millis(1_500);
+
+/// Shared state. Everything runs on one thread, so that a borrow never outlives a step.
+pub(crate) struct App {
+    /// Settings; replaced when the file changes.
+    pub settings: RefCell<Rc<GatewaySettings>>,
+    /// This run.
+    pub me: ProcessId,
+    /// Clock.
+    pub clock: BootClock,
+    /// Store.
+    pub store: StoreClient,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Stage of life.
+    pub stage: watch::Sender<Stage>,
+    /// Configuration in force.
+    pub town: RefCell<Option<Arc<Town>>>,
+    /// Evidence that no withdrawal is hidden.
+    pub authority: RefCell<Authority>,
+    /// Targets by the list.
+    pub directory: RefCell<TargetDirectory>,
+    /// Targets and the choice among them.
+    pub fleet: RefCell<DirectFleet>,
+    /// The other gateways.
+    pub gateways: RefCell<GatewayTable>,
+    /// Customers' rates and the budgets of further sends.
+    pub rates: RefCell<RatesDesk>,
+    /// Connections to targets.
+    pub pool: TargetPool,
+    /// Requests in progress.
+    pub in_flight: Cell<usize>,
+    /// Callers' connections.
+    pub connections: Cell<usize>,
+    /// Whether the list of targets was read since the start.
+    pub targets_read: Cell<bool>,
+    /// Whether the register of gateways was read since the start.
+    pub register_read: Cell<bool>,
+    /// Rings when an agent's word on its engine has changed something.
+    pub engines_changed: Notify,
+}
+
+impl App {
+    /// Settings in force.
+    pub(crate) fn settings(&self) -> Rc<GatewaySettings> {
+        Rc::clone(&self.settings.borrow())
+    }
+
+    /// Configuration in force.
+    pub(crate) fn town(&self) -> Option<Arc<Town>> {
+        self.town.borrow().clone()
+    }
+
+    /// Version in force.
+    pub(crate) fn version(&self) -> Offset {
+        self.town.borrow().as_ref().map_or(Offset::default(), |town| town.version)
+    }
+
+    /// How long evidence counts.
+    pub(crate) fn evidence_limit(settings: &GatewaySettings) -> Duration {
+        Duration::from_millis(settings.bounds.revocation_ms).mul_f64(EVIDENCE_PART)
+    }
+
+    /// Age of the newest evidence that no withdrawal is hidden, if it still counts.
+    pub(crate) fn evidence_age(&self, now: Timestamp) -> Option<Duration> {
+        let limit = Self::evidence_limit(&self.settings());
+        let grant = self.authority.borrow().grant(self.version(), None, now)?;
+        Some(limit.saturating_sub(grant.until.since(now)))
+    }
+
+    /// Puts a configuration in force, unless it is older than the one that is.
+    pub(crate) fn adopt(&self, town: Town, now: Timestamp) -> bool {
+        if town.version <= self.version() {
+            return false;
+        }
+        {
+            let mut fleet = self.fleet.borrow_mut();
+            for service in &town.services {
+                if let Some(engine) = service.engine {
+                    fleet.set_cache_tokens(&service.name, engine.cache_tokens);
+                }
+            }
+        }
+        self.rates.borrow_mut().adopt(&town, now);
+        self.metrics.admit_customers(town.customers.iter().map(|customer| customer.name.as_str()));
+        *self.town.borrow_mut() = Some(Arc::new(town));
+        true
+    }
+
+    /// Why the load balancer should look elsewhere, if it should.
+    pub(crate) fn not_ready_reason(&self) -> Option<&'static str> {
+        let now = self.clock.now();
+        if *self.stage.borrow() > Stage::Serving {
+            return Some("shutting down");
+        }
+        if self.town().is_none() {
+            return Some("no configuration in force");
+        }
+        if self.evidence_age(now).is_none() {
+            return Some("no news of withdrawn keys");
+        }
+        let (known, heard) = self.gateways.borrow().counts(now);
+        let warm = self.targets_read.get() && self.register_read.get() && heard >= known;
+        if !warm && now.since(Timestamp::default()) < WARM_UP_LIMIT {
+            return Some("not all gateways and targets are known yet");
+        }
+        None
+    }
+}
--- /dev/null
+++ b/components/gateway/src/call.rs
@@ -0,0 +1,432 @@
+//! From a request to the target that answers it.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use api::{ApiError, ErrorCode};
+use base::{RanState, Timestamp};
+use bytes::Bytes;
+use http::{HeaderMap, StatusCode};
+use platform::forwarded_answer_headers;
+use routing::{
+    Admission, DirectChoice, DirectPick, GenerationNeed, PlainDirectNeed, SendId, Slack, TargetKey,
+    TargetOutcome, admit, return_time,
+};
+use telemetry::quote;
+use tokio::time::timeout;
+
+use crate::app::App;
+use crate::exchange::{ExchangeFailure, NoAnswer, TargetAnswer, exchange};
+use crate::fleet_link::{FleetLink, ask_agent};
+use crate::request::{CallerRequest, charge, gateway_count};
+
+/// Sends of one request that a target may refuse beyond those that may run it.
+const EXTRA_SENDS: u32 = 2;
+/// Time that must be left for another send.
+const LEAST_LEFT: Duration = Duration::from_millis(30);
+/// Longest wait for a model or adapter that is being loaded, as a share of the time left.
+const LOAD_WAIT_SHARE: f64 = 0.4;
+/// Wait between two looks at the fleet while a model or adapter is awaited.
+const LOAD_LOOK: Duration = Duration::from_millis(100);
+/// Advised wait if no target is there, in milliseconds: the time in which a new one is noticed.
+const NO_TARGET_RETRY_MS: u64 = 500;
+
+/// A whole answer of a target.
+pub(crate) struct WholeAnswer {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+/// How a call ended.
+pub(crate) enum CallEnd {
+    /// An answer that is no stream.
+    Whole(WholeAnswer),
+    /// The head of a stream, with the send it belongs to.
+    Stream(Box<TargetAnswer>, Send),
+}
+
+/// A send in progress; dropping it takes the request out of the target's work.
+pub(crate) struct Send {
+    app: Rc<App>,
+    /// Target.
+    pub pick: DirectPick,
+    /// Number at the target.
+    pub number: SendId,
+    /// When it was sent.
+    pub at: Timestamp,
+}
+
+impl Drop for Send {
+    fn drop(&mut self) {
+        self.app.fleet.borrow_mut().note_end(self.pick.key, self.number);
+    }
+}
+
+impl Send {
+    /// Records what the outcome says of the target.
+    pub(crate) fn note(&self, outcome: TargetOutcome) {
+        let now = self.app.clock.now();
+        self.app.fleet.borrow_mut().note_outcome(self.pick.key, outcome, now);
+    }
+
+    /// Records the first event of a generation on `model`.
+    pub(crate) fn note_first_event(&self, model: &str) {
+        let took_ms = self.app.clock.now().since(self.at).as_secs_f64() * 1_000.0;
+        self.app.fleet.borrow_mut().note_first_event(&self.pick, model, self.number, took_ms);
+    }
+}
+
+/// One request on its way through targets.
+pub(crate) struct Call {
+    pub app: Rc<App>,
+    pub link: Rc<FleetLink>,
+    pub request: Rc<CallerRequest>,
+    /// Targets that failed it.
+    excluded: Vec<TargetKey>,
+    /// Sends that may have run.
+    runs: u32,
+    /// All sends.
+    pub sends: u32,
+    /// Last event that the caller has.
+    pub last_event: Option<u64>,
+    charged: bool,
+    /// A failure of a target that is passed on if nothing better comes.
+    failure: Option<WholeAnswer>,
+}
+
+/// A chosen target with the urgency of the request there.
+struct Chosen {
+    pick: DirectPick,
+    urgency: Option<u8>,
+}
+
+impl Call {
+    /// A call that was not sent yet.
+    pub(crate) fn new(app: Rc<App>, link: Rc<FleetLink>, request: Rc<CallerRequest>) -> Self {
+        let last_event = request.head.last_event;
+        Self {
+            app,
+            link,
+            request,
+            excluded: Vec::new(),
+            runs: 0,
+            sends: 0,
+            last_event,
+            charged: false,
+            failure: None,
+        }
+    }
+
+    /// Sends the request to targets until one gives an answer to pass on.
+    ///
+    /// # Errors
+    ///
+    /// The answer of this process if no target has one.
+    pub(crate) async fn run(&mut self) -> Result<CallEnd, ApiError> {
+        loop {
+            let chosen = match self.choose().await {
+                Ok(chosen) => chosen,
+                Err(error) => return self.give_up(error),
+            };
+            if !self.charged {
+                charge(&self.app, &self.request, self.app.clock.now())?;
+                self.charged = true;
+            }
+            let send = self.note_send(&chosen);
+            let limit = self.answer_limit(&chosen.pick);
+            let answer = exchange(
+                &self.app,
+                &self.request,
+                &chosen.pick,
+                chosen.urgency,
+                self.last_event,
+                limit,
+            )
+            .await;
+            match answer {
+                Ok(answer) => {
+                    if let Some(end) = self.take_answer(answer, send).await {
+                        return Ok(end);
+                    }
+                }
+                Err(failure) => self.take_failure(failure, &send)?,
+            }
+        }
+    }
+
+    /// Ends a call that has no target left.
+    fn give_up(&mut self, error: ApiError) -> Result<CallEnd, ApiError> {
+        if let Some(failure) = self.failure.take() {
+            return Ok(CallEnd::Whole(failure));
+        }
+        if self.runs > 0 {
+            let text = "the targets that were asked gave no answer";
+            return Err(ApiError::new(ErrorCode::UpstreamFailed, text).with_ran(RanState::Unknown));
+        }
+        Err(error)
+    }
+
+    /// Longest wait for the head of an answer.
+    fn answer_limit(&self, _pick: &DirectPick) -> Duration {
+        self.request.deadline.since(self.app.clock.now())
+    }
+
+    fn note_send(&mut self, chosen: &Chosen) -> Send {
+        let now = self.app.clock.now();
+        let pick = chosen.pick.clone();
+        let number = if self.request.plan.engine {
+            let mut fleet = self.app.fleet.borrow_mut();
+            let hash = fleet.target(pick.key).hash;
+            self.link.note_send(hash, &self.request.links);
+            let excluded = [];
+            let need = generation_need(&self.request, &excluded);
+            fleet.note_generation(&pick, &need, now)
+        } else {
+            self.app.fleet.borrow_mut().note_plain(pick.key, now)
+        };
+        self.sends += 1;
+        log::info!(
+            "event=request_sent request_id={} target={} estimate_ms={:.0} unread_tokens={} urgency={} sends={}",
+            quote(&self.request.id),
+            quote(&pick.id),
+            pick.estimate_ms,
+            pick.unread_tokens,
+            chosen.urgency.map_or(-1, i32::from),
+            self.sends
+        );
+        Send { app: Rc::clone(&self.app), pick, number, at: now }
+    }
+
+    /// Takes an answer; none if another target is to be tried.
+    async fn take_answer(&mut self, answer: TargetAnswer, send: Send) -> Option<CallEnd> {
+        if let Some(sample) = answer.head.load {
+            self.app.fleet.borrow_mut().note_load(send.pick.key, sample);
+        }
+        if answer.head.not_run {
+            self.excluded.push(send.pick.key);
+            log::info!(
+                "event=target_refused request_id={} target={} status={}",
+                quote(&self.request.id),
+                quote(&send.pick.id),
+                answer.status.as_u16()
+            );
+            return None;
+        }
+        self.runs += 1;
+        if answer.status.is_success() && answer.is_stream() && self.request.plan.kind.is_stream() {
+            return Some(CallEnd::Stream(Box::new(answer), send));
+        }
+        let status = answer.status;
+        let limit = self.request.deadline.since(self.app.clock.now());
+        match answer.read_whole(&self.app, limit).await {
+            Ok((status, headers, body)) => {
+                if !self.request.plan.engine {
+                    let took = self.app.clock.now().since(send.at).as_secs_f64() * 1_000.0;
+                    self.app.fleet.borrow_mut().target_mut(send.pick.key).observe_plain(took);
+                }
+                let headers = forwarded_answer_headers(&headers);
+                let whole = WholeAnswer { status, headers, body };
+                if !status.is_server_error() {
+                    send.note(TargetOutcome::Answered);
+                    return Some(CallEnd::Whole(whole));
+                }
+                send.note(TargetOutcome::Failed);
+                if !self.request.plan.kind.may_run_again() {
+                    return Some(CallEnd::Whole(whole));
+                }
+                self.failure = Some(whole);
+                self.excluded.push(send.pick.key);
+                None
+            }
+            Err(reason) => {
+                send.note(TargetOutcome::Failed);
+                self.excluded.push(send.pick.key);
+                log::info!(
+                    "event=answer_lost request_id={} target={} status={} reason={}",
+                    quote(&self.request.id),
+                    quote(&send.pick.id),
+                    status.as_u16(),
+                    reason.as_str()
+                );
+                None
+            }
+        }
+    }
+
+    /// Takes a send without an answer.
+    fn take_failure(&mut self, failure: ExchangeFailure, send: &Send) -> Result<(), ApiError> {
+        let reason = match failure {
+            ExchangeFailure::NotSent => "not_sent",
+            ExchangeFailure::NoAnswer(reason) => reason.as_str(),
+        };
+        log::info!(
+            "event=answer_missing request_id={} target={} reason={reason} waited_ms={}",
+            quote(&self.request.id),
+            quote(&send.pick.id),
+            self.app.clock.now().since(send.at).as_millis()
+        );
+        self.excluded.push(send.pick.key);
+        match failure {
+            ExchangeFailure::NotSent => send.note(TargetOutcome::Silent),
+            ExchangeFailure::NoAnswer(reason) => {
+                self.runs += 1;
+                send.note(match reason {
+                    NoAnswer::Broken | NoAnswer::Silence => TargetOutcome::Silent,
+                    NoAnswer::CutShort | NoAnswer::Foreign => TargetOutcome::Failed,
+                });
+            }
+        }
+        Ok(())
+    }
+
+    /// Excludes the target of a stream that broke, so that another one can go on.
+    pub(crate) fn note_broken(&mut self, send: &Send) {
+        self.excluded.push(send.pick.key);
+        send.note(TargetOutcome::Failed);
+    }
+
+    /// Chooses the next target, waiting for a model or an adapter within limits.
+    async fn choose(&mut self) -> Result<Chosen, ApiError> {
+        let began = self.app.clock.now();
+        loop {
+            let now = self.app.clock.now();
+            self.check_may_send(now)?;
+            let left = self.request.deadline.since(now);
+            let choice = self.look(now);
+            match choice {
+                DirectChoice::Serve(pick) if pick.lacks_adapter => {
+                    self.await_adapter(&pick, began).await?;
+                }
+                DirectChoice::Serve(pick) => return self.admit(pick, now),
+                DirectChoice::NoCopy { loading_ms } => {
+                    self.await_copy(loading_ms, began).await?;
+                }
+                DirectChoice::NoTarget => {
+                    let retry_ms = NO_TARGET_RETRY_MS
+                        .min(u64::try_from((left / 3).as_millis()).unwrap_or(NO_TARGET_RETRY_MS));
+                    let text = "no target of the service can be used";
+                    return Err(
+                        ApiError::new(ErrorCode::NoCapacity, text).with_retry_after_ms(retry_ms)
+                    );
+                }
+            }
+        }
+    }
+
+    fn look(&self, now: Timestamp) -> DirectChoice {
+        let fleet = self.app.fleet.borrow();
+        if self.request.plan.engine {
+            fleet.choose_generation(&generation_need(&self.request, &self.excluded), now)
+        } else {
+            let need =
+                PlainDirectNeed { service: &self.request.plan.service, exclude: &self.excluded };
+            fleet.choose_plain(&need, now)
+        }
+    }
+
+    /// Whether the rules allow another send.
+    fn check_may_send(&mut self, now: Timestamp) -> Result<(), ApiError> {
+        let plan = &self.request.plan;
+        if self.runs > 0 && !plan.kind.may_run_again() {
+            let text = "the target gave no answer; the request may have run";
+            return Err(ApiError::new(ErrorCode::UpstreamFailed, text).with_ran(RanState::Unknown));
+        }
+        let left = self.request.deadline.since(now);
+        if left < LEAST_LEFT {
+            let ran = if self.runs > 0 { RanState::Unknown } else { RanState::NotRun };
+            let text = "the time allowed ran out";
+            return Err(ApiError::new(ErrorCode::DeadlineExceeded, text).with_ran(ran));
+        }
+        let spent = self.runs >= plan.attempts || self.sends >= plan.attempts + EXTRA_SENDS;
+        if self.sends > 0 && spent {
+            let text = "the targets that were asked did not take the request";
+            return Err(
+                ApiError::new(ErrorCode::NoCapacity, text).with_retry_after_ms(NO_TARGET_RETRY_MS)
+            );
+        }
+        Ok(())
+    }
+
+    fn admit(&mut self, pick: DirectPick, now: Timestamp) -> Result<Chosen, ApiError> {
+        if self.sends > 0 {
+            let gateways = gateway_count(&self.app, now).known;
+            let service = &self.request.plan.service;
+            if !self.app.rates.borrow_mut().try_further(service, gateways, now) {
+                let text = "the budget of further attempts is used up";
+                return Err(ApiError::new(ErrorCode::NoCapacity, text)
+                    .with_retry_after_ms(NO_TARGET_RETRY_MS));
+            }
+            self.app.metrics.record_retry();
+        }
+        let plan = &self.request.plan;
+        let slack = Slack {
+            objective: (self.request.arrived + plan.objective).since(now),
+            deadline: self.request.deadline.since(now),
+            priority: plan.priority,
+        };
+        match admit(pick.estimate_ms, slack) {
+            Admission::Send { urgency } => {
+                let urgency = plan.engine.then_some(urgency);
+                Ok(Chosen { pick, urgency })
+            }
+            Admission::Refuse { retry_after } => {
+                log::info!(
+                    "event=admission_refused request_id={} target={} estimate_ms={:.0} left_ms={}",
+                    quote(&self.request.id),
+                    quote(&pick.id),
+                    pick.estimate_ms,
+                    slack.deadline.as_millis()
+                );
+                let retry_ms = u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX);
+                let text = "no target can answer within the time allowed";
+                Err(ApiError::new(ErrorCode::NoCapacity, text).with_retry_after_ms(retry_ms))
+            }
+        }
+    }
+
+    async fn await_adapter(&self, pick: &DirectPick, began: Timestamp) -> Result<(), ApiError> {
+        let now = self.app.clock.now();
+        if let Some(name) = generation_need(&self.request, &[]).adapter_name() {
+            let mut fleet = self.app.fleet.borrow_mut();
+            if fleet.target_mut(pick.key).want(name, now) {
+                ask_agent(&self.app, &self.link, fleet.target(pick.key), now);
+            }
+        }
+        self.await_change(began, 0.0).await
+    }
+
+    async fn await_copy(&self, loading_ms: Option<u32>, began: Timestamp) -> Result<(), ApiError> {
+        self.await_change(began, f64::from(loading_ms.unwrap_or_default())).await
+    }
+
+    /// Waits for news from the engines; refuses at once what they will not have in time.
+    async fn await_change(&self, began: Timestamp, needed_ms: f64) -> Result<(), ApiError> {
+        let now = self.app.clock.now();
+        let allowed = (self.request.deadline.since(began)).mul_f64(LOAD_WAIT_SHARE);
+        let waited = now.since(began);
+        let needed = Duration::from_secs_f64(needed_ms / 1_000.0);
+        if waited + needed > allowed {
+            let left = self.request.deadline.since(now);
+            let retry_ms =
+                u64::try_from(return_time(needed_ms * 2.0, left).as_millis()).unwrap_or(u64::MAX);
+            let text = "no target has the model or adapter";
+            return Err(ApiError::new(ErrorCode::NoCapacity, text).with_retry_after_ms(retry_ms));
+        }
+        // Either news or the next look.
+        let _news = timeout(LOAD_LOOK, self.app.engines_changed.notified()).await;
+        Ok(())
+    }
+}
+
+fn generation_need<'a>(request: &'a CallerRequest, exclude: &'a [TargetKey]) -> GenerationNeed<'a> {
+    GenerationNeed {
+        service: &request.plan.service,
+        model: request.head.model.as_deref().unwrap_or_default(),
+        adapter: request.head.adapter.as_deref(),
+        links: &request.links,
+        prompt_tokens: request.prompt_tokens(),
+        output_tokens: request.output_tokens(),
+        exclude,
+    }
+}
--- /dev/null
+++ b/components/gateway/src/callers.rs
@@ -0,0 +1,94 @@
+//! Accepts callers' connections.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use api::{ApiError, HeadFault};
+use config::CallerLimits;
+use ingress::{ConnectionOptions, raw_error_answer, serve_caller};
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::answer::answer;
+use crate::app::App;
+use crate::fleet_link::FleetLink;
+
+/// Pause after a failed accept, most likely for want of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Idle time after which a caller's connection is closed, in idle limits of the configuration; callers
+/// use a connection for less than one.
+const IDLE_FACTOR: u32 = 2;
+/// Idle limit while no configuration sets one.
+const USUAL_IDLE: Duration = Duration::from_secs(60);
+
+/// Accepts connections until the process drains; then closes the listener.
+pub(crate) async fn accept_callers(app: Rc<App>, link: Rc<FleetLink>, listener: TcpListener) {
+    let mut stage = app.stage.subscribe();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stage.wait_for(|stage| stage.is_draining()) => return,
+        };
+        let socket = match accepted {
+            Ok((socket, _)) => socket,
+            Err(error) => {
+                log::warn!("event=accept_failed error=\"{error}\"");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        if let Err(error) = socket.set_nodelay(true) {
+            log::debug!("event=nodelay_failed error=\"{error}\"");
+        }
+        let (app, link) = (Rc::clone(&app), Rc::clone(&link));
+        tokio::task::spawn_local(async move {
+            let _counted = Counted::new(&app.connections);
+            serve(&app, &link, socket).await;
+        });
+    }
+}
+
+async fn serve(app: &Rc<App>, link: &Rc<FleetLink>, socket: TcpStream) {
+    let bounds = app.town().and_then(|town| town.caller_bounds);
+    let usual = CallerLimits::default();
+    let options = ConnectionOptions {
+        limits: CallerLimits {
+            head_bytes: bounds.map_or(usual.head_bytes, |bounds| bounds.head_bytes),
+            head_timeout_ms: bounds.map_or(usual.head_timeout_ms, |bounds| bounds.head_timeout_ms),
+            ..usual
+        },
+        idle_limit: bounds.map_or(USUAL_IDLE, |bounds| {
+            Duration::from_millis(bounds.idle_timeout_ms) * IDLE_FACTOR
+        }),
+    };
+    let mut stage = app.stage.subscribe();
+    let draining = async {
+        // The sender lives as long as the process.
+        let _draining = stage.wait_for(|stage| stage.is_draining()).await;
+    };
+    let answer = |request, closer| answer(Rc::clone(app), Rc::clone(link), request, closer);
+    serve_caller(socket, options, answer, |fault| refuse_head(app, fault), draining).await;
+}
+
+fn refuse_head(app: &App, fault: HeadFault) -> String {
+    let error = ApiError::new(fault.code(), fault.to_string());
+    app.metrics.record_refusal(error.code.as_str());
+    log::info!("event=head_refused code={}", error.code.as_str());
+    raw_error_answer(&error, "")
+}
+
+/// Counts a connection while it lives.
+struct Counted<'a>(&'a Cell<usize>);
+
+impl<'a> Counted<'a> {
+    fn new(count: &'a Cell<usize>) -> Self {
+        count.set(count.get() + 1);
+        Self(count)
+    }
+}
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
--- /dev/null
+++ b/components/gateway/src/handle.rs
@@ -0,0 +1,119 @@
+//! Starts a gateway and stops it.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use base::{ProcessId, ProcessName};
+use clock::{BootClock, new_incarnation};
+use config::GatewaySettings;
+use membership::{Authority, GatewayTable, TargetDirectory};
+use platform::StoreClient;
+use routing::DirectFleet;
+use telemetry::Metrics;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::{Notify, watch};
+use tokio::task::JoinSet;
+
+use crate::app::App;
+use crate::callers::accept_callers;
+use crate::configuration_watch::watch_configuration;
+use crate::error::GatewayError;
+use crate::fleet_link::{FleetLink, hear_fleet, tell_fleet};
+use crate::operators::serve_operators;
+use crate::rates_desk::RatesDesk;
+use crate::register::keep_register;
+use crate::shutdown::drain;
+use crate::stage::Stage;
+use crate::target_pool::TargetPool;
+use crate::target_watch::watch_targets;
+
+/// A running gateway.
+pub struct GatewayHandle {
+    app: Rc<App>,
+    // Ends the tasks when the handle is dropped.
+    _tasks: JoinSet<()>,
+}
+
+/// Starts a gateway as tasks of the current `LocalSet`; metrics are served on `metrics_port`.
+///
+/// # Errors
+///
+/// If an address can't be bound.
+pub async fn start(
+    settings: GatewaySettings,
+    metrics_port: u16,
+) -> Result<GatewayHandle, GatewayError> {
+    let callers = listen(settings.caller_address).await?;
+    let ready = listen(settings.ready_address).await?;
+    let metrics = listen(SocketAddr::new(settings.ip, metrics_port)).await?;
+    let peer_address = SocketAddr::new(settings.ip, settings.peer_port);
+    let socket = UdpSocket::bind(peer_address)
+        .await
+        .map_err(|error| GatewayError::Bind { address: peer_address, error })?;
+    let app = Rc::new(new_app(settings)?);
+    let link = Rc::new(FleetLink::new(socket));
+    log::info!(
+        "event=gateway_started process={} callers={} data_centre={}",
+        app.me,
+        app.settings().caller_address,
+        app.settings().data_centre
+    );
+    let mut tasks = JoinSet::new();
+    tasks.spawn_local(watch_configuration(Rc::clone(&app)));
+    tasks.spawn_local(watch_targets(Rc::clone(&app)));
+    tasks.spawn_local(keep_register(Rc::clone(&app)));
+    tasks.spawn_local(tell_fleet(Rc::clone(&app), Rc::clone(&link)));
+    tasks.spawn_local(hear_fleet(Rc::clone(&app), Rc::clone(&link)));
+    tasks.spawn_local(accept_callers(Rc::clone(&app), link, callers));
+    tasks.spawn_local(serve_operators(Rc::clone(&app), ready));
+    tasks.spawn_local(serve_operators(Rc::clone(&app), metrics));
+    Ok(GatewayHandle { app, _tasks: tasks })
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, GatewayError> {
+    TcpListener::bind(address).await.map_err(|error| GatewayError::Bind { address, error })
+}
+
+fn new_app(settings: GatewaySettings) -> Result<App, GatewayError> {
+    let me = ProcessId { name: ProcessName::new(&settings.name), incarnation: new_incarnation() };
+    let limit = App::evidence_limit(&settings);
+    Ok(App {
+        clock: BootClock::start(),
+        store: StoreClient::new(settings.store_address),
+        metrics: Metrics::new().map_err(GatewayError::Metrics)?,
+        stage: watch::Sender::new(Stage::Serving),
+        town: RefCell::new(None),
+        authority: RefCell::new(Authority::new(limit, limit)),
+        directory: RefCell::new(TargetDirectory::new()),
+        fleet: RefCell::new(DirectFleet::new(&settings.data_centre)),
+        gateways: RefCell::new(GatewayTable::new(me.clone())),
+        rates: RefCell::new(RatesDesk::new(settings.first_start, settings.bounds)),
+        pool: TargetPool::default(),
+        in_flight: Cell::new(0),
+        connections: Cell::new(0),
+        targets_read: Cell::new(false),
+        register_read: Cell::new(false),
+        engines_changed: Notify::new(),
+        me,
+        settings: RefCell::new(Rc::new(settings)),
+    })
+}
+
+impl GatewayHandle {
+    /// Starts the graceful stop.
+    pub fn stop(&self) {
+        self.app.stage.send_if_modified(|stage| {
+            let starts = *stage < Stage::Notice;
+            if starts {
+                *stage = Stage::Notice;
+            }
+            starts
+        });
+    }
+
+    /// Waits until the process may end; ends only after [`GatewayHandle::stop`].
+    pub async fn finished(&self) {
+        drain(&self.app).await;
+    }
+}
--- /dev/null
+++ b/components/gateway/src/lib.rs
@@ -0,0 +1,24 @@
+//! Gateway process: callers in front, targets behind, without a process between.
+
+mod answer;
+mod app;
+mod call;
+mod callers;
+mod configuration_watch;
+mod error;
+mod events;
+mod exchange;
+mod fleet_link;
+mod handle;
+mod operators;
+mod rates_desk;
+mod register;
+mod relay;
+mod request;
+mod shutdown;
+mod stage;
+mod target_pool;
+mod target_watch;
+
+pub use error::GatewayError;
+pub use handle::{GatewayHandle, start};
--- /dev/null
+++ b/components/gateway/src/rates_desk.rs
@@ -0,0 +1,113 @@
+//! Customers' buckets and budgets of further sends of one gateway.
+
+use std::time::Duration;
+
+use base::{Incarnation, ProcessName, SortedMap, Timestamp, hash_bytes};
+use compact_str::CompactString;
+use config::{FleetBounds, Town};
+use rates::{CustomerRate, GatewayCount, SendBudget, SendBudgetSettings, SharedBucket};
+use wire::AdmittedTokens;
+
+/// Buckets by customer, and budgets by service.
+#[derive(Debug)]
+pub(crate) struct RatesDesk {
+    first_start: bool,
+    bounds: FleetBounds,
+    buckets: SortedMap<CompactString, SharedBucket>,
+    budgets: SortedMap<CompactString, SendBudget>,
+}
+
+impl RatesDesk {
+    /// A desk without customers.
+    pub(crate) const fn new(first_start: bool, bounds: FleetBounds) -> Self {
+        Self { first_start, bounds, buckets: SortedMap::new(), budgets: SortedMap::new() }
+    }
+
+    /// Takes the customers and services of a configuration.
+    pub(crate) fn adopt(&mut self, town: &Town, now: Timestamp) {
+        for customer in &town.customers {
+            let rate = CustomerRate {
+                tokens_per_s: customer.rate_tokens_per_s,
+                burst_tokens: customer.burst_tokens,
+            };
+            let first_start = self.first_start;
+            self.buckets
+                .get_or_insert_with(customer.name.clone(), || {
+                    SharedBucket::new(rate, first_start, now)
+                })
+                .set_rate(rate);
+        }
+        let settings = SendBudgetSettings {
+            ratio: self.bounds.retry_ratio,
+            slack: self.bounds.retry_slack,
+            window: Duration::from_millis(self.bounds.retry_window_ms),
+        };
+        for service in &town.services {
+            self.budgets.get_or_insert_with(service.name.clone(), || SendBudget::new(settings));
+        }
+    }
+
+    /// Admits a request of a customer, or says when to come back.
+    ///
+    /// # Errors
+    ///
+    /// The advised wait.
+    pub(crate) fn admit(
+        &mut self,
+        customer: &str,
+        tokens: u64,
+        gateways: GatewayCount,
+        now: Timestamp,
+    ) -> Result<(), Duration> {
+        match self.buckets.get_mut(customer) {
+            Some(bucket) => bucket.take(tokens, gateways, now),
+            // Every customer of the configuration in force has a bucket.
+            None => Ok(()),
+        }
+    }
+
+    /// Counts a request to a service.
+    pub(crate) fn note_request(&mut self, service: &str, now: Timestamp) {
+        if let Some(budget) = self.budgets.get_mut(service) {
+            budget.note_request(now);
+        }
+    }
+
+    /// Takes a send to a further target from the budget of a service.
+    pub(crate) fn try_further(&mut self, service: &str, gateways: u32, now: Timestamp) -> bool {
+        self.budgets.get_mut(service).is_some_and(|budget| budget.try_take(gateways, now))
+    }
+
+    /// Takes a peer's word on what it has admitted.
+    pub(crate) fn take_peer(
+        &mut self,
+        peer: &ProcessName,
+        incarnation: Incarnation,
+        admitted: &[AdmittedTokens],
+    ) {
+        for (name, bucket) in self.buckets.iter_mut() {
+            let hash = hash_bytes(name.as_bytes());
+            if let Some(word) = admitted.iter().find(|word| word.customer == hash) {
+                bucket.take_peer(peer, incarnation, word.tokens, word.asked_per_s);
+            }
+        }
+    }
+
+    /// Forgets a gateway that is gone.
+    pub(crate) fn forget_peer(&mut self, peer: &ProcessName) {
+        self.buckets.values_mut().for_each(|bucket| bucket.forget_peer(peer));
+    }
+
+    /// What this gateway has admitted, for its peers.
+    pub(crate) fn admitted(&self) -> Vec<AdmittedTokens> {
+        self.buckets
+            .iter()
+            .filter(|(_, bucket)| bucket.admitted() > 0)
+            .map(|(name, bucket)| AdmittedTokens {
+                customer: hash_bytes(name.as_bytes()),
+                tokens: bucket.admitted(),
+                asked_per_s: bucket.asked_per_s(),
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/components/gateway/src/register.rs
@@ -0,0 +1,90 @@
+//! The register of gateways on the store.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use store::{KeyedLog, KeyedReader, KeyedRecord, Topic};
+use tokio::time::sleep;
+use wire::GatewayRecord;
+
+use crate::app::App;
+use crate::stage::Stage;
+
+/// Time between two reads of the register; datagrams tell of new gateways long before.
+const READ_INTERVAL: Duration = Duration::from_secs(10);
+/// Pause after a failed call.
+const FAILURE_PAUSE: Duration = Duration::from_millis(300);
+
+/// Enters this process and reads the register until the task is aborted.
+pub(crate) async fn keep_register(app: Rc<App>) {
+    let mut reader = KeyedReader::new(Topic::Gateways);
+    let mut entered = false;
+    loop {
+        entered = entered || enter(&app).await;
+        match reader.read(&app.store, Duration::ZERO).await {
+            Ok(read) => {
+                read.page().records.iter().for_each(|record| take(&app, record));
+                app.register_read.set(true);
+            }
+            Err(error) => {
+                log::warn!("event=register_unread error=\"{error}\"");
+                sleep(FAILURE_PAUSE).await;
+                continue;
+            }
+        }
+        if !entered {
+            sleep(FAILURE_PAUSE).await;
+            continue;
+        }
+        sleep(READ_INTERVAL).await;
+        // A gateway that is not heard by all can show only here that it is alive.
+        let (known, heard) = app.gateways.borrow().counts(app.clock.now());
+        entered = heard >= known;
+    }
+}
+
+async fn enter(app: &App) -> bool {
+    let settings = app.settings();
+    let address = SocketAddr::new(settings.ip, settings.peer_port);
+    let record = GatewayRecord { process: app.me.clone(), address };
+    let Ok(value) = wire::encode(&record) else { return false };
+    if *app.stage.borrow() > Stage::Serving {
+        return true;
+    }
+    match app.store.put(Topic::Gateways, settings.name.as_str(), Some(&value)).await {
+        Ok(offset) => {
+            log::info!("event=registered offset={} address={address}", offset.0);
+            true
+        }
+        Err(error) => {
+            log::warn!("event=register_failed error=\"{error}\"");
+            false
+        }
+    }
+}
+
+/// Takes this process out of the register.
+pub(crate) async fn leave(app: &App) {
+    let name = app.settings().name.clone();
+    if let Err(error) = app.store.put(Topic::Gateways, name.as_str(), None).await {
+        log::warn!("event=deregister_failed error=\"{error}\"");
+    }
+}
+
+fn take(app: &App, record: &KeyedRecord) {
+    let now = app.clock.now();
+    let Some(value) = &record.value else {
+        app.gateways.borrow_mut().deregistered(&record.key, now);
+        return;
+    };
+    match wire::decode::<GatewayRecord>(value) {
+        Ok(entry) => app.gateways.borrow_mut().registered(&entry.process, entry.address, now),
+        Err(error) => {
+            log::warn!(
+                "event=register_entry_rejected gateway={} error=\"{error}\"",
+                telemetry::quote(&record.key)
+            );
+        }
+    }
+}
--- /dev/null
+++ b/components/gateway/src/relay.rs
@@ -0,0 +1,207 @@
+//! Passes a stream on to its caller; goes on at another target where the first one broke off.
+
+use std::time::Duration;
+
+use base::Timestamp;
+use bytes::Bytes;
+use ingress::{CallerGone, PartSender};
+use routing::TargetOutcome;
+use telemetry::quote;
+
+use crate::call::{Call, CallEnd, Send};
+use crate::events::{EventSplitter, StreamEvent};
+use crate::exchange::{StreamPart, TargetAnswer, TargetStream};
+
+/// Shortest patience of a caller of a stream without a further event.
+const LEAST_PATIENCE: Duration = Duration::from_secs(2);
+/// Patience in objectives.
+const PATIENCE_OBJECTIVES: u32 = 4;
+/// Patience in longest pauses.
+const PATIENCE_GAPS: u32 = 8;
+/// Part of the patience after which a silent target is left for another one.
+const SILENCE_PART: f64 = 0.45;
+
+/// How a stream ended, for the log.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum RelayEnd {
+    /// Whole.
+    Whole,
+    /// The caller has gone.
+    CallerGone,
+    /// Broken off without an end.
+    Broken,
+    /// The time allowed ran out.
+    TimedOut,
+}
+
+impl RelayEnd {
+    /// The end as a value in logs.
+    pub(crate) const fn as_str(self) -> &'static str {
+        match self {
+            Self::Whole => "whole",
+            Self::CallerGone => "caller_gone",
+            Self::Broken => "broken",
+            Self::TimedOut => "timed_out",
+        }
+    }
+}
+
+/// A stream on its way to a caller.
+pub(crate) struct Relay {
+    pub call: Call,
+    pub parts: PartSender,
+    /// When the first event went to the caller.
+    pub first_event_at: Option<Timestamp>,
+    /// Events passed on.
+    pub events: u64,
+}
+
+enum RunEnd {
+    Whole,
+    CallerGone,
+    Broken,
+    TimedOut,
+}
+
+impl Relay {
+    /// Passes events on until the stream ends; ends the caller's body only if it is whole.
+    pub(crate) async fn run(mut self, answer: TargetAnswer, send: Send) -> (Self, RelayEnd) {
+        let mut current = (answer, send);
+        loop {
+            let (answer, send) = current;
+            let end = self.relay_run(answer.into_stream(), &send).await;
+            match end {
+                RunEnd::Whole => {
+                    send.note(TargetOutcome::Answered);
+                    return (self, RelayEnd::Whole);
+                }
+                RunEnd::CallerGone => return (self, RelayEnd::CallerGone),
+                RunEnd::TimedOut => return (self, RelayEnd::TimedOut),
+                RunEnd::Broken => {}
+            }
+            self.call.note_broken(&send);
+            log::info!(
+                "event=stream_broken request_id={} target={} last_event={}",
+                quote(&self.call.request.id),
+                quote(&send.pick.id),
+                self.call.last_event.unwrap_or_default()
+            );
+            drop(send);
+            match self.resume().await {
+                Some(next) => current = next,
+                None => return (self, RelayEnd::Broken),
+            }
+        }
+    }
+
+    /// Another run that goes on after the last event passed on.
+    async fn resume(&mut self) -> Option<(TargetAnswer, Send)> {
+        if !self.call.request.plan.kind.may_run_again() {
+            return None;
+        }
+        let next = tokio::select! {
+            next = self.call.run() => next,
+            () = self.parts.closed() => return None,
+        };
+        match next {
+            Ok(CallEnd::Stream(answer, send)) => Some((*answer, send)),
+            Ok(CallEnd::Whole(_)) => None,
+            Err(error) => {
+                log::info!(
+                    "event=stream_not_resumed request_id={} code={}",
+                    quote(&self.call.request.id),
+                    error.code.as_str()
+                );
+                None
+            }
+        }
+    }
+
+    async fn relay_run(&mut self, mut stream: TargetStream, send: &Send) -> RunEnd {
+        let mut splitter = EventSplitter::default();
+        let mut started = false;
+        loop {
+            let left = self.time_left();
+            if left.is_zero() {
+                return RunEnd::TimedOut;
+            }
+            let limit = self.silence_limit().min(left);
+            let part = tokio::select! {
+                part = stream.next(limit) => part,
+                () = self.parts.closed() => return RunEnd::CallerGone,
+            };
+            match part {
+                StreamPart::Bytes(bytes) => {
+                    if !started {
+                        started = true;
+                        let model = self.call.request.head.model.as_deref().unwrap_or_default();
+                        send.note_first_event(model);
+                    }
+                    if splitter.push(&bytes).is_err() {
+                        return RunEnd::Broken;
+                    }
+                    while let Some(event) = splitter.next() {
+                        match self.pass_on(event).await {
+                            Ok(true) => {}
+                            Ok(false) => return RunEnd::Broken,
+                            Err(CallerGone) => return RunEnd::CallerGone,
+                        }
+                    }
+                }
+                StreamPart::End => {
+                    let rest = splitter.rest();
+                    if !rest.is_empty() && self.parts.send(rest).await.is_err() {
+                        return RunEnd::CallerGone;
+                    }
+                    stream.finish(&self.call.app).await;
+                    return RunEnd::Whole;
+                }
+                StreamPart::Broken => return RunEnd::Broken,
+                StreamPart::Silence => {
+                    return if self.time_left().is_zero() {
+                        RunEnd::TimedOut
+                    } else {
+                        RunEnd::Broken
+                    };
+                }
+            }
+        }
+    }
+
+    /// Passes an event on; false if events before it are missing.
+    async fn pass_on(&mut self, event: StreamEvent) -> Result<bool, CallerGone> {
+        if let (Some(id), Some(last)) = (event.id, self.call.last_event) {
+            if id <= last {
+                return Ok(true);
+            }
+            if id > last + 1 {
+                return Ok(false);
+            }
+        }
+        let bytes: Bytes = event.bytes;
+        self.parts.send(bytes).await?;
+        self.events += 1;
+        if event.id.is_some() {
+            self.call.last_event = event.id;
+        }
+        if self.first_event_at.is_none() {
+            self.first_event_at = Some(self.call.app.clock.now());
+        }
+        Ok(true)
+    }
+
+    fn time_left(&self) -> Duration {
+        self.call.request.deadline.since(self.call.app.clock.now())
+    }
+
+    /// Longest wait for the next event before another target is tried, where there can be one.
+    fn silence_limit(&self) -> Duration {
+        let plan = &self.call.request.plan;
+        if !plan.kind.may_run_again() {
+            return Duration::MAX;
+        }
+        let patience =
+            LEAST_PATIENCE.max(plan.objective * PATIENCE_OBJECTIVES).max(plan.gap * PATIENCE_GAPS);
+        patience.mul_f64(SILENCE_PART)
+    }
+}
--- /dev/null
+++ b/components/gateway/src/request.rs
@@ -0,0 +1,253 @@
+//! A caller's request once it is understood.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use api::{ApiError, ErrorCode};
+use auth::authenticate;
+use base::{RouteId, Timestamp};
+use bytes::Bytes;
+use compact_str::CompactString;
+use config::{Access, DirectKind, Town};
+use http::{HeaderMap, Method, Uri, header};
+use platform::CallerHead;
+use rand::Rng;
+use rates::GatewayCount;
+use routing::{PrefixLink, prefix_links};
+
+use crate::app::App;
+
+/// Wait that is advised while something that this process needs is missing, in milliseconds: the
+/// time between two attempts to get it.
+const NOT_READY_RETRY_MS: u64 = 400;
+/// Age of the newest evidence up to which an unknown key or route is refused for good. Older, the
+/// configuration that knows it may be in force elsewhere.
+const REFUSAL_EVIDENCE: Duration = Duration::from_millis(1_900);
+/// Share of the most output tokens that an answer has where its caller gives no estimate.
+const OUTPUT_SHARE: f64 = 0.6;
+
+/// What a request needs of a route.
+#[derive(Clone, Debug)]
+pub(crate) struct RoutePlan {
+    /// Name of the route.
+    pub route: CompactString,
+    /// Service.
+    pub service: CompactString,
+    /// Whether its targets are engines.
+    pub engine: bool,
+    /// Kind.
+    pub kind: DirectKind,
+    /// Most targets that may run it.
+    pub attempts: u32,
+    /// Time within which it is on time.
+    pub objective: Duration,
+    /// Longest pause between events that is on time.
+    pub gap: Duration,
+    /// Rank; 0 is the most urgent.
+    pub priority: u8,
+}
+
+/// A request that may be served.
+#[derive(Clone, Debug)]
+pub(crate) struct CallerRequest {
+    /// Caller's name of it.
+    pub id: CompactString,
+    /// Method.
+    pub method: Method,
+    /// Path and query as they came.
+    pub uri: Uri,
+    /// Headers as they came.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+    /// What the headers say.
+    pub head: CallerHead,
+    /// Route.
+    pub plan: RoutePlan,
+    /// Customer; none on open routes.
+    pub customer: Option<CompactString>,
+    /// Tokens that its customer is charged.
+    pub tokens: u64,
+    /// When it arrived.
+    pub arrived: Timestamp,
+    /// When its caller or its route gives up.
+    pub deadline: Timestamp,
+    /// Links of its prompt.
+    pub links: Vec<PrefixLink>,
+}
+
+/// Head of a request that may be served, before its body is read.
+pub(crate) struct Arrival {
+    pub id: CompactString,
+    pub method: Method,
+    pub uri: Uri,
+    pub headers: HeaderMap,
+    pub head: CallerHead,
+    pub arrived: Timestamp,
+}
+
+impl CallerRequest {
+    /// Tokens of the prompt and of the answer, as far as the caller counts them.
+    pub(crate) fn prompt_tokens(&self) -> u64 {
+        self.head
+            .prompt_tokens
+            .unwrap_or_else(|| self.links.iter().map(|link| u64::from(link.tokens)).sum())
+    }
+
+    /// Tokens that the answer will probably have.
+    pub(crate) fn output_tokens(&self) -> u64 {
+        let most = self.head.max_output_tokens.unwrap_or_default();
+        match self.head.output_hint_tokens {
+            Some(hint) => hint.min(most.max(1)),
+            None => (most as f64 * OUTPUT_SHARE) as u64,
+        }
+    }
+}
+
+fn not_ready(text: &str) -> ApiError {
+    ApiError::new(ErrorCode::NoAuthority, text).with_retry_after_ms(NOT_READY_RETRY_MS)
+}
+
+/// Checks a request against the configuration, the evidence and the customer's rate.
+///
+/// # Errors
+///
+/// The answer that the caller gets instead; nothing has run.
+pub(crate) fn understand(
+    app: &App,
+    arrival: Arrival,
+    body: Bytes,
+) -> Result<CallerRequest, ApiError> {
+    let now = app.clock.now();
+    let town = app.town().ok_or_else(|| not_ready("no configuration is in force yet"))?;
+    let evidence = app.evidence_age(now);
+    // A refusal for good needs a configuration that is current.
+    let is_current = evidence.is_some_and(|age| age <= REFUSAL_EVIDENCE);
+    let host = arrival
+        .uri
+        .host()
+        .or_else(|| arrival.headers.get(header::HOST).and_then(|host| host.to_str().ok()))
+        .unwrap_or_default();
+    // The port is no part of a route's host.
+    let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
+    let Some(route_id) = town.match_direct(host, arrival.uri.path()) else {
+        return Err(match is_current {
+            true => ApiError::new(ErrorCode::RouteNotFound, "no route has this host and path"),
+            false => not_ready("the configuration here may be out of date"),
+        });
+    };
+    let customer = customer_of(&town, route_id, &arrival, is_current, evidence.is_some())?;
+    let plan = route_plan(&town, route_id, customer.as_deref());
+    app.rates.borrow_mut().note_request(&plan.service, now);
+    let tokens = charged_tokens(&town, customer.as_deref(), &arrival.head);
+    let route = town.route(route_id);
+    let timeout = Duration::from_millis(route.timeout_ms);
+    let allowed = arrival
+        .head
+        .deadline_ms
+        .map_or(timeout, |deadline_ms| timeout.min(Duration::from_millis(deadline_ms)));
+    let links = match &arrival.head.model {
+        Some(model) => {
+            prefix_links(model, arrival.head.adapter.as_deref(), &arrival.head.prompt_parts)
+        }
+        None => Vec::new(),
+    };
+    Ok(CallerRequest {
+        id: arrival.id,
+        method: arrival.method,
+        uri: arrival.uri,
+        headers: arrival.headers,
+        body,
+        head: arrival.head,
+        plan,
+        customer,
+        tokens,
+        arrived: arrival.arrived,
+        deadline: arrival.arrived + allowed,
+        links,
+    })
+}
+
+fn customer_of(
+    town: &Arc<Town>,
+    route: RouteId,
+    arrival: &Arrival,
+    is_current: bool,
+    has_evidence: bool,
+) -> Result<Option<CompactString>, ApiError> {
+    if town.route(route).access == Access::All {
+        return Ok(None);
+    }
+    if !has_evidence {
+        return Err(not_ready("this process has lost touch with the store of withdrawn keys"));
+    }
+    let Some(key) = &arrival.head.key else {
+        return Err(ApiError::new(ErrorCode::MissingKey, "no API key was presented"));
+    };
+    match authenticate(town, key) {
+        Ok(caller) => Ok(Some(town.customer(caller.customer).name.clone())),
+        Err(_) if is_current => {
+            Err(ApiError::new(ErrorCode::InvalidKey, "the API key is not valid"))
+        }
+        Err(_) => {
+            log::info!("event=key_unknown request_id={} evidence=old", arrival.id);
+            Err(not_ready("the configuration here may be out of date"))
+        }
+    }
+}
+
+fn route_plan(town: &Town, id: RouteId, customer: Option<&str>) -> RoutePlan {
+    let route = town.route(id);
+    let direct = &route.direct;
+    let total: u32 = direct.shares.iter().map(|share| share.weight).sum();
+    let mut draw = if total > 0 { rand::rng().random_range(0..total) } else { 0 };
+    let drawn = direct.shares.iter().find(|share| {
+        let hit = draw < share.weight;
+        draw = draw.saturating_sub(share.weight);
+        hit
+    });
+    let service = town.service(drawn.map_or(route.service, |share| share.service));
+    let rank =
+        customer.and_then(|name| town.customer_id(name)).and_then(|id| town.customer(id).priority);
+    RoutePlan {
+        route: route.name.clone(),
+        service: service.name.clone(),
+        engine: service.engine.is_some(),
+        kind: direct.kind,
+        attempts: direct.attempts.max(1),
+        objective: Duration::from_millis(direct.target_latency_ms),
+        gap: Duration::from_millis(direct.gap_target_ms),
+        priority: rank.unwrap_or(direct.priority),
+    }
+}
+
+fn charged_tokens(town: &Town, customer: Option<&str>, head: &CallerHead) -> u64 {
+    match (head.prompt_tokens, head.max_output_tokens) {
+        (Some(prompt), Some(output)) => prompt.saturating_add(output),
+        _ => customer
+            .and_then(|name| town.customer_id(name))
+            .map_or(0, |id| town.customer(id).uncounted_tokens),
+    }
+}
+
+/// Takes the tokens of a request from its customer's bucket.
+///
+/// # Errors
+///
+/// `rate_exceeded`, with the time after which the bucket will have something.
+pub(crate) fn charge(app: &App, request: &CallerRequest, now: Timestamp) -> Result<(), ApiError> {
+    let Some(customer) = &request.customer else { return Ok(()) };
+    let gateways = gateway_count(app, now);
+    app.rates.borrow_mut().admit(customer, request.tokens, gateways, now).map_err(|wait| {
+        let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
+        ApiError::new(ErrorCode::RateExceeded, "the customer's rate is used up")
+            .with_retry_after_ms(wait_ms)
+    })
+}
+
+/// The gateways that share rates and budgets.
+pub(crate) fn gateway_count(app: &App, now: Timestamp) -> GatewayCount {
+    let (known, heard) = app.gateways.borrow().counts(now);
+    let count = |others: usize| u32::try_from(others).unwrap_or(u32::MAX).saturating_add(1);
+    GatewayCount { known: count(known), heard: count(heard) }
+}
--- /dev/null
+++ b/components/gateway/src/shutdown.rs
@@ -0,0 +1,51 @@
+//! Graceful stop.
+
+use std::time::Duration;
+
+use tokio::time::{Instant, sleep, timeout_at};
+
+use crate::app::App;
+use crate::register;
+use crate::stage::Stage;
+
+/// Time between the failing readiness check and the end of accepting: the platform asks once a second
+/// and takes a gateway out after two misses.
+const NOTICE: Duration = Duration::from_millis(2_500);
+/// Time before the end by force at which whatever is left is cut.
+const FORCE_MARGIN: Duration = Duration::from_millis(250);
+/// Time between looks at what is still in progress.
+const POLL: Duration = Duration::from_millis(20);
+
+/// Waits for the start of the stop, then brings the process to its end.
+pub(crate) async fn drain(app: &App) {
+    let mut stage = app.stage.subscribe();
+    if stage.wait_for(|stage| *stage >= Stage::Notice).await.is_err() {
+        return;
+    }
+    let grace = Duration::from_millis(app.settings().bounds.grace_ms);
+    let limit = Instant::now() + grace.saturating_sub(FORCE_MARGIN);
+    log::info!(
+        "event=drain_started in_flight={} connections={}",
+        app.in_flight.get(),
+        app.connections.get()
+    );
+    let notice = NOTICE.min(grace / 2);
+    // The register must not hold up the stop.
+    let _left = timeout_at(Instant::now() + notice, register::leave(app)).await;
+    sleep_until_notice(limit, grace, notice).await;
+    app.stage.send_replace(Stage::Draining);
+    let idle = async {
+        while app.in_flight.get() > 0 || app.connections.get() > 0 {
+            sleep(POLL).await;
+        }
+    };
+    if timeout_at(limit, idle).await.is_err() {
+        log::warn!("event=drain_limit_reached in_flight={}", app.in_flight.get());
+    }
+    app.stage.send_replace(Stage::Stopped);
+}
+
+async fn sleep_until_notice(limit: Instant, grace: Duration, notice: Duration) {
+    let started = limit - grace.saturating_sub(FORCE_MARGIN);
+    tokio::time::sleep_until(started + notice).await;
+}
--- a/components/entry/src/caller_body.rs
+++ b/components/ingress/src/caller_body.rs
@@ -15,7 +15,7 @@
 
 /// The answer can't be completed; the connection is broken off so that the caller sees it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) struct AnswerBroken;
+pub struct AnswerBroken;
 
 impl fmt::Display for AnswerBroken {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
@@ -27,7 +27,7 @@
 
 /// The caller has gone; nobody reads the answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) struct CallerGone;
+pub struct CallerGone;
 
 enum Part {
     Data(Bytes),
@@ -35,7 +35,7 @@
 }
 
 /// Writes a body in parts. Dropping it before [`PartSender::end`] breaks the answer off.
-pub(crate) struct PartSender {
+pub struct PartSender {
     sender: mpsc::Sender<Part>,
     last_word: Rc<RefCell<Option<Bytes>>>,
 }
@@ -46,7 +46,7 @@
     /// # Errors
     ///
     /// If the caller has gone.
-    pub(crate) async fn send(&self, bytes: Bytes) -> Result<(), CallerGone> {
+    pub async fn send(&self, bytes: Bytes) -> Result<(), CallerGone> {
         self.sender.send(Part::Data(bytes)).await.map_err(|_| CallerGone)
     }
 
@@ -55,23 +55,23 @@
     /// # Errors
     ///
     /// If the caller has gone.
-    pub(crate) async fn end(self) -> Result<(), CallerGone> {
+    pub async fn end(self) -> Result<(), CallerGone> {
         self.sender.send(Part::End).await.map_err(|_| CallerGone)
     }
 
     /// Ends the body with `bytes` in place of all parts that still wait for the caller.
-    pub(crate) fn end_at_once(self, bytes: Bytes) {
+    pub fn end_at_once(self, bytes: Bytes) {
         *self.last_word.borrow_mut() = Some(bytes);
     }
 
     /// Waits until the caller has gone.
-    pub(crate) async fn closed(&self) {
+    pub async fn closed(&self) {
         self.sender.closed().await;
     }
 }
 
 /// Body that is known, or that comes in parts.
-pub(crate) enum CallerBody {
+pub enum CallerBody {
     /// Known.
     Whole(Option<Bytes>),
     /// Comes in parts.
@@ -79,7 +79,7 @@
 }
 
 /// Receiving end of a body in parts.
-pub(crate) struct Parts {
+pub struct Parts {
     receiver: mpsc::Receiver<Part>,
     last_word: Rc<RefCell<Option<Bytes>>>,
     length: Option<u64>,
@@ -88,12 +88,12 @@
 
 impl CallerBody {
     /// A known body.
-    pub(crate) fn whole(bytes: impl Into<Bytes>) -> Self {
+    pub fn whole(bytes: impl Into<Bytes>) -> Self {
         Self::Whole(Some(bytes.into()))
     }
 
     /// A body in parts, of `length` bytes if known.
-    pub(crate) fn parts(length: Option<u64>) -> (PartSender, Self) {
+    pub fn parts(length: Option<u64>) -> (PartSender, Self) {
         let (sender, receiver) = mpsc::channel(PART_BUFFER);
         let last_word = Rc::new(RefCell::new(None));
         let parts = Parts { receiver, last_word: Rc::clone(&last_word), length, ended: false };
--- /dev/null
+++ b/components/ingress/src/closer.rs
@@ -0,0 +1,26 @@
+//! Closes one connection after the request in progress.
+
+use std::cell::Cell;
+
+use tokio::sync::Notify;
+
+/// Lets a request close its connection once its answer is sent.
+#[derive(Debug, Default)]
+pub struct Closer {
+    closing: Cell<bool>,
+    notify: Notify,
+}
+
+impl Closer {
+    /// Serves no further request on the connection.
+    pub fn close(&self) {
+        self.closing.set(true);
+        self.notify.notify_one();
+    }
+
+    pub(crate) async fn closed(&self) {
+        while !self.closing.get() {
+            self.notify.notified().await;
+        }
+    }
+}
--- a/components/entry/src/connection.rs
+++ b/components/ingress/src/connection.rs
@@ -1,13 +1,13 @@
 //! One caller's connection.
 
-use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::poll_fn;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::time::Duration;
 
-use api::ApiError;
+use api::HeadFault;
+use config::CallerLimits;
 use http::Request;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -15,17 +15,11 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::sync::Notify;
 use tokio::time::timeout;
 
-use crate::app::App;
-use crate::dispatch::dispatch;
 use crate::guarded_stream::GuardedStream;
-use crate::request_id::new_request_id;
-use crate::respond::{CallerResponse, raw_error_answer};
+use crate::{CallerResponse, Closer};
 
-/// Longest time that a connection may be idle between requests.
-const IDLE_LIMIT: Duration = Duration::from_secs(75);
 /// Longest time that a closed connection is read from, so that the caller can read its answer before
 /// the reset that unread bytes cause.
 const LINGER_LIMIT: Duration = Duration::from_millis(500);
@@ -34,53 +28,46 @@
 /// Room of the parser; heads are already checked against the limit in the settings.
 const PARSER_HEADERS: usize = 256;
 
-/// Lets a request close its connection once its answer is sent.
-#[derive(Debug, Default)]
-pub(crate) struct Closer {
-    closing: Cell<bool>,
-    notify: Notify,
+/// How a connection is served.
+#[derive(Clone, Copy, Debug)]
+pub struct ConnectionOptions {
+    /// Limits for heads.
+    pub limits: CallerLimits,
+    /// Longest time that the connection may be idle between requests.
+    pub idle_limit: Duration,
 }
 
-impl Closer {
-    /// Serves no further request on the connection.
-    pub(crate) fn close(&self) {
-        self.closing.set(true);
-        self.notify.notify_one();
-    }
-
-    async fn closed(&self) {
-        while !self.closing.get() {
-            self.notify.notified().await;
-        }
-    }
-}
-
-type Answer = Pin<Box<dyn Future<Output = Result<CallerResponse, Infallible>>>>;
-
-/// Serves a connection until either end closes it.
-pub(crate) async fn serve_caller(app: Rc<App>, socket: TcpStream) {
+/// Serves a connection until either end closes it, or until `draining` ends and the request in
+/// progress is answered.
+///
+/// `refuse` gives the bytes of the answer to a head that is not passed on.
+pub async fn serve_caller<A>(
+    socket: TcpStream,
+    options: ConnectionOptions,
+    answer: impl Fn(Request<Incoming>, Rc<Closer>) -> A,
+    refuse: impl FnOnce(HeadFault) -> String,
+    draining: impl Future<Output = ()>,
+) where
+    A: Future<Output = CallerResponse> + 'static,
+{
     let closer = Rc::new(Closer::default());
-    let service = service_fn({
-        let (app, closer) = (Rc::clone(&app), Rc::clone(&closer));
-        move |request: Request<Incoming>| -> Answer {
-            let (app, closer) = (Rc::clone(&app), Rc::clone(&closer));
-            Box::pin(async move { Ok(dispatch(app, request, closer).await) })
-        }
+    let service = service_fn(|request: Request<Incoming>| {
+        let answer = answer(request, Rc::clone(&closer));
+        // Boxed, since the connection must be movable to be taken apart at its end.
+        Box::pin(async move { Ok::<_, Infallible>(answer.await) })
     });
-    let limits = app.settings.callers;
-    let io = TokioIo::new(GuardedStream::new(socket, limits));
+    let io = TokioIo::new(GuardedStream::new(socket, options.limits));
     let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(IDLE_LIMIT)
+        .header_read_timeout(options.idle_limit)
         .max_headers(PARSER_HEADERS)
         .serve_connection(io, service);
-    let mut stage = app.stage.subscribe();
     let result = {
         let mut finished = pin!(poll_fn(|context| connection.poll_without_shutdown(context)));
         tokio::select! {
             result = &mut finished => Some(result),
             () = closer.closed() => None,
-            _ = stage.wait_for(|stage| stage.is_draining()) => None,
+            () = draining => None,
         }
     };
     let result = match result {
@@ -95,11 +82,7 @@
     let mut socket = stream.into_socket();
     match (result, fault) {
         (_, Some(fault)) => {
-            let id = new_request_id().to_string();
-            let error = ApiError::new(fault.code(), fault.to_string());
-            app.metrics.record_refusal(error.code.as_str());
-            log::info!("event=head_refused request_id={id} code={}", error.code.as_str());
-            let answer = raw_error_answer(&error, &id);
+            let answer = refuse(fault);
             if timeout(LINGER_LIMIT, socket.write_all(answer.as_bytes())).await.is_ok() {
                 linger(socket).await;
             }
--- a/components/entry/src/guarded_stream.rs
+++ b/components/ingress/src/guarded_stream.rs
@@ -19,7 +19,7 @@
 ///
 /// After a fault it reads as closed; the fault is kept for the answer. Holds at most the limit of a
 /// head and one read buffer.
-pub(crate) struct GuardedStream {
+pub struct GuardedStream {
     inner: TcpStream,
     limits: CallerLimits,
     raw: BytesMut,
@@ -37,7 +37,7 @@
 
 impl GuardedStream {
     /// A stream whose first head is due within the limit from now.
-    pub(crate) fn new(inner: TcpStream, limits: CallerLimits) -> Self {
+    pub fn new(inner: TcpStream, limits: CallerLimits) -> Self {
         let mut stream = Self {
             inner,
             limits,
@@ -53,7 +53,7 @@
 
     /// The fault of a head that was not passed on. A fault inside a body is reported by the HTTP
     /// server, which has the request.
-    pub(crate) const fn head_fault(&self) -> Option<HeadFault> {
+    pub const fn head_fault(&self) -> Option<HeadFault> {
         match self.phase {
             Phase::Head => self.fault,
             Phase::Length(_) | Phase::Chunked(_) => None,
@@ -61,7 +61,7 @@
     }
 
     /// The socket, to answer a fault and to close.
-    pub(crate) fn into_socket(self) -> TcpStream {
+    pub fn into_socket(self) -> TcpStream {
         self.inner
     }
 
--- a/components/entry/src/respond.rs
+++ b/components/ingress/src/respond.rs
@@ -7,14 +7,14 @@
 use crate::caller_body::{CallerBody, PartSender};
 
 /// Answer to a caller.
-pub(crate) type CallerResponse = Response<CallerBody>;
+pub type CallerResponse = Response<CallerBody>;
 
 /// Header with the id of the request.
-pub(crate) const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
+pub const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
 const JSON: HeaderValue = HeaderValue::from_static("application/json");
 
 /// Names the request in an answer.
-pub(crate) fn with_request_id(mut response: CallerResponse, request_id: &str) -> CallerResponse {
+pub fn with_request_id(mut response: CallerResponse, request_id: &str) -> CallerResponse {
     if let Ok(value) = HeaderValue::from_str(request_id) {
         response.headers_mut().insert(REQUEST_ID, value);
     }
@@ -22,14 +22,14 @@
 }
 
 /// A JSON answer with status 200.
-pub(crate) fn json_answer(body: String, request_id: &str) -> CallerResponse {
+pub fn json_answer(body: String, request_id: &str) -> CallerResponse {
     let mut response = Response::new(CallerBody::whole(body));
     response.headers_mut().insert(CONTENT_TYPE, JSON);
     with_request_id(response, request_id)
 }
 
 /// An error answer; `close` ends the connection after it.
-pub(crate) fn error_answer(error: &ApiError, request_id: &str, close: bool) -> CallerResponse {
+pub fn error_answer(error: &ApiError, request_id: &str, close: bool) -> CallerResponse {
     let mut response = Response::new(CallerBody::whole(error.to_json(request_id)));
     *response.status_mut() = error.code.status();
     let headers = response.headers_mut();
@@ -44,7 +44,7 @@
 }
 
 /// A streamed answer and the place where its events go.
-pub(crate) fn event_stream(request_id: &str) -> (PartSender, CallerResponse) {
+pub fn event_stream(request_id: &str) -> (PartSender, CallerResponse) {
     let (sender, body) = CallerBody::parts(None);
     let mut response = Response::new(body);
     let headers = response.headers_mut();
@@ -54,7 +54,7 @@
 }
 
 /// The bytes of an error answer on a connection that the HTTP server has given up.
-pub(crate) fn raw_error_answer(error: &ApiError, request_id: &str) -> String {
+pub fn raw_error_answer(error: &ApiError, request_id: &str) -> String {
     let status: StatusCode = error.code.status();
     let body = error.to_json(request_id);
     format!(
--- a/components/measure/tests/runs.rs
+++ b/components/measure/tests/runs.rs
@@ -13,6 +13,7 @@
         rate_tokens_per_s: 3_000 / (n + 1),
         burst_tokens: 9_000 / (n + 1),
         weight: 1,
+        ..Customer::default()
     });
     let models = (0..6).map(|n| Model {
         name: format!("model-{n}").into(),
@@ -24,6 +25,7 @@
         max_output_tokens: 1_024,
         load_ms: 900,
         access: Access::All,
+        ..Model::default()
     });
     let adapters = (0..4).map(|n| Adapter {
         name: format!("adapter-{n}").into(),
@@ -50,6 +52,7 @@
             name: "models".into(),
             kind: ServiceKind::Engine,
             targets: targets.collect(),
+            ..Service::default()
         }],
         data_centres: vec![data_centre("dc-a"), data_centre("dc-b")],
         weight_store: WeightStoreLimits { loads_per_1000_s: 1_500, concurrent_loads: 5 },
--- /dev/null
+++ b/components/placement/src/engine_desk.rs
@@ -0,0 +1,399 @@
+//! The orders to one engine: what it should hold, within its memory.
+//!
+//! One desk, in the agent beside the engine, gives all orders to it. Each order names the number of
+//! orders that the engine had accepted before, so that an order which arrives late, after another one
+//! was accepted, has no effect. An order without an answer is therefore repeated until the count moves.
+
+use std::time::Duration;
+
+use base::{LoadedModel, SortedMap, Timestamp};
+use compact_str::CompactString;
+use config::Town;
+use wire::{AdapterName, AgentAsk, EnginePlan, ModelChange};
+
+use crate::{EngineOrder, EngineReport, OrderAnswer};
+
+/// Adapters that may be on their way to an engine at once.
+const MAX_INCOMING_ADAPTERS: usize = 4;
+/// Time after the last word of a gateway for which an adapter counts as in use: more than the time
+/// between two words.
+const ADAPTER_USE: Duration = Duration::from_millis(900);
+/// Time for which a request for an adapter stands after a gateway asked for it.
+const ADAPTER_WANT: Duration = Duration::from_millis(600);
+/// Age at which a plan is no longer carried out.
+const PLAN_LIFETIME: Duration = Duration::from_millis(3_000);
+/// Pause after an order that the engine did not take.
+const REFUSAL_PAUSE: Duration = Duration::from_millis(150);
+/// Time for which a load from the weight store is remembered.
+const FETCH_MEMORY: Duration = Duration::from_secs(10);
+
+/// Memory that the things on an engine take.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+struct ModelSize {
+    model_mb: u64,
+    adapter_mb: u64,
+    load_ms: u64,
+    host_load_ms: u64,
+    disk_load_ms: u64,
+}
+
+/// Life of the engine that orders are meant for.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+struct Life {
+    id: CompactString,
+    born_ms: Option<u64>,
+}
+
+/// An order whose effect is not known yet.
+#[derive(Clone, Debug)]
+struct Open {
+    order: EngineOrder,
+    expected: u64,
+}
+
+/// A change of a model that the engine has accepted.
+#[derive(Clone, Debug)]
+struct Change {
+    model: CompactString,
+    loading: bool,
+    /// When it was accepted.
+    at: Timestamp,
+    /// When it should be done.
+    due: Timestamp,
+    /// Orders that the engine had accepted before it.
+    expected: u64,
+}
+
+/// An order to give now.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct DueOrder {
+    /// What.
+    pub order: EngineOrder,
+    /// Orders that the engine must have accepted before it.
+    pub expected: u64,
+    /// Life of the engine that it is meant for.
+    pub target: CompactString,
+}
+
+/// State of the desk.
+#[derive(Clone, Debug, Default)]
+pub struct EngineDesk {
+    weights_mb: u64,
+    adapter_slots: usize,
+    sizes: SortedMap<CompactString, ModelSize>,
+    life: Life,
+    report: EngineReport,
+    reported: bool,
+    uses: SortedMap<AdapterName, Timestamp>,
+    wants: SortedMap<AdapterName, Timestamp>,
+    plan: Option<(EnginePlan, Timestamp)>,
+    open: Option<Open>,
+    change: Option<Change>,
+    paused_until: Timestamp,
+    fetches: Vec<Timestamp>,
+}
+
+impl EngineDesk {
+    /// A desk that knows nothing.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes the limits of the engines of `service` and the sizes of models.
+    pub fn adopt(&mut self, town: &Town, service: &str) {
+        let Some(limits) = town.service_id(service).and_then(|id| town.service(id).engine) else {
+            return;
+        };
+        self.weights_mb = limits.weights_mb;
+        self.adapter_slots = usize::try_from(limits.adapter_slots).unwrap_or(usize::MAX);
+        self.sizes = town
+            .models
+            .iter()
+            .map(|model| {
+                let size = ModelSize {
+                    model_mb: model.memory_mb,
+                    adapter_mb: model.adapter_mb,
+                    load_ms: model.load_ms,
+                    host_load_ms: model.host_load_ms,
+                    disk_load_ms: model.disk_load_ms,
+                };
+                (model.name.clone(), size)
+            })
+            .collect();
+    }
+
+    /// Takes what a gateway asks for.
+    pub fn take_ask(&mut self, ask: &AgentAsk, now: Timestamp) {
+        let newer = self.life.born_ms.is_none() || ask.born_ms >= self.life.born_ms;
+        if !ask.target.is_empty() && newer && self.life.id != ask.target {
+            self.life = Life { id: ask.target.clone(), born_ms: ask.born_ms };
+            self.forget_engine();
+        } else if newer && ask.born_ms != self.life.born_ms {
+            self.life.born_ms = ask.born_ms;
+            self.forget_engine();
+        }
+        for name in &ask.used_adapters {
+            self.uses.insert(name.clone(), now);
+        }
+        for name in &ask.wanted_adapters {
+            self.uses.insert(name.clone(), now);
+            self.wants.insert(name.clone(), now);
+        }
+        if let Some(plan) = &ask.plan
+            && plan.target == self.life.id
+        {
+            self.plan = Some((plan.clone(), now));
+        }
+        self.wants.retain(|_, at| now.since(*at) < ADAPTER_WANT);
+    }
+
+    fn forget_engine(&mut self) {
+        self.reported = false;
+        self.open = None;
+        self.change = None;
+        self.plan = None;
+        self.uses = SortedMap::new();
+    }
+
+    /// Takes a report that was asked for when the last order had been answered.
+    pub fn take_report(&mut self, report: EngineReport, now: Timestamp) {
+        let same_life = self.life.born_ms.is_none()
+            || report.born_ms.is_none()
+            || report.born_ms == self.life.born_ms;
+        if !same_life {
+            // The gateways name the new life soon; until then no order may be given.
+            self.reported = false;
+            self.open = None;
+            self.change = None;
+            self.report = report;
+            return;
+        }
+        if let Some(open) = &self.open
+            && report.orders_accepted > open.expected
+        {
+            let open = open.clone();
+            self.open = None;
+            self.accepted(&open.order, open.expected, now);
+        }
+        if let Some(change) = &self.change {
+            let holds = report.models.iter().any(|loaded| loaded.model == change.model);
+            let counted = report.orders_accepted > change.expected;
+            if counted && !report.busy && (holds == change.loading || now >= change.due) {
+                self.change = None;
+            }
+        }
+        self.report = report;
+        self.reported = true;
+        self.fetches.retain(|at| now.since(*at) < FETCH_MEMORY);
+    }
+
+    /// Report that was taken last.
+    pub const fn report(&self) -> &EngineReport {
+        &self.report
+    }
+
+    /// Id of the engine's life, empty while it is not known, and the time of its start.
+    pub const fn life(&self) -> (&CompactString, Option<u64>) {
+        (&self.life.id, self.life.born_ms)
+    }
+
+    /// Whether something is awaited that a report may show.
+    pub const fn awaits_report(&self) -> bool {
+        self.open.is_some() || self.change.is_some() || !self.report.incoming.is_empty()
+    }
+
+    /// Ages of the loads from the weight store that this desk ordered, youngest last.
+    pub fn fetch_ages(&self, now: Timestamp) -> impl Iterator<Item = Duration> {
+        self.fetches.iter().map(move |at| now.since(*at))
+    }
+
+    /// Change of a model under way.
+    pub fn change(&self, now: Timestamp) -> Option<ModelChange> {
+        let change = self.change.as_ref()?;
+        let remaining = change.due.since(now).as_millis();
+        Some(ModelChange {
+            model: change.model.clone(),
+            loading: change.loading,
+            remaining_ms: u32::try_from(remaining).unwrap_or(u32::MAX),
+        })
+    }
+
+    /// Adapters that could be loaded at once, free places and those of idle adapters.
+    pub fn free_adapter_slots(&self, now: Timestamp) -> usize {
+        let used = self
+            .adapters()
+            .filter(|name| self.is_used(name, now) || self.report.incoming.contains(name))
+            .count();
+        self.adapter_slots.saturating_sub(used)
+    }
+
+    /// The order to give now, if there is one.
+    pub fn next_order(&self, now: Timestamp) -> Option<DueOrder> {
+        if !self.reported || self.life.id.is_empty() || now < self.paused_until {
+            return None;
+        }
+        let order = match &self.open {
+            Some(open) => {
+                return Some(self.due(open.order.clone(), open.expected));
+            }
+            None => self.adapter_order(now).or_else(|| self.model_order(now))?,
+        };
+        Some(self.due(order, self.report.orders_accepted))
+    }
+
+    fn due(&self, order: EngineOrder, expected: u64) -> DueOrder {
+        DueOrder { order, expected, target: self.life.id.clone() }
+    }
+
+    /// Takes the answer to an order.
+    pub fn take_answer(&mut self, due: &DueOrder, answer: OrderAnswer, now: Timestamp) {
+        if due.target != self.life.id {
+            return;
+        }
+        match answer {
+            OrderAnswer::Accepted => {
+                self.open = None;
+                self.accepted(&due.order, due.expected, now);
+            }
+            OrderAnswer::Unknown => {
+                self.open = Some(Open { order: due.order.clone(), expected: due.expected });
+            }
+            // If an earlier attempt was accepted, the report shows it by its count.
+            OrderAnswer::Conflict if self.open.is_some() => {
+                self.paused_until = now + REFUSAL_PAUSE;
+            }
+            OrderAnswer::AlreadyHolds
+            | OrderAnswer::Conflict
+            | OrderAnswer::Fenced
+            | OrderAnswer::OtherEngine
+            | OrderAnswer::Rejected => {
+                self.open = None;
+                if answer != OrderAnswer::AlreadyHolds {
+                    self.paused_until = now + REFUSAL_PAUSE;
+                }
+            }
+        }
+        // What the next order must expect is known from the next report only.
+        self.reported = false;
+    }
+
+    fn accepted(&mut self, order: &EngineOrder, expected: u64, now: Timestamp) {
+        let (model, loading) = match order {
+            EngineOrder::LoadModel(model) => (model, true),
+            EngineOrder::UnloadModel(model) => (model, false),
+            EngineOrder::LoadAdapter(_) | EngineOrder::UnloadAdapter(_) => return,
+        };
+        let size = self.size(model);
+        let warm = &self.report.warm;
+        let takes_ms = match loading {
+            false => 0,
+            true if warm.in_memory.binary_search(model).is_ok() => size.host_load_ms,
+            true if warm.on_disk.binary_search(model).is_ok() => size.disk_load_ms,
+            true => {
+                self.fetches.push(now);
+                size.load_ms
+            }
+        };
+        self.change = Some(Change {
+            model: model.clone(),
+            loading,
+            at: now,
+            due: now + Duration::from_millis(takes_ms),
+            expected,
+        });
+    }
+
+    /// When the change under way was accepted.
+    pub fn change_began(&self) -> Option<Timestamp> {
+        self.change.as_ref().map(|change| change.at)
+    }
+
+    fn size(&self, model: &str) -> ModelSize {
+        self.sizes.get(model).copied().unwrap_or_default()
+    }
+
+    fn holds(&self, model: &str) -> Option<&LoadedModel> {
+        self.report.models.iter().find(|loaded| loaded.model == model)
+    }
+
+    /// Adapters that are loaded.
+    fn adapters(&self) -> impl Iterator<Item = AdapterName> + '_ {
+        self.report.models.iter().flat_map(|loaded| {
+            loaded.adapters.iter().map(|adapter| AdapterName {
+                model: loaded.model.clone(),
+                adapter: adapter.clone(),
+            })
+        })
+    }
+
+    fn is_used(&self, name: &AdapterName, now: Timestamp) -> bool {
+        self.uses.get(name).is_some_and(|at| now.since(*at) < ADAPTER_USE)
+    }
+
+    /// Memory that is taken, by what is loaded and what is being loaded.
+    fn used_mb(&self) -> u64 {
+        let models: u64 =
+            self.report.models.iter().map(|loaded| self.size(&loaded.model).model_mb).sum();
+        let adapters: u64 = self.adapters().map(|name| self.size(&name.model).adapter_mb).sum();
+        let incoming: u64 =
+            self.report.incoming.iter().map(|name| self.size(&name.model).adapter_mb).sum();
+        let loading = self
+            .change
+            .as_ref()
+            .filter(|change| change.loading && self.holds(&change.model).is_none())
+            .map_or(0, |change| self.size(&change.model).model_mb);
+        models + adapters + incoming + loading
+    }
+
+    fn adapter_order(&self, now: Timestamp) -> Option<EngineOrder> {
+        if self.report.incoming.len() >= MAX_INCOMING_ADAPTERS {
+            return None;
+        }
+        let leaving = |model: &str| {
+            self.change.as_ref().is_some_and(|change| !change.loading && change.model == model)
+        };
+        let wanted = self
+            .wants
+            .iter()
+            .filter(|(name, at)| {
+                now.since(**at) < ADAPTER_WANT
+                    && !leaving(&name.model)
+                    && !self.report.incoming.contains(name)
+                    && self
+                        .holds(&name.model)
+                        .is_some_and(|loaded| loaded.adapters.binary_search(&name.adapter).is_err())
+            })
+            // The one that has been waiting longest is asked for again last.
+            .min_by_key(|(_, at)| **at)
+            .map(|(name, _)| name.clone())?;
+        let taken = self.adapters().count() + self.report.incoming.len();
+        let needed_mb = self.size(&wanted.model).adapter_mb;
+        if taken < self.adapter_slots && self.used_mb() + needed_mb <= self.weights_mb {
+            return Some(EngineOrder::LoadAdapter(wanted));
+        }
+        self.idle_adapter(now).map(EngineOrder::UnloadAdapter)
+    }
+
+    /// The loaded adapter that was used least recently, if no request uses it.
+    fn idle_adapter(&self, now: Timestamp) -> Option<AdapterName> {
+        self.adapters()
+            .filter(|name| !self.is_used(name, now))
+            .min_by_key(|name| self.uses.get(name).copied().unwrap_or_default())
+    }
+
+    fn model_order(&self, now: Timestamp) -> Option<EngineOrder> {
+        let (plan, at) = self.plan.as_ref()?;
+        if self.report.busy || self.change.is_some() || now.since(*at) >= PLAN_LIFETIME {
+            return None;
+        }
+        let missing = plan.models.iter().find(|copy| {
+            self.holds(&copy.model).is_none()
+                && (copy.may_fetch || self.report.warm.has(&copy.model))
+        })?;
+        if self.used_mb() + missing.memory_mb <= self.weights_mb {
+            return Some(EngineOrder::LoadModel(missing.model.clone()));
+        }
+        let surplus = plan.surplus.iter().find(|model| self.holds(model).is_some());
+        surplus.map(|model| EngineOrder::UnloadModel(model.clone()))
+    }
+}
--- a/components/placement/src/lib.rs
+++ b/components/placement/src/lib.rs
@@ -4,6 +4,8 @@
 //! Nothing here reads a clock or a socket: time and answers are arguments, actions are values.
 
 mod demand;
+mod engine_desk;
+mod engine_report;
 mod engine_state;
 mod eviction;
 mod item;
@@ -15,6 +17,8 @@
 mod quarantine;
 
 pub use demand::DemandRate;
+pub use engine_desk::{DueOrder, EngineDesk};
+pub use engine_report::{EngineOrder, EngineReport, OrderAnswer};
 pub use engine_state::{EngineCopy, EngineCopyState, EngineState};
 pub use eviction::{Room, Unloading};
 pub use item::Item;
--- a/components/rates/benches/rates.rs
+++ b/components/rates/benches/rates.rs
@@ -25,6 +25,7 @@
             rate_tokens_per_s: 1_000_000_000,
             burst_tokens: 1_000_000_000,
             weight: 1,
+            ..Customer::default()
         })
         .collect();
     customers.sort_by(|a, b| a.name.cmp(&b.name));
--- a/components/rates/src/lib.rs
+++ b/components/rates/src/lib.rs
@@ -12,7 +12,9 @@
 mod permits;
 mod plan;
 mod record;
+mod send_budget;
 mod share;
+mod shared_bucket;
 mod slot_owner;
 
 pub use bucket::Bucket;
@@ -26,5 +28,7 @@
     BucketLayoutRecord, CustomerLevel, ReplacedOwner, SlotEntry, SlotRecord, SlotSnapshot,
     SnapshotSlot, WriterMark,
 };
+pub use send_budget::{SendBudget, SendBudgetSettings};
 pub use share::{MicroTokens, Share, WEIGHT_STORE, bucket_share, partition_of, slots_of, split};
+pub use shared_bucket::{CustomerRate, GatewayCount, SharedBucket};
 pub use slot_owner::{ReleasedSlot, SlotOwner};
--- /dev/null
+++ b/components/rates/src/shared_bucket.rs
@@ -0,0 +1,181 @@
+//! A customer's token bucket that all gateways fill and empty together.
+//!
+//! Each gateway keeps a copy and tells the others how much it has admitted. A copy is wrong by what
+//! the others admitted since they were last heard, so the level may fall below zero; the debt is paid
+//! by what accrues. While a gateway is not heard, its share of rate and burst is left to it.
+
+use std::time::Duration;
+
+use base::{Incarnation, ProcessName, SortedMap, Timestamp};
+
+/// Level, as a share of the burst, below which a gateway admits no more than its own share of what
+/// accrues; above it the copies may be spent by whoever needs them.
+const SHARED_ABOVE: f64 = 0.3;
+/// Time whose accrual a gateway may spend at once of its own share.
+const OWN_SHARE_TIME: Duration = Duration::from_millis(300);
+/// Time over which the demand is averaged.
+const DEMAND_TIME: Duration = Duration::from_millis(1_000);
+/// Smallest share of a gateway, as a part of an even one; lets a new demand in.
+const LEAST_SHARE: f64 = 0.5;
+/// Shortest advised wait.
+const LEAST_RETRY: Duration = Duration::from_millis(200);
+/// Longest advised wait.
+const MOST_RETRY: Duration = Duration::from_millis(2_000);
+
+/// Rate of a customer.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct CustomerRate {
+    /// Tokens a second; zero for no limit.
+    pub tokens_per_s: u64,
+    /// Most tokens at once.
+    pub burst_tokens: u64,
+}
+
+/// How many gateways there are, and how many of them are heard.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct GatewayCount {
+    /// Gateways that may be alive, this one included.
+    pub known: u32,
+    /// Those that are heard, this one included.
+    pub heard: u32,
+}
+
+impl GatewayCount {
+    fn heard_share(self) -> f64 {
+        f64::from(self.heard.max(1)) / f64::from(self.known.max(self.heard).max(1))
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct PeerCount {
+    incarnation: Incarnation,
+    tokens: u64,
+    asked_per_s: u64,
+}
+
+/// One gateway's copy of a customer's bucket.
+#[derive(Clone, Debug)]
+pub struct SharedBucket {
+    rate: CustomerRate,
+    level: f64,
+    own_level: f64,
+    updated: Timestamp,
+    admitted: u64,
+    asked_per_s: f64,
+    peers: SortedMap<ProcessName, PeerCount>,
+}
+
+impl SharedBucket {
+    /// A bucket; it is full only if nothing can have been admitted before.
+    ///
+    /// A process that starts while others run, or after all have died, does not know what was admitted
+    /// just before, so its copy starts empty.
+    pub fn new(rate: CustomerRate, first_start: bool, now: Timestamp) -> Self {
+        let level = if first_start { rate.burst_tokens as f64 } else { 0.0 };
+        Self {
+            rate,
+            level,
+            own_level: 0.0,
+            updated: now,
+            admitted: 0,
+            asked_per_s: 0.0,
+            peers: SortedMap::new(),
+        }
+    }
+
+    /// Changes the rate; a lower burst cuts the level.
+    pub fn set_rate(&mut self, rate: CustomerRate) {
+        self.rate = rate;
+        self.level = self.level.min(rate.burst_tokens as f64);
+    }
+
+    /// Tokens admitted by this process since its start.
+    pub const fn admitted(&self) -> u64 {
+        self.admitted
+    }
+
+    /// Tokens a second that were asked of this process lately.
+    pub fn asked_per_s(&self) -> u64 {
+        self.asked_per_s.round() as u64
+    }
+
+    /// Takes a peer's word on what it has admitted since its start.
+    pub fn take_peer(
+        &mut self,
+        peer: &ProcessName,
+        incarnation: Incarnation,
+        tokens: u64,
+        asked_per_s: u64,
+    ) {
+        let spent = match self.peers.get(peer) {
+            Some(known) if known.incarnation > incarnation => return,
+            Some(known) if known.incarnation == incarnation => tokens.saturating_sub(known.tokens),
+            // A new run counts from zero.
+            Some(_) => tokens,
+            // What it admitted before this process knew of it is in the past of an empty copy; of a
+            // full one it has to be taken.
+            None => tokens.min(self.rate.burst_tokens),
+        };
+        self.level -= spent as f64;
+        self.peers.insert(peer.clone(), PeerCount { incarnation, tokens, asked_per_s });
+    }
+
+    /// Forgets a peer that is gone for good.
+    pub fn forget_peer(&mut self, peer: &ProcessName) {
+        self.peers.remove(peer);
+    }
+
+    /// Admits a request of `tokens`, or says when to come back.
+    ///
+    /// # Errors
+    ///
+    /// The time after which the bucket will probably have something.
+    pub fn take(
+        &mut self,
+        tokens: u64,
+        gateways: GatewayCount,
+        now: Timestamp,
+    ) -> Result<(), Duration> {
+        if self.rate.tokens_per_s == 0 {
+            self.admitted += tokens;
+            return Ok(());
+        }
+        self.accrue(gateways, now);
+        self.asked_per_s += tokens as f64 / DEMAND_TIME.as_secs_f64();
+        let full = self.rate.burst_tokens as f64 * gateways.heard_share();
+        let shared = self.level > SHARED_ABOVE * full;
+        // Any positive level admits a request of any size, so that large ones are not starved by
+        // small ones; the debt delays what follows.
+        if self.level > 0.0 && (shared || self.own_level > 0.0) {
+            self.level -= tokens as f64;
+            self.own_level -= tokens as f64;
+            self.admitted += tokens;
+            return Ok(());
+        }
+        let rate = self.rate.tokens_per_s as f64 * gateways.heard_share();
+        let debt = (-self.level).max(-self.own_level).max(0.0);
+        let wait = Duration::from_secs_f64(debt / rate.max(1.0));
+        Err(wait.clamp(LEAST_RETRY, MOST_RETRY))
+    }
+
+    fn accrue(&mut self, gateways: GatewayCount, now: Timestamp) {
+        let passed = now.since(self.updated).as_secs_f64();
+        self.updated = self.updated.max(now);
+        let rate = self.rate.tokens_per_s as f64 * gateways.heard_share();
+        let full = self.rate.burst_tokens as f64 * gateways.heard_share();
+        self.level = (self.level + rate * passed).min(full);
+        let own_rate = rate * self.own_share(gateways);
+        let own_full = own_rate * OWN_SHARE_TIME.as_secs_f64();
+        self.own_level = (self.own_level + own_rate * passed).min(own_full);
+        self.asked_per_s *= (-passed / DEMAND_TIME.as_secs_f64()).exp();
+    }
+
+    /// Share of this gateway in the demand that the gateways see, never much below an even one.
+    fn own_share(&self, gateways: GatewayCount) -> f64 {
+        let even = 1.0 / f64::from(gateways.heard.max(1));
+        let peers: u64 = self.peers.values().map(|peer| peer.asked_per_s).sum();
+        let all = self.asked_per_s + peers as f64;
+        let asked = if all > 0.0 { self.asked_per_s / all } else { even };
+        asked.max(LEAST_SHARE * even)
+    }
+}
--- a/components/rates/tests/support/mod.rs
+++ b/components/rates/tests/support/mod.rs
@@ -84,6 +84,7 @@
             rate_tokens_per_s: rate,
             burst_tokens: burst,
             weight: 1,
+            ..Customer::default()
         }],
         data_centres: vec![
             data_centre("dc-a", "north"),
--- /dev/null
+++ b/components/routing/src/direct_fleet.rs
@@ -0,0 +1,358 @@
+//! The targets that a gateway calls directly, and the choice among them.
+
+use std::net::SocketAddr;
+
+use base::{ProcessName, SortedMap, Timestamp, rendezvous_score};
+use compact_str::CompactString;
+use membership::TargetEntry;
+use wire::{AgentState, SendCopy, TargetWorkCopy};
+
+use crate::direct_choice::{DirectChoice, DirectPick, GenerationNeed, PlainDirectNeed};
+use crate::{
+    DirectTarget, EnginePace, OwnWork, PrefixLink, SendId, TargetKey, TargetLoadSample,
+    TargetOutcome, WorkShare,
+};
+
+/// Longer decoding of a batch by one more request, in milliseconds of delay for a new one.
+const BATCH_MS: f64 = 0.7;
+/// Usual time that a request holds its place in a batch, in milliseconds.
+const RUN_MS: f64 = 1_500.0;
+/// Delay of a request to another data centre, as it counts in the choice, in milliseconds: the way
+/// itself takes about one, and the bytes between data centres are dear.
+const CROSS_MS: f64 = 4.0;
+/// Time to load an adapter and to hear of it, in milliseconds.
+const ADAPTER_MS: f64 = 25.0;
+/// Time to load an adapter where another one has to be unloaded first, in milliseconds.
+const ADAPTER_SWAP_MS: f64 = 60.0;
+/// Cost of a failed attempt, in milliseconds, weighted by the share of failures.
+const FAILURE_MS: f64 = 600.0;
+/// Share of the time for the prompt that the first target in rendezvous order is favoured by, so that
+/// gateways that know nothing of one another send the same prompts to the same targets.
+const AFFINITY_SHARE: f64 = 0.25;
+/// Estimates that exceed the shortest one by less than this are the same, in milliseconds.
+const SAME_MS: f64 = 1.0;
+/// An observation of the pace counts only if the wait before it was at most this share of the time.
+const CLEAN_WAIT_SHARE: f64 = 0.25;
+
+/// Targets with their state.
+#[derive(Clone, Debug)]
+pub struct DirectFleet {
+    data_centre: CompactString,
+    targets: Vec<DirectTarget>,
+    by_id: SortedMap<CompactString, TargetKey>,
+    by_hash: SortedMap<u64, TargetKey>,
+    pace: EnginePace,
+    cache_tokens: SortedMap<CompactString, u64>,
+}
+
+impl DirectFleet {
+    /// A fleet without targets, seen from a data centre.
+    pub fn new(data_centre: &str) -> Self {
+        Self {
+            data_centre: CompactString::new(data_centre),
+            targets: Vec::new(),
+            by_id: SortedMap::new(),
+            by_hash: SortedMap::new(),
+            pace: EnginePace::new(),
+            cache_tokens: SortedMap::new(),
+        }
+    }
+
+    /// Sets the memory for prompts of each engine of a service.
+    pub fn set_cache_tokens(&mut self, service: &str, tokens: u64) {
+        self.cache_tokens.insert(CompactString::new(service), tokens);
+        for target in self.targets.iter_mut().filter(|target| target.service == service) {
+            target.prefixes.set_capacity(tokens);
+        }
+    }
+
+    /// Takes the entry of a target.
+    pub fn take_entry(&mut self, entry: &TargetEntry, now: Timestamp) {
+        if let Some(key) = self.by_id.get(&entry.id) {
+            self.targets[key.0 as usize].take_entry(entry, now);
+            return;
+        }
+        let Ok(at) = u32::try_from(self.targets.len()) else { return };
+        let cache_tokens = self.cache_tokens.get(&entry.service).copied().unwrap_or(0);
+        let target = DirectTarget::new(entry, cache_tokens);
+        self.by_id.insert(target.id.clone(), TargetKey(at));
+        self.by_hash.insert(target.hash, TargetKey(at));
+        self.targets.push(target);
+    }
+
+    /// Takes no new work to a target; returns its address, if it is known.
+    pub fn retire(&mut self, id: &str) -> Option<SocketAddr> {
+        let key = self.by_id.get(id)?;
+        let target = &mut self.targets[key.0 as usize];
+        target.takes_work = false;
+        Some(target.address)
+    }
+
+    /// Takes the word of an agent on its engine; false if the engine is not known.
+    pub fn take_agent(&mut self, state: &AgentState, now: Timestamp) -> bool {
+        match self.by_id.get(&state.target) {
+            Some(key) => {
+                self.targets[key.0 as usize].take_agent(state, now);
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// Takes a peer's word on its work at targets; targets that it does not name have none.
+    pub fn take_peer_work(&mut self, peer: &ProcessName, work: &[TargetWorkCopy], now: Timestamp) {
+        for target in &mut self.targets {
+            let share = work.iter().find(|copy| copy.target == target.hash).map_or_else(
+                WorkShare::default,
+                |copy| WorkShare {
+                    unread_ms: f64::from(copy.unread_ms),
+                    waiting: copy.waiting,
+                    running: copy.running,
+                    cache_tokens: copy.cache_tokens,
+                },
+            );
+            target.work.take_peer(peer, share, now);
+        }
+    }
+
+    /// Takes notice of a prompt that a peer sent.
+    pub fn take_peer_send(&mut self, send: &SendCopy, now: Timestamp) {
+        let Some(key) = self.by_hash.get(&send.target) else { return };
+        let links: Vec<PrefixLink> = send
+            .links
+            .iter()
+            .map(|link| PrefixLink { hash: link.hash, tokens: link.tokens })
+            .collect();
+        self.targets[key.0 as usize].prefixes.note(&links, now);
+    }
+
+    /// Work of this process at targets that have any.
+    pub fn own_work(&self) -> Vec<TargetWorkCopy> {
+        self.targets
+            .iter()
+            .filter(|target| !target.work.is_idle())
+            .map(|target| {
+                let own = target.work.own();
+                TargetWorkCopy {
+                    target: target.hash,
+                    unread_ms: own.unread_ms.round().clamp(0.0, f64::from(u32::MAX)) as u32,
+                    waiting: own.waiting,
+                    running: own.running,
+                    cache_tokens: own.cache_tokens,
+                }
+            })
+            .collect()
+    }
+
+    /// A target.
+    pub fn target(&self, key: TargetKey) -> &DirectTarget {
+        &self.targets[key.0 as usize]
+    }
+
+    /// A target, to change.
+    pub fn target_mut(&mut self, key: TargetKey) -> &mut DirectTarget {
+        &mut self.targets[key.0 as usize]
+    }
+
+    /// Key of the target with this id.
+    pub fn key_of(&self, id: &str) -> Option<TargetKey> {
+        self.by_id.get(id).copied()
+    }
+
+    /// All targets that were ever known.
+    pub fn targets(&self) -> impl Iterator<Item = &DirectTarget> {
+        self.targets.iter()
+    }
+
+    /// Estimated time to read prompt tokens of a model, in milliseconds.
+    pub fn read_ms(&self, model: &str, tokens: u64) -> f64 {
+        self.pace.read_ms(model, tokens)
+    }
+
+    /// Records a send of a generation.
+    pub fn note_generation(
+        &mut self,
+        pick: &DirectPick,
+        need: &GenerationNeed<'_>,
+        now: Timestamp,
+    ) -> SendId {
+        let target = &mut self.targets[pick.key.0 as usize];
+        target.prefixes.note(need.links, now);
+        let work = OwnWork {
+            unread_ms: pick.read_ms,
+            cache_tokens: need.prompt_tokens + need.output_tokens,
+            adapter: need.adapter_name(),
+        };
+        target.work.add(work, now)
+    }
+
+    /// Records a send of a plain request.
+    pub fn note_plain(&mut self, key: TargetKey, now: Timestamp) -> SendId {
+        self.targets[key.0 as usize].work.add(OwnWork::default(), now)
+    }
+
+    /// Records the first event of a generation, `took_ms` after it was sent.
+    pub fn note_first_event(&mut self, pick: &DirectPick, model: &str, id: SendId, took_ms: f64) {
+        let target = &mut self.targets[pick.key.0 as usize];
+        target.work.started(id);
+        let wait_ms = pick.estimate_ms - pick.read_ms;
+        if pick.read_ms > 0.0 && wait_ms <= CLEAN_WAIT_SHARE * pick.estimate_ms {
+            target.observe_pace(took_ms / pick.estimate_ms.max(1.0));
+            let slowness = target.slowness;
+            self.pace.observe(model, pick.unread_tokens, took_ms / slowness);
+        }
+    }
+
+    /// Records the end of a send.
+    pub fn note_end(&mut self, key: TargetKey, id: SendId) {
+        self.targets[key.0 as usize].work.ended(id);
+    }
+
+    /// Records what an outcome says of a target.
+    pub fn note_outcome(&mut self, key: TargetKey, outcome: TargetOutcome, now: Timestamp) {
+        self.targets[key.0 as usize].health.note(outcome, now);
+    }
+
+    /// Records the load that a target reported with an answer.
+    pub fn note_load(&mut self, key: TargetKey, sample: TargetLoadSample) {
+        self.targets[key.0 as usize].slots = sample.slots.max(1);
+    }
+
+    fn usable<'a>(
+        &'a self,
+        service: &'a str,
+        exclude: &'a [TargetKey],
+        now: Timestamp,
+    ) -> impl Iterator<Item = (TargetKey, &'a DirectTarget)> {
+        (0..).map(TargetKey).zip(&self.targets).filter(move |(key, target)| {
+            target.takes_work
+                && target.service == service
+                && !exclude.contains(key)
+                && target.health.is_usable(now)
+        })
+    }
+
+    /// Chooses a target for a generation.
+    pub fn choose_generation(&self, need: &GenerationNeed<'_>, now: Timestamp) -> DirectChoice {
+        let mut any = false;
+        let mut loading_ms: Option<u32> = None;
+        let mut best: Option<(f64, DirectPick)> = None;
+        let favoured = self.favoured(need, now);
+        for (key, target) in self.usable(need.service, need.exclude, now) {
+            any = true;
+            if target.serves(need.model).is_none() {
+                if let Some(change) =
+                    target.changing().filter(|c| c.loading && c.model == need.model)
+                {
+                    let remaining = change.remaining_ms;
+                    loading_ms = Some(loading_ms.map_or(remaining, |known| known.min(remaining)));
+                }
+                continue;
+            }
+            let Some(pick) = self.estimate(key, target, need, now) else { continue };
+            let affinity = if favoured == Some(key) { AFFINITY_SHARE * pick.read_ms } else { 0.0 };
+            let cost = pick.estimate_ms - affinity
+                + FAILURE_MS * target.health.failure_share()
+                + self.distance_ms(target);
+            if best.as_ref().is_none_or(|(least, _)| cost < *least) {
+                best = Some((cost, pick));
+            }
+        }
+        match (best, any) {
+            (Some((_, pick)), _) => DirectChoice::Serve(pick),
+            (None, true) => DirectChoice::NoCopy { loading_ms },
+            (None, false) => DirectChoice::NoTarget,
+        }
+    }
+
+    /// The target that all gateways prefer for prompts that start like this one.
+    fn favoured(&self, need: &GenerationNeed<'_>, now: Timestamp) -> Option<TargetKey> {
+        // The last part belongs to the request alone.
+        let shared = need.links.len().checked_sub(2).and_then(|at| need.links.get(at))?;
+        let hash = shared.hash.to_le_bytes();
+        self.usable(need.service, &[], now)
+            .filter(|(_, target)| target.serves(need.model).is_some())
+            .max_by_key(|(_, target)| rendezvous_score(&hash, &target.id))
+            .map(|(key, _)| key)
+    }
+
+    fn estimate(
+        &self,
+        key: TargetKey,
+        target: &DirectTarget,
+        need: &GenerationNeed<'_>,
+        now: Timestamp,
+    ) -> Option<DirectPick> {
+        let lacks_adapter =
+            need.adapter.is_some_and(|adapter| !target.has_adapter(need.model, adapter));
+        let adapter_ms = match lacks_adapter {
+            false => 0.0,
+            // Only the agent can have it loaded.
+            true if !target.agent_is_heard(now) => return None,
+            true if target.free_adapter_slots > 0 => ADAPTER_MS,
+            true => ADAPTER_SWAP_MS,
+        };
+        let work = target.work.total(now);
+        let unread_tokens =
+            need.prompt_tokens.saturating_sub(target.prefixes.matched_tokens(need.links)).max(1);
+        let read_ms = self.pace.read_ms(need.model, unread_tokens) * target.slowness;
+        let wait_ms = work.unread_ms.max(target.work.oldest_wait_ms(now) / 2.0);
+        let in_batch = work.running + work.waiting;
+        let over = f64::from((in_batch + 1).saturating_sub(target.slots.max(1)));
+        let slot_ms = over / f64::from(target.slots.max(1)) * RUN_MS;
+        let memory_ms = self.memory_ms(target, work.cache_tokens, need);
+        let batch_ms = BATCH_MS * f64::from(in_batch);
+        Some(DirectPick {
+            key,
+            id: target.id.clone(),
+            address: target.address,
+            estimate_ms: wait_ms + read_ms + slot_ms + memory_ms + batch_ms + adapter_ms,
+            read_ms,
+            unread_tokens,
+            lacks_adapter,
+        })
+    }
+
+    /// Wait for memory, in milliseconds.
+    fn memory_ms(&self, target: &DirectTarget, used: u64, need: &GenerationNeed<'_>) -> f64 {
+        let Some(capacity) = self.cache_tokens.get(&target.service).filter(|tokens| **tokens > 0)
+        else {
+            return 0.0;
+        };
+        let over = (used + need.prompt_tokens + need.output_tokens).saturating_sub(*capacity);
+        over as f64 / *capacity as f64 * RUN_MS
+    }
+
+    fn distance_ms(&self, target: &DirectTarget) -> f64 {
+        if target.data_centre == self.data_centre { 0.0 } else { CROSS_MS }
+    }
+
+    /// Chooses a target for a plain request.
+    pub fn choose_plain(&self, need: &PlainDirectNeed<'_>, now: Timestamp) -> DirectChoice {
+        let mut best: Option<(f64, DirectPick)> = None;
+        for (key, target) in self.usable(need.service, need.exclude, now) {
+            let work = target.work.total(now);
+            let in_front = f64::from(work.running + work.waiting);
+            let slots = f64::from(target.slots.max(1));
+            let queued = (in_front + 1.0 - slots).max(0.0);
+            let estimate_ms = target.plain_ms * (1.0 + queued / slots);
+            let cost = estimate_ms
+                + target.plain_ms * in_front / slots
+                + FAILURE_MS * target.health.failure_share()
+                + self.distance_ms(target);
+            if best.as_ref().is_none_or(|(least, _)| cost + SAME_MS < *least) {
+                let pick = DirectPick {
+                    key,
+                    id: target.id.clone(),
+                    address: target.address,
+                    estimate_ms,
+                    read_ms: 0.0,
+                    unread_tokens: 0,
+                    lacks_adapter: false,
+                };
+                best = Some((cost, pick));
+            }
+        }
+        best.map_or(DirectChoice::NoTarget, |(_, pick)| DirectChoice::Serve(pick))
+    }
+}
--- /dev/null
+++ b/components/routing/src/direct_target.rs
@@ -0,0 +1,221 @@
+//! A target that a gateway calls directly.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use base::{LoadedModel, SortedMap, Timestamp, WarmCopies, hash_bytes};
+use compact_str::CompactString;
+use membership::{TargetEntry, TargetState};
+use wire::{AdapterName, AgentState, ModelChange};
+
+use crate::{PrefixMemory, TargetHealth, TargetWork};
+
+/// Silence of an agent after which the target's own entry is believed instead.
+const AGENT_SILENT_AFTER: Duration = Duration::from_millis(2_500);
+/// Time for which a request waits for an adapter before it looks again.
+const WANT_LIFETIME: Duration = Duration::from_millis(300);
+/// Weight of a new observation of how slow a target is.
+const SLOWNESS_WEIGHT: f64 = 0.1;
+/// Bounds of the slowness of a target against the usual pace of its models.
+const SLOWNESS_BOUNDS: (f64, f64) = (0.5, 12.0);
+/// Usual time of a plain request that was never timed, in milliseconds.
+const UNKNOWN_PLAIN_MS: f64 = 50.0;
+
+/// Key of a target in its fleet; kept for as long as the process runs.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct TargetKey(pub u32);
+
+/// What is known of one target.
+#[derive(Clone, Debug)]
+pub struct DirectTarget {
+    /// Id of this life.
+    pub id: CompactString,
+    /// Hash of the id, its name in datagrams.
+    pub hash: u64,
+    /// Where it takes requests.
+    pub address: SocketAddr,
+    /// Service.
+    pub service: CompactString,
+    /// Data centre.
+    pub data_centre: CompactString,
+    /// Most requests that run at once.
+    pub slots: u32,
+    /// Whether it may be sent new work.
+    pub takes_work: bool,
+    /// Work at it.
+    pub work: TargetWork,
+    /// Health by outcomes.
+    pub health: TargetHealth,
+    /// Prompts that it keeps.
+    pub prefixes: PrefixMemory,
+    /// Unix time of its start in milliseconds, if it says so.
+    pub born_ms: Option<u64>,
+    wants: SortedMap<AdapterName, Timestamp>,
+    pub(crate) orders_accepted: u64,
+    pub(crate) models: Vec<LoadedModel>,
+    pub(crate) warm: WarmCopies,
+    pub(crate) changing: Option<ModelChange>,
+    pub(crate) free_adapter_slots: u32,
+    pub(crate) agent_heard_at: Option<Timestamp>,
+    pub(crate) agent_load: Option<AgentLoad>,
+    pub(crate) slowness: f64,
+    pub(crate) plain_ms: f64,
+}
+
+/// Load of an engine by its agent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct AgentLoad {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Memory that can't yield, in tokens.
+    pub cache_used_tokens: u64,
+}
+
+impl DirectTarget {
+    /// A target by its first entry; `cache_tokens` is the memory of an engine for prompts.
+    pub(crate) fn new(entry: &TargetEntry, cache_tokens: u64) -> Self {
+        let mut target = Self {
+            id: entry.id.clone(),
+            hash: hash_bytes(entry.id.as_bytes()),
+            address: entry.address,
+            service: entry.service.clone(),
+            data_centre: entry.data_centre.clone(),
+            slots: entry.slots,
+            takes_work: false,
+            work: TargetWork::default(),
+            health: TargetHealth::default(),
+            prefixes: PrefixMemory::new(cache_tokens),
+            born_ms: entry.born_ms,
+            wants: SortedMap::new(),
+            orders_accepted: 0,
+            models: Vec::new(),
+            warm: WarmCopies::default(),
+            changing: None,
+            free_adapter_slots: 0,
+            agent_heard_at: None,
+            agent_load: None,
+            slowness: 1.0,
+            plain_ms: UNKNOWN_PLAIN_MS,
+        };
+        target.take_entry(entry, Timestamp::default());
+        target
+    }
+
+    /// Takes a newer entry.
+    pub(crate) fn take_entry(&mut self, entry: &TargetEntry, now: Timestamp) {
+        if entry.born_ms != self.born_ms {
+            self.start_anew(entry.born_ms);
+        }
+        self.address = entry.address;
+        self.service.clone_from(&entry.service);
+        self.data_centre.clone_from(&entry.data_centre);
+        self.slots = entry.slots;
+        self.takes_work = entry.state == TargetState::Ready;
+        // The agent's word is fresher while it is heard.
+        if !self.agent_is_heard(now) {
+            self.models.clone_from(&entry.models);
+            self.warm.clone_from(&entry.warm);
+            self.orders_accepted = entry.orders_accepted;
+            self.changing = None;
+        }
+    }
+
+    /// Takes the word of the agent beside it.
+    pub(crate) fn take_agent(&mut self, state: &AgentState, now: Timestamp) {
+        if state.born_ms.is_some() && state.born_ms != self.born_ms {
+            if state.born_ms < self.born_ms {
+                return;
+            }
+            self.start_anew(state.born_ms);
+        }
+        self.agent_heard_at = Some(now);
+        self.models.clone_from(&state.models);
+        self.warm.clone_from(&state.warm);
+        self.changing.clone_from(&state.changing);
+        self.orders_accepted = state.orders_accepted;
+        self.free_adapter_slots = state.free_adapter_slots;
+        self.agent_load = Some(AgentLoad {
+            running: state.running,
+            waiting: state.waiting,
+            cache_used_tokens: state.cache_used_tokens,
+        });
+    }
+
+    /// A new life of the engine holds and knows nothing of before.
+    fn start_anew(&mut self, born_ms: Option<u64>) {
+        self.born_ms = born_ms;
+        self.models.clear();
+        self.changing = None;
+        self.prefixes.clear();
+        self.health = TargetHealth::default();
+        self.slowness = 1.0;
+    }
+
+    /// Whether the agent beside it was heard lately.
+    pub fn agent_is_heard(&self, now: Timestamp) -> bool {
+        self.agent_heard_at.is_some_and(|at| now.since(at) < AGENT_SILENT_AFTER)
+    }
+
+    /// A model that it serves and is not giving up.
+    pub fn serves(&self, model: &str) -> Option<&LoadedModel> {
+        let leaving =
+            self.changing.as_ref().is_some_and(|change| !change.loading && change.model == model);
+        if leaving {
+            return None;
+        }
+        let at = self.models.binary_search_by(|loaded| loaded.model.as_str().cmp(model)).ok()?;
+        self.models.get(at)
+    }
+
+    /// Models that it holds, those that it is giving up included.
+    pub fn models(&self) -> &[LoadedModel] {
+        &self.models
+    }
+
+    /// Copies of weights near it.
+    pub const fn warm(&self) -> &WarmCopies {
+        &self.warm
+    }
+
+    /// A change of a model that is under way.
+    pub const fn changing(&self) -> Option<&ModelChange> {
+        self.changing.as_ref()
+    }
+
+    /// Whether it has an adapter of a model loaded.
+    pub fn has_adapter(&self, model: &str, adapter: &str) -> bool {
+        self.serves(model).is_some_and(|loaded| {
+            loaded.adapters.binary_search_by(|name| name.as_str().cmp(adapter)).is_ok()
+        })
+    }
+
+    /// Takes notice that a request waits for an adapter; true if none did before.
+    pub fn want(&mut self, adapter: AdapterName, now: Timestamp) -> bool {
+        self.wants.retain(|_, at| now.since(*at) < WANT_LIFETIME);
+        self.wants.insert(adapter, now).is_none()
+    }
+
+    /// Adapters that requests wait for.
+    pub fn wanted(&self, now: Timestamp) -> Vec<AdapterName> {
+        let lacks = |name: &AdapterName| !self.has_adapter(&name.model, &name.adapter);
+        self.wants
+            .iter()
+            .filter(|(name, at)| now.since(**at) < WANT_LIFETIME && lacks(name))
+            .map(|(name, _)| name.clone())
+            .collect()
+    }
+
+    /// Takes notice of how long a prompt took against the estimate.
+    pub(crate) fn observe_pace(&mut self, ratio: f64) {
+        let (least, most) = SLOWNESS_BOUNDS;
+        let seen = (self.slowness * ratio).clamp(least, most);
+        self.slowness += SLOWNESS_WEIGHT * (seen - self.slowness);
+    }
+
+    /// Takes notice of how long a plain request took, in milliseconds.
+    pub fn observe_plain(&mut self, took_ms: f64) {
+        self.plain_ms += SLOWNESS_WEIGHT * (took_ms - self.plain_ms);
+    }
+}
--- a/components/side/src/claim_desk.rs
+++ b/components/side/src/claim_desk.rs
@@ -10,7 +10,7 @@
     Answer, Append, AttemptId, Begin, CLAIMS_STREAM, ClaimKey, ClaimLimits, Claims, Fingerprint,
     Settlement, SettlementResult, StoredOutcome,
 };
-use platform::{HttpLog, Log};
+use store::{HttpLog, Log};
 use tokio::sync::{Notify, oneshot};
 use tokio::time::{Instant, sleep, timeout};
 
--- a/components/side/src/core.rs
+++ b/components/side/src/core.rs
@@ -11,8 +11,8 @@
 use compact_str::CompactString;
 use config::{ServiceKind, SideSettings, Target, Town};
 use placement::{DemandRate, Item, Ledger, LedgerSettings, PermitSearch, PinBook};
-use platform::VmSnapshot;
 use queue::{FairQueue, QueueLimits, Ticket};
+use store::VmSnapshot;
 use wire::Heartbeat;
 
 use crate::action::{Action, SlotOwner};
--- a/components/side/src/event.rs
+++ b/components/side/src/event.rs
@@ -9,8 +9,8 @@
 use config::Town;
 use engine::{CacheEvents, EngineError, LoadSample, OrderResult};
 use placement::{EngineState, OrderId};
-use platform::VmSnapshot;
 use queue::Ticket;
+use store::VmSnapshot;
 use wire::{Heartbeat, PinOutcome};
 
 use crate::action::SlotOwner;
--- a/components/side/src/peers.rs
+++ b/components/side/src/peers.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use base::{ProcessId, ProcessName, Role, SortedMap, Timestamp};
-use platform::VmSnapshot;
+use store::VmSnapshot;
 use wire::Heartbeat;
 
 /// Silence after which a process that is not on the list is forgotten; entries and sides that still
--- a/components/side/src/start_record.rs
+++ b/components/side/src/start_record.rs
@@ -4,7 +4,7 @@
 
 use base::{Offset, ProcessId, Role};
 use compact_str::format_compact;
-use platform::{HttpLog, Log};
+use store::{HttpLog, Log};
 use tokio::time::{Instant, sleep};
 use wire::{FLEET_STREAM, PeerIdentity, StartRecord, encode};
 
--- a/components/side/tests/common/mod.rs
+++ b/components/side/tests/common/mod.rs
@@ -62,6 +62,7 @@
         max_output_tokens: 1_000,
         load_ms: 20,
         access: Access::All,
+        ..Model::default()
     }
 }
 
@@ -84,6 +85,7 @@
         rate_tokens_per_s: 1_000,
         burst_tokens: 1_000,
         weight: 1,
+        ..Customer::default()
     };
     let adapter = |name: &str| Adapter {
         name: name.into(),
@@ -107,11 +109,13 @@
                 name: "desk".into(),
                 kind: ServiceKind::Plain,
                 targets: vec![target("p1", 0), target("p2", 0)],
+                ..Service::default()
             },
             Service {
                 name: "models".into(),
                 kind: ServiceKind::Engine,
                 targets: vec![target("t1", 2_500), target("t2", 2_500), target("t3", 2_500)],
+                ..Service::default()
             },
         ],
         routes: vec![Route {
@@ -121,6 +125,7 @@
             access: Access::All,
             repeatable: false,
             timeout_ms: 5_000,
+            ..Route::default()
         }],
         data_centres: vec![DataCentre { name: "dc".into(), region: "r".into() }],
         ..Town::default()
--- a/components/platform/src/error.rs
+++ b/components/store/src/error.rs
@@ -4,7 +4,7 @@
 
 /// Why a call to the platform failed, by what is known about its effect.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum PlatformError {
+pub enum StoreError {
     /// This process used up its own append budget; nothing was sent.
     BudgetExceeded {
         /// Time until the next append is allowed, in milliseconds.
@@ -27,14 +27,14 @@
     Unreachable,
 }
 
-impl PlatformError {
+impl StoreError {
     /// Whether a failed append may have been stored all the same.
     pub const fn may_have_taken_effect(self) -> bool {
         matches!(self, Self::Malformed | Self::OutcomeUnknown)
     }
 }
 
-impl fmt::Display for PlatformError {
+impl fmt::Display for StoreError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::BudgetExceeded { retry_after_ms } => {
@@ -50,4 +50,4 @@
     }
 }
 
-impl std::error::Error for PlatformError {}
+impl std::error::Error for StoreError {}
--- a/components/platform/src/http_log.rs
+++ b/components/store/src/http_log.rs
@@ -13,7 +13,7 @@
 use tokio::time::Instant;
 
 use crate::json_client::JsonClient;
-use crate::{AppendBudget, Log, LogPage, LogRecord, PlatformError};
+use crate::{AppendBudget, Log, LogPage, LogRecord, StoreError};
 
 /// Limits of a log client.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -77,22 +77,17 @@
         }
     }
 
-    fn take_budget(&self) -> Result<(), PlatformError> {
+    fn take_budget(&self) -> Result<(), StoreError> {
         let now = Timestamp::default() + self.started.elapsed();
         let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
-        budget.take(now).map_err(|wait| PlatformError::BudgetExceeded {
+        budget.take(now).map_err(|wait| StoreError::BudgetExceeded {
             retry_after_ms: u64::try_from(wait.as_micros().div_ceil(1_000)).unwrap_or(u64::MAX),
         })
     }
 }
 
 impl Log for HttpLog {
-    async fn append(
-        &self,
-        stream: &str,
-        id: &str,
-        payload: &[u8],
-    ) -> Result<Offset, PlatformError> {
+    async fn append(&self, stream: &str, id: &str, payload: &[u8]) -> Result<Offset, StoreError> {
         self.take_budget()?;
         let body = AppendBody { id, payload_base64: STANDARD.encode(payload) };
         let path = format!("/streams/{stream}/records");
@@ -106,7 +101,7 @@
         from: Offset,
         limit: u32,
         wait: Duration,
-    ) -> Result<LogPage, PlatformError> {
+    ) -> Result<LogPage, StoreError> {
         let path = format!(
             "/streams/{stream}/records?from={}&limit={limit}&wait_ms={}",
             from.0.max(1),
@@ -123,10 +118,10 @@
 }
 
 impl TryFrom<RecordBody> for LogRecord {
-    type Error = PlatformError;
+    type Error = StoreError;
 
-    fn try_from(body: RecordBody) -> Result<Self, PlatformError> {
-        let payload = STANDARD.decode(body.payload_base64).map_err(|_| PlatformError::Malformed)?;
+    fn try_from(body: RecordBody) -> Result<Self, StoreError> {
+        let payload = STANDARD.decode(body.payload_base64).map_err(|_| StoreError::Malformed)?;
         Ok(Self { offset: body.offset, id: body.id, payload: Bytes::from(payload) })
     }
 }
--- a/components/platform/src/http_vm_list.rs
+++ b/components/store/src/http_vm_list.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::json_client::JsonClient;
-use crate::{PlatformError, VmList, VmSnapshot};
+use crate::{StoreError, VmList, VmSnapshot};
 
 /// Client of the VM list.
 #[derive(Clone, Debug)]
@@ -21,7 +21,7 @@
 }
 
 impl VmList for HttpVmList {
-    async fn list(&self) -> Result<VmSnapshot, PlatformError> {
+    async fn list(&self) -> Result<VmSnapshot, StoreError> {
         self.client.get("/vms", self.timeout).await
     }
 }
--- a/components/platform/src/json_client.rs
+++ b/components/store/src/json_client.rs
@@ -13,7 +13,7 @@
 use serde::de::DeserializeOwned;
 use tokio::time::timeout;
 
-use crate::PlatformError;
+use crate::StoreError;
 
 /// Most bytes of an answer; a page of 500 records of 64 KiB in base64 fits.
 const MAX_ANSWER_BYTES: usize = 64 << 20;
@@ -40,7 +40,7 @@
         &self,
         path: &str,
         limit: Duration,
-    ) -> Result<T, PlatformError> {
+    ) -> Result<T, StoreError> {
         self.call(Method::GET, path, Bytes::new(), limit).await
     }
 
@@ -49,7 +49,7 @@
         path: &str,
         body: &impl Serialize,
         limit: Duration,
-    ) -> Result<T, PlatformError> {
+    ) -> Result<T, StoreError> {
         let body = serde_json::to_vec(body)
             .unwrap_or_else(|error| unreachable!("plain structs always serialise: {error}"));
         self.call(Method::POST, path, body.into(), limit).await
@@ -61,39 +61,35 @@
         path: &str,
         body: Bytes,
         limit: Duration,
-    ) -> Result<T, PlatformError> {
+    ) -> Result<T, StoreError> {
         let request = Request::builder()
             .method(method)
             .uri(format!("http://{}{path}", self.address))
             .header(header::CONTENT_TYPE, "application/json")
             .body(Full::new(body))
             // Only a stream name that is no URI path gets here; nothing is sent.
-            .map_err(|_| PlatformError::Rejected { status: 400 })?;
+            .map_err(|_| StoreError::Rejected { status: 400 })?;
         match timeout(limit, self.exchange(request)).await {
-            Ok(answer) => serde_json::from_slice(&answer?).map_err(|_| PlatformError::Malformed),
-            Err(_) => Err(PlatformError::OutcomeUnknown),
+            Ok(answer) => serde_json::from_slice(&answer?).map_err(|_| StoreError::Malformed),
+            Err(_) => Err(StoreError::OutcomeUnknown),
         }
     }
 
-    async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<Bytes, PlatformError> {
+    async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<Bytes, StoreError> {
         let response = self.client.request(request).await.map_err(|error| {
-            if error.is_connect() {
-                PlatformError::Unreachable
-            } else {
-                PlatformError::OutcomeUnknown
-            }
+            if error.is_connect() { StoreError::Unreachable } else { StoreError::OutcomeUnknown }
         })?;
         match response.status() {
             StatusCode::OK => {}
-            StatusCode::SERVICE_UNAVAILABLE => return Err(PlatformError::Unavailable),
-            StatusCode::TOO_MANY_REQUESTS => return Err(PlatformError::RateLimited),
+            StatusCode::SERVICE_UNAVAILABLE => return Err(StoreError::Unavailable),
+            StatusCode::TOO_MANY_REQUESTS => return Err(StoreError::RateLimited),
             status if status.is_client_error() => {
-                return Err(PlatformError::Rejected { status: status.as_u16() });
+                return Err(StoreError::Rejected { status: status.as_u16() });
             }
-            _ => return Err(PlatformError::OutcomeUnknown),
+            _ => return Err(StoreError::OutcomeUnknown),
         }
         let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
-        let collected = body.collect().await.map_err(|_| PlatformError::OutcomeUnknown)?;
+        let collected = body.collect().await.map_err(|_| StoreError::OutcomeUnknown)?;
         Ok(collected.to_bytes())
     }
 }
--- a/components/platform/src/log.rs
+++ b/components/store/src/log.rs
@@ -7,7 +7,7 @@
 use compact_str::CompactString;
 use tokio::time::{Instant, sleep, timeout_at};
 
-use crate::PlatformError;
+use crate::StoreError;
 
 /// Records asked for in one read while an append is settled.
 const SETTLE_PAGE: u32 = 500;
@@ -51,8 +51,7 @@
     /// # Errors
     ///
     /// `may_have_taken_effect` tells whether the record may be stored all the same.
-    async fn append(&self, stream: &str, id: &str, payload: &[u8])
-    -> Result<Offset, PlatformError>;
+    async fn append(&self, stream: &str, id: &str, payload: &[u8]) -> Result<Offset, StoreError>;
 
     /// Reads up to `limit` records from `from` on; at the end it waits up to `wait` for one.
     ///
@@ -65,7 +64,7 @@
         from: Offset,
         limit: u32,
         wait: Duration,
-    ) -> Result<LogPage, PlatformError>;
+    ) -> Result<LogPage, StoreError>;
 
     /// Appends a record and settles a lost answer by reading for `id` before it appends again.
     ///
@@ -85,7 +84,7 @@
         payload: &[u8],
         from: Offset,
         deadline: Instant,
-    ) -> Result<Offset, PlatformError> {
+    ) -> Result<Offset, StoreError> {
         let mut open = false;
         loop {
             if open {
@@ -93,13 +92,13 @@
                     Ok(Ok(Some(offset))) => return Ok(offset),
                     Ok(Ok(None)) => {}
                     Ok(Err(_)) => {
-                        pause(SETTLE_PAUSE, deadline, PlatformError::OutcomeUnknown).await?;
+                        pause(SETTLE_PAUSE, deadline, StoreError::OutcomeUnknown).await?;
                         continue;
                     }
-                    Err(_) => return Err(PlatformError::OutcomeUnknown),
+                    Err(_) => return Err(StoreError::OutcomeUnknown),
                 }
             }
-            let unsettled = |error| if open { PlatformError::OutcomeUnknown } else { error };
+            let unsettled = |error| if open { StoreError::OutcomeUnknown } else { error };
             match timeout_at(deadline, self.append(stream, id, payload)).await {
                 Ok(Ok(offset)) if !open => return Ok(offset),
                 // The earlier attempt may have been stored between the read and this append; the
@@ -107,29 +106,25 @@
                 Ok(Ok(_)) => {}
                 Ok(Err(error)) if error.may_have_taken_effect() => {
                     open = true;
-                    pause(SETTLE_PAUSE, deadline, PlatformError::OutcomeUnknown).await?;
+                    pause(SETTLE_PAUSE, deadline, StoreError::OutcomeUnknown).await?;
                 }
-                Ok(Err(error @ PlatformError::BudgetExceeded { retry_after_ms })) => {
+                Ok(Err(error @ StoreError::BudgetExceeded { retry_after_ms })) => {
                     let wait = Duration::from_millis(retry_after_ms.max(1));
                     pause(wait, deadline, unsettled(error)).await?;
                 }
-                Ok(Err(error @ PlatformError::RateLimited)) => {
+                Ok(Err(error @ StoreError::RateLimited)) => {
                     pause(SETTLE_PAUSE, deadline, unsettled(error)).await?;
                 }
                 Ok(Err(error)) if !open => return Err(error),
-                Ok(Err(_)) => pause(SETTLE_PAUSE, deadline, PlatformError::OutcomeUnknown).await?,
-                Err(_) => return Err(PlatformError::OutcomeUnknown),
+                Ok(Err(_)) => pause(SETTLE_PAUSE, deadline, StoreError::OutcomeUnknown).await?,
+                Err(_) => return Err(StoreError::OutcomeUnknown),
             }
         }
     }
 }
 
 /// Sleeps, or fails with `error` if the deadline would pass meanwhile.
-async fn pause(
-    wait: Duration,
-    deadline: Instant,
-    error: PlatformError,
-) -> Result<(), PlatformError> {
+async fn pause(wait: Duration, deadline: Instant, error: StoreError) -> Result<(), StoreError> {
     if Instant::now() + wait >= deadline {
         return Err(error);
     }
@@ -143,7 +138,7 @@
     stream: &str,
     id: &str,
     from: Offset,
-) -> Result<Option<Offset>, PlatformError> {
+) -> Result<Option<Offset>, StoreError> {
     let mut next = from;
     loop {
         let page = log.read(stream, next, SETTLE_PAGE, Duration::ZERO).await?;
--- a/components/platform/src/vm_list.rs
+++ b/components/store/src/vm_list.rs
@@ -6,7 +6,7 @@
 use compact_str::CompactString;
 use serde::Deserialize;
 
-use crate::PlatformError;
+use crate::StoreError;
 
 /// State of a VM on the list.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq)]
@@ -52,5 +52,5 @@
     /// # Errors
     ///
     /// Why there is no list; the last one read stays valid as far as a lagging list is.
-    async fn list(&self) -> Result<VmSnapshot, PlatformError>;
+    async fn list(&self) -> Result<VmSnapshot, StoreError>;
 }
--- a/components/platform/tests/append_settled.rs
+++ b/components/store/tests/append_settled.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use base::Offset;
-use platform::{HttpLog, HttpLogOptions, Log, PlatformError};
 use standin::{LogServer, LogServerSettings};
+use store::{HttpLog, HttpLogOptions, Log, StoreError};
 use tokio::time::{Instant, sleep};
 
 const OPTIONS: HttpLogOptions = HttpLogOptions { request_timeout_ms: 200, appends_per_s: 1_000 };
@@ -21,7 +21,7 @@
     Instant::now() + Duration::from_millis(millis)
 }
 
-async fn settle(log: &HttpLog, millis: u64) -> Result<Offset, PlatformError> {
+async fn settle(log: &HttpLog, millis: u64) -> Result<Offset, StoreError> {
     log.append_settled("claims", "mine", b"x", Offset(1), within(millis)).await
 }
 
@@ -68,7 +68,7 @@
 async fn outage_is_returned_at_once_while_nothing_is_open() {
     let (server, log) = server(LogServerSettings { outage: true, ..Default::default() }).await;
     let started = Instant::now();
-    assert_eq!(settle(&log, 5_000).await, Err(PlatformError::Unavailable));
+    assert_eq!(settle(&log, 5_000).await, Err(StoreError::Unavailable));
     assert!(started.elapsed() < Duration::from_secs(2));
     assert!(server.records("claims").is_empty());
 }
@@ -85,7 +85,7 @@
         server.update(|settings| settings.outage = true);
     };
     let (settled, ()) = tokio::join!(settle(&log, 600), outage);
-    assert_eq!(settled, Err(PlatformError::OutcomeUnknown));
+    assert_eq!(settled, Err(StoreError::OutcomeUnknown));
     assert_eq!(server.records("claims").len(), 1);
 }
 
@@ -109,7 +109,7 @@
 async fn unreachable_log_is_returned_at_once() {
     let (mut server, log) = server(LogServerSettings::default()).await;
     server.stop().await;
-    assert_eq!(settle(&log, 5_000).await, Err(PlatformError::Unreachable));
+    assert_eq!(settle(&log, 5_000).await, Err(StoreError::Unreachable));
 }
 
 #[tokio::test]
@@ -126,6 +126,6 @@
     let log = HttpLog::new(server.address(), HttpLogOptions { appends_per_s: 4, ..OPTIONS });
     while log.append("claims", "other", b"").await.is_ok() {}
     let refused = settle(&log, 20).await;
-    assert!(matches!(refused, Err(PlatformError::BudgetExceeded { .. })), "{refused:?}");
+    assert!(matches!(refused, Err(StoreError::BudgetExceeded { .. })), "{refused:?}");
     assert!(settle(&log, 5_000).await.is_ok());
 }
--- a/components/platform/tests/budget.rs
+++ b/components/store/tests/budget.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use base::Timestamp;
-use platform::AppendBudget;
+use store::AppendBudget;
 
 /// Guards against a budget that admits more than one second's worth plus the rate in any window.
 #[test]
--- a/components/platform/tests/log.rs
+++ b/components/store/tests/log.rs
@@ -5,8 +5,8 @@
 use std::time::{Duration, Instant};
 
 use base::Offset;
-use platform::{HttpLog, HttpLogOptions, Log, PlatformError};
 use standin::{Blocked, Link, LinkFaults, LogServer, LogServerSettings};
+use store::{HttpLog, HttpLogOptions, Log, StoreError};
 
 const OPTIONS: HttpLogOptions = HttpLogOptions { request_timeout_ms: 300, appends_per_s: 1_000 };
 
@@ -60,9 +60,9 @@
 #[tokio::test]
 async fn outage_is_told_apart_and_stores_nothing() {
     let (server, log) = server(LogServerSettings { outage: true, ..Default::default() }).await;
-    assert_eq!(log.append("config", "a", b"x").await, Err(PlatformError::Unavailable));
+    assert_eq!(log.append("config", "a", b"x").await, Err(StoreError::Unavailable));
     let read = log.read("config", Offset(1), 10, Duration::ZERO).await;
-    assert_eq!(read, Err(PlatformError::Unavailable));
+    assert_eq!(read, Err(StoreError::Unavailable));
     server.update(|settings| settings.outage = false);
     assert_eq!(log.append("config", "b", b"x").await, Ok(Offset(1)));
 }
@@ -77,7 +77,7 @@
         server.update(|settings| settings.outage = true);
     };
     let (read, ()) = tokio::join!(read, outage);
-    assert_eq!(read, Err(PlatformError::Unavailable));
+    assert_eq!(read, Err(StoreError::Unavailable));
 }
 
 #[tokio::test]
@@ -88,7 +88,7 @@
         match log.append("config", "a", b"x").await {
             Ok(_) => {}
             Err(error) => {
-                assert_eq!(error, PlatformError::RateLimited);
+                assert_eq!(error, StoreError::RateLimited);
                 refused += 1;
             }
         }
@@ -104,7 +104,7 @@
         let settings = LogServerSettings { lose_answers: 1, lost_hang, ..Default::default() };
         let (server, log) = server(settings).await;
         let error = log.append("config", "a", b"x").await.unwrap_err();
-        assert_eq!(error, PlatformError::OutcomeUnknown);
+        assert_eq!(error, StoreError::OutcomeUnknown);
         assert!(error.may_have_taken_effect());
         assert_eq!(server.records("config").len(), 1);
     }
@@ -115,7 +115,7 @@
     let (mut server, log) = server(LogServerSettings::default()).await;
     server.stop().await;
     let error = log.append("config", "a", b"x").await.unwrap_err();
-    assert_eq!(error, PlatformError::Unreachable);
+    assert_eq!(error, StoreError::Unreachable);
     assert!(!error.may_have_taken_effect());
     server.restart().await.unwrap();
     assert_eq!(log.append("config", "a", b"x").await, Ok(Offset(1)));
@@ -128,7 +128,7 @@
     let link = Link::start(server.address()).await.unwrap();
     let log = HttpLog::new(link.address(), OPTIONS);
     link.set(LinkFaults { blocked: Blocked::ToClient, ..Default::default() });
-    assert_eq!(log.append("config", "a", b"x").await, Err(PlatformError::OutcomeUnknown));
+    assert_eq!(log.append("config", "a", b"x").await, Err(StoreError::OutcomeUnknown));
     assert_eq!(server.records("config").len(), 1);
 }
 
@@ -164,7 +164,7 @@
     for _ in 0..20 {
         match log.append("config", "a", b"x").await {
             Ok(_) => stored += 1,
-            Err(error) => assert!(matches!(error, PlatformError::BudgetExceeded { .. })),
+            Err(error) => assert!(matches!(error, StoreError::BudgetExceeded { .. })),
         }
     }
     assert!((3..=5).contains(&stored), "stored {stored}");
--- a/components/platform/tests/vm_list.rs
+++ b/components/store/tests/vm_list.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use base::Role;
-use platform::{HttpVmList, PlatformError, VmList, VmState};
 use standin::{ListedState, ListedVm, VmListServer, VmListSettings};
+use store::{HttpVmList, StoreError, VmList, VmState};
 
 fn vm(name: &str, state: ListedState) -> ListedVm {
     ListedVm {
@@ -55,7 +55,7 @@
     let mut server =
         VmListServer::start(VmListSettings { outage: true, ..Default::default() }).await.unwrap();
     let client = client(&server);
-    assert_eq!(client.list().await, Err(PlatformError::Unavailable));
+    assert_eq!(client.list().await, Err(StoreError::Unavailable));
     server.stop().await;
-    assert_eq!(client.list().await, Err(PlatformError::Unreachable));
+    assert_eq!(client.list().await, Err(StoreError::Unreachable));
 }
--- /dev/null
+++ b/components/wire/src/fleet_state.rs
@@ -0,0 +1,214 @@
+//! Datagrams between gateways and agents: each carries the newest state of its sender, so that a lost
+//! one is made up for by the next.
+
+use std::net::SocketAddr;
+
+use base::{LoadedModel, Offset, ProcessId, WarmCopies};
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+
+/// A datagram.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Datagram {
+    /// State of an agent.
+    Agent(AgentState),
+    /// What a gateway wants of an agent.
+    Ask(AgentAsk),
+    /// State of a gateway.
+    Gateway(GatewayState),
+}
+
+/// Newest word that the sender has from the receiver, so that the receiver can tell the age of what
+/// it is told.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Echo {
+    /// The sender's own clock when it sent this, in microseconds.
+    pub sent_micros: u64,
+    /// The `sent_micros` of the newest datagram that came from the receiver; zero for none.
+    pub heard_micros: u64,
+    /// Run of the receiver that sent it.
+    pub heard_incarnation: u64,
+}
+
+/// State of a gateway, for the other gateways.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct GatewayState {
+    /// Sender.
+    pub from: ProcessId,
+    /// Times.
+    pub echo: Echo,
+    /// Version of the configuration in force at the sender.
+    pub config: Offset,
+    /// Milliseconds since the sender itself read the operators' topic to its end.
+    pub end_read_age_ms: Option<u32>,
+    /// The sender takes no new work.
+    pub draining: bool,
+    /// Tokens that this run of the sender has admitted, by customer.
+    pub admitted: Vec<AdmittedTokens>,
+    /// Work of the sender at targets that have any.
+    pub work: Vec<TargetWorkCopy>,
+    /// Latest sends.
+    pub sends: Vec<SendCopy>,
+    /// Demand that the sender sees.
+    pub demand: Vec<ModelLoad>,
+}
+
+/// Tokens of a customer.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct AdmittedTokens {
+    /// Hash of the customer's name.
+    pub customer: u64,
+    /// Tokens admitted since the start of the process.
+    pub tokens: u64,
+    /// Tokens a second that were asked for lately.
+    pub asked_per_s: u64,
+}
+
+/// Work at a target.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TargetWorkCopy {
+    /// Hash of the target's id.
+    pub target: u64,
+    /// Time for prompts that are not answered yet, in milliseconds.
+    pub unread_ms: u32,
+    /// Requests without a first event.
+    pub waiting: u32,
+    /// Requests with a first event.
+    pub running: u32,
+    /// Memory of all of them, in tokens.
+    pub cache_tokens: u64,
+}
+
+/// A send, for the prefixes that the target keeps from it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct SendCopy {
+    /// Number at the sender; a number that was seen is not taken again.
+    pub number: u64,
+    /// Hash of the target's id.
+    pub target: u64,
+    /// Links of the prompt.
+    pub links: Vec<LinkCopy>,
+}
+
+/// A link of a prompt.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LinkCopy {
+    /// Hash of the prompt up to the end of the part.
+    pub hash: u64,
+    /// Tokens of the part.
+    pub tokens: u32,
+}
+
+/// Load that requests for a model put on engines.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ModelLoad {
+    /// Hash of the model's name.
+    pub model: u64,
+    /// Engine time asked for in a second, in microseconds.
+    pub work_micros_per_s: u64,
+    /// Requests in 1,000 seconds.
+    pub requests_per_1000_s: u64,
+    /// Requests that wait for a copy now.
+    pub waiting: u32,
+}
+
+/// What a gateway wants of the agent beside a target.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct AgentAsk {
+    /// Sender.
+    pub from: ProcessId,
+    /// Times.
+    pub echo: Echo,
+    /// Id of the life of the target that the sender knows.
+    pub target: CompactString,
+    /// Unix time of its start in milliseconds, if it says so.
+    pub born_ms: Option<u64>,
+    /// Adapters of the sender's requests at the target.
+    pub used_adapters: Vec<AdapterName>,
+    /// Adapters that requests wait for.
+    pub wanted_adapters: Vec<AdapterName>,
+    /// Models that the engine should hold, from the gateway that plans.
+    pub plan: Option<EnginePlan>,
+}
+
+/// An adapter of a model.
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct AdapterName {
+    /// Model.
+    pub model: CompactString,
+    /// Adapter, without the model's name.
+    pub adapter: CompactString,
+}
+
+/// What one engine should hold.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct EnginePlan {
+    /// Life of the engine that the plan was made for.
+    pub target: CompactString,
+    /// Models to hold, with the most wanted first.
+    pub models: Vec<PlannedCopy>,
+    /// Models that may be unloaded.
+    pub surplus: Vec<CompactString>,
+}
+
+/// A model that an engine should hold.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PlannedCopy {
+    /// Model.
+    pub model: CompactString,
+    /// Memory of a copy in MB.
+    pub memory_mb: u64,
+    /// Whether it may be fetched from the weight store.
+    pub may_fetch: bool,
+}
+
+/// State of an engine as the agent beside it sees it.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct AgentState {
+    /// Sender.
+    pub from: ProcessId,
+    /// Times.
+    pub echo: Echo,
+    /// Id of the engine's life; empty while the agent does not know it.
+    pub target: CompactString,
+    /// Unix time of the engine's start in milliseconds, if it says so.
+    pub born_ms: Option<u64>,
+    /// Orders that the engine accepted in this life.
+    pub orders_accepted: u64,
+    /// Models that it serves.
+    pub models: Vec<LoadedModel>,
+    /// Model that is being loaded or unloaded.
+    pub changing: Option<ModelChange>,
+    /// Adapters that could be loaded now without waiting for another to become idle.
+    pub free_adapter_slots: u32,
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Memory that can't yield, in tokens.
+    pub cache_used_tokens: u64,
+    /// Copies of weights near the engine.
+    pub warm: WarmCopies,
+    /// Age of the youngest loads from the weight store that this agent ordered, in milliseconds.
+    pub fetch_ages_ms: Vec<u32>,
+}
+
+/// A change of a model at an engine that is under way.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ModelChange {
+    /// Model.
+    pub model: CompactString,
+    /// Whether it is loaded; otherwise it is unloaded.
+    pub loading: bool,
+    /// Estimated time until it is done, in milliseconds.
+    pub remaining_ms: u32,
+}
+
+/// Entry of a gateway in the register on the store.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct GatewayRecord {
+    /// Run of the gateway.
+    pub process: ProcessId,
+    /// Where it takes datagrams.
+    pub address: SocketAddr,
+}
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -7,6 +7,7 @@
 mod client;
 mod codec;
 mod error;
+mod fleet_state;
 mod forward;
 mod frames;
 mod generate;
@@ -23,6 +24,10 @@
 pub use client::{PeerClient, PendingReceiver};
 pub use codec::{MAX_FRAME_BYTES, decode, encode};
 pub use error::WireError;
+pub use fleet_state::{
+    AdapterName, AdmittedTokens, AgentAsk, AgentState, Datagram, Echo, EnginePlan, GatewayRecord,
+    GatewayState, LinkCopy, ModelChange, ModelLoad, PlannedCopy, SendCopy, TargetWorkCopy,
+};
 pub use forward::{ForwardDown, ForwardHead, ForwardUp, Header};
 pub use frames::{FrameReceiver, FrameSender};
 pub use generate::{
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -16,9 +16,11 @@
 Usage: plantainbeam <command> [options]
 
 Commands:
+  agent    run beside an engine on the platform
   check    check configuration and settings files
   demo     run the whole path in one process and check it
   entry    answer callers
+  gateway  answer callers on the platform
   measure  measure the policy beside baselines and a bound
   publish  change the configuration of a running deployment
   side     run the process beside one target
@@ -34,9 +36,11 @@
     let mut parser = lexopt::Parser::from_iter(args);
     match parser.next() {
         Ok(Some(Value(name))) => match name.to_str() {
+            Some("agent") => cmd::agent::run(parser),
             Some("check") => cmd::check::run(parser),
             Some("demo") => cmd::demo::run(parser),
             Some("entry") => cmd::entry::run(parser),
+            Some("gateway") => cmd::gateway::run(parser),
             Some("measure") => cmd::measure::run_command(parser),
             Some("publish") => cmd::publish::run(parser),
             Some("side") => cmd::side::run(parser),
--- a/src/cmd/demo/site.rs
+++ b/src/cmd/demo/site.rs
@@ -8,13 +8,13 @@
 use compact_str::CompactString;
 use config::{EntrySettings, PlatformSettings, ProcessSettings, SideSettings, SourceFile};
 use entry::EntryHandle;
-use platform::{HttpLog, HttpLogOptions, Log};
 use side::SideProcess;
 use standin::{
     EngineServer, EngineSettings, ListedState, ListedVm, LogServer, LogServerSettings, PlainServer,
     PlainSettings, PreloadedModel, VmListServer, VmListSettings, WeightStoreServer,
     WeightStoreSettings,
 };
+use store::{HttpLog, HttpLogOptions, Log};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
--- a/src/cmd/entry.rs
+++ b/src/cmd/entry.rs
@@ -8,6 +8,7 @@
 use tokio::task::LocalSet;
 
 use crate::cli::usage_error;
+use crate::cmd::fail;
 
 const HELP: &str = "\
 Answer callers: authenticate, admit by rate, route to a side process, stream the answer back.
@@ -47,11 +48,6 @@
     LocalSet::new().block_on(&runtime, serve(settings))
 }
 
-fn fail(message: &str) -> ExitCode {
-    eprintln!("error: {message}");
-    ExitCode::FAILURE
-}
-
 fn parse(mut parser: lexopt::Parser) -> Result<Option<String>, lexopt::Error> {
     let mut settings = None;
     while let Some(argument) = parser.next()? {
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,13 +1,24 @@
 //! Commands, one a module.
 
+use std::process::ExitCode;
+
+pub mod agent;
 pub mod check;
 pub mod demo;
 pub mod entry;
 mod files;
+pub mod gateway;
 pub mod measure;
 pub mod measure_load;
+mod platform_options;
 pub mod publish;
 mod publish_session;
 pub mod side;
 pub mod standin;
 pub mod status;
+
+/// Prints why a command failed, to standard error.
+fn fail(message: &str) -> ExitCode {
+    eprintln!("error: {message}");
+    ExitCode::FAILURE
+}
--- a/src/cmd/publish.rs
+++ b/src/cmd/publish.rs
@@ -9,7 +9,7 @@
 use changes::Change;
 use config::{AddedKey, Problem, SourceFile, parse_sha256};
 use lexopt::prelude::*;
-use platform::{HttpLog, HttpLogOptions};
+use store::{HttpLog, HttpLogOptions};
 
 use crate::cli::usage_error;
 use crate::cmd::files::read_file;
--- a/src/cmd/publish_session.rs
+++ b/src/cmd/publish_session.rs
@@ -7,7 +7,7 @@
 use base::{Incarnation, Offset, ProcessId, ProcessName, Timestamp};
 use changes::{CONFIG_STREAM, Change, ConfigLog, Judgement, Record, RecordId, Rejection, Verdict};
 use config::{SourceFile, Sources};
-use platform::{Log, PlatformError};
+use store::{Log, StoreError};
 use tokio::time::{Instant, sleep, timeout_at};
 
 /// Records asked for in one read; each may hold a whole configuration.
@@ -23,7 +23,7 @@
 #[derive(Debug)]
 pub enum PublishError {
     /// The log can't be read; nothing was appended.
-    NotRead(PlatformError),
+    NotRead(StoreError),
     /// The log was not read to its end in time; nothing was appended.
     ReadTimeout,
     /// The log dropped records and holds no snapshot.
@@ -35,7 +35,7 @@
     /// The change does not fit one record; nothing was appended.
     TooLarge,
     /// The log refused the record; nothing is stored.
-    Refused(PlatformError),
+    Refused(StoreError),
     /// The record may be stored.
     OutcomeUnknown,
     /// The record was stored, but its verdict was not reached in time.
@@ -210,7 +210,7 @@
     }
 
     /// Reads and judges some records; tells whether the log was read to its end.
-    async fn read_page(&mut self, wait: Duration) -> Result<bool, PlatformError> {
+    async fn read_page(&mut self, wait: Duration) -> Result<bool, StoreError> {
         let from = self.replica.next_offset(self.oldest);
         let page = self.log.read(CONFIG_STREAM, from, PAGE, wait).await?;
         self.oldest = page.oldest;
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -7,10 +7,10 @@
 use changes::{CONFIG_STREAM, Change, Record, RecordId};
 use config::SourceFile;
 use http::StatusCode;
-use platform::{HttpLog, HttpLogOptions, Log};
 use serde_json::{Value, json};
 use sha2::{Digest, Sha256};
 use standin::Link;
+use store::{HttpLog, HttpLogOptions, Log};
 use tempfile::TempDir;
 use wire::{FleetSecret, PeerCall, PeerClient, PeerIdentity, PeerReply, ProcessStatus};
 
