Plan the placement of models on gateways

Change: the first gateway heard plans moves from the demand that all gateways tell; agents carry them out; copies that are worth having are shared out by adapters before there is demand.

--- a/components/agent/src/engine_driver.rs
+++ b/components/agent/src/engine_driver.rs
@@ -35,7 +35,8 @@
                         || before.warm != report.warm;
                     let changing = desk.change(now).is_some();
                     desk.take_report(report, now);
-                    changed || changing != desk.change(now).is_some()
+                    let leaving = desk.prepare(now);
+                    changed || leaving || changing != desk.change(now).is_some()
                 };
                 if changed {
                     tell_all(&app);
--- a/components/gateway/src/app.rs
+++ b/components/gateway/src/app.rs
@@ -9,6 +9,7 @@
 use clock::BootClock;
 use config::{GatewaySettings, Town};
 use membership::{Authority, GatewayTable, TargetDirectory};
+use placement::{FleetPlanner, ModelDemandTable};
 use platform::StoreClient;
 use routing::DirectFleet;
 use telemetry::Metrics;
@@ -50,6 +51,10 @@
     pub gateways: RefCell<GatewayTable>,
     /// Customers' rates and the budgets of further sends.
     pub rates: RefCell<RatesDesk>,
+    /// Demand for models.
+    pub demand: RefCell<ModelDemandTable>,
+    /// Moves of models, on the gateway that plans.
+    pub planner: RefCell<FleetPlanner>,
     /// Connections to targets.
     pub pool: TargetPool,
     /// Requests in progress.
--- a/components/gateway/src/call.rs
+++ b/components/gateway/src/call.rs
@@ -6,6 +6,7 @@
 use api::{ApiError, ErrorCode};
 use base::{RanState, Timestamp};
 use bytes::Bytes;
+use compact_str::CompactString;
 use http::{HeaderMap, StatusCode};
 use platform::forwarded_answer_headers;
 use routing::{
@@ -31,6 +32,29 @@
 /// Advised wait if no target is there, in milliseconds: the time in which a new one is noticed.
 const NO_TARGET_RETRY_MS: u64 = 500;
 
+/// Engine time of a generated token, in prompt tokens, in a batch of usual size.
+const OUTPUT_COST: u64 = 12;
+
+/// Counts a request among those that wait for a copy of its model.
+struct Waiting {
+    app: Rc<App>,
+    model: CompactString,
+}
+
+impl Waiting {
+    fn new(app: &Rc<App>, request: &CallerRequest) -> Self {
+        let model = request.head.model.clone().unwrap_or_default();
+        app.demand.borrow_mut().note_waiting(&model, true);
+        Self { app: Rc::clone(app), model }
+    }
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        self.app.demand.borrow_mut().note_waiting(&self.model, false);
+    }
+}
+
 /// A whole answer of a target.
 pub(crate) struct WholeAnswer {
     pub status: StatusCode,
@@ -187,10 +211,13 @@
         };
         self.sends += 1;
         log::info!(
-            "event=request_sent request_id={} target={} estimate_ms={:.0} unread_tokens={} urgency={} sends={}",
+            "event=request_sent request_id={} target={} model={} adapter={} estimate_ms={:.0} read_ms={:.0} unread_tokens={} urgency={} sends={}",
             quote(&self.request.id),
             quote(&pick.id),
+            self.request.head.model.as_deref().unwrap_or("-"),
+            self.request.head.adapter.as_deref().unwrap_or("-"),
             pick.estimate_ms,
+            pick.read_ms,
             pick.unread_tokens,
             chosen.urgency.map_or(-1, i32::from),
             self.sends
@@ -289,17 +316,22 @@
     /// Chooses the next target, waiting for a model or an adapter within limits.
     async fn choose(&mut self) -> Result<Chosen, ApiError> {
         let began = self.app.clock.now();
+        let mut waiting: Option<Waiting> = None;
         loop {
             let now = self.app.clock.now();
             self.check_may_send(now)?;
             let left = self.request.deadline.since(now);
             let choice = self.look(now);
+            if self.sends == 0 && waiting.is_none() {
+                self.note_demand(&choice, now);
+            }
             match choice {
                 DirectChoice::Serve(pick) if pick.lacks_adapter => {
                     self.await_adapter(&pick, began).await?;
                 }
                 DirectChoice::Serve(pick) => return self.admit(pick, now),
                 DirectChoice::NoCopy { loading_ms } => {
+                    waiting.get_or_insert_with(|| Waiting::new(&self.app, &self.request));
                     self.await_copy(loading_ms, began).await?;
                 }
                 DirectChoice::NoTarget => {
@@ -314,6 +346,18 @@
         }
     }
 
+    /// Tells the planner what the request asks for.
+    fn note_demand(&self, choice: &DirectChoice, now: Timestamp) {
+        let Some(model) = &self.request.head.model else { return };
+        let unread_tokens = match choice {
+            DirectChoice::Serve(pick) => pick.unread_tokens,
+            DirectChoice::NoCopy { .. } | DirectChoice::NoTarget => self.request.prompt_tokens(),
+        };
+        let tokens = unread_tokens + OUTPUT_COST * self.request.output_tokens();
+        let work_ms = self.app.fleet.borrow().read_ms(model, tokens);
+        self.app.demand.borrow_mut().note_request(model, work_ms, now);
+    }
+
     fn look(&self, now: Timestamp) -> DirectChoice {
         let fleet = self.app.fleet.borrow();
         if self.request.plan.engine {
--- a/components/gateway/src/fleet_link.rs
+++ b/components/gateway/src/fleet_link.rs
@@ -7,11 +7,13 @@
 use std::time::Duration;
 
 use base::Timestamp;
+use compact_str::CompactString;
 use routing::{DirectTarget, PrefixLink};
 use tokio::net::UdpSocket;
 use tokio::time::{MissedTickBehavior, interval};
 use wire::{
-    AdapterName, AgentAsk, AgentState, Datagram, Echo, GatewayState, LinkCopy, LogView, SendCopy,
+    AdapterName, AgentAsk, AgentState, Datagram, Echo, EnginePlan, GatewayState, LinkCopy, LogView,
+    PlannedCopy, SendCopy,
 };
 
 use crate::app::App;
@@ -109,7 +111,7 @@
         admitted: app.rates.borrow().admitted(),
         work: app.fleet.borrow().own_work(),
         sends: link.recent_sends(),
-        demand: Vec::new(),
+        demand: app.demand.borrow_mut().own_loads(now),
     };
     let gateways = app.gateways.borrow();
     for (name, peer) in gateways.peers() {
@@ -145,11 +147,26 @@
         born_ms: target.born_ms,
         used_adapters,
         wanted_adapters: target.wanted(now),
-        plan: None,
+        plan: engine_plan(app, &target.id),
     });
     send(link, &ask, SocketAddr::new(target.address.ip(), app.settings().peer_port));
 }
 
+/// What the engine should hold, if this gateway plans a move for it.
+fn engine_plan(app: &App, target: &CompactString) -> Option<EnginePlan> {
+    let planner = app.planner.borrow();
+    let planned = planner.moves().find(|planned| planned.engine == *target)?;
+    Some(EnginePlan {
+        target: target.clone(),
+        models: vec![PlannedCopy {
+            model: planned.load.clone(),
+            memory_mb: planned.memory_mb,
+            may_fetch: planned.may_fetch,
+        }],
+        surplus: planned.unload.clone(),
+    })
+}
+
 fn send(link: &FleetLink, datagram: &Datagram, to: SocketAddr) {
     match wire::encode(datagram) {
         Ok(bytes) => transmit(link, &bytes, to),
@@ -198,6 +215,7 @@
         app.authority.borrow_mut().note_peer(from, view, state.config, asked_at);
     }
     app.rates.borrow_mut().take_peer(&state.from.name, state.from.incarnation, &state.admitted);
+    app.demand.borrow_mut().take_peer(&state.from.name, state.demand, now);
     let mut fleet = app.fleet.borrow_mut();
     fleet.take_peer_work(&state.from.name, &state.work, now);
     let mut taken = link.taken.borrow_mut();
--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -8,6 +8,7 @@
 use clock::{BootClock, new_incarnation};
 use config::GatewaySettings;
 use membership::{Authority, GatewayTable, TargetDirectory};
+use placement::{FleetPlanner, ModelDemandTable};
 use platform::StoreClient;
 use routing::DirectFleet;
 use telemetry::Metrics;
@@ -21,6 +22,7 @@
 use crate::error::GatewayError;
 use crate::fleet_link::{FleetLink, hear_fleet, tell_fleet};
 use crate::operators::serve_operators;
+use crate::planning::plan_placement;
 use crate::rates_desk::RatesDesk;
 use crate::register::keep_register;
 use crate::shutdown::drain;
@@ -64,6 +66,7 @@
     tasks.spawn_local(watch_targets(Rc::clone(&app)));
     tasks.spawn_local(keep_register(Rc::clone(&app)));
     tasks.spawn_local(tell_fleet(Rc::clone(&app), Rc::clone(&link)));
+    tasks.spawn_local(plan_placement(Rc::clone(&app), Rc::clone(&link)));
     tasks.spawn_local(hear_fleet(Rc::clone(&app), Rc::clone(&link)));
     tasks.spawn_local(accept_callers(Rc::clone(&app), link, callers));
     tasks.spawn_local(serve_operators(Rc::clone(&app), ready));
@@ -89,6 +92,8 @@
         fleet: RefCell::new(DirectFleet::new(&settings.data_centre)),
         gateways: RefCell::new(GatewayTable::new(me.clone())),
         rates: RefCell::new(RatesDesk::new(settings.first_start, settings.bounds)),
+        demand: RefCell::new(ModelDemandTable::new()),
+        planner: RefCell::new(FleetPlanner::new()),
         pool: TargetPool::default(),
         in_flight: Cell::new(0),
         connections: Cell::new(0),
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod fleet_link;
 mod handle;
 mod operators;
+mod planning;
 mod rates_desk;
 mod register;
 mod relay;
--- /dev/null
+++ b/components/gateway/src/planning.rs
@@ -0,0 +1,142 @@
+//! Placement of models: the first gateway that is heard plans, agents carry the moves out.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use base::Timestamp;
+use config::{EngineLimits, ServiceKind, Town};
+use placement::{FleetEngine, FleetModel};
+use telemetry::quote;
+use tokio::time::{MissedTickBehavior, interval};
+
+use crate::app::App;
+use crate::fleet_link::{FleetLink, ask_agent};
+use crate::stage::Stage;
+
+/// Time between two plans.
+const PLAN_INTERVAL: Duration = Duration::from_millis(250);
+/// Time after the start before a plan is made: gateways and agents must have been heard.
+const SETTLE_TIME: Duration = Duration::from_millis(2_000);
+/// Part of the loads that the weight store allows in a window that is used, so that loads which begin
+/// late don't exceed it.
+const FETCH_PART: f64 = 0.85;
+/// Loads that the weight store allows in a window beyond its rate.
+const FETCH_ALLOWANCE: f64 = 3.0;
+
+/// Plans until the task is aborted.
+pub(crate) async fn plan_placement(app: Rc<App>, link: Rc<FleetLink>) {
+    let mut ticks = interval(PLAN_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut planning = false;
+    loop {
+        ticks.tick().await;
+        let now = app.clock.now();
+        let leads = app.gateways.borrow().is_first(now)
+            && *app.stage.borrow() == Stage::Serving
+            && now.since(Timestamp::default()) >= SETTLE_TIME;
+        if leads != planning {
+            log::info!("event=planner_changed leads={leads}");
+            planning = leads;
+            *app.planner.borrow_mut() = placement::FleetPlanner::new();
+        }
+        if leads && let Some(town) = app.town() {
+            plan(&app, &link, &town, now);
+        }
+    }
+}
+
+fn plan(app: &App, link: &FleetLink, town: &Town, now: Timestamp) {
+    for service in town.services.iter().filter(|s| s.kind == ServiceKind::Engine) {
+        let Some(limits) = service.engine else { continue };
+        let Some(id) = town.service_id(&service.name) else { continue };
+        let models: Vec<FleetModel> = town
+            .models
+            .iter()
+            .filter(|model| model.service == id)
+            .map(|model| {
+                let prefix = format!("{}/", model.name);
+                let adapters = town.adapters.iter().filter(|a| a.name.starts_with(&prefix)).count();
+                let (work_ms_per_s, waiting) = app.demand.borrow_mut().total(&model.name, now);
+                FleetModel {
+                    name: model.name.clone(),
+                    memory_mb: model.memory_mb,
+                    adapters: u32::try_from(adapters).unwrap_or(u32::MAX),
+                    load_ms: model.load_ms,
+                    host_load_ms: model.host_load_ms,
+                    disk_load_ms: model.disk_load_ms,
+                    work_ms_per_s,
+                    waiting,
+                }
+            })
+            .collect();
+        let engines = engines(app, town, &service.name, limits, now);
+        let room = fetch_room(app, &service.name, limits, now);
+        let moves = app.planner.borrow_mut().plan(&models, &engines, room, now);
+        for planned in moves {
+            log::info!(
+                "event=move_planned target={} load={} unload={} reason={} fetch={} fetch_room={room}",
+                quote(&planned.engine),
+                quote(&planned.load),
+                planned.unload.first().map_or("-", |model| model.as_str()),
+                planned.reason.as_str(),
+                planned.may_fetch
+            );
+            let fleet = app.fleet.borrow();
+            if let Some(key) = fleet.key_of(&planned.engine) {
+                ask_agent(app, link, fleet.target(key), now);
+            }
+        }
+    }
+}
+
+fn engines(
+    app: &App,
+    town: &Town,
+    service: &str,
+    limits: EngineLimits,
+    now: Timestamp,
+) -> Vec<FleetEngine> {
+    let fleet = app.fleet.borrow();
+    fleet
+        .targets()
+        .filter(|target| target.service == service && target.takes_work)
+        .map(|target| {
+            let adapters_mb = target
+                .models()
+                .iter()
+                .map(|loaded| {
+                    let size =
+                        town.model_id(&loaded.model).map_or(0, |id| town.model(id).adapter_mb);
+                    size * loaded.adapters.len() as u64
+                })
+                .sum();
+            let work = target.work.total(now);
+            FleetEngine {
+                id: target.id.clone(),
+                capacity_mb: limits.weights_mb,
+                adapters_mb,
+                models: target.models().iter().map(|loaded| loaded.model.clone()).collect(),
+                changing: target.changing().cloned(),
+                warm: target.warm().clone(),
+                requests: work.running + work.waiting,
+                takes_orders: target.agent_is_heard(now),
+            }
+        })
+        .collect()
+}
+
+/// Loads from the weight store that may begin now.
+fn fetch_room(app: &App, service: &str, limits: EngineLimits, now: Timestamp) -> usize {
+    let bounds = app.settings().bounds;
+    let window = Duration::from_millis(bounds.load_window_ms);
+    let per_s = limits.loads_per_1000_s as f64 / 1_000.0;
+    let allowed = per_s * window.as_secs_f64() * bounds.load_overage + FETCH_ALLOWANCE;
+    let begun: usize = app
+        .fleet
+        .borrow()
+        .targets()
+        .filter(|target| target.service == service)
+        .map(|target| target.fetches_since(window, now))
+        .sum();
+    ((allowed * FETCH_PART).floor() as usize).saturating_sub(begun)
+}
--- a/components/gateway/src/rates_desk.rs
+++ b/components/gateway/src/rates_desk.rs
@@ -4,10 +4,13 @@
 
 use base::{Incarnation, ProcessName, SortedMap, Timestamp, hash_bytes};
 use compact_str::CompactString;
-use config::{FleetBounds, Town};
+use config::{Customer, FleetBounds, Town};
 use rates::{CustomerRate, GatewayCount, SendBudget, SendBudgetSettings, SharedBucket};
 use wire::AdmittedTokens;
 
+/// Part of the tolerated excess over a customer's rate that is admitted.
+const EXCESS_PART: f64 = 0.6;
+
 /// Buckets by customer, and budgets by service.
 #[derive(Debug)]
 pub(crate) struct RatesDesk {
@@ -26,10 +29,7 @@
     /// Takes the customers and services of a configuration.
     pub(crate) fn adopt(&mut self, town: &Town, now: Timestamp) {
         for customer in &town.customers {
-            let rate = CustomerRate {
-                tokens_per_s: customer.rate_tokens_per_s,
-                burst_tokens: customer.burst_tokens,
-            };
+            let rate = admitted_rate(customer, &self.bounds);
             let first_start = self.first_start;
             self.buckets
                 .get_or_insert_with(customer.name.clone(), || {
@@ -111,3 +111,20 @@
             .collect()
     }
 }
+
+/// Rate and burst up to which a customer is admitted.
+///
+/// The deployment tolerates an excess in each window. A part of it is given to the customer, the rest
+/// covers what the gateways admit before they hear of one another.
+fn admitted_rate(customer: &Customer, bounds: &FleetBounds) -> CustomerRate {
+    let rate = customer.rate_tokens_per_s;
+    if rate == 0 {
+        return CustomerRate::default();
+    }
+    let window_s = bounds.rate_window_ms as f64 / 1_000.0;
+    let excess = rate as f64 * bounds.rate_overage + bounds.rate_slack_tokens as f64 / window_s;
+    CustomerRate {
+        tokens_per_s: rate + (EXCESS_PART * excess) as u64,
+        burst_tokens: customer.burst_tokens,
+    }
+}
--- a/components/gateway/src/target_watch.rs
+++ b/components/gateway/src/target_watch.rs
@@ -73,6 +73,11 @@
     let entries: Vec<TargetEntry> = page.records.iter().filter_map(entry_of).collect();
     log::info!("event=target_list_read targets={} offset={}", entries.len(), page.end.0);
     for entry in &entries {
+        log::info!(
+            "event=target_listed target={} models={}",
+            quote(&entry.id),
+            quote(&model_names(entry))
+        );
         app.fleet.borrow_mut().take_entry(entry, now);
     }
     for (id, change) in app.directory.borrow_mut().replace(entries, now) {
@@ -108,13 +113,18 @@
                 TargetState::Ready => "ready",
                 TargetState::Leaving { .. } => "leaving",
             },
-            entry.models.len()
+            quote(&model_names(&entry))
         );
     }
     app.fleet.borrow_mut().take_entry(&entry, now);
     app.directory.borrow_mut().insert(entry);
 }
 
+fn model_names(entry: &TargetEntry) -> String {
+    let names: Vec<&str> = entry.models.iter().map(|loaded| loaded.model.as_str()).collect();
+    names.join(",")
+}
+
 fn note_change(app: &App, id: &str, change: DirectoryChange) {
     match change {
         DirectoryChange::Present => {}
--- a/components/placement/src/engine_desk.rs
+++ b/components/placement/src/engine_desk.rs
@@ -9,7 +9,7 @@
 use base::{LoadedModel, SortedMap, Timestamp};
 use compact_str::CompactString;
 use config::Town;
-use wire::{AdapterName, AgentAsk, EnginePlan, ModelChange};
+use wire::{AdapterName, AgentAsk, EnginePlan, ModelChange, PlannedCopy};
 
 use crate::{EngineOrder, EngineReport, OrderAnswer};
 
@@ -24,6 +24,9 @@
 const PLAN_LIFETIME: Duration = Duration::from_millis(3_000);
 /// Pause after an order that the engine did not take.
 const REFUSAL_PAUSE: Duration = Duration::from_millis(150);
+/// Time between the word that a model will be unloaded and the order, in which gateways stop sending
+/// requests for it.
+const UNLOAD_NOTICE: Duration = Duration::from_millis(120);
 /// Time for which a load from the weight store is remembered.
 const FETCH_MEMORY: Duration = Duration::from_secs(10);
 
@@ -89,6 +92,8 @@
     plan: Option<(EnginePlan, Timestamp)>,
     open: Option<Open>,
     change: Option<Change>,
+    /// Model that will be unloaded, and since when the gateways are told.
+    leaving: Option<(CompactString, Timestamp)>,
     paused_until: Timestamp,
     fetches: Vec<Timestamp>,
 }
@@ -151,6 +156,7 @@
         self.reported = false;
         self.open = None;
         self.change = None;
+        self.leaving = None;
         self.plan = None;
         self.uses = SortedMap::new();
     }
@@ -209,7 +215,10 @@
 
     /// Change of a model under way.
     pub fn change(&self, now: Timestamp) -> Option<ModelChange> {
-        let change = self.change.as_ref()?;
+        let Some(change) = &self.change else {
+            let (model, _) = self.leaving.as_ref()?;
+            return Some(ModelChange { model: model.clone(), loading: false, remaining_ms: 0 });
+        };
         let remaining = change.due.since(now).as_millis();
         Some(ModelChange {
             model: change.model.clone(),
@@ -227,6 +236,17 @@
         self.adapter_slots.saturating_sub(used)
     }
 
+    /// Chooses the model that will be unloaded next, so that the gateways can be told before; true if
+    /// there is a new one.
+    pub fn prepare(&mut self, now: Timestamp) -> bool {
+        let victim = self.victim(now);
+        if self.leaving.as_ref().map(|(model, _)| model) == victim.as_ref() {
+            return false;
+        }
+        self.leaving = victim.map(|model| (model, now));
+        self.leaving.is_some()
+    }
+
     /// The order to give now, if there is one.
     pub fn next_order(&self, now: Timestamp) -> Option<DueOrder> {
         if !self.reported || self.life.id.is_empty() || now < self.paused_until {
@@ -294,6 +314,7 @@
                 size.load_ms
             }
         };
+        self.leaving = None;
         self.change = Some(Change {
             model: model.clone(),
             loading,
@@ -381,19 +402,36 @@
             .min_by_key(|name| self.uses.get(name).copied().unwrap_or_default())
     }
 
-    fn model_order(&self, now: Timestamp) -> Option<EngineOrder> {
+    /// The model that the plan wants loaded next.
+    fn missing(&self, now: Timestamp) -> Option<&PlannedCopy> {
         let (plan, at) = self.plan.as_ref()?;
         if self.report.busy || self.change.is_some() || now.since(*at) >= PLAN_LIFETIME {
             return None;
         }
-        let missing = plan.models.iter().find(|copy| {
+        plan.models.iter().find(|copy| {
             self.holds(&copy.model).is_none()
                 && (copy.may_fetch || self.report.warm.has(&copy.model))
-        })?;
+        })
+    }
+
+    /// The model that must go so that the next one fits.
+    fn victim(&self, now: Timestamp) -> Option<CompactString> {
+        let missing = self.missing(now)?;
+        if self.used_mb() + missing.memory_mb <= self.weights_mb {
+            return None;
+        }
+        let (plan, _) = self.plan.as_ref()?;
+        plan.surplus.iter().find(|model| self.holds(model).is_some()).cloned()
+    }
+
+    fn model_order(&self, now: Timestamp) -> Option<EngineOrder> {
+        let missing = self.missing(now)?;
         if self.used_mb() + missing.memory_mb <= self.weights_mb {
             return Some(EngineOrder::LoadModel(missing.model.clone()));
         }
-        let surplus = plan.surplus.iter().find(|model| self.holds(model).is_some());
-        surplus.map(|model| EngineOrder::UnloadModel(model.clone()))
+        let (model, since) = self.leaving.as_ref()?;
+        let told = now.since(*since) >= UNLOAD_NOTICE;
+        (told && self.victim(now).as_ref() == Some(model))
+            .then(|| EngineOrder::UnloadModel(model.clone()))
     }
 }
--- /dev/null
+++ b/components/placement/src/fleet_planner.rs
@@ -0,0 +1,363 @@
+//! Which engine should load which model, over all engines of a service.
+//!
+//! One gateway plans; agents carry the moves out one at a time. A second planner, at the other end of
+//! a partition, costs efficiency only: no move takes the last copy of a model as the planner sees it,
+//! and each agent keeps its engine's memory.
+
+use std::time::Duration;
+
+use base::{SortedMap, Timestamp, WarmCopies, rendezvous_score};
+use compact_str::CompactString;
+use wire::ModelChange;
+
+/// Part of an engine's time that the demand for its models should take: more leaves no room for the
+/// bursts of a few hundred ms that requests arrive in.
+const UTILISATION: f64 = 0.4;
+/// Part of the room beyond one copy of each model that is shared out by the number of adapters while
+/// there is no demand to go by: adapters are made for models that are used.
+const PRIOR_PART: f64 = 0.5;
+/// Time after which a move without an effect is given up.
+const MOVE_LIFETIME: Duration = Duration::from_secs(8);
+/// Most moves at once, as a part of the engines; a moving engine reads its own weights slower.
+const MOVING_PART: f64 = 0.35;
+/// Longest queue of an engine from which a copy in use is taken.
+const EVICT_WEIGHT_MS: f64 = 40.0;
+
+/// A model as the planner sees it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct FleetModel {
+    /// Name.
+    pub name: CompactString,
+    /// Memory of a copy in MB.
+    pub memory_mb: u64,
+    /// Number of its adapters.
+    pub adapters: u32,
+    /// Time to load from the weight store, in milliseconds.
+    pub load_ms: u64,
+    /// Time to load from the memory of the host, in milliseconds.
+    pub host_load_ms: u64,
+    /// Time to load from the disk of the host, in milliseconds.
+    pub disk_load_ms: u64,
+    /// Engine time that requests for it ask for in a second, in milliseconds.
+    pub work_ms_per_s: f64,
+    /// Requests that wait because no engine serves it.
+    pub waiting: u32,
+}
+
+/// An engine as the planner sees it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct FleetEngine {
+    /// Id of its life.
+    pub id: CompactString,
+    /// Memory for weights and adapters in MB.
+    pub capacity_mb: u64,
+    /// Memory of its adapters in MB.
+    pub adapters_mb: u64,
+    /// Models that it serves, sorted.
+    pub models: Vec<CompactString>,
+    /// Change of a model under way.
+    pub changing: Option<ModelChange>,
+    /// Copies of weights near it.
+    pub warm: WarmCopies,
+    /// Requests at it.
+    pub requests: u32,
+    /// Whether its agent can give it orders.
+    pub takes_orders: bool,
+}
+
+/// A move: an engine should load a model, and may have to unload another one first.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct FleetMove {
+    /// Engine.
+    pub engine: CompactString,
+    /// Model to load.
+    pub load: CompactString,
+    /// Memory of it in MB.
+    pub memory_mb: u64,
+    /// Whether it may come from the weight store.
+    pub may_fetch: bool,
+    /// Models that may make room, first choice first.
+    pub unload: Vec<CompactString>,
+    /// Why.
+    pub reason: MoveReason,
+}
+
+/// Why a move is made; the first is the most urgent.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum MoveReason {
+    /// No engine serves the model.
+    NoCopy,
+    /// The demand needs more copies.
+    Demand,
+    /// Room is left and the model will probably be asked for.
+    Prior,
+}
+
+impl MoveReason {
+    /// The reason as a value in logs.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::NoCopy => "no_copy",
+            Self::Demand => "demand",
+            Self::Prior => "prior",
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Pending {
+    planned: FleetMove,
+    at: Timestamp,
+}
+
+/// What the planner knows of a model's copies in one round.
+#[derive(Clone, Copy, Debug)]
+struct Standing {
+    copies: usize,
+    /// Copies that the demand needs, at least one.
+    needed: usize,
+    /// Copies that are worth having.
+    wished: usize,
+    /// Demand in engines.
+    demand: f64,
+}
+
+/// Plans moves and remembers those under way.
+#[derive(Clone, Debug, Default)]
+pub struct FleetPlanner {
+    pending: SortedMap<CompactString, Pending>,
+}
+
+impl FleetPlanner {
+    /// A planner without moves.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Moves under way.
+    pub fn moves(&self) -> impl Iterator<Item = &FleetMove> {
+        self.pending.values().map(|pending| &pending.planned)
+    }
+
+    /// Plans; returns the new moves. `fetch_room` is the number of loads that the weight store allows
+    /// now.
+    pub fn plan(
+        &mut self,
+        models: &[FleetModel],
+        engines: &[FleetEngine],
+        fetch_room: usize,
+        now: Timestamp,
+    ) -> Vec<FleetMove> {
+        self.settle(engines, now);
+        let mut standings = self.standings(models, engines);
+        let mut room = fetch_room.saturating_sub(self.planned_fetches(engines));
+        let most = ((engines.len() as f64 * MOVING_PART).ceil() as usize).max(1);
+        let mut planned = Vec::new();
+        while self.pending.len() < most {
+            let Some(next) = self.next_move(models, engines, &standings, room) else { break };
+            let index = models.iter().position(|model| model.name == next.load);
+            let Some(index) = index else { break };
+            standings[index].copies += 1;
+            if let Some(unloaded) = next.unload.first()
+                && let Some(at) = models.iter().position(|model| model.name == *unloaded)
+            {
+                standings[at].copies = standings[at].copies.saturating_sub(1);
+            }
+            if next.may_fetch {
+                room = room.saturating_sub(1);
+            }
+            self.pending.insert(next.engine.clone(), Pending { planned: next.clone(), at: now });
+            planned.push(next);
+        }
+        planned
+    }
+
+    /// Drops moves that are done or have no prospect.
+    fn settle(&mut self, engines: &[FleetEngine], now: Timestamp) {
+        self.pending.retain(|id, pending| {
+            let Some(engine) = engines.iter().find(|engine| engine.id == *id) else {
+                return false;
+            };
+            let done = engine.models.contains(&pending.planned.load);
+            let loading = engine.changing.as_ref().is_some_and(|change| change.loading);
+            !done && (loading || now.since(pending.at) < MOVE_LIFETIME)
+        });
+    }
+
+    fn planned_fetches(&self, engines: &[FleetEngine]) -> usize {
+        self.pending
+            .values()
+            .filter(|pending| {
+                let begun = engines
+                    .iter()
+                    .find(|engine| engine.id == pending.planned.engine)
+                    .and_then(|engine| engine.changing.as_ref())
+                    .is_some_and(|change| change.loading);
+                pending.planned.may_fetch && !begun
+            })
+            .count()
+    }
+
+    /// Copies of each model, those being loaded and planned included, those being unloaded not.
+    fn standings(&self, models: &[FleetModel], engines: &[FleetEngine]) -> Vec<Standing> {
+        let capacity: u64 = engines.iter().map(|engine| engine.capacity_mb).sum();
+        let one_each: u64 = models.iter().map(|model| model.memory_mb).sum();
+        let usual = one_each / (models.len() as u64).max(1);
+        let spare = capacity.saturating_sub(one_each) as f64 / usual.max(1) as f64;
+        let adapters: u32 = models.iter().map(|model| model.adapters).sum();
+        models
+            .iter()
+            .map(|model| {
+                let demand = model.work_ms_per_s / 1_000.0 / UTILISATION;
+                let prior =
+                    PRIOR_PART * spare * f64::from(model.adapters) / f64::from(adapters.max(1));
+                let needed = (demand.ceil() as usize).max(1).min(engines.len().max(1));
+                Standing {
+                    copies: self.copies(model, engines),
+                    needed,
+                    wished: needed.max(1 + prior.round() as usize),
+                    demand,
+                }
+            })
+            .collect()
+    }
+
+    fn copies(&self, model: &FleetModel, engines: &[FleetEngine]) -> usize {
+        engines
+            .iter()
+            .filter(|engine| {
+                let change = engine.changing.as_ref();
+                let leaving = change.is_some_and(|c| !c.loading && c.model == model.name);
+                let coming = change.is_some_and(|c| c.loading && c.model == model.name);
+                let pending = self.pending.get(&engine.id).map(|pending| &pending.planned);
+                let planned = pending.is_some_and(|planned| planned.load == model.name);
+                let given_up =
+                    pending.is_some_and(|planned| planned.unload.first() == Some(&model.name));
+                let serves = engine.models.contains(&model.name) && !leaving && !given_up;
+                serves || coming || planned
+            })
+            .count()
+    }
+
+    fn next_move(
+        &self,
+        models: &[FleetModel],
+        engines: &[FleetEngine],
+        standings: &[Standing],
+        fetch_room: usize,
+    ) -> Option<FleetMove> {
+        let mut short: Vec<(MoveReason, f64, usize)> = standings
+            .iter()
+            .enumerate()
+            .filter_map(|(at, standing)| {
+                let reason = if standing.copies == 0 {
+                    MoveReason::NoCopy
+                } else if standing.copies < standing.needed {
+                    MoveReason::Demand
+                } else if standing.copies < standing.wished {
+                    MoveReason::Prior
+                } else {
+                    return None;
+                };
+                let waiting = f64::from(models[at].waiting);
+                let lack = (standing.demand + waiting) / (standing.copies as f64 + 0.1);
+                Some((reason, lack, at))
+            })
+            .collect();
+        short.sort_by(|a, b| a.0.cmp(&b.0).then(b.1.total_cmp(&a.1)));
+        short.into_iter().find_map(|(reason, _, at)| {
+            self.place(&models[at], reason, models, engines, standings, fetch_room)
+        })
+    }
+
+    /// The engine on which a copy costs least.
+    fn place(
+        &self,
+        model: &FleetModel,
+        reason: MoveReason,
+        models: &[FleetModel],
+        engines: &[FleetEngine],
+        standings: &[Standing],
+        fetch_room: usize,
+    ) -> Option<FleetMove> {
+        let mut best: Option<(f64, FleetMove)> = None;
+        for engine in engines {
+            let taken = engine.changing.is_some() || self.pending.contains_key(&engine.id);
+            if taken || !engine.takes_orders || engine.models.contains(&model.name) {
+                continue;
+            }
+            let (load_ms, may_fetch) = load_time(model, engine);
+            if may_fetch && fetch_room == 0 {
+                continue;
+            }
+            let Some((unload, unload_ms)) = make_room(model, reason, engine, models, standings)
+            else {
+                continue;
+            };
+            // Engines that cost the same are told apart in the same way by every planner.
+            let tie = rendezvous_score(model.name.as_bytes(), &engine.id) % 1_000;
+            let cost = load_ms as f64
+                + unload_ms
+                + EVICT_WEIGHT_MS * f64::from(engine.requests)
+                + tie as f64 / 1_000.0;
+            if best.as_ref().is_none_or(|(least, _)| cost < *least) {
+                let planned = FleetMove {
+                    engine: engine.id.clone(),
+                    load: model.name.clone(),
+                    memory_mb: model.memory_mb,
+                    may_fetch,
+                    unload,
+                    reason,
+                };
+                best = Some((cost, planned));
+            }
+        }
+        best.map(|(_, planned)| planned)
+    }
+}
+
+/// Time to load a model on an engine, and whether it comes from the weight store.
+fn load_time(model: &FleetModel, engine: &FleetEngine) -> (u64, bool) {
+    if engine.warm.in_memory.binary_search(&model.name).is_ok() {
+        (model.host_load_ms, false)
+    } else if engine.warm.on_disk.binary_search(&model.name).is_ok() {
+        (model.disk_load_ms, false)
+    } else {
+        (model.load_ms, true)
+    }
+}
+
+/// Models to unload so that `model` fits, none if it fits as it is, with the cost in milliseconds.
+fn make_room(
+    model: &FleetModel,
+    reason: MoveReason,
+    engine: &FleetEngine,
+    models: &[FleetModel],
+    standings: &[Standing],
+) -> Option<(Vec<CompactString>, f64)> {
+    let size = |name: &CompactString| {
+        models.iter().find(|model| model.name == *name).map_or(0, |model| model.memory_mb)
+    };
+    let used: u64 = engine.models.iter().map(size).sum::<u64>() + engine.adapters_mb;
+    if used + model.memory_mb <= engine.capacity_mb {
+        return Some((Vec::new(), 0.0));
+    }
+    let short = (used + model.memory_mb).saturating_sub(engine.capacity_mb);
+    engine
+        .models
+        .iter()
+        .filter_map(|name| {
+            let at = models.iter().position(|model| model.name == *name)?;
+            let standing = standings[at];
+            let spare = match reason {
+                MoveReason::NoCopy | MoveReason::Demand => standing.copies > standing.needed,
+                MoveReason::Prior => standing.copies > standing.wished,
+            };
+            // A copy that is worth having goes only for one that is needed.
+            let dear = if standing.copies > standing.wished { 0.0 } else { 500.0 };
+            let load = standing.demand / standing.copies.max(1) as f64;
+            (spare && size(name) >= short).then(|| (name.clone(), dear + 1_000.0 * load))
+        })
+        .min_by(|a, b| a.1.total_cmp(&b.1))
+        .map(|(name, cost)| (vec![name], cost))
+}
--- a/components/routing/src/direct_target.rs
+++ b/components/routing/src/direct_target.rs
@@ -58,6 +58,8 @@
     pub(crate) free_adapter_slots: u32,
     pub(crate) agent_heard_at: Option<Timestamp>,
     pub(crate) agent_load: Option<AgentLoad>,
+    /// When the agent's loads from the weight store began.
+    fetches: Vec<Timestamp>,
     pub(crate) slowness: f64,
     pub(crate) plain_ms: f64,
 }
@@ -96,6 +98,7 @@
             free_adapter_slots: 0,
             agent_heard_at: None,
             agent_load: None,
+            fetches: Vec::new(),
             slowness: 1.0,
             plain_ms: UNKNOWN_PLAIN_MS,
         };
@@ -136,6 +139,11 @@
         self.changing.clone_from(&state.changing);
         self.orders_accepted = state.orders_accepted;
         self.free_adapter_slots = state.free_adapter_slots;
+        self.fetches = state
+            .fetch_ages_ms
+            .iter()
+            .map(|age_ms| now - Duration::from_millis(u64::from(*age_ms)))
+            .collect();
         self.agent_load = Some(AgentLoad {
             running: state.running,
             waiting: state.waiting,
@@ -179,6 +187,11 @@
         &self.warm
     }
 
+    /// Loads from the weight store that began within the last `window`.
+    pub fn fetches_since(&self, window: Duration, now: Timestamp) -> usize {
+        self.fetches.iter().filter(|at| now.since(**at) < window).count()
+    }
+
     /// A change of a model that is under way.
     pub const fn changing(&self) -> Option<&ModelChange> {
         self.changing.as_ref()
