--- a/components/agent/src/handle.rs
+++ b/components/agent/src/handle.rs
@@ -22,6 +22,7 @@
 
 /// A running agent; its tasks end when it is dropped.
 pub struct AgentHandle {
+    app: Rc<App>,
     _tasks: JoinSet<()>,
 }
 
@@ -56,6 +57,14 @@
     tasks.spawn_local(watch_configuration(Rc::clone(&app)));
     tasks.spawn_local(write_start_record(Rc::clone(&app)));
     tasks.spawn_local(hear_gateways(Rc::clone(&app)));
-    tasks.spawn_local(drive_engine(app));
-    Ok(AgentHandle { _tasks: tasks })
+    tasks.spawn_local(drive_engine(Rc::clone(&app)));
+    Ok(AgentHandle { app, _tasks: tasks })
+}
+
+impl AgentHandle {
+    /// Takes changed settings: only the address of the store changes while the process runs.
+    pub fn reload(&self, settings: &AgentSettings) {
+        log::info!("event=settings_reloaded store={}", settings.store_address);
+        self.app.store.set_address(settings.store_address);
+    }
 }
--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -106,6 +106,18 @@
 }
 
 impl GatewayHandle {
+    /// Takes changed settings. Addresses on which the process listens stay as they were at its start.
+    pub fn reload(&self, settings: GatewaySettings) {
+        log::info!("event=settings_reloaded store={}", settings.store_address);
+        self.app.store.set_address(settings.store_address);
+        self.app.rates.borrow_mut().set_bounds(settings.bounds);
+        self.app.authority.borrow_mut().set_limit(App::evidence_limit(&settings));
+        *self.app.settings.borrow_mut() = Rc::new(settings);
+        if let Some(town) = self.app.town() {
+            self.app.rates.borrow_mut().adopt(&town, self.app.clock.now());
+        }
+    }
+
     /// Starts the graceful stop.
     pub fn stop(&self) {
         self.app.stage.send_if_modified(|stage| {
--- a/components/gateway/src/rates_desk.rs
+++ b/components/gateway/src/rates_desk.rs
@@ -26,6 +26,11 @@
         Self { first_start, bounds, buckets: SortedMap::new(), budgets: SortedMap::new() }
     }
 
+    /// Takes changed bounds; they hold from the next configuration taken.
+    pub(crate) const fn set_bounds(&mut self, bounds: FleetBounds) {
+        self.bounds = bounds;
+    }
+
     /// Takes the customers and services of a configuration.
     pub(crate) fn adopt(&mut self, town: &Town, now: Timestamp) {
         for customer in &town.customers {
--- a/components/membership/src/authority.rs
+++ b/components/membership/src/authority.rs
@@ -73,6 +73,11 @@
         }
     }
 
+    /// Changes the time for which facts count.
+    pub const fn set_limit(&mut self, limit: Duration) {
+        self.limit = limit;
+    }
+
     /// The log was read to its end, and all records were applied, by a call made at `asked_at`.
     pub fn note_end_read(&mut self, asked_at: Timestamp) {
         self.end_read_at = self.end_read_at.max(Some(asked_at));
--- a/components/rates/src/send_budget.rs
+++ b/components/rates/src/send_budget.rs
@@ -33,6 +33,11 @@
         Self { settings, requests: VecDeque::new(), further: VecDeque::new() }
     }
 
+    /// Changes the settings.
+    pub const fn set_settings(&mut self, settings: SendBudgetSettings) {
+        self.settings = settings;
+    }
+
     /// Counts a request.
     pub fn note_request(&mut self, now: Timestamp) {
         self.forget(now);
--- a/src/cmd/agent.rs
+++ b/src/cmd/agent.rs
@@ -9,6 +9,7 @@
 use crate::cli::usage_error;
 use crate::cmd::fail;
 use crate::cmd::platform_options::{PlatformOptions, read_settings_file};
+use crate::cmd::settings_watch::SettingsWatch;
 
 const HELP: &str = "\
 Run beside an engine on the platform: give it its orders and tell the gateways what it holds.
@@ -49,19 +50,31 @@
         Ok(runtime) => runtime,
         Err(error) => return fail(&format!("can't start the runtime: {error}")),
     };
-    LocalSet::new().block_on(&runtime, serve(settings))
+    LocalSet::new().block_on(&runtime, serve(settings, &options.settings))
 }
 
-async fn serve(settings: AgentSettings) -> ExitCode {
+async fn serve(settings: AgentSettings, path: &str) -> ExitCode {
     let mut terminate = match signal(SignalKind::terminate()) {
         Ok(terminate) => terminate,
         Err(error) => return fail(&format!("can't listen for signals: {error}")),
     };
-    let _handle = match agent::start(settings).await {
+    let mut watch = match SettingsWatch::new(path) {
+        Ok(watch) => watch,
+        Err(message) => return fail(&message),
+    };
+    let handle = match agent::start(settings).await {
         Ok(handle) => handle,
         Err(error) => return fail(&error.to_string()),
     };
-    terminate.recv().await;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            file = watch.changed() => match file.agent() {
+                Ok(settings) => handle.reload(&settings),
+                Err(error) => log::error!("event=settings_rejected error=\"{error}\""),
+            },
+        }
+    }
     log::info!("event=agent_stopped");
     ExitCode::SUCCESS
 }
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -9,6 +9,7 @@
 use crate::cli::usage_error;
 use crate::cmd::fail;
 use crate::cmd::platform_options::{PlatformOptions, read_settings_file};
+use crate::cmd::settings_watch::SettingsWatch;
 
 const HELP: &str = "\
 Answer callers on the platform: authenticate, admit by rate, choose a target, pass the answer on.
@@ -50,19 +51,31 @@
         Ok(runtime) => runtime,
         Err(error) => return fail(&format!("can't start the runtime: {error}")),
     };
-    LocalSet::new().block_on(&runtime, serve(settings, options.metrics_port))
+    LocalSet::new().block_on(&runtime, serve(settings, &options))
 }
 
-async fn serve(settings: GatewaySettings, metrics_port: u16) -> ExitCode {
+async fn serve(settings: GatewaySettings, options: &PlatformOptions) -> ExitCode {
     let mut terminate = match signal(SignalKind::terminate()) {
         Ok(terminate) => terminate,
         Err(error) => return fail(&format!("can't listen for signals: {error}")),
     };
-    let handle = match gateway::start(settings, metrics_port).await {
+    let mut watch = match SettingsWatch::new(&options.settings) {
+        Ok(watch) => watch,
+        Err(message) => return fail(&message),
+    };
+    let handle = match gateway::start(settings, options.metrics_port).await {
         Ok(handle) => handle,
         Err(error) => return fail(&error.to_string()),
     };
-    terminate.recv().await;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            file = watch.changed() => match file.gateway() {
+                Ok(settings) => handle.reload(settings),
+                Err(error) => log::error!("event=settings_rejected error=\"{error}\""),
+            },
+        }
+    }
     handle.stop();
     handle.finished().await;
     log::info!("event=gateway_stopped");
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -13,6 +13,7 @@
 mod platform_options;
 pub mod publish;
 mod publish_session;
+mod settings_watch;
 pub mod side;
 pub mod standin;
 pub mod status;
