Recover faster after everything lost power

Cause: after a power-off all engines are empty. Change: plan as soon as all registered gateways are heard; only swaps are limited, loads on empty engines are not; a younger target at an address retires the older one; the agent takes only a life with the engine's own start time; a silent target of a request that may run again is left early.

--- a/components/gateway/src/answer.rs
+++ b/components/gateway/src/answer.rs
@@ -188,6 +188,6 @@
         quote(customer),
         first_event_at.map_or(-1, |at| at.since(request.arrived).as_millis() as i64),
         total.as_millis(),
-        request.plan.objective.as_millis()
+        request.plan.objectives.answer.as_millis()
     );
 }
--- a/components/gateway/src/call.rs
+++ b/components/gateway/src/call.rs
@@ -191,9 +191,17 @@
         Err(error)
     }
 
-    /// Longest wait for the head of an answer.
-    fn answer_limit(&self, _pick: &DirectPick) -> Duration {
-        self.request.deadline.since(self.app.clock.now())
+    /// Longest wait for the head of an answer. A request that may run again is sent elsewhere when its
+    /// target is silent for too long; any other one has to wait.
+    fn answer_limit(&self, pick: &DirectPick) -> Duration {
+        let plan = &self.request.plan;
+        let left = self.request.deadline.since(self.app.clock.now());
+        let can_move = plan.kind.may_run_again() && self.runs + 1 < plan.attempts;
+        match (can_move, plan.kind.is_stream()) {
+            (false, _) => left,
+            (true, true) => left.min(plan.objectives.first_event_limit(pick.estimate_ms)),
+            (true, false) => left.min(plan.objectives.plain_limit(pick.estimate_ms)),
+        }
     }
 
     fn note_send(&mut self, chosen: &Chosen) -> Send {
@@ -405,7 +413,7 @@
         }
         let plan = &self.request.plan;
         let slack = Slack {
-            objective: (self.request.arrived + plan.objective).since(now),
+            objective: (self.request.arrived + plan.objectives.answer).since(now),
             deadline: self.request.deadline.since(now),
             priority: plan.priority,
         };
--- a/components/gateway/src/planning.rs
+++ b/components/gateway/src/planning.rs
@@ -15,8 +15,10 @@
 
 /// Time between two plans.
 const PLAN_INTERVAL: Duration = Duration::from_millis(250);
-/// Time after the start before a plan is made: gateways and agents must have been heard.
-const SETTLE_TIME: Duration = Duration::from_millis(2_000);
+/// Shortest time after the start before a plan is made: agents must have been asked and heard.
+const LEAST_SETTLE: Duration = Duration::from_millis(400);
+/// Time after the start from which a plan is made even if some gateways have not been heard.
+const MOST_SETTLE: Duration = Duration::from_millis(2_000);
 /// Part of the loads that the weight store allows in a window that is used, so that loads which begin
 /// late don't exceed it.
 const FETCH_PART: f64 = 0.85;
@@ -33,7 +35,7 @@
         let now = app.clock.now();
         let leads = app.gateways.borrow().is_first(now)
             && *app.stage.borrow() == Stage::Serving
-            && now.since(Timestamp::default()) >= SETTLE_TIME;
+            && is_settled(&app, now);
         if leads != planning {
             log::info!("event=planner_changed leads={leads}");
             planning = leads;
@@ -45,6 +47,14 @@
     }
 }
 
+/// Whether this process knows enough of the fleet since its start.
+fn is_settled(app: &App, now: Timestamp) -> bool {
+    let age = now.since(Timestamp::default());
+    let (known, heard) = app.gateways.borrow().counts(now);
+    let knows_all = app.register_read.get() && app.targets_read.get() && heard >= known;
+    age >= MOST_SETTLE || (age >= LEAST_SETTLE && knows_all)
+}
+
 fn plan(app: &App, link: &FleetLink, town: &Town, now: Timestamp) {
     for service in town.services.iter().filter(|s| s.kind == ServiceKind::Engine) {
         let Some(limits) = service.engine else { continue };
@@ -127,10 +137,16 @@
 
 /// Loads from the weight store that may begin now.
 fn fetch_room(app: &App, service: &str, limits: EngineLimits, now: Timestamp) -> usize {
-    let bounds = app.settings().bounds;
-    let window = Duration::from_millis(bounds.load_window_ms);
+    let settings = app.settings();
+    let window = Duration::from_millis(settings.bounds.load_window_ms);
     let per_s = limits.loads_per_1000_s as f64 / 1_000.0;
-    let allowed = per_s * window.as_secs_f64() * bounds.load_overage + FETCH_ALLOWANCE;
+    let age = now.since(Timestamp::default());
+    let allowed = if settings.first_start || age >= window {
+        per_s * window.as_secs_f64() * settings.bounds.load_overage + FETCH_ALLOWANCE
+    } else {
+        // What began before the start of this process is not known: the whole allowance may be spent.
+        per_s * age.as_secs_f64()
+    };
     let begun: usize = app
         .fleet
         .borrow()
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -12,15 +12,6 @@
 use crate::events::{EventSplitter, StreamEvent};
 use crate::exchange::{StreamPart, TargetAnswer, TargetStream};
 
-/// Shortest patience of a caller of a stream without a further event.
-const LEAST_PATIENCE: Duration = Duration::from_secs(2);
-/// Patience in objectives.
-const PATIENCE_OBJECTIVES: u32 = 4;
-/// Patience in longest pauses.
-const PATIENCE_GAPS: u32 = 8;
-/// Part of the patience after which a silent target is left for another one.
-const SILENCE_PART: f64 = 0.45;
-
 /// How a stream ended, for the log.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum RelayEnd {
@@ -197,11 +188,9 @@
     /// Longest wait for the next event before another target is tried, where there can be one.
     fn silence_limit(&self) -> Duration {
         let plan = &self.call.request.plan;
-        if !plan.kind.may_run_again() {
-            return Duration::MAX;
+        match plan.kind.may_run_again() {
+            true => plan.objectives.event_limit(),
+            false => Duration::MAX,
         }
-        let patience =
-            LEAST_PATIENCE.max(plan.objective * PATIENCE_OBJECTIVES).max(plan.gap * PATIENCE_GAPS);
-        patience.mul_f64(SILENCE_PART)
     }
 }
--- a/components/gateway/src/request.rs
+++ b/components/gateway/src/request.rs
@@ -13,7 +13,7 @@
 use platform::CallerHead;
 use rand::Rng;
 use rates::GatewayCount;
-use routing::{PrefixLink, prefix_links};
+use routing::{Objectives, PrefixLink, prefix_links};
 
 use crate::app::App;
 
@@ -39,10 +39,8 @@
     pub kind: DirectKind,
     /// Most targets that may run it.
     pub attempts: u32,
-    /// Time within which it is on time.
-    pub objective: Duration,
-    /// Longest pause between events that is on time.
-    pub gap: Duration,
+    /// Times within which it is on time.
+    pub objectives: Objectives,
     /// Rank; 0 is the most urgent.
     pub priority: u8,
 }
@@ -215,8 +213,10 @@
         engine: service.engine.is_some(),
         kind: direct.kind,
         attempts: direct.attempts.max(1),
-        objective: Duration::from_millis(direct.target_latency_ms),
-        gap: Duration::from_millis(direct.gap_target_ms),
+        objectives: Objectives {
+            answer: Duration::from_millis(direct.target_latency_ms),
+            gap: Duration::from_millis(direct.gap_target_ms),
+        },
         priority: rank.unwrap_or(direct.priority),
     }
 }
--- a/components/placement/src/engine_desk.rs
+++ b/components/placement/src/engine_desk.rs
@@ -130,6 +130,10 @@
     /// Takes what a gateway asks for.
     pub fn take_ask(&mut self, ask: &AgentAsk, now: Timestamp) {
         let newer = self.life.born_ms.is_none() || ask.born_ms >= self.life.born_ms;
+        // The engine itself knows best which of its lives is the present one.
+        if self.report.born_ms.is_some() && ask.born_ms != self.report.born_ms {
+            return;
+        }
         if !ask.target.is_empty() && newer && self.life.id != ask.target {
             self.life = Life { id: ask.target.clone(), born_ms: ask.born_ms };
             self.forget_engine();
@@ -168,9 +172,8 @@
             || report.born_ms == self.life.born_ms;
         if !same_life {
             // The gateways name the new life soon; until then no order may be given.
-            self.reported = false;
-            self.open = None;
-            self.change = None;
+            self.life = Life::default();
+            self.forget_engine();
             self.report = report;
             return;
         }
--- a/components/placement/src/fleet_planner.rs
+++ b/components/placement/src/fleet_planner.rs
@@ -18,8 +18,8 @@
 const PRIOR_PART: f64 = 0.5;
 /// Time after which a move without an effect is given up.
 const MOVE_LIFETIME: Duration = Duration::from_secs(8);
-/// Most moves at once, as a part of the engines; a moving engine reads its own weights slower.
-const MOVING_PART: f64 = 0.35;
+/// Most engines that unload one model for another at once, as a part of all; each serves less meanwhile.
+const SWAPPING_PART: f64 = 0.35;
 /// Longest queue of an engine from which a copy in use is taken.
 const EVICT_WEIGHT_MS: f64 = 40.0;
 
@@ -151,10 +151,12 @@
         self.settle(engines, now);
         let mut standings = self.standings(models, engines);
         let mut room = fetch_room.saturating_sub(self.planned_fetches(engines));
-        let most = ((engines.len() as f64 * MOVING_PART).ceil() as usize).max(1);
+        let most = ((engines.len() as f64 * SWAPPING_PART).ceil() as usize).max(1);
         let mut planned = Vec::new();
-        while self.pending.len() < most {
-            let Some(next) = self.next_move(models, engines, &standings, room) else { break };
+        loop {
+            let swaps = self.moves().filter(|planned| !planned.unload.is_empty()).count();
+            let next = self.next_move(models, engines, &standings, room, swaps < most);
+            let Some(next) = next else { break };
             let index = models.iter().position(|model| model.name == next.load);
             let Some(index) = index else { break };
             standings[index].copies += 1;
@@ -245,6 +247,7 @@
         engines: &[FleetEngine],
         standings: &[Standing],
         fetch_room: usize,
+        may_swap: bool,
     ) -> Option<FleetMove> {
         let mut short: Vec<(MoveReason, f64, usize)> = standings
             .iter()
@@ -266,7 +269,7 @@
             .collect();
         short.sort_by(|a, b| a.0.cmp(&b.0).then(b.1.total_cmp(&a.1)));
         short.into_iter().find_map(|(reason, _, at)| {
-            self.place(&models[at], reason, models, engines, standings, fetch_room)
+            self.place(&models[at], reason, models, engines, standings, fetch_room, may_swap)
         })
     }
 
@@ -279,6 +282,7 @@
         engines: &[FleetEngine],
         standings: &[Standing],
         fetch_room: usize,
+        may_swap: bool,
     ) -> Option<FleetMove> {
         let mut best: Option<(f64, FleetMove)> = None;
         for engine in engines {
@@ -294,6 +298,9 @@
             else {
                 continue;
             };
+            if !unload.is_empty() && !may_swap {
+                continue;
+            }
             // Engines that cost the same are told apart in the same way by every planner.
             let tie = rendezvous_score(model.name.as_bytes(), &engine.id) % 1_000;
             let cost = load_ms as f64
--- a/components/routing/src/direct_fleet.rs
+++ b/components/routing/src/direct_fleet.rs
@@ -73,6 +73,7 @@
             return;
         }
         let Ok(at) = u32::try_from(self.targets.len()) else { return };
+        self.retire_former(entry);
         let cache_tokens = self.cache_tokens.get(&entry.service).copied().unwrap_or(0);
         let target = DirectTarget::new(entry, cache_tokens);
         self.by_id.insert(target.id.clone(), TargetKey(at));
@@ -80,6 +81,15 @@
         self.targets.push(target);
     }
 
+    /// Retires a target whose address a younger one has: its life is over, whatever the list says.
+    fn retire_former(&mut self, entry: &TargetEntry) {
+        let former = self.targets.iter_mut().filter(|target| target.address == entry.address);
+        for target in former.filter(|target| target.born_ms < entry.born_ms) {
+            target.takes_work = false;
+            target.is_former = true;
+        }
+    }
+
     /// Takes no new work to a target; returns its address, if it is known.
     pub fn retire(&mut self, id: &str) -> Option<SocketAddr> {
         let key = self.by_id.get(id)?;
--- a/components/routing/src/direct_target.rs
+++ b/components/routing/src/direct_target.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use base::{LoadedModel, SortedMap, Timestamp, WarmCopies, hash_bytes};
+use base::{Incarnation, LoadedModel, SortedMap, Timestamp, WarmCopies, hash_bytes};
 use compact_str::CompactString;
 use membership::{TargetEntry, TargetState};
 use wire::{AdapterName, AgentState, ModelChange};
@@ -14,6 +14,8 @@
 const AGENT_SILENT_AFTER: Duration = Duration::from_millis(2_500);
 /// Time for which a request waits for an adapter before it looks again.
 const WANT_LIFETIME: Duration = Duration::from_millis(300);
+/// Time for which loads from the weight store are remembered; longer than any window for them.
+const FETCH_MEMORY: Duration = Duration::from_secs(30);
 /// Weight of a new observation of how slow a target is.
 const SLOWNESS_WEIGHT: f64 = 0.1;
 /// Bounds of the slowness of a target against the usual pace of its models.
@@ -42,6 +44,8 @@
     pub slots: u32,
     /// Whether it may be sent new work.
     pub takes_work: bool,
+    /// Whether a younger target has its address.
+    pub(crate) is_former: bool,
     /// Work at it.
     pub work: TargetWork,
     /// Health by outcomes.
@@ -58,8 +62,12 @@
     pub(crate) free_adapter_slots: u32,
     pub(crate) agent_heard_at: Option<Timestamp>,
     pub(crate) agent_load: Option<AgentLoad>,
-    /// When the agent's loads from the weight store began.
+    /// Run of the agent that was heard last.
+    agent_run: Option<Incarnation>,
+    /// When loads from the weight store began that this run of the agent ordered.
     fetches: Vec<Timestamp>,
+    /// When those began that earlier runs ordered.
+    earlier_fetches: Vec<Timestamp>,
     pub(crate) slowness: f64,
     pub(crate) plain_ms: f64,
 }
@@ -86,6 +94,7 @@
             data_centre: entry.data_centre.clone(),
             slots: entry.slots,
             takes_work: false,
+            is_former: false,
             work: TargetWork::default(),
             health: TargetHealth::default(),
             prefixes: PrefixMemory::new(cache_tokens),
@@ -98,7 +107,9 @@
             free_adapter_slots: 0,
             agent_heard_at: None,
             agent_load: None,
+            agent_run: None,
             fetches: Vec::new(),
+            earlier_fetches: Vec::new(),
             slowness: 1.0,
             plain_ms: UNKNOWN_PLAIN_MS,
         };
@@ -115,7 +126,7 @@
         self.service.clone_from(&entry.service);
         self.data_centre.clone_from(&entry.data_centre);
         self.slots = entry.slots;
-        self.takes_work = entry.state == TargetState::Ready;
+        self.takes_work = entry.state == TargetState::Ready && !self.is_former;
         // The agent's word is fresher while it is heard.
         if !self.agent_is_heard(now) {
             self.models.clone_from(&entry.models);
@@ -139,11 +150,7 @@
         self.changing.clone_from(&state.changing);
         self.orders_accepted = state.orders_accepted;
         self.free_adapter_slots = state.free_adapter_slots;
-        self.fetches = state
-            .fetch_ages_ms
-            .iter()
-            .map(|age_ms| now - Duration::from_millis(u64::from(*age_ms)))
-            .collect();
+        self.take_fetches(state, now);
         self.agent_load = Some(AgentLoad {
             running: state.running,
             waiting: state.waiting,
@@ -151,6 +158,21 @@
         });
     }
 
+    /// Takes the times of loads from the weight store. A new run of the agent does not know of those
+    /// before it, so what an older run said stays.
+    fn take_fetches(&mut self, state: &AgentState, now: Timestamp) {
+        if self.agent_run != Some(state.from.incarnation) {
+            self.agent_run = Some(state.from.incarnation);
+            self.earlier_fetches.append(&mut self.fetches);
+            self.earlier_fetches.retain(|at| now.since(*at) < FETCH_MEMORY);
+        }
+        self.fetches = state
+            .fetch_ages_ms
+            .iter()
+            .map(|age_ms| now - Duration::from_millis(u64::from(*age_ms)))
+            .collect();
+    }
+
     /// A new life of the engine holds and knows nothing of before.
     fn start_anew(&mut self, born_ms: Option<u64>) {
         self.born_ms = born_ms;
@@ -189,7 +211,8 @@
 
     /// Loads from the weight store that began within the last `window`.
     pub fn fetches_since(&self, window: Duration, now: Timestamp) -> usize {
-        self.fetches.iter().filter(|at| now.since(**at) < window).count()
+        let known = self.fetches.iter().chain(&self.earlier_fetches);
+        known.filter(|at| now.since(**at) < window).count()
     }
 
     /// A change of a model that is under way.
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -9,6 +9,7 @@
 mod direct_fleet;
 mod direct_target;
 mod engine_pace;
+mod patience;
 mod preference;
 mod prefix;
 mod prefix_memory;
@@ -29,6 +30,7 @@
 pub use direct_fleet::DirectFleet;
 pub use direct_target::{AgentLoad, DirectTarget, TargetKey};
 pub use engine_pace::EnginePace;
+pub use patience::Objectives;
 pub use prefix::{CacheEvent, CacheEventKind, PrefixIndex, prefix_blocks};
 pub use prefix_memory::PrefixMemory;
 pub use prompt_part::{PrefixLink, PromptPart, prefix_links};
