--- a/components/agent/src/app.rs
+++ b/components/agent/src/app.rs
@@ -22,6 +22,8 @@
     pub sent_micros: u64,
     /// When it asked.
     pub at: Timestamp,
+    /// Whether it wants to be told of changes.
+    pub wants_state: bool,
 }
 
 /// Shared state. Everything runs on one thread, so that a borrow never outlives a step.
--- a/components/agent/src/gateway_link.rs
+++ b/components/agent/src/gateway_link.rs
@@ -4,8 +4,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use base::ProcessId;
 use telemetry::quote;
-use wire::{AgentAsk, AgentState, Datagram, Echo};
+use wire::{AgentAsk, AgentState, Datagram, DatagramBody, Echo};
 
 use crate::app::{App, Asker};
 
@@ -26,31 +27,32 @@
             }
         };
         match wire::decode::<Datagram>(&space[..length]) {
-            Ok(Datagram::Ask(ask)) => take_ask(&app, &ask, from),
-            Ok(Datagram::Agent(_) | Datagram::Gateway(_)) => {
-                log::debug!("event=datagram_misplaced from={from}");
+            Ok(Datagram { from: gateway, echo, body: DatagramBody::Ask(ask) }) => {
+                take_ask(&app, &ask, &gateway, echo, from);
             }
+            Ok(_) => log::debug!("event=datagram_misplaced from={from}"),
             Err(error) => log::warn!("event=datagram_rejected from={from} error=\"{error}\""),
         }
     }
 }
 
-fn take_ask(app: &App, ask: &AgentAsk, from: SocketAddr) {
+fn take_ask(app: &App, ask: &AgentAsk, gateway: &ProcessId, echo: Echo, from: SocketAddr) {
     let now = app.clock.now();
     let asker = Asker {
         address: from,
-        incarnation: ask.from.incarnation,
-        sent_micros: ask.echo.sent_micros,
+        incarnation: gateway.incarnation,
+        sent_micros: echo.sent_micros,
         at: now,
+        wants_state: ask.wants_state,
     };
     {
         let mut askers = app.askers.borrow_mut();
-        let known = askers.get(&ask.from.name).map(|known| (known.incarnation, known.sent_micros));
+        let known = askers.get(&gateway.name).map(|known| (known.incarnation, known.sent_micros));
         if known.is_some_and(|known| known >= (asker.incarnation, asker.sent_micros)) {
             return;
         }
-        if askers.insert(ask.from.name.clone(), asker).is_none() {
-            log::info!("event=gateway_heard gateway={} address={from}", ask.from);
+        if askers.insert(gateway.name.clone(), asker).is_none() {
+            log::info!("event=gateway_heard gateway={gateway} address={from}");
         }
         askers.retain(|_, asker| now.since(asker.at) < ASKER_LIFETIME);
     }
@@ -61,17 +63,20 @@
         (before, desk.life().0.clone())
     };
     if life_before != life_after {
-        log::info!("event=engine_known target={} told_by={}", quote(&life_after), ask.from);
+        log::info!("event=engine_known target={} told_by={gateway}", quote(&life_after));
     }
     app.work.notify_one();
-    tell(app, &asker);
+    if asker.wants_state {
+        tell(app, &asker);
+    }
 }
 
 /// Tells all gateways that asked lately.
 pub(crate) fn tell_all(app: &App) {
     let now = app.clock.now();
     let askers: Vec<Asker> = app.askers.borrow().values().copied().collect();
-    for asker in askers.iter().filter(|asker| now.since(asker.at) < ASKER_LIFETIME) {
+    let lately = |asker: &&Asker| asker.wants_state && now.since(asker.at) < ASKER_LIFETIME;
+    for asker in askers.iter().filter(lately) {
         tell(app, asker);
     }
 }
@@ -84,13 +89,14 @@
     if target.is_empty() {
         return;
     }
+    let echo = Echo {
+        sent_micros: now.micros,
+        heard_micros: asker.sent_micros,
+        heard_incarnation: asker.incarnation.0,
+    };
     let state = AgentState {
         from: app.me.clone(),
-        echo: Echo {
-            sent_micros: now.micros,
-            heard_micros: asker.sent_micros,
-            heard_incarnation: asker.incarnation.0,
-        },
+        sent_micros: now.micros,
         target: target.clone(),
         born_ms,
         orders_accepted: report.orders_accepted,
@@ -106,7 +112,8 @@
             .map(|age| u32::try_from(age.as_millis()).unwrap_or(u32::MAX))
             .collect(),
     };
-    let bytes = match wire::encode(&Datagram::Agent(state)) {
+    let body = DatagramBody::Agent(state);
+    let bytes = match wire::encode(&Datagram { from: app.me.clone(), echo, body }) {
         Ok(bytes) => bytes,
         Err(error) => {
             log::error!("event=datagram_unsent to={} error=\"{error}\"", asker.address);
--- a/components/base/src/lib.rs
+++ b/components/base/src/lib.rs
@@ -21,7 +21,7 @@
 pub use outcome::RanState;
 pub use prefix::{PREFIX_BLOCK_BYTES, prefix_blocks};
 pub use process::{Incarnation, ProcessId, ProcessName, Role};
-pub use rendezvous::{hash_bytes, rank_members, rendezvous_score};
+pub use rendezvous::{hash_bytes, rank_members, rendezvous_score, short_hash};
 pub use rng::seeded_rng;
 pub use snapshot_schedule::SnapshotSchedule;
 pub use sorted::SortedMap;
--- a/components/base/src/rendezvous.rs
+++ b/components/base/src/rendezvous.rs
@@ -7,6 +7,12 @@
     xxh3_64(bytes)
 }
 
+/// Short stable hash of bytes, for names in datagrams: two of a few thousand names are equal by chance
+/// once in about a thousand fleets, which costs a wrong estimate and nothing else.
+pub fn short_hash(bytes: &[u8]) -> u32 {
+    (xxh3_64(bytes) >> 32) as u32
+}
+
 /// Weight of `member` for `key`; the member with the largest weight is the first choice.
 pub fn rendezvous_score(key: &[u8], member: &str) -> u64 {
     xxh3_64_with_seed(member.as_bytes(), xxh3_64(key))
--- /dev/null
+++ b/components/calls/src/lib.rs
@@ -0,0 +1,5 @@
+//! Calls over HTTP/1.1 with time limits: to the store, to engines, and between processes of the fleet.
+
+mod http_client;
+
+pub use http_client::{CallAnswer, CallError, HttpCall, HttpClient};
--- a/components/gateway/src/app.rs
+++ b/components/gateway/src/app.rs
@@ -6,11 +6,13 @@
 use std::time::Duration;
 
 use base::{Offset, ProcessId, Timestamp};
+use bytes::Bytes;
+use calls::HttpClient;
 use clock::BootClock;
 use config::{GatewaySettings, Town};
 use membership::{Authority, GatewayTable, TargetDirectory};
 use placement::{FleetPlanner, ModelDemandTable};
-use platform::StoreClient;
+use platform::{Configuration, StoreClient};
 use routing::DirectFleet;
 use telemetry::Metrics;
 use tokio::sync::{Notify, watch};
@@ -25,6 +27,15 @@
 /// Longest time after the start for which readiness waits for peers that have not been heard.
 const WARM_UP_LIMIT: Duration = Duration::from_millis(1_500);
 
+/// A configuration as it was stored.
+#[derive(Clone, Debug)]
+pub(crate) struct StoredDocument {
+    /// Offset of its record.
+    pub offset: Offset,
+    /// Content of the record.
+    pub bytes: Bytes,
+}
+
 /// Shared state. Everything runs on one thread, so that a borrow never outlives a step.
 pub(crate) struct App {
     /// Settings; replaced when the file changes.
@@ -41,6 +52,10 @@
     pub stage: watch::Sender<Stage>,
     /// Configuration in force.
     pub town: RefCell<Option<Arc<Town>>>,
+    /// The configuration in force as it was stored, for other gateways.
+    pub document: RefCell<Option<StoredDocument>>,
+    /// Calls to other gateways.
+    pub peer_client: HttpClient,
     /// Evidence that no withdrawal is hidden.
     pub authority: RefCell<Authority>,
     /// Targets by the list.
@@ -61,8 +76,8 @@
     pub in_flight: Cell<usize>,
     /// Callers' connections.
     pub connections: Cell<usize>,
-    /// Whether the list of targets was read since the start.
-    pub targets_read: Cell<bool>,
+    /// When the list of targets was last asked for with success.
+    pub targets_read_at: Cell<Option<Timestamp>>,
     /// Whether the register of gateways was read since the start.
     pub register_read: Cell<bool>,
     /// Rings when an agent's word on its engine has changed something.
@@ -98,9 +113,10 @@
     }
 
     /// Puts a configuration in force, unless it is older than the one that is.
-    pub(crate) fn adopt(&self, town: Town, now: Timestamp) -> bool {
+    pub(crate) fn adopt(&self, configuration: Configuration, source: &str, now: Timestamp) {
+        let Configuration { operators_version, offset, document, town } = configuration;
         if town.version <= self.version() {
-            return false;
+            return;
         }
         {
             let mut fleet = self.fleet.borrow_mut();
@@ -113,7 +129,11 @@
         self.rates.borrow_mut().adopt(&town, now);
         self.metrics.admit_customers(town.customers.iter().map(|customer| customer.name.as_str()));
         *self.town.borrow_mut() = Some(Arc::new(town));
-        true
+        *self.document.borrow_mut() = Some(StoredDocument { offset, bytes: document });
+        log::info!(
+            "event=configuration_in_force offset={} version={operators_version} source={source}",
+            offset.0
+        );
     }
 
     /// Why the load balancer should look elsewhere, if it should.
@@ -129,7 +149,8 @@
             return Some("no news of withdrawn keys");
         }
         let (known, heard) = self.gateways.borrow().counts(now);
-        let warm = self.targets_read.get() && self.register_read.get() && heard >= known;
+        let warm =
+            self.targets_read_at.get().is_some() && self.register_read.get() && heard >= known;
         if !warm && now.since(Timestamp::default()) < WARM_UP_LIMIT {
             return Some("not all gateways and targets are known yet");
         }
--- a/components/gateway/src/call.rs
+++ b/components/gateway/src/call.rs
@@ -213,7 +213,16 @@
             self.link.note_send(hash, &self.request.links);
             let excluded = [];
             let need = generation_need(&self.request, &excluded);
-            fleet.note_generation(&pick, &need, now)
+            let number = fleet.note_generation(&pick, &need, now);
+            let far = fleet.target(pick.key).data_centre != self.app.settings().data_centre;
+            // Agents of other data centres are not told of all work every few rounds.
+            if let Some(adapter) = need.adapter_name()
+                && fleet.target_mut(pick.key).note_use(adapter, now)
+                && far
+            {
+                ask_agent(&self.app, &self.link, fleet.target(pick.key), false, now);
+            }
+            number
         } else {
             self.app.fleet.borrow_mut().note_plain(pick.key, now)
         };
@@ -442,7 +451,7 @@
         if let Some(name) = generation_need(&self.request, &[]).adapter_name() {
             let mut fleet = self.app.fleet.borrow_mut();
             if fleet.target_mut(pick.key).want(name, now) {
-                ask_agent(&self.app, &self.link, fleet.target(pick.key), now);
+                ask_agent(&self.app, &self.link, fleet.target(pick.key), true, now);
             }
         }
         self.await_change(began, 0.0).await
--- a/components/gateway/src/configuration_watch.rs
+++ b/components/gateway/src/configuration_watch.rs
@@ -1,17 +1,28 @@
 //! Follows the operators' topic on the store.
+//!
+//! Two gateways wait for changes there. The others get new configurations from them and count on their
+//! evidence that nothing is hidden; a gateway whose evidence grows old reads itself.
 
 use std::rc::Rc;
 use std::time::Duration;
 
+use base::Timestamp;
 use platform::newest_configuration;
 use store::{KeyedReader, Topic};
 use tokio::time::sleep;
 
 use crate::app::App;
+use crate::peer_configuration::fetch_from_peer;
 
 /// Longest wait of a long poll. Each answer renews the evidence that no withdrawal is hidden, which
-/// must stay well below the age at which it stops to count.
-const POLL_WAIT: Duration = Duration::from_millis(1_200);
+/// passes through up to three gateways and must stay well below the age at which it stops to count.
+const POLL_WAIT: Duration = Duration::from_millis(1_000);
+/// Age of the evidence from which a gateway that is no reader reads itself.
+const OLD_EVIDENCE: Duration = Duration::from_millis(2_000);
+/// Time for which another gateway may be ahead before this one reads itself.
+const BEHIND_LIMIT: Duration = Duration::from_millis(500);
+/// Time between two looks at whether a read is needed.
+const LOOK_INTERVAL: Duration = Duration::from_millis(60);
 /// Pause after a failed call; doubles up to the longest.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after a failed call.
@@ -22,9 +33,18 @@
     let mut reader = KeyedReader::new(Topic::Operators);
     let mut pause = FIRST_PAUSE;
     let mut reachable = true;
+    let mut behind_since: Option<Timestamp> = None;
     loop {
         let asked_at = app.clock.now();
-        match reader.read(&app.store, POLL_WAIT).await {
+        let wait = match needs(&app, &mut behind_since, asked_at).await {
+            Need::Nothing => {
+                sleep(LOOK_INTERVAL).await;
+                continue;
+            }
+            Need::Look => Duration::ZERO,
+            Need::Follow => POLL_WAIT,
+        };
+        match reader.read(&app.store, wait).await {
             Ok(read) => {
                 if !reachable {
                     log::info!("event=store_regained topic=operators");
@@ -32,14 +52,7 @@
                 }
                 pause = FIRST_PAUSE;
                 if let Some(configuration) = newest_configuration(read.page()) {
-                    let version = configuration.operators_version;
-                    let offset = configuration.town.version;
-                    if app.adopt(configuration.town, app.clock.now()) {
-                        log::info!(
-                            "event=configuration_in_force offset={} version={version}",
-                            offset.0
-                        );
-                    }
+                    app.adopt(configuration, "store", app.clock.now());
                 }
                 if read.page().reaches_end() {
                     app.authority.borrow_mut().note_end_read(asked_at);
@@ -56,3 +69,37 @@
         }
     }
 }
+
+/// What this gateway must ask of the store.
+enum Need {
+    /// Nothing: others tell it.
+    Nothing,
+    /// What is there now.
+    Look,
+    /// Every change, as it comes.
+    Follow,
+}
+
+async fn needs(app: &App, behind_since: &mut Option<Timestamp>, now: Timestamp) -> Need {
+    if app.town().is_none() || app.gateways.borrow().is_reader(now) {
+        // Without a configuration a gateway asks its peers as well: the store may be away.
+        if app.town().is_none() {
+            fetch_from_peer(app, now).await;
+        }
+        return Need::Follow;
+    }
+    let is_behind = !app.gateways.borrow().with_newer(app.version(), now).is_empty();
+    if is_behind {
+        let since = *behind_since.get_or_insert(now);
+        fetch_from_peer(app, now).await;
+        if now.since(since) >= BEHIND_LIMIT {
+            return Need::Look;
+        }
+        return Need::Nothing;
+    }
+    *behind_since = None;
+    match app.evidence_age(now) {
+        Some(age) if age < OLD_EVIDENCE => Need::Nothing,
+        _ => Need::Look,
+    }
+}
--- /dev/null
+++ b/components/gateway/src/fleet_ears.rs
@@ -0,0 +1,152 @@
+//! Datagrams from the other gateways and from agents.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use base::{ProcessId, Timestamp};
+use membership::StaleDatagram;
+use wire::{AgentState, Datagram, DatagramBody, GatewayState, LogView, RelayedItem};
+
+use crate::app::App;
+use crate::fleet_link::{FleetLink, pass_on};
+
+/// Largest datagram.
+const MAX_BYTES: usize = 60_000;
+
+/// Takes datagrams until the task is aborted.
+pub(crate) async fn hear_fleet(app: Rc<App>, link: Rc<FleetLink>) {
+    let mut space = vec![0; MAX_BYTES];
+    loop {
+        let (length, address) = match link.socket.recv_from(&mut space).await {
+            Ok(received) => received,
+            Err(error) => {
+                // A process that is not there shows as an error of the socket.
+                log::debug!("event=datagram_error error=\"{error}\"");
+                continue;
+            }
+        };
+        match wire::decode::<Datagram>(&space[..length]) {
+            Ok(datagram) => take(&app, &link, datagram, address),
+            Err(error) => log::warn!("event=datagram_rejected from={address} error=\"{error}\""),
+        }
+    }
+}
+
+fn take(app: &App, link: &FleetLink, datagram: Datagram, address: SocketAddr) {
+    let now = app.clock.now();
+    let Datagram { from, echo, body } = datagram;
+    match body {
+        DatagramBody::Gateway(state) => {
+            if state.from != from {
+                log::warn!("event=datagram_rejected from={address} error=\"speaks for another\"");
+                return;
+            }
+            let is_news = take_gateway(app, link, &state, now).is_ok();
+            let dated = app.gateways.borrow_mut().take_echo(&from, echo);
+            take_evidence(app, &state, address, dated);
+            if is_news {
+                link.note_near_state(state);
+            }
+        }
+        DatagramBody::Relayed { pass_on: passes, items } => {
+            let dated = app.gateways.borrow_mut().take_echo(&from, echo);
+            for item in &items {
+                take_item(app, link, item, &from, address, dated, now);
+            }
+            if passes {
+                pass_on(app, link, items, now);
+            }
+        }
+        DatagramBody::Agent(state) => {
+            if take_agent(app, &state, now) {
+                let near = {
+                    let fleet = app.fleet.borrow();
+                    let own = &app.settings().data_centre;
+                    fleet
+                        .key_of(&state.target)
+                        .is_some_and(|key| fleet.target(key).data_centre == *own)
+                };
+                if near {
+                    link.note_near_agent(state);
+                }
+            }
+        }
+        DatagramBody::Ask(_) => log::debug!("event=datagram_misplaced from={address}"),
+    }
+}
+
+fn take_item(
+    app: &App,
+    link: &FleetLink,
+    item: &RelayedItem,
+    relay: &ProcessId,
+    address: SocketAddr,
+    dated: Option<Timestamp>,
+    now: Timestamp,
+) {
+    match item {
+        RelayedItem::Gateway(state) => {
+            // Old words change nothing; the same one may come from several relays.
+            let _taken = take_gateway(app, link, state, now);
+            if state.from == *relay {
+                take_evidence(app, state, address, dated);
+            }
+        }
+        RelayedItem::Agent(state) => {
+            take_agent(app, state, now);
+        }
+    }
+}
+
+/// Takes the evidence of a gateway that this process has heard directly.
+fn take_evidence(
+    app: &App,
+    state: &GatewayState,
+    address: SocketAddr,
+    asked_at: Option<Timestamp>,
+) {
+    let Some(asked_at) = asked_at else { return };
+    let view = LogView { end_read_age_ms: state.evidence_age_ms, unavailable_age_ms: None };
+    app.authority.borrow_mut().note_peer(address, view, state.config, asked_at);
+}
+
+fn take_gateway(
+    app: &App,
+    link: &FleetLink,
+    state: &GatewayState,
+    now: Timestamp,
+) -> Result<(), StaleDatagram> {
+    let known = app.gateways.borrow().is_heard(&state.from.name, now);
+    app.gateways.borrow_mut().heard(state, now)?;
+    if !known {
+        log::info!(
+            "event=gateway_heard gateway={} address={} data_centre={}",
+            state.from,
+            state.address,
+            state.data_centre
+        );
+    }
+    app.rates.borrow_mut().take_peer(&state.from.name, state.from.incarnation, &state.admitted);
+    app.demand.borrow_mut().take_peer(&state.from.name, state.demand.clone(), now);
+    {
+        let mut fleet = app.fleet.borrow_mut();
+        fleet.take_peer_work(&state.from.name, &state.work, now);
+        for send in link.new_sends(state) {
+            fleet.take_peer_send(send, now);
+        }
+    }
+    for news in &state.news {
+        if app.directory.borrow_mut().take_news(news, now) {
+            app.apply_news(news, now);
+        }
+    }
+    Ok(())
+}
+
+fn take_agent(app: &App, state: &AgentState, now: Timestamp) -> bool {
+    let is_news = app.fleet.borrow_mut().take_agent(state, now);
+    if is_news {
+        app.engines_changed.notify_waiters();
+    }
+    is_news
+}
--- a/components/gateway/src/fleet_link.rs
+++ b/components/gateway/src/fleet_link.rs
@@ -1,43 +1,62 @@
-//! Datagrams to and from the other gateways and the agents.
+//! Datagrams to the other gateways and to agents.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use base::Timestamp;
+use base::{ProcessId, ProcessName, SortedMap, Timestamp};
 use compact_str::CompactString;
 use routing::{DirectTarget, PrefixLink};
 use tokio::net::UdpSocket;
 use tokio::time::{MissedTickBehavior, interval};
 use wire::{
-    AdapterName, AgentAsk, AgentState, Datagram, Echo, EnginePlan, GatewayState, LinkCopy, LogView,
-    PlannedCopy, SendCopy,
+    AdapterName, AgentAsk, AgentState, Datagram, DatagramBody, Echo, EnginePlan, GatewayState,
+    LinkCopy, PlannedCopy, RelayedItem, SendCopy, TargetNews,
 };
 
 use crate::app::App;
 use crate::stage::Stage;
 
-/// Time between two datagrams to a gateway.
-const GATEWAY_INTERVAL: Duration = Duration::from_millis(100);
-/// Datagrams of agents are asked for once in so many rounds.
+/// Time between two datagrams to a gateway of the same data centre.
+const ROUND: Duration = Duration::from_millis(100);
+/// Rounds between two datagrams to other data centres; bytes between data centres are dear.
+const FAR_ROUNDS: u64 = 2;
+/// Rounds between two datagrams to an agent.
 const AGENT_ROUNDS: u64 = 4;
 /// Rounds in which a send is told, so that a lost datagram does not hide it.
 const SEND_ROUNDS: u64 = 3;
-/// Largest datagram.
-const MAX_BYTES: usize = 60_000;
-/// Most sends told in one datagram.
+/// Rounds in which news of a target is told. A gateway that misses them all notices by the digest.
+const NEWS_ROUNDS: u64 = 6;
+/// Most sends told in one state.
 const MAX_SENDS: usize = 128;
+/// Bytes of states after which another datagram is begun, so that most fit into one packet.
+const PACKET_BYTES: usize = 1_200;
+/// Time after which the state of an agent is passed on even if nothing changed.
+const AGENT_REFRESH: Duration = Duration::from_millis(1_000);
+
+/// State of an agent that is passed on to other data centres.
+#[derive(Clone, Debug)]
+struct AgentWord {
+    state: AgentState,
+    /// What was passed on last, and when.
+    passed_on: Option<(AgentState, Timestamp)>,
+}
 
 /// Link to the fleet.
 pub(crate) struct FleetLink {
-    socket: UdpSocket,
+    pub(crate) socket: UdpSocket,
+    round: Cell<u64>,
+    next_send: Cell<u64>,
     sends: RefCell<VecDeque<(u64, SendCopy)>>,
-    next_send: RefCell<u64>,
-    round: RefCell<u64>,
-    /// Highest number of a send taken from each gateway.
-    taken: RefCell<base::SortedMap<base::ProcessId, u64>>,
+    news: RefCell<VecDeque<(u64, TargetNews)>>,
+    /// Highest number of a send taken from each run of a gateway.
+    taken: RefCell<SortedMap<ProcessId, u64>>,
+    /// States of the gateways of this data centre that were not passed on yet.
+    near_states: RefCell<SortedMap<ProcessName, GatewayState>>,
+    /// States of the agents of this data centre, by target.
+    near_agents: RefCell<SortedMap<CompactString, AgentWord>>,
 }
 
 impl FleetLink {
@@ -45,111 +64,269 @@
     pub(crate) fn new(socket: UdpSocket) -> Self {
         Self {
             socket,
+            round: Cell::new(0),
+            next_send: Cell::new(1),
             sends: RefCell::new(VecDeque::new()),
-            next_send: RefCell::new(1),
-            round: RefCell::new(0),
-            taken: RefCell::new(base::SortedMap::new()),
+            news: RefCell::new(VecDeque::new()),
+            taken: RefCell::new(SortedMap::new()),
+            near_states: RefCell::new(SortedMap::new()),
+            near_agents: RefCell::new(SortedMap::new()),
         }
     }
 
     /// Remembers a send, to tell the other gateways.
-    pub(crate) fn note_send(&self, target: u64, links: &[PrefixLink]) {
-        let mut next = self.next_send.borrow_mut();
-        let send = SendCopy {
-            number: *next,
-            target,
-            links: links
-                .iter()
-                .map(|link| LinkCopy { hash: link.hash, tokens: link.tokens })
-                .collect(),
-        };
-        *next += 1;
-        self.sends.borrow_mut().push_back((*self.round.borrow(), send));
+    pub(crate) fn note_send(&self, target: u32, links: &[PrefixLink]) {
+        let links =
+            links.iter().map(|link| LinkCopy { hash: link.hash, tokens: link.tokens }).collect();
+        let send = SendCopy { number: self.next_send.get(), target, links };
+        self.next_send.set(send.number + 1);
+        self.sends.borrow_mut().push_back((self.round.get(), send));
+    }
+
+    /// Remembers news of a target, to tell the other gateways.
+    pub(crate) fn note_news(&self, news: TargetNews) {
+        self.news.borrow_mut().push_back((self.round.get(), news));
     }
 
-    fn recent_sends(&self) -> Vec<SendCopy> {
-        let round = *self.round.borrow();
-        let mut sends = self.sends.borrow_mut();
-        while sends.front().is_some_and(|(at, _)| at + SEND_ROUNDS < round) {
-            sends.pop_front();
+    /// Remembers the state of a gateway of this data centre, to pass it on.
+    pub(crate) fn note_near_state(&self, state: GatewayState) {
+        self.near_states.borrow_mut().insert(state.from.name.clone(), state);
+    }
+
+    /// Remembers the state of an agent of this data centre, to pass it on.
+    pub(crate) fn note_near_agent(&self, state: AgentState) {
+        let mut agents = self.near_agents.borrow_mut();
+        match agents.get_mut(&state.target) {
+            Some(word) => word.state = state,
+            None => {
+                agents.insert(state.target.clone(), AgentWord { state, passed_on: None });
+            }
+        }
+    }
+
+    /// The sends of a gateway that were not taken before.
+    pub(crate) fn new_sends<'a>(&self, state: &'a GatewayState) -> Vec<&'a SendCopy> {
+        let mut taken = self.taken.borrow_mut();
+        let last = taken.get_or_insert_with(state.from.clone(), || 0);
+        let known = *last;
+        *last = state.sends.iter().map(|send| send.number).max().unwrap_or(known).max(known);
+        state.sends.iter().filter(|send| send.number > known).collect()
+    }
+
+    fn recent<T: Clone>(&self, told: &RefCell<VecDeque<(u64, T)>>, rounds: u64) -> Vec<T> {
+        let round = self.round.get();
+        let mut told = told.borrow_mut();
+        while told.front().is_some_and(|(at, _)| at + rounds < round) {
+            told.pop_front();
+        }
+        told.iter().rev().take(MAX_SENDS).map(|(_, item)| item.clone()).collect()
+    }
+
+    /// States of agents that are due to be passed on.
+    fn due_agents(&self, now: Timestamp) -> Vec<AgentState> {
+        let mut due = Vec::new();
+        for word in self.near_agents.borrow_mut().values_mut() {
+            let is_due = word.passed_on.as_ref().is_none_or(|(passed, at)| {
+                let is_newer = (passed.from.incarnation, passed.sent_micros)
+                    != (word.state.from.incarnation, word.state.sent_micros);
+                is_newer && (differs(passed, &word.state) || now.since(*at) >= AGENT_REFRESH)
+            });
+            if is_due {
+                word.passed_on = Some((word.state.clone(), now));
+                due.push(word.state.clone());
+            }
+        }
+        due
+    }
+
+    /// Sends a datagram.
+    pub(crate) fn send(&self, datagram: &Datagram, to: SocketAddr) {
+        let bytes = match wire::encode(datagram) {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                log::error!("event=datagram_unsent to={to} error=\"{error}\"");
+                return;
+            }
+        };
+        // A datagram that can't be sent now is made up for by the next one.
+        if let Err(error) = self.socket.try_send_to(&bytes, to) {
+            log::debug!("event=datagram_unsent to={to} error=\"{error}\"");
         }
-        sends.iter().rev().take(MAX_SENDS).map(|(_, send)| send.clone()).collect()
     }
 }
 
+/// Whether the state of an agent differs in what other gateways choose by.
+fn differs(former: &AgentState, state: &AgentState) -> bool {
+    former.born_ms != state.born_ms
+        || former.models != state.models
+        || former.changing.as_ref().map(|change| (&change.model, change.loading))
+            != state.changing.as_ref().map(|change| (&change.model, change.loading))
+        || (former.free_adapter_slots == 0) != (state.free_adapter_slots == 0)
+        || former.warm != state.warm
+        || former.fetch_ages_ms.len() != state.fetch_ages_ms.len()
+}
+
 /// Sends this gateway's state until the task is aborted.
 pub(crate) async fn tell_fleet(app: Rc<App>, link: Rc<FleetLink>) {
-    let mut ticks = interval(GATEWAY_INTERVAL);
+    let mut ticks = interval(ROUND);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
-        let round = {
-            let mut round = link.round.borrow_mut();
-            *round += 1;
-            *round
-        };
+        let round = link.round.get() + 1;
+        link.round.set(round);
         let now = app.clock.now();
-        tell_gateways(&app, &link, now);
+        let state = own_state(&app, &link, now);
+        tell_near(&app, &link, &state, now);
+        if round % FAR_ROUNDS == 0 {
+            tell_far(&app, &link, state, now);
+        }
         if round % AGENT_ROUNDS == 0 {
             ask_agents(&app, &link, now);
         }
-        for gone in app.gateways.borrow_mut().expire(now) {
-            log::info!("event=gateway_gone gateway={gone}");
-            app.rates.borrow_mut().forget_peer(&gone);
+        let gone = app.gateways.borrow_mut().expire(now);
+        for name in gone {
+            log::info!("event=gateway_gone gateway={name}");
+            app.rates.borrow_mut().forget_peer(&name);
         }
     }
 }
 
-fn tell_gateways(app: &App, link: &FleetLink, now: Timestamp) {
-    let view = app.authority.borrow().view(now);
-    let mut state = GatewayState {
+fn own_state(app: &App, link: &FleetLink, now: Timestamp) -> GatewayState {
+    let settings = app.settings();
+    let millis = |age: Duration| u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
+    GatewayState {
         from: app.me.clone(),
-        echo: Echo::default(),
+        address: SocketAddr::new(settings.ip, settings.peer_port),
+        data_centre: settings.data_centre.clone(),
+        sent_micros: now.micros,
         config: app.version(),
-        end_read_age_ms: view.end_read_age_ms,
+        // Rounded up, so that nobody takes the evidence for newer than it is.
+        evidence_age_ms: app.evidence_age(now).map(|age| millis(age).saturating_add(1)),
+        targets_read_age_ms: app.targets_read_at.get().map(|at| millis(now.since(at))),
+        targets_digest: app.directory.borrow().digest(),
         draining: *app.stage.borrow() > Stage::Serving,
         admitted: app.rates.borrow().admitted(),
         work: app.fleet.borrow().own_work(),
-        sends: link.recent_sends(),
+        sends: link.recent(&link.sends, SEND_ROUNDS),
         demand: app.demand.borrow_mut().own_loads(now),
-    };
+        news: link.recent(&link.news, NEWS_ROUNDS),
+    }
+}
+
+fn tell_near(app: &App, link: &FleetLink, state: &GatewayState, now: Timestamp) {
     let gateways = app.gateways.borrow();
-    for (name, peer) in gateways.peers() {
-        state.echo = gateways.echo_for(name, now);
-        let datagram = Datagram::Gateway(state);
-        send(link, &datagram, peer.address);
-        let Datagram::Gateway(again) = datagram else { return };
-        state = again;
+    for (name, peer) in gateways.peers().filter(|(_, peer)| gateways.is_near(peer)) {
+        let datagram = Datagram {
+            from: app.me.clone(),
+            echo: gateways.echo_for(name, now),
+            body: DatagramBody::Gateway(state.clone()),
+        };
+        link.send(&datagram, peer.address);
     }
 }
 
+/// Tells the other data centres of this gateway and, if it speaks for its own data centre, of all that
+/// is in it.
+fn tell_far(app: &App, link: &FleetLink, state: GatewayState, now: Timestamp) {
+    let gateways = app.gateways.borrow();
+    let near: Vec<GatewayState> = link.near_states.borrow().values().cloned().collect();
+    *link.near_states.borrow_mut() = SortedMap::new();
+    if !gateways.is_relay(now) {
+        return;
+    }
+    let agents = link.due_agents(now);
+    let items = std::iter::once(state)
+        .chain(near)
+        .map(RelayedItem::Gateway)
+        .chain(agents.into_iter().map(RelayedItem::Agent))
+        .collect();
+    let packets = pack(items);
+    for (name, address) in gateways.far_relays(now) {
+        for items in &packets {
+            let datagram = Datagram {
+                from: app.me.clone(),
+                echo: gateways.echo_for(&name, now),
+                body: DatagramBody::Relayed { pass_on: true, items: items.clone() },
+            };
+            link.send(&datagram, address);
+        }
+    }
+}
+
+/// Groups states so that most groups fit into one packet.
+fn pack(items: Vec<RelayedItem>) -> Vec<Vec<RelayedItem>> {
+    let mut packets: Vec<Vec<RelayedItem>> = Vec::new();
+    let mut filled = usize::MAX;
+    for item in items {
+        let length = wire::encode(&item).map_or(0, |bytes| bytes.len());
+        if filled.saturating_add(length) > PACKET_BYTES {
+            packets.push(Vec::new());
+            filled = 0;
+        }
+        filled += length;
+        if let Some(packet) = packets.last_mut() {
+            packet.push(item);
+        }
+    }
+    packets
+}
+
+/// Passes states from another data centre on to the gateways of this one.
+pub(crate) fn pass_on(app: &App, link: &FleetLink, items: Vec<RelayedItem>, now: Timestamp) {
+    let gateways = app.gateways.borrow();
+    let body = DatagramBody::Relayed { pass_on: false, items };
+    for (name, peer) in gateways.peers().filter(|(_, peer)| gateways.is_near(peer)) {
+        let echo = gateways.echo_for(name, now);
+        link.send(&Datagram { from: app.me.clone(), echo, body: body.clone() }, peer.address);
+    }
+}
+
+/// Asks the agents of this data centre, and of those without a gateway, for their states.
 fn ask_agents(app: &App, link: &FleetLink, now: Timestamp) {
     let Some(town) = app.town() else { return };
     let is_engine = |service: &str| {
         town.service_id(service).is_some_and(|id| town.service(id).engine.is_some())
     };
+    let gateways = app.gateways.borrow();
+    let own = app.settings().data_centre.clone();
+    let has_gateway = |centre: &CompactString| *centre == own || gateways.has_gateway(centre, now);
     for target in app.fleet.borrow().targets() {
-        if target.takes_work && is_engine(&target.service) {
-            ask_agent(app, link, target, now);
+        let near = target.data_centre == own || !has_gateway(&target.data_centre);
+        let planned = app.planner.borrow().moves().any(|planned| planned.engine == target.id);
+        // An agent keeps the adapters that it was told of lately.
+        let uses_adapters = target.work.adapters().next().is_some();
+        let due = near || planned || uses_adapters;
+        if target.takes_work && due && is_engine(&target.service) {
+            ask_agent(app, link, target, near, now);
         }
     }
 }
 
 /// Tells the agent beside a target what this gateway needs of it.
-pub(crate) fn ask_agent(app: &App, link: &FleetLink, target: &DirectTarget, now: Timestamp) {
+pub(crate) fn ask_agent(
+    app: &App,
+    link: &FleetLink,
+    target: &DirectTarget,
+    wants_state: bool,
+    now: Timestamp,
+) {
     let mut used_adapters: Vec<AdapterName> = target.work.adapters().cloned().collect();
     used_adapters.sort_unstable();
     used_adapters.dedup();
-    let ask = Datagram::Ask(AgentAsk {
-        from: app.me.clone(),
-        echo: Echo { sent_micros: now.micros, ..Echo::default() },
+    let ask = AgentAsk {
+        wants_state,
         target: target.id.clone(),
         born_ms: target.born_ms,
         used_adapters,
         wanted_adapters: target.wanted(now),
         plan: engine_plan(app, &target.id),
-    });
-    send(link, &ask, SocketAddr::new(target.address.ip(), app.settings().peer_port));
+    };
+    let datagram = Datagram {
+        from: app.me.clone(),
+        echo: Echo { sent_micros: now.micros, ..Echo::default() },
+        body: DatagramBody::Ask(ask),
+    };
+    link.send(&datagram, SocketAddr::new(target.address.ip(), app.settings().peer_port));
 }
 
 /// What the engine should hold, if this gateway plans a move for it.
@@ -166,70 +343,3 @@
         surplus: planned.unload.clone(),
     })
 }
-
-fn send(link: &FleetLink, datagram: &Datagram, to: SocketAddr) {
-    match wire::encode(datagram) {
-        Ok(bytes) => transmit(link, &bytes, to),
-        Err(error) => log::error!("event=datagram_unsent to={to} error=\"{error}\""),
-    }
-}
-
-fn transmit(link: &FleetLink, bytes: &[u8], to: SocketAddr) {
-    // A datagram that can't be sent now is made up for by the next one.
-    if let Err(error) = link.socket.try_send_to(bytes, to) {
-        log::debug!("event=datagram_unsent to={to} error=\"{error}\"");
-    }
-}
-
-/// Takes datagrams until the task is aborted.
-pub(crate) async fn hear_fleet(app: Rc<App>, link: Rc<FleetLink>) {
-    let mut space = vec![0; MAX_BYTES];
-    loop {
-        let (length, from) = match link.socket.recv_from(&mut space).await {
-            Ok(received) => received,
-            Err(error) => {
-                // A target that refuses the port shows as an error of the socket.
-                log::debug!("event=datagram_error error=\"{error}\"");
-                continue;
-            }
-        };
-        match wire::decode::<Datagram>(&space[..length]) {
-            Ok(Datagram::Gateway(state)) => take_gateway(&app, &link, state, from),
-            Ok(Datagram::Agent(state)) => take_agent(&app, &state),
-            Ok(Datagram::Ask(_)) => log::debug!("event=datagram_misplaced from={from}"),
-            Err(error) => log::warn!("event=datagram_rejected from={from} error=\"{error}\""),
-        }
-    }
-}
-
-fn take_gateway(app: &App, link: &FleetLink, state: GatewayState, from: SocketAddr) {
-    let now = app.clock.now();
-    let known = app.gateways.borrow().is_heard(&state.from.name, now);
-    let heard = app.gateways.borrow_mut().heard(&state.from, from, state.echo, state.draining, now);
-    let Ok(dated) = heard else { return };
-    if !known {
-        log::info!("event=gateway_heard gateway={} address={from}", state.from);
-    }
-    if let Some(asked_at) = dated {
-        let view = LogView { end_read_age_ms: state.end_read_age_ms, unavailable_age_ms: None };
-        app.authority.borrow_mut().note_peer(from, view, state.config, asked_at);
-    }
-    app.rates.borrow_mut().take_peer(&state.from.name, state.from.incarnation, &state.admitted);
-    app.demand.borrow_mut().take_peer(&state.from.name, state.demand, now);
-    let mut fleet = app.fleet.borrow_mut();
-    fleet.take_peer_work(&state.from.name, &state.work, now);
-    let mut taken = link.taken.borrow_mut();
-    let last = taken.get_or_insert_with(state.from.clone(), || 0);
-    let mut newest = *last;
-    for send in state.sends.iter().filter(|send| send.number > *last) {
-        fleet.take_peer_send(send, now);
-        newest = newest.max(send.number);
-    }
-    *last = newest;
-}
-
-fn take_agent(app: &App, state: &AgentState) {
-    if app.fleet.borrow_mut().take_agent(state, app.clock.now()) {
-        app.engines_changed.notify_waiters();
-    }
-}
--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -3,8 +3,10 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use base::{ProcessId, ProcessName};
+use calls::HttpClient;
 use clock::{BootClock, new_incarnation};
 use config::GatewaySettings;
 use membership::{Authority, GatewayTable, TargetDirectory};
@@ -20,8 +22,10 @@
 use crate::callers::accept_callers;
 use crate::configuration_watch::watch_configuration;
 use crate::error::GatewayError;
-use crate::fleet_link::{FleetLink, hear_fleet, tell_fleet};
+use crate::fleet_ears::hear_fleet;
+use crate::fleet_link::{FleetLink, tell_fleet};
 use crate::operators::serve_operators;
+use crate::peer_configuration::serve_peers;
 use crate::planning::plan_placement;
 use crate::rates_desk::RatesDesk;
 use crate::register::keep_register;
@@ -30,6 +34,9 @@
 use crate::target_pool::TargetPool;
 use crate::target_watch::watch_targets;
 
+/// Longest wait for a connection to another gateway.
+const PEER_CONNECT_LIMIT: Duration = Duration::from_millis(200);
+
 /// A running gateway.
 pub struct GatewayHandle {
     app: Rc<App>,
@@ -50,6 +57,7 @@
     let ready = listen(settings.ready_address).await?;
     let metrics = listen(SocketAddr::new(settings.ip, metrics_port)).await?;
     let peer_address = SocketAddr::new(settings.ip, settings.peer_port);
+    let peers = listen(peer_address).await?;
     let socket = UdpSocket::bind(peer_address)
         .await
         .map_err(|error| GatewayError::Bind { address: peer_address, error })?;
@@ -63,11 +71,12 @@
     );
     let mut tasks = JoinSet::new();
     tasks.spawn_local(watch_configuration(Rc::clone(&app)));
-    tasks.spawn_local(watch_targets(Rc::clone(&app)));
+    tasks.spawn_local(watch_targets(Rc::clone(&app), Rc::clone(&link)));
     tasks.spawn_local(keep_register(Rc::clone(&app)));
     tasks.spawn_local(tell_fleet(Rc::clone(&app), Rc::clone(&link)));
     tasks.spawn_local(plan_placement(Rc::clone(&app), Rc::clone(&link)));
     tasks.spawn_local(hear_fleet(Rc::clone(&app), Rc::clone(&link)));
+    tasks.spawn_local(serve_peers(Rc::clone(&app), peers));
     tasks.spawn_local(accept_callers(Rc::clone(&app), link, callers));
     tasks.spawn_local(serve_operators(Rc::clone(&app), ready));
     tasks.spawn_local(serve_operators(Rc::clone(&app), metrics));
@@ -90,14 +99,16 @@
         authority: RefCell::new(Authority::new(limit, limit)),
         directory: RefCell::new(TargetDirectory::new()),
         fleet: RefCell::new(DirectFleet::new(&settings.data_centre)),
-        gateways: RefCell::new(GatewayTable::new(me.clone())),
+        gateways: RefCell::new(GatewayTable::new(me.clone(), &settings.data_centre)),
         rates: RefCell::new(RatesDesk::new(settings.first_start, settings.bounds)),
         demand: RefCell::new(ModelDemandTable::new()),
         planner: RefCell::new(FleetPlanner::new()),
         pool: TargetPool::default(),
         in_flight: Cell::new(0),
         connections: Cell::new(0),
-        targets_read: Cell::new(false),
+        targets_read_at: Cell::new(None),
+        document: RefCell::new(None),
+        peer_client: HttpClient::new(PEER_CONNECT_LIMIT),
         register_read: Cell::new(false),
         engines_changed: Notify::new(),
         me,
--- /dev/null
+++ b/components/gateway/src/peer_configuration.rs
@@ -0,0 +1,97 @@
+//! Configurations passed between gateways.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use base::{Offset, Timestamp};
+use bytes::Bytes;
+use calls::HttpCall;
+use http::{HeaderName, HeaderValue, Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use platform::read_configuration;
+use tokio::net::TcpListener;
+
+use crate::app::App;
+
+/// Path of the configuration in force.
+const PATH: &str = "/configuration";
+/// Header with the offset of the record that holds it.
+const OFFSET: HeaderName = HeaderName::from_static("x-offset");
+/// Longest wait for an answer of a gateway.
+const CALL_LIMIT: Duration = Duration::from_millis(400);
+/// Longest time to receive a request, also on a connection that is kept.
+const HEAD_LIMIT: Duration = Duration::from_secs(30);
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Answers other gateways until the task is aborted.
+pub(crate) async fn serve_peers(app: Rc<App>, listener: TcpListener) {
+    loop {
+        let Ok((socket, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let app = Rc::clone(&app);
+        tokio::task::spawn_local(async move {
+            let service = service_fn(move |request: Request<Incoming>| {
+                let answer = answer(&app, &request);
+                async move { Ok::<_, Infallible>(answer) }
+            });
+            let served = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(HEAD_LIMIT)
+                .serve_connection(TokioIo::new(socket), service)
+                .await;
+            if let Err(error) = served {
+                log::debug!("event=peer_connection_ended error=\"{error}\"");
+            }
+        });
+    }
+}
+
+fn answer(app: &App, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::new()));
+    let document = app.document.borrow();
+    match document.as_ref().filter(|_| request.uri().path() == PATH) {
+        Some(document) => {
+            *response.body_mut() = Full::new(document.bytes.clone());
+            response.headers_mut().insert(OFFSET, HeaderValue::from(document.offset.0));
+        }
+        None => *response.status_mut() = StatusCode::NOT_FOUND,
+    }
+    response
+}
+
+/// Gets a newer configuration from another gateway, if one has it: one of the same data centre, or of
+/// another one if this gateway speaks for its own.
+pub(crate) async fn fetch_from_peer(app: &App, now: Timestamp) {
+    let (newer, may_go_far) = {
+        let gateways = app.gateways.borrow();
+        (gateways.with_newer(app.version(), now), gateways.is_relay(now))
+    };
+    let source = newer.iter().find(|(_, near)| *near || may_go_far);
+    let Some((address, _)) = source.copied() else { return };
+    match app.peer_client.call(HttpCall::get(address, PATH, CALL_LIMIT)).await {
+        Ok(answer) if answer.status == StatusCode::OK => {
+            let offset = answer
+                .headers
+                .get(OFFSET)
+                .and_then(|value| value.to_str().ok())
+                .and_then(|value| value.parse().ok())
+                .map(Offset);
+            let configuration = offset.and_then(|offset| read_configuration(offset, &answer.body));
+            if let Some(configuration) = configuration {
+                app.adopt(configuration, "gateway", app.clock.now());
+            }
+        }
+        Ok(answer) => {
+            log::info!("event=peer_without_configuration peer={address} status={}", answer.status);
+        }
+        Err(error) => log::info!("event=peer_call_failed peer={address} error=\"{error}\""),
+    }
+}
--- a/components/gateway/src/planning.rs
+++ b/components/gateway/src/planning.rs
@@ -51,7 +51,8 @@
 fn is_settled(app: &App, now: Timestamp) -> bool {
     let age = now.since(Timestamp::default());
     let (known, heard) = app.gateways.borrow().counts(now);
-    let knows_all = app.register_read.get() && app.targets_read.get() && heard >= known;
+    let knows_all =
+        app.register_read.get() && app.targets_read_at.get().is_some() && heard >= known;
     age >= MOST_SETTLE || (age >= LEAST_SETTLE && knows_all)
 }
 
@@ -93,7 +94,7 @@
             );
             let fleet = app.fleet.borrow();
             if let Some(key) = fleet.key_of(&planned.engine) {
-                ask_agent(app, link, fleet.target(key), now);
+                ask_agent(app, link, fleet.target(key), true, now);
             }
         }
     }
--- a/components/gateway/src/rates_desk.rs
+++ b/components/gateway/src/rates_desk.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use base::{Incarnation, ProcessName, SortedMap, Timestamp, hash_bytes};
+use base::{Incarnation, ProcessName, SortedMap, Timestamp, short_hash};
 use compact_str::CompactString;
 use config::{Customer, FleetBounds, Town};
 use rates::{CustomerRate, GatewayCount, SendBudget, SendBudgetSettings, SharedBucket};
@@ -91,7 +91,7 @@
         admitted: &[AdmittedTokens],
     ) {
         for (name, bucket) in self.buckets.iter_mut() {
-            let hash = hash_bytes(name.as_bytes());
+            let hash = short_hash(name.as_bytes());
             if let Some(word) = admitted.iter().find(|word| word.customer == hash) {
                 bucket.take_peer(peer, incarnation, word.tokens, word.asked_per_s);
             }
@@ -109,7 +109,7 @@
             .iter()
             .filter(|(_, bucket)| bucket.admitted() > 0)
             .map(|(name, bucket)| AdmittedTokens {
-                customer: hash_bytes(name.as_bytes()),
+                customer: short_hash(name.as_bytes()),
                 tokens: bucket.admitted(),
                 asked_per_s: bucket.asked_per_s(),
             })
--- a/components/gateway/src/register.rs
+++ b/components/gateway/src/register.rs
@@ -47,7 +47,11 @@
 async fn enter(app: &App) -> bool {
     let settings = app.settings();
     let address = SocketAddr::new(settings.ip, settings.peer_port);
-    let record = GatewayRecord { process: app.me.clone(), address };
+    let record = GatewayRecord {
+        process: app.me.clone(),
+        address,
+        data_centre: settings.data_centre.clone(),
+    };
     let Ok(value) = wire::encode(&record) else { return false };
     if *app.stage.borrow() > Stage::Serving {
         return true;
@@ -79,7 +83,7 @@
         return;
     };
     match wire::decode::<GatewayRecord>(value) {
-        Ok(entry) => app.gateways.borrow_mut().registered(&entry.process, entry.address, now),
+        Ok(entry) => app.gateways.borrow_mut().registered(&entry, now),
         Err(error) => {
             log::warn!(
                 "event=register_entry_rejected gateway={} error=\"{error}\"",
--- a/components/gateway/src/target_watch.rs
+++ b/components/gateway/src/target_watch.rs
@@ -1,28 +1,45 @@
 //! Follows the list of targets on the store.
+//!
+//! Two gateways read it and tell the others what changed. A gateway reads it itself while it hears no
+//! reader, or when it has missed something.
 
 use std::rc::Rc;
 use std::time::Duration;
 
-use base::Timestamp;
-use membership::{DirectoryChange, TargetEntry, TargetState};
+use base::{Offset, Timestamp};
 use platform::decode_target;
 use store::{KeyedPage, KeyedRead, KeyedReader, KeyedRecord, Topic};
 use telemetry::quote;
 use tokio::time::sleep;
+use wire::{TargetEntry, TargetNews, TargetState};
 
 use crate::app::App;
+use crate::fleet_link::FleetLink;
 
 /// Time between two reads. Each is paid for; a leaving target must be noticed within the 2,000 ms
 /// that it still serves, of which a failed call takes half.
 const READ_INTERVAL: Duration = Duration::from_millis(550);
+/// Age of the newest read of any gateway from which this one reads itself.
+const STALE_AFTER: Duration = Duration::from_millis(1_000);
+/// Time for which the digest of the list may differ from that of a reader before this one reads itself:
+/// longer than news is repeated.
+const MISMATCH_LIMIT: Duration = Duration::from_millis(800);
+/// Time between two looks at whether a read is needed.
+const LOOK_INTERVAL: Duration = Duration::from_millis(100);
 /// Pause after a failed call.
 const FAILURE_PAUSE: Duration = Duration::from_millis(250);
 
 /// Reads the list until the task is aborted.
-pub(crate) async fn watch_targets(app: Rc<App>) {
+pub(crate) async fn watch_targets(app: Rc<App>, link: Rc<FleetLink>) {
     let mut reader = KeyedReader::new(Topic::Targets);
     let mut reachable = true;
+    let mut mismatch_since: Option<Timestamp> = None;
     loop {
+        if !must_read(&app, &mut mismatch_since) {
+            sleep(LOOK_INTERVAL).await;
+            continue;
+        }
+        let asked_at = app.clock.now();
         let read = reader.read(&app.store, Duration::ZERO).await;
         let now = app.clock.now();
         match read {
@@ -32,12 +49,12 @@
                     reachable = true;
                 }
                 app.directory.borrow_mut().note_contact(now);
-                match read {
-                    KeyedRead::Whole(page) => take_list(&app, &page, now),
-                    KeyedRead::More(page) => take_records(&app, &page.records, now),
+                for news in take(&app, read, now) {
+                    app.apply_news(&news, now);
+                    link.note_news(news);
                 }
-                app.targets_read.set(true);
-                expire(&app, now);
+                app.targets_read_at.set(Some(asked_at));
+                mismatch_since = None;
                 sleep(READ_INTERVAL).await;
             }
             Err(error) => {
@@ -52,6 +69,32 @@
     }
 }
 
+fn must_read(app: &App, mismatch_since: &mut Option<Timestamp>) -> bool {
+    let now = app.clock.now();
+    let gateways = app.gateways.borrow();
+    if app.targets_read_at.get().is_none() || gateways.is_reader(now) {
+        return true;
+    }
+    let Some((digest, read_at)) = gateways.freshest_targets(now) else { return true };
+    if now.since(read_at) >= STALE_AFTER {
+        return true;
+    }
+    if digest == app.directory.borrow().digest() {
+        *mismatch_since = None;
+        return false;
+    }
+    now.since(*mismatch_since.get_or_insert(now)) >= MISMATCH_LIMIT
+}
+
+fn take(app: &App, read: KeyedRead, now: Timestamp) -> Vec<TargetNews> {
+    let mut news = match read {
+        KeyedRead::Whole(page) => take_list(app, &page, now),
+        KeyedRead::More(page) => take_records(app, &page.records, now),
+    };
+    news.extend(app.directory.borrow_mut().expire(now));
+    news
+}
+
 /// Entry in a record, if it names a target to use.
 fn entry_of(record: &KeyedRecord) -> Option<TargetEntry> {
     let value = record.value.as_ref()?;
@@ -69,79 +112,53 @@
     }
 }
 
-fn take_list(app: &App, page: &KeyedPage, now: Timestamp) {
-    let entries: Vec<TargetEntry> = page.records.iter().filter_map(entry_of).collect();
+fn take_list(app: &App, page: &KeyedPage, now: Timestamp) -> Vec<TargetNews> {
+    let entries: Vec<(Offset, TargetEntry)> =
+        page.records.iter().filter_map(|record| Some((record.offset, entry_of(record)?))).collect();
     log::info!("event=target_list_read targets={} offset={}", entries.len(), page.end.0);
-    for entry in &entries {
-        log::info!(
-            "event=target_listed target={} models={}",
-            quote(&entry.id),
-            quote(&model_names(entry))
-        );
-        app.fleet.borrow_mut().take_entry(entry, now);
-    }
-    for (id, change) in app.directory.borrow_mut().replace(entries, now) {
-        note_change(app, &id, change);
-    }
+    app.directory.borrow_mut().replace(entries, page.end, now)
 }
 
-fn take_records(app: &App, records: &[KeyedRecord], now: Timestamp) {
+fn take_records(app: &App, records: &[KeyedRecord], now: Timestamp) -> Vec<TargetNews> {
+    let mut news = Vec::new();
     for (at, record) in records.iter().enumerate() {
         // Of several records of a target only the last one counts.
         if records[at + 1..].iter().any(|later| later.key == record.key) {
             continue;
         }
-        match entry_of(record) {
-            Some(entry) => take_entry(app, entry, now),
-            None => {
-                let change = app.directory.borrow_mut().remove(&record.key, now);
-                note_change(app, &record.key, change);
-            }
+        let entry = entry_of(record);
+        if let Some(entry) = &entry {
+            // Counts and adapters are no news but of use here.
+            app.fleet.borrow_mut().take_entry(entry, now);
         }
+        let taken = app.directory.borrow_mut().take(record.offset, &record.key, entry, now);
+        news.extend(taken);
     }
+    news
 }
 
-fn take_entry(app: &App, entry: TargetEntry, now: Timestamp) {
-    let known = app.directory.borrow().get(&entry.id).map(|known| (known.state, known.born_ms));
-    let news = known != Some((entry.state, entry.born_ms));
-    if news {
+impl App {
+    /// Acts on news of a target.
+    pub(crate) fn apply_news(&self, news: &TargetNews, now: Timestamp) {
+        let Some(entry) = &news.entry else {
+            log::info!("event=target_gone target={} offset={}", quote(&news.id), news.offset.0);
+            if let Some(address) = self.fleet.borrow_mut().retire(&news.id) {
+                self.pool.forget(address);
+            }
+            return;
+        };
+        let models: Vec<&str> = entry.models.iter().map(|loaded| loaded.model.as_str()).collect();
         log::info!(
-            "event=target_announced target={} address={} state={} models={}",
-            quote(&entry.id),
+            "event=target_announced target={} address={} state={} models={} offset={}",
+            quote(&news.id),
             entry.address,
             match entry.state {
                 TargetState::Ready => "ready",
                 TargetState::Leaving { .. } => "leaving",
             },
-            quote(&model_names(&entry))
+            quote(&models.join(",")),
+            news.offset.0
         );
-    }
-    app.fleet.borrow_mut().take_entry(&entry, now);
-    app.directory.borrow_mut().insert(entry);
-}
-
-fn model_names(entry: &TargetEntry) -> String {
-    let names: Vec<&str> = entry.models.iter().map(|loaded| loaded.model.as_str()).collect();
-    names.join(",")
-}
-
-fn note_change(app: &App, id: &str, change: DirectoryChange) {
-    match change {
-        DirectoryChange::Present => {}
-        DirectoryChange::Lapsed => {
-            log::info!("event=target_lapsed target={} reason=store_was_away", quote(id));
-        }
-        DirectoryChange::Gone => {
-            log::info!("event=target_gone target={}", quote(id));
-            if let Some(address) = app.fleet.borrow_mut().retire(id) {
-                app.pool.forget(address);
-            }
-        }
-    }
-}
-
-fn expire(app: &App, now: Timestamp) {
-    for id in app.directory.borrow_mut().expire(now) {
-        note_change(app, &id, DirectoryChange::Gone);
+        self.fleet.borrow_mut().take_entry(entry, now);
     }
 }
--- a/components/membership/src/gateway_table.rs
+++ b/components/membership/src/gateway_table.rs
@@ -1,29 +1,50 @@
-//! The other gateways, by the register on the store and by their datagrams.
+//! The other gateways, by the register on the store and by their datagrams; who speaks for whom.
+//!
+//! Within a data centre each gateway tells all others. Between data centres only one gateway of each,
+//! the first by name that is heard, exchanges states with those of the others, so that the bytes between
+//! data centres don't grow with the square of the fleet.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use base::{Incarnation, ProcessId, ProcessName, SortedMap, Timestamp};
-use wire::Echo;
+use base::{Incarnation, Offset, ProcessId, ProcessName, SortedMap, Timestamp};
+use compact_str::CompactString;
+use wire::{Echo, GatewayRecord, GatewayState};
 
 /// Silence after which a gateway is not heard any more: several rounds of datagrams.
 const SILENT_AFTER: Duration = Duration::from_millis(1_000);
+/// Silence after which another gateway speaks for the data centre: a few rounds.
+const RELAY_SILENT_AFTER: Duration = Duration::from_millis(600);
 /// Time without a word and without a new entry in the register after which a gateway is gone. Longer
 /// than the time after which a gateway that can't renew its entry stops admitting.
 const GONE_AFTER: Duration = Duration::from_secs(30);
+/// Gateways that read the store for the others; the second one makes up for a first one that stalls.
+const READERS: usize = 2;
+/// Age of a read after which its gateway no longer counts as a reader.
+const READER_STALE_AFTER: Duration = Duration::from_millis(1_500);
 
 /// What is known of another gateway.
 #[derive(Clone, Debug)]
 pub struct GatewayPeer {
     /// Where it takes datagrams.
     pub address: SocketAddr,
+    /// Its data centre.
+    pub data_centre: CompactString,
     /// Newest run that is known.
     pub incarnation: Incarnation,
-    /// When its newest run was last heard.
+    /// When its newest run was last heard, by itself or through others.
     pub heard_at: Option<Timestamp>,
     /// It said that it takes no new work.
     pub draining: bool,
-    /// Its clock in its newest datagram.
+    /// Version of the configuration in force there.
+    pub config: Offset,
+    /// When it read the list of targets, at the latest.
+    pub targets_read_at: Option<Timestamp>,
+    /// Digest of the targets that it knows.
+    pub targets_digest: u32,
+    /// Its clock in its newest state.
+    said_micros: u64,
+    /// Its clock in its newest own datagram.
     sent_micros: u64,
     /// When its register entry was last seen to change, or it was heard.
     alive_at: Timestamp,
@@ -33,86 +54,101 @@
 #[derive(Clone, Debug)]
 pub struct GatewayTable {
     me: ProcessId,
+    data_centre: CompactString,
     peers: SortedMap<ProcessName, GatewayPeer>,
 }
 
 impl GatewayTable {
     /// A table of a process that knows nobody.
-    pub const fn new(me: ProcessId) -> Self {
-        Self { me, peers: SortedMap::new() }
+    pub fn new(me: ProcessId, data_centre: &str) -> Self {
+        Self { me, data_centre: CompactString::new(data_centre), peers: SortedMap::new() }
     }
 
     /// Takes an entry of the register.
-    pub fn registered(&mut self, process: &ProcessId, address: SocketAddr, now: Timestamp) {
+    pub fn registered(&mut self, record: &GatewayRecord, now: Timestamp) {
+        let process = &record.process;
         if process.name == self.me.name {
             return;
         }
+        let fresh = GatewayPeer {
+            address: record.address,
+            data_centre: record.data_centre.clone(),
+            incarnation: process.incarnation,
+            heard_at: None,
+            draining: false,
+            config: Offset::default(),
+            targets_read_at: None,
+            targets_digest: 0,
+            said_micros: 0,
+            sent_micros: 0,
+            alive_at: now,
+        };
         match self.peers.get_mut(&process.name) {
             Some(peer) if peer.incarnation > process.incarnation => {}
-            Some(peer) => {
-                if peer.incarnation < process.incarnation {
-                    peer.heard_at = None;
-                    peer.sent_micros = 0;
-                    peer.draining = false;
-                }
-                peer.incarnation = process.incarnation;
-                peer.address = address;
-                peer.alive_at = now;
-            }
-            None => {
-                let peer = GatewayPeer {
-                    address,
-                    incarnation: process.incarnation,
-                    heard_at: None,
-                    draining: false,
-                    sent_micros: 0,
-                    alive_at: now,
-                };
-                self.peers.insert(process.name.clone(), peer);
+            Some(peer) if peer.incarnation == process.incarnation => peer.alive_at = now,
+            _ => {
+                self.peers.insert(process.name.clone(), fresh);
             }
         }
     }
 
     /// Takes notice that a gateway took its entry out of the register: it ended in order.
     pub fn deregistered(&mut self, name: &str, now: Timestamp) {
-        let silent = self.peers.get(&ProcessName::new(name)).is_some_and(|p| !is_heard(p, now));
-        if silent {
-            self.peers.remove(&ProcessName::new(name));
+        let name = ProcessName::new(name);
+        if self.peers.get(&name).is_some_and(|peer| !is_heard(peer, now)) {
+            self.peers.remove(&name);
         }
     }
 
-    /// Takes a datagram. Returns the time of this process's own datagram that the sender had when it
-    /// sent this one, so that what it says of the past can be dated; none if it had none.
+    /// Takes the state of a gateway, from itself or passed on.
     ///
     /// # Errors
     ///
-    /// The datagram is older than another one that was taken, or of an older run.
-    pub fn heard(
-        &mut self,
-        from: &ProcessId,
-        address: SocketAddr,
-        echo: Echo,
-        draining: bool,
-        now: Timestamp,
-    ) -> Result<Option<Timestamp>, StaleDatagram> {
+    /// It is not newer than another one that was taken, or of an older run.
+    pub fn heard(&mut self, state: &GatewayState, now: Timestamp) -> Result<(), StaleDatagram> {
+        let from = &state.from;
         if from.name == self.me.name {
             return Err(StaleDatagram);
         }
-        let known = self.peers.get(&from.name).map(|p| (p.incarnation, p.sent_micros));
-        if known.is_some_and(|known| (from.incarnation, echo.sent_micros) <= known) {
+        let known = self.peers.get(&from.name);
+        if known.is_some_and(|p| {
+            (from.incarnation, state.sent_micros) <= (p.incarnation, p.said_micros)
+        }) {
             return Err(StaleDatagram);
         }
+        let sent_micros = known
+            .filter(|peer| peer.incarnation == from.incarnation)
+            .map_or(0, |peer| peer.sent_micros);
+        let targets_read_at =
+            state.targets_read_age_ms.map(|age_ms| now - Duration::from_millis(u64::from(age_ms)));
         let peer = GatewayPeer {
-            address,
+            address: state.address,
+            data_centre: state.data_centre.clone(),
             incarnation: from.incarnation,
             heard_at: Some(now),
-            draining,
-            sent_micros: echo.sent_micros,
+            draining: state.draining,
+            config: state.config,
+            targets_read_at,
+            targets_digest: state.targets_digest,
+            said_micros: state.sent_micros,
+            sent_micros,
             alive_at: now,
         };
         self.peers.insert(from.name.clone(), peer);
+        Ok(())
+    }
+
+    /// Takes the times of a datagram that a gateway sent itself. Returns the time of this process's own
+    /// datagram that the sender had when it sent this one, so that what it says of the past can be
+    /// dated; none if it had none.
+    pub fn take_echo(&mut self, from: &ProcessId, echo: Echo) -> Option<Timestamp> {
+        let peer = self.peers.get_mut(&from.name)?;
+        if peer.incarnation != from.incarnation {
+            return None;
+        }
+        peer.sent_micros = peer.sent_micros.max(echo.sent_micros);
         let dated = echo.heard_micros > 0 && echo.heard_incarnation == self.me.incarnation.0;
-        Ok(dated.then(|| Timestamp::from_micros(echo.heard_micros)))
+        dated.then(|| Timestamp::from_micros(echo.heard_micros))
     }
 
     /// Times for a datagram to a gateway.
@@ -164,12 +200,91 @@
             .iter()
             .any(|(name, peer)| *name < self.me.name && is_heard(peer, now) && !peer.draining)
     }
+
+    /// Whether this gateway speaks for its data centre.
+    pub fn is_relay(&self, now: Timestamp) -> bool {
+        !self.peers.iter().any(|(name, peer)| {
+            *name < self.me.name && peer.data_centre == self.data_centre && speaks(peer, now)
+        })
+    }
+
+    /// Whether a gateway is in the data centre of this one.
+    pub fn is_near(&self, peer: &GatewayPeer) -> bool {
+        peer.data_centre == self.data_centre
+    }
+
+    /// Gateways of other data centres that this one exchanges states with: those that speak for them.
+    /// Of a data centre where none is heard, all that may be alive.
+    pub fn far_relays(&self, now: Timestamp) -> Vec<(ProcessName, SocketAddr)> {
+        let mut relays: SortedMap<&CompactString, (&ProcessName, &GatewayPeer)> = SortedMap::new();
+        let mut silent: Vec<(&ProcessName, &GatewayPeer)> = Vec::new();
+        for (name, peer) in self.peers.iter().filter(|(_, peer)| !self.is_near(peer)) {
+            if !speaks(peer, now) {
+                silent.push((name, peer));
+            } else if !relays.contains_key(&peer.data_centre) {
+                relays.insert(&peer.data_centre, (name, peer));
+            }
+        }
+        silent.retain(|(_, peer)| !relays.contains_key(&peer.data_centre));
+        relays
+            .values()
+            .copied()
+            .chain(silent)
+            .map(|(name, peer)| (name.clone(), peer.address))
+            .collect()
+    }
+
+    /// Whether a data centre has a gateway that is heard, this one included.
+    pub fn has_gateway(&self, data_centre: &str, now: Timestamp) -> bool {
+        self.data_centre == data_centre
+            || self.peers.values().any(|peer| peer.data_centre == data_centre && speaks(peer, now))
+    }
+
+    /// Whether this gateway is one of those that read the store for all.
+    pub fn is_reader(&self, now: Timestamp) -> bool {
+        let before = self
+            .peers
+            .iter()
+            .filter(|(name, peer)| {
+                let reads =
+                    peer.targets_read_at.is_some_and(|at| now.since(at) < READER_STALE_AFTER);
+                **name < self.me.name && speaks(peer, now) && reads
+            })
+            .count();
+        before < READERS
+    }
+
+    /// Digest of the targets at the gateway that has read the list last, and when it did.
+    pub fn freshest_targets(&self, now: Timestamp) -> Option<(u32, Timestamp)> {
+        self.peers
+            .values()
+            .filter(|peer| is_heard(peer, now))
+            .filter_map(|peer| Some((peer.targets_digest, peer.targets_read_at?)))
+            .max_by_key(|(_, at)| *at)
+    }
+
+    /// Gateways that have a newer configuration than `config`, near ones first.
+    pub fn with_newer(&self, config: Offset, now: Timestamp) -> Vec<(SocketAddr, bool)> {
+        let mut newer: Vec<(bool, SocketAddr)> = self
+            .peers
+            .values()
+            .filter(|peer| peer.config > config && is_heard(peer, now))
+            .map(|peer| (!self.is_near(peer), peer.address))
+            .collect();
+        newer.sort_unstable();
+        newer.into_iter().map(|(far, address)| (address, !far)).collect()
+    }
 }
 
 fn is_heard(peer: &GatewayPeer, now: Timestamp) -> bool {
     peer.heard_at.is_some_and(|at| now.since(at) < SILENT_AFTER)
 }
 
-/// A datagram that says nothing new.
+/// Whether a gateway is heard well enough to speak for others.
+fn speaks(peer: &GatewayPeer, now: Timestamp) -> bool {
+    !peer.draining && peer.heard_at.is_some_and(|at| now.since(at) < RELAY_SILENT_AFTER)
+}
+
+/// A state that says nothing new.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct StaleDatagram;
--- a/components/membership/src/lib.rs
+++ b/components/membership/src/lib.rs
@@ -11,7 +11,6 @@
 mod membership;
 mod schedule;
 mod target_directory;
-mod target_entry;
 mod vm_list;
 
 pub use authority::{Authority, AuthorityBasis, AuthorityGrant, Electorate};
@@ -20,6 +19,5 @@
 pub use member::{Liveness, Member};
 pub use membership::{Heard, Membership, Myself};
 pub use schedule::{LARGE_ROUND_PEERS, Round, SMALL_FLEET_PEERS, contact_interval};
-pub use target_directory::{DirectoryChange, RETURN_TIME, TargetDirectory};
-pub use target_entry::{TargetEntry, TargetState};
+pub use target_directory::{RETURN_TIME, TargetDirectory};
 pub use vm_list::{Vm, VmList};
--- a/components/membership/src/target_directory.rs
+++ b/components/membership/src/target_directory.rs
@@ -1,33 +1,33 @@
 //! Which targets there are, by the platform's list and the state of the store that holds it.
+//!
+//! A few gateways read the list and tell the others what changed. Each record has an offset, so that
+//! news which arrives twice, late or in another order changes nothing.
 
 use std::time::Duration;
 
-use base::{SortedMap, Timestamp};
+use base::{Offset, SortedMap, Timestamp, short_hash};
 use compact_str::CompactString;
-
-use crate::{TargetEntry, TargetState};
+use wire::{TargetEntry, TargetNews, TargetState};
 
 /// Time after the store's return within which targets whose entries lapsed announce themselves again;
 /// the platform promises about two seconds. A target still missing then is gone.
 pub const RETURN_TIME: Duration = Duration::from_secs(2);
+/// Time for which a target that is gone is remembered, so that old news can't bring it back.
+const GONE_MEMORY: Duration = Duration::from_secs(120);
 
 /// What the directory knows of one target.
 #[derive(Clone, Debug, Eq, PartialEq)]
 struct Listed {
     entry: TargetEntry,
-    /// Set while the entry is missing because of an outage of the store.
-    missing: bool,
+    offset: Offset,
+    /// Offset at which the entry was found missing because of an outage of the store.
+    missing_at: Option<Offset>,
 }
 
-/// What changed for a target.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum DirectoryChange {
-    /// It takes work, or says something new of itself.
-    Present,
-    /// Its entry is gone while the store was away; it keeps its work until the list is sure.
-    Lapsed,
-    /// It takes no new work.
-    Gone,
+struct Gone {
+    offset: Offset,
+    at: Timestamp,
 }
 
 /// Targets by id, with their last entries.
@@ -37,6 +37,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct TargetDirectory {
     targets: SortedMap<CompactString, Listed>,
+    gone: SortedMap<CompactString, Gone>,
     /// First failed read since the last good one.
     failing_since: Option<Timestamp>,
     /// End of the last outage.
@@ -46,7 +47,12 @@
 impl TargetDirectory {
     /// A directory that knows nothing.
     pub const fn new() -> Self {
-        Self { targets: SortedMap::new(), failing_since: None, returned_at: None }
+        Self {
+            targets: SortedMap::new(),
+            gone: SortedMap::new(),
+            failing_since: None,
+            returned_at: None,
+        }
     }
 
     /// The store did not answer a read, or answered that it is unavailable.
@@ -61,65 +67,102 @@
         }
     }
 
-    /// Takes the entry of a target.
-    pub fn insert(&mut self, entry: TargetEntry) -> DirectoryChange {
-        let change = match entry.state {
-            TargetState::Ready => DirectoryChange::Present,
-            TargetState::Leaving { .. } => DirectoryChange::Gone,
-        };
-        self.targets.insert(entry.id.clone(), Listed { entry, missing: false });
-        change
-    }
-
-    /// Takes notice that a target has no usable entry any more.
-    pub fn remove(&mut self, id: &str, now: Timestamp) -> DirectoryChange {
-        if self.is_settling(now) {
-            if let Some(listed) = self.targets.get_mut(id) {
-                listed.missing = true;
-            }
-            return DirectoryChange::Lapsed;
+    /// Takes a record of the list; returns what others should be told, if it says something new.
+    pub fn take(
+        &mut self,
+        offset: Offset,
+        id: &str,
+        entry: Option<TargetEntry>,
+        now: Timestamp,
+    ) -> Option<TargetNews> {
+        if self.known_offset(id).is_some_and(|known| offset <= known) {
+            return None;
+        }
+        match entry {
+            Some(entry) => self.take_entry(offset, entry),
+            None => self.take_absence(offset, id, now),
         }
-        self.targets.remove(id);
-        DirectoryChange::Gone
     }
 
-    /// Takes the whole list; returns the ids that are not on it, with what that means.
+    /// Takes the whole list as of offset `end`; returns what others should be told.
     pub fn replace(
         &mut self,
-        entries: Vec<TargetEntry>,
+        entries: Vec<(Offset, TargetEntry)>,
+        end: Offset,
         now: Timestamp,
-    ) -> Vec<(CompactString, DirectoryChange)> {
-        let mut ids: Vec<CompactString> = entries.iter().map(|entry| entry.id.clone()).collect();
+    ) -> Vec<TargetNews> {
+        let mut ids: Vec<CompactString> =
+            entries.iter().map(|(_, entry)| entry.id.clone()).collect();
         ids.sort_unstable();
-        for entry in entries {
-            self.insert(entry);
-        }
-        let absent: Vec<CompactString> =
-            self.targets.keys().filter(|id| ids.binary_search(id).is_err()).cloned().collect();
-        absent
+        let mut news: Vec<TargetNews> = entries
             .into_iter()
-            .map(|id| {
-                let change = self.remove(&id, now);
-                (id, change)
+            .filter_map(|(offset, entry)| {
+                let id = entry.id.clone();
+                self.take(offset, &id, Some(entry), now)
             })
-            .collect()
+            .collect();
+        let absent: Vec<CompactString> =
+            self.targets.keys().filter(|id| ids.binary_search(id).is_err()).cloned().collect();
+        news.extend(absent.into_iter().filter_map(|id| self.take(end, &id, None, now)));
+        news
+    }
+
+    /// Takes the word of another gateway; true if it changes something.
+    pub fn take_news(&mut self, news: &TargetNews, now: Timestamp) -> bool {
+        if self.known_offset(&news.id).is_some_and(|known| news.offset <= known) {
+            return false;
+        }
+        match &news.entry {
+            Some(entry) => self.take_entry(news.offset, entry.clone()),
+            // The reader has waited out the time to return.
+            None => self.drop_target(news.offset, &news.id, now),
+        }
+        .is_some()
     }
 
-    /// Drops the targets that are still missing after the time to return; returns their ids.
-    pub fn expire(&mut self, now: Timestamp) -> Vec<CompactString> {
+    /// Drops the targets that are still missing after the time to return; returns what others should be
+    /// told.
+    pub fn expire(&mut self, now: Timestamp) -> Vec<TargetNews> {
+        self.gone.retain(|_, gone| now.since(gone.at) < GONE_MEMORY);
         if self.is_settling(now) {
             return Vec::new();
         }
-        let gone: Vec<CompactString> = self
+        let missing: Vec<(CompactString, Offset)> = self
             .targets
             .iter()
-            .filter(|(_, listed)| listed.missing)
-            .map(|(id, _)| id.clone())
+            .filter_map(|(id, listed)| Some((id.clone(), listed.missing_at?)))
             .collect();
-        for id in &gone {
-            self.targets.remove(id);
+        missing.into_iter().filter_map(|(id, at)| self.drop_target(at, &id, now)).collect()
+    }
+
+    fn known_offset(&self, id: &str) -> Option<Offset> {
+        let listed = self.targets.get(id).map(|listed| listed.offset);
+        listed.or_else(|| self.gone.get(id).map(|gone| gone.offset))
+    }
+
+    fn take_entry(&mut self, offset: Offset, entry: TargetEntry) -> Option<TargetNews> {
+        let id = entry.id.clone();
+        self.gone.remove(&id);
+        let listed = Listed { entry: entry.clone(), offset, missing_at: None };
+        let former = self.targets.insert(id.clone(), listed);
+        let is_news = former.is_none_or(|former| differs(&former.entry, &entry));
+        is_news.then_some(TargetNews { offset, id, entry: Some(entry) })
+    }
+
+    fn take_absence(&mut self, offset: Offset, id: &str, now: Timestamp) -> Option<TargetNews> {
+        if self.is_settling(now) {
+            if let Some(listed) = self.targets.get_mut(id) {
+                listed.missing_at.get_or_insert(offset);
+            }
+            return None;
         }
-        gone
+        self.drop_target(offset, id, now)
+    }
+
+    fn drop_target(&mut self, offset: Offset, id: &str, now: Timestamp) -> Option<TargetNews> {
+        self.targets.remove(id)?;
+        self.gone.insert(CompactString::new(id), Gone { offset, at: now });
+        Some(TargetNews { offset, id: CompactString::new(id), entry: None })
     }
 
     /// Whether the store is away or has just returned, so that missing entries mean nothing.
@@ -128,6 +171,21 @@
             || self.returned_at.is_some_and(|at| now.since(at) < RETURN_TIME)
     }
 
+    /// Digest of the targets and their states, equal at gateways that know the same.
+    pub fn digest(&self) -> u32 {
+        self.targets
+            .values()
+            .map(|listed| {
+                let entry = &listed.entry;
+                let leaving = u64::from(entry.state != TargetState::Ready);
+                let mut bytes = entry.id.as_bytes().to_vec();
+                bytes.extend(entry.born_ms.unwrap_or_default().to_le_bytes());
+                bytes.extend(leaving.to_le_bytes());
+                short_hash(&bytes)
+            })
+            .fold(0, |digest, hash| digest ^ hash)
+    }
+
     /// Entry of a target.
     pub fn get(&self, id: &str) -> Option<&TargetEntry> {
         self.targets.get(id).map(|listed| &listed.entry)
@@ -138,3 +196,17 @@
         self.targets.values().map(|listed| &listed.entry)
     }
 }
+
+/// Whether others should be told of a changed entry. Adapters come and go all the time and are known
+/// from agents.
+fn differs(former: &TargetEntry, entry: &TargetEntry) -> bool {
+    let leaving = |entry: &TargetEntry| entry.state != TargetState::Ready;
+    let models = |entry: &TargetEntry| -> Vec<CompactString> {
+        entry.models.iter().map(|loaded| loaded.model.clone()).collect()
+    };
+    former.born_ms != entry.born_ms
+        || former.address != entry.address
+        || leaving(former) != leaving(entry)
+        || former.service != entry.service
+        || models(former) != models(entry)
+}
--- a/components/placement/src/engine_desk.rs
+++ b/components/placement/src/engine_desk.rs
@@ -27,6 +27,9 @@
 /// Time between the word that a model will be unloaded and the order, in which gateways stop sending
 /// requests for it.
 const UNLOAD_NOTICE: Duration = Duration::from_millis(120);
+/// Time for which nothing is ordered while an engine waits for the requests on an adapter that it should
+/// unload; it refuses everything else meanwhile.
+const ADAPTER_LEAVING_LIMIT: Duration = Duration::from_secs(5);
 /// Time for which a load from the weight store is remembered.
 const FETCH_MEMORY: Duration = Duration::from_secs(10);
 
@@ -92,6 +95,8 @@
     plan: Option<(EnginePlan, Timestamp)>,
     open: Option<Open>,
     change: Option<Change>,
+    /// Adapter whose unloading was accepted and that is still loaded, since some request uses it.
+    leaving_adapter: Option<(AdapterName, Timestamp)>,
     /// Model that will be unloaded, and since when the gateways are told.
     leaving: Option<(CompactString, Timestamp)>,
     paused_until: Timestamp,
@@ -161,6 +166,7 @@
         self.open = None;
         self.change = None;
         self.leaving = None;
+        self.leaving_adapter = None;
         self.plan = None;
         self.uses = SortedMap::new();
     }
@@ -193,6 +199,12 @@
         }
         self.report = report;
         self.reported = true;
+        if let Some((name, since)) = &self.leaving_adapter {
+            let is_loaded = self.adapters().any(|loaded| loaded == *name);
+            if !is_loaded || now.since(*since) >= ADAPTER_LEAVING_LIMIT {
+                self.leaving_adapter = None;
+            }
+        }
         self.fetches.retain(|at| now.since(*at) < FETCH_MEMORY);
     }
 
@@ -208,7 +220,10 @@
 
     /// Whether something is awaited that a report may show.
     pub const fn awaits_report(&self) -> bool {
-        self.open.is_some() || self.change.is_some() || !self.report.incoming.is_empty()
+        self.open.is_some()
+            || self.change.is_some()
+            || self.leaving_adapter.is_some()
+            || !self.report.incoming.is_empty()
     }
 
     /// Ages of the loads from the weight store that this desk ordered, youngest last.
@@ -259,6 +274,7 @@
             Some(open) => {
                 return Some(self.due(open.order.clone(), open.expected));
             }
+            None if self.leaving_adapter.is_some() => return None,
             None => self.adapter_order(now).or_else(|| self.model_order(now))?,
         };
         Some(self.due(order, self.report.orders_accepted))
@@ -304,7 +320,11 @@
         let (model, loading) = match order {
             EngineOrder::LoadModel(model) => (model, true),
             EngineOrder::UnloadModel(model) => (model, false),
-            EngineOrder::LoadAdapter(_) | EngineOrder::UnloadAdapter(_) => return,
+            EngineOrder::UnloadAdapter(name) => {
+                self.leaving_adapter = Some((name.clone(), now));
+                return;
+            }
+            EngineOrder::LoadAdapter(_) => return,
         };
         let size = self.size(model);
         let warm = &self.report.warm;
--- a/components/placement/src/model_demand.rs
+++ b/components/placement/src/model_demand.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use base::{ProcessName, SortedMap, Timestamp, hash_bytes};
+use base::{ProcessName, SortedMap, Timestamp, short_hash};
 use compact_str::CompactString;
 use wire::ModelLoad;
 
@@ -91,7 +91,7 @@
                 demand.requests.decay(now);
                 let work_ms = demand.work_ms.value();
                 (work_ms >= LEAST_TOLD || demand.waiting > 0).then(|| ModelLoad {
-                    model: hash_bytes(model.as_bytes()),
+                    model: short_hash(model.as_bytes()),
                     work_micros_per_s: (work_ms * 1_000.0) as u64,
                     requests_per_1000_s: (demand.requests.value() * 1_000.0) as u64,
                     waiting: demand.waiting,
@@ -110,7 +110,7 @@
             }
             None => (0.0, 0),
         };
-        let hash = hash_bytes(model.as_bytes());
+        let hash = short_hash(model.as_bytes());
         let heard = self.peers.values().filter(|(_, at)| now.since(*at) < PEER_LIFETIME);
         for load in heard.flat_map(|(loads, _)| loads).filter(|load| load.model == hash) {
             work_ms += load.work_micros_per_s as f64 / 1_000.0;
--- a/components/routing/src/direct_fleet.rs
+++ b/components/routing/src/direct_fleet.rs
@@ -4,8 +4,7 @@
 
 use base::{ProcessName, SortedMap, Timestamp, rendezvous_score};
 use compact_str::CompactString;
-use membership::TargetEntry;
-use wire::{AgentState, SendCopy, TargetWorkCopy};
+use wire::{AgentState, SendCopy, TargetEntry, TargetWorkCopy};
 
 use crate::direct_choice::{DirectChoice, DirectPick, GenerationNeed, PlainDirectNeed};
 use crate::{
@@ -40,7 +39,7 @@
     data_centre: CompactString,
     targets: Vec<DirectTarget>,
     by_id: SortedMap<CompactString, TargetKey>,
-    by_hash: SortedMap<u64, TargetKey>,
+    by_hash: SortedMap<u32, TargetKey>,
     pace: EnginePace,
     cache_tokens: SortedMap<CompactString, u64>,
 }
@@ -98,13 +97,10 @@
         Some(target.address)
     }
 
-    /// Takes the word of an agent on its engine; false if the engine is not known.
+    /// Takes the word of an agent on its engine; false if it is not news, or the engine is not known.
     pub fn take_agent(&mut self, state: &AgentState, now: Timestamp) -> bool {
         match self.by_id.get(&state.target) {
-            Some(key) => {
-                self.targets[key.0 as usize].take_agent(state, now);
-                true
-            }
+            Some(key) => self.targets[key.0 as usize].take_agent(state, now),
             None => false,
         }
     }
--- a/components/routing/src/direct_target.rs
+++ b/components/routing/src/direct_target.rs
@@ -3,10 +3,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use base::{Incarnation, LoadedModel, SortedMap, Timestamp, WarmCopies, hash_bytes};
+use base::{Incarnation, LoadedModel, SortedMap, Timestamp, WarmCopies, short_hash};
 use compact_str::CompactString;
-use membership::{TargetEntry, TargetState};
-use wire::{AdapterName, AgentState, ModelChange};
+use wire::{AdapterName, AgentState, ModelChange, TargetEntry, TargetState};
 
 use crate::{PrefixMemory, TargetHealth, TargetWork};
 
@@ -14,6 +13,9 @@
 const AGENT_SILENT_AFTER: Duration = Duration::from_millis(2_500);
 /// Time for which a request waits for an adapter before it looks again.
 const WANT_LIFETIME: Duration = Duration::from_millis(300);
+/// Time between two words to an agent on the use of one adapter; within it the agent counts the adapter
+/// as in use.
+const USE_INTERVAL: Duration = Duration::from_millis(450);
 /// Time for which loads from the weight store are remembered; longer than any window for them.
 const FETCH_MEMORY: Duration = Duration::from_secs(30);
 /// Weight of a new observation of how slow a target is.
@@ -32,8 +34,8 @@
 pub struct DirectTarget {
     /// Id of this life.
     pub id: CompactString,
-    /// Hash of the id, its name in datagrams.
-    pub hash: u64,
+    /// Short hash of the id, its name in datagrams.
+    pub hash: u32,
     /// Where it takes requests.
     pub address: SocketAddr,
     /// Service.
@@ -55,12 +57,16 @@
     /// Unix time of its start in milliseconds, if it says so.
     pub born_ms: Option<u64>,
     wants: SortedMap<AdapterName, Timestamp>,
+    /// When the agent was last told of the use of an adapter.
+    uses_told: SortedMap<AdapterName, Timestamp>,
     pub(crate) orders_accepted: u64,
     pub(crate) models: Vec<LoadedModel>,
     pub(crate) warm: WarmCopies,
     pub(crate) changing: Option<ModelChange>,
     pub(crate) free_adapter_slots: u32,
     pub(crate) agent_heard_at: Option<Timestamp>,
+    /// Run of the agent and its clock in its newest word.
+    agent_said: Option<(Incarnation, u64)>,
     pub(crate) agent_load: Option<AgentLoad>,
     /// Run of the agent that was heard last.
     agent_run: Option<Incarnation>,
@@ -88,7 +94,7 @@
     pub(crate) fn new(entry: &TargetEntry, cache_tokens: u64) -> Self {
         let mut target = Self {
             id: entry.id.clone(),
-            hash: hash_bytes(entry.id.as_bytes()),
+            hash: short_hash(entry.id.as_bytes()),
             address: entry.address,
             service: entry.service.clone(),
             data_centre: entry.data_centre.clone(),
@@ -100,12 +106,14 @@
             prefixes: PrefixMemory::new(cache_tokens),
             born_ms: entry.born_ms,
             wants: SortedMap::new(),
+            uses_told: SortedMap::new(),
             orders_accepted: 0,
             models: Vec::new(),
             warm: WarmCopies::default(),
             changing: None,
             free_adapter_slots: 0,
             agent_heard_at: None,
+            agent_said: None,
             agent_load: None,
             agent_run: None,
             fetches: Vec::new(),
@@ -136,14 +144,19 @@
         }
     }
 
-    /// Takes the word of the agent beside it.
-    pub(crate) fn take_agent(&mut self, state: &AgentState, now: Timestamp) {
+    /// Takes the word of the agent beside it; false if a newer one was taken.
+    pub(crate) fn take_agent(&mut self, state: &AgentState, now: Timestamp) -> bool {
+        let said = (state.from.incarnation, state.sent_micros);
+        if self.agent_said.is_some_and(|known| known >= said) {
+            return false;
+        }
         if state.born_ms.is_some() && state.born_ms != self.born_ms {
             if state.born_ms < self.born_ms {
-                return;
+                return false;
             }
             self.start_anew(state.born_ms);
         }
+        self.agent_said = Some(said);
         self.agent_heard_at = Some(now);
         self.models.clone_from(&state.models);
         self.warm.clone_from(&state.warm);
@@ -156,6 +169,7 @@
             waiting: state.waiting,
             cache_used_tokens: state.cache_used_tokens,
         });
+        true
     }
 
     /// Takes the times of loads from the weight store. A new run of the agent does not know of those
@@ -233,6 +247,16 @@
         self.wants.insert(adapter, now).is_none()
     }
 
+    /// Takes notice that a request uses an adapter; true if the agent is due to be told.
+    pub fn note_use(&mut self, adapter: AdapterName, now: Timestamp) -> bool {
+        if self.uses_told.get(&adapter).is_some_and(|at| now.since(*at) < USE_INTERVAL) {
+            return false;
+        }
+        self.uses_told.retain(|_, at| now.since(*at) < USE_INTERVAL);
+        self.uses_told.insert(adapter, now);
+        true
+    }
+
     /// Adapters that requests wait for.
     pub fn wanted(&self, now: Timestamp) -> Vec<AdapterName> {
         let lacks = |name: &AdapterName| !self.has_adapter(&name.model, &name.adapter);
--- a/components/routing/src/prefix_memory.rs
+++ b/components/routing/src/prefix_memory.rs
@@ -18,7 +18,7 @@
 pub struct PrefixMemory {
     capacity_tokens: u64,
     kept_tokens: u64,
-    kept: SortedMap<u64, Kept>,
+    kept: SortedMap<u32, Kept>,
 }
 
 impl PrefixMemory {
--- a/components/routing/src/prompt_part.rs
+++ b/components/routing/src/prompt_part.rs
@@ -14,8 +14,8 @@
 /// A part together with all parts before it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct PrefixLink {
-    /// Hash of the model, the adapter and all parts up to this one.
-    pub hash: u64,
+    /// Short hash of the model, the adapter and all parts up to this one.
+    pub hash: u32,
     /// Tokens of this part alone.
     pub tokens: u32,
 }
@@ -30,7 +30,7 @@
             bytes[..8].copy_from_slice(&before.to_le_bytes());
             bytes[8..].copy_from_slice(&part.id.to_le_bytes());
             *before = hash_bytes(&bytes);
-            Some(PrefixLink { hash: *before, tokens: part.tokens })
+            Some(PrefixLink { hash: (*before >> 32) as u32, tokens: part.tokens })
         })
         .collect()
 }
--- a/components/wire/src/fleet_state.rs
+++ b/components/wire/src/fleet_state.rs
@@ -7,13 +7,42 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
+use crate::TargetEntry;
+
 /// A datagram.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub enum Datagram {
-    /// State of an agent.
+pub struct Datagram {
+    /// Sender.
+    pub from: ProcessId,
+    /// Times.
+    pub echo: Echo,
+    /// Content.
+    pub body: DatagramBody,
+}
+
+/// Content of a datagram.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum DatagramBody {
+    /// State of the sending agent.
     Agent(AgentState),
-    /// What a gateway wants of an agent.
+    /// What the sending gateway wants of an agent.
     Ask(AgentAsk),
+    /// State of the sending gateway.
+    Gateway(GatewayState),
+    /// States of others, from a gateway that speaks for its data centre.
+    Relayed {
+        /// Whether the receiver passes them on to the gateways of its data centre.
+        pass_on: bool,
+        /// States.
+        items: Vec<RelayedItem>,
+    },
+}
+
+/// A state that is passed on.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum RelayedItem {
+    /// State of an agent.
+    Agent(AgentState),
     /// State of a gateway.
     Gateway(GatewayState),
 }
@@ -33,31 +62,52 @@
 /// State of a gateway, for the other gateways.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct GatewayState {
-    /// Sender.
+    /// The gateway.
     pub from: ProcessId,
-    /// Times.
-    pub echo: Echo,
-    /// Version of the configuration in force at the sender.
+    /// Where it takes datagrams.
+    pub address: SocketAddr,
+    /// Its data centre.
+    pub data_centre: CompactString,
+    /// Its clock when it said so, in microseconds.
+    pub sent_micros: u64,
+    /// Version of the configuration in force there.
     pub config: Offset,
-    /// Milliseconds since the sender itself read the operators' topic to its end.
-    pub end_read_age_ms: Option<u32>,
-    /// The sender takes no new work.
+    /// Age of its newest evidence that it knows every configuration, in milliseconds.
+    pub evidence_age_ms: Option<u32>,
+    /// Time since it read the list of targets itself, in milliseconds.
+    pub targets_read_age_ms: Option<u32>,
+    /// Digest of the targets that it knows.
+    pub targets_digest: u32,
+    /// It takes no new work.
     pub draining: bool,
-    /// Tokens that this run of the sender has admitted, by customer.
+    /// Tokens that this run of it has admitted, by customer.
     pub admitted: Vec<AdmittedTokens>,
-    /// Work of the sender at targets that have any.
+    /// Its work at targets that have any.
     pub work: Vec<TargetWorkCopy>,
-    /// Latest sends.
+    /// Its latest sends.
     pub sends: Vec<SendCopy>,
-    /// Demand that the sender sees.
+    /// Demand that it sees.
     pub demand: Vec<ModelLoad>,
+    /// What it has read of targets lately.
+    pub news: Vec<TargetNews>,
+}
+
+/// What the list says of a target.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TargetNews {
+    /// Position of the record in the list's topic; of two the later one counts.
+    pub offset: Offset,
+    /// Target.
+    pub id: CompactString,
+    /// Its entry; none if it is gone.
+    pub entry: Option<TargetEntry>,
 }
 
 /// Tokens of a customer.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct AdmittedTokens {
-    /// Hash of the customer's name.
-    pub customer: u64,
+    /// Short hash of the customer's name.
+    pub customer: u32,
     /// Tokens admitted since the start of the process.
     pub tokens: u64,
     /// Tokens a second that were asked for lately.
@@ -67,8 +117,8 @@
 /// Work at a target.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct TargetWorkCopy {
-    /// Hash of the target's id.
-    pub target: u64,
+    /// Short hash of the target's id.
+    pub target: u32,
     /// Time for prompts that are not answered yet, in milliseconds.
     pub unread_ms: u32,
     /// Requests without a first event.
@@ -84,8 +134,8 @@
 pub struct SendCopy {
     /// Number at the sender; a number that was seen is not taken again.
     pub number: u64,
-    /// Hash of the target's id.
-    pub target: u64,
+    /// Short hash of the target's id.
+    pub target: u32,
     /// Links of the prompt.
     pub links: Vec<LinkCopy>,
 }
@@ -94,7 +144,7 @@
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct LinkCopy {
     /// Hash of the prompt up to the end of the part.
-    pub hash: u64,
+    pub hash: u32,
     /// Tokens of the part.
     pub tokens: u32,
 }
@@ -102,8 +152,8 @@
 /// Load that requests for a model put on engines.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ModelLoad {
-    /// Hash of the model's name.
-    pub model: u64,
+    /// Short hash of the model's name.
+    pub model: u32,
     /// Engine time asked for in a second, in microseconds.
     pub work_micros_per_s: u64,
     /// Requests in 1,000 seconds.
@@ -115,10 +165,8 @@
 /// What a gateway wants of the agent beside a target.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct AgentAsk {
-    /// Sender.
-    pub from: ProcessId,
-    /// Times.
-    pub echo: Echo,
+    /// Whether the agent should answer with its state.
+    pub wants_state: bool,
     /// Id of the life of the target that the sender knows.
     pub target: CompactString,
     /// Unix time of its start in milliseconds, if it says so.
@@ -165,10 +213,10 @@
 /// State of an engine as the agent beside it sees it.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct AgentState {
-    /// Sender.
+    /// The agent.
     pub from: ProcessId,
-    /// Times.
-    pub echo: Echo,
+    /// Its clock when it said so, in microseconds.
+    pub sent_micros: u64,
     /// Id of the engine's life; empty while the agent does not know it.
     pub target: CompactString,
     /// Unix time of the engine's start in milliseconds, if it says so.
@@ -211,4 +259,6 @@
     pub process: ProcessId,
     /// Where it takes datagrams.
     pub address: SocketAddr,
+    /// Its data centre.
+    pub data_centre: CompactString,
 }
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -19,14 +19,16 @@
 mod server;
 mod start_record;
 mod status;
+mod target_entry;
 
 pub use cache::{CacheChange, CacheEventCopy, CacheUpdate};
 pub use client::{PeerClient, PendingReceiver};
 pub use codec::{MAX_FRAME_BYTES, decode, encode};
 pub use error::WireError;
 pub use fleet_state::{
-    AdapterName, AdmittedTokens, AgentAsk, AgentState, Datagram, Echo, EnginePlan, GatewayRecord,
-    GatewayState, LinkCopy, ModelChange, ModelLoad, PlannedCopy, SendCopy, TargetWorkCopy,
+    AdapterName, AdmittedTokens, AgentAsk, AgentState, Datagram, DatagramBody, Echo, EnginePlan,
+    GatewayRecord, GatewayState, LinkCopy, ModelChange, ModelLoad, PlannedCopy, RelayedItem,
+    SendCopy, TargetNews, TargetWorkCopy,
 };
 pub use forward::{ForwardDown, ForwardHead, ForwardUp, Header};
 pub use frames::{FrameReceiver, FrameSender};
@@ -46,3 +48,4 @@
 pub use server::{Incoming, Responder, serve_connection};
 pub use start_record::{FLEET_STREAM, StartRecord};
 pub use status::{ProcessStatus, StatusProblem};
+pub use target_entry::{TargetEntry, TargetState};
--- a/components/membership/src/target_entry.rs
+++ b/components/wire/src/target_entry.rs
@@ -4,9 +4,10 @@
 
 use base::{LoadedModel, WarmCopies};
 use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
 
 /// Whether a target takes new work.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub enum TargetState {
     /// Yes.
     #[default]
@@ -19,7 +20,7 @@
 }
 
 /// Entry of one target, by the target itself.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct TargetEntry {
     /// Unique name of this life of the target; a restart may keep it.
     pub id: CompactString,
