Tell gateways of silent engines; wait for models within limits

Change: agents say whether their engine answers, gateways tell one another of targets that are silent; waits for models and adapters are decided in routing::load_wait; what has no answer near the end of a shutdown gets one. The budget of further sends is pooled.

--- a/components/agent/src/app.rs
+++ b/components/agent/src/app.rs
@@ -38,6 +38,8 @@
     pub store: StoreClient,
     /// Engine.
     pub engine: EngineClient,
+    /// Whether the engine answered the last calls for its report.
+    pub engine_answers: Cell<bool>,
     /// Orders.
     pub desk: RefCell<EngineDesk>,
     /// Fencing number of this run; none until the store has given one.
--- a/components/agent/src/engine_driver.rs
+++ b/components/agent/src/engine_driver.rs
@@ -16,15 +16,19 @@
 /// Time between two reports while a model is loaded or unloaded, which takes 400 ms and more.
 const CHANGE_INTERVAL: Duration = Duration::from_millis(25);
 
+/// Reports in a row that did not come after which the engine counts as lost. A lost packet delays one.
+const LOST_AFTER: u32 = 2;
+
 /// Drives the engine until the task is aborted.
 pub(crate) async fn drive_engine(app: Rc<App>) {
-    let mut reachable = true;
+    let mut failures = 0;
     loop {
         match app.engine.report().await {
             Ok(report) => {
-                if !reachable {
+                failures = 0;
+                if !app.engine_answers.replace(true) {
                     log::info!("event=engine_regained");
-                    reachable = true;
+                    tell_all(&app);
                 }
                 let now = app.clock.now();
                 let changed = {
@@ -44,9 +48,10 @@
                 give_order(&app).await;
             }
             Err(error) => {
-                if reachable {
-                    log::warn!("event=engine_lost error=\"{error}\"");
-                    reachable = false;
+                failures += 1;
+                if failures >= LOST_AFTER && app.engine_answers.replace(false) {
+                    log::warn!("event=engine_lost failures={failures} error=\"{error}\"");
+                    tell_all(&app);
                 }
             }
         }
@@ -57,6 +62,9 @@
 }
 
 fn interval(app: &App) -> Duration {
+    if !app.engine_answers.get() {
+        return CHANGE_INTERVAL;
+    }
     let desk = app.desk.borrow();
     if !desk.report().incoming.is_empty() || desk.next_order(app.clock.now()).is_some() {
         BUSY_INTERVAL
--- a/components/agent/src/gateway_link.rs
+++ b/components/agent/src/gateway_link.rs
@@ -99,6 +99,7 @@
         sent_micros: now.micros,
         target: target.clone(),
         born_ms,
+        answers: app.engine_answers.get(),
         orders_accepted: report.orders_accepted,
         models: report.models.clone(),
         changing: desk.change(now),
--- a/components/agent/src/handle.rs
+++ b/components/agent/src/handle.rs
@@ -45,6 +45,7 @@
         clock: BootClock::start(),
         store: StoreClient::new(settings.store_address),
         engine: EngineClient::new(settings.engine_address),
+        engine_answers: Cell::new(true),
         desk: RefCell::new(EngineDesk::new()),
         fencing: Cell::new(None),
         askers: RefCell::new(SortedMap::new()),
--- a/components/gateway/src/answer.rs
+++ b/components/gateway/src/answer.rs
@@ -20,6 +20,7 @@
 use crate::fleet_link::FleetLink;
 use crate::relay::Relay;
 use crate::request::{Arrival, CallerRequest, understand};
+use crate::stage::Stage;
 
 /// Most bytes of a body while no configuration says otherwise.
 const USUAL_BODY_BYTES: usize = 4 << 20;
@@ -77,9 +78,14 @@
         Err(error) => return refuse(&app, &error, &id, None, arrived),
     };
     let mut call = Call::new(Rc::clone(&app), link, Rc::clone(&request));
-    match call.run().await {
+    let mut stage = app.stage.subscribe();
+    let end = tokio::select! {
+        end = call.run() => Some(end),
+        _ = stage.wait_for(|stage| *stage >= Stage::Ending) => None,
+    };
+    match end.unwrap_or_else(|| Err(call.cut_off())) {
         Ok(CallEnd::Whole(whole)) => {
-            log_end(&app, &request, "whole", whole.status.as_u16(), call.sends, None, 0);
+            log_end(&app, &request, "whole", whole.status.as_u16(), call.sends, None);
             whole_response(whole)
         }
         Ok(CallEnd::Stream(answer, send)) => {
@@ -87,12 +93,11 @@
             *response.status_mut() = answer.status;
             *response.headers_mut() = forwarded_answer_headers(&answer.headers);
             let (parts, body) = CallerBody::parts(None);
-            let relay = Relay { call, parts, first_event_at: None, events: 0 };
+            let relay = Relay::new(call, parts);
             tokio::task::spawn_local(async move {
                 let (relay, end) = relay.run(*answer, send).await;
                 let request = Rc::clone(&relay.call.request);
-                let first = relay.first_event_at;
-                log_end(&app, &request, end.as_str(), 200, relay.call.sends, first, relay.events);
+                log_end(&app, &request, end.as_str(), 200, relay.call.sends, Some(&relay));
                 if end == crate::relay::RelayEnd::Whole {
                     // A caller that has gone needs no end.
                     let _ended = relay.parts.end().await;
@@ -138,9 +143,10 @@
 ) -> CallerResponse {
     app.metrics.record_refusal(error.code.as_str());
     log::info!(
-        "event=request_refused request_id={} code={} ran={} retry_after_ms={} route={} customer={} after_ms={} config={} evidence_age_ms={}",
+        "event=request_refused request_id={} code={} reason={} ran={} retry_after_ms={} route={} customer={} after_ms={} config={} evidence_age_ms={}",
         quote(id),
         error.code.as_str(),
+        quote(&error.message),
         error.ran.as_str(),
         error.retry_after_ms.unwrap_or_default(),
         request.map_or("-", |request| request.plan.route.as_str()),
@@ -168,9 +174,9 @@
     end: &str,
     status: u16,
     sends: u32,
-    first_event_at: Option<Timestamp>,
-    events: u64,
+    relay: Option<&Relay>,
 ) {
+    let first_event_at = relay.and_then(|relay| relay.first_event_at);
     let now = app.clock.now();
     let total = now.since(request.arrived);
     let customer = request.customer.as_deref().unwrap_or("-");
@@ -181,11 +187,13 @@
     }
     app.metrics.record_total(customer, class, total, request.output_tokens());
     log::info!(
-        "event=request_ended request_id={} end={end} status={status} route={} kind={} customer={} sends={sends} events={events} first_event_ms={} total_ms={} objective_ms={}",
+        "event=request_ended request_id={} end={end} status={status} route={} kind={} customer={} sends={sends} events={} longest_gap_ms={} first_event_ms={} total_ms={} objective_ms={}",
         quote(&request.id),
         quote(&request.plan.route),
         request.plan.kind.as_str(),
         quote(customer),
+        relay.map_or(0, |relay| relay.events),
+        relay.map_or(0, |relay| relay.longest_gap.as_millis()),
         first_event_at.map_or(-1, |at| at.since(request.arrived).as_millis() as i64),
         total.as_millis(),
         request.plan.objectives.answer.as_millis()
--- a/components/gateway/src/call.rs
+++ b/components/gateway/src/call.rs
@@ -10,8 +10,8 @@
 use http::{HeaderMap, StatusCode};
 use platform::forwarded_answer_headers;
 use routing::{
-    Admission, DirectChoice, DirectPick, GenerationNeed, PlainDirectNeed, SendId, Slack, TargetKey,
-    TargetOutcome, admit, return_time,
+    Admission, DirectChoice, DirectPick, GenerationNeed, LoadWait, PlainDirectNeed, SendId, Slack,
+    TargetKey, TargetOutcome, admit, wait_for_model, waits_for_adapter,
 };
 use telemetry::quote;
 use tokio::time::timeout;
@@ -20,13 +20,16 @@
 use crate::exchange::{ExchangeFailure, NoAnswer, TargetAnswer, exchange};
 use crate::fleet_link::{FleetLink, ask_agent};
 use crate::request::{CallerRequest, charge, gateway_count};
+use crate::stage::Stage;
 
 /// Sends of one request that a target may refuse beyond those that may run it.
 const EXTRA_SENDS: u32 = 2;
 /// Time that must be left for another send.
 const LEAST_LEFT: Duration = Duration::from_millis(30);
-/// Longest wait for a model or adapter that is being loaded, as a share of the time left.
-const LOAD_WAIT_SHARE: f64 = 0.4;
+/// Longest wait for a model or adapter while this process shuts down.
+const DRAINING_WAIT: Duration = Duration::from_millis(700);
+/// Advised wait while this process shuts down, in milliseconds; another one can be asked at once.
+const DRAINING_RETRY_MS: u64 = 100;
 /// Wait between two looks at the fleet while a model or adapter is awaited.
 const LOAD_LOOK: Duration = Duration::from_millis(100);
 /// Advised wait if no target is there, in milliseconds: the time in which a new one is noticed.
@@ -115,6 +118,10 @@
     /// Last event that the caller has.
     pub last_event: Option<u64>,
     charged: bool,
+    /// Target that was asked for the adapter, and since when.
+    adapter_asked: Option<(TargetKey, Timestamp)>,
+    /// Whether a target may be at work on it now.
+    at_target: bool,
     /// A failure of a target that is passed on if nothing better comes.
     failure: Option<WholeAnswer>,
 }
@@ -138,6 +145,8 @@
             sends: 0,
             last_event,
             charged: false,
+            adapter_asked: None,
+            at_target: false,
             failure: None,
         }
     }
@@ -159,6 +168,7 @@
             }
             let send = self.note_send(&chosen);
             let limit = self.answer_limit(&chosen.pick);
+            self.at_target = true;
             let answer = exchange(
                 &self.app,
                 &self.request,
@@ -168,6 +178,7 @@
                 limit,
             )
             .await;
+            self.at_target = false;
             match answer {
                 Ok(answer) => {
                     if let Some(end) = self.take_answer(answer, send).await {
@@ -179,6 +190,19 @@
         }
     }
 
+    /// The answer to a call that is ended from outside, since this process ends.
+    pub(crate) fn cut_off(&self) -> ApiError {
+        let ran = if self.at_target || self.runs > 0 { RanState::Unknown } else { RanState::NotRun };
+        let text = "this process is shutting down";
+        match ran {
+            RanState::NotRun => ApiError::new(ErrorCode::Draining, text)
+                .with_retry_after_ms(DRAINING_RETRY_MS),
+            RanState::Ran | RanState::Unknown => {
+                ApiError::new(ErrorCode::UpstreamFailed, text).with_ran(ran)
+            }
+        }
+    }
+
     /// Ends a call that has no target left.
     fn give_up(&mut self, error: ApiError) -> Result<CallEnd, ApiError> {
         if let Some(failure) = self.failure.take() {
@@ -446,37 +470,65 @@
         }
     }
 
-    async fn await_adapter(&self, pick: &DirectPick, began: Timestamp) -> Result<(), ApiError> {
+    /// Waits for the adapter at a target; leaves the target if it does not come.
+    async fn await_adapter(&mut self, pick: &DirectPick, began: Timestamp) -> Result<(), ApiError> {
         let now = self.app.clock.now();
+        let (_, asked_at) = *self.adapter_asked.get_or_insert((pick.key, now));
+        if self.adapter_asked.is_some_and(|(key, _)| key != pick.key) {
+            self.adapter_asked = Some((pick.key, now));
+        } else if !waits_for_adapter(now.since(asked_at)) {
+            log::info!(
+                "event=adapter_missing request_id={} target={} waited_ms={}",
+                quote(&self.request.id),
+                quote(&pick.id),
+                now.since(asked_at).as_millis()
+            );
+            self.excluded.push(pick.key);
+            self.adapter_asked = None;
+            return Ok(());
+        }
         if let Some(name) = generation_need(&self.request, &[]).adapter_name() {
             let mut fleet = self.app.fleet.borrow_mut();
             if fleet.target_mut(pick.key).want(name, now) {
                 ask_agent(&self.app, &self.link, fleet.target(pick.key), true, now);
             }
         }
-        self.await_change(began, 0.0).await
+        self.refuse_if_draining(now.since(began))?;
+        self.await_news().await;
+        Ok(())
     }
 
+    /// Waits for a copy of the model; refuses at once what will not have one in time.
     async fn await_copy(&self, loading_ms: Option<u32>, began: Timestamp) -> Result<(), ApiError> {
-        self.await_change(began, f64::from(loading_ms.unwrap_or_default())).await
+        let now = self.app.clock.now();
+        let loading = loading_ms.map(|ms| Duration::from_millis(u64::from(ms)));
+        let allowed = self.request.deadline.since(began);
+        match wait_for_model(loading, now.since(began), allowed) {
+            LoadWait::Wait => {
+                self.refuse_if_draining(now.since(began))?;
+                self.await_news().await;
+                Ok(())
+            }
+            LoadWait::Refuse { retry_after } => {
+                let text = "no target has the model or adapter";
+                let retry_ms = u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX);
+                Err(ApiError::new(ErrorCode::NoCapacity, text).with_retry_after_ms(retry_ms))
+            }
+        }
     }
 
-    /// Waits for news from the engines; refuses at once what they will not have in time.
-    async fn await_change(&self, began: Timestamp, needed_ms: f64) -> Result<(), ApiError> {
-        let now = self.app.clock.now();
-        let allowed = (self.request.deadline.since(began)).mul_f64(LOAD_WAIT_SHARE);
-        let waited = now.since(began);
-        let needed = Duration::from_secs_f64(needed_ms / 1_000.0);
-        if waited + needed > allowed {
-            let left = self.request.deadline.since(now);
-            let retry_ms =
-                u64::try_from(return_time(needed_ms * 2.0, left).as_millis()).unwrap_or(u64::MAX);
-            let text = "no target has the model or adapter";
-            return Err(ApiError::new(ErrorCode::NoCapacity, text).with_retry_after_ms(retry_ms));
+    /// Refuses a request that waits while this process shuts down.
+    fn refuse_if_draining(&self, waited: Duration) -> Result<(), ApiError> {
+        if *self.app.stage.borrow() == Stage::Serving || waited < DRAINING_WAIT {
+            return Ok(());
         }
-        // Either news or the next look.
+        let text = "this process is shutting down";
+        Err(ApiError::new(ErrorCode::Draining, text).with_retry_after_ms(DRAINING_RETRY_MS))
+    }
+
+    /// Waits for news from the engines, or for the next look.
+    async fn await_news(&self) {
         let _news = timeout(LOAD_LOOK, self.app.engines_changed.notified()).await;
-        Ok(())
     }
 }
 
--- a/components/gateway/src/fleet_ears.rs
+++ b/components/gateway/src/fleet_ears.rs
@@ -127,10 +127,12 @@
         );
     }
     app.rates.borrow_mut().take_peer(&state.from.name, state.from.incarnation, &state.admitted);
+    app.rates.borrow_mut().take_peer_sends(&state.from.name, &state.further_sends, now);
     app.demand.borrow_mut().take_peer(&state.from.name, state.demand.clone(), now);
     {
         let mut fleet = app.fleet.borrow_mut();
         fleet.take_peer_work(&state.from.name, &state.work, now);
+        fleet.take_peer_silence(&state.silent_targets, now);
         for send in link.new_sends(state) {
             fleet.take_peer_send(send, now);
         }
--- a/components/gateway/src/fleet_link.rs
+++ b/components/gateway/src/fleet_link.rs
@@ -158,6 +158,7 @@
 /// Whether the state of an agent differs in what other gateways choose by.
 fn differs(former: &AgentState, state: &AgentState) -> bool {
     former.born_ms != state.born_ms
+        || former.answers != state.answers
         || former.models != state.models
         || former.changing.as_ref().map(|change| (&change.model, change.loading))
             != state.changing.as_ref().map(|change| (&change.model, change.loading))
@@ -194,6 +195,14 @@
 fn own_state(app: &App, link: &FleetLink, now: Timestamp) -> GatewayState {
     let settings = app.settings();
     let millis = |age: Duration| u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
+    let (admitted, further_sends) = {
+        let mut rates = app.rates.borrow_mut();
+        (rates.admitted(), rates.further_sends(now))
+    };
+    let (work, silent_targets) = {
+        let fleet = app.fleet.borrow();
+        (fleet.own_work(), fleet.silent_targets(now))
+    };
     GatewayState {
         from: app.me.clone(),
         address: SocketAddr::new(settings.ip, settings.peer_port),
@@ -205,11 +214,13 @@
         targets_read_age_ms: app.targets_read_at.get().map(|at| millis(now.since(at))),
         targets_digest: app.directory.borrow().digest(),
         draining: *app.stage.borrow() > Stage::Serving,
-        admitted: app.rates.borrow().admitted(),
-        work: app.fleet.borrow().own_work(),
+        admitted,
+        work,
         sends: link.recent(&link.sends, SEND_ROUNDS),
         demand: app.demand.borrow_mut().own_loads(now),
         news: link.recent(&link.news, NEWS_ROUNDS),
+        silent_targets,
+        further_sends,
     }
 }
 
--- a/components/gateway/src/rates_desk.rs
+++ b/components/gateway/src/rates_desk.rs
@@ -5,8 +5,8 @@
 use base::{Incarnation, ProcessName, SortedMap, Timestamp, short_hash};
 use compact_str::CompactString;
 use config::{Customer, FleetBounds, Town};
-use rates::{CustomerRate, GatewayCount, SendBudget, SendBudgetSettings, SharedBucket};
-use wire::AdmittedTokens;
+use rates::{CustomerRate, GatewayCount, PeerSends, SendBudget, SendBudgetSettings, SharedBucket};
+use wire::{AdmittedTokens, FurtherSends};
 
 /// Part of the tolerated excess over a customer's rate that is admitted.
 const EXCESS_PART: f64 = 0.6;
@@ -18,12 +18,14 @@
     bounds: FleetBounds,
     buckets: SortedMap<CompactString, SharedBucket>,
     budgets: SortedMap<CompactString, SendBudget>,
+    /// Further sends of the other gateways.
+    peer_sends: SortedMap<ProcessName, (Vec<FurtherSends>, Timestamp)>,
 }
 
 impl RatesDesk {
     /// A desk without customers.
     pub(crate) const fn new(first_start: bool, bounds: FleetBounds) -> Self {
-        Self { first_start, bounds, buckets: SortedMap::new(), budgets: SortedMap::new() }
+        Self { first_start, bounds, buckets: SortedMap::new(), budgets: SortedMap::new(), peer_sends: SortedMap::new() }
     }
 
     /// Takes changed bounds; they hold from the next configuration taken.
@@ -80,7 +82,45 @@
 
     /// Takes a send to a further target from the budget of a service.
     pub(crate) fn try_further(&mut self, service: &str, gateways: u32, now: Timestamp) -> bool {
-        self.budgets.get_mut(service).is_some_and(|budget| budget.try_take(gateways, now))
+        let hash = short_hash(service.as_bytes());
+        let window = Duration::from_millis(self.bounds.retry_window_ms);
+        let peers = self
+            .peer_sends
+            .values()
+            .filter(|(_, at)| now.since(*at) < window)
+            .flat_map(|(sends, _)| sends)
+            .filter(|sends| sends.service == hash)
+            .fold(PeerSends::default(), |sum, sends| PeerSends {
+                requests: sum.requests + sends.requests,
+                further: sum.further + sends.further,
+            });
+        let budget = self.budgets.get_mut(service);
+        budget.is_some_and(|budget| budget.try_take(gateways, peers, now))
+    }
+
+    /// Requests and further sends of this gateway, for its peers.
+    pub(crate) fn further_sends(&mut self, now: Timestamp) -> Vec<FurtherSends> {
+        self.budgets
+            .iter_mut()
+            .map(|(service, budget)| {
+                let counts = budget.counts(now);
+                FurtherSends {
+                    service: short_hash(service.as_bytes()),
+                    requests: counts.requests,
+                    further: counts.further,
+                }
+            })
+            .collect()
+    }
+
+    /// Takes a peer's word on its further sends.
+    pub(crate) fn take_peer_sends(
+        &mut self,
+        peer: &ProcessName,
+        sends: &[FurtherSends],
+        now: Timestamp,
+    ) {
+        self.peer_sends.insert(peer.clone(), (sends.to_vec(), now));
     }
 
     /// Takes a peer's word on what it has admitted.
@@ -101,6 +141,7 @@
     /// Forgets a gateway that is gone.
     pub(crate) fn forget_peer(&mut self, peer: &ProcessName) {
         self.buckets.values_mut().for_each(|bucket| bucket.forget_peer(peer));
+        self.peer_sends.remove(peer);
     }
 
     /// What this gateway has admitted, for its peers.
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -43,6 +43,10 @@
     pub parts: PartSender,
     /// When the first event went to the caller.
     pub first_event_at: Option<Timestamp>,
+    /// When the last event went to the caller.
+    pub last_event_at: Option<Timestamp>,
+    /// Longest pause between two events.
+    pub longest_gap: Duration,
     /// Events passed on.
     pub events: u64,
 }
@@ -55,6 +59,18 @@
 }
 
 impl Relay {
+    /// A stream of which nothing was passed on.
+    pub(crate) const fn new(call: Call, parts: PartSender) -> Self {
+        Self {
+            call,
+            parts,
+            first_event_at: None,
+            last_event_at: None,
+            longest_gap: Duration::ZERO,
+            events: 0,
+        }
+    }
+
     /// Passes events on until the stream ends; ends the caller's body only if it is whole.
     pub(crate) async fn run(mut self, answer: TargetAnswer, send: Send) -> (Self, RelayEnd) {
         let mut current = (answer, send);
@@ -175,8 +191,10 @@
         if event.id.is_some() {
             self.call.last_event = event.id;
         }
-        if self.first_event_at.is_none() {
-            self.first_event_at = Some(self.call.app.clock.now());
+        let now = self.call.app.clock.now();
+        self.first_event_at.get_or_insert(now);
+        if let Some(last) = self.last_event_at.replace(now) {
+            self.longest_gap = self.longest_gap.max(now.since(last));
         }
         Ok(true)
     }
--- a/components/gateway/src/shutdown.rs
+++ b/components/gateway/src/shutdown.rs
@@ -11,8 +11,10 @@
 /// Time between the failing readiness check and the end of accepting: the platform asks once a second
 /// and takes a gateway out after two misses.
 const NOTICE: Duration = Duration::from_millis(2_500);
-/// Time before the end by force at which whatever is left is cut.
+/// Time before the end by force at which the process ends.
 const FORCE_MARGIN: Duration = Duration::from_millis(250);
+/// Time before that at which requests without an answer get an error.
+const LAST_ANSWERS: Duration = Duration::from_millis(300);
 /// Time between looks at what is still in progress.
 const POLL: Duration = Duration::from_millis(20);
 
@@ -39,8 +41,12 @@
             sleep(POLL).await;
         }
     };
-    if timeout_at(limit, idle).await.is_err() {
+    let mut idle = std::pin::pin!(idle);
+    if timeout_at(limit - LAST_ANSWERS, &mut idle).await.is_err() {
         log::warn!("event=drain_limit_reached in_flight={}", app.in_flight.get());
+        app.stage.send_replace(Stage::Ending);
+        // What is not done then is cut by the end of the process.
+        let _done = timeout_at(limit, idle).await;
     }
     app.stage.send_replace(Stage::Stopped);
 }
--- a/components/gateway/src/stage.rs
+++ b/components/gateway/src/stage.rs
@@ -9,6 +9,8 @@
     Notice,
     /// Accepts nothing; finishes what it has.
     Draining,
+    /// Answers what it still has with an error.
+    Ending,
     /// Everything ends now.
     Stopped,
 }
--- a/components/rates/src/lib.rs
+++ b/components/rates/src/lib.rs
@@ -28,7 +28,7 @@
     BucketLayoutRecord, CustomerLevel, ReplacedOwner, SlotEntry, SlotRecord, SlotSnapshot,
     SnapshotSlot, WriterMark,
 };
-pub use send_budget::{SendBudget, SendBudgetSettings};
+pub use send_budget::{PeerSends, SendBudget, SendBudgetSettings};
 pub use share::{MicroTokens, Share, WEIGHT_STORE, bucket_share, partition_of, slots_of, split};
 pub use shared_bucket::{CustomerRate, GatewayCount, SharedBucket};
 pub use slot_owner::{ReleasedSlot, SlotOwner};
--- a/components/routing/src/admission.rs
+++ b/components/routing/src/admission.rs
@@ -58,7 +58,7 @@
 
 /// When a refused caller should come back: when about half of the work in front of it is done, within
 /// the share of its time that it is willing to wait.
-pub fn return_time(estimate_ms: f64, left: Duration) -> Duration {
+fn return_time(estimate_ms: f64, left: Duration) -> Duration {
     let most_ms = left.as_secs_f64() * 1_000.0 * RETURN_SHARE;
     let wait_ms = (estimate_ms / 2.0).max(LEAST_RETURN_MS).min(most_ms).max(0.0);
     Duration::from_secs_f64(wait_ms / 1_000.0)
--- a/components/routing/src/direct_fleet.rs
+++ b/components/routing/src/direct_fleet.rs
@@ -150,6 +150,24 @@
             .collect()
     }
 
+    /// Short hashes of targets that gave this process no answer lately.
+    pub fn silent_targets(&self, now: Timestamp) -> Vec<u32> {
+        self.targets
+            .iter()
+            .filter(|target| target.takes_work && !target.health.is_usable(now))
+            .map(|target| target.hash)
+            .collect()
+    }
+
+    /// Takes the word of a peer on targets that gave it no answer.
+    pub fn take_peer_silence(&mut self, targets: &[u32], now: Timestamp) {
+        for hash in targets {
+            if let Some(key) = self.by_hash.get(hash) {
+                self.targets[key.0 as usize].note_silent_to_peer(now);
+            }
+        }
+    }
+
     /// A target.
     pub fn target(&self, key: TargetKey) -> &DirectTarget {
         &self.targets[key.0 as usize]
@@ -231,10 +249,7 @@
         now: Timestamp,
     ) -> impl Iterator<Item = (TargetKey, &'a DirectTarget)> {
         (0..).map(TargetKey).zip(&self.targets).filter(move |(key, target)| {
-            target.takes_work
-                && target.service == service
-                && !exclude.contains(key)
-                && target.health.is_usable(now)
+            target.service == service && !exclude.contains(key) && target.is_usable(now)
         })
     }
 
--- a/components/routing/src/direct_target.rs
+++ b/components/routing/src/direct_target.rs
@@ -16,6 +16,8 @@
 /// Time between two words to an agent on the use of one adapter; within it the agent counts the adapter
 /// as in use.
 const USE_INTERVAL: Duration = Duration::from_millis(450);
+/// Time for which the word of a peer that a target gave no answer counts.
+const SILENT_WORD_LIFETIME: Duration = Duration::from_millis(500);
 /// Time for which loads from the weight store are remembered; longer than any window for them.
 const FETCH_MEMORY: Duration = Duration::from_secs(30);
 /// Weight of a new observation of how slow a target is.
@@ -64,6 +66,8 @@
     pub(crate) warm: WarmCopies,
     pub(crate) changing: Option<ModelChange>,
     pub(crate) free_adapter_slots: u32,
+    /// Whether the engine answers its agent, by the agent's last word.
+    pub(crate) answers_agent: bool,
     pub(crate) agent_heard_at: Option<Timestamp>,
     /// Run of the agent and its clock in its newest word.
     agent_said: Option<(Incarnation, u64)>,
@@ -74,6 +78,8 @@
     fetches: Vec<Timestamp>,
     /// When those began that earlier runs ordered.
     earlier_fetches: Vec<Timestamp>,
+    /// When a peer last said that it gave no answer.
+    silent_to_peers_at: Option<Timestamp>,
     pub(crate) slowness: f64,
     pub(crate) plain_ms: f64,
 }
@@ -112,12 +118,14 @@
             warm: WarmCopies::default(),
             changing: None,
             free_adapter_slots: 0,
+            answers_agent: true,
             agent_heard_at: None,
             agent_said: None,
             agent_load: None,
             agent_run: None,
             fetches: Vec::new(),
             earlier_fetches: Vec::new(),
+            silent_to_peers_at: None,
             slowness: 1.0,
             plain_ms: UNKNOWN_PLAIN_MS,
         };
@@ -157,6 +165,7 @@
             self.start_anew(state.born_ms);
         }
         self.agent_said = Some(said);
+        self.answers_agent = state.answers;
         self.agent_heard_at = Some(now);
         self.models.clone_from(&state.models);
         self.warm.clone_from(&state.warm);
@@ -202,6 +211,26 @@
         self.agent_heard_at.is_some_and(|at| now.since(at) < AGENT_SILENT_AFTER)
     }
 
+    /// Whether it may be sent work now.
+    pub fn is_usable(&self, now: Timestamp) -> bool {
+        let answers = self.answers_agent || !self.agent_is_heard(now);
+        self.takes_work && answers && self.health.is_usable(now) && !self.is_silent_to_peers(now)
+    }
+
+    /// Whether peers got no answer from it lately, and this process has not either.
+    fn is_silent_to_peers(&self, now: Timestamp) -> bool {
+        let lately = |at: Option<Timestamp>, limit: Duration| {
+            at.is_some_and(|at| now.since(at) < limit)
+        };
+        lately(self.silent_to_peers_at, SILENT_WORD_LIFETIME)
+            && !lately(self.health.answered_at(), SILENT_WORD_LIFETIME)
+    }
+
+    /// Takes the word of a peer that it gave no answer.
+    pub(crate) fn note_silent_to_peer(&mut self, now: Timestamp) {
+        self.silent_to_peers_at = Some(now);
+    }
+
     /// A model that it serves and is not giving up.
     pub fn serves(&self, model: &str) -> Option<&LoadedModel> {
         let leaving =
--- a/components/routing/src/target_health.rs
+++ b/components/routing/src/target_health.rs
@@ -31,6 +31,7 @@
     silent_in_row: u32,
     pauses: u32,
     left_out_until: Option<Timestamp>,
+    answered_at: Option<Timestamp>,
 }
 
 impl TargetHealth {
@@ -43,6 +44,7 @@
         self.failure_share += SHARE_WEIGHT * (failed - self.failure_share);
         match outcome {
             TargetOutcome::Answered => {
+                self.answered_at = Some(now);
                 self.silent_in_row = 0;
                 self.pauses = 0;
                 self.left_out_until = None;
@@ -64,6 +66,11 @@
         self.left_out_until.is_none_or(|until| now >= until)
     }
 
+    /// When it last gave a whole answer.
+    pub const fn answered_at(&self) -> Option<Timestamp> {
+        self.answered_at
+    }
+
     /// Share of recent requests that failed.
     pub const fn failure_share(&self) -> f64 {
         self.failure_share
--- a/components/wire/src/fleet_state.rs
+++ b/components/wire/src/fleet_state.rs
@@ -90,6 +90,21 @@
     pub demand: Vec<ModelLoad>,
     /// What it has read of targets lately.
     pub news: Vec<TargetNews>,
+    /// Short hashes of targets that gave it no answer lately.
+    pub silent_targets: Vec<u32>,
+    /// Its requests and further sends in the window of the budget, by service.
+    pub further_sends: Vec<FurtherSends>,
+}
+
+/// Requests to a service, and sends to further targets.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct FurtherSends {
+    /// Short hash of the service's name.
+    pub service: u32,
+    /// Requests in the window.
+    pub requests: u32,
+    /// Sends to further targets in the window.
+    pub further: u32,
 }
 
 /// What the list says of a target.
@@ -221,6 +236,8 @@
     pub target: CompactString,
     /// Unix time of the engine's start in milliseconds, if it says so.
     pub born_ms: Option<u64>,
+    /// Whether the engine answered the agent lately.
+    pub answers: bool,
     /// Orders that the engine accepted in this life.
     pub orders_accepted: u64,
     /// Models that it serves.
