Scale demand to the free places; learn paces from fast observations

No copy counted as spare, so no model moved until the demand fell. The pace of an engine was learned from waits that nobody knew of and rose without bound under congestion.

Ruled out: the ceiling on loads (fetch_room was above 0 in the same seconds) and agents that refuse orders (no refused order in the logs).

--- a/components/gateway/src/call.rs
+++ b/components/gateway/src/call.rs
@@ -192,11 +192,13 @@
 
     /// The answer to a call that is ended from outside, since this process ends.
     pub(crate) fn cut_off(&self) -> ApiError {
-        let ran = if self.at_target || self.runs > 0 { RanState::Unknown } else { RanState::NotRun };
+        let ran =
+            if self.at_target || self.runs > 0 { RanState::Unknown } else { RanState::NotRun };
         let text = "this process is shutting down";
         match ran {
-            RanState::NotRun => ApiError::new(ErrorCode::Draining, text)
-                .with_retry_after_ms(DRAINING_RETRY_MS),
+            RanState::NotRun => {
+                ApiError::new(ErrorCode::Draining, text).with_retry_after_ms(DRAINING_RETRY_MS)
+            }
             RanState::Ran | RanState::Unknown => {
                 ApiError::new(ErrorCode::UpstreamFailed, text).with_ran(ran)
             }
--- a/components/gateway/src/fleet_link.rs
+++ b/components/gateway/src/fleet_link.rs
@@ -178,10 +178,10 @@
         let now = app.clock.now();
         let state = own_state(&app, &link, now);
         tell_near(&app, &link, &state, now);
-        if round % FAR_ROUNDS == 0 {
+        if round.is_multiple_of(FAR_ROUNDS) {
             tell_far(&app, &link, state, now);
         }
-        if round % AGENT_ROUNDS == 0 {
+        if round.is_multiple_of(AGENT_ROUNDS) {
             ask_agents(&app, &link, now);
         }
         let gone = app.gateways.borrow_mut().expire(now);
--- a/components/gateway/src/planning.rs
+++ b/components/gateway/src/planning.rs
@@ -19,6 +19,10 @@
 const LEAST_SETTLE: Duration = Duration::from_millis(400);
 /// Time after the start from which a plan is made even if some gateways have not been heard.
 const MOST_SETTLE: Duration = Duration::from_millis(2_000);
+/// Rounds between two log lines on the demand.
+const DEMAND_ROUNDS: u64 = 8;
+/// Most models in them.
+const DEMAND_MODELS: usize = 8;
 /// Part of the loads that the weight store allows in a window that is used, so that loads which begin
 /// late don't exceed it.
 const FETCH_PART: f64 = 0.85;
@@ -30,8 +34,10 @@
     let mut ticks = interval(PLAN_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut planning = false;
+    let mut round: u64 = 0;
     loop {
         ticks.tick().await;
+        round += 1;
         let now = app.clock.now();
         let leads = app.gateways.borrow().is_first(now)
             && *app.stage.borrow() == Stage::Serving
@@ -42,7 +48,7 @@
             *app.planner.borrow_mut() = placement::FleetPlanner::new();
         }
         if leads && let Some(town) = app.town() {
-            plan(&app, &link, &town, now);
+            plan(&app, &link, &town, round.is_multiple_of(DEMAND_ROUNDS), now);
         }
     }
 }
@@ -56,7 +62,7 @@
     age >= MOST_SETTLE || (age >= LEAST_SETTLE && knows_all)
 }
 
-fn plan(app: &App, link: &FleetLink, town: &Town, now: Timestamp) {
+fn plan(app: &App, link: &FleetLink, town: &Town, tells_demand: bool, now: Timestamp) {
     for service in town.services.iter().filter(|s| s.kind == ServiceKind::Engine) {
         let Some(limits) = service.engine else { continue };
         let Some(id) = town.service_id(&service.name) else { continue };
@@ -82,6 +88,9 @@
             .collect();
         let engines = engines(app, town, &service.name, limits, now);
         let room = fetch_room(app, &service.name, limits, now);
+        if tells_demand {
+            log_demand(app, &models, &engines, room);
+        }
         let moves = app.planner.borrow_mut().plan(&models, &engines, room, now);
         for planned in moves {
             log::info!(
@@ -100,6 +109,20 @@
     }
 }
 
+fn log_demand(app: &App, models: &[FleetModel], engines: &[FleetEngine], fetch_room: usize) {
+    let busiest = app.planner.borrow().busiest(models, engines);
+    for standing in busiest.iter().take(DEMAND_MODELS).filter(|s| s.demand > 0.0) {
+        log::info!(
+            "event=model_demand model={} engines={:.2} copies={} needed={} wished={} fetch_room={fetch_room}",
+            quote(&standing.model),
+            standing.demand,
+            standing.copies,
+            standing.needed,
+            standing.wished
+        );
+    }
+}
+
 fn engines(
     app: &App,
     town: &Town,
--- a/components/gateway/src/rates_desk.rs
+++ b/components/gateway/src/rates_desk.rs
@@ -25,7 +25,13 @@
 impl RatesDesk {
     /// A desk without customers.
     pub(crate) const fn new(first_start: bool, bounds: FleetBounds) -> Self {
-        Self { first_start, bounds, buckets: SortedMap::new(), budgets: SortedMap::new(), peer_sends: SortedMap::new() }
+        Self {
+            first_start,
+            bounds,
+            buckets: SortedMap::new(),
+            budgets: SortedMap::new(),
+            peer_sends: SortedMap::new(),
+        }
     }
 
     /// Takes changed bounds; they hold from the next configuration taken.
--- a/components/placement/src/fleet_planner.rs
+++ b/components/placement/src/fleet_planner.rs
@@ -104,6 +104,33 @@
     }
 }
 
+/// Copies of a model against its demand, for logs.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ModelStanding {
+    /// Model.
+    pub model: CompactString,
+    /// Copies, those being loaded and planned included.
+    pub copies: usize,
+    /// Copies that the demand needs.
+    pub needed: usize,
+    /// Copies that are worth having.
+    pub wished: usize,
+    /// Demand, in engines at the utilisation aimed at.
+    pub demand: f64,
+}
+
+/// What one search for a move looks at.
+#[derive(Clone, Copy, Debug)]
+struct FleetView<'a> {
+    models: &'a [FleetModel],
+    engines: &'a [FleetEngine],
+    standings: &'a [Standing],
+    /// Loads that the weight store allows now.
+    fetch_room: usize,
+    /// Whether a move may unload a model.
+    may_swap: bool,
+}
+
 #[derive(Clone, Debug)]
 struct Pending {
     planned: FleetMove,
@@ -139,6 +166,23 @@
         self.pending.values().map(|pending| &pending.planned)
     }
 
+    /// Copies of the models against their demand, the busiest first.
+    pub fn busiest(&self, models: &[FleetModel], engines: &[FleetEngine]) -> Vec<ModelStanding> {
+        let mut standings: Vec<ModelStanding> = models
+            .iter()
+            .zip(self.standings(models, engines))
+            .map(|(model, standing)| ModelStanding {
+                model: model.name.clone(),
+                copies: standing.copies,
+                needed: standing.needed,
+                wished: standing.wished,
+                demand: standing.demand,
+            })
+            .collect();
+        standings.sort_by(|a, b| b.demand.total_cmp(&a.demand));
+        standings
+    }
+
     /// Plans; returns the new moves. `fetch_room` is the number of loads that the weight store allows
     /// now.
     pub fn plan(
@@ -155,8 +199,14 @@
         let mut planned = Vec::new();
         loop {
             let swaps = self.moves().filter(|planned| !planned.unload.is_empty()).count();
-            let next = self.next_move(models, engines, &standings, room, swaps < most);
-            let Some(next) = next else { break };
+            let fleet = FleetView {
+                models,
+                engines,
+                standings: &standings,
+                fetch_room: room,
+                may_swap: swaps < most,
+            };
+            let Some(next) = self.next_move(fleet) else { break };
             let index = models.iter().position(|model| model.name == next.load);
             let Some(index) = index else { break };
             standings[index].copies += 1;
@@ -207,13 +257,15 @@
         let usual = one_each / (models.len() as u64).max(1);
         let spare = capacity.saturating_sub(one_each) as f64 / usual.max(1) as f64;
         let adapters: u32 = models.iter().map(|model| model.adapters).sum();
+        let share = share_of_demand(models, spare);
         models
             .iter()
             .map(|model| {
-                let demand = model.work_ms_per_s / 1_000.0 / UTILISATION;
+                let demand = demand_of(model);
                 let prior =
                     PRIOR_PART * spare * f64::from(model.adapters) / f64::from(adapters.max(1));
-                let needed = (demand.ceil() as usize).max(1).min(engines.len().max(1));
+                let needed = (1.0 + (demand - 1.0).max(0.0) * share).ceil() as usize;
+                let needed = needed.min(engines.len().max(1));
                 Standing {
                     copies: self.copies(model, engines),
                     needed,
@@ -241,15 +293,9 @@
             .count()
     }
 
-    fn next_move(
-        &self,
-        models: &[FleetModel],
-        engines: &[FleetEngine],
-        standings: &[Standing],
-        fetch_room: usize,
-        may_swap: bool,
-    ) -> Option<FleetMove> {
-        let mut short: Vec<(MoveReason, f64, usize)> = standings
+    fn next_move(&self, fleet: FleetView<'_>) -> Option<FleetMove> {
+        let mut short: Vec<(MoveReason, f64, usize)> = fleet
+            .standings
             .iter()
             .enumerate()
             .filter_map(|(at, standing)| {
@@ -262,15 +308,13 @@
                 } else {
                     return None;
                 };
-                let waiting = f64::from(models[at].waiting);
+                let waiting = f64::from(fleet.models[at].waiting);
                 let lack = (standing.demand + waiting) / (standing.copies as f64 + 0.1);
                 Some((reason, lack, at))
             })
             .collect();
         short.sort_by(|a, b| a.0.cmp(&b.0).then(b.1.total_cmp(&a.1)));
-        short.into_iter().find_map(|(reason, _, at)| {
-            self.place(&models[at], reason, models, engines, standings, fetch_room, may_swap)
-        })
+        short.into_iter().find_map(|(reason, _, at)| self.place(&fleet.models[at], reason, fleet))
     }
 
     /// The engine on which a copy costs least.
@@ -278,27 +322,22 @@
         &self,
         model: &FleetModel,
         reason: MoveReason,
-        models: &[FleetModel],
-        engines: &[FleetEngine],
-        standings: &[Standing],
-        fetch_room: usize,
-        may_swap: bool,
+        fleet: FleetView<'_>,
     ) -> Option<FleetMove> {
         let mut best: Option<(f64, FleetMove)> = None;
-        for engine in engines {
+        for engine in fleet.engines {
             let taken = engine.changing.is_some() || self.pending.contains_key(&engine.id);
             if taken || !engine.takes_orders || engine.models.contains(&model.name) {
                 continue;
             }
             let (load_ms, may_fetch) = load_time(model, engine);
-            if may_fetch && fetch_room == 0 {
+            if may_fetch && fleet.fetch_room == 0 {
                 continue;
             }
-            let Some((unload, unload_ms)) = make_room(model, reason, engine, models, standings)
-            else {
+            let Some((unload, unload_ms)) = make_room(model, reason, engine, fleet) else {
                 continue;
             };
-            if !unload.is_empty() && !may_swap {
+            if !unload.is_empty() && !fleet.may_swap {
                 continue;
             }
             // Engines that cost the same are told apart in the same way by every planner.
@@ -323,6 +362,18 @@
     }
 }
 
+/// Demand for a model, in engines at the utilisation aimed at.
+fn demand_of(model: &FleetModel) -> f64 {
+    model.work_ms_per_s / 1_000.0 / UTILISATION
+}
+
+/// Part of the demand beyond one copy of each model that the `spare` places can meet. Beyond it all models
+/// are short alike, and none may keep what it has at the cost of others.
+fn share_of_demand(models: &[FleetModel], spare: f64) -> f64 {
+    let beyond: f64 = models.iter().map(|model| (demand_of(model) - 1.0).max(0.0)).sum();
+    if beyond > spare { spare / beyond } else { 1.0 }
+}
+
 /// Time to load a model on an engine, and whether it comes from the weight store.
 fn load_time(model: &FleetModel, engine: &FleetEngine) -> (u64, bool) {
     if engine.warm.in_memory.binary_search(&model.name).is_ok() {
@@ -339,11 +390,10 @@
     model: &FleetModel,
     reason: MoveReason,
     engine: &FleetEngine,
-    models: &[FleetModel],
-    standings: &[Standing],
+    fleet: FleetView<'_>,
 ) -> Option<(Vec<CompactString>, f64)> {
     let size = |name: &CompactString| {
-        models.iter().find(|model| model.name == *name).map_or(0, |model| model.memory_mb)
+        fleet.models.iter().find(|model| model.name == *name).map_or(0, |model| model.memory_mb)
     };
     let used: u64 = engine.models.iter().map(size).sum::<u64>() + engine.adapters_mb;
     if used + model.memory_mb <= engine.capacity_mb {
@@ -354,8 +404,8 @@
         .models
         .iter()
         .filter_map(|name| {
-            let at = models.iter().position(|model| model.name == *name)?;
-            let standing = standings[at];
+            let at = fleet.models.iter().position(|model| model.name == *name)?;
+            let standing = fleet.standings[at];
             let spare = match reason {
                 MoveReason::NoCopy | MoveReason::Demand => standing.copies > standing.needed,
                 MoveReason::Prior => standing.copies > standing.wished,
--- a/components/placement/src/lib.rs
+++ b/components/placement/src/lib.rs
@@ -23,7 +23,9 @@
 pub use engine_report::{EngineOrder, EngineReport, OrderAnswer};
 pub use engine_state::{EngineCopy, EngineCopyState, EngineState};
 pub use eviction::{Room, Unloading};
-pub use fleet_planner::{FleetEngine, FleetModel, FleetMove, FleetPlanner, MoveReason};
+pub use fleet_planner::{
+    FleetEngine, FleetModel, FleetMove, FleetPlanner, ModelStanding, MoveReason,
+};
 pub use item::Item;
 pub use ledger::{Holding, HoldingState, Ledger, LedgerSettings};
 pub use model_demand::ModelDemandTable;
--- a/components/routing/src/direct_target.rs
+++ b/components/routing/src/direct_target.rs
@@ -23,7 +23,9 @@
 /// Weight of a new observation of how slow a target is.
 const SLOWNESS_WEIGHT: f64 = 0.1;
 /// Bounds of the slowness of a target against the usual pace of its models.
-const SLOWNESS_BOUNDS: (f64, f64) = (0.5, 12.0);
+const SLOWNESS_BOUNDS: (f64, f64) = (0.5, 8.0);
+/// Most that one observation can say of how slow a target is, against what is known.
+const MOST_SLOWER: f64 = 2.0;
 /// Usual time of a plain request that was never timed, in milliseconds.
 const UNKNOWN_PLAIN_MS: f64 = 50.0;
 
@@ -219,9 +221,8 @@
 
     /// Whether peers got no answer from it lately, and this process has not either.
     fn is_silent_to_peers(&self, now: Timestamp) -> bool {
-        let lately = |at: Option<Timestamp>, limit: Duration| {
-            at.is_some_and(|at| now.since(at) < limit)
-        };
+        let lately =
+            |at: Option<Timestamp>, limit: Duration| at.is_some_and(|at| now.since(at) < limit);
         lately(self.silent_to_peers_at, SILENT_WORD_LIFETIME)
             && !lately(self.health.answered_at(), SILENT_WORD_LIFETIME)
     }
@@ -299,7 +300,7 @@
     /// Takes notice of how long a prompt took against the estimate.
     pub(crate) fn observe_pace(&mut self, ratio: f64) {
         let (least, most) = SLOWNESS_BOUNDS;
-        let seen = (self.slowness * ratio).clamp(least, most);
+        let seen = (self.slowness * ratio.min(MOST_SLOWER)).clamp(least, most);
         self.slowness += SLOWNESS_WEIGHT * (seen - self.slowness);
     }
 
--- a/components/routing/src/engine_pace.rs
+++ b/components/routing/src/engine_pace.rs
@@ -6,8 +6,13 @@
 /// Time to read a prompt token on a model that was never seen, in microseconds: between the fastest
 /// and the slowest model of the deployments of today.
 const UNKNOWN_MICROS_PER_TOKEN: f64 = 20.0;
-/// Weight of a new observation.
-const LEARNING_RATE: f64 = 0.15;
+/// Weight of an observation that is faster than what is known.
+const FASTER_RATE: f64 = 0.2;
+/// Weight of an observation that is slower. A wait that nobody knew of looks like a slow engine, so the
+/// pace follows the fast tenth of the observations.
+const SLOWER_RATE: f64 = 0.02;
+/// Most that an observation counts for, in known paces.
+const MOST_SLOWER: f64 = 2.0;
 /// Bounds of a plausible observation, in microseconds a token.
 const PLAUSIBLE: std::ops::RangeInclusive<f64> = 1.0..=400.0;
 /// Fewest tokens that an observation must cover; below, fixed costs hide the pace.
@@ -41,7 +46,8 @@
             return;
         }
         match self.micros_per_token.get_mut(model) {
-            Some(known) => *known += LEARNING_RATE * (seen - *known),
+            Some(known) if seen < *known => *known += FASTER_RATE * (seen - *known),
+            Some(known) => *known += SLOWER_RATE * (seen.min(MOST_SLOWER * *known) - *known),
             None => {
                 self.micros_per_token.insert(CompactString::new(model), seen);
             }
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -27,8 +27,8 @@
 pub use error::WireError;
 pub use fleet_state::{
     AdapterName, AdmittedTokens, AgentAsk, AgentState, Datagram, DatagramBody, Echo, EnginePlan,
-    FurtherSends, GatewayRecord, GatewayState, LinkCopy, ModelChange, ModelLoad, PlannedCopy, RelayedItem,
-    SendCopy, TargetNews, TargetWorkCopy,
+    FurtherSends, GatewayRecord, GatewayState, LinkCopy, ModelChange, ModelLoad, PlannedCopy,
+    RelayedItem, SendCopy, TargetNews, TargetWorkCopy,
 };
 pub use forward::{ForwardDown, ForwardHead, ForwardUp, Header};
 pub use frames::{FrameReceiver, FrameSender};
