Grant authority on reads of the log only

Cause: an answer "unavailable" of the log, or the word of all entries that they don't reach it, counted as authority to serve keys. Neither says that nothing was withdrawn since the last read: a key withdrawn just before an outage was served until its end.

Ruled out: a shorter limit (the grant was renewed at each answer) and "publish reports a withdrawal only once an entry has it" (an entry that is cut off still has no evidence).

The setting authority_list_max_age_ms has no use any more and goes.

--- a/components/config/src/entry_settings.rs
+++ b/components/config/src/entry_settings.rs
@@ -24,8 +24,6 @@
     pub caller_address: SocketAddr,
     /// Longest time to serve keyed requests without news from the log, in milliseconds.
     pub authority_ms: u64,
-    /// Oldest VM list that counts as evidence of an outage of the log, in milliseconds.
-    pub authority_list_max_age_ms: u64,
     /// Longest wait for tokens to accrue before a request is refused, in milliseconds.
     pub rate_wait_ms: u64,
     /// Longest time between asking for a reservation and using it, in milliseconds.
@@ -48,7 +46,6 @@
             callers: CallerLimits::default(),
             caller_address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
             authority_ms: 2_000,
-            authority_list_max_age_ms: 60_000,
             rate_wait_ms: 50,
             reservation_validity_ms: 2_000,
             retry_budget_percent: 10,
--- a/components/config/src/settings_check.rs
+++ b/components/config/src/settings_check.rs
@@ -156,7 +156,6 @@
         check.range("callers", "body_timeout_ms", callers.body_timeout_ms, 1, MAX_DAY_MS);
         check.range("callers", "request_timeout_ms", callers.request_timeout_ms, 1, MAX_DAY_MS);
         check.range("", "authority_ms", self.authority_ms, 1, 2_000);
-        check.range("", "authority_list_max_age_ms", self.authority_list_max_age_ms, 1, MAX_DAY_MS);
         check.range("", "rate_wait_ms", self.rate_wait_ms, 0, MAX_DAY_MS);
         check.range("", "reservation_validity_ms", self.reservation_validity_ms, 1, 60_000);
         let percent = u64::from(self.retry_budget_percent);
--- a/components/entry/src/app.rs
+++ b/components/entry/src/app.rs
@@ -107,8 +107,7 @@
         if now < self.granted_until.get() {
             return Ok(());
         }
-        let electorate = self.membership.borrow().electorate(now);
-        match self.authority.borrow().grant(self.version(), electorate.as_ref(), now) {
+        match self.authority.borrow().grant(self.version(), now) {
             Some(grant) => {
                 self.granted_until.set(grant.until);
                 Ok(())
--- a/components/entry/src/config_reader.rs
+++ b/components/entry/src/config_reader.rs
@@ -49,10 +49,6 @@
         }
         write_snapshot_if_due(app, now);
     }
-
-    fn unavailable(&self, app: &Rc<App>, asked_at: Timestamp) {
-        app.authority.borrow_mut().note_unavailable(asked_at);
-    }
 }
 
 fn apply_record(app: &Rc<App>, offset: Offset, payload: &[u8]) {
--- a/components/entry/src/handle.rs
+++ b/components/entry/src/handle.rs
@@ -185,10 +185,7 @@
     };
     let request_timeout = Duration::from_millis(platform.request_timeout_ms);
     let call_timeout = Duration::from_millis(settings.membership.call_timeout_ms);
-    let authority = Authority::new(
-        Duration::from_millis(settings.authority_ms),
-        Duration::from_millis(settings.authority_list_max_age_ms),
-    );
+    let authority = Authority::new(Duration::from_millis(settings.authority_ms));
     Ok(App {
         address,
         clock,
--- a/components/entry/src/log_reader.rs
+++ b/components/entry/src/log_reader.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use base::{Offset, Timestamp};
-use store::{Log, LogPage, StoreError};
+use store::{Log, LogPage};
 use tokio::time::sleep;
 
 use crate::app::App;
@@ -24,9 +24,6 @@
 
     /// Takes records that were asked for at `asked_at`; `at_end` if the stream was read to its end.
     fn take(&self, app: &Rc<App>, page: &LogPage, at_end: bool, asked_at: Timestamp);
-
-    /// Takes the answer of the log itself that it is unavailable.
-    fn unavailable(&self, _app: &Rc<App>, _asked_at: Timestamp) {}
 }
 
 /// Reads a stream until the task is aborted.
@@ -54,9 +51,6 @@
                     "event=log_read_failed stream={} error=\"{error}\"",
                     stream_of(&follower)
                 );
-                if error == StoreError::Unavailable {
-                    follower.unavailable(&app, asked_at);
-                }
                 sleep(RETRY_PAUSE).await;
             }
         }
--- a/components/gateway/src/app.rs
+++ b/components/gateway/src/app.rs
@@ -108,7 +108,7 @@
     /// Age of the newest evidence that no withdrawal is hidden, if it still counts.
     pub(crate) fn evidence_age(&self, now: Timestamp) -> Option<Duration> {
         let limit = Self::evidence_limit(&self.settings());
-        let grant = self.authority.borrow().grant(self.version(), None, now)?;
+        let grant = self.authority.borrow().grant(self.version(), now)?;
         Some(limit.saturating_sub(grant.until.since(now)))
     }
 
--- a/components/gateway/src/fleet_ears.rs
+++ b/components/gateway/src/fleet_ears.rs
@@ -106,7 +106,7 @@
     asked_at: Option<Timestamp>,
 ) {
     let Some(asked_at) = asked_at else { return };
-    let view = LogView { end_read_age_ms: state.evidence_age_ms, unavailable_age_ms: None };
+    let view = LogView { end_read_age_ms: state.evidence_age_ms };
     app.authority.borrow_mut().note_peer(address, view, state.config, asked_at);
 }
 
--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -96,7 +96,7 @@
         metrics: Metrics::new().map_err(GatewayError::Metrics)?,
         stage: watch::Sender::new(Stage::Serving),
         town: RefCell::new(None),
-        authority: RefCell::new(Authority::new(limit, limit)),
+        authority: RefCell::new(Authority::new(limit)),
         directory: RefCell::new(TargetDirectory::new()),
         fleet: RefCell::new(DirectFleet::new(&settings.data_centre)),
         gateways: RefCell::new(GatewayTable::new(me.clone(), &settings.data_centre)),
--- a/components/membership/src/authority.rs
+++ b/components/membership/src/authority.rs
@@ -1,8 +1,8 @@
 //! Authority to serve requests that carry a customer's key.
 //!
 //! A key may have been withdrawn on the log without this process knowing. It may serve such requests
-//! only while it is sure that its configuration was current within the limit, or that nobody could
-//! have published anything.
+//! only while it is sure that its configuration was current within the limit. A log that answers
+//! "unavailable" is no evidence: a withdrawal may have been stored since the last read.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -10,15 +10,6 @@
 use base::{Offset, SortedMap, Timestamp};
 use wire::LogView;
 
-/// Entries that must all say that the log is unreachable before that counts as an outage.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct Electorate {
-    /// Time before the VM list that names them was asked for.
-    pub list_asked_at: Timestamp,
-    /// Their addresses, sorted, this process excluded.
-    pub entries: Vec<SocketAddr>,
-}
-
 /// Why there is authority.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum AuthorityBasis {
@@ -26,10 +17,6 @@
     OwnRead,
     /// A peer read the log to its end, and this process has what the peer has.
     PeerRead,
-    /// The log itself answered that it is unavailable.
-    Unavailable,
-    /// No entry reaches the log.
-    NobodyReads,
 }
 
 /// Authority with its end.
@@ -46,7 +33,6 @@
 struct PeerLog {
     asked_at: Timestamp,
     end_read_at: Option<Timestamp>,
-    unavailable_at: Option<Timestamp>,
     config_offset: Offset,
 }
 
@@ -54,23 +40,14 @@
 #[derive(Clone, Debug)]
 pub struct Authority {
     limit: Duration,
-    list_max_age: Duration,
     end_read_at: Option<Timestamp>,
-    unavailable_at: Option<Timestamp>,
     peers: SortedMap<SocketAddr, PeerLog>,
 }
 
 impl Authority {
-    /// No facts. `limit` is the setting `authority_ms`, `list_max_age` is
-    /// `authority_list_max_age_ms`.
-    pub const fn new(limit: Duration, list_max_age: Duration) -> Self {
-        Self {
-            limit,
-            list_max_age,
-            end_read_at: None,
-            unavailable_at: None,
-            peers: SortedMap::new(),
-        }
+    /// No facts. `limit` is the setting `authority_ms`.
+    pub const fn new(limit: Duration) -> Self {
+        Self { limit, end_read_at: None, peers: SortedMap::new() }
     }
 
     /// Changes the time for which facts count.
@@ -83,12 +60,6 @@
         self.end_read_at = self.end_read_at.max(Some(asked_at));
     }
 
-    /// The log itself answered that it is unavailable, to a call made at `asked_at`. A broken
-    /// connection or a timeout is no such answer.
-    pub fn note_unavailable(&mut self, asked_at: Timestamp) {
-        self.unavailable_at = self.unavailable_at.max(Some(asked_at));
-    }
-
     /// A peer's reply to this process's own call, made at `asked_at`. Never pass a view that came any
     /// other way: it may have been under way for long.
     pub fn note_peer(
@@ -106,12 +77,8 @@
             // An age that reaches back before this process started is of no use.
             asked_at.micros.checked_sub(age_micros).map(Timestamp::from_micros)
         };
-        let log = PeerLog {
-            asked_at,
-            end_read_at: view.end_read_age_ms.and_then(before),
-            unavailable_at: view.unavailable_age_ms.and_then(before),
-            config_offset,
-        };
+        let log =
+            PeerLog { asked_at, end_read_at: view.end_read_age_ms.and_then(before), config_offset };
         self.peers.insert(address, log);
         let limit = self.limit;
         self.peers.retain(|_, peer| asked_at.since(peer.asked_at) <= 2 * limit);
@@ -124,37 +91,19 @@
             at.map(|at| now.since(at).as_micros().div_ceil(1_000))
                 .and_then(|ms| u32::try_from(ms).ok())
         };
-        LogView {
-            end_read_age_ms: age(self.end_read_at),
-            unavailable_age_ms: age(self.unavailable_at),
-        }
+        LogView { end_read_age_ms: age(self.end_read_at) }
     }
 
     /// The authority that lasts longest, or none. `config_offset` is the version in force here.
-    pub fn grant(
-        &self,
-        config_offset: Offset,
-        electorate: Option<&Electorate>,
-        now: Timestamp,
-    ) -> Option<AuthorityGrant> {
+    pub fn grant(&self, config_offset: Offset, now: Timestamp) -> Option<AuthorityGrant> {
         let peer_read = self
             .peers
             .values()
             .filter(|peer| peer.config_offset <= config_offset)
             .filter_map(|peer| peer.end_read_at)
             .max();
-        let unavailable = self
-            .peers
-            .values()
-            .filter_map(|peer| peer.unavailable_at)
-            .max()
-            .max(self.unavailable_at);
-        let grants = [
-            (AuthorityBasis::OwnRead, self.end_read_at),
-            (AuthorityBasis::PeerRead, peer_read),
-            (AuthorityBasis::Unavailable, unavailable),
-            (AuthorityBasis::NobodyReads, electorate.and_then(|e| self.nobody_reads(e, now))),
-        ];
+        let grants =
+            [(AuthorityBasis::OwnRead, self.end_read_at), (AuthorityBasis::PeerRead, peer_read)];
         grants
             .into_iter()
             .filter_map(|(basis, at)| Some(AuthorityGrant { basis, until: at? + self.limit }))
@@ -167,25 +116,4 @@
     pub fn lags_peer(&self, config_offset: Offset) -> bool {
         self.peers.values().any(|peer| peer.config_offset > config_offset)
     }
-
-    /// Oldest time at which an entry said that it does not reach the log, if there are others and all of
-    /// them say so.
-    ///
-    /// A lone entry has no evidence: it can't tell an outage of the log from being cut off.
-    fn nobody_reads(&self, electorate: &Electorate, now: Timestamp) -> Option<Timestamp> {
-        let recent = |at: Timestamp| now.since(at) < self.limit;
-        if electorate.entries.is_empty()
-            || now.since(electorate.list_asked_at) >= self.list_max_age
-            || self.end_read_at.is_some_and(recent)
-        {
-            return None;
-        }
-        electorate.entries.iter().try_fold(now, |oldest, address| {
-            let peer = self.peers.get(address)?;
-            if !recent(peer.asked_at) || peer.end_read_at.is_some_and(recent) {
-                return None;
-            }
-            Some(oldest.min(peer.asked_at))
-        })
-    }
 }
--- a/components/membership/src/lib.rs
+++ b/components/membership/src/lib.rs
@@ -13,7 +13,7 @@
 mod target_directory;
 mod vm_list;
 
-pub use authority::{Authority, AuthorityBasis, AuthorityGrant, Electorate};
+pub use authority::{Authority, AuthorityBasis, AuthorityGrant};
 pub use death_proof::DeathProof;
 pub use gateway_table::{GatewayPeer, GatewayTable, StaleDatagram};
 pub use member::{Liveness, Member};
--- a/components/membership/src/membership.rs
+++ b/components/membership/src/membership.rs
@@ -10,7 +10,7 @@
 
 use crate::listing::Listing;
 use crate::schedule::{Schedule, contact_interval};
-use crate::{DeathProof, Electorate, Liveness, Member, VmList};
+use crate::{DeathProof, Liveness, Member, VmList};
 
 /// Silence after which a process is no longer kept in the table.
 const FORGET_AFTER: Duration = Duration::from_secs(3_600);
@@ -320,23 +320,6 @@
         self.listing.removal(member.vm.as_deref()?, address_taken, silent_ms)
     }
 
-    /// Entries that must all say that the log is unreachable before that counts as an outage.
-    pub fn electorate(&self, now: Timestamp) -> Option<Electorate> {
-        let list_asked_at = self.listing.asked_at()?;
-        let listed = self.listing.listed().filter(|vm| vm.role == Role::Entry).map(|vm| vm.address);
-        let heard = self.members.values().filter(|m| {
-            let left = m.absent_since;
-            m.role == Role::Entry
-                && left.is_none_or(|left| m.heard_at >= left)
-                && self.proof_of_death(&m.process, now).is_none()
-        });
-        let mut entries: Vec<SocketAddr> =
-            listed.chain(heard.map(|m| m.address)).filter(|a| *a != self.me.address).collect();
-        entries.sort_unstable();
-        entries.dedup();
-        Some(Electorate { list_asked_at, entries })
-    }
-
     /// Addresses to send a heartbeat to now.
     pub fn due(&mut self, now: Timestamp) -> Vec<SocketAddr> {
         let peers = self.heartbeat_peers();
--- a/components/side/src/config_source.rs
+++ b/components/side/src/config_source.rs
@@ -6,7 +6,7 @@
 
 use base::{Offset, Role};
 use changes::{CONFIG_STREAM, ConfigLog};
-use store::{Log, StoreError};
+use store::Log;
 use tokio::time::timeout;
 use wire::{PeerCall, PeerReply};
 
@@ -91,9 +91,6 @@
             Err(error) => {
                 log::debug!("event=config_read_failed error=\"{error}\"");
                 source.log_unreachable = true;
-                if error == StoreError::Unavailable {
-                    source.unavailable = Some(shared.clock.now());
-                }
                 shared.source.set(source);
                 return;
             }
--- a/components/side/src/report.rs
+++ b/components/side/src/report.rs
@@ -69,10 +69,7 @@
             data_centre: self.settings.process.data_centre.clone(),
             address,
             config_offset: self.town.version,
-            log: LogView {
-                end_read_age_ms: source.end_read_age_ms(now),
-                unavailable_age_ms: source.unavailable_age_ms(now),
-            },
+            log: LogView { end_read_age_ms: source.end_read_age_ms(now) },
             draining: self.draining,
             target: self.target_report(),
             demand: Vec::new(),
--- a/components/side/src/source_state.rs
+++ b/components/side/src/source_state.rs
@@ -8,7 +8,6 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct SourceState {
     pub end_read: Option<Timestamp>,
-    pub unavailable: Option<Timestamp>,
     /// Neither an entry process nor the log gave records.
     pub log_unreachable: bool,
     pub newer_rules: bool,
@@ -18,8 +17,4 @@
     pub fn end_read_age_ms(&self, now: Timestamp) -> Option<u32> {
         self.end_read.map(|at| to_millis(now.since(at)))
     }
-
-    pub fn unavailable_age_ms(&self, now: Timestamp) -> Option<u32> {
-        self.unavailable.map(|at| to_millis(now.since(at)))
-    }
 }
--- a/components/wire/src/heartbeat.rs
+++ b/components/wire/src/heartbeat.rs
@@ -36,8 +36,6 @@
 pub struct LogView {
     /// Milliseconds since the `config` stream was read to its end.
     pub end_read_age_ms: Option<u32>,
-    /// Milliseconds since the log itself answered that it is unavailable.
-    pub unavailable_age_ms: Option<u32>,
 }
 
 /// Kind of a target.
--- a/examples/cost.rs
+++ b/examples/cost.rs
@@ -270,7 +270,7 @@
         data_centre: "caerdydd-a".into(),
         address: SocketAddr::from(([127, 0, 0, 1], 20_111)),
         config_offset: Offset(5_100),
-        log: LogView { end_read_age_ms: Some(250), unavailable_age_ms: None },
+        log: LogView { end_read_age_ms: Some(250) },
         draining: false,
         target: Some(target),
         demand: Vec::new(),
