--- a/components/telemetry/src/lib.rs
+++ b/components/telemetry/src/lib.rs
@@ -2,12 +2,14 @@
 
 mod class;
 mod labels;
+mod line_output;
 mod logging;
 mod metrics;
 mod quote;
 
 pub use class::Class;
 pub use labels::LabelSet;
-pub use logging::{LoggingError, start_logging};
+pub use line_output::{LONGEST_LINE_BYTES, LineOutput, MOST_LINES_PER_S};
+pub use logging::{LogTarget, LoggingError, start_logging};
 pub use metrics::{Metrics, MetricsError};
 pub use quote::quote;
--- a/components/telemetry/src/logging.rs
+++ b/components/telemetry/src/logging.rs
@@ -2,10 +2,22 @@
 
 use std::fmt;
 use std::io;
+use std::os::fd::AsFd;
 
 use log::LevelFilter;
 use simplelog::{ConfigBuilder, LevelPadding, WriteLogger};
 
+use crate::LineOutput;
+
+/// Where the log goes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LogTarget {
+    /// Standard error, for commands whose report goes to standard output.
+    StandardError,
+    /// Standard output, for processes that serve.
+    StandardOutput,
+}
+
 /// Why the log could not be set up.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum LoggingError {
@@ -26,13 +38,24 @@
 
 impl std::error::Error for LoggingError {}
 
-/// Sends log lines to standard error: time, level, then one `key=value` line an event.
+/// Sends log lines to `target`: time, level, then one `key=value` line an event. A line is one write, and
+/// none waits for a reader.
 ///
 /// # Errors
 ///
 /// `UnknownLevel` or `AlreadyStarted`.
-pub fn start_logging(level: &str) -> Result<(), LoggingError> {
+pub fn start_logging(level: &str, target: LogTarget) -> Result<(), LoggingError> {
     let level: LevelFilter = level.parse().map_err(|_| LoggingError::UnknownLevel)?;
+    match target {
+        LogTarget::StandardError => write_to(level, io::stderr()),
+        LogTarget::StandardOutput => write_to(level, io::stdout()),
+    }
+}
+
+fn write_to<W: AsFd + io::Write + Send + 'static>(
+    level: LevelFilter,
+    output: W,
+) -> Result<(), LoggingError> {
     let config = ConfigBuilder::new()
         .set_time_format_rfc3339()
         .set_thread_level(LevelFilter::Off)
@@ -44,7 +67,6 @@
         .add_filter_ignore_str("hyper")
         .add_filter_ignore_str("opentelemetry")
         .build();
-    // The logger writes a line in pieces, and standard error is not buffered.
-    let output = io::LineWriter::new(io::stderr());
-    WriteLogger::init(level, config, output).map_err(|_| LoggingError::AlreadyStarted)
+    WriteLogger::init(level, config, LineOutput::new(output))
+        .map_err(|_| LoggingError::AlreadyStarted)
 }
--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -10,6 +10,7 @@
 use std::time::{Duration, Instant};
 
 use lexopt::prelude::*;
+use telemetry::LogTarget;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::LocalSet;
 
@@ -45,7 +46,7 @@
         Err(error) => return usage_error(&error.to_string(), HELP),
     };
     let level = std::env::var("PLANTAINBEAM_DEMO_LOG").unwrap_or_else(|_| "error".to_owned());
-    if let Err(error) = telemetry::start_logging(&level) {
+    if let Err(error) = telemetry::start_logging(&level, LogTarget::StandardError) {
         eprintln!("error: {error}");
         return ExitCode::FAILURE;
     }
--- a/src/cmd/entry.rs
+++ b/src/cmd/entry.rs
@@ -4,6 +4,7 @@
 
 use config::{EntrySettings, SourceFile, load_entry_settings};
 use lexopt::prelude::*;
+use telemetry::LogTarget;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::LocalSet;
 
@@ -38,7 +39,7 @@
         Ok(settings) => settings,
         Err(message) => return fail(&message),
     };
-    if let Err(error) = telemetry::start_logging(&settings.log.level) {
+    if let Err(error) = telemetry::start_logging(&settings.log.level, LogTarget::StandardOutput) {
         return fail(&error.to_string());
     }
     let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -3,6 +3,7 @@
 use std::process::ExitCode;
 
 use config::GatewaySettings;
+use telemetry::LogTarget;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::LocalSet;
 
@@ -44,7 +45,7 @@
         Ok(settings) => settings,
         Err(message) => return fail(&message),
     };
-    if let Err(error) = telemetry::start_logging(&options.log_level) {
+    if let Err(error) = telemetry::start_logging(&options.log_level, LogTarget::StandardOutput) {
         return fail(&error.to_string());
     }
     let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
--- a/src/cmd/side.rs
+++ b/src/cmd/side.rs
@@ -8,7 +8,7 @@
 use config::{SideSettings, SourceFile, load_side_settings};
 use lexopt::prelude::*;
 use side::{SideError, SideProcess};
-use telemetry::start_logging;
+use telemetry::{LogTarget, start_logging};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use crate::cli::usage_error;
@@ -69,7 +69,8 @@
 }
 
 fn start(settings: SideSettings) -> Result<(), String> {
-    start_logging(&settings.log.level).map_err(|error| error.to_string())?;
+    start_logging(&settings.log.level, LogTarget::StandardOutput)
+        .map_err(|error| error.to_string())?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
--- a/tests/documentation.rs
+++ b/tests/documentation.rs
@@ -22,7 +22,7 @@
 fn sources() -> Vec<PathBuf> {
     let crates = fs::read_dir(root().join("components")).unwrap();
     let mut pending: Vec<PathBuf> = crates.map(|c| c.unwrap().path().join("src")).collect();
-    pending.push(root().join("src"));
+    pending.extend([root().join("src"), root().join("platform/src")]);
     let mut files = Vec::new();
     while let Some(directory) = pending.pop() {
         for entry in fs::read_dir(directory).unwrap() {
--- a/tests/entry_command.rs
+++ b/tests/entry_command.rs
@@ -63,11 +63,11 @@
         let mut child = command()
             .args(["entry", "--settings"])
             .arg(path)
-            .stderr(Stdio::piped())
-            .stdout(Stdio::null())
+            .stderr(Stdio::null())
+            .stdout(Stdio::piped())
             .spawn()
             .unwrap();
-        let mut log = BufReader::new(child.stderr.take().unwrap());
+        let mut log = BufReader::new(child.stdout.take().unwrap());
         let mut line = String::new();
         while !line.contains("event=entry_started") {
             line.clear();
--- a/tests/side_command.rs
+++ b/tests/side_command.rs
@@ -68,11 +68,11 @@
     let mut child = command()
         .args(["side", "--settings"])
         .arg(path)
-        .stderr(Stdio::piped())
-        .stdout(Stdio::null())
+        .stderr(Stdio::null())
+        .stdout(Stdio::piped())
         .spawn()
         .unwrap();
-    let mut log = BufReader::new(child.stderr.take().unwrap());
+    let mut log = BufReader::new(child.stdout.take().unwrap());
     let mut line = String::new();
     while !line.contains("event=started") {
         line.clear();
@@ -149,13 +149,13 @@
     let directory = tempfile::tempdir().unwrap();
     let path = directory.path().join("side.yaml");
     std::fs::write(&path, settings("127.0.0.1:0".parse().unwrap())).unwrap();
-    let (log, stderr) = UnixDatagram::pair().unwrap();
+    let (log, output) = UnixDatagram::pair().unwrap();
     log.set_read_timeout(Some(WAIT_LIMIT)).unwrap();
     let child = command()
         .args(["side", "--settings"])
         .arg(&path)
-        .stderr(OwnedFd::from(stderr))
-        .stdout(Stdio::null())
+        .stderr(Stdio::null())
+        .stdout(OwnedFd::from(output))
         .spawn()
         .unwrap();
     let nowhere = NOBODY.parse().unwrap();
