--- /dev/null
+++ b/components/membership/tests/target_directory.rs
@@ -0,0 +1,148 @@
+//! The directory of targets when news is late, old or missing.
+#![allow(clippy::unwrap_used, reason = "a missing value fails the test")]
+
+use std::net::SocketAddr;
+
+use base::{Offset, Timestamp, WarmCopies};
+use membership::TargetDirectory;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed, TestRunner};
+use wire::{TargetEntry, TargetNews, TargetState};
+
+const SEED: u64 = 5_102;
+
+fn at(ms: u64) -> Timestamp {
+    Timestamp::from_millis(ms)
+}
+
+fn entry(id: &str, born_ms: u64) -> TargetEntry {
+    TargetEntry {
+        id: id.into(),
+        born_ms: Some(born_ms),
+        service: "engines".into(),
+        address: SocketAddr::from(([127, 0, 0, 1], 9_000)),
+        data_centre: "north-a".into(),
+        slots: 8,
+        state: TargetState::Ready,
+        cold_ms: 0,
+        orders_accepted: 0,
+        models: Vec::new(),
+        warm: WarmCopies::default(),
+    }
+}
+
+fn directory(ids: &[&str]) -> TargetDirectory {
+    let mut directory = TargetDirectory::new();
+    for (offset, id) in (1..).zip(ids) {
+        assert!(directory.take(Offset(offset), id, Some(entry(id, 1)), at(0)).is_some());
+    }
+    directory
+}
+
+fn ids(directory: &TargetDirectory) -> Vec<&str> {
+    directory.entries().map(|entry| entry.id.as_str()).collect()
+}
+
+/// Guards against a fleet without targets after an outage of the store in which all entries lapsed.
+#[test]
+fn entries_that_lapse_in_an_outage_of_the_store_stay_for_two_seconds_after_it() {
+    let mut directory = directory(&["a", "b"]);
+    directory.note_failure(at(1_000));
+    directory.note_failure(at(9_000));
+    directory.note_contact(at(20_000));
+    // The snapshot after the outage is empty.
+    assert!(directory.replace(Vec::new(), Offset(40), at(20_000)).is_empty());
+    assert!(directory.expire(at(21_999)).is_empty());
+    assert_eq!(ids(&directory), ["a", "b"]);
+    // One target is back.
+    directory.take(Offset(41), "a", Some(entry("a", 1)), at(21_000));
+    let news = directory.expire(at(22_000));
+    assert_eq!(news, [TargetNews { offset: Offset(40), id: "b".into(), entry: None }]);
+    assert_eq!(ids(&directory), ["a"]);
+}
+
+/// Guards against targets that are never dropped because the store fails now and then.
+#[test]
+fn an_entry_that_lapses_while_the_store_answers_is_gone_at_once() {
+    let mut directory = directory(&["a", "b"]);
+    directory.note_contact(at(500));
+    let news = directory.take(Offset(9), "a", None, at(1_000)).unwrap();
+    assert_eq!((news.id.as_str(), news.entry), ("a", None));
+    assert_eq!(ids(&directory), ["b"]);
+}
+
+/// Guards against a target that old news brings back, by a slow peer or a record read twice.
+#[test]
+fn old_news_brings_nobody_back() {
+    let mut directory = directory(&["a"]);
+    directory.take(Offset(9), "a", None, at(1_000));
+    let old = TargetNews { offset: Offset(5), id: "a".into(), entry: Some(entry("a", 1)) };
+    assert!(!directory.take_news(&old, at(1_100)));
+    assert!(directory.take(Offset(8), "a", Some(entry("a", 1)), at(1_100)).is_none());
+    assert!(directory.get("a").is_none());
+    let new = TargetNews { offset: Offset(10), id: "a".into(), entry: Some(entry("a", 2)) };
+    assert!(directory.take_news(&new, at(1_200)));
+    assert_eq!(directory.get("a").unwrap().born_ms, Some(2));
+}
+
+/// Guards against datagrams filled with entries in which only adapters changed.
+#[test]
+fn a_renewed_entry_is_no_news_but_a_leaving_one_is() {
+    let mut directory = directory(&["a"]);
+    assert!(directory.take(Offset(2), "a", Some(entry("a", 1)), at(100)).is_none());
+    let leaving = TargetEntry {
+        state: TargetState::Leaving { remaining_ms: Some(900) },
+        ..entry("a", 1)
+    };
+    assert!(directory.take(Offset(3), "a", Some(leaving), at(200)).is_some());
+}
+
+/// Guards against gateways that believe different things for ever: whatever the order in which the same
+/// records arrive, the end is the same.
+#[test]
+fn the_order_of_news_does_not_matter() {
+    let record = (1..40u64, 0..4u8, any::<bool>());
+    let records = prop::collection::vec(record, 1..30);
+    let mut runner = TestRunner::new(Config {
+        cases: 1_000,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(SEED),
+        ..Config::default()
+    });
+    runner
+        .run(&(records, any::<u64>()), |(records, shuffle)| {
+            // One record an offset, as on a log.
+            let mut news: Vec<TargetNews> = records
+                .iter()
+                .map(|(offset, id, there)| {
+                    let id = format!("t{id}");
+                    let entry = there.then(|| entry(&id, *offset));
+                    TargetNews { offset: Offset(*offset), id: id.as_str().into(), entry }
+                })
+                .collect();
+            news.sort_by_key(|news| news.offset);
+            news.dedup_by_key(|news| news.offset);
+            let mut in_order = TargetDirectory::new();
+            // A target that is not known can't be dropped; all are known first.
+            let mut other = TargetDirectory::new();
+            for directory in [&mut in_order, &mut other] {
+                for id in ["t0", "t1", "t2", "t3"] {
+                    directory.take(Offset(0), id, Some(entry(id, 0)), at(0));
+                }
+            }
+            for item in &news {
+                in_order.take_news(item, at(1));
+            }
+            let mut shuffled = news.clone();
+            shuffled.sort_by_key(|item| item.offset.0.wrapping_mul(shuffle | 1).rotate_left(17));
+            for item in shuffled.iter().chain(&news) {
+                other.take_news(item, at(1));
+            }
+            prop_assert_eq!(in_order.digest(), other.digest());
+            let (left, right): (Vec<_>, Vec<_>) =
+                (in_order.entries().collect(), other.entries().collect());
+            prop_assert_eq!(left, right);
+            Ok(())
+        })
+        .unwrap();
+}
--- a/components/rates/src/shared_bucket.rs
+++ b/components/rates/src/shared_bucket.rs
@@ -19,6 +19,8 @@
 const LEAST_SHARE: f64 = 0.5;
 /// Shortest advised wait.
 const LEAST_RETRY: Duration = Duration::from_millis(200);
+/// Added to the computed wait, so that the level is over its threshold and not at it.
+const RETRY_MARGIN: Duration = Duration::from_millis(1);
 /// Longest advised wait.
 const MOST_RETRY: Duration = Duration::from_millis(2_000);
 
@@ -143,19 +145,31 @@
         self.accrue(gateways, now);
         self.asked_per_s += tokens as f64 / DEMAND_TIME.as_secs_f64();
         let full = self.rate.burst_tokens as f64 * gateways.heard_share();
-        let shared = self.level > SHARED_ABOVE * full;
         // Any positive level admits a request of any size, so that large ones are not starved by
         // small ones; the debt delays what follows.
-        if self.level > 0.0 && (shared || self.own_level > 0.0) {
+        if self.level > SHARED_ABOVE * full {
+            self.level -= tokens as f64;
+            self.admitted += tokens;
+            return Ok(());
+        }
+        // What was taken while there was enough for all doesn't count against the own share.
+        if self.level > 0.0 && self.own_level > 0.0 {
             self.level -= tokens as f64;
             self.own_level -= tokens as f64;
             self.admitted += tokens;
             return Ok(());
         }
-        let rate = self.rate.tokens_per_s as f64 * gateways.heard_share();
-        let debt = (-self.level).max(-self.own_level).max(0.0);
-        let wait = Duration::from_secs_f64(debt / rate.max(1.0));
-        Err(wait.clamp(LEAST_RETRY, MOST_RETRY))
+        Err(self.return_time(full, gateways))
+    }
+
+    /// When there is enough for all again, or something of this gateway's own share.
+    fn return_time(&self, full: f64, gateways: GatewayCount) -> Duration {
+        let rate = (self.rate.tokens_per_s as f64 * gateways.heard_share()).max(1.0);
+        let own_rate = (rate * self.own_share(gateways)).max(1.0);
+        let until_shared_s = (SHARED_ABOVE * full - self.level) / rate;
+        let until_own_s = (-self.level / rate).max(-self.own_level / own_rate);
+        let wait = Duration::from_secs_f64(until_shared_s.min(until_own_s).max(0.0));
+        (wait + RETRY_MARGIN).clamp(LEAST_RETRY, MOST_RETRY)
     }
 
     fn accrue(&mut self, gateways: GatewayCount, now: Timestamp) {
