--- a/components/config/src/direct_route.rs
+++ b/components/config/src/direct_route.rs
@@ -64,9 +64,9 @@
     /// Most targets that one request may be sent to.
     pub attempts: u32,
     /// Time within which an answer (or the first event of a stream) is on time, in milliseconds.
-    pub target_latency_ms: u64,
+    pub answer_objective_ms: u64,
     /// Longest pause between two events of a stream that is on time, in milliseconds.
-    pub gap_target_ms: u64,
+    pub gap_objective_ms: u64,
     /// Rank; 0 is the most urgent.
     pub priority: u8,
 }
--- a/components/gateway/src/events.rs
+++ b/components/gateway/src/events.rs
@@ -7,7 +7,7 @@
 
 /// An event, whole.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub(crate) struct StreamEvent {
+pub struct StreamEvent {
     /// Its bytes, the empty line at its end included.
     pub bytes: Bytes,
     /// Its number, if it has one.
@@ -16,11 +16,11 @@
 
 /// The body has an event that is too long.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) struct EventTooLong;
+pub struct EventTooLong;
 
 /// Collects bytes until events are whole: a target may stop in the middle of one.
 #[derive(Debug, Default)]
-pub(crate) struct EventSplitter {
+pub struct EventSplitter {
     buffer: BytesMut,
     /// Bytes at the start of the buffer that hold no end of an event.
     scanned: usize,
@@ -32,13 +32,13 @@
     /// # Errors
     ///
     /// If an event does not end within the limit.
-    pub(crate) fn push(&mut self, bytes: &[u8]) -> Result<(), EventTooLong> {
+    pub fn push(&mut self, bytes: &[u8]) -> Result<(), EventTooLong> {
         self.buffer.extend_from_slice(bytes);
         if self.buffer.len() > MAX_EVENT_BYTES { Err(EventTooLong) } else { Ok(()) }
     }
 
     /// The next whole event.
-    pub(crate) fn next(&mut self) -> Option<StreamEvent> {
+    pub fn next_event(&mut self) -> Option<StreamEvent> {
         let from = self.scanned.saturating_sub(3);
         let Some(end) = end_of_event(&self.buffer[from..]) else {
             self.scanned = self.buffer.len();
@@ -51,7 +51,7 @@
     }
 
     /// Bytes that belong to no whole event.
-    pub(crate) fn rest(self) -> Bytes {
+    pub fn rest(self) -> Bytes {
         self.buffer.freeze()
     }
 }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -24,4 +24,5 @@
 mod target_watch;
 
 pub use error::GatewayError;
+pub use events::{EventSplitter, EventTooLong, StreamEvent};
 pub use handle::{GatewayHandle, start};
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -147,7 +147,7 @@
                     if splitter.push(&bytes).is_err() {
                         return RunEnd::Broken;
                     }
-                    while let Some(event) = splitter.next() {
+                    while let Some(event) = splitter.next_event() {
                         match self.pass_on(event).await {
                             Ok(true) => {}
                             Ok(false) => return RunEnd::Broken,
--- a/components/gateway/src/request.rs
+++ b/components/gateway/src/request.rs
@@ -214,8 +214,8 @@
         kind: direct.kind,
         attempts: direct.attempts.max(1),
         objectives: Objectives {
-            answer: Duration::from_millis(direct.target_latency_ms),
-            gap: Duration::from_millis(direct.gap_target_ms),
+            answer: Duration::from_millis(direct.answer_objective_ms),
+            gap: Duration::from_millis(direct.gap_objective_ms),
         },
         priority: rank.unwrap_or(direct.priority),
     }
--- a/components/membership/tests/gateway_table.rs
+++ b/components/membership/tests/gateway_table.rs
@@ -100,8 +100,7 @@
     let mut table = table();
     for (name, port) in [("s1", 21), ("s2", 22)] {
         let process = process(name, 1);
-        let record =
-            GatewayRecord { process, address: address(port), data_centre: "south".into() };
+        let record = GatewayRecord { process, address: address(port), data_centre: "south".into() };
         table.registered(&record, at(0));
     }
     let told = |table: &GatewayTable, ms| -> Vec<String> {
--- a/components/membership/tests/target_directory.rs
+++ b/components/membership/tests/target_directory.rs
@@ -90,10 +90,8 @@
 fn a_renewed_entry_is_no_news_but_a_leaving_one_is() {
     let mut directory = directory(&["a"]);
     assert!(directory.take(Offset(2), "a", Some(entry("a", 1)), at(100)).is_none());
-    let leaving = TargetEntry {
-        state: TargetState::Leaving { remaining_ms: Some(900) },
-        ..entry("a", 1)
-    };
+    let leaving =
+        TargetEntry { state: TargetState::Leaving { remaining_ms: Some(900) }, ..entry("a", 1) };
     assert!(directory.take(Offset(3), "a", Some(leaving), at(200)).is_some());
 }
 
--- a/components/rates/tests/shared_bucket.rs
+++ b/components/rates/tests/shared_bucket.rs
@@ -127,12 +127,20 @@
 #[derive(Clone, Copy, Debug)]
 enum Event {
     /// A request of some tokens at a gateway.
-    Ask { gateway: usize, tokens: u64 },
+    Ask {
+        gateway: usize,
+        tokens: u64,
+    },
     /// The gateways that are not cut off tell each other.
     Tell,
     /// A gateway is cut off from the others, or no longer.
-    Cut { gateway: usize, off: bool },
-    Wait { ms: u64 },
+    Cut {
+        gateway: usize,
+        off: bool,
+    },
+    Wait {
+        ms: u64,
+    },
 }
 
 fn events() -> impl Strategy<Value = Vec<Event>> {
--- a/components/routing/src/prefix_memory.rs
+++ b/components/routing/src/prefix_memory.rs
@@ -1,5 +1,7 @@
 //! What an engine probably still keeps of the prompts that it was sent.
 
+use std::cmp::Reverse;
+
 use base::{SortedMap, Timestamp};
 
 use crate::PrefixLink;
@@ -7,6 +9,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Kept {
     tokens: u32,
+    /// Number of parts before it.
+    depth: usize,
     used_at: Timestamp,
 }
 
@@ -44,8 +48,8 @@
 
     /// Takes notice that a prompt was sent to the engine.
     pub fn note(&mut self, links: &[PrefixLink], now: Timestamp) {
-        for link in links {
-            let kept = Kept { tokens: link.tokens, used_at: now };
+        for (depth, link) in links.iter().enumerate() {
+            let kept = Kept { tokens: link.tokens, depth, used_at: now };
             match self.kept.get_mut(&link.hash) {
                 Some(known) => known.used_at = known.used_at.max(now),
                 None => {
@@ -65,9 +69,13 @@
 
     fn evict(&mut self) {
         while self.kept_tokens > self.capacity_tokens {
-            // A part is never used later than those before it, so that the oldest is a last part.
-            let oldest =
-                self.kept.iter().min_by_key(|(_, kept)| kept.used_at).map(|(hash, _)| *hash);
+            // A part is never used later than those before it; of those used at the same time the last
+            // one goes first, since it is of no use without the others.
+            let oldest = self
+                .kept
+                .iter()
+                .min_by_key(|(_, kept)| (kept.used_at, Reverse(kept.depth)))
+                .map(|(hash, _)| *hash);
             let Some(dropped) = oldest.and_then(|hash| self.kept.remove(&hash)) else { return };
             self.kept_tokens -= u64::from(dropped.tokens);
         }
--- /dev/null
+++ b/components/routing/tests/direct_fleet.rs
@@ -0,0 +1,208 @@
+//! Choice of a target by a gateway that calls targets itself.
+#![allow(clippy::unwrap_used, reason = "a missing value fails the test")]
+
+use std::net::SocketAddr;
+
+use base::{LoadedModel, ProcessName, Timestamp, WarmCopies, short_hash};
+use compact_str::format_compact;
+use routing::{
+    DirectChoice, DirectFleet, DirectPick, GenerationNeed, PlainDirectNeed, PromptPart, TargetKey,
+    TargetOutcome, prefix_links,
+};
+use wire::{SendCopy, TargetEntry, TargetState, TargetWorkCopy};
+
+fn at(ms: u64) -> Timestamp {
+    Timestamp::from_millis(ms)
+}
+
+fn entry(number: u16, data_centre: &str) -> TargetEntry {
+    TargetEntry {
+        id: format_compact!("engine-{number}"),
+        born_ms: Some(1),
+        service: "engines".into(),
+        address: SocketAddr::from(([127, 0, 0, 1], 9_000 + number)),
+        data_centre: data_centre.into(),
+        slots: 8,
+        state: TargetState::Ready,
+        cold_ms: 0,
+        orders_accepted: 0,
+        models: vec![LoadedModel { model: "m".into(), version: 1, adapters: Vec::new() }],
+        warm: WarmCopies::default(),
+    }
+}
+
+/// Four engines in the gateway's data centre.
+fn fleet() -> DirectFleet {
+    let mut fleet = DirectFleet::new("north-a");
+    fleet.set_cache_tokens("engines", 100_000);
+    for number in 0..4 {
+        fleet.take_entry(&entry(number, "north-a"), at(0));
+    }
+    fleet
+}
+
+fn need<'a>(links: &'a [routing::PrefixLink], exclude: &'a [TargetKey]) -> GenerationNeed<'a> {
+    GenerationNeed {
+        service: "engines",
+        model: "m",
+        adapter: None,
+        links,
+        prompt_tokens: 2_000,
+        output_tokens: 100,
+        exclude,
+    }
+}
+
+fn pick(fleet: &DirectFleet, need: &GenerationNeed<'_>, ms: u64) -> DirectPick {
+    match fleet.choose_generation(need, at(ms)) {
+        DirectChoice::Serve(pick) => pick,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn links(conversation: u64) -> Vec<routing::PrefixLink> {
+    let parts = [
+        PromptPart { id: 1, tokens: 500 },
+        PromptPart { id: conversation, tokens: 1_400 },
+        PromptPart { id: conversation + 1_000, tokens: 100 },
+    ];
+    prefix_links("m", None, &parts)
+}
+
+/// The pattern "conversation": a next request goes where the prompt is in memory, also if another gateway
+/// sent the first one.
+#[test]
+fn a_conversation_returns_to_the_engine_that_has_its_prompt() {
+    let prompt = links(7);
+    let mut fleet = fleet();
+    let first = pick(&fleet, &need(&prompt, &[]), 0);
+    let id = fleet.note_generation(&first, &need(&prompt, &[]), at(0));
+    fleet.note_end(first.key, id);
+    let again = pick(&fleet, &need(&prompt, &[]), 1_000);
+    assert_eq!((again.key, again.unread_tokens), (first.key, 1));
+    // A gateway that only heard of the send.
+    let mut other = self::fleet();
+    let link = |link: &routing::PrefixLink| wire::LinkCopy { hash: link.hash, tokens: link.tokens };
+    let copy = SendCopy {
+        number: 1,
+        target: short_hash(b"engine-3"),
+        links: prompt.iter().map(link).collect(),
+    };
+    other.take_peer_send(&copy, at(0));
+    assert_eq!(pick(&other, &need(&prompt, &[]), 100).id, "engine-3");
+}
+
+/// The pattern "many prompts at once": requests without a common prompt spread over the engines instead of
+/// all going to the first.
+#[test]
+fn a_burst_of_unrelated_requests_spreads_over_all_engines() {
+    let mut fleet = fleet();
+    let mut counts = [0; 4];
+    for number in 0..40 {
+        let prompt = links(10_000 * (number + 1));
+        let need = need(&prompt, &[]);
+        let chosen = pick(&fleet, &need, 0);
+        fleet.note_generation(&chosen, &need, at(0));
+        counts[chosen.key.0 as usize] += 1;
+    }
+    assert!(counts.iter().all(|count| (7..=13).contains(count)), "{counts:?}");
+}
+
+/// The pattern "several gateways, one idle engine": the work that other gateways told of counts as much as
+/// the own, and fades as the engine goes on.
+#[test]
+fn work_of_other_gateways_keeps_this_one_from_following_them() {
+    let mut fleet = fleet();
+    let peer = ProcessName::new("gateway-2");
+    let busy = |number: u16| TargetWorkCopy {
+        target: short_hash(format!("engine-{number}").as_bytes()),
+        unread_ms: 900,
+        waiting: 6,
+        running: 8,
+        cache_tokens: 20_000,
+    };
+    fleet.take_peer_work(&peer, &[busy(0), busy(1), busy(2)], at(0));
+    for number in 0..5 {
+        let prompt = links(100 * (number + 1));
+        assert_eq!(pick(&fleet, &need(&prompt, &[]), 10).id, "engine-3");
+    }
+    // Nothing was heard for long: what the peer said no longer counts.
+    let spread: Vec<_> = (0..40)
+        .map(|number| pick(&fleet, &need(&links(100 * (number + 1)), &[]), 5_000).key)
+        .collect();
+    assert!(spread.iter().any(|key| *key != spread[0]), "{spread:?}");
+}
+
+/// The pattern "an engine that answers its checks but no requests": two silent sends leave it out, a pause
+/// later one request tries it again.
+#[test]
+fn an_engine_without_answers_is_left_and_tried_again() {
+    let mut fleet = fleet();
+    let prompt = links(7);
+    let key = pick(&fleet, &need(&prompt, &[]), 0).key;
+    fleet.note_outcome(key, TargetOutcome::Silent, at(0));
+    fleet.note_outcome(key, TargetOutcome::Silent, at(10));
+    assert!(!fleet.target(key).is_usable(at(409)));
+    assert!(fleet.target(key).is_usable(at(410)));
+    assert_ne!(pick(&fleet, &need(&prompt, &[]), 20).key, key);
+    assert_eq!(fleet.silent_targets(at(20)), [fleet.target(key).hash]);
+    fleet.note_outcome(key, TargetOutcome::Answered, at(420));
+    assert!(fleet.silent_targets(at(421)).is_empty());
+}
+
+/// The pattern "half of the answers fail": an engine that fails is used less, without a limit at which all
+/// of them would be left.
+#[test]
+fn an_engine_that_fails_half_of_its_requests_is_avoided_but_not_forbidden() {
+    let mut fleet = fleet();
+    let prompt = links(7);
+    let key = pick(&fleet, &need(&prompt, &[]), 0).key;
+    for ms in 0..10 {
+        let failed = if ms % 2 == 0 { TargetOutcome::Failed } else { TargetOutcome::Answered };
+        fleet.note_outcome(key, failed, at(ms));
+    }
+    assert_ne!(pick(&fleet, &need(&prompt, &[]), 20).key, key);
+    let others: Vec<TargetKey> = (0..4).map(TargetKey).filter(|other| *other != key).collect();
+    assert_eq!(pick(&fleet, &need(&prompt, &others), 20).key, key);
+}
+
+/// Guards against requests to the former holder of an address: the younger life has it.
+#[test]
+fn an_address_belongs_to_its_youngest_holder() {
+    let mut fleet = fleet();
+    let reborn = TargetEntry { id: "engine-9".into(), born_ms: Some(2), ..entry(0, "north-a") };
+    fleet.take_entry(&reborn, at(10));
+    let former = fleet.key_of("engine-0").unwrap();
+    assert!(!fleet.target(former).is_usable(at(10)));
+    // The list still has the old entry.
+    fleet.take_entry(&entry(0, "north-a"), at(20));
+    assert!(!fleet.target(former).is_usable(at(20)));
+}
+
+/// The pattern "dear bytes between data centres": an equal engine nearby is preferred, a busy one is not.
+#[test]
+fn an_engine_nearby_is_preferred_while_it_is_not_busy() {
+    let mut fleet = DirectFleet::new("north-a");
+    fleet.take_entry(&entry(0, "north-b"), at(0));
+    fleet.take_entry(&entry(1, "north-a"), at(0));
+    let prompt = links(7);
+    assert_eq!(pick(&fleet, &need(&prompt, &[]), 0).id, "engine-1");
+    for number in 0..8 {
+        let other = links(50 * (number + 1));
+        let chosen = pick(&fleet, &need(&other, &[]), 0);
+        fleet.note_generation(&chosen, &need(&other, &[]), at(0));
+    }
+    let work: Vec<u32> = fleet.own_work().iter().map(|work| work.waiting).collect();
+    assert_eq!(work.len(), 2, "a full engine nearby gets everything: {work:?}");
+}
+
+/// Guards against requests that wait for nothing: without a copy the caller learns whether one is loading.
+#[test]
+fn a_model_without_a_copy_is_told_apart_from_a_service_without_targets() {
+    let fleet = fleet();
+    let prompt = links(7);
+    let missing = GenerationNeed { model: "other", ..need(&prompt, &[]) };
+    assert_eq!(fleet.choose_generation(&missing, at(0)), DirectChoice::NoCopy { loading_ms: None });
+    let nowhere = PlainDirectNeed { service: "other", exclude: &[] };
+    assert_eq!(fleet.choose_plain(&nowhere, at(0)), DirectChoice::NoTarget);
+}
--- a/src/cmd/agent.rs
+++ b/src/cmd/agent.rs
@@ -18,8 +18,8 @@
 Usage: plantainbeam agent [--settings FILE] [--log-level LEVEL]
 
 Options:
-      --settings FILE    settings file of the platform; by default the one that the environment
-                         variable PLANTAINBEAM_SETTINGS names
+      --settings FILE    settings file of the platform; by default the one that the platform
+                         names in the environment
       --log-level LEVEL  error, warn, info, debug or trace (info)
   -h, --help             show this text
 
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -18,8 +18,8 @@
 Usage: plantainbeam gateway [--settings FILE] [--metrics-port PORT] [--log-level LEVEL]
 
 Options:
-      --settings FILE      settings file of the platform; by default the one that the environment
-                           variable PLANTAINBEAM_SETTINGS names
+      --settings FILE      settings file of the platform; by default the one that the platform
+                           names in the environment
       --metrics-port PORT  port for metrics (9464)
       --log-level LEVEL    error, warn, info, debug or trace (info)
   -h, --help               show this text
