Let a hot model gain needed copies; replace the copies of lost engines

No other model had more copies than it needed, since memory comes in pieces and the needs did not fit. Two crashed engines counted as holders of their models until their entries lapsed 3 s later, and one was given a plan.

A copy now also moves if the gaining model keeps more demand a copy than the giving one; an engine that its agent has lost for 500 ms counts as ended.

Ruled out: the weight store's ceiling (8 fetches were free).

--- a/components/gateway/src/planning.rs
+++ b/components/gateway/src/planning.rs
@@ -133,7 +133,7 @@
     let fleet = app.fleet.borrow();
     fleet
         .targets()
-        .filter(|target| target.service == service && target.takes_work)
+        .filter(|target| target.service == service && target.takes_work && !target.is_lost(now))
         .map(|target| {
             let adapters_mb = target
                 .models()
--- a/components/placement/src/fleet_planner.rs
+++ b/components/placement/src/fleet_planner.rs
@@ -23,6 +23,12 @@
 /// Longest queue of an engine from which a copy in use is taken.
 const EVICT_WEIGHT_MS: f64 = 40.0;
 
+/// Cost of unloading a copy that is worth having, in milliseconds, against one that is not.
+const NEEDED_COPY_MS: f64 = 500.0;
+/// Demand a copy of a model that gives up a copy, as a part of that of the model that gains it, both after
+/// the move; less than one, so that no copy moves back and forth.
+const SHORTER_PART: f64 = 0.6;
+
 /// A model as the planner sees it.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct FleetModel {
@@ -314,16 +320,17 @@
             })
             .collect();
         short.sort_by(|a, b| a.0.cmp(&b.0).then(b.1.total_cmp(&a.1)));
-        short.into_iter().find_map(|(reason, _, at)| self.place(&fleet.models[at], reason, fleet))
+        short.into_iter().find_map(|(reason, _, at)| self.place(at, reason, fleet))
     }
 
     /// The engine on which a copy costs least.
     fn place(
         &self,
-        model: &FleetModel,
+        model_at: usize,
         reason: MoveReason,
         fleet: FleetView<'_>,
     ) -> Option<FleetMove> {
+        let model = &fleet.models[model_at];
         let mut best: Option<(f64, FleetMove)> = None;
         for engine in fleet.engines {
             let taken = engine.changing.is_some() || self.pending.contains_key(&engine.id);
@@ -334,7 +341,7 @@
             if may_fetch && fleet.fetch_room == 0 {
                 continue;
             }
-            let Some((unload, unload_ms)) = make_room(model, reason, engine, fleet) else {
+            let Some((unload, unload_ms)) = make_room(model_at, reason, engine, fleet) else {
                 continue;
             };
             if !unload.is_empty() && !fleet.may_swap {
@@ -385,13 +392,25 @@
     }
 }
 
-/// Models to unload so that `model` fits, none if it fits as it is, with the cost in milliseconds.
+/// Whether `gaining` would still have more demand a copy with one copy more than `giving` with one less.
+/// Needs are estimates, and memory in pieces may hold less than they add up to; then the model with the
+/// most demand a copy would stay short for as long as the others have no more than they need.
+fn is_shorter(gaining: Standing, giving: Standing) -> bool {
+    let after_gain = gaining.demand / (gaining.copies as f64 + 1.0);
+    let after_loss = giving.demand / (giving.copies as f64 - 1.0);
+    giving.copies > 1 && after_loss < SHORTER_PART * after_gain
+}
+
+/// Models to unload so that the one at `model_at` fits, none if it fits as it is, with the cost in
+/// milliseconds.
 fn make_room(
-    model: &FleetModel,
+    model_at: usize,
     reason: MoveReason,
     engine: &FleetEngine,
     fleet: FleetView<'_>,
 ) -> Option<(Vec<CompactString>, f64)> {
+    let model = &fleet.models[model_at];
+    let gaining = fleet.standings[model_at];
     let size = |name: &CompactString| {
         fleet.models.iter().find(|model| model.name == *name).map_or(0, |model| model.memory_mb)
     };
@@ -407,11 +426,17 @@
             let at = fleet.models.iter().position(|model| model.name == *name)?;
             let standing = fleet.standings[at];
             let spare = match reason {
-                MoveReason::NoCopy | MoveReason::Demand => standing.copies > standing.needed,
+                // A copy that is needed goes only for a model that requests wait for now.
+                MoveReason::NoCopy => {
+                    standing.copies > standing.needed || (model.waiting > 0 && standing.copies > 1)
+                }
+                MoveReason::Demand => {
+                    standing.copies > standing.needed || is_shorter(gaining, standing)
+                }
                 MoveReason::Prior => standing.copies > standing.wished,
             };
             // A copy that is worth having goes only for one that is needed.
-            let dear = if standing.copies > standing.wished { 0.0 } else { 500.0 };
+            let dear = if standing.copies > standing.wished { 0.0 } else { NEEDED_COPY_MS };
             let load = standing.demand / standing.copies.max(1) as f64;
             (spare && size(name) >= short).then(|| (name.clone(), dear + 1_000.0 * load))
         })
--- a/components/placement/tests/fleet_planner.rs
+++ b/components/placement/tests/fleet_planner.rs
@@ -99,6 +99,24 @@
     assert!(copies(&engines, "b") >= 2, "{engines:?}");
 }
 
+/// The pattern "a hot model among many small ones": memory comes in pieces, so that the needs can't all be
+/// met. The model with fifteen times the demand a copy must not stay at one copy because the others have
+/// no more than they need, as on teyrnged-live scale-1, seconds 6 to 11.
+#[test]
+fn a_hot_model_gains_copies_from_models_that_have_no_more_than_they_need() {
+    let mut planner = FleetPlanner::new();
+    let models = models(&[("a", 6_000.0), ("b", 1_400.0), ("c", 1_100.0), ("d", 100.0)]);
+    let mut engines = engines(&[&["a"], &["b"], &["b"], &["b"], &["b"], &["c"], &["c"], &["d"]]);
+    for engine in &mut engines {
+        // Room for one model; the rest of 79 MB is of no use.
+        engine.capacity_mb = 79;
+    }
+    settle(&mut planner, &models, &mut engines);
+    let counts = ["a", "b", "c", "d"].map(|name| copies(&engines, name));
+    assert!(counts[0] >= 3, "{counts:?}");
+    assert!(counts[1..].iter().all(|count| *count >= 1), "{counts:?}");
+}
+
 /// The pattern "calm day after a plan": a fleet that holds what it should is left alone; each move costs
 /// a load, and the engine serves less meanwhile.
 #[test]
--- a/components/routing/src/direct_target.rs
+++ b/components/routing/src/direct_target.rs
@@ -9,6 +9,9 @@
 
 use crate::{PrefixMemory, TargetHealth, TargetWork};
 
+/// Time without an answer to its agent after which an engine's copies are replaced: longer than most
+/// pauses of a process, shorter than the 3 s after which its entry lapses.
+const LOST_AFTER: Duration = Duration::from_millis(500);
 /// Silence of an agent after which the target's own entry is believed instead.
 const AGENT_SILENT_AFTER: Duration = Duration::from_millis(2_500);
 /// Time for which a request waits for an adapter before it looks again.
@@ -71,6 +74,8 @@
     /// Whether the engine answers its agent, by the agent's last word.
     pub(crate) answers_agent: bool,
     pub(crate) agent_heard_at: Option<Timestamp>,
+    /// Since when the engine has not answered its agent.
+    unanswered_since: Option<Timestamp>,
     /// Run of the agent and its clock in its newest word.
     agent_said: Option<(Incarnation, u64)>,
     pub(crate) agent_load: Option<AgentLoad>,
@@ -122,6 +127,7 @@
             free_adapter_slots: 0,
             answers_agent: true,
             agent_heard_at: None,
+            unanswered_since: None,
             agent_said: None,
             agent_load: None,
             agent_run: None,
@@ -168,6 +174,11 @@
         }
         self.agent_said = Some(said);
         self.answers_agent = state.answers;
+        if state.answers {
+            self.unanswered_since = None;
+        } else {
+            self.unanswered_since.get_or_insert(now);
+        }
         self.agent_heard_at = Some(now);
         self.models.clone_from(&state.models);
         self.warm.clone_from(&state.warm);
@@ -206,6 +217,19 @@
         self.prefixes.clear();
         self.health = TargetHealth::default();
         self.slowness = 1.0;
+        self.unanswered_since = None;
+    }
+
+    /// Whether it has probably ended, though the list still has it: its copies should be replaced. A short
+    /// pause is no reason, since a load costs more.
+    pub fn is_lost(&self, now: Timestamp) -> bool {
+        let long_ago =
+            |at: Option<Timestamp>, limit: Duration| at.is_some_and(|at| now.since(at) >= limit);
+        if self.agent_is_heard(now) {
+            return long_ago(self.unanswered_since, LOST_AFTER);
+        }
+        let unheard = long_ago(self.agent_heard_at, AGENT_SILENT_AFTER);
+        unheard && self.health.answered_at().is_none_or(|at| now.since(at) >= AGENT_SILENT_AFTER)
     }
 
     /// Whether the agent beside it was heard lately.
--- a/components/routing/tests/direct_fleet.rs
+++ b/components/routing/tests/direct_fleet.rs
@@ -206,3 +206,43 @@
     let nowhere = PlainDirectNeed { service: "other", exclude: &[] };
     assert_eq!(fleet.choose_plain(&nowhere, at(0)), DirectChoice::NoTarget);
 }
+
+/// The pattern "crashed engine whose entry is still on the list": its copies are replaced half a second after
+/// its agent lost it, not when the entry lapses seconds later; a pause of 400 ms replaces nothing.
+#[test]
+fn an_engine_that_its_agent_has_lost_counts_as_ended() {
+    let mut fleet = fleet();
+    let said = |sent_ms: u64, answers| wire::AgentState {
+        from: base::ProcessId {
+            name: ProcessName::new("agent-1"),
+            incarnation: base::Incarnation(1),
+        },
+        sent_micros: sent_ms * 1_000,
+        target: "engine-1".into(),
+        born_ms: Some(1),
+        answers,
+        orders_accepted: 0,
+        models: Vec::new(),
+        changing: None,
+        free_adapter_slots: 4,
+        running: 0,
+        waiting: 0,
+        cache_used_tokens: 0,
+        warm: WarmCopies::default(),
+        fetch_ages_ms: Vec::new(),
+    };
+    let key = fleet.key_of("engine-1").unwrap();
+    assert!(!fleet.target(key).is_lost(at(90_000)), "nothing is known without an agent");
+    fleet.take_agent(&said(1, true), at(100));
+    fleet.take_agent(&said(2, false), at(200));
+    fleet.take_agent(&said(3, false), at(600));
+    assert!(!fleet.target(key).is_lost(at(699)));
+    assert!(fleet.target(key).is_lost(at(700)));
+    fleet.take_agent(&said(4, true), at(710));
+    assert!(!fleet.target(key).is_lost(at(1_500)));
+    // The whole machine is gone.
+    assert!(!fleet.target(key).is_lost(at(3_209)));
+    assert!(fleet.target(key).is_lost(at(3_210)));
+    fleet.note_outcome(key, TargetOutcome::Answered, at(3_300));
+    assert!(!fleet.target(key).is_lost(at(3_400)), "it answers, though its agent is silent");
+}
