--- a/components/agent/src/configuration_watch.rs
+++ b/components/agent/src/configuration_watch.rs
@@ -22,7 +22,7 @@
             Ok(read) => {
                 if let Some(configuration) = newest_configuration(read.page()) {
                     let town = configuration.town;
-                    log::info!("event=configuration_in_force offset={}", town.version.0);
+                    log::info!("event=configuration_in_force config={}", town.version.0);
                     app.desk.borrow_mut().adopt(&town, &app.settings.service);
                     app.work.notify_one();
                 }
--- a/components/gateway/src/app.rs
+++ b/components/gateway/src/app.rs
@@ -131,7 +131,8 @@
         *self.town.borrow_mut() = Some(Arc::new(town));
         *self.document.borrow_mut() = Some(StoredDocument { offset, bytes: document });
         log::info!(
-            "event=configuration_in_force offset={} version={operators_version} source={source}",
+            "event=configuration_in_force config={} offset={} operators_version={operators_version} source={source}",
+            self.version().0,
             offset.0
         );
     }
