Stop sending to a target that refuses as another one

Cause: after all power was lost, engines restart empty under new ids at the old addresses, and the list has both for seconds.

A refusal as another target now ends the belief in the model (or, for a request with an adapter, in the adapter) until the agent or the entry says otherwise; a plain target is left for a second.

--- a/components/gateway/src/call.rs
+++ b/components/gateway/src/call.rs
@@ -287,6 +287,16 @@
                 quote(&send.pick.id),
                 answer.status.as_u16()
             );
+            if answer.status == StatusCode::MISDIRECTED_REQUEST {
+                let head = &self.request.head;
+                let engine = self.request.plan.engine;
+                self.app.fleet.borrow_mut().note_misdirected(
+                    send.pick.key,
+                    head.model.as_deref().filter(|_| engine),
+                    head.adapter.as_deref(),
+                    self.app.clock.now(),
+                );
+            }
             return None;
         }
         self.runs += 1;
--- a/components/routing/src/direct_fleet.rs
+++ b/components/routing/src/direct_fleet.rs
@@ -237,6 +237,18 @@
         self.targets[key.0 as usize].health.note(outcome, now);
     }
 
+    /// Records that a target refused a request as meant for another one, or for a model or adapter that it
+    /// does not have. Its agent or its entry say when that changes.
+    pub fn note_misdirected(
+        &mut self,
+        key: TargetKey,
+        model: Option<&str>,
+        adapter: Option<&str>,
+        now: Timestamp,
+    ) {
+        self.targets[key.0 as usize].note_misdirected(model, adapter, now);
+    }
+
     /// Records the load that a target reported with an answer.
     pub fn note_load(&mut self, key: TargetKey, sample: TargetLoadSample) {
         self.targets[key.0 as usize].slots = sample.slots.max(1);
--- a/components/routing/src/direct_target.rs
+++ b/components/routing/src/direct_target.rs
@@ -12,6 +12,9 @@
 /// Time without an answer to its agent after which an engine's copies are replaced: longer than most
 /// pauses of a process, shorter than the 3 s after which its entry lapses.
 const LOST_AFTER: Duration = Duration::from_millis(500);
+/// Time for which a plain target is left after another one answered at its address: two readings of the
+/// list.
+const MISDIRECTED_PAUSE: Duration = Duration::from_millis(1_000);
 /// Silence of an agent after which the target's own entry is believed instead.
 const AGENT_SILENT_AFTER: Duration = Duration::from_millis(2_500);
 /// Time for which a request waits for an adapter before it looks again.
@@ -74,6 +77,8 @@
     /// Whether the engine answers its agent, by the agent's last word.
     pub(crate) answers_agent: bool,
     pub(crate) agent_heard_at: Option<Timestamp>,
+    /// Until when it is left because another target answered at its address.
+    misdirected_until: Option<Timestamp>,
     /// Since when the engine has not answered its agent.
     unanswered_since: Option<Timestamp>,
     /// Run of the agent and its clock in its newest word.
@@ -127,6 +132,7 @@
             free_adapter_slots: 0,
             answers_agent: true,
             agent_heard_at: None,
+            misdirected_until: None,
             unanswered_since: None,
             agent_said: None,
             agent_load: None,
@@ -240,7 +246,12 @@
     /// Whether it may be sent work now.
     pub fn is_usable(&self, now: Timestamp) -> bool {
         let answers = self.answers_agent || !self.agent_is_heard(now);
-        self.takes_work && answers && self.health.is_usable(now) && !self.is_silent_to_peers(now)
+        let misdirected = self.misdirected_until.is_some_and(|until| now < until);
+        self.takes_work
+            && answers
+            && !misdirected
+            && self.health.is_usable(now)
+            && !self.is_silent_to_peers(now)
     }
 
     /// Whether peers got no answer from it lately, and this process has not either.
@@ -256,6 +267,29 @@
         self.silent_to_peers_at = Some(now);
     }
 
+    /// Gives up the belief that it has an adapter, or a model, or that it is at its address.
+    pub(crate) fn note_misdirected(
+        &mut self,
+        model: Option<&str>,
+        adapter: Option<&str>,
+        now: Timestamp,
+    ) {
+        let Some(model) = model else {
+            self.misdirected_until = Some(now + MISDIRECTED_PAUSE);
+            return;
+        };
+        let Ok(at) = self.models.binary_search_by(|loaded| loaded.model.as_str().cmp(model)) else {
+            return;
+        };
+        match adapter {
+            // The model is probably there: adapters come and go all the time.
+            Some(adapter) => self.models[at].adapters.retain(|known| known != adapter),
+            None => {
+                self.models.remove(at);
+            }
+        }
+    }
+
     /// A model that it serves and is not giving up.
     pub fn serves(&self, model: &str) -> Option<&LoadedModel> {
         let leaving =
--- a/components/routing/tests/direct_fleet.rs
+++ b/components/routing/tests/direct_fleet.rs
@@ -31,6 +31,29 @@
     }
 }
 
+/// Word of the agent beside an engine that holds nothing.
+fn agent_word(engine: &str, sent_ms: u64) -> wire::AgentState {
+    wire::AgentState {
+        from: base::ProcessId {
+            name: ProcessName::new("agent-1"),
+            incarnation: base::Incarnation(1),
+        },
+        sent_micros: sent_ms * 1_000,
+        target: engine.into(),
+        born_ms: Some(1),
+        answers: true,
+        orders_accepted: 0,
+        models: Vec::new(),
+        changing: None,
+        free_adapter_slots: 4,
+        running: 0,
+        waiting: 0,
+        cache_used_tokens: 0,
+        warm: WarmCopies::default(),
+        fetch_ages_ms: Vec::new(),
+    }
+}
+
 /// Four engines in the gateway's data centre.
 fn fleet() -> DirectFleet {
     let mut fleet = DirectFleet::new("north-a");
@@ -212,25 +235,8 @@
 #[test]
 fn an_engine_that_its_agent_has_lost_counts_as_ended() {
     let mut fleet = fleet();
-    let said = |sent_ms: u64, answers| wire::AgentState {
-        from: base::ProcessId {
-            name: ProcessName::new("agent-1"),
-            incarnation: base::Incarnation(1),
-        },
-        sent_micros: sent_ms * 1_000,
-        target: "engine-1".into(),
-        born_ms: Some(1),
-        answers,
-        orders_accepted: 0,
-        models: Vec::new(),
-        changing: None,
-        free_adapter_slots: 4,
-        running: 0,
-        waiting: 0,
-        cache_used_tokens: 0,
-        warm: WarmCopies::default(),
-        fetch_ages_ms: Vec::new(),
-    };
+    let said =
+        |sent_ms: u64, answers| wire::AgentState { answers, ..agent_word("engine-1", sent_ms) };
     let key = fleet.key_of("engine-1").unwrap();
     assert!(!fleet.target(key).is_lost(at(90_000)), "nothing is known without an agent");
     fleet.take_agent(&said(1, true), at(100));
@@ -246,3 +252,52 @@
     fleet.note_outcome(key, TargetOutcome::Answered, at(3_300));
     assert!(!fleet.target(key).is_lost(at(3_400)), "it answers, though its agent is silent");
 }
+
+/// The pattern "all power was lost": engines restart empty under new ids at the old addresses, and the list
+/// still has the old ones. A refusal that names another holder, or a model that is not there, ends the
+/// belief at once; on vouga-encomendas one dead id was sent to 72 times in two seconds.
+#[test]
+fn a_target_that_does_not_have_the_model_is_not_sent_to_again() {
+    let mut fleet = fleet();
+    let prompt = links(7);
+    let first = pick(&fleet, &need(&prompt, &[]), 0);
+    fleet.note_misdirected(first.key, Some("m"), None, at(10));
+    assert_ne!(pick(&fleet, &need(&prompt, &[]), 20).key, first.key);
+    // Its agent knows better, as soon as it has been heard again.
+    let others: Vec<TargetKey> = (0..4).map(TargetKey).filter(|key| *key != first.key).collect();
+    assert_eq!(
+        fleet.choose_generation(&need(&prompt, &others), at(5_000)),
+        DirectChoice::NoCopy { loading_ms: None }
+    );
+    let loaded = LoadedModel { model: "m".into(), version: 1, adapters: Vec::new() };
+    let word = wire::AgentState { models: vec![loaded], ..agent_word(&first.id, 1) };
+    assert!(fleet.take_agent(&word, at(5_100)));
+    assert_eq!(pick(&fleet, &need(&prompt, &others), 5_110).key, first.key);
+}
+
+/// Guards against a model that is given up because an adapter on it had just been unloaded.
+#[test]
+fn a_missing_adapter_leaves_the_model() {
+    let mut fleet = fleet();
+    let loaded = LoadedModel { model: "m".into(), version: 1, adapters: vec!["x".into()] };
+    let word = wire::AgentState { models: vec![loaded], ..agent_word("engine-2", 1) };
+    fleet.take_agent(&word, at(10));
+    let key = fleet.key_of("engine-2").unwrap();
+    assert!(fleet.target(key).has_adapter("m", "x"));
+    // Two requests under way are refused for the same reason.
+    fleet.note_misdirected(key, Some("m"), Some("x"), at(20));
+    fleet.note_misdirected(key, Some("m"), Some("x"), at(21));
+    assert!(!fleet.target(key).has_adapter("m", "x"));
+    assert!(fleet.target(key).serves("m").is_some());
+}
+
+/// The pattern "a plain service moved": a plain target that refuses as another one is left for a second, then
+/// tried again.
+#[test]
+fn a_plain_target_at_another_address_is_left_for_a_second() {
+    let mut fleet = fleet();
+    let key = fleet.key_of("engine-1").unwrap();
+    fleet.note_misdirected(key, None, None, at(1_000));
+    assert!(!fleet.target(key).is_usable(at(1_999)));
+    assert!(fleet.target(key).is_usable(at(2_000)));
+}
