Call the store less in large fleets

Long polls of 1 s date the evidence of a reader by up to 2 s, so gateways of other data centres found theirs older than 2 s and read the store themselves, each every 2 s; and in an outage every gateway and agent called at the pace meant for a few.

Long polls now take half a second; pauses after a failure grow with the number of gateways, and are 3 s at agents.

--- a/components/agent/src/configuration_watch.rs
+++ b/components/agent/src/configuration_watch.rs
@@ -11,8 +11,8 @@
 
 /// Longest wait of a long poll. Sizes change rarely, and a call costs.
 const POLL_WAIT: Duration = Duration::from_secs(20);
-/// Pause after a failed call.
-const FAILURE_PAUSE: Duration = Duration::from_millis(500);
+/// Pause after a failed call. Sizes that are seconds late cost nothing, and in an outage all agents call.
+const FAILURE_PAUSE: Duration = Duration::from_secs(3);
 
 /// Reads configurations until the task is aborted.
 pub(crate) async fn watch_configuration(app: Rc<App>) {
--- a/components/gateway/src/app.rs
+++ b/components/gateway/src/app.rs
@@ -24,6 +24,8 @@
 /// Part of the time until a withdrawn key must be dead for which evidence counts. The rest covers
 /// the way from the caller and the resolution of the clocks.
 const EVIDENCE_PART: f64 = 0.9;
+/// Gateways that may call a failing store at their usual pace; the live deployments have five and six.
+const FEW_GATEWAYS: f64 = 6.0;
 /// Longest time after the start for which readiness waits for peers that have not been heard.
 const WARM_UP_LIMIT: Duration = Duration::from_millis(1_500);
 
@@ -137,6 +139,13 @@
         );
     }
 
+    /// Pause after a failed call to the store, `usual` for a few gateways. The first to reach the store
+    /// again tells the others, so that in an outage all together call no more often than a few.
+    pub(crate) fn failure_pause(&self, usual: Duration) -> Duration {
+        let (others, _) = self.gateways.borrow().counts(self.clock.now());
+        usual.mul_f64(((others + 1) as f64 / FEW_GATEWAYS).max(1.0))
+    }
+
     /// Why the load balancer should look elsewhere, if it should.
     pub(crate) fn not_ready_reason(&self) -> Option<&'static str> {
         let now = self.clock.now();
--- a/components/gateway/src/configuration_watch.rs
+++ b/components/gateway/src/configuration_watch.rs
@@ -14,9 +14,10 @@
 use crate::app::App;
 use crate::peer_configuration::fetch_from_peer;
 
-/// Longest wait of a long poll. Each answer renews the evidence that no withdrawal is hidden, which
-/// passes through up to three gateways and must stay well below the age at which it stops to count.
-const POLL_WAIT: Duration = Duration::from_millis(1_000);
+/// Longest wait of a long poll. The evidence of a reader is as old as its poll is long, up to twice that
+/// before the next answer, and a few rounds of datagrams older at the gateways of other data centres; with
+/// half a second all of them stay within `OLD_EVIDENCE` and read nothing themselves.
+const POLL_WAIT: Duration = Duration::from_millis(500);
 /// Age of the evidence from which a gateway that is no reader reads itself.
 const OLD_EVIDENCE: Duration = Duration::from_millis(2_000);
 /// Time for which another gateway may be ahead before this one reads itself.
@@ -63,7 +64,7 @@
                     log::warn!("event=store_lost topic=operators error=\"{error}\"");
                     reachable = false;
                 }
-                sleep(pause).await;
+                sleep(app.failure_pause(pause)).await;
                 pause = (pause * 2).min(LONGEST_PAUSE);
             }
         }
--- a/components/gateway/src/target_watch.rs
+++ b/components/gateway/src/target_watch.rs
@@ -63,7 +63,7 @@
                     reachable = false;
                 }
                 app.directory.borrow_mut().note_failure(now);
-                sleep(FAILURE_PAUSE).await;
+                sleep(app.failure_pause(FAILURE_PAUSE)).await;
             }
         }
     }
