--- a/components/agent/src/app.rs
+++ b/components/agent/src/app.rs
@@ -8,8 +8,8 @@
 use config::AgentSettings;
 use placement::EngineDesk;
 use platform::{EngineClient, StoreClient};
-use tokio::net::UdpSocket;
 use tokio::sync::Notify;
+use wire::DatagramSocket;
 
 /// A gateway that asked lately.
 #[derive(Clone, Copy, Debug)]
@@ -45,7 +45,7 @@
     /// Fencing number of this run; none until the store has given one.
     pub fencing: Cell<Option<u64>>,
     /// Datagrams.
-    pub socket: UdpSocket,
+    pub socket: DatagramSocket,
     /// Gateways that asked lately.
     pub askers: RefCell<SortedMap<ProcessName, Asker>>,
     /// Rings when there may be an order to give.
--- a/components/agent/src/gateway_link.rs
+++ b/components/agent/src/gateway_link.rs
@@ -12,26 +12,16 @@
 
 /// Time after its last datagram for which a gateway is told of changes.
 const ASKER_LIFETIME: Duration = Duration::from_secs(2);
-/// Largest datagram.
-const MAX_BYTES: usize = 60_000;
-
 /// Takes datagrams until the task is aborted.
 pub(crate) async fn hear_gateways(app: Rc<App>) {
-    let mut space = vec![0; MAX_BYTES];
+    let mut space = Vec::new();
     loop {
-        let (length, from) = match app.socket.recv_from(&mut space).await {
-            Ok(received) => received,
-            Err(error) => {
-                log::debug!("event=datagram_error error=\"{error}\"");
-                continue;
-            }
-        };
-        match wire::decode::<Datagram>(&space[..length]) {
-            Ok(Datagram { from: gateway, echo, body: DatagramBody::Ask(ask) }) => {
-                take_ask(&app, &ask, &gateway, echo, from);
+        let (Datagram { from: gateway, echo, body }, from) = app.socket.receive(&mut space).await;
+        match body {
+            DatagramBody::Ask(ask) => take_ask(&app, &ask, &gateway, echo, from),
+            DatagramBody::Agent(_) | DatagramBody::Gateway(_) | DatagramBody::Relayed { .. } => {
+                log::debug!("event=datagram_misplaced from={from}");
             }
-            Ok(_) => log::debug!("event=datagram_misplaced from={from}"),
-            Err(error) => log::warn!("event=datagram_rejected from={from} error=\"{error}\""),
         }
     }
 }
@@ -114,15 +104,5 @@
             .collect(),
     };
     let body = DatagramBody::Agent(state);
-    let bytes = match wire::encode(&Datagram { from: app.me.clone(), echo, body }) {
-        Ok(bytes) => bytes,
-        Err(error) => {
-            log::error!("event=datagram_unsent to={} error=\"{error}\"", asker.address);
-            return;
-        }
-    };
-    // A datagram that can't be sent now is made up for by the next one.
-    if let Err(error) = app.socket.try_send_to(&bytes, asker.address) {
-        log::debug!("event=datagram_unsent to={} error=\"{error}\"", asker.address);
-    }
+    app.socket.send(&Datagram { from: app.me.clone(), echo, body }, asker.address);
 }
--- a/components/agent/src/handle.rs
+++ b/components/agent/src/handle.rs
@@ -12,6 +12,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio::task::JoinSet;
+use wire::DatagramSocket;
 
 use crate::app::App;
 use crate::configuration_watch::watch_configuration;
@@ -50,7 +51,7 @@
         fencing: Cell::new(None),
         askers: RefCell::new(SortedMap::new()),
         work: Notify::new(),
-        socket,
+        socket: DatagramSocket::new(socket),
         me,
         settings,
     });
--- a/components/api/src/error.rs
+++ b/components/api/src/error.rs
@@ -1,5 +1,7 @@
 //! Error objects.
 
+use std::time::Duration;
+
 use base::RanState;
 use serde::Serialize;
 
@@ -60,6 +62,12 @@
         Self { retry_after_ms: Some(retry_after_ms), ..self }
     }
 
+    /// The same error with a time to wait.
+    #[must_use]
+    pub fn with_retry_after(self, wait: Duration) -> Self {
+        self.with_retry_after_ms(u64::try_from(wait.as_millis()).unwrap_or(u64::MAX))
+    }
+
     /// The same error with what is known of the execution.
     #[must_use]
     pub fn with_ran(self, ran: RanState) -> Self {
--- a/components/entry/src/app.rs
+++ b/components/entry/src/app.rs
@@ -10,6 +10,7 @@
 use base::{Offset, ProcessId, Timestamp};
 use changes::ConfigLog;
 use config::{EntrySettings, Town};
+use ingress::Stage;
 use membership::{Authority, Membership};
 use store::{HttpLog, HttpVmList};
 use telemetry::Metrics;
@@ -20,7 +21,6 @@
 use crate::fleet::Fleet;
 use crate::in_flight::InFlight;
 use crate::slots::Slots;
-use crate::stage::Stage;
 
 /// Wait that is advised while there is no authority, in milliseconds.
 const NO_AUTHORITY_RETRY_MS: u64 = 1_000;
@@ -49,7 +49,7 @@
     /// Requests in progress.
     pub in_flight: Rc<InFlight>,
     /// Callers' connections.
-    pub connections: Cell<usize>,
+    pub connections: Rc<Cell<usize>>,
     /// Stage of life.
     pub stage: watch::Sender<Stage>,
     /// Configuration.
--- a/components/entry/src/callers.rs
+++ b/components/entry/src/callers.rs
@@ -1,11 +1,10 @@
 //! Accepts callers' connections.
 
-use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use api::{ApiError, HeadFault};
-use ingress::{ConnectionOptions, raw_error_answer, serve_caller};
+use ingress::{ConnectionOptions, Counted, raw_error_answer, serve_caller};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 
@@ -65,19 +64,3 @@
     log::info!("event=head_refused request_id={id} code={}", error.code.as_str());
     raw_error_answer(&error, &id)
 }
-
-/// Counts a connection while it lives.
-struct Counted<'a>(&'a Cell<usize>);
-
-impl<'a> Counted<'a> {
-    fn new(count: &'a Cell<usize>) -> Self {
-        count.set(count.get() + 1);
-        Self(count)
-    }
-}
-
-impl Drop for Counted<'_> {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
--- a/components/entry/src/clock.rs
+++ b/components/entry/src/clock.rs
@@ -2,7 +2,7 @@
 
 use std::time::{SystemTime, UNIX_EPOCH};
 
-use base::{Incarnation, Timestamp};
+use base::Timestamp;
 use tokio::time::Instant;
 
 /// Monotonic clock that starts with the process.
@@ -32,9 +32,3 @@
 pub(crate) fn wall_seconds() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_secs())
 }
-
-/// Number of this run of the process.
-pub(crate) fn new_incarnation() -> Incarnation {
-    let micros = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_micros());
-    Incarnation(u64::try_from(micros).unwrap_or(u64::MAX))
-}
--- a/components/entry/src/handle.rs
+++ b/components/entry/src/handle.rs
@@ -7,7 +7,9 @@
 
 use base::{ProcessId, ProcessName, Role, Timestamp};
 use changes::ConfigLog;
+use clock::new_incarnation;
 use config::EntrySettings;
+use ingress::Stage;
 use membership::{Authority, Membership, Myself};
 use placement::{Planner, PlannerSettings};
 use store::{HttpLog, HttpLogOptions, HttpVmList, Log};
@@ -20,7 +22,7 @@
 use crate::EntryError;
 use crate::app::App;
 use crate::callers::accept_callers;
-use crate::clock::{Clock, new_incarnation};
+use crate::clock::Clock;
 use crate::config_reader::{ConfigFollower, FleetFollower};
 use crate::fleet::Fleet;
 use crate::heartbeats::{send_heartbeats, watch_authority, watch_vm_list};
@@ -30,7 +32,6 @@
 use crate::planning::plan_placement;
 use crate::shutdown::drain;
 use crate::slots::{SlotFollower, Slots, plan_slots};
-use crate::stage::Stage;
 
 /// Pause between attempts to write the start record.
 const START_RECORD_PAUSE: Duration = Duration::from_millis(500);
@@ -194,7 +195,7 @@
         vm_list: HttpVmList::new(platform.vm_list_address, request_timeout),
         metrics: Metrics::new().map_err(EntryError::Metrics)?,
         in_flight: Rc::default(),
-        connections: Cell::new(0),
+        connections: Rc::default(),
         stage: watch::Sender::new(Stage::Serving),
         config: RefCell::new(ConfigLog::new(&process.region, retention)),
         slots: RefCell::new(Slots::new(me.clone(), retention)),
--- a/components/entry/src/heartbeats.rs
+++ b/components/entry/src/heartbeats.rs
@@ -7,6 +7,7 @@
 use api::ErrorCode;
 use base::{Role, Timestamp};
 use compact_str::CompactString;
+use ingress::Stage;
 use membership::{Heard, Liveness, Vm, VmList as VmListing};
 use store::{VmList, VmState};
 use tokio::time::{MissedTickBehavior, interval, sleep_until};
@@ -14,7 +15,6 @@
 
 use crate::app::App;
 use crate::config_reader::start_catch_up;
-use crate::stage::Stage;
 
 /// Time between looks at the authority to serve keyed requests.
 const WATCH_PERIOD: Duration = Duration::from_millis(100);
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -27,7 +27,6 @@
 mod reserve;
 mod shutdown;
 mod slots;
-mod stage;
 
 pub use error::EntryError;
 pub use handle::{EntryHandle, start};
--- a/components/entry/src/operators.rs
+++ b/components/entry/src/operators.rs
@@ -1,16 +1,8 @@
 //! Health, readiness and metrics for operators.
 
-use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
 
-use http::header::CONTENT_TYPE;
-use http::{HeaderValue, Method, Request, Response, StatusCode};
-use http_body_util::Full;
-use hyper::body::{Bytes, Incoming};
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::TcpListener;
 
 use crate::app::App;
@@ -20,45 +12,9 @@
 
 /// Accepts operators' connections until the task is aborted.
 pub(crate) async fn serve_operators(app: Rc<App>, listener: TcpListener) {
-    loop {
-        let Ok((socket, _)) = listener.accept().await else {
-            tokio::time::sleep(Duration::from_millis(50)).await;
-            continue;
-        };
-        let app = Rc::clone(&app);
-        tokio::task::spawn_local(async move {
-            let service = service_fn(move |request: Request<Incoming>| {
-                let answer = answer(&app, &request);
-                async move { Ok::<_, Infallible>(answer) }
-            });
-            let served = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(HEAD_LIMIT)
-                .serve_connection(TokioIo::new(socket), service)
-                .await;
-            if let Err(error) = served {
-                log::debug!("event=operator_connection_ended error=\"{error}\"");
-            }
-        });
-    }
-}
-
-fn answer(app: &App, request: &Request<Incoming>) -> Response<Full<Bytes>> {
-    let (status, text) = match (request.method(), request.uri().path()) {
-        (&Method::GET, "/healthz") => (StatusCode::OK, "ok\n".to_owned()),
-        (&Method::GET, "/readyz") => match app.not_ready_reason() {
-            None => (StatusCode::OK, "ready\n".to_owned()),
-            Some(reason) => (StatusCode::SERVICE_UNAVAILABLE, format!("not ready: {reason}\n")),
-        },
-        (&Method::GET, "/metrics") => match app.metrics.to_text() {
-            Ok(text) => (StatusCode::OK, text),
-            Err(error) => (StatusCode::INTERNAL_SERVER_ERROR, format!("{error}\n")),
-        },
-        _ => (StatusCode::NOT_FOUND, "not found\n".to_owned()),
-    };
-    let mut response = Response::new(Full::new(Bytes::from(text)));
-    *response.status_mut() = status;
-    let kind = HeaderValue::from_static("text/plain; version=0.0.4; charset=utf-8");
-    response.headers_mut().insert(CONTENT_TYPE, kind);
-    response
+    let shared = Rc::clone(&app);
+    let not_ready_reason = move || shared.not_ready_reason();
+    let metrics_text = move || app.metrics.to_text();
+    ingress::serve_operators(listener, HEAD_LIMIT, &["/readyz"], not_ready_reason, metrics_text)
+        .await;
 }
--- a/components/entry/src/planning.rs
+++ b/components/entry/src/planning.rs
@@ -7,13 +7,13 @@
 use base::{Role, Timestamp};
 use compact_str::CompactString;
 use config::{Residency, Town};
+use ingress::Stage;
 use placement::{Move, MoveKind, PlannedModel, PlannedTarget, Planner};
 use telemetry::quote;
 use tokio::time::{MissedTickBehavior, interval};
 use wire::{ModelDemand, PeerCall, PeerReply, Suggestion, TargetKind};
 
 use crate::app::App;
-use crate::stage::Stage;
 
 /// Time between two plans.
 const PLAN_PERIOD: Duration = Duration::from_secs(1);
--- a/components/entry/src/shutdown.rs
+++ b/components/entry/src/shutdown.rs
@@ -3,10 +3,10 @@
 use std::time::Duration;
 
 use api::ErrorCode;
+use ingress::Stage;
 use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::app::App;
-use crate::stage::Stage;
 
 /// Time between looks at what is still in progress.
 const POLL: Duration = Duration::from_millis(20);
--- a/components/entry/src/slots.rs
+++ b/components/entry/src/slots.rs
@@ -6,6 +6,7 @@
 use base::{Offset, ProcessId, Role, SnapshotSchedule, Timestamp};
 use compact_str::format_compact;
 use config::Town;
+use ingress::Stage;
 use rates::{
     AppendEnd, Distance, EntryPlace, SlotEntry, SlotHolder, SlotLedger, SlotOwner, SlotPlan,
     SlotRecord, SlotView, Verdict, VoidReason, slot_holders,
@@ -16,7 +17,6 @@
 
 use crate::app::App;
 use crate::log_reader::Follower;
-use crate::stage::Stage;
 
 /// Name of the stream.
 pub(crate) const SLOTS_STREAM: &str = "slots";
--- a/components/gateway/src/answer.rs
+++ b/components/gateway/src/answer.rs
@@ -10,7 +10,7 @@
 use http::{Request, Response};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use ingress::{CallerBody, CallerResponse, Closer};
+use ingress::{CallerBody, CallerResponse, Closer, Counted, Stage};
 use platform::{CallerHead, forwarded_answer_headers, own_answer_headers};
 use telemetry::{Class, quote};
 use tokio::time::timeout;
@@ -18,31 +18,14 @@
 use crate::app::App;
 use crate::call::{Call, CallEnd, WholeAnswer};
 use crate::fleet_link::FleetLink;
-use crate::relay::Relay;
+use crate::relay::{Relay, RelayEnd};
 use crate::request::{Arrival, CallerRequest, understand};
-use crate::stage::Stage;
 
 /// Most bytes of a body while no configuration says otherwise.
 const USUAL_BODY_BYTES: usize = 4 << 20;
 /// Longest time to receive a body.
 const BODY_LIMIT: Duration = Duration::from_secs(10);
 
-/// Counts a request while it is in progress.
-struct InFlight(Rc<App>);
-
-impl InFlight {
-    fn new(app: &Rc<App>) -> Self {
-        app.in_flight.set(app.in_flight.get() + 1);
-        Self(Rc::clone(app))
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.0.in_flight.set(self.0.in_flight.get() - 1);
-    }
-}
-
 /// Answers one request.
 pub(crate) async fn answer(
     app: Rc<App>,
@@ -51,7 +34,7 @@
     _closer: Rc<Closer>,
 ) -> CallerResponse {
     let arrived = app.clock.now();
-    let in_flight = InFlight::new(&app);
+    let in_flight = Counted::new(&app.in_flight);
     let (parts, body) = request.into_parts();
     let head = CallerHead::decode(&parts.headers);
     let id = head.request_id.clone().unwrap_or_default();
@@ -98,7 +81,7 @@
                 let (relay, end) = relay.run(*answer, send).await;
                 let request = Rc::clone(&relay.call.request);
                 log_end(&app, &request, end.as_str(), 200, relay.call.sends, Some(&relay));
-                if end == crate::relay::RelayEnd::Whole {
+                if end == RelayEnd::Whole {
                     // A caller that has gone needs no end.
                     let _ended = relay.parts.end().await;
                 }
@@ -141,6 +124,7 @@
     request: Option<&CallerRequest>,
     arrived: Timestamp,
 ) -> CallerResponse {
+    let now = app.clock.now();
     app.metrics.record_refusal(error.code.as_str());
     log::info!(
         "event=request_refused request_id={} code={} reason={} ran={} retry_after_ms={} route={} customer={} after_ms={} config={} evidence_age_ms={}",
@@ -151,9 +135,9 @@
         error.retry_after_ms.unwrap_or_default(),
         request.map_or("-", |request| request.plan.route.as_str()),
         request.and_then(|request| request.customer.as_deref()).unwrap_or("-"),
-        app.clock.now().since(arrived).as_millis(),
+        now.since(arrived).as_millis(),
         app.version().0,
-        app.evidence_age(app.clock.now()).map_or(-1, |age| age.as_millis() as i64)
+        app.evidence_age(now).map_or(-1, |age| age.as_millis() as i64)
     );
     let mut response = Response::new(CallerBody::whole(error.to_json(id)));
     *response.status_mut() = error.code.status();
--- a/components/gateway/src/app.rs
+++ b/components/gateway/src/app.rs
@@ -10,15 +10,16 @@
 use calls::HttpClient;
 use clock::BootClock;
 use config::{GatewaySettings, Town};
+use ingress::Stage;
 use membership::{Authority, GatewayTable, TargetDirectory};
 use placement::{FleetPlanner, ModelDemandTable};
 use platform::{Configuration, StoreClient};
+use rates::GatewayCount;
 use routing::DirectFleet;
 use telemetry::Metrics;
 use tokio::sync::{Notify, watch};
 
 use crate::rates_desk::RatesDesk;
-use crate::stage::Stage;
 use crate::target_pool::TargetPool;
 
 /// Part of the time until a withdrawn key must be dead for which evidence counts. The rest covers
@@ -75,9 +76,9 @@
     /// Connections to targets.
     pub pool: TargetPool,
     /// Requests in progress.
-    pub in_flight: Cell<usize>,
+    pub in_flight: Rc<Cell<usize>>,
     /// Callers' connections.
-    pub connections: Cell<usize>,
+    pub connections: Rc<Cell<usize>>,
     /// When the list of targets was last asked for with success.
     pub targets_read_at: Cell<Option<Timestamp>>,
     /// Whether the register of gateways was read since the start.
@@ -142,8 +143,21 @@
     /// Pause after a failed call to the store, `usual` for a few gateways. The first to reach the store
     /// again tells the others, so that in an outage all together call no more often than a few.
     pub(crate) fn failure_pause(&self, usual: Duration) -> Duration {
-        let (others, _) = self.gateways.borrow().counts(self.clock.now());
-        usual.mul_f64(((others + 1) as f64 / FEW_GATEWAYS).max(1.0))
+        let known = self.gateway_count(self.clock.now()).known;
+        usual.mul_f64((f64::from(known) / FEW_GATEWAYS).max(1.0))
+    }
+
+    /// The gateways that share rates and budgets, this one included.
+    pub(crate) fn gateway_count(&self, now: Timestamp) -> GatewayCount {
+        let (known, heard) = self.gateways.borrow().counts(now);
+        let count = |others: usize| u32::try_from(others).unwrap_or(u32::MAX).saturating_add(1);
+        GatewayCount { known: count(known), heard: count(heard) }
+    }
+
+    /// Whether the register and the list of targets were read and all gateways are heard.
+    pub(crate) fn knows_fleet(&self, now: Timestamp) -> bool {
+        let (known, heard) = self.gateways.borrow().counts(now);
+        self.register_read.get() && self.targets_read_at.get().is_some() && heard >= known
     }
 
     /// Why the load balancer should look elsewhere, if it should.
@@ -158,10 +172,7 @@
         if self.evidence_age(now).is_none() {
             return Some("no news of withdrawn keys");
         }
-        let (known, heard) = self.gateways.borrow().counts(now);
-        let warm =
-            self.targets_read_at.get().is_some() && self.register_read.get() && heard >= known;
-        if !warm && now.since(Timestamp::default()) < WARM_UP_LIMIT {
+        if !self.knows_fleet(now) && now.since(Timestamp::default()) < WARM_UP_LIMIT {
             return Some("not all gateways and targets are known yet");
         }
         None
--- a/components/gateway/src/call.rs
+++ b/components/gateway/src/call.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 use http::{HeaderMap, StatusCode};
+use ingress::Stage;
 use platform::forwarded_answer_headers;
 use routing::{
     Admission, DirectChoice, DirectPick, GenerationNeed, LoadWait, PlainDirectNeed, SendId, Slack,
@@ -19,8 +20,7 @@
 use crate::app::App;
 use crate::exchange::{ExchangeFailure, NoAnswer, TargetAnswer, exchange};
 use crate::fleet_link::{FleetLink, ask_agent};
-use crate::request::{CallerRequest, charge, check_rate, gateway_count};
-use crate::stage::Stage;
+use crate::request::{CallerRequest, charge, check_rate};
 
 /// Sends of one request that a target may refuse beyond those that may run it.
 const EXTRA_SENDS: u32 = 2;
@@ -28,12 +28,12 @@
 const LEAST_LEFT: Duration = Duration::from_millis(30);
 /// Longest wait for a model or adapter while this process shuts down.
 const DRAINING_WAIT: Duration = Duration::from_millis(700);
-/// Advised wait while this process shuts down, in milliseconds; another one can be asked at once.
-const DRAINING_RETRY_MS: u64 = 100;
+/// Advised wait while this process shuts down; another one can be asked at once.
+const DRAINING_RETRY: Duration = Duration::from_millis(100);
 /// Wait between two looks at the fleet while a model or adapter is awaited.
 const LOAD_LOOK: Duration = Duration::from_millis(100);
-/// Advised wait if no target is there, in milliseconds: the time in which a new one is noticed.
-const NO_TARGET_RETRY_MS: u64 = 500;
+/// Advised wait if no target is there: the time in which a new one is noticed.
+const NO_TARGET_RETRY: Duration = Duration::from_millis(500);
 
 /// Engine time of a generated token, in prompt tokens, in a batch of usual size.
 const OUTPUT_COST: u64 = 12;
@@ -191,7 +191,7 @@
                         return Ok(end);
                     }
                 }
-                Err(failure) => self.take_failure(failure, &send)?,
+                Err(failure) => self.take_failure(failure, &send),
             }
         }
     }
@@ -203,7 +203,7 @@
         let text = "this process is shutting down";
         match ran {
             RanState::NotRun => {
-                ApiError::new(ErrorCode::Draining, text).with_retry_after_ms(DRAINING_RETRY_MS)
+                ApiError::new(ErrorCode::Draining, text).with_retry_after(DRAINING_RETRY)
             }
             RanState::Ran | RanState::Unknown => {
                 ApiError::new(ErrorCode::UpstreamFailed, text).with_ran(ran)
@@ -341,7 +341,7 @@
     }
 
     /// Takes a send without an answer.
-    fn take_failure(&mut self, failure: ExchangeFailure, send: &Send) -> Result<(), ApiError> {
+    fn take_failure(&mut self, failure: ExchangeFailure, send: &Send) {
         let reason = match failure {
             ExchangeFailure::NotSent => "not_sent",
             ExchangeFailure::NoAnswer(reason) => reason.as_str(),
@@ -363,7 +363,6 @@
                 });
             }
         }
-        Ok(())
     }
 
     /// Excludes the target of a stream that broke, so that another one can go on.
@@ -395,12 +394,9 @@
                     self.await_copy(loading_ms, began).await?;
                 }
                 DirectChoice::NoTarget => {
-                    let retry_ms = NO_TARGET_RETRY_MS
-                        .min(u64::try_from((left / 3).as_millis()).unwrap_or(NO_TARGET_RETRY_MS));
                     let text = "no target of the service can be used";
-                    return Err(
-                        ApiError::new(ErrorCode::NoCapacity, text).with_retry_after_ms(retry_ms)
-                    );
+                    return Err(ApiError::new(ErrorCode::NoCapacity, text)
+                        .with_retry_after(NO_TARGET_RETRY.min(left / 3)));
                 }
             }
         }
@@ -446,7 +442,7 @@
         if self.sends > 0 && spent {
             let text = "the targets that were asked did not take the request";
             return Err(
-                ApiError::new(ErrorCode::NoCapacity, text).with_retry_after_ms(NO_TARGET_RETRY_MS)
+                ApiError::new(ErrorCode::NoCapacity, text).with_retry_after(NO_TARGET_RETRY)
             );
         }
         Ok(())
@@ -454,12 +450,13 @@
 
     fn admit(&mut self, pick: DirectPick, now: Timestamp) -> Result<Chosen, ApiError> {
         if self.sends > 0 {
-            let gateways = gateway_count(&self.app, now).known;
+            let gateways = self.app.gateway_count(now).known;
             let service = &self.request.plan.service;
             if !self.app.rates.borrow_mut().try_further(service, gateways, now) {
                 let text = "the budget of further attempts is used up";
-                return Err(ApiError::new(ErrorCode::NoCapacity, text)
-                    .with_retry_after_ms(NO_TARGET_RETRY_MS));
+                return Err(
+                    ApiError::new(ErrorCode::NoCapacity, text).with_retry_after(NO_TARGET_RETRY)
+                );
             }
             self.app.metrics.record_retry();
         }
@@ -482,9 +479,8 @@
                     pick.estimate_ms,
                     slack.deadline.as_millis()
                 );
-                let retry_ms = u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX);
                 let text = "no target can answer within the time allowed";
-                Err(ApiError::new(ErrorCode::NoCapacity, text).with_retry_after_ms(retry_ms))
+                Err(ApiError::new(ErrorCode::NoCapacity, text).with_retry_after(retry_after))
             }
         }
     }
@@ -492,10 +488,12 @@
     /// Waits for the adapter at a target; leaves the target if it does not come.
     async fn await_adapter(&mut self, pick: &DirectPick, began: Timestamp) -> Result<(), ApiError> {
         let now = self.app.clock.now();
-        let (_, asked_at) = *self.adapter_asked.get_or_insert((pick.key, now));
-        if self.adapter_asked.is_some_and(|(key, _)| key != pick.key) {
-            self.adapter_asked = Some((pick.key, now));
-        } else if !waits_for_adapter(now.since(asked_at)) {
+        let asked_at = match self.adapter_asked {
+            Some((key, asked_at)) if key == pick.key => asked_at,
+            _ => now,
+        };
+        self.adapter_asked = Some((pick.key, asked_at));
+        if !waits_for_adapter(now.since(asked_at)) {
             log::info!(
                 "event=adapter_missing request_id={} target={} waited_ms={}",
                 quote(&self.request.id),
@@ -530,8 +528,7 @@
             }
             LoadWait::Refuse { retry_after } => {
                 let text = "no target has the model or adapter";
-                let retry_ms = u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX);
-                Err(ApiError::new(ErrorCode::NoCapacity, text).with_retry_after_ms(retry_ms))
+                Err(ApiError::new(ErrorCode::NoCapacity, text).with_retry_after(retry_after))
             }
         }
     }
@@ -542,7 +539,7 @@
             return Ok(());
         }
         let text = "this process is shutting down";
-        Err(ApiError::new(ErrorCode::Draining, text).with_retry_after_ms(DRAINING_RETRY_MS))
+        Err(ApiError::new(ErrorCode::Draining, text).with_retry_after(DRAINING_RETRY))
     }
 
     /// Waits for news from the engines, or for the next look.
--- a/components/gateway/src/fleet_ears.rs
+++ b/components/gateway/src/fleet_ears.rs
@@ -10,25 +10,12 @@
 use crate::app::App;
 use crate::fleet_link::{FleetLink, pass_on};
 
-/// Largest datagram.
-const MAX_BYTES: usize = 60_000;
-
 /// Takes datagrams until the task is aborted.
 pub(crate) async fn hear_fleet(app: Rc<App>, link: Rc<FleetLink>) {
-    let mut space = vec![0; MAX_BYTES];
+    let mut space = Vec::new();
     loop {
-        let (length, address) = match link.socket.recv_from(&mut space).await {
-            Ok(received) => received,
-            Err(error) => {
-                // A process that is not there shows as an error of the socket.
-                log::debug!("event=datagram_error error=\"{error}\"");
-                continue;
-            }
-        };
-        match wire::decode::<Datagram>(&space[..length]) {
-            Ok(datagram) => take(&app, &link, datagram, address),
-            Err(error) => log::warn!("event=datagram_rejected from={address} error=\"{error}\""),
-        }
+        let (datagram, address) = link.socket.receive(&mut space).await;
+        take(&app, &link, datagram, address);
     }
 }
 
--- a/components/gateway/src/fleet_link.rs
+++ b/components/gateway/src/fleet_link.rs
@@ -8,16 +8,15 @@
 
 use base::{ProcessId, ProcessName, SortedMap, Timestamp};
 use compact_str::CompactString;
+use ingress::Stage;
 use routing::{DirectTarget, PrefixLink};
-use tokio::net::UdpSocket;
 use tokio::time::{MissedTickBehavior, interval};
 use wire::{
-    AdapterName, AgentAsk, AgentState, Datagram, DatagramBody, Echo, EnginePlan, GatewayState,
-    LinkCopy, PlannedCopy, RelayedItem, SendCopy, TargetNews,
+    AdapterName, AgentAsk, AgentState, Datagram, DatagramBody, DatagramSocket, Echo, EnginePlan,
+    GatewayState, LinkCopy, PlannedCopy, RelayedItem, SendCopy, TargetNews,
 };
 
 use crate::app::App;
-use crate::stage::Stage;
 
 /// Time between two datagrams to a gateway of the same data centre.
 const ROUND: Duration = Duration::from_millis(100);
@@ -46,7 +45,7 @@
 
 /// Link to the fleet.
 pub(crate) struct FleetLink {
-    pub(crate) socket: UdpSocket,
+    pub(crate) socket: DatagramSocket,
     round: Cell<u64>,
     next_send: Cell<u64>,
     sends: RefCell<VecDeque<(u64, SendCopy)>>,
@@ -61,7 +60,7 @@
 
 impl FleetLink {
     /// A link over a bound socket.
-    pub(crate) fn new(socket: UdpSocket) -> Self {
+    pub(crate) fn new(socket: DatagramSocket) -> Self {
         Self {
             socket,
             round: Cell::new(0),
@@ -138,21 +137,6 @@
         }
         due
     }
-
-    /// Sends a datagram.
-    pub(crate) fn send(&self, datagram: &Datagram, to: SocketAddr) {
-        let bytes = match wire::encode(datagram) {
-            Ok(bytes) => bytes,
-            Err(error) => {
-                log::error!("event=datagram_unsent to={to} error=\"{error}\"");
-                return;
-            }
-        };
-        // A datagram that can't be sent now is made up for by the next one.
-        if let Err(error) = self.socket.try_send_to(&bytes, to) {
-            log::debug!("event=datagram_unsent to={to} error=\"{error}\"");
-        }
-    }
 }
 
 /// Whether the state of an agent differs in what other gateways choose by.
@@ -232,7 +216,7 @@
             echo: gateways.echo_for(name, now),
             body: DatagramBody::Gateway(state.clone()),
         };
-        link.send(&datagram, peer.address);
+        link.socket.send(&datagram, peer.address);
     }
 }
 
@@ -259,7 +243,7 @@
                 echo: gateways.echo_for(&name, now),
                 body: DatagramBody::Relayed { pass_on: true, items: items.clone() },
             };
-            link.send(&datagram, address);
+            link.socket.send(&datagram, address);
         }
     }
 }
@@ -288,7 +272,8 @@
     let body = DatagramBody::Relayed { pass_on: false, items };
     for (name, peer) in gateways.peers().filter(|(_, peer)| gateways.is_near(peer)) {
         let echo = gateways.echo_for(name, now);
-        link.send(&Datagram { from: app.me.clone(), echo, body: body.clone() }, peer.address);
+        link.socket
+            .send(&Datagram { from: app.me.clone(), echo, body: body.clone() }, peer.address);
     }
 }
 
@@ -337,7 +322,7 @@
         echo: Echo { sent_micros: now.micros, ..Echo::default() },
         body: DatagramBody::Ask(ask),
     };
-    link.send(&datagram, SocketAddr::new(target.address.ip(), app.settings().peer_port));
+    link.socket.send(&datagram, SocketAddr::new(target.address.ip(), app.settings().peer_port));
 }
 
 /// What the engine should hold, if this gateway plans a move for it.
--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -9,6 +9,7 @@
 use calls::HttpClient;
 use clock::{BootClock, new_incarnation};
 use config::GatewaySettings;
+use ingress::Stage;
 use membership::{Authority, GatewayTable, TargetDirectory};
 use placement::{FleetPlanner, ModelDemandTable};
 use platform::StoreClient;
@@ -17,6 +18,7 @@
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::{Notify, watch};
 use tokio::task::JoinSet;
+use wire::DatagramSocket;
 
 use crate::app::App;
 use crate::callers::accept_callers;
@@ -30,7 +32,6 @@
 use crate::rates_desk::RatesDesk;
 use crate::register::keep_register;
 use crate::shutdown::drain;
-use crate::stage::Stage;
 use crate::target_pool::TargetPool;
 use crate::target_watch::watch_targets;
 
@@ -62,7 +63,7 @@
         .await
         .map_err(|error| GatewayError::Bind { address: peer_address, error })?;
     let app = Rc::new(new_app(settings)?);
-    let link = Rc::new(FleetLink::new(socket));
+    let link = Rc::new(FleetLink::new(DatagramSocket::new(socket)));
     log::info!(
         "event=gateway_started process={} callers={} data_centre={}",
         app.me,
@@ -104,8 +105,8 @@
         demand: RefCell::new(ModelDemandTable::new()),
         planner: RefCell::new(FleetPlanner::new()),
         pool: TargetPool::default(),
-        in_flight: Cell::new(0),
-        connections: Cell::new(0),
+        in_flight: Rc::default(),
+        connections: Rc::default(),
         targets_read_at: Cell::new(None),
         document: RefCell::new(None),
         peer_client: HttpClient::new(PEER_CONNECT_LIMIT),
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -19,7 +19,6 @@
 mod relay;
 mod request;
 mod shutdown;
-mod stage;
 mod target_pool;
 mod target_watch;
 
--- a/components/gateway/src/peer_configuration.rs
+++ b/components/gateway/src/peer_configuration.rs
@@ -1,6 +1,5 @@
 //! Configurations passed between gateways.
 
-use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -10,9 +9,7 @@
 use http::{HeaderName, HeaderValue, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use ingress::serve_plain;
 use platform::read_configuration;
 use tokio::net::TcpListener;
 
@@ -26,32 +23,14 @@
 const CALL_LIMIT: Duration = Duration::from_millis(400);
 /// Longest time to receive a request, also on a connection that is kept.
 const HEAD_LIMIT: Duration = Duration::from_secs(30);
-/// Pause after a failed accept.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Answers other gateways until the task is aborted.
 pub(crate) async fn serve_peers(app: Rc<App>, listener: TcpListener) {
-    loop {
-        let Ok((socket, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
-        let app = Rc::clone(&app);
-        tokio::task::spawn_local(async move {
-            let service = service_fn(move |request: Request<Incoming>| {
-                let answer = answer(&app, &request);
-                async move { Ok::<_, Infallible>(answer) }
-            });
-            let served = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(HEAD_LIMIT)
-                .serve_connection(TokioIo::new(socket), service)
-                .await;
-            if let Err(error) = served {
-                log::debug!("event=peer_connection_ended error=\"{error}\"");
-            }
-        });
-    }
+    let answer = move |request: &Request<Incoming>| answer(&app, request);
+    serve_plain(listener, HEAD_LIMIT, answer, |error| {
+        log::debug!("event=peer_connection_ended error=\"{error}\"");
+    })
+    .await;
 }
 
 fn answer(app: &App, request: &Request<Incoming>) -> Response<Full<Bytes>> {
--- a/components/gateway/src/planning.rs
+++ b/components/gateway/src/planning.rs
@@ -3,15 +3,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use base::Timestamp;
-use config::{EngineLimits, ServiceKind, Town};
+use base::{ModelId, ServiceId, Timestamp};
+use config::{EngineLimits, Town};
+use ingress::Stage;
 use placement::{FleetEngine, FleetModel};
 use telemetry::quote;
 use tokio::time::{MissedTickBehavior, interval};
 
 use crate::app::App;
 use crate::fleet_link::{FleetLink, ask_agent};
-use crate::stage::Stage;
 
 /// Time between two plans.
 const PLAN_INTERVAL: Duration = Duration::from_millis(250);
@@ -56,23 +56,18 @@
 /// Whether this process knows enough of the fleet since its start.
 fn is_settled(app: &App, now: Timestamp) -> bool {
     let age = now.since(Timestamp::default());
-    let (known, heard) = app.gateways.borrow().counts(now);
-    let knows_all =
-        app.register_read.get() && app.targets_read_at.get().is_some() && heard >= known;
-    age >= MOST_SETTLE || (age >= LEAST_SETTLE && knows_all)
+    age >= MOST_SETTLE || (age >= LEAST_SETTLE && app.knows_fleet(now))
 }
 
 fn plan(app: &App, link: &FleetLink, town: &Town, tells_demand: bool, now: Timestamp) {
-    for service in town.services.iter().filter(|s| s.kind == ServiceKind::Engine) {
+    for (service_id, service) in (0..).map(ServiceId).zip(&town.services) {
         let Some(limits) = service.engine else { continue };
-        let Some(id) = town.service_id(&service.name) else { continue };
-        let models: Vec<FleetModel> = town
-            .models
-            .iter()
-            .filter(|model| model.service == id)
-            .map(|model| {
-                let prefix = format!("{}/", model.name);
-                let adapters = town.adapters.iter().filter(|a| a.name.starts_with(&prefix)).count();
+        let models: Vec<FleetModel> = (0..)
+            .map(ModelId)
+            .zip(&town.models)
+            .filter(|(_, model)| model.service == service_id)
+            .map(|(id, model)| {
+                let adapters = town.adapters.iter().filter(|a| a.model == id).count();
                 let (work_ms_per_s, waiting) = app.demand.borrow_mut().total(&model.name, now);
                 FleetModel {
                     name: model.name.clone(),
@@ -111,10 +106,10 @@
 
 fn log_demand(app: &App, models: &[FleetModel], engines: &[FleetEngine], fetch_room: usize) {
     let busiest = app.planner.borrow().busiest(models, engines);
-    for standing in busiest.iter().take(DEMAND_MODELS).filter(|s| s.demand > 0.0) {
+    for (model, standing) in busiest.iter().take(DEMAND_MODELS).filter(|b| b.1.demand > 0.0) {
         log::info!(
             "event=model_demand model={} engines={:.2} copies={} needed={} wished={} fetch_room={fetch_room}",
-            quote(&standing.model),
+            quote(&model.name),
             standing.demand,
             standing.copies,
             standing.needed,
--- a/components/gateway/src/rates_desk.rs
+++ b/components/gateway/src/rates_desk.rs
@@ -5,10 +5,7 @@
 use base::{Incarnation, ProcessName, SortedMap, Timestamp, short_hash};
 use compact_str::CompactString;
 use config::{Customer, FleetBounds, Town};
-use rates::{
-    BucketLevels, CustomerRate, GatewayCount, PeerSends, SendBudget, SendBudgetSettings,
-    SharedBucket,
-};
+use rates::{CustomerRate, PeerSends, SendBudget, SendBudgetSettings, SharedBucket};
 use wire::{AdmittedTokens, FurtherSends};
 
 /// Part of the tolerated excess over a customer's rate that is admitted.
@@ -63,46 +60,9 @@
         }
     }
 
-    /// Whether a request of a customer would be admitted now.
-    ///
-    /// # Errors
-    ///
-    /// The advised wait.
-    pub(crate) fn check(
-        &mut self,
-        customer: &str,
-        tokens: u64,
-        gateways: GatewayCount,
-        now: Timestamp,
-    ) -> Result<(), Duration> {
-        match self.buckets.get_mut(customer) {
-            Some(bucket) => bucket.check(tokens, gateways, now),
-            None => Ok(()),
-        }
-    }
-
-    /// Admits a request of a customer, or says when to come back.
-    ///
-    /// # Errors
-    ///
-    /// The advised wait.
-    pub(crate) fn admit(
-        &mut self,
-        customer: &str,
-        tokens: u64,
-        gateways: GatewayCount,
-        now: Timestamp,
-    ) -> Result<(), Duration> {
-        match self.buckets.get_mut(customer) {
-            Some(bucket) => bucket.take(tokens, gateways, now),
-            // Every customer of the configuration in force has a bucket.
-            None => Ok(()),
-        }
-    }
-
-    /// Levels of a customer's bucket, for logs.
-    pub(crate) fn levels(&self, customer: &str) -> Option<BucketLevels> {
-        self.buckets.get(customer).map(SharedBucket::levels)
+    /// Bucket of a customer.
+    pub(crate) fn bucket_mut(&mut self, customer: &str) -> Option<&mut SharedBucket> {
+        self.buckets.get_mut(customer)
     }
 
     /// Counts a request to a service.
--- a/components/gateway/src/register.rs
+++ b/components/gateway/src/register.rs
@@ -4,12 +4,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use ingress::Stage;
 use store::{KeyedLog, KeyedReader, KeyedRecord, Topic};
 use tokio::time::sleep;
 use wire::GatewayRecord;
 
 use crate::app::App;
-use crate::stage::Stage;
 
 /// Time between two reads of the register; datagrams tell of new gateways long before.
 const READ_INTERVAL: Duration = Duration::from_secs(10);
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use base::Timestamp;
-use bytes::Bytes;
 use ingress::{CallerGone, PartSender};
 use routing::TargetOutcome;
 use telemetry::quote;
@@ -12,7 +11,7 @@
 use crate::events::{EventSplitter, StreamEvent};
 use crate::exchange::{StreamPart, TargetAnswer, TargetStream};
 
-/// How a stream ended, for the log.
+/// How a stream, or one run of it at a target, ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum RelayEnd {
     /// Whole.
@@ -51,13 +50,6 @@
     pub events: u64,
 }
 
-enum RunEnd {
-    Whole,
-    CallerGone,
-    Broken,
-    TimedOut,
-}
-
 impl Relay {
     /// A stream of which nothing was passed on.
     pub(crate) const fn new(call: Call, parts: PartSender) -> Self {
@@ -78,13 +70,12 @@
             let (answer, send) = current;
             let end = self.relay_run(answer.into_stream(), &send).await;
             match end {
-                RunEnd::Whole => {
+                RelayEnd::Whole => {
                     send.note(TargetOutcome::Answered);
-                    return (self, RelayEnd::Whole);
+                    return (self, end);
                 }
-                RunEnd::CallerGone => return (self, RelayEnd::CallerGone),
-                RunEnd::TimedOut => return (self, RelayEnd::TimedOut),
-                RunEnd::Broken => {}
+                RelayEnd::CallerGone | RelayEnd::TimedOut => return (self, end),
+                RelayEnd::Broken => {}
             }
             self.call.note_broken(&send);
             log::info!(
@@ -124,18 +115,18 @@
         }
     }
 
-    async fn relay_run(&mut self, mut stream: TargetStream, send: &Send) -> RunEnd {
+    async fn relay_run(&mut self, mut stream: TargetStream, send: &Send) -> RelayEnd {
         let mut splitter = EventSplitter::default();
         let mut started = false;
         loop {
             let left = self.time_left();
             if left.is_zero() {
-                return RunEnd::TimedOut;
+                return RelayEnd::TimedOut;
             }
             let limit = self.silence_limit().min(left);
             let part = tokio::select! {
                 part = stream.next(limit) => part,
-                () = self.parts.closed() => return RunEnd::CallerGone,
+                () = self.parts.closed() => return RelayEnd::CallerGone,
             };
             match part {
                 StreamPart::Bytes(bytes) => {
@@ -145,30 +136,30 @@
                         send.note_first_event(model);
                     }
                     if splitter.push(&bytes).is_err() {
-                        return RunEnd::Broken;
+                        return RelayEnd::Broken;
                     }
                     while let Some(event) = splitter.next_event() {
                         match self.pass_on(event).await {
                             Ok(true) => {}
-                            Ok(false) => return RunEnd::Broken,
-                            Err(CallerGone) => return RunEnd::CallerGone,
+                            Ok(false) => return RelayEnd::Broken,
+                            Err(CallerGone) => return RelayEnd::CallerGone,
                         }
                     }
                 }
                 StreamPart::End => {
                     let rest = splitter.rest();
                     if !rest.is_empty() && self.parts.send(rest).await.is_err() {
-                        return RunEnd::CallerGone;
+                        return RelayEnd::CallerGone;
                     }
                     stream.finish(&self.call.app).await;
-                    return RunEnd::Whole;
+                    return RelayEnd::Whole;
                 }
-                StreamPart::Broken => return RunEnd::Broken,
+                StreamPart::Broken => return RelayEnd::Broken,
                 StreamPart::Silence => {
                     return if self.time_left().is_zero() {
-                        RunEnd::TimedOut
+                        RelayEnd::TimedOut
                     } else {
-                        RunEnd::Broken
+                        RelayEnd::Broken
                     };
                 }
             }
@@ -185,8 +176,7 @@
                 return Ok(false);
             }
         }
-        let bytes: Bytes = event.bytes;
-        self.parts.send(bytes).await?;
+        self.parts.send(event.bytes).await?;
         self.events += 1;
         if event.id.is_some() {
             self.call.last_event = event.id;
--- a/components/gateway/src/request.rs
+++ b/components/gateway/src/request.rs
@@ -12,15 +12,15 @@
 use http::{HeaderMap, Method, Uri, header};
 use platform::CallerHead;
 use rand::Rng;
-use rates::GatewayCount;
+use rates::{GatewayCount, SharedBucket};
 use routing::{Objectives, PrefixLink, prefix_links};
 use telemetry::quote;
 
 use crate::app::App;
 
-/// Wait that is advised while something that this process needs is missing, in milliseconds: the
-/// time between two attempts to get it.
-const NOT_READY_RETRY_MS: u64 = 400;
+/// Wait that is advised while something that this process needs is missing: the time between two attempts
+/// to get it.
+const NOT_READY_RETRY: Duration = Duration::from_millis(400);
 /// Least part of the advised wait that a caller over its rate is told; the returns are spread between it
 /// and the whole.
 const LEAST_RETURN_SPREAD: f64 = 0.7;
@@ -107,10 +107,10 @@
 }
 
 fn not_ready(text: &str) -> ApiError {
-    ApiError::new(ErrorCode::NoAuthority, text).with_retry_after_ms(NOT_READY_RETRY_MS)
+    ApiError::new(ErrorCode::NoAuthority, text).with_retry_after(NOT_READY_RETRY)
 }
 
-/// Checks a request against the configuration, the evidence and the customer's rate.
+/// Checks a request against the configuration and the evidence.
 ///
 /// # Errors
 ///
@@ -245,10 +245,12 @@
     now: Timestamp,
 ) -> Result<(), ApiError> {
     let Some(customer) = &request.customer else { return Ok(()) };
-    let gateways = gateway_count(app, now);
-    let checked = app.rates.borrow_mut().check(customer, request.tokens, gateways, now);
-    checked.map_err(|wait| {
-        log_rate(app, request, customer, gateways, false);
+    let gateways = app.gateway_count(now);
+    let mut rates = app.rates.borrow_mut();
+    // Every customer of the configuration in force has a bucket.
+    let Some(bucket) = rates.bucket_mut(customer) else { return Ok(()) };
+    bucket.check(request.tokens, gateways, now).map_err(|wait| {
+        log_rate(request, customer, bucket, gateways, false);
         rate_exceeded(request, wait, now)
     })
 }
@@ -260,20 +262,22 @@
 /// `rate_exceeded`, with the time after which the bucket will have something.
 pub(crate) fn charge(app: &App, request: &CallerRequest, now: Timestamp) -> Result<(), ApiError> {
     let Some(customer) = &request.customer else { return Ok(()) };
-    let gateways = gateway_count(app, now);
-    let result = app.rates.borrow_mut().admit(customer, request.tokens, gateways, now);
-    log_rate(app, request, customer, gateways, result.is_ok());
+    let gateways = app.gateway_count(now);
+    let mut rates = app.rates.borrow_mut();
+    let Some(bucket) = rates.bucket_mut(customer) else { return Ok(()) };
+    let result = bucket.take(request.tokens, gateways, now);
+    log_rate(request, customer, bucket, gateways, result.is_ok());
     result.map_err(|wait| rate_exceeded(request, wait, now))
 }
 
 fn log_rate(
-    app: &App,
     request: &CallerRequest,
     customer: &str,
+    bucket: &SharedBucket,
     gateways: GatewayCount,
     admitted: bool,
 ) {
-    let levels = app.rates.borrow().levels(customer).unwrap_or_default();
+    let levels = bucket.levels();
     log::info!(
         "event=rate_checked request_id={} customer={} tokens={} admitted={admitted} level={} own_level={} gateways={} heard={}",
         quote(&request.id),
@@ -291,14 +295,6 @@
 fn rate_exceeded(request: &CallerRequest, wait: Duration, now: Timestamp) -> ApiError {
     let wait = wait.min(request.deadline.since(now) / 3);
     let spread = rand::rng().random_range(LEAST_RETURN_SPREAD..=1.0);
-    let wait_ms = u64::try_from(wait.mul_f64(spread).as_millis()).unwrap_or(u64::MAX);
     ApiError::new(ErrorCode::RateExceeded, "the customer's rate is used up")
-        .with_retry_after_ms(wait_ms)
-}
-
-/// The gateways that share rates and budgets.
-pub(crate) fn gateway_count(app: &App, now: Timestamp) -> GatewayCount {
-    let (known, heard) = app.gateways.borrow().counts(now);
-    let count = |others: usize| u32::try_from(others).unwrap_or(u32::MAX).saturating_add(1);
-    GatewayCount { known: count(known), heard: count(heard) }
+        .with_retry_after(wait.mul_f64(spread))
 }
--- a/components/gateway/src/shutdown.rs
+++ b/components/gateway/src/shutdown.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
-use tokio::time::{Instant, sleep, timeout_at};
+use ingress::Stage;
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 use crate::app::App;
 use crate::register;
-use crate::stage::Stage;
 
 /// Time between the failing readiness check and the end of accepting: the platform asks once a second
 /// and takes a gateway out after two misses.
@@ -25,16 +25,17 @@
         return;
     }
     let grace = Duration::from_millis(app.settings().bounds.grace_ms);
-    let limit = Instant::now() + grace.saturating_sub(FORCE_MARGIN);
+    let started = Instant::now();
+    let limit = started + grace.saturating_sub(FORCE_MARGIN);
+    let notice_end = started + NOTICE.min(grace / 2);
     log::info!(
         "event=drain_started in_flight={} connections={}",
         app.in_flight.get(),
         app.connections.get()
     );
-    let notice = NOTICE.min(grace / 2);
     // The register must not hold up the stop.
-    let _left = timeout_at(Instant::now() + notice, register::leave(app)).await;
-    sleep_until_notice(limit, grace, notice).await;
+    let _left = timeout_at(notice_end, register::leave(app)).await;
+    sleep_until(notice_end).await;
     app.stage.send_replace(Stage::Draining);
     let idle = async {
         while app.in_flight.get() > 0 || app.connections.get() > 0 {
@@ -50,8 +51,3 @@
     }
     app.stage.send_replace(Stage::Stopped);
 }
-
-async fn sleep_until_notice(limit: Instant, grace: Duration, notice: Duration) {
-    let started = limit - grace.saturating_sub(FORCE_MARGIN);
-    tokio::time::sleep_until(started + notice).await;
-}
--- /dev/null
+++ b/components/ingress/src/counted.rs
@@ -0,0 +1,22 @@
+//! Counts of what is in progress.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+/// Counts a connection or request while it lives.
+#[derive(Debug)]
+pub struct Counted(Rc<Cell<usize>>);
+
+impl Counted {
+    /// Counts one more until this is dropped.
+    pub fn new(count: &Rc<Cell<usize>>) -> Self {
+        count.set(count.get() + 1);
+        Self(Rc::clone(count))
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
--- a/components/gateway/src/stage.rs
+++ b/components/ingress/src/stage.rs
@@ -2,7 +2,7 @@
 
 /// How far a process is from its end.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub(crate) enum Stage {
+pub enum Stage {
     /// Serves.
     Serving,
     /// Still accepts, but fails its readiness check so that the load balancer looks elsewhere.
@@ -17,7 +17,7 @@
 
 impl Stage {
     /// Whether new connections and requests are refused.
-    pub(crate) fn is_draining(self) -> bool {
+    pub fn is_draining(self) -> bool {
         self >= Self::Draining
     }
 }
--- a/components/placement/src/fleet_planner.rs
+++ b/components/placement/src/fleet_planner.rs
@@ -110,27 +110,12 @@
     }
 }
 
-/// Copies of a model against its demand, for logs.
-#[derive(Clone, Debug, PartialEq)]
-pub struct ModelStanding {
-    /// Model.
-    pub model: CompactString,
-    /// Copies, those being loaded and planned included.
-    pub copies: usize,
-    /// Copies that the demand needs.
-    pub needed: usize,
-    /// Copies that are worth having.
-    pub wished: usize,
-    /// Demand, in engines at the utilisation aimed at.
-    pub demand: f64,
-}
-
 /// What one search for a move looks at.
 #[derive(Clone, Copy, Debug)]
 struct FleetView<'a> {
     models: &'a [FleetModel],
     engines: &'a [FleetEngine],
-    standings: &'a [Standing],
+    standings: &'a [ModelStanding],
     /// Loads that the weight store allows now.
     fetch_room: usize,
     /// Whether a move may unload a model.
@@ -143,16 +128,17 @@
     at: Timestamp,
 }
 
-/// What the planner knows of a model's copies in one round.
-#[derive(Clone, Copy, Debug)]
-struct Standing {
-    copies: usize,
+/// Copies of a model against its demand, in one round of the planner.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ModelStanding {
+    /// Copies, those being loaded and planned included.
+    pub copies: usize,
     /// Copies that the demand needs, at least one.
-    needed: usize,
+    pub needed: usize,
     /// Copies that are worth having.
-    wished: usize,
-    /// Demand in engines.
-    demand: f64,
+    pub wished: usize,
+    /// Demand, in engines at the utilisation aimed at.
+    pub demand: f64,
 }
 
 /// Plans moves and remembers those under way.
@@ -173,19 +159,13 @@
     }
 
     /// Copies of the models against their demand, the busiest first.
-    pub fn busiest(&self, models: &[FleetModel], engines: &[FleetEngine]) -> Vec<ModelStanding> {
-        let mut standings: Vec<ModelStanding> = models
-            .iter()
-            .zip(self.standings(models, engines))
-            .map(|(model, standing)| ModelStanding {
-                model: model.name.clone(),
-                copies: standing.copies,
-                needed: standing.needed,
-                wished: standing.wished,
-                demand: standing.demand,
-            })
-            .collect();
-        standings.sort_by(|a, b| b.demand.total_cmp(&a.demand));
+    pub fn busiest<'a>(
+        &self,
+        models: &'a [FleetModel],
+        engines: &[FleetEngine],
+    ) -> Vec<(&'a FleetModel, ModelStanding)> {
+        let mut standings: Vec<_> = models.iter().zip(self.standings(models, engines)).collect();
+        standings.sort_by(|a, b| b.1.demand.total_cmp(&a.1.demand));
         standings
     }
 
@@ -257,7 +237,7 @@
     }
 
     /// Copies of each model, those being loaded and planned included, those being unloaded not.
-    fn standings(&self, models: &[FleetModel], engines: &[FleetEngine]) -> Vec<Standing> {
+    fn standings(&self, models: &[FleetModel], engines: &[FleetEngine]) -> Vec<ModelStanding> {
         let capacity: u64 = engines.iter().map(|engine| engine.capacity_mb).sum();
         let one_each: u64 = models.iter().map(|model| model.memory_mb).sum();
         let usual = one_each / (models.len() as u64).max(1);
@@ -272,7 +252,7 @@
                     PRIOR_PART * spare * f64::from(model.adapters) / f64::from(adapters.max(1));
                 let needed = (1.0 + (demand - 1.0).max(0.0) * share).ceil() as usize;
                 let needed = needed.min(engines.len().max(1));
-                Standing {
+                ModelStanding {
                     copies: self.copies(model, engines),
                     needed,
                     wished: needed.max(1 + prior.round() as usize),
@@ -395,7 +375,7 @@
 /// Whether `gaining` would still have more demand a copy with one copy more than `giving` with one less.
 /// Needs are estimates, and memory in pieces may hold less than they add up to; then the model with the
 /// most demand a copy would stay short for as long as the others have no more than they need.
-fn is_shorter(gaining: Standing, giving: Standing) -> bool {
+fn is_shorter(gaining: ModelStanding, giving: ModelStanding) -> bool {
     let after_gain = gaining.demand / (gaining.copies as f64 + 1.0);
     let after_loss = giving.demand / (giving.copies as f64 - 1.0);
     giving.copies > 1 && after_loss < SHORTER_PART * after_gain
--- a/components/rates/src/shared_bucket.rs
+++ b/components/rates/src/shared_bucket.rs
@@ -186,23 +186,17 @@
         gateways: GatewayCount,
         now: Timestamp,
     ) -> Result<(), Duration> {
+        self.check(tokens, gateways, now)?;
+        self.admitted += tokens;
         if self.rate.tokens_per_s == 0 {
-            self.admitted += tokens;
             return Ok(());
         }
-        self.accrue(gateways, now);
         self.note_asked(tokens);
-        match self.source(gateways) {
-            // What is taken while there is enough for all doesn't count against the own share.
-            Some(Source::Shared) => {}
-            Some(Source::Own) => self.own_level -= tokens as f64,
-            None => {
-                self.note_refused(tokens);
-                return Err(self.return_time(gateways));
-            }
+        // What is taken while there is enough for all doesn't count against the own share.
+        if self.source(gateways) == Some(Source::Own) {
+            self.own_level -= tokens as f64;
         }
         self.level -= tokens as f64;
-        self.admitted += tokens;
         Ok(())
     }
 
--- a/components/routing/src/direct_fleet.rs
+++ b/components/routing/src/direct_fleet.rs
@@ -107,16 +107,15 @@
 
     /// Takes a peer's word on its work at targets; targets that it does not name have none.
     pub fn take_peer_work(&mut self, peer: &ProcessName, work: &[TargetWorkCopy], now: Timestamp) {
+        let named: SortedMap<u32, &TargetWorkCopy> =
+            work.iter().map(|copy| (copy.target, copy)).collect();
         for target in &mut self.targets {
-            let share = work.iter().find(|copy| copy.target == target.hash).map_or_else(
-                WorkShare::default,
-                |copy| WorkShare {
-                    unread_ms: f64::from(copy.unread_ms),
-                    waiting: copy.waiting,
-                    running: copy.running,
-                    cache_tokens: copy.cache_tokens,
-                },
-            );
+            let share = named.get(&target.hash).map_or_else(WorkShare::default, |copy| WorkShare {
+                unread_ms: f64::from(copy.unread_ms),
+                waiting: copy.waiting,
+                running: copy.running,
+                cache_tokens: copy.cache_tokens,
+            });
             target.work.take_peer(peer, share, now);
         }
     }
--- a/components/store/src/error.rs
+++ b/components/store/src/error.rs
@@ -2,6 +2,9 @@
 
 use std::fmt;
 
+use calls::{CallAnswer, CallError};
+use http::StatusCode;
+
 /// Why a call to the platform failed, by what is known about its effect.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum StoreError {
@@ -34,6 +37,32 @@
     }
 }
 
+/// Only a path that is no URI makes a call invalid.
+impl From<CallError> for StoreError {
+    fn from(error: CallError) -> Self {
+        match error {
+            CallError::Invalid => Self::Rejected { status: 400 },
+            CallError::NoAnswer => Self::OutcomeUnknown,
+            CallError::Unreachable => Self::Unreachable,
+        }
+    }
+}
+
+/// An answer with status 200.
+///
+/// # Errors
+///
+/// What another status says of the effect of the call.
+pub fn success(answer: CallAnswer) -> Result<CallAnswer, StoreError> {
+    match answer.status {
+        StatusCode::OK => Ok(answer),
+        StatusCode::SERVICE_UNAVAILABLE => Err(StoreError::Unavailable),
+        StatusCode::TOO_MANY_REQUESTS => Err(StoreError::RateLimited),
+        status if status.is_client_error() => Err(StoreError::Rejected { status: status.as_u16() }),
+        _ => Err(StoreError::OutcomeUnknown),
+    }
+}
+
 impl fmt::Display for StoreError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- a/components/store/src/json_client.rs
+++ b/components/store/src/json_client.rs
@@ -3,13 +3,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
-use calls::{CallError, HttpCall, HttpClient};
-use http::{HeaderValue, StatusCode, header};
+use calls::{HttpCall, HttpClient};
+use http::{HeaderValue, header};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::StoreError;
+use crate::error::{StoreError, success};
 
 #[derive(Clone, Debug)]
 pub(crate) struct JsonClient {
@@ -45,21 +44,7 @@
     async fn call<T: DeserializeOwned>(&self, mut call: HttpCall<'_>) -> Result<T, StoreError> {
         let json = HeaderValue::from_static("application/json");
         call.headers.insert(header::CONTENT_TYPE, json);
-        let answer = self.client.call(call).await.map_err(|error| match error {
-            // Only a stream name that is no URI path gets here.
-            CallError::Invalid => StoreError::Rejected { status: 400 },
-            CallError::NoAnswer => StoreError::OutcomeUnknown,
-            CallError::Unreachable => StoreError::Unreachable,
-        })?;
-        let body: Bytes = match answer.status {
-            StatusCode::OK => answer.body,
-            StatusCode::SERVICE_UNAVAILABLE => return Err(StoreError::Unavailable),
-            StatusCode::TOO_MANY_REQUESTS => return Err(StoreError::RateLimited),
-            status if status.is_client_error() => {
-                return Err(StoreError::Rejected { status: status.as_u16() });
-            }
-            _ => return Err(StoreError::OutcomeUnknown),
-        };
-        serde_json::from_slice(&body).map_err(|_| StoreError::Malformed)
+        let answer = success(self.client.call(call).await?)?;
+        serde_json::from_slice(&answer.body).map_err(|_| StoreError::Malformed)
     }
 }
--- a/components/store/src/lib.rs
+++ b/components/store/src/lib.rs
@@ -15,7 +15,7 @@
 mod vm_list;
 
 pub use budget::AppendBudget;
-pub use error::StoreError;
+pub use error::{StoreError, success};
 pub use http_log::{HttpLog, HttpLogOptions};
 pub use http_vm_list::HttpVmList;
 pub use keyed::{KeyedLog, KeyedPage, KeyedRecord, KeyedTail};
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -6,6 +6,7 @@
 mod cache;
 mod client;
 mod codec;
+mod datagram_socket;
 mod error;
 mod fleet_state;
 mod forward;
@@ -24,6 +25,7 @@
 pub use cache::{CacheChange, CacheEventCopy, CacheUpdate};
 pub use client::{PeerClient, PendingReceiver};
 pub use codec::{MAX_FRAME_BYTES, decode, encode};
+pub use datagram_socket::DatagramSocket;
 pub use error::WireError;
 pub use fleet_state::{
     AdapterName, AdmittedTokens, AgentAsk, AgentState, Datagram, DatagramBody, Echo, EnginePlan,
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -10,6 +10,7 @@
 pub mod gateway;
 pub mod measure;
 pub mod measure_load;
+mod platform_command;
 mod platform_options;
 pub mod publish;
 mod publish_session;
--- a/src/cmd/platform_options.rs
+++ b/src/cmd/platform_options.rs
@@ -1,7 +1,7 @@
 //! Options of the commands that run on the platform.
 
 use lexopt::prelude::*;
-use platform::{DEFAULT_SETTINGS_PATH, SETTINGS_VARIABLE, SettingsFile};
+use platform::{DEFAULT_SETTINGS_PATH, SETTINGS_VARIABLE};
 
 /// Port for metrics unless the command line names one; the usual one of Prometheus exporters.
 const METRICS_PORT: u16 = 9_464;
@@ -42,13 +42,3 @@
         Ok(Some(options))
     }
 }
-
-/// Reads a settings file of the platform.
-///
-/// # Errors
-///
-/// Why it can't be read.
-pub fn read_settings_file(path: &str) -> Result<SettingsFile, String> {
-    let text = std::fs::read_to_string(path).map_err(|error| format!("{path}: {error}"))?;
-    Ok(SettingsFile::parse(&text))
-}
--- a/src/cmd/settings_watch.rs
+++ b/src/cmd/settings_watch.rs
@@ -18,16 +18,15 @@
 }
 
 impl SettingsWatch {
-    /// Watches the file at `path`. From now on SIGHUP does not end the process.
+    /// Watches the file at `path`, whose content was `text`. From now on SIGHUP does not end the process.
     ///
     /// # Errors
     ///
-    /// If the file can't be read or the signal can't be taken.
-    pub fn new(path: &str) -> Result<Self, String> {
-        let text = std::fs::read_to_string(path).map_err(|error| format!("{path}: {error}"))?;
+    /// If the signal can't be taken.
+    pub fn new(path: String, text: String) -> Result<Self, String> {
         let hangup = signal(SignalKind::hangup())
             .map_err(|error| format!("can't listen for SIGHUP: {error}"))?;
-        Ok(Self { path: path.to_owned(), text, hangup })
+        Ok(Self { path, text, hangup })
     }
 
     /// Waits until the file has changed.
