Prefer engines of the own data centre up to a short queue

The choice counted the way as 4 ms, while the price of the bytes of a request equals that of a wait of tens of ms.

Ruled out: plain requests (2 of 46 MB).

--- a/components/routing/src/direct_fleet.rs
+++ b/components/routing/src/direct_fleet.rs
@@ -16,9 +16,10 @@
 const BATCH_MS: f64 = 0.7;
 /// Usual time that a request holds its place in a batch, in milliseconds.
 const RUN_MS: f64 = 1_500.0;
-/// Delay of a request to another data centre, as it counts in the choice, in milliseconds: the way
-/// itself takes about one, and the bytes between data centres are dear.
-const CROSS_MS: f64 = 4.0;
+/// Delay of a request to another data centre, as it counts in the choice, in milliseconds. The way itself
+/// takes about one; the rest stands for the bytes between data centres, whose price is that of a wait of
+/// about this length.
+const CROSS_MS: f64 = 30.0;
 /// Time to load an adapter and to hear of it, in milliseconds.
 const ADAPTER_MS: f64 = 25.0;
 /// Time to load an adapter where another one has to be unloaded first, in milliseconds.
--- a/components/routing/tests/direct_fleet.rs
+++ b/components/routing/tests/direct_fleet.rs
@@ -210,6 +210,16 @@
     fleet.take_entry(&entry(1, "north-a"), at(0));
     let prompt = links(7);
     assert_eq!(pick(&fleet, &need(&prompt, &[]), 0).id, "engine-1");
+    let peer = ProcessName::new("gateway-2");
+    let short_queue = TargetWorkCopy {
+        target: short_hash(b"engine-1"),
+        unread_ms: 20,
+        waiting: 1,
+        running: 0,
+        cache_tokens: 0,
+    };
+    fleet.take_peer_work(&peer, &[short_queue], at(0));
+    assert_eq!(pick(&fleet, &need(&prompt, &[]), 0).id, "engine-1", "a short queue is no reason");
     for number in 0..8 {
         let other = links(50 * (number + 1));
         let chosen = pick(&fleet, &need(&other, &[]), 0);
