Call the store less: agents ask gateways, one gateway reads the list of targets

Change: agents fetch the configuration from a gateway that asked them. The first gateway by name reads the list, the others stand by in the order of their names, 150 ms apart. The register is read every 30 s while all in it are heard. The configuration still has two followers.

--- a/components/agent/src/app.rs
+++ b/components/agent/src/app.rs
@@ -3,7 +3,8 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 
-use base::{Incarnation, ProcessId, ProcessName, SortedMap, Timestamp};
+use base::{Incarnation, Offset, ProcessId, ProcessName, SortedMap, Timestamp};
+use calls::HttpClient;
 use clock::BootClock;
 use config::AgentSettings;
 use placement::EngineDesk;
@@ -24,6 +25,8 @@
     pub at: Timestamp,
     /// Whether it wants to be told of changes.
     pub wants_state: bool,
+    /// Version of the configuration that it can pass on.
+    pub config: Offset,
 }
 
 /// Shared state. Everything runs on one thread, so that a borrow never outlives a step.
@@ -50,4 +53,8 @@
     pub askers: RefCell<SortedMap<ProcessName, Asker>>,
     /// Rings when there may be an order to give.
     pub work: Notify,
+    /// Calls to gateways.
+    pub gateway_client: HttpClient,
+    /// Rings when a gateway has asked for something.
+    pub asked: Notify,
 }
--- a/components/agent/src/configuration_watch.rs
+++ b/components/agent/src/configuration_watch.rs
@@ -1,36 +1,69 @@
-//! Follows the operators' topic for the sizes of models.
+//! Gets the sizes of models from the gateways that ask for something.
+//!
+//! The store is not asked: every gateway has the configuration, and calls to the store are paid for.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use platform::newest_configuration;
-use store::{KeyedReader, Topic};
+use base::Offset;
+use calls::HttpCall;
+use http::StatusCode;
+use platform::read_configuration;
 use tokio::time::sleep;
+use wire::StoredDocument;
 
 use crate::app::App;
 
-/// Longest wait of a long poll. Sizes change rarely, and a call costs.
-const POLL_WAIT: Duration = Duration::from_secs(20);
-/// Pause after a failed call. Sizes that are seconds late cost nothing, and in an outage all agents call.
-const FAILURE_PAUSE: Duration = Duration::from_secs(3);
+/// Longest wait for an answer of a gateway.
+const CALL_LIMIT: Duration = Duration::from_millis(800);
+/// Shortest time between two calls. Limits of engines and sizes of models change rarely, so that a newer
+/// version that changes something else need not be fetched at once.
+const CALL_INTERVAL: Duration = Duration::from_secs(5);
+/// Pause after a call without a result while no configuration is known.
+const FAILURE_PAUSE: Duration = Duration::from_millis(200);
 
-/// Reads configurations until the task is aborted.
+/// Takes configurations from gateways until the task is aborted.
 pub(crate) async fn watch_configuration(app: Rc<App>) {
-    let mut reader = KeyedReader::new(Topic::Operators);
+    let mut version: Option<Offset> = None;
     loop {
-        match reader.read(&app.store, POLL_WAIT).await {
-            Ok(read) => {
-                if let Some(configuration) = newest_configuration(read.page()) {
-                    let town = configuration.town;
-                    log::info!("event=configuration_in_force config={}", town.version.0);
-                    app.desk.borrow_mut().adopt(&town, &app.settings.service);
-                    app.work.notify_one();
-                }
-            }
-            Err(error) => {
-                log::warn!("event=store_call_failed topic=operators error=\"{error}\"");
-                sleep(FAILURE_PAUSE).await;
-            }
+        let Some(address) = source(&app, version) else {
+            app.asked.notified().await;
+            continue;
+        };
+        if let Some(newer) = fetch(&app, address).await {
+            version = version.max(Some(newer));
         }
+        sleep(if version.is_some() { CALL_INTERVAL } else { FAILURE_PAUSE }).await;
     }
 }
+
+/// The gateway that asked last among those with a newer version.
+fn source(app: &App, version: Option<Offset>) -> Option<SocketAddr> {
+    let askers = app.askers.borrow();
+    let newer = askers.values().filter(|asker| version.is_none_or(|known| asker.config > known));
+    newer.max_by_key(|asker| asker.at).map(|asker| asker.address)
+}
+
+/// Takes the configuration of a gateway in force; returns its version.
+async fn fetch(app: &App, address: SocketAddr) -> Option<Offset> {
+    let call = HttpCall::get(address, StoredDocument::PATH, CALL_LIMIT);
+    let answer = match app.gateway_client.call(call).await {
+        Ok(answer) if answer.status == StatusCode::OK => answer,
+        Ok(answer) => {
+            let status = answer.status.as_u16();
+            log::info!("event=gateway_without_configuration gateway={address} status={status}");
+            return None;
+        }
+        Err(error) => {
+            log::warn!("event=gateway_call_failed gateway={address} error=\"{error}\"");
+            return None;
+        }
+    };
+    let document = StoredDocument::from_answer(&answer.headers, answer.body)?;
+    let town = read_configuration(document.offset, &document.bytes)?.town;
+    log::info!("event=configuration_in_force config={}", town.version.0);
+    app.desk.borrow_mut().adopt(&town, &app.settings.service);
+    app.work.notify_one();
+    Some(town.version)
+}
--- a/components/agent/src/gateway_link.rs
+++ b/components/agent/src/gateway_link.rs
@@ -34,6 +34,7 @@
         sent_micros: echo.sent_micros,
         at: now,
         wants_state: ask.wants_state,
+        config: ask.config,
     };
     {
         let mut askers = app.askers.borrow_mut();
@@ -56,6 +57,7 @@
         log::info!("event=engine_known target={} told_by={gateway}", quote(&life_after));
     }
     app.work.notify_one();
+    app.asked.notify_one();
     if asker.wants_state {
         tell(app, &asker);
     }
--- a/components/agent/src/handle.rs
+++ b/components/agent/src/handle.rs
@@ -3,8 +3,10 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use base::{ProcessId, ProcessName, SortedMap};
+use calls::HttpClient;
 use clock::{BootClock, new_incarnation};
 use config::AgentSettings;
 use placement::EngineDesk;
@@ -21,6 +23,9 @@
 use crate::gateway_link::hear_gateways;
 use crate::start_record::write_start_record;
 
+/// Longest wait for a connection to a gateway, within the data centre as a rule.
+const GATEWAY_CONNECT_LIMIT: Duration = Duration::from_millis(300);
+
 /// A running agent; its tasks end when it is dropped.
 pub struct AgentHandle {
     app: Rc<App>,
@@ -51,6 +56,8 @@
         fencing: Cell::new(None),
         askers: RefCell::new(SortedMap::new()),
         work: Notify::new(),
+        gateway_client: HttpClient::new(GATEWAY_CONNECT_LIMIT),
+        asked: Notify::new(),
         socket: DatagramSocket::new(socket),
         me,
         settings,
--- a/components/gateway/src/app.rs
+++ b/components/gateway/src/app.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use base::{Offset, ProcessId, Timestamp};
-use bytes::Bytes;
 use calls::HttpClient;
 use clock::BootClock;
 use config::{GatewaySettings, Town};
@@ -18,6 +17,7 @@
 use routing::DirectFleet;
 use telemetry::Metrics;
 use tokio::sync::{Notify, watch};
+use wire::StoredDocument;
 
 use crate::rates_desk::RatesDesk;
 use crate::target_pool::TargetPool;
@@ -30,15 +30,6 @@
 /// Longest time after the start for which readiness waits for peers that have not been heard.
 const WARM_UP_LIMIT: Duration = Duration::from_millis(1_500);
 
-/// A configuration as it was stored.
-#[derive(Clone, Debug)]
-pub(crate) struct StoredDocument {
-    /// Offset of its record.
-    pub offset: Offset,
-    /// Content of the record.
-    pub bytes: Bytes,
-}
-
 /// Shared state. Everything runs on one thread, so that a borrow never outlives a step.
 pub(crate) struct App {
     /// Settings; replaced when the file changes.
@@ -79,6 +70,8 @@
     pub in_flight: Rc<Cell<usize>>,
     /// Callers' connections.
     pub connections: Rc<Cell<usize>>,
+    /// When the store was last read with success.
+    pub store_read_at: Cell<Option<Timestamp>>,
     /// When the list of targets was last asked for with success.
     pub targets_read_at: Cell<Option<Timestamp>>,
     /// Whether the register of gateways was read since the start.
--- a/components/gateway/src/configuration_watch.rs
+++ b/components/gateway/src/configuration_watch.rs
@@ -52,6 +52,7 @@
                     reachable = true;
                 }
                 pause = FIRST_PAUSE;
+                app.store_read_at.set(Some(asked_at));
                 if let Some(configuration) = newest_configuration(read.page()) {
                     app.adopt(configuration, "store", app.clock.now());
                 }
--- a/components/gateway/src/fleet_link.rs
+++ b/components/gateway/src/fleet_link.rs
@@ -195,6 +195,7 @@
         config: app.version(),
         // Rounded up, so that nobody takes the evidence for newer than it is.
         evidence_age_ms: app.evidence_age(now).map(|age| millis(age).saturating_add(1)),
+        store_read_age_ms: app.store_read_at.get().map(|at| millis(now.since(at))),
         targets_read_age_ms: app.targets_read_at.get().map(|at| millis(now.since(at))),
         targets_digest: app.directory.borrow().digest(),
         draining: *app.stage.borrow() > Stage::Serving,
@@ -311,6 +312,7 @@
     used_adapters.dedup();
     let ask = AgentAsk {
         wants_state,
+        config: app.version(),
         target: target.id.clone(),
         born_ms: target.born_ms,
         used_adapters,
--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -107,6 +107,7 @@
         pool: TargetPool::default(),
         in_flight: Rc::default(),
         connections: Rc::default(),
+        store_read_at: Cell::new(None),
         targets_read_at: Cell::new(None),
         document: RefCell::new(None),
         peer_client: HttpClient::new(PEER_CONNECT_LIMIT),
--- a/components/gateway/src/peer_configuration.rs
+++ b/components/gateway/src/peer_configuration.rs
@@ -1,30 +1,27 @@
-//! Configurations passed between gateways.
+//! Configurations passed to other gateways and to agents.
 
 use std::rc::Rc;
 use std::time::Duration;
 
-use base::{Offset, Timestamp};
+use base::Timestamp;
 use bytes::Bytes;
 use calls::HttpCall;
-use http::{HeaderName, HeaderValue, Request, Response, StatusCode};
+use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use ingress::serve_plain;
 use platform::read_configuration;
 use tokio::net::TcpListener;
+use wire::StoredDocument;
 
 use crate::app::App;
 
-/// Path of the configuration in force.
-const PATH: &str = "/configuration";
-/// Header with the offset of the record that holds it.
-const OFFSET: HeaderName = HeaderName::from_static("x-offset");
 /// Longest wait for an answer of a gateway.
 const CALL_LIMIT: Duration = Duration::from_millis(400);
 /// Longest time to receive a request, also on a connection that is kept.
 const HEAD_LIMIT: Duration = Duration::from_secs(30);
 
-/// Answers other gateways until the task is aborted.
+/// Answers other processes until the task is aborted.
 pub(crate) async fn serve_peers(app: Rc<App>, listener: TcpListener) {
     let answer = move |request: &Request<Incoming>| answer(&app, request);
     serve_plain(listener, HEAD_LIMIT, answer, |error| {
@@ -36,10 +33,10 @@
 fn answer(app: &App, request: &Request<Incoming>) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::new()));
     let document = app.document.borrow();
-    match document.as_ref().filter(|_| request.uri().path() == PATH) {
+    match document.as_ref().filter(|_| request.uri().path() == StoredDocument::PATH) {
         Some(document) => {
             *response.body_mut() = Full::new(document.bytes.clone());
-            response.headers_mut().insert(OFFSET, HeaderValue::from(document.offset.0));
+            *response.headers_mut() = document.headers();
         }
         None => *response.status_mut() = StatusCode::NOT_FOUND,
     }
@@ -55,15 +52,11 @@
     };
     let source = newer.iter().find(|(_, near)| *near || may_go_far);
     let Some((address, _)) = source.copied() else { return };
-    match app.peer_client.call(HttpCall::get(address, PATH, CALL_LIMIT)).await {
+    match app.peer_client.call(HttpCall::get(address, StoredDocument::PATH, CALL_LIMIT)).await {
         Ok(answer) if answer.status == StatusCode::OK => {
-            let offset = answer
-                .headers
-                .get(OFFSET)
-                .and_then(|value| value.to_str().ok())
-                .and_then(|value| value.parse().ok())
-                .map(Offset);
-            let configuration = offset.and_then(|offset| read_configuration(offset, &answer.body));
+            let document = StoredDocument::from_answer(&answer.headers, answer.body);
+            let configuration =
+                document.and_then(|document| read_configuration(document.offset, &document.bytes));
             if let Some(configuration) = configuration {
                 app.adopt(configuration, "gateway", app.clock.now());
             }
--- a/components/gateway/src/register.rs
+++ b/components/gateway/src/register.rs
@@ -11,8 +11,11 @@
 
 use crate::app::App;
 
-/// Time between two reads of the register; datagrams tell of new gateways long before.
-const READ_INTERVAL: Duration = Duration::from_secs(10);
+/// Time between two reads of the register while all gateways in it are heard: of any two the later one finds
+/// the other at its start, so that a read helps only those that forgot each other in a long separation.
+const CALM_INTERVAL: Duration = Duration::from_secs(30);
+/// The same while some are not heard.
+const SEARCH_INTERVAL: Duration = Duration::from_secs(10);
 /// Pause after a failed call.
 const FAILURE_PAUSE: Duration = Duration::from_millis(300);
 
@@ -37,10 +40,19 @@
             sleep(FAILURE_PAUSE).await;
             continue;
         }
-        sleep(READ_INTERVAL).await;
-        // A gateway that is not heard by all can show only here that it is alive.
-        let (known, heard) = app.gateways.borrow().counts(app.clock.now());
-        entered = heard >= known;
+        let hears_all = || {
+            let (known, heard) = app.gateways.borrow().counts(app.clock.now());
+            heard >= known
+        };
+        let read_at = app.clock.now();
+        while app.clock.now().since(read_at) < CALM_INTERVAL {
+            sleep(SEARCH_INTERVAL).await;
+            // A gateway that is not heard by all can show only here that it is alive.
+            entered = hears_all();
+            if !entered {
+                break;
+            }
+        }
     }
 }
 
--- a/components/gateway/src/target_watch.rs
+++ b/components/gateway/src/target_watch.rs
@@ -1,7 +1,7 @@
 //! Follows the list of targets on the store.
 //!
-//! Two gateways read it and tell the others what changed. A gateway reads it itself while it hears no
-//! reader, or when it has missed something.
+//! The first gateway by name reads it and tells the others what changed. A gateway reads it itself when the
+//! newest read of any is old, the first ones by name soonest, or when it has missed something.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -19,7 +19,12 @@
 /// Time between two reads. Each is paid for; a leaving target must be noticed within the 2,000 ms
 /// that it still serves, of which a failed call takes half.
 const READ_INTERVAL: Duration = Duration::from_millis(550);
-/// Age of the newest read of any gateway from which this one reads itself.
+/// Age of the newest read of any gateway from which the second gateway by name reads itself: an interval, a
+/// call and the way of a datagram.
+const STANDBY_AFTER: Duration = Duration::from_millis(700);
+/// Time by which each further gateway reads later, so that not all do at once.
+const STANDBY_STEP: Duration = Duration::from_millis(150);
+/// Age from which every gateway reads itself.
 const STALE_AFTER: Duration = Duration::from_millis(1_000);
 /// Time for which the digest of the list may differ from that of a reader before this one reads itself:
 /// longer than news is repeated.
@@ -53,6 +58,7 @@
                     app.apply_news(&news, now);
                     link.note_news(news);
                 }
+                app.store_read_at.set(Some(asked_at));
                 app.targets_read_at.set(Some(asked_at));
                 mismatch_since = None;
                 sleep(READ_INTERVAL).await;
@@ -72,11 +78,12 @@
 fn must_read(app: &App, mismatch_since: &mut Option<Timestamp>) -> bool {
     let now = app.clock.now();
     let gateways = app.gateways.borrow();
-    if app.targets_read_at.get().is_none() || gateways.is_reader(now) {
+    let Some(own_read_at) = app.targets_read_at.get() else { return true };
+    let rank = gateways.rank(now);
+    let Some((digest, read_at)) = gateways.freshest_targets(now).filter(|_| rank > 0) else {
         return true;
-    }
-    let Some((digest, read_at)) = gateways.freshest_targets(now) else { return true };
-    if now.since(read_at) >= STALE_AFTER {
+    };
+    if now.since(read_at.max(own_read_at)) >= stale_after(rank) {
         return true;
     }
     if digest == app.directory.borrow().digest() {
@@ -86,6 +93,12 @@
     now.since(*mismatch_since.get_or_insert(now)) >= MISMATCH_LIMIT
 }
 
+/// Age of the newest read from which the gateway after `rank` others reads itself.
+fn stale_after(rank: usize) -> Duration {
+    let steps = u32::try_from(rank.saturating_sub(1)).unwrap_or(u32::MAX);
+    STANDBY_AFTER.saturating_add(STANDBY_STEP.saturating_mul(steps)).min(STALE_AFTER)
+}
+
 fn take(app: &App, read: KeyedRead, now: Timestamp) -> Vec<TargetNews> {
     let mut news = match read {
         KeyedRead::Whole(page) => take_list(app, &page, now),
--- a/components/membership/src/gateway_table.rs
+++ b/components/membership/src/gateway_table.rs
@@ -38,6 +38,8 @@
     pub draining: bool,
     /// Version of the configuration in force there.
     pub config: Offset,
+    /// When it last read anything on the store, at the latest.
+    pub store_read_at: Option<Timestamp>,
     /// When it read the list of targets, at the latest.
     pub targets_read_at: Option<Timestamp>,
     /// Digest of the targets that it knows.
@@ -77,6 +79,7 @@
             heard_at: None,
             draining: false,
             config: Offset::default(),
+            store_read_at: None,
             targets_read_at: None,
             targets_digest: 0,
             said_micros: 0,
@@ -119,8 +122,7 @@
         let sent_micros = known
             .filter(|peer| peer.incarnation == from.incarnation)
             .map_or(0, |peer| peer.sent_micros);
-        let targets_read_at =
-            state.targets_read_age_ms.map(|age_ms| now - Duration::from_millis(u64::from(age_ms)));
+        let dated = |age_ms: u32| now - Duration::from_millis(u64::from(age_ms));
         let peer = GatewayPeer {
             address: state.address,
             data_centre: state.data_centre.clone(),
@@ -128,7 +130,8 @@
             heard_at: Some(now),
             draining: state.draining,
             config: state.config,
-            targets_read_at,
+            store_read_at: state.store_read_age_ms.map(dated),
+            targets_read_at: state.targets_read_age_ms.map(dated),
             targets_digest: state.targets_digest,
             said_micros: state.sent_micros,
             sent_micros,
@@ -240,18 +243,22 @@
             || self.peers.values().any(|peer| peer.data_centre == data_centre && speaks(peer, now))
     }
 
-    /// Whether this gateway is one of those that read the store for all.
+    /// Whether this gateway is one of those that follow the configuration on the store for all.
     pub fn is_reader(&self, now: Timestamp) -> bool {
-        let before = self
-            .peers
-            .iter()
-            .filter(|(name, peer)| {
-                let reads =
-                    peer.targets_read_at.is_some_and(|at| now.since(at) < READER_STALE_AFTER);
-                **name < self.me.name && speaks(peer, now) && reads
-            })
-            .count();
-        before < READERS
+        let reads = |peer: &GatewayPeer| {
+            peer.store_read_at.is_some_and(|at| now.since(at) < READER_STALE_AFTER)
+        };
+        self.before(now).filter(|peer| reads(peer)).count() < READERS
+    }
+
+    /// Number of gateways before this one by name that are heard well.
+    pub fn rank(&self, now: Timestamp) -> usize {
+        self.before(now).count()
+    }
+
+    fn before(&self, now: Timestamp) -> impl Iterator<Item = &GatewayPeer> {
+        let before = self.peers.iter().filter(|(name, _)| **name < self.me.name);
+        before.map(|(_, peer)| peer).filter(move |peer| speaks(peer, now))
     }
 
     /// Digest of the targets at the gateway that has read the list last, and when it did.
--- a/components/membership/tests/gateway_table.rs
+++ b/components/membership/tests/gateway_table.rs
@@ -27,6 +27,7 @@
         sent_micros: sent_ms * 1_000,
         config: Offset(1),
         evidence_age_ms: None,
+        store_read_age_ms: Some(0),
         targets_read_age_ms: Some(0),
         targets_digest: 0,
         draining: false,
@@ -121,9 +122,27 @@
         table.heard(&state(name, "north", 5), at(10_000)).unwrap();
     }
     assert!(!table.is_reader(at(10_200)));
-    let stalled = GatewayState { targets_read_age_ms: Some(1_600), ..state("a", "north", 300) };
+    let stalled = GatewayState { store_read_age_ms: Some(1_600), ..state("a", "north", 300) };
     table.heard(&stalled, at(10_300)).unwrap();
     assert!(table.is_reader(at(10_300)), "a hears, but its last read is too old");
+    // One that follows the configuration reads, though it leaves the list of targets to another one.
+    let standby = GatewayState { targets_read_age_ms: Some(60_000), ..state("b", "north", 400) };
+    table.heard(&standby, at(10_400)).unwrap();
+    table.heard(&state("a", "north", 400), at(10_400)).unwrap();
+    assert!(!table.is_reader(at(10_400)));
+}
+
+/// Guards against gateways that all read the list of targets at the same moment when the first one stalls.
+#[test]
+fn gateways_stand_by_in_the_order_of_their_names() {
+    let mut table = table();
+    assert_eq!(table.rank(at(0)), 0);
+    for name in ["a", "b", "z"] {
+        table.heard(&state(name, "north", 5), at(1_000)).unwrap();
+    }
+    assert_eq!(table.rank(at(1_100)), 2);
+    table.heard(&state("a", "north", 600), at(1_600)).unwrap();
+    assert_eq!(table.rank(at(1_700)), 1, "b is silent");
 }
 
 /// Guards against a share of the rates that a dead gateway holds for ever, and against one that is taken
--- a/components/wire/src/fleet_state.rs
+++ b/components/wire/src/fleet_state.rs
@@ -74,6 +74,8 @@
     pub config: Offset,
     /// Age of its newest evidence that it knows every configuration, in milliseconds.
     pub evidence_age_ms: Option<u32>,
+    /// Time since it last read anything on the store itself, in milliseconds.
+    pub store_read_age_ms: Option<u32>,
     /// Time since it read the list of targets itself, in milliseconds.
     pub targets_read_age_ms: Option<u32>,
     /// Digest of the targets that it knows.
@@ -182,6 +184,8 @@
 pub struct AgentAsk {
     /// Whether the agent should answer with its state.
     pub wants_state: bool,
+    /// Version of the configuration that the sender can pass on.
+    pub config: Offset,
     /// Id of the life of the target that the sender knows.
     pub target: CompactString,
     /// Unix time of its start in milliseconds, if it says so.
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -20,6 +20,7 @@
 mod server;
 mod start_record;
 mod status;
+mod stored_document;
 mod target_entry;
 
 pub use cache::{CacheChange, CacheEventCopy, CacheUpdate};
@@ -50,4 +51,5 @@
 pub use server::{Incoming, Responder, serve_connection};
 pub use start_record::{FLEET_STREAM, StartRecord};
 pub use status::{ProcessStatus, StatusProblem};
+pub use stored_document::StoredDocument;
 pub use target_entry::{TargetEntry, TargetState};
