Give test asks of the engine desk a configuration version

The tests of the engine desk did not compile since agents take the configuration from gateways: an ask names the version that its sender can pass on.

--- a/components/placement/tests/engine_desk.rs
+++ b/components/placement/tests/engine_desk.rs
@@ -36,6 +36,7 @@
 fn ask() -> AgentAsk {
     AgentAsk {
         wants_state: true,
+        config: base::Offset(1),
         target: "engine-1".into(),
         born_ms: Some(1),
         used_adapters: Vec::new(),
