--- a/components/standin/src/lib.rs
+++ b/components/standin/src/lib.rs
@@ -27,7 +27,9 @@
 pub use log_server::{LogServer, LogServerSettings, LogService, StoredRecord};
 pub use plain::{PlainServer, PlainService, PlainSettings, SeenHeader, SeenRequest};
 pub use proxy::{Blocked, Link, LinkFaults};
-pub use reply::{Hangup, Reply, ReplyBody};
+pub use reply::{
+    Hangup, Reply, ReplyBody, full, json, lose_answer, query, read_body, text, wait_ms,
+};
 pub use server::{Server, Service};
 pub use text::{answer_text, token_text};
 pub use vm_list_server::{ListedState, ListedVm, VmListServer, VmListService, VmListSettings};
--- a/components/standin/src/proxy.rs
+++ b/components/standin/src/proxy.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 use std::io;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -78,7 +78,16 @@
     ///
     /// The port can't be bound.
     pub async fn start(target: SocketAddr) -> io::Result<Self> {
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+        Self::start_on(Ipv4Addr::LOCALHOST.into(), target).await
+    }
+
+    /// Starts a proxy on an ephemeral port of `ip` in front of `target`.
+    ///
+    /// # Errors
+    ///
+    /// The port can't be bound.
+    pub async fn start_on(ip: IpAddr, target: SocketAddr) -> io::Result<Self> {
+        let listener = TcpListener::bind((ip, 0)).await?;
         let address = listener.local_addr()?;
         let state = watch::Sender::new(LinkState::default());
         let mut link = Self { address, target, state, listening: None };
--- a/components/standin/src/reply.rs
+++ b/components/standin/src/reply.rs
@@ -33,11 +33,13 @@
 /// An answer, or the end of the connection.
 pub type Reply = Result<Response<ReplyBody>, Hangup>;
 
-pub(crate) fn full(bytes: impl Into<Bytes>) -> ReplyBody {
+/// A body that is there.
+pub fn full(bytes: impl Into<Bytes>) -> ReplyBody {
     Full::new(bytes.into()).map_err(|never| match never {}).boxed_unsync()
 }
 
-pub(crate) fn json(status: StatusCode, value: &impl Serialize) -> Reply {
+/// An answer in JSON.
+pub fn json(status: StatusCode, value: &impl Serialize) -> Reply {
     let bytes = serde_json::to_vec(value).map_err(|_| Hangup)?;
     Response::builder()
         .status(status)
@@ -46,24 +48,27 @@
         .map_err(|_| Hangup)
 }
 
-pub(crate) fn text(status: StatusCode, text: &str) -> Reply {
+/// An answer in plain text.
+pub fn text(status: StatusCode, text: &str) -> Reply {
     Response::builder().status(status).body(full(text.to_owned())).map_err(|_| Hangup)
 }
 
-pub(crate) async fn read_body(body: Incoming) -> Result<Bytes, Hangup> {
+/// Reads a body whole; a longer one than the stand-ins take breaks the connection.
+pub async fn read_body(body: Incoming) -> Result<Bytes, Hangup> {
     let collected = Limited::new(body, MAX_BODY_BYTES).collect().await.map_err(|_| Hangup)?;
     Ok(collected.to_bytes())
 }
 
 /// Never answers (until the caller gives up), or breaks the connection.
-pub(crate) async fn lose_answer(hang: bool) -> Reply {
+pub async fn lose_answer(hang: bool) -> Reply {
     if hang {
         pending::<()>().await;
     }
     Err(Hangup)
 }
 
-pub(crate) async fn wait_ms(millis: u64) {
+/// Waits, unless the time is zero.
+pub async fn wait_ms(millis: u64) {
     if millis > 0 {
         sleep(Duration::from_millis(millis)).await;
     }
@@ -77,7 +82,7 @@
 }
 
 /// The value of `name` in a query.
-pub(crate) fn query<'a>(query: Option<&'a str>, name: &str) -> Option<&'a str> {
+pub fn query<'a>(query: Option<&'a str>, name: &str) -> Option<&'a str> {
     query?
         .split('&')
         .filter_map(|pair| pair.split_once('='))
--- a/components/standin/src/server.rs
+++ b/components/standin/src/server.rs
@@ -81,6 +81,11 @@
         Ok(Self { service, address, task })
     }
 
+    /// The service behind the server.
+    pub fn service(&self) -> &Arc<S> {
+        &self.service
+    }
+
     /// Where the server listens.
     pub fn address(&self) -> SocketAddr {
         self.address
--- /dev/null
+++ b/examples/soak.rs
@@ -0,0 +1,87 @@
+//! Runs the soak on the shipped binary, one seed after the other.
+//!
+//! `cargo build --release && cargo run --release --example soak -- --seeds 1-50`; exit code 1 if a promise was
+//! broken. The processes are started here, so that the product itself starts none.
+
+use std::ops::RangeInclusive;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::Duration;
+
+use lexopt::prelude::*;
+use soak::{Schedule, SoakOptions, run};
+use tokio::task::LocalSet;
+
+type Result<T> = std::result::Result<T, Box<dyn std::error::Error>>;
+
+const HELP: &str = "\
+Run the soak on the release binary.
+
+Usage: soak [--seeds FIRST-LAST] [--seconds N] [--gateways N] [--engines N] [--callers N] [--logs DIR]
+
+Options:
+      --seeds FIRST-LAST  seeds to run (1-1)
+      --seconds N         time in which faults begin (20)
+      --gateways N        gateway processes (4)
+      --engines N         engines, each with an agent process (6)
+      --callers N         callers (32)
+      --logs DIR          keep the logs of the processes in DIR/SEED
+  -h, --help              show this text
+";
+
+struct Arguments {
+    seeds: RangeInclusive<u64>,
+    options: SoakOptions,
+    logs: Option<PathBuf>,
+}
+
+fn parse() -> Result<Option<Arguments>> {
+    let options = SoakOptions { binary: binary()?, ..SoakOptions::default() };
+    let mut arguments = Arguments { seeds: 1..=1, options, logs: None };
+    let mut parser = lexopt::Parser::from_env();
+    while let Some(argument) = parser.next()? {
+        let options = &mut arguments.options;
+        match argument {
+            Long("seeds") => {
+                let text = parser.value()?.string()?;
+                let (first, last) = text.split_once('-').unwrap_or((&text, &text));
+                arguments.seeds = first.parse()?..=last.parse()?;
+            }
+            Long("seconds") => {
+                options.length = Duration::from_secs(parser.value()?.parse()?);
+            }
+            Long("gateways") => options.gateways = parser.value()?.parse()?,
+            Long("engines") => options.engines = parser.value()?.parse()?,
+            Long("callers") => options.callers = parser.value()?.parse()?,
+            Long("logs") => arguments.logs = Some(parser.value()?.into()),
+            Short('h') | Long("help") => return Ok(None),
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    Ok(Some(arguments))
+}
+
+/// The release binary beside this example.
+fn binary() -> Result<PathBuf> {
+    let example = std::env::current_exe()?;
+    let directory = example.parent().and_then(Path::parent).ok_or("no target directory")?;
+    Ok(directory.join("plantainbeam"))
+}
+
+fn main() -> Result<ExitCode> {
+    let Some(Arguments { seeds, options, logs }) = parse()? else {
+        print!("{HELP}");
+        return Ok(ExitCode::SUCCESS);
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let mut is_clean = true;
+    for seed in seeds {
+        let logs = logs.as_ref().map(|logs| logs.join(seed.to_string()));
+        let options = SoakOptions { seed, logs, ..options.clone() };
+        print!("schedule of seed {seed}:\n{}", Schedule::draw(&options));
+        let report = LocalSet::new().block_on(&runtime, run(&options))?;
+        print!("{report}");
+        is_clean &= report.findings.is_empty();
+    }
+    Ok(if is_clean { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
