--- a/components/gateway/src/request.rs
+++ b/components/gateway/src/request.rs
@@ -47,6 +47,8 @@
     pub objectives: Objectives,
     /// Rank; 0 is the most urgent.
     pub priority: u8,
+    /// Rank in its customer's rate; 0 is the most urgent. Plain requests cost next to nothing.
+    pub rank: u8,
 }
 
 /// A request that may be served.
@@ -222,6 +224,7 @@
             gap: Duration::from_millis(direct.gap_objective_ms),
         },
         priority: rank.unwrap_or(direct.priority),
+        rank: if service.engine.is_some() { direct.priority } else { 0 },
     }
 }
 
@@ -249,7 +252,7 @@
     let mut rates = app.rates.borrow_mut();
     // Every customer of the configuration in force has a bucket.
     let Some(bucket) = rates.bucket_mut(customer) else { return Ok(()) };
-    bucket.check(request.tokens, gateways, now).map_err(|wait| {
+    bucket.check(request.tokens, request.plan.rank, gateways, now).map_err(|wait| {
         log_rate(request, customer, bucket, gateways, false);
         rate_exceeded(request, wait, now)
     })
@@ -265,7 +268,7 @@
     let gateways = app.gateway_count(now);
     let mut rates = app.rates.borrow_mut();
     let Some(bucket) = rates.bucket_mut(customer) else { return Ok(()) };
-    let result = bucket.take(request.tokens, gateways, now);
+    let result = bucket.take(request.tokens, request.plan.rank, gateways, now);
     log_rate(request, customer, bucket, gateways, result.is_ok());
     result.map_err(|wait| rate_exceeded(request, wait, now))
 }
--- a/components/rates/src/shared_bucket.rs
+++ b/components/rates/src/shared_bucket.rs
@@ -17,6 +17,9 @@
 const DEMAND_TIME: Duration = Duration::from_millis(1_000);
 /// Smallest share of a gateway, as a part of an even one; lets a new demand in.
 const LEAST_SHARE: f64 = 0.5;
+/// Time whose accrual is kept, for each rank below the first, for requests of higher rank: that of a long
+/// prompt in the rates of today.
+const RANK_RESERVE: Duration = Duration::from_millis(60);
 /// Shortest advised wait.
 const LEAST_RETRY: Duration = Duration::from_millis(200);
 /// Added to the computed wait, so that the level is over its threshold and not at it.
@@ -152,7 +155,7 @@
         self.peers.remove(peer);
     }
 
-    /// Whether a request of `tokens` would be admitted now, without taking them.
+    /// Whether a request of `tokens` would be admitted now, without taking them; `rank` 0 is the most urgent.
     ///
     /// # Errors
     ///
@@ -160,6 +163,7 @@
     pub fn check(
         &mut self,
         tokens: u64,
+        rank: u8,
         gateways: GatewayCount,
         now: Timestamp,
     ) -> Result<(), Duration> {
@@ -167,7 +171,7 @@
             return Ok(());
         }
         self.accrue(gateways, now);
-        if self.source(gateways).is_some() {
+        if self.source(rank, gateways).is_some() {
             return Ok(());
         }
         self.note_asked(tokens);
@@ -175,7 +179,7 @@
         Err(self.return_time(gateways))
     }
 
-    /// Admits a request of `tokens`, or says when to come back.
+    /// Admits a request of `tokens`, or says when to come back; `rank` 0 is the most urgent.
     ///
     /// # Errors
     ///
@@ -183,17 +187,18 @@
     pub fn take(
         &mut self,
         tokens: u64,
+        rank: u8,
         gateways: GatewayCount,
         now: Timestamp,
     ) -> Result<(), Duration> {
-        self.check(tokens, gateways, now)?;
+        self.check(tokens, rank, gateways, now)?;
         self.admitted += tokens;
         if self.rate.tokens_per_s == 0 {
             return Ok(());
         }
         self.note_asked(tokens);
         // What is taken while there is enough for all doesn't count against the own share.
-        if self.source(gateways) == Some(Source::Own) {
+        if self.source(rank, gateways) == Some(Source::Own) {
             self.own_level -= tokens as f64;
         }
         self.level -= tokens as f64;
@@ -202,12 +207,13 @@
 
     /// Where the next request is taken from.
     ///
-    /// Any positive level admits a request of any size, so that large ones are not starved by small
-    /// ones; the debt delays what follows.
-    fn source(&self, gateways: GatewayCount) -> Option<Source> {
+    /// Any level above what is kept for higher ranks admits a request of any size, so that large ones are not
+    /// starved by small ones; the debt delays what follows.
+    fn source(&self, rank: u8, gateways: GatewayCount) -> Option<Source> {
+        let kept = self.rate.tokens_per_s as f64 * RANK_RESERVE.as_secs_f64() * f64::from(rank);
         if self.level > SHARED_ABOVE * self.full(gateways) {
             Some(Source::Shared)
-        } else if self.level > 0.0 && self.own_level > 0.0 {
+        } else if self.level > kept && self.own_level > 0.0 {
             Some(Source::Own)
         } else {
             None
--- a/components/rates/tests/shared_bucket.rs
+++ b/components/rates/tests/shared_bucket.rs
@@ -27,17 +27,20 @@
 #[test]
 fn a_bucket_after_a_restart_admits_only_what_accrues() {
     let mut bucket = SharedBucket::new(RATE, false, at(0));
-    assert!(bucket.take(100, all(1), at(0)).is_err());
+    assert!(bucket.take(100, 0, all(1), at(0)).is_err());
     let mut admitted = 0;
     for ms in 0..2_000 {
-        if bucket.take(100, all(1), at(ms)).is_ok() {
+        if bucket.take(100, 0, all(1), at(ms)).is_ok() {
             admitted += 100;
         }
     }
     assert!(admitted <= 20_100, "{admitted} tokens in 2 s at 10,000 a second");
     assert!(admitted >= 19_000, "{admitted} tokens in 2 s at 10,000 a second");
     let mut first = SharedBucket::new(RATE, true, at(0));
-    assert!(first.take(20_000, all(1), at(0)).is_ok(), "nothing was admitted before a first start");
+    assert!(
+        first.take(20_000, 0, all(1), at(0)).is_ok(),
+        "nothing was admitted before a first start"
+    );
 }
 
 /// Guards against a peer's count that is taken twice, and against one of an older run of the peer.
@@ -48,14 +51,14 @@
     for _ in 0..10 {
         bucket.take_peer(&peer, Incarnation(2), 10_000, 0);
     }
-    assert!(bucket.take(10_000, all(2), at(0)).is_ok());
-    assert!(bucket.take(1, all(2), at(0)).is_err());
+    assert!(bucket.take(10_000, 0, all(2), at(0)).is_ok());
+    assert!(bucket.take(1, 0, all(2), at(0)).is_err());
     let mut bucket = SharedBucket::new(RATE, true, at(0));
     bucket.take_peer(&peer, Incarnation(2), 1_000, 0);
     bucket.take_peer(&peer, Incarnation(1), 19_000, 0);
     bucket.take_peer(&peer, Incarnation(3), 2_000, 0);
-    assert!(bucket.take(17_000, all(2), at(0)).is_ok());
-    assert!(bucket.take(1, all(2), at(0)).is_err(), "1,000 of one run and 2,000 of the next");
+    assert!(bucket.take(17_000, 0, all(2), at(0)).is_ok());
+    assert!(bucket.take(1, 0, all(2), at(0)).is_err(), "1,000 of one run and 2,000 of the next");
 }
 
 /// Guards against a lowered limit that a full bucket goes on exceeding.
@@ -63,8 +66,8 @@
 fn a_lowered_rate_cuts_the_level_at_once() {
     let mut bucket = SharedBucket::new(RATE, true, at(0));
     bucket.set_rate(CustomerRate { tokens_per_s: 1_000, burst_tokens: 2_000 });
-    assert!(bucket.take(2_000, all(1), at(0)).is_ok());
-    assert!(bucket.take(1, all(1), at(0)).is_err());
+    assert!(bucket.take(2_000, 0, all(1), at(0)).is_ok());
+    assert!(bucket.take(1, 0, all(1), at(0)).is_err());
 }
 
 /// Guards against large requests that starve behind small ones, in a customer that always asks for more
@@ -75,9 +78,9 @@
     let (mut large, mut small) = (0, 0);
     for ms in 0..20_000u64 {
         if ms % 53 == 0 {
-            large += u32::from(bucket.take(8_000, all(1), at(ms)).is_ok());
+            large += u32::from(bucket.take(8_000, 0, all(1), at(ms)).is_ok());
         }
-        small += u32::from(bucket.take(50, all(1), at(ms)).is_ok());
+        small += u32::from(bucket.take(50, 0, all(1), at(ms)).is_ok());
     }
     assert!(large >= 5, "{large} large and {small} small requests in 20 s");
     assert!(small >= 100, "{large} large and {small} small requests in 20 s");
@@ -89,10 +92,10 @@
 #[test]
 fn callers_return_when_the_bucket_has_something_again() {
     let mut bucket = SharedBucket::new(RATE, true, at(0));
-    bucket.take(20_000, all(4), at(0)).unwrap();
-    let wait = bucket.take(1, all(4), at(0)).unwrap_err();
+    bucket.take(20_000, 0, all(4), at(0)).unwrap();
+    let wait = bucket.take(1, 0, all(4), at(0)).unwrap_err();
     assert!(wait <= Duration::from_millis(610), "{wait:?}");
-    assert!(bucket.take(1, all(4), at(0) + wait).is_ok(), "nothing there after {wait:?}");
+    assert!(bucket.take(1, 0, all(4), at(0) + wait).is_ok(), "nothing there after {wait:?}");
 }
 
 /// Guards against a gateway that must first pay back what it took of the shared part before it may use
@@ -100,10 +103,10 @@
 #[test]
 fn a_gateway_that_used_the_shared_part_keeps_its_own_share() {
     let mut bucket = SharedBucket::new(RATE, true, at(0));
-    bucket.take(19_000, all(4), at(0)).unwrap();
+    bucket.take(19_000, 0, all(4), at(0)).unwrap();
     let mut admitted = 0;
     for ms in 0..400 {
-        if bucket.take(100, all(4), at(ms)).is_ok() {
+        if bucket.take(100, 0, all(4), at(ms)).is_ok() {
             admitted += 100;
         }
     }
@@ -117,10 +120,10 @@
 #[test]
 fn advice_to_wait_is_between_200_ms_and_2_s() {
     let mut bucket = SharedBucket::new(RATE, false, at(0));
-    let short = bucket.take(1, all(1), at(0)).unwrap_err();
+    let short = bucket.take(1, 0, all(1), at(0)).unwrap_err();
     let mut bucket = SharedBucket::new(RATE, true, at(0));
-    bucket.take(1_000_000, all(1), at(0)).unwrap();
-    let long = bucket.take(1, all(1), at(0)).unwrap_err();
+    bucket.take(1_000_000, 0, all(1), at(0)).unwrap();
+    let long = bucket.take(1, 0, all(1), at(0)).unwrap_err();
     assert_eq!((short, long), (Duration::from_millis(200), Duration::from_secs(2)));
 }
 
@@ -134,7 +137,7 @@
     for ms in 0..3_000 {
         // 100,000 tokens a second.
         if let Err(wait) =
-            bucket.check(100, all(1), at(ms)).and_then(|()| bucket.take(100, all(1), at(ms)))
+            bucket.check(100, 0, all(1), at(ms)).and_then(|()| bucket.take(100, 0, all(1), at(ms)))
         {
             waits.push(wait);
         }
@@ -142,7 +145,7 @@
     assert_eq!(waits.last(), Some(&Duration::from_secs(2)));
     // Once nobody asks any more, the way back is short.
     let later = at(5_000);
-    assert!(bucket.check(100, all(1), later).is_ok());
+    assert!(bucket.check(100, 0, all(1), later).is_ok());
 }
 
 /// Guards against a check that takes tokens, or a demand that counts a request twice.
@@ -150,10 +153,10 @@
 fn a_check_takes_nothing() {
     let mut bucket = SharedBucket::new(RATE, true, at(0));
     for _ in 0..1_000 {
-        assert!(bucket.check(20_000, all(1), at(0)).is_ok());
+        assert!(bucket.check(20_000, 0, all(1), at(0)).is_ok());
     }
     assert_eq!((bucket.admitted(), bucket.asked_per_s()), (0, 0));
-    assert!(bucket.take(20_000, all(1), at(0)).is_ok());
+    assert!(bucket.take(20_000, 0, all(1), at(0)).is_ok());
     assert_eq!((bucket.admitted(), bucket.asked_per_s()), (20_000, 20_000));
 }
 
@@ -214,7 +217,7 @@
                 let heard = if off[gateway] { 1 } else { heard };
                 let known = if naive { 1 } else { 4 };
                 let count = GatewayCount { known, heard };
-                if buckets[gateway].take(tokens, count, at(now_ms)).is_ok() {
+                if buckets[gateway].take(tokens, 0, count, at(now_ms)).is_ok() {
                     admitted.push((now_ms, tokens));
                 }
             }
@@ -271,3 +274,22 @@
     let told: Vec<Event> = events.iter().flat_map(|event| [*event, Event::Tell]).collect();
     assert!(most_in_a_window(&told, false) <= MOST_TOKENS);
 }
+
+/// The pattern "one customer asks for many times its rate": what accrues goes to requests of higher rank
+/// first, and the others get what those leave. On teyrnged-live trouble-3 the most urgent class was served
+/// less often than the least urgent one, since both were refused alike.
+#[test]
+fn a_customer_over_its_rate_gets_its_most_urgent_requests_first() {
+    let mut bucket = SharedBucket::new(RATE, false, at(0));
+    let (mut urgent, mut other) = (0, 0);
+    let mut asked = 0;
+    for ms in (0..20_000).step_by(25) {
+        // Urgent requests ask for 8,000 tokens a second, the others for 32,000.
+        asked += 1;
+        urgent += u32::from(bucket.take(200, 0, all(1), at(ms)).is_ok());
+        other += u32::from(bucket.take(800, 2, all(1), at(ms)).is_ok());
+    }
+    assert!(urgent * 10 >= asked * 7, "{urgent} of {asked}");
+    assert!(other * 20 >= asked, "{other} of {asked}: the others are not starved");
+    assert!(other * 4 < asked, "{other} of {asked}");
+}
