Leave runs at ended targets out of a stream's attempts; admit by the caller's patience

A stream was sent to an engine whose first event was expected after 3 s, left it after 1.08 s for a second one, and was cut when that one was taken away in the middle of the answer: both attempts of the route were spent, one on an engine that never ran it, one on an engine that had ended.

Changes: - routing::Attempts keeps the sends of a request. A run at a target that has ended since (gone from the list, its address refuses connections, no answer to its agent) does not count, nor one whose connection broke at a target that leaves; the contract doesn't count these either.

Ruled out: the stop of the gateway itself; it waited for the stream as it should.

--- a/components/gateway/src/answer.rs
+++ b/components/gateway/src/answer.rs
@@ -68,7 +68,7 @@
     };
     match end.unwrap_or_else(|| Err(call.cut_off())) {
         Ok(CallEnd::Whole(whole)) => {
-            log_end(&app, &request, "whole", whole.status.as_u16(), call.sends, None);
+            log_end(&app, &request, "whole", whole.status.as_u16(), call.sends(), None);
             whole_response(whole)
         }
         Ok(CallEnd::Stream(answer, send)) => {
@@ -80,7 +80,7 @@
             tokio::task::spawn_local(async move {
                 let (relay, end) = relay.run(*answer, send).await;
                 let request = Rc::clone(&relay.call.request);
-                log_end(&app, &request, end.as_str(), 200, relay.call.sends, Some(&relay));
+                log_end(&app, &request, end.as_str(), 200, relay.call.sends(), Some(&relay));
                 if end == RelayEnd::Whole {
                     // A caller that has gone needs no end.
                     let _ended = relay.parts.end().await;
--- a/components/gateway/src/call.rs
+++ b/components/gateway/src/call.rs
@@ -11,8 +11,8 @@
 use ingress::Stage;
 use platform::forwarded_answer_headers;
 use routing::{
-    Admission, DirectChoice, DirectPick, GenerationNeed, LoadWait, PlainDirectNeed, SendId, Slack,
-    TargetKey, TargetOutcome, admit, wait_for_model, waits_for_adapter,
+    Admission, Attempts, DirectChoice, DirectPick, GenerationNeed, LoadWait, PlainDirectNeed, SendId, Slack,
+    TargetEnd, TargetKey, TargetOutcome, admit, wait_for_model, waits_for_adapter,
 };
 use telemetry::quote;
 use tokio::time::timeout;
@@ -22,8 +22,6 @@
 use crate::fleet_link::{FleetLink, ask_agent};
 use crate::request::{CallerRequest, charge, check_rate};
 
-/// Sends of one request that a target may refuse beyond those that may run it.
-const EXTRA_SENDS: u32 = 2;
 /// Time that must be left for another send.
 const LEAST_LEFT: Duration = Duration::from_millis(30);
 /// Longest wait for a model or adapter while this process shuts down.
@@ -32,6 +30,9 @@
 const DRAINING_RETRY: Duration = Duration::from_millis(100);
 /// Wait between two looks at the fleet while a model or adapter is awaited.
 const LOAD_LOOK: Duration = Duration::from_millis(100);
+/// Wait for news that a target has ended, after a stream broke off there: the time in which its agent finds
+/// out and the word is passed on. A caller bears a pause of at least 2 s.
+const END_EVIDENCE_WAIT: Duration = Duration::from_millis(1_000);
 /// Advised wait if no target is there: the time in which a new one is noticed.
 const NO_TARGET_RETRY: Duration = Duration::from_millis(500);
 
@@ -111,10 +112,10 @@
     pub request: Rc<CallerRequest>,
     /// Targets that failed it.
     excluded: Vec<TargetKey>,
-    /// Sends that may have run.
-    runs: u32,
-    /// All sends.
-    pub sends: u32,
+    /// Its sends.
+    attempts: Attempts,
+    /// When the caller had its last event.
+    last_event_at: Option<Timestamp>,
     /// Last event that the caller has.
     pub last_event: Option<u64>,
     charged: bool,
@@ -122,8 +123,6 @@
     demand_noted: bool,
     /// Target that was asked for the adapter, and since when.
     adapter_asked: Option<(TargetKey, Timestamp)>,
-    /// Whether a target may be at work on it now.
-    at_target: bool,
     /// A failure of a target that is passed on if nothing better comes.
     failure: Option<WholeAnswer>,
 }
@@ -138,18 +137,18 @@
     /// A call that was not sent yet.
     pub(crate) fn new(app: Rc<App>, link: Rc<FleetLink>, request: Rc<CallerRequest>) -> Self {
         let last_event = request.head.last_event;
+        let attempts = Attempts::new(request.plan.attempts);
         Self {
             app,
             link,
             request,
             excluded: Vec::new(),
-            runs: 0,
-            sends: 0,
+            attempts,
+            last_event_at: None,
             last_event,
             charged: false,
             demand_noted: false,
             adapter_asked: None,
-            at_target: false,
             failure: None,
         }
     }
@@ -174,7 +173,6 @@
             }
             let send = self.note_send(&chosen);
             let limit = self.answer_limit(&chosen.pick);
-            self.at_target = true;
             let answer = exchange(
                 &self.app,
                 &self.request,
@@ -184,7 +182,6 @@
                 limit,
             )
             .await;
-            self.at_target = false;
             match answer {
                 Ok(answer) => {
                     if let Some(end) = self.take_answer(answer, send).await {
@@ -198,8 +195,7 @@
 
     /// The answer to a call that is ended from outside, since this process ends.
     pub(crate) fn cut_off(&self) -> ApiError {
-        let ran =
-            if self.at_target || self.runs > 0 { RanState::Unknown } else { RanState::NotRun };
+        let ran = self.ran();
         let text = "this process is shutting down";
         match ran {
             RanState::NotRun => {
@@ -211,12 +207,27 @@
         }
     }
 
+    /// Whether a target may have run it.
+    fn ran(&self) -> RanState {
+        if self.attempts.may_have_run() { RanState::Unknown } else { RanState::NotRun }
+    }
+
+    /// Number of sends.
+    pub(crate) fn sends(&self) -> u32 {
+        self.attempts.count()
+    }
+
+    /// Whether a target that got the request has ended since.
+    fn end_of(&self, now: Timestamp) -> impl Fn(TargetKey) -> TargetEnd + use<'_> {
+        move |key| self.app.fleet.borrow().target(key).end(now)
+    }
+
     /// Ends a call that has no target left.
     fn give_up(&mut self, error: ApiError) -> Result<CallEnd, ApiError> {
         if let Some(failure) = self.failure.take() {
             return Ok(CallEnd::Whole(failure));
         }
-        if self.runs > 0 {
+        if self.attempts.may_have_run() {
             let text = "the targets that were asked gave no answer";
             return Err(ApiError::new(ErrorCode::UpstreamFailed, text).with_ran(RanState::Unknown));
         }
@@ -227,8 +238,10 @@
     /// target is silent for too long; any other one has to wait.
     fn answer_limit(&self, pick: &DirectPick) -> Duration {
         let plan = &self.request.plan;
-        let left = self.request.deadline.since(self.app.clock.now());
-        let can_move = plan.kind.may_run_again() && self.runs + 1 < plan.attempts;
+        let now = self.app.clock.now();
+        let left = self.request.deadline.since(now);
+        let another = self.attempts.allow_one_after_next(self.end_of(now));
+        let can_move = plan.kind.may_run_again() && another;
         match (can_move, plan.kind.is_stream()) {
             (false, _) => left,
             (true, true) => left.min(plan.objectives.first_event_limit(pick.estimate_ms)),
@@ -258,7 +271,7 @@
         } else {
             self.app.fleet.borrow_mut().note_plain(pick.key, now)
         };
-        self.sends += 1;
+        self.attempts.begin(pick.key);
         log::info!(
             "event=request_sent request_id={} target={} model={} adapter={} estimate_ms={:.0} read_ms={:.0} unread_tokens={} urgency={} sends={}",
             quote(&self.request.id),
@@ -269,7 +282,7 @@
             pick.read_ms,
             pick.unread_tokens,
             chosen.urgency.map_or(-1, i32::from),
-            self.sends
+            self.attempts.count()
         );
         Send { app: Rc::clone(&self.app), pick, number, at: now }
     }
@@ -279,7 +292,9 @@
         if let Some(sample) = answer.head.load {
             self.app.fleet.borrow_mut().note_load(send.pick.key, sample);
         }
+        self.note_wishes(&answer, &send);
         if answer.head.not_run {
+            self.attempts.note_not_run();
             self.excluded.push(send.pick.key);
             log::info!(
                 "event=target_refused request_id={} target={} status={}",
@@ -299,7 +314,7 @@
             }
             return None;
         }
-        self.runs += 1;
+        self.attempts.note_may_have_run();
         if answer.status.is_success() && answer.is_stream() && self.request.plan.kind.is_stream() {
             return Some(CallEnd::Stream(Box::new(answer), send));
         }
@@ -326,6 +341,7 @@
                 None
             }
             Err(reason) => {
+                self.attempts.note_broken();
                 send.note(TargetOutcome::Failed);
                 self.excluded.push(send.pick.key);
                 log::info!(
@@ -340,10 +356,35 @@
         }
     }
 
+    /// Takes what a target says in an answer of the work that it still wants.
+    fn note_wishes(&self, answer: &TargetAnswer, send: &Send) {
+        if answer.head.leaving {
+            self.app.fleet.borrow_mut().note_leaving(send.pick.key);
+            log::info!(
+                "event=target_leaving request_id={} target={}",
+                quote(&self.request.id),
+                quote(&send.pick.id)
+            );
+        }
+        if let Some(wait) = answer.head.back_off
+            && answer.status == StatusCode::SERVICE_UNAVAILABLE
+        {
+            let now = self.app.clock.now();
+            self.app.fleet.borrow_mut().note_back_off(send.pick.key, wait, now);
+            log::info!(
+                "event=target_backs_off request_id={} target={} wait_ms={}",
+                quote(&self.request.id),
+                quote(&send.pick.id),
+                wait.as_millis()
+            );
+        }
+    }
+
     /// Takes a send without an answer.
     fn take_failure(&mut self, failure: ExchangeFailure, send: &Send) {
         let reason = match failure {
             ExchangeFailure::NotSent => "not_sent",
+            ExchangeFailure::Refused => "connection_refused",
             ExchangeFailure::NoAnswer(reason) => reason.as_str(),
         };
         log::info!(
@@ -354,9 +395,21 @@
         );
         self.excluded.push(send.pick.key);
         match failure {
-            ExchangeFailure::NotSent => send.note(TargetOutcome::Silent),
+            ExchangeFailure::NotSent => {
+                self.attempts.note_not_run();
+                send.note(TargetOutcome::Silent);
+            }
+            ExchangeFailure::Refused => {
+                self.attempts.note_not_run();
+                send.note(TargetOutcome::Silent);
+                let now = self.app.clock.now();
+                self.app.fleet.borrow_mut().note_refused(send.pick.key, now);
+            }
             ExchangeFailure::NoAnswer(reason) => {
-                self.runs += 1;
+                match reason {
+                    NoAnswer::Broken | NoAnswer::CutShort => self.attempts.note_broken(),
+                    NoAnswer::Foreign | NoAnswer::Silence => self.attempts.note_may_have_run(),
+                }
                 send.note(match reason {
                     NoAnswer::Broken | NoAnswer::Silence => TargetOutcome::Silent,
                     NoAnswer::CutShort | NoAnswer::Foreign => TargetOutcome::Failed,
@@ -367,10 +420,35 @@
 
     /// Excludes the target of a stream that broke, so that another one can go on.
     pub(crate) fn note_broken(&mut self, send: &Send) {
+        self.attempts.note_broken();
         self.excluded.push(send.pick.key);
         send.note(TargetOutcome::Failed);
     }
 
+    /// Records that the caller was passed an event.
+    pub(crate) fn note_event(&mut self, id: Option<u64>, now: Timestamp) {
+        self.last_event_at = Some(now);
+        if id.is_some() {
+            self.last_event = id;
+        }
+    }
+
+    /// Waits until another send is allowed, since a target is found to have ended; false if none is found to
+    /// in time.
+    pub(crate) async fn await_allowance(&self) -> bool {
+        let until = self.app.clock.now() + END_EVIDENCE_WAIT;
+        loop {
+            let now = self.app.clock.now();
+            if self.attempts.allow_another(self.end_of(now)) {
+                return true;
+            }
+            if now >= until {
+                return false;
+            }
+            self.await_news().await;
+        }
+    }
+
     /// Chooses the next target, waiting for a model or an adapter within limits.
     async fn choose(&mut self) -> Result<Chosen, ApiError> {
         let began = self.app.clock.now();
@@ -428,18 +506,16 @@
     /// Whether the rules allow another send.
     fn check_may_send(&mut self, now: Timestamp) -> Result<(), ApiError> {
         let plan = &self.request.plan;
-        if self.runs > 0 && !plan.kind.may_run_again() {
+        if self.attempts.may_have_run() && !plan.kind.may_run_again() {
             let text = "the target gave no answer; the request may have run";
             return Err(ApiError::new(ErrorCode::UpstreamFailed, text).with_ran(RanState::Unknown));
         }
         let left = self.request.deadline.since(now);
         if left < LEAST_LEFT {
-            let ran = if self.runs > 0 { RanState::Unknown } else { RanState::NotRun };
             let text = "the time allowed ran out";
-            return Err(ApiError::new(ErrorCode::DeadlineExceeded, text).with_ran(ran));
+            return Err(ApiError::new(ErrorCode::DeadlineExceeded, text).with_ran(self.ran()));
         }
-        let spent = self.runs >= plan.attempts || self.sends >= plan.attempts + EXTRA_SENDS;
-        if self.sends > 0 && spent {
+        if !self.attempts.allow_another(self.end_of(now)) {
             let text = "the targets that were asked did not take the request";
             return Err(
                 ApiError::new(ErrorCode::NoCapacity, text).with_retry_after(NO_TARGET_RETRY)
@@ -448,8 +524,19 @@
         Ok(())
     }
 
+    /// Time in which the caller must get the answer or, on a stream, the next event, before it gives up.
+    fn time_for_first_event(&self, now: Timestamp) -> Duration {
+        let plan = &self.request.plan;
+        let left = self.request.deadline.since(now);
+        if !plan.kind.is_stream() {
+            return left;
+        }
+        let waits_since = self.last_event_at.unwrap_or(self.request.arrived);
+        left.min((waits_since + plan.objectives.patience()).since(now))
+    }
+
     fn admit(&mut self, pick: DirectPick, now: Timestamp) -> Result<Chosen, ApiError> {
-        if self.sends > 0 {
+        if self.attempts.count() > 0 {
             let gateways = self.app.gateway_count(now).known;
             let service = &self.request.plan.service;
             if !self.app.rates.borrow_mut().try_further(service, gateways, now) {
@@ -463,7 +550,7 @@
         let plan = &self.request.plan;
         let slack = Slack {
             objective: (self.request.arrived + plan.objectives.answer).since(now),
-            deadline: self.request.deadline.since(now),
+            deadline: self.time_for_first_event(now),
             priority: plan.priority,
         };
         match admit(pick.estimate_ms, slack) {
@@ -519,7 +606,7 @@
     async fn await_copy(&self, loading_ms: Option<u32>, began: Timestamp) -> Result<(), ApiError> {
         let now = self.app.clock.now();
         let loading = loading_ms.map(|ms| Duration::from_millis(u64::from(ms)));
-        let allowed = self.request.deadline.since(began);
+        let allowed = self.time_for_first_event(began);
         match wait_for_model(loading, now.since(began), allowed) {
             LoadWait::Wait => {
                 self.refuse_if_draining(now.since(began))?;
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -42,6 +42,8 @@
 pub(crate) enum ExchangeFailure {
     /// The request was not sent.
     NotSent,
+    /// The target refused the connection: nothing listens at its address.
+    Refused,
     /// It was sent, and no answer came, or none that belongs to it.
     NoAnswer(NoAnswer),
 }
@@ -90,13 +92,16 @@
         .pool
         .connect(pick.address, max_idle, limit)
         .await
-        .map_err(|_| ExchangeFailure::NotSent)?;
+        .map_err(|failure| match failure {
+            SendFailure::Refused => ExchangeFailure::Refused,
+            SendFailure::NotSent | SendFailure::NoAnswer => ExchangeFailure::NotSent,
+        })?;
     let now = app.clock.now();
     let rest = limit.saturating_sub(now.since(started));
     let sent = connection.send(target_request(request, pick, urgency, last_event, now));
     let response = match timeout(rest, sent).await {
         Ok(Ok(response)) => response,
-        Ok(Err(SendFailure::NotSent)) => return Err(ExchangeFailure::NotSent),
+        Ok(Err(SendFailure::NotSent | SendFailure::Refused)) => return Err(ExchangeFailure::NotSent),
         Ok(Err(SendFailure::NoAnswer)) => {
             return Err(ExchangeFailure::NoAnswer(NoAnswer::Broken));
         }
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -97,8 +97,12 @@
         if !self.call.request.plan.kind.may_run_again() {
             return None;
         }
+        let next = async {
+            self.call.await_allowance().await;
+            self.call.run().await
+        };
         let next = tokio::select! {
-            next = self.call.run() => next,
+            next = next => next,
             () = self.parts.closed() => return None,
         };
         match next {
@@ -178,10 +182,8 @@
         }
         self.parts.send(event.bytes).await?;
         self.events += 1;
-        if event.id.is_some() {
-            self.call.last_event = event.id;
-        }
         let now = self.call.app.clock.now();
+        self.call.note_event(event.id, now);
         self.first_event_at.get_or_insert(now);
         if let Some(last) = self.last_event_at.replace(now) {
             self.longest_gap = self.longest_gap.max(now.since(last));
--- a/components/gateway/src/target_pool.rs
+++ b/components/gateway/src/target_pool.rs
@@ -1,6 +1,7 @@
 //! Connections to targets, kept for further requests.
 
 use std::cell::RefCell;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -40,6 +41,8 @@
 pub(crate) enum SendFailure {
     /// Nothing was sent.
     NotSent,
+    /// Nothing was sent, since nothing listens at the address.
+    Refused,
     /// It was sent, at least in part, and no answer came.
     NoAnswer,
 }
@@ -87,6 +90,9 @@
         }
         match timeout(limit.min(CONNECT_LIMIT), open(address)).await {
             Ok(Ok(connection)) => Ok(connection),
+            Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+                Err(SendFailure::Refused)
+            }
             Ok(Err(_)) | Err(_) => Err(SendFailure::NotSent),
         }
     }
--- a/components/routing/src/direct_fleet.rs
+++ b/components/routing/src/direct_fleet.rs
@@ -1,6 +1,7 @@
 //! The targets that a gateway calls directly, and the choice among them.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use base::{ProcessName, SortedMap, Timestamp, rendezvous_score};
 use compact_str::CompactString;
@@ -98,7 +99,7 @@
     pub fn retire(&mut self, id: &str) -> Option<SocketAddr> {
         let key = self.by_id.get(id)?;
         let target = &mut self.targets[key.0 as usize];
-        target.takes_work = false;
+        target.note_unlisted();
         Some(target.address)
     }
 
@@ -241,6 +242,21 @@
         self.targets[key.0 as usize].health.note(outcome, now);
     }
 
+    /// Records that a target said in an answer that it is leaving.
+    pub fn note_leaving(&mut self, key: TargetKey) {
+        self.targets[key.0 as usize].note_leaving();
+    }
+
+    /// Records that a target asked this process to send it nothing for `wait`.
+    pub fn note_back_off(&mut self, key: TargetKey, wait: Duration, now: Timestamp) {
+        self.targets[key.0 as usize].note_back_off(wait, now);
+    }
+
+    /// Records that a target refused a connection.
+    pub fn note_refused(&mut self, key: TargetKey, now: Timestamp) {
+        self.targets[key.0 as usize].note_refused(now);
+    }
+
     /// Records that a target refused a request as meant for another one, or for a model or adapter that it
     /// does not have. Its agent or its entry say when that changes.
     pub fn note_misdirected(
--- a/components/routing/src/direct_target.rs
+++ b/components/routing/src/direct_target.rs
@@ -7,7 +7,7 @@
 use compact_str::CompactString;
 use wire::{AdapterName, AgentState, ModelChange, TargetEntry, TargetState};
 
-use crate::{PrefixMemory, TargetHealth, TargetWork};
+use crate::{PrefixMemory, TargetEnd, TargetHealth, TargetWork};
 
 /// Time without an answer to its agent after which an engine's copies are replaced: longer than most
 /// pauses of a process, shorter than the 3 s after which its entry lapses.
@@ -22,6 +22,8 @@
 /// Time between two words to an agent on the use of one adapter; within it the agent counts the adapter
 /// as in use.
 const USE_INTERVAL: Duration = Duration::from_millis(450);
+/// Time for which a refused connection says that nothing listens: targets that crash are back after seconds.
+const REFUSED_MEMORY: Duration = Duration::from_millis(1_500);
 /// Time for which the word of a peer that a target gave no answer counts.
 const SILENT_WORD_LIFETIME: Duration = Duration::from_millis(500);
 /// Time for which loads from the weight store are remembered; longer than any window for them.
@@ -58,6 +60,14 @@
     pub takes_work: bool,
     /// Whether a younger target has its address.
     pub(crate) is_former: bool,
+    /// Whether the list has it no more.
+    is_unlisted: bool,
+    /// Whether it said in an answer that it is leaving.
+    said_leaving: bool,
+    /// Until when it asked this process to send it nothing.
+    backs_off_until: Option<Timestamp>,
+    /// When it last refused a connection: nothing listens at its address.
+    refused_at: Option<Timestamp>,
     /// Work at it.
     pub work: TargetWork,
     /// Health by outcomes.
@@ -119,6 +129,10 @@
             slots: entry.slots,
             takes_work: false,
             is_former: false,
+            is_unlisted: false,
+            said_leaving: false,
+            backs_off_until: None,
+            refused_at: None,
             work: TargetWork::default(),
             health: TargetHealth::default(),
             prefixes: PrefixMemory::new(cache_tokens),
@@ -156,7 +170,9 @@
         self.service.clone_from(&entry.service);
         self.data_centre.clone_from(&entry.data_centre);
         self.slots = entry.slots;
-        self.takes_work = entry.state == TargetState::Ready && !self.is_former;
+        self.is_unlisted = false;
+        let is_ready = entry.state == TargetState::Ready && !self.said_leaving;
+        self.takes_work = is_ready && !self.is_former;
         // The agent's word is fresher while it is heard.
         if !self.agent_is_heard(now) {
             self.models.clone_from(&entry.models);
@@ -224,6 +240,45 @@
         self.health = TargetHealth::default();
         self.slowness = 1.0;
         self.unanswered_since = None;
+        self.said_leaving = false;
+        self.backs_off_until = None;
+        self.refused_at = None;
+    }
+
+    /// Takes notice that the list has it no more.
+    pub(crate) fn note_unlisted(&mut self) {
+        self.is_unlisted = true;
+        self.takes_work = false;
+    }
+
+    /// Takes notice that it said in an answer that it is leaving: its entry may say so later, or never.
+    pub(crate) fn note_leaving(&mut self) {
+        self.said_leaving = true;
+        self.takes_work = false;
+    }
+
+    /// Takes notice that it asked this process to send it nothing for a while.
+    pub(crate) fn note_back_off(&mut self, wait: Duration, now: Timestamp) {
+        self.backs_off_until = self.backs_off_until.max(Some(now + wait));
+    }
+
+    /// Takes notice that it refused a connection.
+    pub(crate) fn note_refused(&mut self, now: Timestamp) {
+        self.refused_at = Some(now);
+    }
+
+    /// Whether it has ended: it is gone from the list, its address refuses connections or belongs to another
+    /// target, or its agent gets no answer either.
+    pub fn end(&self, now: Timestamp) -> TargetEnd {
+        let refused = self.refused_at.is_some_and(|at| now.since(at) < REFUSED_MEMORY);
+        let silent = self.agent_is_heard(now) && !self.answers_agent;
+        if self.is_former || self.is_unlisted || refused || silent {
+            TargetEnd::Ended
+        } else if self.takes_work {
+            TargetEnd::Lives
+        } else {
+            TargetEnd::Leaves
+        }
     }
 
     /// Whether it has probably ended, though the list still has it: its copies should be replaced. A short
@@ -246,10 +301,11 @@
     /// Whether it may be sent work now.
     pub fn is_usable(&self, now: Timestamp) -> bool {
         let answers = self.answers_agent || !self.agent_is_heard(now);
-        let misdirected = self.misdirected_until.is_some_and(|until| now < until);
+        let is_before = |until: Option<Timestamp>| until.is_some_and(|until| now < until);
         self.takes_work
             && answers
-            && !misdirected
+            && !is_before(self.misdirected_until)
+            && !is_before(self.backs_off_until)
             && self.health.is_usable(now)
             && !self.is_silent_to_peers(now)
     }
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -4,6 +4,7 @@
 //! examines at most [`MAX_CANDIDATES`] targets, whatever the size of the fleet.
 
 mod admission;
+mod attempts;
 mod backoff;
 mod direct_choice;
 mod direct_fleet;
@@ -25,6 +26,7 @@
 mod target_work;
 
 pub use admission::{Admission, Slack, admit};
+pub use attempts::{Attempts, TargetEnd};
 pub use backoff::{Backoff, RetryBudget, remaining_for_hop};
 pub use base::PREFIX_BLOCK_BYTES;
 pub use direct_choice::{DirectChoice, DirectPick, GenerationNeed, PlainDirectNeed};
--- a/components/routing/src/patience.rs
+++ b/components/routing/src/patience.rs
@@ -10,6 +10,8 @@
 const PATIENCE_GAPS: u32 = 8;
 /// Part of the caller's patience after which a silent target is left, so that another one has as long.
 const SILENCE_PART: f64 = 0.45;
+/// Part of the caller's patience after which a target that was expected to be slow is left.
+const SLOW_SILENCE_PART: f64 = 0.9;
 /// Time for a first event, in estimates of it.
 const ESTIMATES: f64 = 2.0;
 /// Time for a first event beyond the estimates, for what they don't see.
@@ -32,7 +34,7 @@
 
 impl Objectives {
     /// Longest silence of a stream, before or between events, that its caller bears.
-    fn patience(self) -> Duration {
+    pub fn patience(self) -> Duration {
         LEAST_PATIENCE.max(self.answer * PATIENCE_OBJECTIVES).max(self.gap * PATIENCE_GAPS)
     }
 
@@ -41,10 +43,12 @@
         self.patience().mul_f64(SILENCE_PART)
     }
 
-    /// Wait for the first event of a stream that was expected after `estimate_ms`.
+    /// Wait for the first event of a stream that was expected after `estimate_ms`. A target that is only as
+    /// slow as expected is not left: another one was not expected to be faster.
     pub fn first_event_limit(self, estimate_ms: f64) -> Duration {
-        let expected = Duration::from_secs_f64(estimate_ms.max(0.0) * ESTIMATES / 1_000.0);
-        (expected + ALLOWANCE).min(self.event_limit())
+        let estimate = Duration::from_secs_f64(estimate_ms.max(0.0) / 1_000.0);
+        let slow = (estimate + ALLOWANCE).min(self.patience().mul_f64(SLOW_SILENCE_PART));
+        (estimate.mul_f64(ESTIMATES) + ALLOWANCE).min(self.event_limit()).max(slow)
     }
 
     /// Wait for a plain answer that was expected after `estimate_ms`.
