Do not cut a paused stream that no other target may take over

The streams stalled for more than 1.08 s at overloaded engines, twice, and were cut the second time with both attempts spent. A pause is no reason to end an answer.

Change: a stream moves to another target for a pause only if its route allows one more. A stream that goes on elsewhere is as urgent as a new one instead of as a late one, which engines preempt first. `stream_broken` says whether the connection broke or the stream paused.

Ruled out: engines that ended; all three engines went on serving.

--- a/components/gateway/src/call.rs
+++ b/components/gateway/src/call.rs
@@ -11,8 +11,8 @@
 use ingress::Stage;
 use platform::forwarded_answer_headers;
 use routing::{
-    Admission, Attempts, DirectChoice, DirectPick, GenerationNeed, LoadWait, PlainDirectNeed, SendId, Slack,
-    TargetEnd, TargetKey, TargetOutcome, admit, wait_for_model, waits_for_adapter,
+    Admission, Attempts, DirectChoice, DirectPick, GenerationNeed, LoadWait, PlainDirectNeed,
+    SendId, Slack, TargetEnd, TargetKey, TargetOutcome, admit, wait_for_model, waits_for_adapter,
 };
 use telemetry::quote;
 use tokio::time::timeout;
@@ -425,6 +425,19 @@
         send.note(TargetOutcome::Failed);
     }
 
+    /// Excludes the target of a stream that has not gone on for too long.
+    pub(crate) fn note_stalled(&mut self, send: &Send) {
+        self.attempts.note_may_have_run();
+        self.excluded.push(send.pick.key);
+        send.note(TargetOutcome::Failed);
+    }
+
+    /// Whether the request may go to another target than the one that has it.
+    pub(crate) fn may_move(&self) -> bool {
+        let now = self.app.clock.now();
+        self.request.plan.kind.may_run_again() && self.attempts.allow_another(self.end_of(now))
+    }
+
     /// Records that the caller was passed an event.
     pub(crate) fn note_event(&mut self, id: Option<u64>, now: Timestamp) {
         self.last_event_at = Some(now);
@@ -535,6 +548,16 @@
         left.min((waits_since + plan.objectives.patience()).since(now))
     }
 
+    /// Time until the answer is late. A stream that its caller has a part of is as urgent as a new one: its
+    /// caller bears a pause no longer than the wait for the first event.
+    fn objective_left(&self, now: Timestamp) -> Duration {
+        let answer = self.request.plan.objectives.answer;
+        match self.last_event_at {
+            Some(_) => answer,
+            None => (self.request.arrived + answer).since(now),
+        }
+    }
+
     fn admit(&mut self, pick: DirectPick, now: Timestamp) -> Result<Chosen, ApiError> {
         if self.attempts.count() > 0 {
             let gateways = self.app.gateway_count(now).known;
@@ -549,7 +572,7 @@
         }
         let plan = &self.request.plan;
         let slack = Slack {
-            objective: (self.request.arrived + plan.objectives.answer).since(now),
+            objective: self.objective_left(now),
             deadline: self.time_for_first_event(now),
             priority: plan.priority,
         };
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -88,11 +88,8 @@
 ) -> Result<TargetAnswer, ExchangeFailure> {
     let started = app.clock.now();
     let max_idle = if request.plan.kind.may_run_again() { REPEATABLE_IDLE } else { ONCE_IDLE };
-    let mut connection = app
-        .pool
-        .connect(pick.address, max_idle, limit)
-        .await
-        .map_err(|failure| match failure {
+    let mut connection =
+        app.pool.connect(pick.address, max_idle, limit).await.map_err(|failure| match failure {
             SendFailure::Refused => ExchangeFailure::Refused,
             SendFailure::NotSent | SendFailure::NoAnswer => ExchangeFailure::NotSent,
         })?;
@@ -101,7 +98,9 @@
     let sent = connection.send(target_request(request, pick, urgency, last_event, now));
     let response = match timeout(rest, sent).await {
         Ok(Ok(response)) => response,
-        Ok(Err(SendFailure::NotSent | SendFailure::Refused)) => return Err(ExchangeFailure::NotSent),
+        Ok(Err(SendFailure::NotSent | SendFailure::Refused)) => {
+            return Err(ExchangeFailure::NotSent);
+        }
         Ok(Err(SendFailure::NoAnswer)) => {
             return Err(ExchangeFailure::NoAnswer(NoAnswer::Broken));
         }
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -18,8 +18,10 @@
     Whole,
     /// The caller has gone.
     CallerGone,
-    /// Broken off without an end.
+    /// The connection broke, or what came is no stream.
     Broken,
+    /// No event came for too long.
+    Silent,
     /// The time allowed ran out.
     TimedOut,
 }
@@ -31,6 +33,7 @@
             Self::Whole => "whole",
             Self::CallerGone => "caller_gone",
             Self::Broken => "broken",
+            Self::Silent => "silent",
             Self::TimedOut => "timed_out",
         }
     }
@@ -75,19 +78,21 @@
                     return (self, end);
                 }
                 RelayEnd::CallerGone | RelayEnd::TimedOut => return (self, end),
-                RelayEnd::Broken => {}
+                RelayEnd::Broken => self.call.note_broken(&send),
+                RelayEnd::Silent => self.call.note_stalled(&send),
             }
-            self.call.note_broken(&send);
             log::info!(
-                "event=stream_broken request_id={} target={} last_event={}",
+                "event=stream_broken request_id={} target={} last_event={} reason={} sends={}",
                 quote(&self.call.request.id),
                 quote(&send.pick.id),
-                self.call.last_event.unwrap_or_default()
+                self.call.last_event.unwrap_or_default(),
+                end.as_str(),
+                self.call.sends()
             );
             drop(send);
             match self.resume().await {
                 Some(next) => current = next,
-                None => return (self, RelayEnd::Broken),
+                None => return (self, end),
             }
         }
     }
@@ -160,11 +165,13 @@
                 }
                 StreamPart::Broken => return RelayEnd::Broken,
                 StreamPart::Silence => {
-                    return if self.time_left().is_zero() {
-                        RelayEnd::TimedOut
-                    } else {
-                        RelayEnd::Broken
-                    };
+                    if self.time_left().is_zero() {
+                        return RelayEnd::TimedOut;
+                    }
+                    // Where no other target may be tried, a pause is no reason to end the answer.
+                    if self.call.may_move() {
+                        return RelayEnd::Silent;
+                    }
                 }
             }
         }
@@ -195,12 +202,8 @@
         self.call.request.deadline.since(self.call.app.clock.now())
     }
 
-    /// Longest wait for the next event before another target is tried, where there can be one.
+    /// Longest wait for the next event before another target is tried.
     fn silence_limit(&self) -> Duration {
-        let plan = &self.call.request.plan;
-        match plan.kind.may_run_again() {
-            true => plan.objectives.event_limit(),
-            false => Duration::MAX,
-        }
+        self.call.request.plan.objectives.event_limit()
     }
 }
--- a/components/routing/tests/attempts.rs
+++ b/components/routing/tests/attempts.rs
@@ -131,5 +131,25 @@
     assert!(attempts.allow_one_after_next(lives));
     apply(&mut attempts, 0, Step::SilentLives);
     assert!(attempts.allow_another(lives) && !attempts.allow_one_after_next(lives));
-    assert!(attempts.allow_one_after_next(|_| TargetEnd::Ended), "the first target has ended since");
+    assert!(
+        attempts.allow_one_after_next(|_| TargetEnd::Ended),
+        "the first target has ended since"
+    );
+}
+
+/// The pattern "streams stall at overloaded engines": a stream whose last attempt is under way stays where it
+/// is however long it pauses. It was once cut after 1.08 s, with nowhere left to go.
+#[test]
+fn a_stream_on_its_last_attempt_may_not_move() {
+    let mut attempts = Attempts::new(2);
+    let lives = |_| TargetEnd::Lives;
+    attempts.begin(TargetKey(0));
+    assert!(attempts.allow_another(lives), "one attempt is left");
+    attempts.note_may_have_run();
+    attempts.begin(TargetKey(1));
+    assert!(!attempts.allow_another(lives));
+    assert!(attempts.allow_another(|key| match key {
+        TargetKey(0) => TargetEnd::Ended,
+        TargetKey(_) => TargetEnd::Lives,
+    }));
 }
