Move a paused stream only where another target can take it; discard requests that were given up

A stream that paused for 1.08 s left its engine, no other engine got its adapter within 350 ms, and the stream was cut although its first engine would have gone on.

Changes: - A stream leaves a target for a pause only if another one can take it at once, by the choice as it stands. - A stream whose connection broke looks for another target for as long as its caller waits. - Connections to targets are reset, not closed in order, so that what is under way is discarded.

--- a/components/gateway/src/call.rs
+++ b/components/gateway/src/call.rs
@@ -24,6 +24,9 @@
 
 /// Time that must be left for another send.
 const LEAST_LEFT: Duration = Duration::from_millis(30);
+/// Time that a caller must still wait for another look for a target of its stream to make sense: a look and the
+/// reading of a prompt.
+const LEAST_LOOK: Duration = Duration::from_millis(200);
 /// Longest wait for a model or adapter while this process shuts down.
 const DRAINING_WAIT: Duration = Duration::from_millis(700);
 /// Advised wait while this process shuts down; another one can be asked at once.
@@ -112,6 +115,8 @@
     pub request: Rc<CallerRequest>,
     /// Targets that failed it.
     excluded: Vec<TargetKey>,
+    /// Targets at which its adapter did not come in time.
+    lacking: Vec<TargetKey>,
     /// Its sends.
     attempts: Attempts,
     /// When the caller had its last event.
@@ -143,6 +148,7 @@
             link,
             request,
             excluded: Vec::new(),
+            lacking: Vec::new(),
             attempts,
             last_event_at: None,
             last_event,
@@ -432,10 +438,37 @@
         send.note(TargetOutcome::Failed);
     }
 
-    /// Whether the request may go to another target than the one that has it.
-    pub(crate) fn may_move(&self) -> bool {
+    /// Whether the stream can go on at another target than `current` at once. Before it is known that one
+    /// can take it, a pause is better than the loss of what the current target has made.
+    pub(crate) fn may_move(&self, current: &Send) -> bool {
         let now = self.app.clock.now();
-        self.request.plan.kind.may_run_again() && self.attempts.allow_another(self.end_of(now))
+        if !self.request.plan.kind.may_run_again()
+            || !self.attempts.allow_another(self.end_of(now))
+        {
+            return false;
+        }
+        let mut exclude = self.excluded.clone();
+        exclude.push(current.pick.key);
+        match self.look(&exclude, now) {
+            DirectChoice::Serve(pick) => {
+                let left = self.time_for_first_event(now).as_secs_f64() * 1_000.0;
+                !pick.lacks_adapter && pick.estimate_ms < left
+            }
+            DirectChoice::NoCopy { .. } | DirectChoice::NoTarget => false,
+        }
+    }
+
+    /// Whether a stream that found no target to go on at may look again: the caller still waits.
+    pub(crate) fn may_look_again(&self) -> bool {
+        let now = self.app.clock.now();
+        self.attempts.allow_another(self.end_of(now)) && self.time_for_first_event(now) > LEAST_LOOK
+    }
+
+    /// Waits for news and takes targets into account again that lacked an adapter.
+    pub(crate) async fn await_another_look(&mut self) {
+        self.lacking.clear();
+        self.adapter_asked = None;
+        self.await_news().await;
     }
 
     /// Records that the caller was passed an event.
@@ -470,7 +503,9 @@
             let now = self.app.clock.now();
             self.check_may_send(now)?;
             let left = self.request.deadline.since(now);
-            let choice = self.look(now);
+            let exclude: Vec<TargetKey> =
+                self.excluded.iter().chain(&self.lacking).copied().collect();
+            let choice = self.look(&exclude, now);
             if !self.demand_noted {
                 self.demand_noted = true;
                 self.note_demand(&choice, now);
@@ -505,13 +540,12 @@
         self.app.demand.borrow_mut().note_request(model, work_ms, now);
     }
 
-    fn look(&self, now: Timestamp) -> DirectChoice {
+    fn look(&self, exclude: &[TargetKey], now: Timestamp) -> DirectChoice {
         let fleet = self.app.fleet.borrow();
         if self.request.plan.engine {
-            fleet.choose_generation(&generation_need(&self.request, &self.excluded), now)
+            fleet.choose_generation(&generation_need(&self.request, exclude), now)
         } else {
-            let need =
-                PlainDirectNeed { service: &self.request.plan.service, exclude: &self.excluded };
+            let need = PlainDirectNeed { service: &self.request.plan.service, exclude };
             fleet.choose_plain(&need, now)
         }
     }
@@ -610,7 +644,7 @@
                 quote(&pick.id),
                 now.since(asked_at).as_millis()
             );
-            self.excluded.push(pick.key);
+            self.lacking.push(pick.key);
             self.adapter_asked = None;
             return Ok(());
         }
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -11,6 +11,9 @@
 use crate::events::{EventSplitter, StreamEvent};
 use crate::exchange::{StreamPart, TargetAnswer, TargetStream};
 
+/// Time between two looks for a target that can go on with a stream that pauses for too long.
+const MOVE_LOOK: Duration = Duration::from_millis(100);
+
 /// How a stream, or one run of it at a target, ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum RelayEnd {
@@ -104,7 +107,12 @@
         }
         let next = async {
             self.call.await_allowance().await;
-            self.call.run().await
+            loop {
+                match self.call.run().await {
+                    Err(_) if self.call.may_look_again() => self.call.await_another_look().await,
+                    end => return end,
+                }
+            }
         };
         let next = tokio::select! {
             next = next => next,
@@ -127,18 +135,21 @@
     async fn relay_run(&mut self, mut stream: TargetStream, send: &Send) -> RelayEnd {
         let mut splitter = EventSplitter::default();
         let mut started = false;
+        let mut heard_at = self.call.app.clock.now();
         loop {
             let left = self.time_left();
             if left.is_zero() {
                 return RelayEnd::TimedOut;
             }
-            let limit = self.silence_limit().min(left);
+            let silence = self.call.app.clock.now().since(heard_at);
+            let limit = self.silence_limit().saturating_sub(silence).max(MOVE_LOOK).min(left);
             let part = tokio::select! {
                 part = stream.next(limit) => part,
                 () = self.parts.closed() => return RelayEnd::CallerGone,
             };
             match part {
                 StreamPart::Bytes(bytes) => {
+                    heard_at = self.call.app.clock.now();
                     if !started {
                         started = true;
                         let model = self.call.request.head.model.as_deref().unwrap_or_default();
@@ -169,7 +180,7 @@
                         return RelayEnd::TimedOut;
                     }
                     // Where no other target may be tried, a pause is no reason to end the answer.
-                    if self.call.may_move() {
+                    if self.call.may_move(send) {
                         return RelayEnd::Silent;
                     }
                 }
--- a/components/gateway/src/target_pool.rs
+++ b/components/gateway/src/target_pool.rs
@@ -131,6 +131,11 @@
     let socket = TcpStream::connect(address).await?;
     socket.set_nodelay(true)?;
     let options = SockRef::from(&socket);
+    // A request that is given up must not reach a target that stands still when it wakes: a reset discards
+    // what is under way, an orderly close delivers it first.
+    if let Err(error) = options.set_linger(Some(Duration::ZERO)) {
+        log::debug!("event=socket_options_refused address={address} error=\"{error}\"");
+    }
     let probes = TcpKeepalive::new()
         .with_time(PROBE_AFTER)
         .with_interval(PROBE_INTERVAL)
