Give orders to engines without an agent from the gateways

Change: gateways share out the orders to engines that are listed, for which no agent was ever heard, and beside which the store knows no agent. The store deals the parts of this work to at most six gateways (store::PartGroup); placement::PartLease decides when a gateway may act: after it has held a part for the validity of an answer and a lease, and while its last answer counts, on the clock that counts suspension. It orders under the offset of a record that it writes after each gain, in the number space of the agents. The same EngineDesk decides; of an engine far away it takes the effect of accepted orders for adapters for granted, since reports are some 100 ms old and paid for. Where agents exist nothing changes. The planner no longer keeps one copy of each model where there are fewer places than models: an idle model gives up its place.

--- a/components/agent/src/engine_driver.rs
+++ b/components/agent/src/engine_driver.rs
@@ -3,11 +3,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use telemetry::quote;
 use tokio::time::timeout;
 
 use crate::app::App;
 use crate::gateway_link::tell_all;
+use crate::order_call::give_order;
 
 /// Time between two reports while nothing is awaited. A report is free on the engine's own machine.
 const CALM_INTERVAL: Duration = Duration::from_millis(200);
@@ -45,7 +45,13 @@
                 if changed {
                     tell_all(&app);
                 }
-                give_order(&app).await;
+                if let Some(fencing) = app.fencing.get()
+                    && give_order(&app.desk, &app.engine, &app.settings.name, fencing, &app.clock)
+                        .await
+                {
+                    // The next report shows what the order did.
+                    app.work.notify_one();
+                }
             }
             Err(error) => {
                 failures += 1;
@@ -74,24 +80,3 @@
         CALM_INTERVAL
     }
 }
-
-async fn give_order(app: &App) {
-    let Some(fencing) = app.fencing.get() else { return };
-    let Some(due) = app.desk.borrow().next_order(app.clock.now()) else { return };
-    let asked_at = app.clock.now();
-    let answer = app.engine.order(&due, &app.settings.name, fencing).await;
-    let now = app.clock.now();
-    log::info!(
-        "event=order_given order={} model={} adapter={} target={} expected={} answer={} after_ms={}",
-        due.order.as_str(),
-        quote(due.order.model()),
-        due.order.adapter().map_or("-", |adapter| adapter.as_str()),
-        quote(&due.target),
-        due.expected,
-        answer.as_str(),
-        now.since(asked_at).as_millis()
-    );
-    app.desk.borrow_mut().take_answer(&due, answer, now);
-    // The next report shows what the order did.
-    app.work.notify_one();
-}
--- a/components/agent/src/gateway_link.rs
+++ b/components/agent/src/gateway_link.rs
@@ -6,7 +6,7 @@
 
 use base::ProcessId;
 use telemetry::quote;
-use wire::{AgentAsk, AgentState, Datagram, DatagramBody, Echo};
+use wire::{AgentAsk, Datagram, DatagramBody, Echo};
 
 use crate::app::{App, Asker};
 
@@ -75,36 +75,13 @@
 
 fn tell(app: &App, asker: &Asker) {
     let now = app.clock.now();
-    let desk = app.desk.borrow();
-    let report = desk.report();
-    let (target, born_ms) = desk.life();
-    if target.is_empty() {
-        return;
-    }
+    let state = app.desk.borrow().state(app.me.clone(), app.engine_answers.get(), None, now);
+    let Some(state) = state else { return };
     let echo = Echo {
         sent_micros: now.micros,
         heard_micros: asker.sent_micros,
         heard_incarnation: asker.incarnation.0,
     };
-    let state = AgentState {
-        from: app.me.clone(),
-        sent_micros: now.micros,
-        target: target.clone(),
-        born_ms,
-        answers: app.engine_answers.get(),
-        orders_accepted: report.orders_accepted,
-        models: report.models.clone(),
-        changing: desk.change(now),
-        free_adapter_slots: u32::try_from(desk.free_adapter_slots(now)).unwrap_or(u32::MAX),
-        running: report.running,
-        waiting: report.waiting,
-        cache_used_tokens: report.cache_used_tokens,
-        warm: report.warm.clone(),
-        fetch_ages_ms: desk
-            .fetch_ages(now)
-            .map(|age| u32::try_from(age.as_millis()).unwrap_or(u32::MAX))
-            .collect(),
-    };
     let body = DatagramBody::Agent(state);
     app.socket.send(&Datagram { from: app.me.clone(), echo, body }, asker.address);
 }
--- /dev/null
+++ b/components/agent/src/order_call.rs
@@ -0,0 +1,34 @@
+//! One order to an engine.
+
+use std::cell::RefCell;
+
+use clock::BootClock;
+use placement::EngineDesk;
+use platform::EngineClient;
+use telemetry::quote;
+
+/// Gives the order that is due at a desk, in the name of `holder` with its fencing number; false if none is.
+pub async fn give_order(
+    desk: &RefCell<EngineDesk>,
+    engine: &EngineClient,
+    holder: &str,
+    fencing: u64,
+    clock: &BootClock,
+) -> bool {
+    let asked_at = clock.now();
+    let Some(due) = desk.borrow().next_order(asked_at) else { return false };
+    let answer = engine.order(&due, holder, fencing).await;
+    let now = clock.now();
+    log::info!(
+        "event=order_given order={} model={} adapter={} target={} expected={} answer={} after_ms={}",
+        due.order.as_str(),
+        quote(due.order.model()),
+        due.order.adapter().map_or("-", |adapter| adapter.as_str()),
+        quote(&due.target),
+        due.expected,
+        answer.as_str(),
+        now.since(asked_at).as_millis()
+    );
+    desk.borrow_mut().take_answer(&due, answer, now);
+    true
+}
--- a/components/agent/src/start_record.rs
+++ b/components/agent/src/start_record.rs
@@ -5,6 +5,7 @@
 
 use store::{KeyedLog, Topic};
 use tokio::time::sleep;
+use wire::OrderGiver;
 
 use crate::app::App;
 
@@ -16,7 +17,8 @@
 /// A record whose answer was lost is written again: the number is the offset of the last one, which
 /// is larger still.
 pub(crate) async fn write_start_record(app: Rc<App>) {
-    let Ok(value) = wire::encode(&app.me) else { return };
+    let record = OrderGiver { process: app.me.clone(), engine: Some(app.settings.engine_address) };
+    let Ok(value) = wire::encode(&record) else { return };
     loop {
         match app.store.put(Topic::Agents, &app.settings.name, Some(&value)).await {
             Ok(offset) => {
--- a/components/config/src/gateway_settings.rs
+++ b/components/config/src/gateway_settings.rs
@@ -25,6 +25,8 @@
     pub peer_port: u16,
     /// Address of the store.
     pub store_address: SocketAddr,
+    /// Partitions of a topic on the store, by which work is shared out.
+    pub store_parts: u32,
     /// Whether the fleet starts for the first time, so that nothing was admitted before.
     pub first_start: bool,
     /// File descriptors of the process.
@@ -45,6 +47,7 @@
             ready_address: nowhere,
             peer_port: 0,
             store_address: nowhere,
+            store_parts: 8,
             first_start: false,
             file_descriptors: 1_024,
             bounds: FleetBounds::default(),
--- a/components/gateway/src/app.rs
+++ b/components/gateway/src/app.rs
@@ -19,6 +19,7 @@
 use tokio::sync::{Notify, watch};
 use wire::StoredDocument;
 
+use crate::engine_orders::EngineOrders;
 use crate::rates_desk::RatesDesk;
 use crate::target_pool::TargetPool;
 
@@ -64,6 +65,8 @@
     pub demand: RefCell<ModelDemandTable>,
     /// Moves of models, on the gateway that plans.
     pub planner: RefCell<FleetPlanner>,
+    /// Orders to engines without an agent.
+    pub engine_orders: EngineOrders,
     /// Connections to targets.
     pub pool: TargetPool,
     /// Requests in progress.
--- a/components/gateway/src/call.rs
+++ b/components/gateway/src/call.rs
@@ -442,8 +442,7 @@
     /// can take it, a pause is better than the loss of what the current target has made.
     pub(crate) fn may_move(&self, current: &Send) -> bool {
         let now = self.app.clock.now();
-        if !self.request.plan.kind.may_run_again()
-            || !self.attempts.allow_another(self.end_of(now))
+        if !self.request.plan.kind.may_run_again() || !self.attempts.allow_another(self.end_of(now))
         {
             return false;
         }
--- /dev/null
+++ b/components/gateway/src/engine_orders.rs
@@ -0,0 +1,321 @@
+//! Orders to engines without an agent, which the gateways share out among them.
+//!
+//! An engine counts as one without an agent if it is listed for a while, no agent was heard for it, and the
+//! store has no record of one beside it. The store deals the parts of this work to the gateways; a gateway
+//! orders under a fencing number that it took after it was dealt its part.
+
+use std::cell::{Cell, RefCell};
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+
+use base::{SortedMap, Timestamp, short_hash};
+use compact_str::CompactString;
+use config::FleetBounds;
+use ingress::Stage;
+use placement::{PartLease, PartLeaseSettings};
+use store::{Group, KeyedLog, KeyedReader, PartGroup, Topic};
+use telemetry::quote;
+use tokio::task::AbortHandle;
+use tokio::time::{MissedTickBehavior, interval};
+use wire::{AgentAsk, OrderGiver};
+
+use crate::app::App;
+use crate::fleet_link::FleetLink;
+use crate::remote_engine::RemoteEngine;
+
+/// Time between two looks at which engines need this process.
+const LOOK_INTERVAL: Duration = Duration::from_millis(500);
+/// Time for which an engine is listed and no agent is heard before the store is asked for one: agents are
+/// heard within some 100 ms.
+const UNHEARD_AFTER: Duration = Duration::from_millis(1_000);
+/// The same before orders are given from here: an agent that starts together with its engine has written its
+/// record long before.
+const ORPHANED_AFTER: Duration = Duration::from_millis(3_000);
+/// Time between two reads of the agents' records while engines lack one.
+const AGENTS_INTERVAL: Duration = Duration::from_secs(10);
+/// Most gateways that share the orders: each pays for its membership, and one can order for some 50 engines.
+const MOST_GIVERS: usize = 6;
+/// Time between two calls that keep this process in the group; its membership lasts for three.
+const JOIN_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// An engine that gets its orders here.
+struct Held {
+    engine: Rc<RemoteEngine>,
+    task: AbortHandle,
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Share of this process in the orders to engines without an agent.
+pub(crate) struct EngineOrders {
+    lease: RefCell<PartLease>,
+    /// Fencing number, taken after the last gain of a part.
+    fencing: Cell<Option<u64>>,
+    held: RefCell<SortedMap<CompactString, Held>>,
+}
+
+impl EngineOrders {
+    /// No engine yet.
+    pub(crate) fn new(bounds: &FleetBounds) -> Self {
+        let settings = PartLeaseSettings {
+            turn: Duration::from_millis(bounds.lease_ms),
+            ..PartLeaseSettings::default()
+        };
+        Self {
+            lease: RefCell::new(PartLease::new(settings)),
+            fencing: Cell::new(None),
+            held: RefCell::new(SortedMap::new()),
+        }
+    }
+
+    /// Whether this process may give orders for a part now.
+    pub(crate) fn may_order(&self, part: u32, now: Timestamp) -> bool {
+        self.lease.borrow().may_act(part, now)
+    }
+
+    /// Takes what a gateway asks of an engine.
+    pub(crate) fn take_ask(&self, ask: &AgentAsk, now: Timestamp) {
+        let held = self.held.borrow();
+        let Some(held) = held.get(&ask.target) else { return };
+        held.engine.desk.borrow_mut().take_ask(ask, now);
+        held.engine.work.notify_one();
+    }
+
+    fn drop_all(&self) {
+        *self.held.borrow_mut() = SortedMap::new();
+        self.lease.borrow_mut().give_up();
+        self.fencing.set(None);
+    }
+}
+
+/// What is known of engines that may lack an agent.
+struct Search {
+    reader: KeyedReader,
+    read_at: Option<Timestamp>,
+    /// Machines with an agent.
+    with_agent: Vec<IpAddr>,
+    /// Since when each engine is known without a word of an agent.
+    unheard: SortedMap<CompactString, Timestamp>,
+    joined_at: Option<Timestamp>,
+}
+
+/// An engine that no agent was heard for.
+#[derive(Clone, Debug)]
+struct Orphan {
+    target: CompactString,
+    born_ms: Option<u64>,
+    service: CompactString,
+    address: SocketAddr,
+    since: Timestamp,
+}
+
+/// Takes part in the orders until the task is aborted.
+pub(crate) async fn share_orders(app: Rc<App>, link: Rc<FleetLink>) {
+    let mut search = Search {
+        reader: KeyedReader::new(Topic::Agents),
+        read_at: None,
+        with_agent: Vec::new(),
+        unheard: SortedMap::new(),
+        joined_at: None,
+    };
+    let mut ticks = interval(LOOK_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let orphans = match *app.stage.borrow() {
+            Stage::Serving if app.gateways.borrow().rank(app.clock.now()) < MOST_GIVERS => {
+                search.orphans(&app)
+            }
+            _ => Vec::new(),
+        };
+        let orphans = match orphans.is_empty() {
+            true => orphans,
+            false => search.without_agent(&app, orphans).await,
+        };
+        if orphans.is_empty() {
+            search.leave(&app).await;
+            continue;
+        }
+        search.join(&app).await;
+        hold(&app, &link, &orphans);
+    }
+}
+
+impl Search {
+    /// Engines that have been listed for a while and for which no agent was ever heard.
+    fn orphans(&mut self, app: &App) -> Vec<Orphan> {
+        let now = app.clock.now();
+        let Some(town) = app.town() else { return Vec::new() };
+        let fleet = app.fleet.borrow();
+        let is_engine = |service: &str| {
+            town.service_id(service).is_some_and(|id| town.service(id).engine.is_some())
+        };
+        let mut orphans = Vec::new();
+        let mut unheard = SortedMap::new();
+        let listed = fleet.targets().filter(|target| target.takes_work);
+        for target in listed.filter(|t| !t.has_own_agent() && is_engine(&t.service)) {
+            let since = self.unheard.get(&target.id).copied().unwrap_or(now);
+            unheard.insert(target.id.clone(), since);
+            if now.since(since) >= UNHEARD_AFTER {
+                orphans.push(Orphan {
+                    target: target.id.clone(),
+                    born_ms: target.born_ms,
+                    service: target.service.clone(),
+                    address: target.address,
+                    since,
+                });
+            }
+        }
+        self.unheard = unheard;
+        orphans
+    }
+
+    /// Those of them beside which the store knows no agent; none while the store does not answer.
+    async fn without_agent(&mut self, app: &App, orphans: Vec<Orphan>) -> Vec<Orphan> {
+        let now = app.clock.now();
+        if self.read_at.is_none_or(|at| now.since(at) >= AGENTS_INTERVAL) {
+            match self.reader.read(&app.store, Duration::ZERO).await {
+                Ok(read) => {
+                    self.read_at = Some(now);
+                    let records = read.page().records.iter().filter_map(|r| r.value.as_ref());
+                    let engines = records
+                        .filter_map(|value| wire::decode::<OrderGiver>(value).ok()?.engine)
+                        .map(|engine| engine.ip());
+                    self.with_agent.extend(engines);
+                    self.with_agent.sort_unstable();
+                    self.with_agent.dedup();
+                }
+                Err(error) => {
+                    log::warn!("event=store_call_failed topic=agents error=\"{error}\"");
+                    if self.read_at.is_none() {
+                        return Vec::new();
+                    }
+                }
+            }
+        }
+        let lacks = |orphan: &Orphan| {
+            let ip = orphan.address.ip();
+            self.with_agent.binary_search(&ip).is_err()
+        };
+        orphans.into_iter().filter(lacks).collect()
+    }
+
+    /// Stays in the group, and takes a fencing number for parts that are new.
+    async fn join(&mut self, app: &App) {
+        let asked_at = app.clock.now();
+        if self.joined_at.is_some_and(|at| asked_at.since(at) < JOIN_INTERVAL) {
+            return;
+        }
+        self.joined_at = Some(asked_at);
+        let orders = &app.engine_orders;
+        let member = app.settings().name.clone();
+        let (lifetime, generation) = {
+            let lease = orders.lease.borrow();
+            (lease.settings().lifetime, lease.generation())
+        };
+        let joined = app.store.join(Group::EngineOrders, &member, lifetime, generation).await;
+        match joined {
+            Ok(share) => {
+                let now = app.clock.now();
+                let gained =
+                    orders.lease.borrow_mut().take(share.generation, &share.parts, asked_at, now);
+                if share.generation != generation {
+                    log::info!(
+                        "event=order_parts_dealt generation={} parts={:?} gained={gained}",
+                        share.generation,
+                        share.parts
+                    );
+                }
+                if gained {
+                    orders.fencing.set(None);
+                    *orders.held.borrow_mut() = SortedMap::new();
+                }
+            }
+            Err(error) => log::warn!("event=store_call_failed call=join error=\"{error}\""),
+        }
+        if orders.fencing.get().is_none() && orders.lease.borrow().holds_any(app.clock.now()) {
+            take_fencing_number(app, &member).await;
+        }
+    }
+
+    async fn leave(&mut self, app: &App) {
+        if self.joined_at.take().is_none() {
+            return;
+        }
+        app.engine_orders.drop_all();
+        let member = app.settings().name.clone();
+        if let Err(error) = app.store.leave(Group::EngineOrders, &member).await {
+            log::warn!("event=store_call_failed call=leave error=\"{error}\"");
+        }
+    }
+}
+
+async fn take_fencing_number(app: &App, member: &CompactString) {
+    let record = OrderGiver { process: app.me.clone(), engine: None };
+    let Ok(value) = wire::encode(&record) else { return };
+    match app.store.put(Topic::Agents, member, Some(&value)).await {
+        Ok(offset) => {
+            let fencing = offset.next().0;
+            log::info!("event=fencing_number_taken number={fencing}");
+            app.engine_orders.fencing.set(Some(fencing));
+        }
+        Err(error) => log::warn!("event=store_call_failed topic=agents error=\"{error}\""),
+    }
+}
+
+/// Part of the work that an engine belongs to. It stays the same when the engine starts again.
+fn part_of(address: SocketAddr, parts: u32) -> u32 {
+    short_hash(address.to_string().as_bytes()) % parts.max(1)
+}
+
+/// Begins and ends to give orders to engines.
+fn hold(app: &Rc<App>, link: &Rc<FleetLink>, orphans: &[Orphan]) {
+    let now = app.clock.now();
+    let orders = &app.engine_orders;
+    let Some(fencing) = orders.fencing.get() else { return };
+    let Some(town) = app.town() else { return };
+    let parts = app.settings().store_parts;
+    let due: Vec<(&Orphan, u32)> = orphans
+        .iter()
+        .map(|orphan| (orphan, part_of(orphan.address, parts)))
+        .filter(|(orphan, part)| {
+            now.since(orphan.since) >= ORPHANED_AFTER && orders.may_order(*part, now)
+        })
+        .collect();
+    let mut held = orders.held.borrow_mut();
+    held.retain(|target, _| due.iter().any(|(orphan, _)| orphan.target == *target));
+    for (orphan, part) in due {
+        let entry = held.get_or_insert_with(orphan.target.clone(), || {
+            log::info!(
+                "event=engine_held target={} part={part} fencing={fencing}",
+                quote(&orphan.target)
+            );
+            let engine =
+                Rc::new(RemoteEngine::new(orphan.target.clone(), part, orphan.address, fencing));
+            let task =
+                tokio::task::spawn_local(Rc::clone(&engine).drive(Rc::clone(app), Rc::clone(link)));
+            Held { engine, task: task.abort_handle() }
+        });
+        let mut desk = entry.engine.desk.borrow_mut();
+        desk.adopt(&town, &orphan.service);
+        let life = AgentAsk {
+            wants_state: false,
+            config: app.version(),
+            target: orphan.target.clone(),
+            born_ms: orphan.born_ms,
+            used_adapters: Vec::new(),
+            wanted_adapters: Vec::new(),
+            plan: None,
+        };
+        desk.take_ask(&life, now);
+        if desk.life().1 != orphan.born_ms {
+            drop(desk);
+            entry.engine.ask_for_report();
+        }
+    }
+}
--- a/components/gateway/src/fleet_ears.rs
+++ b/components/gateway/src/fleet_ears.rs
@@ -46,7 +46,8 @@
         }
         DatagramBody::Agent(state) => {
             if take_agent(app, &state, now) {
-                let near = {
+                // An engine without an agent may get its orders from another data centre.
+                let near = state.asked_at.is_some() || {
                     let fleet = app.fleet.borrow();
                     let own = &app.settings().data_centre;
                     fleet
@@ -58,7 +59,7 @@
                 }
             }
         }
-        DatagramBody::Ask(_) => log::debug!("event=datagram_misplaced from={address}"),
+        DatagramBody::Ask(ask) => app.engine_orders.take_ask(&ask, now),
     }
 }
 
@@ -132,7 +133,8 @@
     Ok(())
 }
 
-fn take_agent(app: &App, state: &AgentState, now: Timestamp) -> bool {
+/// Takes the word of an agent on its engine; false if it says nothing new.
+pub(crate) fn take_agent(app: &App, state: &AgentState, now: Timestamp) -> bool {
     let is_news = app.fleet.borrow_mut().take_agent(state, now);
     if is_news {
         app.engines_changed.notify_waiters();
--- a/components/gateway/src/fleet_link.rs
+++ b/components/gateway/src/fleet_link.rs
@@ -271,6 +271,19 @@
     packets
 }
 
+/// Tells the gateways of this data centre of the state of an engine that this gateway gives orders to, and
+/// has it passed on to the others.
+pub(crate) fn tell_engine(app: &App, link: &FleetLink, state: AgentState, now: Timestamp) {
+    let gateways = app.gateways.borrow();
+    let body = DatagramBody::Agent(state.clone());
+    for (name, peer) in gateways.peers().filter(|(_, peer)| gateways.is_near(peer)) {
+        let echo = gateways.echo_for(name, now);
+        link.socket
+            .send(&Datagram { from: app.me.clone(), echo, body: body.clone() }, peer.address);
+    }
+    link.note_near_agent(state);
+}
+
 /// Passes states from another data centre on to the gateways of this one.
 pub(crate) fn pass_on(app: &App, link: &FleetLink, items: Vec<RelayedItem>, now: Timestamp) {
     let gateways = app.gateways.borrow();
@@ -329,7 +342,7 @@
         echo: Echo { sent_micros: now.micros, ..Echo::default() },
         body: DatagramBody::Ask(ask),
     };
-    link.socket.send(&datagram, SocketAddr::new(target.address.ip(), app.settings().peer_port));
+    link.socket.send(&datagram, target.asks_address(app.settings().peer_port));
 }
 
 /// What the engine should hold, if this gateway plans a move for it.
--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -23,6 +23,7 @@
 use crate::app::App;
 use crate::callers::accept_callers;
 use crate::configuration_watch::watch_configuration;
+use crate::engine_orders::{EngineOrders, share_orders};
 use crate::error::GatewayError;
 use crate::fleet_ears::hear_fleet;
 use crate::fleet_link::{FleetLink, tell_fleet};
@@ -76,6 +77,7 @@
     tasks.spawn_local(keep_register(Rc::clone(&app)));
     tasks.spawn_local(tell_fleet(Rc::clone(&app), Rc::clone(&link)));
     tasks.spawn_local(plan_placement(Rc::clone(&app), Rc::clone(&link)));
+    tasks.spawn_local(share_orders(Rc::clone(&app), Rc::clone(&link)));
     tasks.spawn_local(hear_fleet(Rc::clone(&app), Rc::clone(&link)));
     tasks.spawn_local(serve_peers(Rc::clone(&app), peers));
     tasks.spawn_local(accept_callers(Rc::clone(&app), link, callers));
@@ -104,6 +106,7 @@
         rates: RefCell::new(RatesDesk::new(settings.first_start, settings.bounds)),
         demand: RefCell::new(ModelDemandTable::new()),
         planner: RefCell::new(FleetPlanner::new()),
+        engine_orders: EngineOrders::new(&settings.bounds),
         pool: TargetPool::default(),
         in_flight: Rc::default(),
         connections: Rc::default(),
--- /dev/null
+++ b/components/gateway/src/remote_engine.rs
@@ -0,0 +1,160 @@
+//! An engine without an agent that this gateway gives orders to.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use agent::give_order;
+use base::{Incarnation, ProcessId, ProcessName, Timestamp};
+use compact_str::CompactString;
+use placement::EngineDesk;
+use platform::EngineClient;
+use tokio::sync::Notify;
+use tokio::time::timeout;
+
+use crate::app::App;
+use crate::fleet_ears::take_agent;
+use crate::fleet_link::{FleetLink, tell_engine};
+
+/// Name under which all gateways speak for engines without an agent; their fencing numbers tell their words
+/// apart.
+const GIVER_NAME: &str = "engine-orders";
+/// Time between two reports while nothing is awaited; each is paid for, and the list tells of a new life.
+const CALM_INTERVAL: Duration = Duration::from_secs(4);
+/// Time between two reports while a change of a model is awaited; a report is some 100 ms old.
+const CHANGE_INTERVAL: Duration = Duration::from_millis(150);
+/// Longest time between two words on an engine; gateways believe one for 2.5 s.
+const WORD_INTERVAL: Duration = Duration::from_millis(700);
+/// Reports in a row that did not come after which the engine counts as lost.
+const LOST_AFTER: u32 = 2;
+
+/// An engine that this gateway gives orders to.
+pub(crate) struct RemoteEngine {
+    /// Id of its life.
+    pub target: CompactString,
+    /// Part of the work that it belongs to.
+    pub part: u32,
+    /// Orders.
+    pub desk: RefCell<EngineDesk>,
+    /// Rings when there may be an order to give.
+    pub work: Notify,
+    client: EngineClient,
+    fencing: u64,
+    failures: Cell<u32>,
+    reported_at: Cell<Option<Timestamp>>,
+    told_at: Cell<Option<Timestamp>>,
+}
+
+impl RemoteEngine {
+    /// An engine of which no report was taken.
+    pub(crate) fn new(target: CompactString, part: u32, address: SocketAddr, fencing: u64) -> Self {
+        Self {
+            target,
+            part,
+            desk: RefCell::new(EngineDesk::remote()),
+            work: Notify::new(),
+            client: EngineClient::new(address),
+            fencing,
+            failures: Cell::new(0),
+            reported_at: Cell::new(None),
+            told_at: Cell::new(None),
+        }
+    }
+
+    /// Gives the orders that are due, until the part is another process's.
+    pub(crate) async fn drive(self: Rc<Self>, app: Rc<App>, link: Rc<FleetLink>) {
+        while app.engine_orders.may_order(self.part, app.clock.now()) {
+            let before = self.desk.borrow().report().clone();
+            let was_lost = self.is_lost();
+            if self.needs_report(app.clock.now()) {
+                self.take_report(&app).await;
+            }
+            let now = app.clock.now();
+            let leaving = self.desk.borrow_mut().prepare(now);
+            if leaving {
+                self.tell(&app, &link);
+            }
+            if app.engine_orders.may_order(self.part, now) {
+                let holder = app.settings().name.clone();
+                let given =
+                    give_order(&self.desk, &self.client, &holder, self.fencing, &app.clock).await;
+                if given {
+                    self.work.notify_one();
+                }
+            }
+            let changed = *self.desk.borrow().report() != before || was_lost != self.is_lost();
+            if changed || self.is_due(self.told_at.get(), WORD_INTERVAL, app.clock.now()) {
+                self.tell(&app, &link);
+            }
+            // Either there is work or a report or a word is due.
+            let _woken = timeout(self.interval(), self.work.notified()).await;
+        }
+    }
+
+    /// Has the next report taken at once: the engine has probably started again.
+    pub(crate) fn ask_for_report(&self) {
+        self.reported_at.set(None);
+        self.work.notify_one();
+    }
+
+    fn is_lost(&self) -> bool {
+        self.failures.get() >= LOST_AFTER
+    }
+
+    fn is_due(&self, last: Option<Timestamp>, interval: Duration, now: Timestamp) -> bool {
+        last.is_none_or(|at| now.since(at) >= interval)
+    }
+
+    fn interval(&self) -> Duration {
+        if self.awaits_report() { CHANGE_INTERVAL } else { WORD_INTERVAL }
+    }
+
+    fn awaits_report(&self) -> bool {
+        let desk = self.desk.borrow();
+        self.is_lost() || desk.awaits_report() || !desk.is_reported()
+    }
+
+    fn needs_report(&self, now: Timestamp) -> bool {
+        let interval = if self.awaits_report() { CHANGE_INTERVAL } else { CALM_INTERVAL };
+        self.is_due(self.reported_at.get(), interval, now)
+    }
+
+    async fn take_report(&self, app: &App) {
+        self.reported_at.set(Some(app.clock.now()));
+        match self.client.report().await {
+            Ok(report) => {
+                if self.is_lost() {
+                    log::info!("event=engine_regained target={}", self.target);
+                }
+                self.failures.set(0);
+                self.desk.borrow_mut().take_report(report, app.clock.now());
+            }
+            Err(error) => {
+                self.failures.set(self.failures.get().saturating_add(1));
+                if self.failures.get() == LOST_AFTER {
+                    log::warn!(
+                        "event=engine_lost target={} failures={LOST_AFTER} error=\"{error}\"",
+                        self.target
+                    );
+                }
+            }
+        }
+    }
+
+    /// Tells all gateways what the engine holds.
+    fn tell(&self, app: &App, link: &FleetLink) {
+        let now = app.clock.now();
+        let settings = app.settings();
+        let from = ProcessId {
+            name: ProcessName::new(GIVER_NAME),
+            incarnation: Incarnation(self.fencing),
+        };
+        let asked_at = SocketAddr::new(settings.ip, settings.peer_port);
+        let state = self.desk.borrow().state(from, !self.is_lost(), Some(asked_at), now);
+        let Some(state) = state else { return };
+        self.told_at.set(Some(now));
+        take_agent(app, &state, now);
+        tell_engine(app, link, state, now);
+    }
+}
--- a/components/placement/src/engine_desk.rs
+++ b/components/placement/src/engine_desk.rs
@@ -4,12 +4,13 @@
 //! orders that the engine had accepted before, so that an order which arrives late, after another one
 //! was accepted, has no effect. An order without an answer is therefore repeated until the count moves.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
-use base::{LoadedModel, SortedMap, Timestamp};
+use base::{LoadedModel, ProcessId, SortedMap, Timestamp};
 use compact_str::CompactString;
 use config::Town;
-use wire::{AdapterName, AgentAsk, EnginePlan, ModelChange, PlannedCopy};
+use wire::{AdapterName, AgentAsk, AgentState, EnginePlan, ModelChange, PlannedCopy};
 
 use crate::{EngineOrder, EngineReport, OrderAnswer};
 
@@ -101,6 +102,10 @@
     leaving: Option<(CompactString, Timestamp)>,
     paused_until: Timestamp,
     fetches: Vec<Timestamp>,
+    /// Whether reports may be older than the last order.
+    is_remote: bool,
+    /// Orders that the engine is known to have accepted; a report of fewer is older than that.
+    accepted_at_least: u64,
 }
 
 impl EngineDesk {
@@ -109,6 +114,12 @@
         Self::default()
     }
 
+    /// A desk of an engine whose reports come from far and may be older than the last order. It takes the
+    /// effect of accepted orders for adapters for granted instead of waiting for a report.
+    pub fn remote() -> Self {
+        Self { is_remote: true, ..Self::default() }
+    }
+
     /// Takes the limits of the engines of `service` and the sizes of models.
     pub fn adopt(&mut self, town: &Town, service: &str) {
         let Some(limits) = town.service_id(service).and_then(|id| town.service(id).engine) else {
@@ -168,6 +179,7 @@
         self.leaving = None;
         self.leaving_adapter = None;
         self.plan = None;
+        self.accepted_at_least = 0;
         self.uses = SortedMap::new();
     }
 
@@ -183,6 +195,9 @@
             self.report = report;
             return;
         }
+        if report.orders_accepted < self.accepted_at_least {
+            return;
+        }
         if let Some(open) = &self.open
             && report.orders_accepted > open.expected
         {
@@ -213,6 +228,11 @@
         &self.report
     }
 
+    /// Whether the report counts the last order.
+    pub const fn is_reported(&self) -> bool {
+        self.reported
+    }
+
     /// Id of the engine's life, empty while it is not known, and the time of its start.
     pub const fn life(&self) -> (&CompactString, Option<u64>) {
         (&self.life.id, self.life.born_ms)
@@ -245,6 +265,41 @@
         })
     }
 
+    /// State of the engine as gateways are told it; none while its life is not known.
+    pub fn state(
+        &self,
+        from: ProcessId,
+        answers: bool,
+        asked_at: Option<SocketAddr>,
+        now: Timestamp,
+    ) -> Option<AgentState> {
+        let (target, born_ms) = self.life();
+        if target.is_empty() {
+            return None;
+        }
+        let report = &self.report;
+        Some(AgentState {
+            from,
+            sent_micros: now.micros,
+            target: target.clone(),
+            born_ms,
+            answers,
+            orders_accepted: report.orders_accepted,
+            models: report.models.clone(),
+            changing: self.change(now),
+            free_adapter_slots: u32::try_from(self.free_adapter_slots(now)).unwrap_or(u32::MAX),
+            running: report.running,
+            waiting: report.waiting,
+            cache_used_tokens: report.cache_used_tokens,
+            warm: report.warm.clone(),
+            fetch_ages_ms: self
+                .fetch_ages(now)
+                .map(|age| u32::try_from(age.as_millis()).unwrap_or(u32::MAX))
+                .collect(),
+            asked_at,
+        })
+    }
+
     /// Adapters that could be loaded at once, free places and those of idle adapters.
     pub fn free_adapter_slots(&self, now: Timestamp) -> usize {
         let used = self
@@ -293,12 +348,25 @@
             OrderAnswer::Accepted => {
                 self.open = None;
                 self.accepted(&due.order, due.expected, now);
+                if self.is_remote {
+                    self.assume_effect(due);
+                    return;
+                }
+            }
+            // An adapter is unloaded at once, which engines answer as if it had not been there; it counts.
+            OrderAnswer::AlreadyHolds
+                if self.is_remote && matches!(due.order, EngineOrder::UnloadAdapter(_)) =>
+            {
+                self.open = None;
+                self.assume_effect(due);
+                return;
             }
             OrderAnswer::Unknown => {
                 self.open = Some(Open { order: due.order.clone(), expected: due.expected });
             }
             // If an earlier attempt was accepted, the report shows it by its count.
             OrderAnswer::Conflict if self.open.is_some() => {
+                self.accepted_at_least = 0;
                 self.paused_until = now + REFUSAL_PAUSE;
             }
             OrderAnswer::AlreadyHolds
@@ -307,6 +375,7 @@
             | OrderAnswer::OtherEngine
             | OrderAnswer::Rejected => {
                 self.open = None;
+                self.accepted_at_least = 0;
                 if answer != OrderAnswer::AlreadyHolds {
                     self.paused_until = now + REFUSAL_PAUSE;
                 }
@@ -316,6 +385,28 @@
         self.reported = false;
     }
 
+    /// Counts an accepted order in the report, with its effect where that is immediate.
+    fn assume_effect(&mut self, due: &DueOrder) {
+        self.accepted_at_least = due.expected + 1;
+        self.report.orders_accepted = self.accepted_at_least;
+        let (name, loads) = match &due.order {
+            EngineOrder::LoadAdapter(name) => (name, true),
+            EngineOrder::UnloadAdapter(name) => (name, false),
+            EngineOrder::LoadModel(_) | EngineOrder::UnloadModel(_) => return,
+        };
+        self.leaving_adapter = None;
+        let Some(loaded) = self.report.models.iter_mut().find(|m| m.model == name.model) else {
+            return;
+        };
+        match (loaded.adapters.binary_search(&name.adapter), loads) {
+            (Err(at), true) => loaded.adapters.insert(at, name.adapter.clone()),
+            (Ok(at), false) => {
+                loaded.adapters.remove(at);
+            }
+            (Ok(_), true) | (Err(_), false) => {}
+        }
+    }
+
     fn accepted(&mut self, order: &EngineOrder, expected: u64, now: Timestamp) {
         let (model, loading) = match order {
             EngineOrder::LoadModel(model) => (model, true),
--- a/components/placement/src/fleet_planner.rs
+++ b/components/placement/src/fleet_planner.rs
@@ -16,6 +16,9 @@
 /// Part of the room beyond one copy of each model that is shared out by the number of adapters while
 /// there is no demand to go by: adapters are made for models that are used.
 const PRIOR_PART: f64 = 0.5;
+/// Demand, in engines, below which a model has no claim to a place where there are fewer places than models:
+/// one short request in some 10 s.
+const IDLE_DEMAND: f64 = 0.01;
 /// Time after which a move without an effect is given up.
 const MOVE_LIFETIME: Duration = Duration::from_secs(8);
 /// Most engines that unload one model for another at once, as a part of all; each serves less meanwhile.
@@ -139,7 +142,7 @@
 pub struct ModelStanding {
     /// Copies, those being loaded and planned included.
     pub copies: usize,
-    /// Copies that the demand needs, at least one.
+    /// Copies that the demand needs: at least one, but none of an idle model if there is not room for all.
     pub needed: usize,
     /// Copies that are worth having.
     pub wished: usize,
@@ -245,8 +248,14 @@
     /// Copies of each model, those being loaded and planned included, those being unloaded not.
     fn standings(&self, models: &[FleetModel], engines: &[FleetEngine]) -> Vec<ModelStanding> {
         let capacity: u64 = engines.iter().map(|engine| engine.capacity_mb).sum();
-        let one_each: u64 = models.iter().map(|model| model.memory_mb).sum();
-        let usual = one_each / (models.len() as u64).max(1);
+        let all: u64 = models.iter().map(|model| model.memory_mb).sum();
+        let has_room_for_all = all <= capacity;
+        let has_claim = |model: &FleetModel| {
+            has_room_for_all || model.waiting > 0 || demand_of(model) >= IDLE_DEMAND
+        };
+        let claimed = models.iter().filter(|model| has_claim(model));
+        let one_each: u64 = claimed.map(|model| model.memory_mb).sum();
+        let usual = all / (models.len() as u64).max(1);
         let spare = capacity.saturating_sub(one_each) as f64 / usual.max(1) as f64;
         let adapters: u32 = models.iter().map(|model| model.adapters).sum();
         let share = share_of_demand(models, spare);
@@ -257,7 +266,7 @@
                 let prior =
                     PRIOR_PART * spare * f64::from(model.adapters) / f64::from(adapters.max(1));
                 let needed = (1.0 + (demand - 1.0).max(0.0) * share).ceil() as usize;
-                let needed = needed.min(engines.len().max(1));
+                let needed = if has_claim(model) { needed.min(engines.len().max(1)) } else { 0 };
                 ModelStanding {
                     copies: self.copies(model, engines),
                     needed,
@@ -295,7 +304,7 @@
                 // together need copies of these; the lack of each decides.
                 let reason = if fleet.models[at].waiting > 0 && standing.copies < standing.needed {
                     MoveReason::Waiting
-                } else if standing.copies == 0 {
+                } else if standing.copies == 0 && standing.needed > 0 {
                     MoveReason::NoCopy
                 } else if standing.copies < standing.needed {
                     MoveReason::Demand
@@ -420,6 +429,11 @@
                 MoveReason::Waiting | MoveReason::NoCopy if gaining.copies == 0 => {
                     standing.copies > standing.needed || (model.waiting > 0 && standing.copies > 1)
                 }
+                MoveReason::Waiting | MoveReason::NoCopy | MoveReason::Demand
+                    if standing.needed == 0 =>
+                {
+                    true
+                }
                 MoveReason::Waiting | MoveReason::NoCopy | MoveReason::Demand => {
                     let surplus = standing.copies > standing.needed;
                     is_shorter(gaining, standing, if surplus { SURPLUS_PART } else { SHORTER_PART })
--- a/components/placement/src/lib.rs
+++ b/components/placement/src/lib.rs
@@ -13,6 +13,7 @@
 mod ledger;
 mod model_demand;
 mod order;
+mod part_lease;
 mod permits;
 mod pins;
 mod planner;
@@ -30,6 +31,7 @@
 pub use ledger::{Holding, HoldingState, Ledger, LedgerSettings};
 pub use model_demand::ModelDemandTable;
 pub use order::{Order, OrderId, OrderKind, OrderRefusal, OrderResult};
+pub use part_lease::{PartLease, PartLeaseSettings};
 pub use permits::PermitSearch;
 pub use pins::{PinAnswer, PinBook};
 pub use planner::{
--- a/components/placement/tests/fleet_planner.rs
+++ b/components/placement/tests/fleet_planner.rs
@@ -267,3 +267,25 @@
         })
         .unwrap();
 }
+
+/// The pattern "more models than places", seen on a fleet with room for half of its models: hot models once
+/// lost all copies but one to models that nobody asked for. Places go to the models with a demand; an idle one
+/// gives up its place, and gets one again when a request waits for it.
+#[test]
+fn where_not_all_models_fit_idle_ones_make_room() {
+    let mut planner = FleetPlanner::new();
+    let names: Vec<CompactString> = (0..12).map(|at| format_compact!("m{at:02}")).collect();
+    let demand = |at: usize| if at == 0 { 1_600.0 } else { 0.0 };
+    let asked: Vec<(&str, f64)> =
+        names.iter().enumerate().map(|(at, name)| (name.as_str(), demand(at))).collect();
+    let mut models = models(&asked);
+    // Eight places: the hot model has one copy, seven idle ones have the rest.
+    let mut engines =
+        engines(&[&["m00", "m01"], &["m02", "m03"], &["m04", "m05"], &["m06", "m07"]]);
+    settle(&mut planner, &models, &mut engines);
+    assert_eq!(copies(&engines, "m00"), 4, "{engines:?}");
+    assert!(copies(&engines, "m11") == 0, "nobody asks for it");
+    models[11].waiting = 1;
+    settle(&mut planner, &models, &mut engines);
+    assert_eq!((copies(&engines, "m00"), copies(&engines, "m11")), (4, 1), "{engines:?}");
+}
--- a/components/routing/src/direct_target.rs
+++ b/components/routing/src/direct_target.rs
@@ -87,6 +87,10 @@
     /// Whether the engine answers its agent, by the agent's last word.
     pub(crate) answers_agent: bool,
     pub(crate) agent_heard_at: Option<Timestamp>,
+    /// Where the process takes asks that gives it orders from afar; none for an agent beside it.
+    asked_at: Option<SocketAddr>,
+    /// Whether an agent beside it was ever heard.
+    has_own_agent: bool,
     /// Until when it is left because another target answered at its address.
     misdirected_until: Option<Timestamp>,
     /// Since when the engine has not answered its agent.
@@ -146,6 +150,8 @@
             free_adapter_slots: 0,
             answers_agent: true,
             agent_heard_at: None,
+            asked_at: None,
+            has_own_agent: false,
             misdirected_until: None,
             unanswered_since: None,
             agent_said: None,
@@ -202,6 +208,8 @@
             self.unanswered_since.get_or_insert(now);
         }
         self.agent_heard_at = Some(now);
+        self.asked_at = state.asked_at;
+        self.has_own_agent |= state.asked_at.is_none();
         self.models.clone_from(&state.models);
         self.warm.clone_from(&state.warm);
         self.changing.clone_from(&state.changing);
@@ -293,6 +301,16 @@
         unheard && self.health.answered_at().is_none_or(|at| now.since(at) >= AGENT_SILENT_AFTER)
     }
 
+    /// Whether an agent beside it was ever heard in this life.
+    pub const fn has_own_agent(&self) -> bool {
+        self.has_own_agent
+    }
+
+    /// Where the process takes asks that gives it orders; `agent_port` is that of agents.
+    pub fn asks_address(&self, agent_port: u16) -> SocketAddr {
+        self.asked_at.unwrap_or_else(|| SocketAddr::new(self.address.ip(), agent_port))
+    }
+
     /// Whether the agent beside it was heard lately.
     pub fn agent_is_heard(&self, now: Timestamp) -> bool {
         self.agent_heard_at.is_some_and(|at| now.since(at) < AGENT_SILENT_AFTER)
--- a/components/routing/tests/direct_fleet.rs
+++ b/components/routing/tests/direct_fleet.rs
@@ -51,6 +51,7 @@
         cache_used_tokens: 0,
         warm: WarmCopies::default(),
         fetch_ages_ms: Vec::new(),
+        asked_at: None,
     }
 }
 
--- a/components/store/src/lib.rs
+++ b/components/store/src/lib.rs
@@ -11,6 +11,7 @@
 mod keyed;
 mod keyed_reader;
 mod log;
+mod part_group;
 mod topic;
 mod vm_list;
 
@@ -21,5 +22,6 @@
 pub use keyed::{KeyedLog, KeyedPage, KeyedRecord, KeyedTail};
 pub use keyed_reader::{KeyedRead, KeyedReader};
 pub use log::{Log, LogPage, LogRecord};
+pub use part_group::{Group, PartGroup, PartShare};
 pub use topic::Topic;
 pub use vm_list::{VmEntry, VmList, VmSnapshot, VmState};
--- a/components/wire/src/fleet_state.rs
+++ b/components/wire/src/fleet_state.rs
@@ -260,6 +260,17 @@
     pub warm: WarmCopies,
     /// Age of the youngest loads from the weight store that this agent ordered, in milliseconds.
     pub fetch_ages_ms: Vec<u32>,
+    /// Where it takes asks; none for an agent beside the engine.
+    pub asked_at: Option<SocketAddr>,
+}
+
+/// Record of a process that gives orders to engines; its offset is the fencing number of the process.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct OrderGiver {
+    /// Run of the process.
+    pub process: ProcessId,
+    /// The engine beside which it runs; none for a gateway that orders for engines without an agent.
+    pub engine: Option<SocketAddr>,
 }
 
 /// A change of a model at an engine that is under way.
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -30,8 +30,8 @@
 pub use error::WireError;
 pub use fleet_state::{
     AdapterName, AdmittedTokens, AgentAsk, AgentState, Datagram, DatagramBody, Echo, EnginePlan,
-    FurtherSends, GatewayRecord, GatewayState, LinkCopy, ModelChange, ModelLoad, PlannedCopy,
-    RelayedItem, SendCopy, TargetNews, TargetWorkCopy,
+    FurtherSends, GatewayRecord, GatewayState, LinkCopy, ModelChange, ModelLoad, OrderGiver,
+    PlannedCopy, RelayedItem, SendCopy, TargetNews, TargetWorkCopy,
 };
 pub use forward::{ForwardDown, ForwardHead, ForwardUp, Header};
 pub use frames::{FrameReceiver, FrameSender};
