Tell what a gateway runs on; take settings only from whole files; soak engines without agents

A settings file that was cut short while it was written was taken with the usual bounds in place of the missing ones, a reload did not say what had changed, and no metric showed which gateway runs on what.

Changes: - A file that lacks fields which it had is taken only if it stays so for another 2 s; until then, and while it can't be read, the settings in force stay (`settings_incomplete`, `settings_unreadable`). - `setting_changed` names each field with both values and says which wait for the next start. - Metrics: settings_reads by outcome, settings_age, configuration_offset and _age, gateways_behind, late_streams by cause and data centre, and requests_in_flight for gateways. - The soak runs engines without agents (`--agents N`); its store deals the parts of groups.

Tests: tests/settings_reload.rs with a real gateway, decoders.rs for cut files, two soak runs.

--- a/components/gateway/src/answer.rs
+++ b/components/gateway/src/answer.rs
@@ -169,6 +169,15 @@
     if let Some(first) = first_event_at {
         app.metrics.record_first_token(customer, class, first.since(request.arrived));
     }
+    if let (Some(relay), Some(first)) = (relay, first_event_at) {
+        let data_centre = relay.data_centre.as_str();
+        if first.since(request.arrived) > request.plan.objectives.answer {
+            app.metrics.record_late_stream("first_event", data_centre);
+        }
+        if relay.longest_gap > request.plan.objectives.gap {
+            app.metrics.record_late_stream("pause", data_centre);
+        }
+    }
     app.metrics.record_total(customer, class, total, request.output_tokens());
     log::info!(
         "event=request_ended request_id={} end={end} status={status} route={} kind={} customer={} sends={sends} events={} longest_gap_ms={} first_event_ms={} total_ms={} objective_ms={}",
--- a/components/gateway/src/app.rs
+++ b/components/gateway/src/app.rs
@@ -69,6 +69,10 @@
     pub engine_orders: EngineOrders,
     /// Connections to targets.
     pub pool: TargetPool,
+    /// When the settings in force were taken.
+    pub settings_taken_at: Cell<Timestamp>,
+    /// When the configuration in force was taken.
+    pub town_taken_at: Cell<Option<Timestamp>>,
     /// Requests in progress.
     pub in_flight: Rc<Cell<usize>>,
     /// Callers' connections.
@@ -128,6 +132,7 @@
         self.rates.borrow_mut().adopt(&town, now);
         self.metrics.admit_customers(town.customers.iter().map(|customer| customer.name.as_str()));
         *self.town.borrow_mut() = Some(Arc::new(town));
+        self.town_taken_at.set(Some(now));
         *self.document.borrow_mut() = Some(StoredDocument { offset, bytes: document });
         log::info!(
             "event=configuration_in_force config={} offset={} operators_version={operators_version} source={source}",
@@ -136,6 +141,19 @@
         );
     }
 
+    /// Sets the metrics on what this process runs on, and which gateways are behind.
+    pub(crate) fn tell_currency(&self) {
+        let now = self.clock.now();
+        let behind = self.gateways.borrow().behind(self.version(), now);
+        self.metrics.set_currency(
+            now.since(self.settings_taken_at.get()),
+            self.town_taken_at.get().map(|at| now.since(at)),
+            self.version().0,
+            behind as u64,
+        );
+        self.metrics.set_in_flight(self.in_flight.get() as u64);
+    }
+
     /// Pause after a failed call to the store, `usual` for a few gateways. The first to reach the store
     /// again tells the others, so that in an outage all together call no more often than a few.
     pub(crate) fn failure_pause(&self, usual: Duration) -> Duration {
--- a/components/gateway/src/fleet_link.rs
+++ b/components/gateway/src/fleet_link.rs
@@ -24,6 +24,8 @@
 const FAR_ROUNDS: u64 = 2;
 /// Rounds between two datagrams to an agent.
 const AGENT_ROUNDS: u64 = 4;
+/// Rounds between two settings of the metrics on what this process runs on: a second.
+const METRICS_ROUNDS: u64 = 10;
 /// Time after the start of this process in which agents that were not heard yet are asked in every round:
 /// after a loss of all power nothing can be loaded before they are heard.
 const EAGER_TIME: Duration = Duration::from_secs(3);
@@ -172,6 +174,9 @@
         if all || now.since(Timestamp::default()) < EAGER_TIME {
             ask_agents(&app, &link, all, now);
         }
+        if round.is_multiple_of(METRICS_ROUNDS) {
+            app.tell_currency();
+        }
         let gone = app.gateways.borrow_mut().expire(now);
         for name in gone {
             log::info!("event=gateway_gone gateway={name}");
--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -108,6 +108,8 @@
         planner: RefCell::new(FleetPlanner::new()),
         engine_orders: EngineOrders::new(&settings.bounds),
         pool: TargetPool::default(),
+        settings_taken_at: Cell::default(),
+        town_taken_at: Cell::default(),
         in_flight: Rc::default(),
         connections: Rc::default(),
         store_read_at: Cell::new(None),
@@ -125,6 +127,8 @@
     /// Takes changed settings. Addresses on which the process listens stay as they were at its start.
     pub fn reload(&self, settings: GatewaySettings) {
         log::info!("event=settings_reloaded store={}", settings.store_address);
+        self.app.metrics.record_settings_read("taken");
+        self.app.settings_taken_at.set(self.app.clock.now());
         self.app.store.set_address(settings.store_address);
         self.app.rates.borrow_mut().set_bounds(settings.bounds);
         self.app.authority.borrow_mut().set_limit(App::evidence_limit(&settings));
@@ -134,6 +138,11 @@
         }
     }
 
+    /// Counts a change of the settings file that was not taken; `outcome` is one of a closed set.
+    pub fn note_settings_kept(&self, outcome: &'static str) {
+        self.app.metrics.record_settings_read(outcome);
+    }
+
     /// Starts the graceful stop.
     pub fn stop(&self) {
         self.app.stage.send_if_modified(|stage| {
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use base::Timestamp;
+use compact_str::CompactString;
 use ingress::{CallerGone, PartSender};
 use routing::TargetOutcome;
 use telemetry::quote;
@@ -52,19 +53,22 @@
     pub last_event_at: Option<Timestamp>,
     /// Longest pause between two events.
     pub longest_gap: Duration,
+    /// Data centre of the target that it runs at.
+    pub data_centre: CompactString,
     /// Events passed on.
     pub events: u64,
 }
 
 impl Relay {
     /// A stream of which nothing was passed on.
-    pub(crate) const fn new(call: Call, parts: PartSender) -> Self {
+    pub(crate) fn new(call: Call, parts: PartSender) -> Self {
         Self {
             call,
             parts,
             first_event_at: None,
             last_event_at: None,
             longest_gap: Duration::ZERO,
+            data_centre: CompactString::default(),
             events: 0,
         }
     }
@@ -74,6 +78,10 @@
         let mut current = (answer, send);
         loop {
             let (answer, send) = current;
+            self.data_centre = {
+                let fleet = self.call.app.fleet.borrow();
+                fleet.target(send.pick.key).data_centre.clone()
+            };
             let end = self.relay_run(answer.into_stream(), &send).await;
             match end {
                 RelayEnd::Whole => {
--- a/components/membership/src/gateway_table.rs
+++ b/components/membership/src/gateway_table.rs
@@ -270,6 +270,14 @@
             .max_by_key(|(_, at)| *at)
     }
 
+    /// Number of gateways that are heard with an older configuration than the newest one known, this process
+    /// with `config` included.
+    pub fn behind(&self, config: Offset, now: Timestamp) -> usize {
+        let heard = || self.peers.values().filter(|peer| is_heard(peer, now)).map(|p| p.config);
+        let newest = heard().max().unwrap_or(config).max(config);
+        heard().chain(std::iter::once(config)).filter(|known| *known < newest).count()
+    }
+
     /// Gateways that have a newer configuration than `config`, near ones first.
     pub fn with_newer(&self, config: Offset, now: Timestamp) -> Vec<(SocketAddr, bool)> {
         let mut newer: Vec<(bool, SocketAddr)> = self
--- a/components/placement/tests/part_lease.rs
+++ b/components/placement/tests/part_lease.rs
@@ -116,7 +116,7 @@
             if deals.iter().any(|deal| deal / 50 == ms / 50) {
                 dealer.deal_anew();
             }
-            for member in 0..2 {
+            for (member, lease) in leases.iter_mut().enumerate() {
                 let frozen = |(who, from, length): &(usize, u64, u64)| {
                     *who == member && (*from..from + length).contains(&ms)
                 };
@@ -125,13 +125,13 @@
                 }
                 if ms % JOIN_MS == 200 * member as u64 {
                     let (generation, owns) =
-                        dealer.join(member, leases[member].generation(), ms);
+                        dealer.join(member, lease.generation(), ms);
                     if !lost.contains(&(member, ms / JOIN_MS)) {
                         let parts: &[u32] = if owns { &[0] } else { &[] };
-                        leases[member].take(generation, parts, at(ms), at(ms));
+                        lease.take(generation, parts, at(ms), at(ms));
                     }
                 }
-                if leases[member].may_act(0, at(ms)) {
+                if lease.may_act(0, at(ms)) {
                     if let Some((other, then)) = last_order.filter(|(who, _)| *who != member) {
                         prop_assert!(ms - then >= LEASE_MS, "{other} at {then}, {member} at {ms}");
                     }
--- a/components/soak/src/options.rs
+++ b/components/soak/src/options.rs
@@ -12,8 +12,10 @@
     pub length: Duration,
     /// Gateway processes.
     pub gateways: usize,
-    /// Engines, each with an agent process.
+    /// Engines.
     pub engines: usize,
+    /// Engines with an agent process, the first ones; gateways give orders to the others.
+    pub agents: usize,
     /// Plain targets.
     pub plain_targets: usize,
     /// Callers, each with one request at a time.
@@ -31,6 +33,7 @@
             length: Duration::from_secs(20),
             gateways: 4,
             engines: 6,
+            agents: usize::MAX,
             plain_targets: 3,
             callers: 32,
             binary: PathBuf::from("plantainbeam"),
--- a/components/soak/src/report.rs
+++ b/components/soak/src/report.rs
@@ -20,6 +20,8 @@
     pub served: usize,
     /// Runs at targets.
     pub runs: usize,
+    /// Orders that engines took.
+    pub orders: usize,
     /// Median and 99th percentile of the time of a whole success.
     pub latency: (Duration, Duration),
     /// Broken promises.
@@ -50,6 +52,7 @@
             attempts: evidence.attempts.len(),
             served: times.len(),
             runs: evidence.runs.len(),
+            orders: evidence.orders.len(),
             latency: (percentile(0.5), percentile(0.99)),
             findings,
         }
@@ -60,12 +63,13 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(
             f,
-            "seed {}: {} faults, {} attempts, {} served, {} runs, median {} ms, p99 {} ms, {} findings",
+            "seed {}: {} faults, {} attempts, {} served, {} runs, {} orders, median {} ms, p99 {} ms, {} findings",
             self.seed,
             self.schedule.planned.len(),
             self.attempts,
             self.served,
             self.runs,
+            self.orders,
             self.latency.0.as_millis(),
             self.latency.1.as_millis(),
             self.findings.len()
--- a/components/soak/src/site.rs
+++ b/components/soak/src/site.rs
@@ -72,7 +72,7 @@
 /// An engine with its agent.
 struct EngineVm {
     engine: Rc<Mutex<Engine>>,
-    agent: Rc<Mutex<Machine>>,
+    agent: Option<Rc<Mutex<Machine>>>,
 }
 
 /// A running deployment.
@@ -260,9 +260,13 @@
         let held = (0..COPIES - 1).map(|at| MODELS[(number + at) % MODELS.len()].into());
         engine.start(held.collect()).await?;
         let spec = MachineSpec { engine: Some((address, ENGINES.into())), ..spec };
+        let engine = Rc::new(Mutex::new(engine));
+        if number >= options.agents {
+            return Ok(EngineVm { engine, agent: None });
+        }
         let mut agent = Machine::new(spec, Role::Agent, &options.binary, directory);
         agent.start(&self.limits)?;
-        Ok(EngineVm { engine: Rc::new(Mutex::new(engine)), agent: Rc::new(Mutex::new(agent)) })
+        Ok(EngineVm { engine, agent: Some(Rc::new(Mutex::new(agent))) })
     }
 
     /// Services of the paths.
@@ -289,8 +293,16 @@
 
     async fn carry_out(&self, fault: Fault, lasts: Duration) -> io::Result<()> {
         match fault {
-            Fault::AgentKill(at) => self.kill(&self.engines[at].agent, lasts).await?,
-            Fault::AgentPause(at) => pause(&self.engines[at].agent, lasts).await,
+            Fault::AgentKill(at) => {
+                if let Some(agent) = &self.engines[at].agent {
+                    self.kill(agent, lasts).await?;
+                }
+            }
+            Fault::AgentPause(at) => {
+                if let Some(agent) = &self.engines[at].agent {
+                    pause(agent, lasts).await;
+                }
+            }
             Fault::AllKill => self.kill_all(lasts).await?,
             Fault::ConfigurationChange => self.change_configuration(),
             Fault::EngineCrash(at) => {
@@ -355,7 +367,8 @@
 
     async fn kill_all(&self, lasts: Duration) -> io::Result<()> {
         let gateways = self.gateways.iter().map(|gateway| &gateway.machine);
-        let machines: Vec<_> = gateways.chain(self.engines.iter().map(|vm| &vm.agent)).collect();
+        let machines: Vec<_> =
+            gateways.chain(self.engines.iter().filter_map(|vm| vm.agent.as_ref())).collect();
         let mut held = Vec::new();
         for machine in machines {
             let mut machine = machine.lock().await;
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -47,6 +47,12 @@
     late_answers: Counter<u64>,
     replays: Counter<u64>,
     in_flight: Gauge<u64>,
+    late_streams: Counter<u64>,
+    settings_reads: Counter<u64>,
+    settings_age: Gauge<f64>,
+    configuration_offset: Gauge<u64>,
+    configuration_age: Gauge<f64>,
+    gateways_behind: Gauge<u64>,
 }
 
 impl Metrics {
@@ -75,6 +81,12 @@
         let count = |name: &'static str, description: &'static str| {
             meter.u64_counter(name).with_description(description).build()
         };
+        let seconds = |name: &'static str, description: &'static str| {
+            meter.f64_gauge(name).with_unit("s").with_description(description).build()
+        };
+        let number = |name: &'static str, description: &'static str| {
+            meter.u64_gauge(name).with_description(description).build()
+        };
         Ok(Self {
             first_token: wait("time_to_first_token", "Arrival to first token"),
             between_tokens: wait("time_between_tokens", "Time between two tokens of a stream"),
@@ -86,10 +98,13 @@
             retries: count("retries", "Attempts after the first"),
             late_answers: count("late_answers", "Answers dropped as late or mismatched"),
             replays: count("replays", "Stored answers sent again"),
-            in_flight: meter
-                .u64_gauge("requests_in_flight")
-                .with_description("Requests in progress")
-                .build(),
+            in_flight: number("requests_in_flight", "Requests in progress"),
+            late_streams: count("late_streams", "Streams that were late, by cause"),
+            settings_reads: count("settings_reads", "Changes of the settings file, by outcome"),
+            settings_age: seconds("settings_age", "Age of the settings in force"),
+            configuration_offset: number("configuration_offset", "Configuration in force"),
+            configuration_age: seconds("configuration_age", "Age of the configuration"),
+            gateways_behind: number("gateways_behind", "Gateways on an old configuration"),
             customers: RefCell::new(LabelSet::new(MAX_CUSTOMERS)),
             registry,
             _provider: provider,
@@ -158,6 +173,35 @@
         self.in_flight.record(requests, &[]);
     }
 
+    /// Counts a stream that was late; `cause` is one of a closed set, `data_centre` that of its target.
+    pub fn record_late_stream(&self, cause: &'static str, data_centre: &str) {
+        let data_centre = data_centre.to_owned();
+        self.late_streams
+            .add(1, &[KeyValue::new("cause", cause), KeyValue::new("data_centre", data_centre)]);
+    }
+
+    /// Counts a change of the settings file; `outcome` is one of a closed set.
+    pub fn record_settings_read(&self, outcome: &'static str) {
+        self.settings_reads.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Sets what the process runs on: the ages of settings and configuration, the configuration's position
+    /// in the log, and how many gateways have an older one.
+    pub fn set_currency(
+        &self,
+        settings_age: Duration,
+        configuration_age: Option<Duration>,
+        offset: u64,
+        gateways_behind: u64,
+    ) {
+        self.settings_age.record(settings_age.as_secs_f64(), &[]);
+        if let Some(age) = configuration_age {
+            self.configuration_age.record(age.as_secs_f64(), &[]);
+            self.configuration_offset.record(offset, &[]);
+        }
+        self.gateways_behind.record(gateways_behind, &[]);
+    }
+
     /// All series in the Prometheus text form.
     ///
     /// # Errors
--- a/examples/soak.rs
+++ b/examples/soak.rs
@@ -17,13 +17,15 @@
 const HELP: &str = "\
 Run the soak on the release binary.
 
-Usage: soak [--seeds FIRST-LAST] [--seconds N] [--gateways N] [--engines N] [--callers N] [--logs DIR]
+Usage: soak [--seeds FIRST-LAST] [--seconds N] [--gateways N] [--engines N] [--agents N] [--callers N]
+            [--logs DIR]
 
 Options:
       --seeds FIRST-LAST  seeds to run (1-1)
       --seconds N         time in which faults begin (20)
       --gateways N        gateway processes (4)
-      --engines N         engines, each with an agent process (6)
+      --engines N         engines (6)
+      --agents N          engines with an agent process, the first ones (all)
       --callers N         callers (32)
       --logs DIR          keep the logs of the processes in DIR/SEED
   -h, --help              show this text
@@ -52,6 +54,7 @@
             }
             Long("gateways") => options.gateways = parser.value()?.parse()?,
             Long("engines") => options.engines = parser.value()?.parse()?,
+            Long("agents") => options.agents = parser.value()?.parse()?,
             Long("callers") => options.callers = parser.value()?.parse()?,
             Long("logs") => arguments.logs = Some(parser.value()?.into()),
             Short('h') | Long("help") => return Ok(None),
--- a/src/cmd/agent.rs
+++ b/src/cmd/agent.rs
@@ -7,6 +7,7 @@
 
 use crate::cmd::fail;
 use crate::cmd::platform_command::{PlatformStart, run_on_platform};
+use crate::cmd::settings_watch::SettingsChange;
 
 const HELP: &str = "\
 Run beside an engine on the platform: give it its orders and tell the gateways what it holds.
@@ -38,9 +39,13 @@
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
-            file = watch.changed() => match file.agent() {
-                Ok(settings) => handle.reload(&settings),
-                Err(error) => log::error!("event=settings_rejected error=\"{error}\""),
+            change = watch.changed() => match change {
+                SettingsChange::Changed(file) => match file.agent() {
+                    Ok(settings) => handle.reload(&settings),
+                    Err(error) => log::error!("event=settings_rejected error=\"{error}\""),
+                },
+                // The watch has said why; an agent serves no metrics.
+                SettingsChange::Kept => {}
             },
         }
     }
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -7,6 +7,7 @@
 
 use crate::cmd::fail;
 use crate::cmd::platform_command::{PlatformStart, run_on_platform};
+use crate::cmd::settings_watch::SettingsChange;
 
 const HELP: &str = "\
 Answer callers on the platform: authenticate, admit by rate, choose a target, pass the answer on.
@@ -39,9 +40,15 @@
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
-            file = watch.changed() => match file.gateway() {
-                Ok(settings) => handle.reload(settings),
-                Err(error) => log::error!("event=settings_rejected error=\"{error}\""),
+            change = watch.changed() => match change {
+                SettingsChange::Changed(file) => match file.gateway() {
+                    Ok(settings) => handle.reload(settings),
+                    Err(error) => {
+                        log::error!("event=settings_rejected error=\"{error}\"");
+                        handle.note_settings_kept("rejected");
+                    }
+                },
+                SettingsChange::Kept => handle.note_settings_kept("incomplete"),
             },
         }
     }
--- a/src/cmd/platform_command.rs
+++ b/src/cmd/platform_command.rs
@@ -44,7 +44,8 @@
         Ok(text) => text,
         Err(error) => return fail(&format!("{}: {error}", options.settings)),
     };
-    let settings = match read(&SettingsFile::parse(&text)) {
+    let file = SettingsFile::parse(&text);
+    let settings = match read(&file) {
         Ok(settings) => settings,
         Err(error) => return fail(&format!("{}: {error}", options.settings)),
     };
@@ -61,7 +62,7 @@
             Ok(terminate) => terminate,
             Err(error) => return fail(&format!("can't listen for signals: {error}")),
         };
-        let watch = match SettingsWatch::new(path, text) {
+        let watch = match SettingsWatch::new(path, file) {
             Ok(watch) => watch,
             Err(message) => return fail(&message),
         };
--- a/tests/documentation.rs
+++ b/tests/documentation.rs
@@ -69,7 +69,15 @@
     let page = read("docs/metrics.md");
     let rows = first_cells(section(&page, "\n## Metrics", "\n### "));
     let source = read("components/telemetry/src/metrics.rs");
-    let makers = ["wait(\"", "count(\"", "_counter(\"", "_gauge(\"", "_histogram(\""];
+    let makers = [
+        "wait(\"",
+        "count(\"",
+        "seconds(\"",
+        "number(\"",
+        "_counter(\"",
+        "_gauge(\"",
+        "_histogram(\"",
+    ];
     let names: Vec<&str> = makers.iter().flat_map(|maker| names_after(&source, maker)).collect();
     let fields = section(&source, "pub struct Metrics {", "\n}");
     let instruments = ["Counter<", "Gauge<", "Histogram<"];
@@ -97,6 +105,9 @@
     metrics.record_late_answer();
     metrics.record_replay();
     metrics.set_in_flight(1);
+    metrics.record_late_stream("pause", "north-a");
+    metrics.record_settings_read("taken");
+    metrics.set_currency(wait, Some(wait), 1, 0);
     let text = metrics.to_text().unwrap();
     let exported = names_after(&text, "# TYPE ");
     assert_eq!(exported.len(), first_cells(section(&page, "\n## Metrics", "\n### ")).len());
--- /dev/null
+++ b/tests/settings_reload.rs
@@ -0,0 +1,88 @@
+//! Changes of the platform's settings file under a running gateway.
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+mod support;
+
+use std::fs;
+use std::net::TcpListener;
+use std::path::Path;
+
+use rustix::process::Signal;
+use support::Process;
+
+/// A settings file of a gateway on the loopback interface whose store answers nobody.
+fn settings(drain_ms: u32) -> String {
+    let free_port = || {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).unwrap();
+        listener.local_addr().unwrap().port()
+    };
+    format!(
+        "node=front-1\nzone=north-a\nregion=north\nip_address=127.0.0.1\ninternal_ports={},{}\n\
+         listen.front=127.0.0.1:{}\nlisten.ready_address=127.0.0.1:{}\n\
+         platform_settings.address=127.0.0.1:9\nbounds.drain_ms={drain_ms}\nbounds.grace_s=2\n",
+        free_port(),
+        0,
+        free_port(),
+        free_port(),
+    )
+}
+
+async fn started(path: &Path) -> Process {
+    let metrics_port = TcpListener::bind(("127.0.0.1", 0)).unwrap().local_addr().unwrap().port();
+    let arguments = ["gateway", "--settings", path.to_str().unwrap(), "--metrics-port"];
+    let mut arguments: Vec<String> = arguments.map(str::to_owned).to_vec();
+    arguments.push(metrics_port.to_string());
+    let gateway = Process::start("gateway", &arguments);
+    gateway.wait_for_line("event=gateway_started").await;
+    gateway
+}
+
+/// Guards against settings that are taken from a file which is being written, is gone or is wrong, and against a
+/// change that nobody can see: each field is told with both values.
+#[tokio::test]
+async fn only_a_whole_and_usable_file_replaces_the_settings() {
+    let directory = tempfile::tempdir().unwrap();
+    let path = directory.path().join("settings.conf");
+    let whole = settings(2_000);
+    fs::write(&path, &whole).unwrap();
+    let gateway = started(&path).await;
+
+    fs::write(&path, &whole[..whole.find("bounds.").unwrap()]).unwrap();
+    gateway.signal(Signal::HUP);
+    gateway.wait_for_line("event=settings_incomplete").await;
+    assert!(!gateway.log().iter().any(|line| line.contains("event=settings_reloaded")));
+
+    let changed = whole.replace("drain_ms=2000", "drain_ms=1500");
+    fs::write(&path, &changed).unwrap();
+    gateway.signal(Signal::HUP);
+    let line = gateway.wait_for_line("event=setting_changed").await;
+    assert!(line.contains("field=bounds.drain_ms from=2000 to=1500 takes_effect=now"), "{line}");
+    gateway.wait_for_line("event=settings_reloaded").await;
+
+    fs::write(&path, changed.replace("drain_ms=1500", "drain_ms=-3")).unwrap();
+    gateway.signal(Signal::HUP);
+    let line = gateway.wait_for_line("event=settings_rejected").await;
+    assert!(line.contains("bounds.drain_ms"), "{line}");
+
+    fs::remove_file(&path).unwrap();
+    gateway.signal(Signal::HUP);
+    gateway.wait_for_line("event=settings_unreadable").await;
+    let reloads = gateway.log().iter().filter(|l| l.contains("event=settings_reloaded")).count();
+    assert_eq!(reloads, 1, "only the whole and usable file was taken");
+}
+
+/// Guards against a file that lacks a field for good and is never taken.
+#[tokio::test]
+async fn a_file_that_stays_without_a_field_is_taken() {
+    let directory = tempfile::tempdir().unwrap();
+    let path = directory.path().join("settings.conf");
+    let whole = settings(2_000);
+    fs::write(&path, &whole).unwrap();
+    let gateway = started(&path).await;
+    fs::write(&path, whole.replace("bounds.drain_ms=2000\n", "")).unwrap();
+    gateway.signal(Signal::HUP);
+    gateway.wait_for_line("event=settings_incomplete").await;
+    let line = gateway.wait_for_line("event=setting_changed").await;
+    assert!(line.contains("field=bounds.drain_ms from=2000 to=-"), "{line}");
+    gateway.wait_for_line("event=settings_reloaded").await;
+}
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -23,6 +23,9 @@
     LocalSet::new().block_on(&runtime, run(&options)).unwrap()
 }
 
+/// Seed of the short run with and without agents.
+const MIXED_SEED: u64 = 3;
+
 /// Guards against a gateway or agent that breaks a promise under faults.
 #[test]
 fn promises_hold_under_a_short_schedule_of_faults() {
@@ -31,6 +34,28 @@
     assert!(report.findings.is_empty(), "{}{report}", report.schedule);
 }
 
+/// Engines without agents: gateways share out the orders. Guards against a fleet that nobody gives orders to, and
+/// against two gateways that order under one number.
+#[test]
+fn gateways_give_orders_where_there_are_no_agents() {
+    let report = soak(SoakOptions { agents: 0, length: Duration::ZERO, ..SoakOptions::default() });
+    assert!(report.findings.is_empty(), "{report}");
+    assert!(report.orders > 0 && report.served * 10 > report.attempts * 5, "{report}");
+}
+
+/// Some engines with an agent and some without, under faults. Guards against a gateway that gives orders beside
+/// an agent, and against orders of a gateway that was paused or cut off.
+#[test]
+fn promises_hold_with_agents_beside_some_engines_only() {
+    let report = soak(SoakOptions {
+        seed: MIXED_SEED,
+        agents: 2,
+        length: Duration::from_secs(8),
+        ..SoakOptions::default()
+    });
+    assert!(report.findings.is_empty(), "{}{report}", report.schedule);
+}
+
 /// The whole path on a calm day: callers, gateways, agents, engines, plain targets and the store, as
 /// processes of their own. Guards against a path that works on the users' bench only.
 #[test]
