Read the list of targets more often just after a start

Change: in its first 2 s the gateway that reads the list for all does so every 120 ms.

Test: membership/tests/target_directory.rs, the pattern "all power was lost".

--- a/components/gateway/src/target_watch.rs
+++ b/components/gateway/src/target_watch.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use base::{Offset, Timestamp};
+use membership::TargetDirectory;
 use platform::decode_target;
 use store::{KeyedPage, KeyedRead, KeyedReader, KeyedRecord, Topic};
 use telemetry::quote;
@@ -16,9 +17,6 @@
 use crate::app::App;
 use crate::fleet_link::FleetLink;
 
-/// Time between two reads. Each is paid for; a leaving target must be noticed within the 2,000 ms
-/// that it still serves, of which a failed call takes half.
-const READ_INTERVAL: Duration = Duration::from_millis(550);
 /// Age of the newest read of any gateway from which the second gateway by name reads itself: an interval, a
 /// call and the way of a datagram.
 const STANDBY_AFTER: Duration = Duration::from_millis(700);
@@ -61,7 +59,7 @@
                 app.store_read_at.set(Some(asked_at));
                 app.targets_read_at.set(Some(asked_at));
                 mismatch_since = None;
-                sleep(READ_INTERVAL).await;
+                sleep(TargetDirectory::read_interval(now.since(Timestamp::default()))).await;
             }
             Err(error) => {
                 if reachable {
--- a/components/membership/src/target_directory.rs
+++ b/components/membership/src/target_directory.rs
@@ -9,6 +9,14 @@
 use compact_str::CompactString;
 use wire::{TargetEntry, TargetNews, TargetState};
 
+/// Time between two reads of the list. Each is paid for; a leaving target must be noticed within the 2,000 ms
+/// that it still serves, of which a failed call takes half.
+const READ_INTERVAL: Duration = Duration::from_millis(550);
+/// The same just after the start of the process.
+const EAGER_INTERVAL: Duration = Duration::from_millis(120);
+/// Time after the start in which the list is read more often. After a loss of all power targets enter it within
+/// some 300 ms of the processes, and until they are known nothing can be loaded.
+const EAGER_TIME: Duration = Duration::from_secs(2);
 /// Time after the store's return within which targets whose entries lapsed announce themselves again;
 /// the platform promises about two seconds. A target still missing then is gone.
 pub const RETURN_TIME: Duration = Duration::from_secs(2);
@@ -55,6 +63,11 @@
         }
     }
 
+    /// Time until the next read of the list by a process that has run for `age`.
+    pub fn read_interval(age: Duration) -> Duration {
+        if age < EAGER_TIME { EAGER_INTERVAL } else { READ_INTERVAL }
+    }
+
     /// The store did not answer a read, or answered that it is unavailable.
     pub fn note_failure(&mut self, now: Timestamp) {
         self.failing_since.get_or_insert(now);
--- a/components/membership/tests/target_directory.rs
+++ b/components/membership/tests/target_directory.rs
@@ -2,6 +2,7 @@
 #![allow(clippy::unwrap_used, reason = "a missing value fails the test")]
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use base::{Offset, Timestamp, WarmCopies};
 use membership::TargetDirectory;
@@ -144,3 +145,20 @@
         })
         .unwrap();
 }
+
+/// The pattern "all power was lost": engines that start with the processes enter the list shortly after it was read
+/// for the first time. With the usual interval nothing could be loaded for 600 ms.
+#[test]
+fn the_list_is_read_more_often_just_after_a_start() {
+    let interval = |ms| TargetDirectory::read_interval(Duration::from_millis(ms));
+    assert!(interval(50) <= Duration::from_millis(150));
+    let mut age_ms = 0;
+    let mut eager_reads = 0;
+    while interval(age_ms) < Duration::from_millis(500) {
+        age_ms += interval(age_ms).as_millis() as u64;
+        eager_reads += 1;
+    }
+    assert!(eager_reads < 20, "each read is paid for");
+    assert_eq!(interval(2_000), interval(600_000));
+    assert!(interval(2_000) >= Duration::from_millis(500));
+}
