--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -15,8 +15,9 @@
 use crate::request::CallerRequest;
 use crate::target_pool::{SendFailure, TargetConnection};
 
-/// Most bytes of an answer that is no stream.
-const MAX_ANSWER_BYTES: usize = 16 << 20;
+/// Most bytes of an answer that is no stream. Targets in trouble send bytes without end; some thirty such answers at
+/// once fit into the memory of the smallest gateways, 160 MB.
+const MAX_ANSWER_BYTES: usize = 4 << 20;
 /// Idle time up to which a kept connection carries a request that may not run twice. A target may have
 /// closed a longer idle one, which leaves open whether the request ran.
 const ONCE_IDLE: Duration = Duration::from_millis(1_000);
--- /dev/null
+++ b/tests/endless_answers.rs
@@ -0,0 +1,165 @@
+//! Targets in trouble that send bytes without end until the gateway closes the connection.
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+mod support;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use platform_standin::{
+    CallerAnswer, CallerConnection, CallerKind, CallerRequest, Journal, PlainTargetService,
+    PlainTargetSettings, RouteKind, RouteSpec, SiteSpec, StoreServer, StoreSettings, TargetNotice,
+    TenantSpec,
+};
+use standin::Service;
+use support::{Process, wait_until};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::task::JoinSet;
+
+/// Requests that meet an endless answer at once.
+const AT_ONCE: usize = 60;
+/// Most memory of the gateway, in KB: that of the smallest machines.
+const MOST_MEMORY_KB: u64 = 160_000;
+/// What a caller allows.
+const DEADLINE: Duration = Duration::from_secs(6);
+
+/// What a target sends before the bytes without end.
+const HEADS: [&str; 4] = [
+    "",
+    "HTTP/1.1 200 OK\r\nx-endless: ",
+    "HTTP/1.1 200 OK\r\nplantainbeam-response-seal: s\r\ncontent-length: 900000000000\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nplantainbeam-response-seal: s\r\n\r\n",
+];
+
+/// Reads a request and answers with bytes until the connection is closed, which it reports.
+async fn answer_without_end(mut socket: TcpStream, head: &str, closed: UnboundedSender<()>) {
+    let mut request = [0; 4_096];
+    if socket.read(&mut request).await.unwrap_or(0) == 0 {
+        return;
+    }
+    let noise = vec![b'a'; 64 << 10];
+    let mut written = socket.write_all(head.as_bytes()).await;
+    while written.is_ok() {
+        written = socket.write_all(&noise).await;
+    }
+    closed.send(()).unwrap();
+}
+
+/// A target whose answers begin in each of the ways in turn.
+async fn endless_target() -> (SocketAddr, UnboundedReceiver<()>) {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (sender, closed) = unbounded_channel();
+    tokio::spawn(async move {
+        for at in 0.. {
+            let (socket, _) = listener.accept().await.unwrap();
+            tokio::spawn(answer_without_end(socket, HEADS[at % HEADS.len()], sender.clone()));
+        }
+    });
+    (address, closed)
+}
+
+fn site() -> SiteSpec {
+    SiteSpec {
+        version: 1,
+        host: "soak.example".into(),
+        engine_service: "engines".into(),
+        plain_service: "plain".into(),
+        engine_slots: 4,
+        weights_mb: 100,
+        adapter_slots: 2,
+        loads_per_s: 1.0,
+        models: Vec::new(),
+        routes: vec![RouteSpec {
+            name: "order".into(),
+            prefix: "/order/".into(),
+            service: "plain".into(),
+            kind: RouteKind::Once,
+            attempts: 1,
+            timeout_ms: 6_000,
+            objective_ms: 300,
+        }],
+        tenants: vec![TenantSpec {
+            name: "shop".into(),
+            keys: vec!["key-1".into()],
+            tokens_per_s: 0,
+            burst_tokens: 0,
+        }],
+    }
+}
+
+async fn free_port() -> u16 {
+    TcpListener::bind(("127.0.0.1", 0)).await.unwrap().local_addr().unwrap().port()
+}
+
+async fn order(callers: SocketAddr, number: usize) -> CallerAnswer {
+    let mut connection = CallerConnection::open(callers, DEADLINE).await.unwrap();
+    let request = CallerRequest {
+        id: format!("request-{number}").into(),
+        host: "soak.example".into(),
+        path: "/order/1".into(),
+        key: "key-1".into(),
+        deadline: DEADLINE,
+        kind: CallerKind::Order,
+        after_event: None,
+    };
+    connection.call(&request).await
+}
+
+/// Guards against a gateway that collects an endless head or body until its memory is used up, that waits for the
+/// end of it, or that leaves the target sending.
+#[tokio::test]
+async fn answers_without_end_are_cut_and_their_callers_told() {
+    let store = StoreServer::start(StoreSettings::default()).await.unwrap();
+    let (topic, key) = SiteSpec::KEY;
+    store.service().put(topic, key, &site().document());
+    let (target, mut closed) = endless_target().await;
+    let settings = PlainTargetSettings {
+        id: "target-1".into(),
+        service: "plain".into(),
+        data_centre: "north-a".into(),
+        slots: 64,
+        journal: Journal::default(),
+        ..PlainTargetSettings::default()
+    };
+    let notice = TargetNotice { born_ms: 1, leaves: false, number: 1 };
+    let entry = PlainTargetService::new(settings).entry(target, notice);
+    store.service().put(SiteSpec::TARGETS, "target-1", &entry);
+
+    let callers = SocketAddr::from(([127, 0, 0, 1], free_port().await));
+    let file = format!(
+        "node=front-1\nzone=north-a\nregion=north\nip_address=127.0.0.1\ninternal_ports={},0\n\
+         listen.front={callers}\nlisten.ready_address=127.0.0.1:{}\n\
+         platform_settings.address={}\nfirst_start=true\n",
+        free_port().await,
+        free_port().await,
+        store.address(),
+    );
+    let directory = tempfile::tempdir().unwrap();
+    let path = directory.path().join("settings.conf");
+    std::fs::write(&path, file).unwrap();
+    let arguments = ["gateway", "--settings", path.to_str().unwrap(), "--metrics-port"];
+    let mut arguments: Vec<String> = arguments.map(str::to_owned).to_vec();
+    arguments.push(free_port().await.to_string());
+    let gateway = Process::start("gateway", &arguments);
+    gateway.wait_for_line("event=target_announced").await;
+    gateway.wait_for_line("event=configuration_in_force").await;
+
+    let mut orders = JoinSet::new();
+    for number in 0..AT_ONCE {
+        orders.spawn(order(callers, number));
+    }
+    let answers = orders.join_all().await;
+    for answer in &answers {
+        assert_eq!(answer.status, Some(502), "{answer:?}");
+        assert!(answer.is_whole && answer.seal.is_none(), "{answer:?}");
+    }
+    wait_until("the target's connections are closed", async || closed.len() >= AT_ONCE).await;
+    assert!(closed.recv().await.is_some());
+    let status = std::fs::read_to_string(format!("/proc/{}/status", gateway.id())).unwrap();
+    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
+    let peak_kb: u64 = peak.trim().trim_end_matches(" kB").parse().unwrap();
+    assert!(peak_kb < MOST_MEMORY_KB, "{peak_kb} KB");
+}
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -50,9 +50,14 @@
         found().unwrap()
     }
 
+    /// Id of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id().expect("the process has ended")
+    }
+
     /// Sends a signal to the process, by its id.
     pub fn signal(&self, signal: Signal) {
-        let id = self.child.id().expect("the process has ended");
+        let id = self.id();
         let pid = Pid::from_raw(i32::try_from(id).unwrap()).unwrap();
         kill_process(pid, signal).unwrap();
     }
