--- a/components/gateway/src/call.rs
+++ b/components/gateway/src/call.rs
@@ -6,13 +6,12 @@
 use api::{ApiError, ErrorCode};
 use base::{RanState, Timestamp};
 use bytes::Bytes;
-use compact_str::CompactString;
 use http::{HeaderMap, StatusCode};
 use ingress::Stage;
 use platform::forwarded_answer_headers;
 use routing::{
     Admission, Attempts, DirectChoice, DirectPick, GenerationNeed, LoadWait, PlainDirectNeed,
-    SendId, Slack, TargetEnd, TargetKey, TargetOutcome, admit, wait_for_model, waits_for_adapter,
+    Slack, TargetEnd, TargetKey, TargetOutcome, admit, wait_for_model, waits_for_adapter,
 };
 use telemetry::quote;
 use tokio::time::timeout;
@@ -21,49 +20,23 @@
 use crate::exchange::{ExchangeFailure, NoAnswer, TargetAnswer, exchange};
 use crate::fleet_link::{FleetLink, ask_agent};
 use crate::request::{CallerRequest, charge, check_rate};
+use crate::send::Send;
+use crate::waiting::Waiting;
 
 /// Time that must be left for another send.
 const LEAST_LEFT: Duration = Duration::from_millis(30);
-/// Time that a caller must still wait for another look for a target of its stream to make sense: a look and the
-/// reading of a prompt.
-const LEAST_LOOK: Duration = Duration::from_millis(200);
-/// Part of the longest pause of a stream that a move may be expected to take.
-const MOVE_PAUSE_PART: f64 = 0.5;
 /// Longest wait for a model or adapter while this process shuts down.
 const DRAINING_WAIT: Duration = Duration::from_millis(700);
 /// Advised wait while this process shuts down; another one can be asked at once.
 const DRAINING_RETRY: Duration = Duration::from_millis(100);
 /// Wait between two looks at the fleet while a model or adapter is awaited.
 const LOAD_LOOK: Duration = Duration::from_millis(100);
-/// Wait for news that a target has ended, after a stream broke off there: the time in which its agent finds
-/// out and the word is passed on. A caller bears a pause of at least 2 s.
-const END_EVIDENCE_WAIT: Duration = Duration::from_millis(1_000);
 /// Advised wait if no target is there: the time in which a new one is noticed.
 const NO_TARGET_RETRY: Duration = Duration::from_millis(500);
 
 /// Engine time of a generated token, in prompt tokens, in a batch of usual size.
 const OUTPUT_COST: u64 = 12;
 
-/// Counts a request among those that wait for a copy of its model.
-struct Waiting {
-    app: Rc<App>,
-    model: CompactString,
-}
-
-impl Waiting {
-    fn new(app: &Rc<App>, request: &CallerRequest) -> Self {
-        let model = request.head.model.clone().unwrap_or_default();
-        app.demand.borrow_mut().note_waiting(&model, true);
-        Self { app: Rc::clone(app), model }
-    }
-}
-
-impl Drop for Waiting {
-    fn drop(&mut self) {
-        self.app.demand.borrow_mut().note_waiting(&self.model, false);
-    }
-}
-
 /// A whole answer of a target.
 pub(crate) struct WholeAnswer {
     pub status: StatusCode,
@@ -79,57 +52,26 @@
     Stream(Box<TargetAnswer>, Send),
 }
 
-/// A send in progress; dropping it takes the request out of the target's work.
-pub(crate) struct Send {
-    app: Rc<App>,
-    /// Target.
-    pub pick: DirectPick,
-    /// Number at the target.
-    pub number: SendId,
-    /// When it was sent.
-    pub at: Timestamp,
-}
-
-impl Drop for Send {
-    fn drop(&mut self) {
-        self.app.fleet.borrow_mut().note_end(self.pick.key, self.number);
-    }
-}
-
-impl Send {
-    /// Records what the outcome says of the target.
-    pub(crate) fn note(&self, outcome: TargetOutcome) {
-        let now = self.app.clock.now();
-        self.app.fleet.borrow_mut().note_outcome(self.pick.key, outcome, now);
-    }
-
-    /// Records the first event of a generation on `model`.
-    pub(crate) fn note_first_event(&self, model: &str) {
-        let took_ms = self.app.clock.now().since(self.at).as_secs_f64() * 1_000.0;
-        self.app.fleet.borrow_mut().note_first_event(&self.pick, model, self.number, took_ms);
-    }
-}
-
 /// One request on its way through targets.
 pub(crate) struct Call {
     pub app: Rc<App>,
     pub link: Rc<FleetLink>,
     pub request: Rc<CallerRequest>,
     /// Targets that failed it.
-    excluded: Vec<TargetKey>,
+    pub(crate) excluded: Vec<TargetKey>,
     /// Targets at which its adapter did not come in time.
-    lacking: Vec<TargetKey>,
+    pub(crate) lacking: Vec<TargetKey>,
     /// Its sends.
-    attempts: Attempts,
+    pub(crate) attempts: Attempts,
     /// When the caller had its last event.
-    last_event_at: Option<Timestamp>,
+    pub(crate) last_event_at: Option<Timestamp>,
     /// Last event that the caller has.
     pub last_event: Option<u64>,
     charged: bool,
     /// Whether the planner was told what it asks for.
     demand_noted: bool,
     /// Target that was asked for the adapter, and since when.
-    adapter_asked: Option<(TargetKey, Timestamp)>,
+    pub(crate) adapter_asked: Option<(TargetKey, Timestamp)>,
     /// A failure of a target that is passed on if nothing better comes.
     failure: Option<WholeAnswer>,
 }
@@ -226,7 +168,7 @@
     }
 
     /// Whether a target that got the request has ended since.
-    fn end_of(&self, now: Timestamp) -> impl Fn(TargetKey) -> TargetEnd + use<'_> {
+    pub(crate) fn end_of(&self, now: Timestamp) -> impl Fn(TargetKey) -> TargetEnd + use<'_> {
         move |key| self.app.fleet.borrow().target(key).end(now)
     }
 
@@ -292,7 +234,7 @@
             chosen.urgency.map_or(-1, i32::from),
             self.attempts.count()
         );
-        Send { app: Rc::clone(&self.app), pick, number, at: now }
+        Send::new(Rc::clone(&self.app), pick, number, now)
     }
 
     /// Takes an answer; none if another target is to be tried.
@@ -426,96 +368,6 @@
         }
     }
 
-    /// Excludes the target of a stream that broke, so that another one can go on.
-    pub(crate) fn note_broken(&mut self, send: &Send) {
-        self.attempts.note_broken();
-        self.excluded.push(send.pick.key);
-        send.note(TargetOutcome::Failed);
-    }
-
-    /// Excludes the target of a stream that leaves it in order.
-    pub(crate) fn note_moved(&mut self, send: &Send) {
-        self.attempts.note_may_have_run();
-        self.excluded.push(send.pick.key);
-    }
-
-    /// Excludes the target of a stream that has not gone on for too long.
-    pub(crate) fn note_stalled(&mut self, send: &Send) {
-        self.attempts.note_may_have_run();
-        self.excluded.push(send.pick.key);
-        send.note(TargetOutcome::Failed);
-    }
-
-    /// Whether the stream can go on at another target than `current` at once. Before it is known that one
-    /// can take it, a pause is better than the loss of what the current target has made.
-    pub(crate) fn may_move(&self, current: &Send) -> bool {
-        let now = self.app.clock.now();
-        let left_ms = self.time_for_first_event(now).as_secs_f64() * 1_000.0;
-        self.may_move_within(current, left_ms, now)
-    }
-
-    /// Whether another target than `current` can take the stream now and is expected to go on within `limit_ms`.
-    fn may_move_within(&self, current: &Send, limit_ms: f64, now: Timestamp) -> bool {
-        if !self.request.plan.kind.may_run_again() || !self.attempts.allow_another(self.end_of(now))
-        {
-            return false;
-        }
-        let mut exclude = self.excluded.clone();
-        exclude.push(current.pick.key);
-        match self.look(&exclude, now) {
-            DirectChoice::Serve(pick) => !pick.lacks_adapter && pick.estimate_ms < limit_ms,
-            DirectChoice::NoCopy { .. } | DirectChoice::NoTarget => false,
-        }
-    }
-
-    /// Whether the stream should go on elsewhere, since its target waits for it to give up the model, and can do
-    /// so without a pause that is too long.
-    pub(crate) fn should_leave(&self, current: &Send) -> bool {
-        let now = self.app.clock.now();
-        let model = self.request.head.model.as_deref().unwrap_or_default();
-        let waited_for =
-            self.app.fleet.borrow().target(current.pick.key).waits_to_give_up(model, now);
-        let gap_ms = self.request.plan.objectives.gap.as_secs_f64() * 1_000.0;
-        waited_for && self.may_move_within(current, gap_ms * MOVE_PAUSE_PART, now)
-    }
-
-    /// Whether a stream that found no target to go on at may look again: the caller still waits.
-    pub(crate) fn may_look_again(&self) -> bool {
-        let now = self.app.clock.now();
-        self.attempts.allow_another(self.end_of(now)) && self.time_for_first_event(now) > LEAST_LOOK
-    }
-
-    /// Waits for news and takes targets into account again that lacked an adapter.
-    pub(crate) async fn await_another_look(&mut self) {
-        self.lacking.clear();
-        self.adapter_asked = None;
-        self.await_news().await;
-    }
-
-    /// Records that the caller was passed an event.
-    pub(crate) fn note_event(&mut self, id: Option<u64>, now: Timestamp) {
-        self.last_event_at = Some(now);
-        if id.is_some() {
-            self.last_event = id;
-        }
-    }
-
-    /// Waits until another send is allowed, since a target is found to have ended; false if none is found to
-    /// in time.
-    pub(crate) async fn await_allowance(&self) -> bool {
-        let until = self.app.clock.now() + END_EVIDENCE_WAIT;
-        loop {
-            let now = self.app.clock.now();
-            if self.attempts.allow_another(self.end_of(now)) {
-                return true;
-            }
-            if now >= until {
-                return false;
-            }
-            self.await_news().await;
-        }
-    }
-
     /// Chooses the next target, waiting for a model or an adapter within limits.
     async fn choose(&mut self) -> Result<Chosen, ApiError> {
         let began = self.app.clock.now();
@@ -561,7 +413,7 @@
         self.app.demand.borrow_mut().note_request(model, work_ms, now);
     }
 
-    fn look(&self, exclude: &[TargetKey], now: Timestamp) -> DirectChoice {
+    pub(crate) fn look(&self, exclude: &[TargetKey], now: Timestamp) -> DirectChoice {
         let fleet = self.app.fleet.borrow();
         if self.request.plan.engine {
             fleet.choose_generation(&generation_need(&self.request, exclude), now)
@@ -593,7 +445,7 @@
     }
 
     /// Time in which the caller must get the answer or, on a stream, the next event, before it gives up.
-    fn time_for_first_event(&self, now: Timestamp) -> Duration {
+    pub(crate) fn time_for_first_event(&self, now: Timestamp) -> Duration {
         let plan = &self.request.plan;
         let left = self.request.deadline.since(now);
         if !plan.kind.is_stream() {
@@ -708,7 +560,7 @@
     }
 
     /// Waits for news from the engines, or for the next look.
-    async fn await_news(&self) {
+    pub(crate) async fn await_news(&self) {
         let _news = timeout(LOAD_LOOK, self.app.engines_changed.notified()).await;
     }
 }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -3,6 +3,7 @@
 mod answer;
 mod app;
 mod call;
+mod call_stream;
 mod callers;
 mod configuration_watch;
 mod engine_orders;
@@ -20,9 +21,11 @@
 mod relay;
 mod remote_engine;
 mod request;
+mod send;
 mod shutdown;
 mod target_pool;
 mod target_watch;
+mod waiting;
 
 pub use error::GatewayError;
 pub use events::{EventSplitter, EventTooLong, StreamEvent};
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -8,9 +8,10 @@
 use routing::TargetOutcome;
 use telemetry::quote;
 
-use crate::call::{Call, CallEnd, Send};
+use crate::call::{Call, CallEnd};
 use crate::events::{EventSplitter, StreamEvent};
 use crate::exchange::{StreamPart, TargetAnswer, TargetStream};
+use crate::send::Send;
 
 /// Time between two looks for a target that can go on with a stream that pauses for too long.
 const MOVE_LOOK: Duration = Duration::from_millis(100);
--- /dev/null
+++ b/components/gateway/src/send.rs
@@ -0,0 +1,49 @@
+//! A request at a target.
+
+use std::rc::Rc;
+
+use base::Timestamp;
+use routing::{DirectPick, SendId, TargetOutcome};
+
+use crate::app::App;
+
+/// A send in progress; dropping it takes the request out of the target's work.
+pub(crate) struct Send {
+    app: Rc<App>,
+    /// Target.
+    pub pick: DirectPick,
+    /// Number at the target.
+    pub number: SendId,
+    /// When it was sent.
+    pub at: Timestamp,
+}
+
+impl Drop for Send {
+    fn drop(&mut self) {
+        self.app.fleet.borrow_mut().note_end(self.pick.key, self.number);
+    }
+}
+
+impl Send {
+    /// A send that begins now.
+    pub(crate) const fn new(
+        app: Rc<App>,
+        pick: DirectPick,
+        number: SendId,
+        now: Timestamp,
+    ) -> Self {
+        Self { app, pick, number, at: now }
+    }
+
+    /// Records what the outcome says of the target.
+    pub(crate) fn note(&self, outcome: TargetOutcome) {
+        let now = self.app.clock.now();
+        self.app.fleet.borrow_mut().note_outcome(self.pick.key, outcome, now);
+    }
+
+    /// Records the first event of a generation on `model`.
+    pub(crate) fn note_first_event(&self, model: &str) {
+        let took_ms = self.app.clock.now().since(self.at).as_secs_f64() * 1_000.0;
+        self.app.fleet.borrow_mut().note_first_event(&self.pick, model, self.number, took_ms);
+    }
+}
--- /dev/null
+++ b/components/gateway/src/waiting.rs
@@ -0,0 +1,28 @@
+//! A request that waits for a copy of its model.
+
+use std::rc::Rc;
+
+use compact_str::CompactString;
+
+use crate::app::App;
+use crate::request::CallerRequest;
+
+/// Counts a request among those that wait for a copy of its model.
+pub(crate) struct Waiting {
+    app: Rc<App>,
+    model: CompactString,
+}
+
+impl Waiting {
+    pub(crate) fn new(app: &Rc<App>, request: &CallerRequest) -> Self {
+        let model = request.head.model.clone().unwrap_or_default();
+        app.demand.borrow_mut().note_waiting(&model, true);
+        Self { app: Rc::clone(app), model }
+    }
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        self.app.demand.borrow_mut().note_waiting(&self.model, false);
+    }
+}
--- a/tests/settings_reload.rs
+++ b/tests/settings_reload.rs
@@ -5,10 +5,11 @@
 
 use std::fs;
 use std::net::TcpListener;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 use rustix::process::Signal;
 use support::Process;
+use tempfile::TempDir;
 
 /// A settings file of a gateway on the loopback interface whose store answers nobody.
 fn settings(drain_ms: u32) -> String {
@@ -27,6 +28,16 @@
     )
 }
 
+/// A gateway that was started with a settings file, the file, and its content.
+async fn gateway_with_settings() -> (Process, PathBuf, String, TempDir) {
+    let directory = tempfile::tempdir().unwrap();
+    let path = directory.path().join("settings.conf");
+    let whole = settings(2_000);
+    fs::write(&path, &whole).unwrap();
+    let gateway = started(&path).await;
+    (gateway, path, whole, directory)
+}
+
 async fn started(path: &Path) -> Process {
     let metrics_port = TcpListener::bind(("127.0.0.1", 0)).unwrap().local_addr().unwrap().port();
     let arguments = ["gateway", "--settings", path.to_str().unwrap(), "--metrics-port"];
@@ -41,11 +52,7 @@
 /// change that nobody can see: each field is told with both values.
 #[tokio::test]
 async fn only_a_whole_and_usable_file_replaces_the_settings() {
-    let directory = tempfile::tempdir().unwrap();
-    let path = directory.path().join("settings.conf");
-    let whole = settings(2_000);
-    fs::write(&path, &whole).unwrap();
-    let gateway = started(&path).await;
+    let (gateway, path, whole, _directory) = gateway_with_settings().await;
 
     fs::write(&path, &whole[..whole.find("bounds.").unwrap()]).unwrap();
     gateway.signal(Signal::HUP);
@@ -74,11 +81,7 @@
 /// Guards against a file that lacks a field for good and is never taken.
 #[tokio::test]
 async fn a_file_that_stays_without_a_field_is_taken() {
-    let directory = tempfile::tempdir().unwrap();
-    let path = directory.path().join("settings.conf");
-    let whole = settings(2_000);
-    fs::write(&path, &whole).unwrap();
-    let gateway = started(&path).await;
+    let (gateway, path, whole, _directory) = gateway_with_settings().await;
     fs::write(&path, whole.replace("bounds.drain_ms=2000\n", "")).unwrap();
     gateway.signal(Signal::HUP);
     gateway.wait_for_line("event=settings_incomplete").await;
