Write test settings through the stand-in; give each test gateway an address of its own

They now take the settings file from the stand-in and the header's name from platform/. Ports were picked free and closed again, which another test could take; each gateway has a loopback address of its own.

--- a/tests/endless_answers.rs
+++ b/tests/endless_answers.rs
@@ -6,13 +6,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use platform::header_names::SEAL;
 use platform_standin::{
-    CallerAnswer, CallerConnection, CallerKind, CallerRequest, Journal, PlainTargetService,
-    PlainTargetSettings, RouteKind, RouteSpec, SiteSpec, StoreServer, StoreSettings, TargetNotice,
-    TenantSpec,
+    CallerAnswer, CallerConnection, CallerKind, CallerRequest, FleetLimits, Journal, MachineSpec,
+    PlainTargetService, PlainTargetSettings, RouteKind, RouteSpec, SiteSpec, StoreServer,
+    StoreSettings, TargetNotice, TenantSpec,
 };
 use standin::Service;
-use support::{Process, wait_until};
+use support::{Process, own_ip, wait_until};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
@@ -26,15 +27,17 @@
 const DEADLINE: Duration = Duration::from_secs(6);
 
 /// What a target sends before the bytes without end.
-const HEADS: [&str; 4] = [
-    "",
-    "HTTP/1.1 200 OK\r\nx-endless: ",
-    "HTTP/1.1 200 OK\r\nplantainbeam-response-seal: s\r\ncontent-length: 900000000000\r\n\r\n",
-    "HTTP/1.1 200 OK\r\nplantainbeam-response-seal: s\r\n\r\n",
-];
+fn heads() -> [String; 4] {
+    [
+        String::new(),
+        "HTTP/1.1 200 OK\r\nx-endless: ".to_owned(),
+        format!("HTTP/1.1 200 OK\r\n{SEAL}: s\r\ncontent-length: 900000000000\r\n\r\n"),
+        format!("HTTP/1.1 200 OK\r\n{SEAL}: s\r\n\r\n"),
+    ]
+}
 
 /// Reads a request and answers with bytes until the connection is closed, which it reports.
-async fn answer_without_end(mut socket: TcpStream, head: &str, closed: UnboundedSender<()>) {
+async fn answer_without_end(mut socket: TcpStream, head: String, closed: UnboundedSender<()>) {
     let mut request = [0; 4_096];
     if socket.read(&mut request).await.unwrap_or(0) == 0 {
         return;
@@ -55,7 +58,8 @@
     tokio::spawn(async move {
         for at in 0.. {
             let (socket, _) = listener.accept().await.unwrap();
-            tokio::spawn(answer_without_end(socket, HEADS[at % HEADS.len()], sender.clone()));
+            let head = heads()[at % heads().len()].clone();
+            tokio::spawn(answer_without_end(socket, head, sender.clone()));
         }
     });
     (address, closed)
@@ -90,10 +94,6 @@
     }
 }
 
-async fn free_port() -> u16 {
-    TcpListener::bind(("127.0.0.1", 0)).await.unwrap().local_addr().unwrap().port()
-}
-
 async fn order(callers: SocketAddr, number: usize) -> CallerAnswer {
     let mut connection = CallerConnection::open(callers, DEADLINE).await.unwrap();
     let request = CallerRequest {
@@ -128,21 +128,23 @@
     let entry = PlainTargetService::new(settings).entry(target, notice);
     store.service().put(SiteSpec::TARGETS, "target-1", &entry);
 
-    let callers = SocketAddr::from(([127, 0, 0, 1], free_port().await));
-    let file = format!(
-        "node=front-1\nzone=north-a\nregion=north\nip_address=127.0.0.1\ninternal_ports={},0\n\
-         listen.front={callers}\nlisten.ready_address=127.0.0.1:{}\n\
-         platform_settings.address={}\nfirst_start=true\n",
-        free_port().await,
-        free_port().await,
-        store.address(),
-    );
+    let spec = MachineSpec {
+        name: "front-1".into(),
+        data_centre: "north-a".into(),
+        data_centres: vec!["north-a".into()],
+        ip: own_ip().into(),
+        peer_port: 7_600,
+        caller_port: 8_221,
+        store: store.address(),
+        engine: None,
+        first_start: true,
+    };
+    let callers = spec.caller_address();
+    let file = spec.settings_file(&FleetLimits::default());
     let directory = tempfile::tempdir().unwrap();
     let path = directory.path().join("settings.conf");
     std::fs::write(&path, file).unwrap();
-    let arguments = ["gateway", "--settings", path.to_str().unwrap(), "--metrics-port"];
-    let mut arguments: Vec<String> = arguments.map(str::to_owned).to_vec();
-    arguments.push(free_port().await.to_string());
+    let arguments = ["gateway", "--settings", path.to_str().unwrap()].map(str::to_owned);
     let gateway = Process::start("gateway", &arguments);
     gateway.wait_for_line("event=target_announced").await;
     gateway.wait_for_line("event=configuration_in_force").await;
--- a/tests/settings_reload.rs
+++ b/tests/settings_reload.rs
@@ -4,45 +4,42 @@
 mod support;
 
 use std::fs;
-use std::net::TcpListener;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 
+use platform_standin::{FleetLimits, MachineSpec};
 use rustix::process::Signal;
-use support::Process;
+use support::{Process, own_ip};
 use tempfile::TempDir;
 
 /// A settings file of a gateway on the loopback interface whose store answers nobody.
-fn settings(drain_ms: u32) -> String {
-    let free_port = || {
-        let listener = TcpListener::bind(("127.0.0.1", 0)).unwrap();
-        listener.local_addr().unwrap().port()
+fn settings() -> String {
+    let spec = MachineSpec {
+        name: "front-1".into(),
+        data_centre: "north-a".into(),
+        data_centres: vec!["north-a".into()],
+        ip: own_ip().into(),
+        peer_port: 7_600,
+        caller_port: 8_221,
+        store: SocketAddr::from((Ipv4Addr::LOCALHOST, 9)),
+        engine: None,
+        first_start: true,
     };
-    format!(
-        "node=front-1\nzone=north-a\nregion=north\nip_address=127.0.0.1\ninternal_ports={},{}\n\
-         listen.front=127.0.0.1:{}\nlisten.ready_address=127.0.0.1:{}\n\
-         platform_settings.address=127.0.0.1:9\nbounds.drain_ms={drain_ms}\nbounds.grace_s=2\n",
-        free_port(),
-        0,
-        free_port(),
-        free_port(),
-    )
+    spec.settings_file(&FleetLimits { drain_ms: 2_000, ..FleetLimits::default() })
 }
 
 /// A gateway that was started with a settings file, the file, and its content.
 async fn gateway_with_settings() -> (Process, PathBuf, String, TempDir) {
     let directory = tempfile::tempdir().unwrap();
     let path = directory.path().join("settings.conf");
-    let whole = settings(2_000);
+    let whole = settings();
     fs::write(&path, &whole).unwrap();
     let gateway = started(&path).await;
     (gateway, path, whole, directory)
 }
 
 async fn started(path: &Path) -> Process {
-    let metrics_port = TcpListener::bind(("127.0.0.1", 0)).unwrap().local_addr().unwrap().port();
-    let arguments = ["gateway", "--settings", path.to_str().unwrap(), "--metrics-port"];
-    let mut arguments: Vec<String> = arguments.map(str::to_owned).to_vec();
-    arguments.push(metrics_port.to_string());
+    let arguments = ["gateway", "--settings", path.to_str().unwrap()].map(str::to_owned);
     let gateway = Process::start("gateway", &arguments);
     gateway.wait_for_line("event=gateway_started").await;
     gateway
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -9,6 +9,8 @@
 mod process;
 mod standins;
 
+use std::net::Ipv4Addr;
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
 pub use caller::{Caller, StreamedAnswer};
@@ -20,6 +22,13 @@
 /// Bound on each wait for a condition; far above what any of them takes.
 pub const WAIT_LIMIT: Duration = Duration::from_secs(15);
 
+/// A loopback address that no other process of the tests uses, so that its ports are free.
+pub fn own_ip() -> Ipv4Addr {
+    static NEXT: AtomicU8 = AtomicU8::new(100);
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, NEXT.fetch_add(1, Ordering::Relaxed), high, low.max(1))
+}
+
 /// Waits until `condition` holds.
 pub async fn wait_until(what: &str, mut condition: impl AsyncFnMut() -> bool) {
     let end = Instant::now() + WAIT_LIMIT;
