Log each decision on a retry and count the refused ones

The logs could not tell apart the hypotheses of the retry budget incident: a refused retry was visible only where the request had not run, and nothing showed from which part of the budget a retry was taken or which reports of the other gateways it was based on. Each decision is now one line, retry_checked, and refused retries are counted in retries_refused. FleetRetryBudget::try_acquire returns the part of the budget; its decisions are unchanged, and its tests keep their bounds.

--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -493,15 +493,11 @@
     }
 
     fn admit(&mut self, pick: DirectPick, now: Timestamp) -> Result<ChosenTarget, ApiError> {
-        if self.attempts.count() > 0 {
-            let gateways = self.app.gateway_count(now).known;
-            let service = &self.request.plan.service;
-            if !self.app.rates.borrow_mut().try_take_retry(service, gateways, now) {
-                let text = "the budget of further attempts is used up";
-                return Err(ApiError::new(ErrorCode::NoCapacity, text)
-                    .with_retry_after(NO_TARGET_RETRY_AFTER));
-            }
-            self.app.metrics.record_retry();
+        if self.attempts.count() > 0 && !self.try_take_retry(now) {
+            let text = "the budget of further attempts is used up";
+            return Err(
+                ApiError::new(ErrorCode::NoCapacity, text).with_retry_after(NO_TARGET_RETRY_AFTER)
+            );
         }
         let plan = &self.request.plan;
         let slack = Slack {
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod remote_engine;
 mod request;
 mod request_handler;
+mod retry;
 mod shutdown;
 mod stream_failover;
 mod target_pool;
--- a/components/gateway/src/rate_limits.rs
+++ b/components/gateway/src/rate_limits.rs
@@ -5,12 +5,29 @@
 use base::{Incarnation, ProcessName, SortedMap, Timestamp, short_hash};
 use compact_str::CompactString;
 use config::{Customer, FleetBounds, FleetConfig};
-use rates::{CustomerRate, FleetRetryBudget, RetryBudgetSettings, RetryCounts, SharedBucket};
+use rates::{
+    CustomerRate, FleetRetryBudget, RetryBudgetSettings, RetryCounts, RetrySource, SharedBucket,
+};
 use wire::{AdmittedTokens, FurtherSends};
 
 /// Share of the tolerated excess over a customer's rate that is admitted.
 const ADMITTED_EXCESS_SHARE: f64 = 0.6;
 
+/// Decision on a retry, with what it was based on.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RetryDecision {
+    /// Part of the budget that the retry was taken from; none if the budget is exhausted.
+    pub source: Option<RetrySource>,
+    /// Requests and retries of this gateway.
+    pub own: RetryCounts,
+    /// Sum of what the other gateways reported.
+    pub peers: RetryCounts,
+    /// Number of gateways whose reports were used.
+    pub reports: usize,
+    /// Age of the oldest of these reports.
+    pub oldest_report: Duration,
+}
+
 /// Rate limit buckets by customer, and retry budgets by service.
 #[derive(Debug)]
 pub(crate) struct RateLimits {
@@ -73,23 +90,30 @@
         }
     }
 
-    /// Takes one attempt at a further target from the retry budget of a service; returns false if
-    /// the budget is exhausted.
-    pub(crate) fn try_take_retry(&mut self, service: &str, gateways: u32, now: Timestamp) -> bool {
+    /// Takes one attempt at a further target from the retry budget of a service.
+    pub(crate) fn try_take_retry(
+        &mut self,
+        service: &str,
+        gateways: u32,
+        now: Timestamp,
+    ) -> RetryDecision {
         let hash = short_hash(service.as_bytes());
         let window = Duration::from_millis(self.bounds.retry_window_ms);
-        let peers = self
-            .peer_retries
-            .values()
-            .filter(|(_, at)| now.since(*at) < window)
+        let current = || self.peer_retries.values().filter(|(_, at)| now.since(*at) < window);
+        let peers = current()
             .flat_map(|(sends, _)| sends)
             .filter(|sends| sends.service == hash)
             .fold(RetryCounts::default(), |sum, sends| RetryCounts {
                 requests: sum.requests + sends.requests,
                 retries: sum.retries + sends.further,
             });
+        let reports = current().count();
+        let oldest_report = current().map(|(_, at)| now.since(*at)).max().unwrap_or_default();
         let budget = self.budgets.get_mut(service);
-        budget.is_some_and(|budget| budget.try_acquire(gateways, peers, now))
+        let (source, own) = budget.map_or((None, RetryCounts::default()), |budget| {
+            (budget.try_acquire(gateways, peers, now), budget.counts(now))
+        });
+        RetryDecision { source, own, peers, reports, oldest_report }
     }
 
     /// Requests and retries of this gateway, reported to the other gateways.
--- /dev/null
+++ b/components/gateway/src/retry.rs
@@ -0,0 +1,33 @@
+//! Retries of a request within the budget of its service.
+
+use base::Timestamp;
+use rates::RetrySource;
+use telemetry::quote;
+
+use crate::dispatch::Dispatch;
+
+impl Dispatch {
+    /// Takes one retry from the budget of the request's service; returns false if it is exhausted.
+    pub(crate) fn try_take_retry(&self, now: Timestamp) -> bool {
+        let service = &self.request.plan.service;
+        let gateways = self.app.gateway_count(now).known;
+        let decision = self.app.rates.borrow_mut().try_take_retry(service, gateways, now);
+        log::info!(
+            "event=retry_checked request_id={} service={} source={} own_requests={} own_retries={} peer_requests={} peer_retries={} gateways={gateways} reports={} oldest_report_ms={}",
+            quote(&self.request.id),
+            quote(service),
+            decision.source.map_or("none", RetrySource::as_str),
+            decision.own.requests,
+            decision.own.retries,
+            decision.peers.requests,
+            decision.peers.retries,
+            decision.reports,
+            decision.oldest_report.as_millis()
+        );
+        match decision.source {
+            Some(_) => self.app.metrics.record_retry(),
+            None => self.app.metrics.record_retry_refused(),
+        }
+        decision.source.is_some()
+    }
+}
--- a/components/rates/src/retry_budget.rs
+++ b/components/rates/src/retry_budget.rs
@@ -34,6 +34,25 @@
     retries: VecDeque<Timestamp>,
 }
 
+/// Part of the budget that a retry is taken from.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RetrySource {
+    /// This gateway's own share.
+    OwnShare,
+    /// What the whole fleet leaves unused.
+    Pool,
+}
+
+impl RetrySource {
+    /// Value for log lines.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::OwnShare => "own_share",
+            Self::Pool => "pool",
+        }
+    }
+}
+
 /// Number of requests and retries in the window.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct RetryCounts {
@@ -61,8 +80,13 @@
     }
 
     /// Spends one retry if this gateway's share among `gateways`, or the unused remainder of the
-    /// whole budget, allows it.
-    pub fn try_acquire(&mut self, gateways: u32, peers: RetryCounts, now: Timestamp) -> bool {
+    /// whole budget, allows it; returns what it was taken from.
+    pub fn try_acquire(
+        &mut self,
+        gateways: u32,
+        peers: RetryCounts,
+        now: Timestamp,
+    ) -> Option<RetrySource> {
         self.expire(now);
         let own = self.requests.len() as f64;
         let used = self.retries.len() as f64 + 1.0;
@@ -70,11 +94,13 @@
         let within_share = used <= USABLE_FRACTION * (self.settings.ratio * own + own_slack);
         let all = self.settings.ratio * (own + f64::from(peers.requests)) + self.settings.slack;
         let within_pool = used + f64::from(peers.retries) <= POOL_FRACTION * all;
-        if !within_share && !within_pool {
-            return false;
-        }
+        let source = match (within_share, within_pool) {
+            (true, _) => RetrySource::OwnShare,
+            (false, true) => RetrySource::Pool,
+            (false, false) => return None,
+        };
         self.retries.push_back(now);
-        true
+        Some(source)
     }
 
     /// Returns the requests and retries in the window, to report to the other gateways.
--- a/components/rates/tests/retry_budget.rs
+++ b/components/rates/tests/retry_budget.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use base::Timestamp;
-use rates::{FleetRetryBudget, RetryBudgetSettings, RetryCounts};
+use rates::{FleetRetryBudget, RetryBudgetSettings, RetryCounts, RetrySource};
 
 fn at(ms: u64) -> Timestamp {
     Timestamp::from_millis(ms)
@@ -23,7 +23,7 @@
     peers: RetryCounts,
     now: Timestamp,
 ) -> u32 {
-    (0..1_000).map(|_| u32::from(budget.try_acquire(gateways, peers, now))).sum()
+    (0..1_000).map(|_| u32::from(budget.try_acquire(gateways, peers, now).is_some())).sum()
 }
 
 /// Guards against a fleet in which each gateway spends the whole slack: four gateways that have
@@ -52,6 +52,20 @@
     );
 }
 
+/// Guards against log lines that name the wrong part of the budget: retries beyond the gateway's
+/// own share come from the pool.
+#[test]
+fn retry_beyond_the_own_share_is_taken_from_the_pool() {
+    let mut budget = budget();
+    let peers = RetryCounts { requests: 1_000, retries: 0 };
+    let sources: Vec<_> =
+        (0..85).map(|_| budget.try_acquire(10, peers, at(0)).map(RetrySource::as_str)).collect();
+    // Own share: 0.85 x 40 / 10; pool: 0.6 x (0.1 x 1,000 + 40).
+    assert_eq!(sources[..3], [Some("own_share"); 3]);
+    assert_eq!(sources[3..84], [Some("pool"); 81]);
+    assert_eq!(sources[84], None);
+}
+
 /// Guards against retries that count for longer or shorter than the window.
 #[test]
 fn retry_counts_for_the_length_of_the_window() {
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -44,6 +44,7 @@
     output_tokens: Counter<u64>,
     refusals: Counter<u64>,
     retries: Counter<u64>,
+    retries_refused: Counter<u64>,
     late_answers: Counter<u64>,
     replays: Counter<u64>,
     in_flight: Gauge<u64>,
@@ -96,6 +97,7 @@
             output_tokens: count("output_tokens", "Tokens delivered"),
             refusals: count("refusals", "Requests refused or failed, by reason"),
             retries: count("retries", "Attempts after the first"),
+            retries_refused: count("retries_refused", "Attempts that the retry budget refused"),
             late_answers: count("late_answers", "Answers dropped as late or mismatched"),
             replays: count("replays", "Stored answers sent again"),
             in_flight: number("requests_in_flight", "Requests in progress"),
@@ -164,6 +166,11 @@
         self.retries.add(1, &[]);
     }
 
+    /// Counts an attempt after the first that the retry budget of its service refused.
+    pub fn record_retry_refused(&self) {
+        self.retries_refused.add(1, &[]);
+    }
+
     /// Counts an answer that was dropped because it was late or not for its request.
     pub fn record_late_answer(&self) {
         self.late_answers.add(1, &[]);
--- a/components/telemetry/tests/labels_and_lines.rs
+++ b/components/telemetry/tests/labels_and_lines.rs
@@ -46,6 +46,7 @@
     }
     metrics.record_refusal("rate_exceeded");
     metrics.record_retry();
+    metrics.record_retry_refused();
     metrics.record_late_answer();
     metrics.record_replay();
     metrics.set_in_flight(3);
@@ -74,6 +75,7 @@
         requests_in_flight 3
         requests_total{class="streamed",customer="capel"} 1
         requests_total{class="streamed",customer="other"} 2
+        retries_refused_total 1
         retries_total 1
         time_between_tokens_seconds_sum{class="streamed",customer="capel"} 0.03
         time_between_tokens_seconds_count{class="streamed",customer="capel"} 1
--- a/tests/documentation.rs
+++ b/tests/documentation.rs
@@ -102,6 +102,7 @@
     metrics.record_queue_wait("a", RequestClass::Whole, wait);
     metrics.record_refusal("queue_full");
     metrics.record_retry();
+    metrics.record_retry_refused();
     metrics.record_late_answer();
     metrics.record_replay();
     metrics.set_in_flight(1);
