Keep the reports of other gateways in the retry budget itself

RateLimits in the gateway summed the reports and handed the sum to FleetRetryBudget, so that no test without processes could show what a restart or a missing report does to the budget of the fleet. The reports move into the core type, with the same rules: one report for each name, used for the length of the window, dropped when the gateway leaves. The tests keep their figures.

--- a/components/gateway/src/rate_limits.rs
+++ b/components/gateway/src/rate_limits.rs
@@ -2,32 +2,17 @@
 
 use std::time::Duration;
 
-use base::{Incarnation, ProcessName, SortedMap, Timestamp, short_hash};
+use base::{Incarnation, ProcessId, ProcessName, SortedMap, Timestamp, short_hash};
 use compact_str::CompactString;
 use config::{Customer, FleetBounds, FleetConfig};
 use rates::{
-    CustomerRate, FleetRetryBudget, RetryBudgetSettings, RetryCounts, RetrySource, SharedBucket,
+    CustomerRate, FleetRetryBudget, RetryBudgetSettings, RetryCounts, RetryDecision, SharedBucket,
 };
 use wire::{AdmittedTokens, FurtherSends};
 
 /// Share of the tolerated excess over a customer's rate that is admitted.
 const ADMITTED_EXCESS_SHARE: f64 = 0.6;
 
-/// Decision on a retry, with what it was based on.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct RetryDecision {
-    /// Part of the budget that the retry was taken from; none if the budget is exhausted.
-    pub source: Option<RetrySource>,
-    /// Requests and retries of this gateway.
-    pub own: RetryCounts,
-    /// Sum of what the other gateways reported.
-    pub peers: RetryCounts,
-    /// Number of gateways whose reports were used.
-    pub reports: usize,
-    /// Age of the oldest of these reports.
-    pub oldest_report: Duration,
-}
-
 /// Rate limit buckets by customer, and retry budgets by service.
 #[derive(Debug)]
 pub(crate) struct RateLimits {
@@ -35,20 +20,12 @@
     bounds: FleetBounds,
     buckets: SortedMap<CompactString, SharedBucket>,
     budgets: SortedMap<CompactString, FleetRetryBudget>,
-    /// Requests and retries reported by the other gateways.
-    peer_retries: SortedMap<ProcessName, (Vec<FurtherSends>, Timestamp)>,
 }
 
 impl RateLimits {
     /// Rate limits without customers.
     pub(crate) const fn new(first_start: bool, bounds: FleetBounds) -> Self {
-        Self {
-            first_start,
-            bounds,
-            buckets: SortedMap::new(),
-            budgets: SortedMap::new(),
-            peer_retries: SortedMap::new(),
-        }
+        Self { first_start, bounds, buckets: SortedMap::new(), budgets: SortedMap::new() }
     }
 
     /// Sets the bounds; they take effect with the next configuration that is applied.
@@ -90,30 +67,15 @@
         }
     }
 
-    /// Takes one attempt at a further target from the retry budget of a service.
+    /// Takes one attempt at a further target from the retry budget of a service; returns none for a
+    /// service that is not in the configuration.
     pub(crate) fn try_take_retry(
         &mut self,
         service: &str,
         gateways: u32,
         now: Timestamp,
-    ) -> RetryDecision {
-        let hash = short_hash(service.as_bytes());
-        let window = Duration::from_millis(self.bounds.retry_window_ms);
-        let current = || self.peer_retries.values().filter(|(_, at)| now.since(*at) < window);
-        let peers = current()
-            .flat_map(|(sends, _)| sends)
-            .filter(|sends| sends.service == hash)
-            .fold(RetryCounts::default(), |sum, sends| RetryCounts {
-                requests: sum.requests + sends.requests,
-                retries: sum.retries + sends.further,
-            });
-        let reports = current().count();
-        let oldest_report = current().map(|(_, at)| now.since(*at)).max().unwrap_or_default();
-        let budget = self.budgets.get_mut(service);
-        let (source, own) = budget.map_or((None, RetryCounts::default()), |budget| {
-            (budget.try_acquire(gateways, peers, now), budget.counts(now))
-        });
-        RetryDecision { source, own, peers, reports, oldest_report }
+    ) -> Option<RetryDecision> {
+        Some(self.budgets.get_mut(service)?.try_acquire(gateways, now))
     }
 
     /// Requests and retries of this gateway, reported to the other gateways.
@@ -134,11 +96,17 @@
     /// Applies another gateway's report on its requests and retries.
     pub(crate) fn update_peer_retries(
         &mut self,
-        peer: &ProcessName,
+        peer: &ProcessId,
         sends: &[FurtherSends],
         now: Timestamp,
     ) {
-        self.peer_retries.insert(peer.clone(), (sends.to_vec(), now));
+        for (service, budget) in self.budgets.iter_mut() {
+            let hash = short_hash(service.as_bytes());
+            if let Some(report) = sends.iter().find(|report| report.service == hash) {
+                let counts = RetryCounts { requests: report.requests, retries: report.further };
+                budget.update_peer(peer, counts, now);
+            }
+        }
     }
 
     /// Applies another gateway's report on the tokens that it admitted.
@@ -159,7 +127,7 @@
     /// Removes a gateway that has expired.
     pub(crate) fn remove_peer(&mut self, peer: &ProcessName) {
         self.buckets.values_mut().for_each(|bucket| bucket.remove_peer(peer));
-        self.peer_retries.remove(peer);
+        self.budgets.values_mut().for_each(|budget| budget.remove_peer(peer));
     }
 
     /// Tokens that this gateway has admitted, reported to the other gateways.
--- a/components/gateway/src/retry.rs
+++ b/components/gateway/src/retry.rs
@@ -12,6 +12,8 @@
         let service = &self.request.plan.service;
         let gateways = self.app.gateway_count(now).known;
         let decision = self.app.rates.borrow_mut().try_take_retry(service, gateways, now);
+        // Every service of the configuration in force has a budget.
+        let Some(decision) = decision else { return false };
         log::info!(
             "event=retry_checked request_id={} service={} source={} own_requests={} own_retries={} peer_requests={} peer_retries={} gateways={gateways} reports={} oldest_report_ms={}",
             quote(&self.request.id),
--- a/components/rates/src/retry_budget.rs
+++ b/components/rates/src/retry_budget.rs
@@ -7,7 +7,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use base::Timestamp;
+use base::{ProcessId, ProcessName, SortedMap, Timestamp};
 
 /// Usable fraction of a gateway's share; the rest covers clock differences and messages in flight.
 const USABLE_FRACTION: f64 = 0.85;
@@ -26,12 +26,35 @@
     pub window: Duration,
 }
 
-/// Requests and retries of one gateway to one service within the sliding window.
+/// Requests and retries of one gateway to one service within the sliding window, with what the
+/// other gateways reported of theirs.
 #[derive(Clone, Debug)]
 pub struct FleetRetryBudget {
     settings: RetryBudgetSettings,
     requests: VecDeque<Timestamp>,
     retries: VecDeque<Timestamp>,
+    peers: SortedMap<ProcessName, PeerReport>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct PeerReport {
+    counts: RetryCounts,
+    received: Timestamp,
+}
+
+/// Decision on a retry, with what it was based on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct RetryDecision {
+    /// Part of the budget that the retry was taken from; none if the budget is exhausted.
+    pub source: Option<RetrySource>,
+    /// Requests and retries of this gateway, without this retry.
+    pub own: RetryCounts,
+    /// Sum of what the other gateways reported.
+    pub peers: RetryCounts,
+    /// Number of the reports.
+    pub reports: usize,
+    /// Age of the oldest report.
+    pub oldest_report: Duration,
 }
 
 /// Part of the budget that a retry is taken from.
@@ -65,7 +88,12 @@
 impl FleetRetryBudget {
     /// Creates a budget with no recorded requests.
     pub const fn new(settings: RetryBudgetSettings) -> Self {
-        Self { settings, requests: VecDeque::new(), retries: VecDeque::new() }
+        Self {
+            settings,
+            requests: VecDeque::new(),
+            retries: VecDeque::new(),
+            peers: SortedMap::new(),
+        }
     }
 
     /// Replaces the settings; recorded requests and retries are kept.
@@ -79,28 +107,51 @@
         self.requests.push_back(now);
     }
 
+    /// Applies another gateway's report of its requests and retries in the window.
+    pub fn update_peer(&mut self, peer: &ProcessId, counts: RetryCounts, now: Timestamp) {
+        self.peers.insert(peer.name.clone(), PeerReport { counts, received: now });
+    }
+
+    /// Removes a gateway that has left.
+    pub fn remove_peer(&mut self, peer: &ProcessName) {
+        self.peers.remove(peer);
+    }
+
     /// Spends one retry if this gateway's share among `gateways`, or the unused remainder of the
-    /// whole budget, allows it; returns what it was taken from.
-    pub fn try_acquire(
-        &mut self,
-        gateways: u32,
-        peers: RetryCounts,
-        now: Timestamp,
-    ) -> Option<RetrySource> {
-        self.expire(now);
+    /// whole budget, allows it.
+    pub fn try_acquire(&mut self, gateways: u32, now: Timestamp) -> RetryDecision {
+        let own = self.counts(now);
+        let peers = self.peers.values().fold(RetryCounts::default(), |sum, report| RetryCounts {
+            requests: sum.requests + report.counts.requests,
+            retries: sum.retries + report.counts.retries,
+        });
+        let source = self.source(gateways, peers);
+        if source.is_some() {
+            self.retries.push_back(now);
+        }
+        let ages = self.peers.values().map(|report| now.since(report.received));
+        RetryDecision {
+            source,
+            own,
+            peers,
+            reports: self.peers.len(),
+            oldest_report: ages.max().unwrap_or_default(),
+        }
+    }
+
+    /// Returns the part of the budget that allows one more retry.
+    fn source(&self, gateways: u32, peers: RetryCounts) -> Option<RetrySource> {
         let own = self.requests.len() as f64;
         let used = self.retries.len() as f64 + 1.0;
         let own_slack = self.settings.slack / f64::from(gateways.max(1));
         let within_share = used <= USABLE_FRACTION * (self.settings.ratio * own + own_slack);
         let all = self.settings.ratio * (own + f64::from(peers.requests)) + self.settings.slack;
         let within_pool = used + f64::from(peers.retries) <= POOL_FRACTION * all;
-        let source = match (within_share, within_pool) {
-            (true, _) => RetrySource::OwnShare,
-            (false, true) => RetrySource::Pool,
-            (false, false) => return None,
-        };
-        self.retries.push_back(now);
-        Some(source)
+        match (within_share, within_pool) {
+            (true, _) => Some(RetrySource::OwnShare),
+            (false, true) => Some(RetrySource::Pool),
+            (false, false) => None,
+        }
     }
 
     /// Returns the requests and retries in the window, to report to the other gateways.
@@ -111,10 +162,12 @@
     }
 
     fn expire(&mut self, now: Timestamp) {
+        let window = self.settings.window;
         for times in [&mut self.requests, &mut self.retries] {
-            while times.front().is_some_and(|at| now.since(*at) >= self.settings.window) {
+            while times.front().is_some_and(|at| now.since(*at) >= window) {
                 times.pop_front();
             }
         }
+        self.peers.retain(|_, report| now.since(report.received) < window);
     }
 }
--- a/components/rates/tests/retry_budget.rs
+++ b/components/rates/tests/retry_budget.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use base::Timestamp;
+use base::{Incarnation, ProcessId, ProcessName, Timestamp};
 use rates::{FleetRetryBudget, RetryBudgetSettings, RetryCounts, RetrySource};
 
 fn at(ms: u64) -> Timestamp {
@@ -17,21 +17,23 @@
     })
 }
 
-fn count_acquired(
-    budget: &mut FleetRetryBudget,
-    gateways: u32,
-    peers: RetryCounts,
-    now: Timestamp,
-) -> u32 {
-    (0..1_000).map(|_| u32::from(budget.try_acquire(gateways, peers, now).is_some())).sum()
+/// A budget with a report of one other gateway at time 0.
+fn budget_with_peer(requests: u32, retries: u32) -> FleetRetryBudget {
+    let mut budget = budget();
+    let peer = ProcessId { name: ProcessName::new("other"), incarnation: Incarnation(1) };
+    budget.update_peer(&peer, RetryCounts { requests, retries }, at(0));
+    budget
+}
+
+fn count_acquired(budget: &mut FleetRetryBudget, gateways: u32, now: Timestamp) -> u32 {
+    (0..1_000).map(|_| u32::from(budget.try_acquire(gateways, now).source.is_some())).sum()
 }
 
 /// Guards against a fleet in which each gateway spends the whole slack: four gateways that have
 /// only their own shares must stay within it together.
 #[test]
 fn gateways_limited_to_their_own_shares_stay_within_the_slack() {
-    let exhausted_pool = RetryCounts { requests: 0, retries: 1_000 };
-    let sum: u32 = (0..4).map(|_| count_acquired(&mut budget(), 4, exhausted_pool, at(0))).sum();
+    let sum: u32 = (0..4).map(|_| count_acquired(&mut budget_with_peer(0, 1_000), 4, at(0))).sum();
     assert!(sum <= 40, "{sum} retries with a slack of 40");
     assert!(sum >= 28, "{sum} retries with a slack of 40");
 }
@@ -40,13 +42,11 @@
 /// others leave the budget unused.
 #[test]
 fn unused_budget_of_other_gateways_is_available() {
-    let idle = RetryCounts { requests: 1_000, retries: 0 };
-    let pooled = count_acquired(&mut budget(), 10, idle, at(0));
+    let pooled = count_acquired(&mut budget_with_peer(1_000, 0), 10, at(0));
     // 0.6 x (0.1 x 1,000 + 40).
     assert_eq!(pooled, 84);
-    let busy = RetryCounts { requests: 1_000, retries: 84 };
     assert_eq!(
-        count_acquired(&mut budget(), 10, busy, at(0)),
+        count_acquired(&mut budget_with_peer(1_000, 84), 10, at(0)),
         3,
         "only the gateway's own share of the slack is left"
     );
@@ -56,10 +56,9 @@
 /// own share come from the pool.
 #[test]
 fn retry_beyond_the_own_share_is_taken_from_the_pool() {
-    let mut budget = budget();
-    let peers = RetryCounts { requests: 1_000, retries: 0 };
+    let mut budget = budget_with_peer(1_000, 0);
     let sources: Vec<_> =
-        (0..85).map(|_| budget.try_acquire(10, peers, at(0)).map(RetrySource::as_str)).collect();
+        (0..85).map(|_| budget.try_acquire(10, at(0)).source.map(RetrySource::as_str)).collect();
     // Own share: 0.85 x 40 / 10; pool: 0.6 x (0.1 x 1,000 + 40).
     assert_eq!(sources[..3], [Some("own_share"); 3]);
     assert_eq!(sources[3..84], [Some("pool"); 81]);
@@ -70,17 +69,12 @@
 #[test]
 fn retry_counts_for_the_length_of_the_window() {
     let mut budget = budget();
-    let peers = RetryCounts::default();
     for ms in 0..100 {
         budget.record_request(at(ms));
     }
-    let first = count_acquired(&mut budget, 1, peers, at(100));
+    let first = count_acquired(&mut budget, 1, at(100));
     assert_eq!(first, 42, "0.85 x (0.1 x 100 + 40)");
-    assert_eq!(count_acquired(&mut budget, 1, peers, at(10_099)), 0);
+    assert_eq!(count_acquired(&mut budget, 1, at(10_099)), 0);
     assert_eq!(budget.counts(at(10_099)), RetryCounts { requests: 0, retries: 42 });
-    assert_eq!(
-        count_acquired(&mut budget, 1, peers, at(10_100)),
-        34,
-        "the requests have left the window"
-    );
+    assert_eq!(count_acquired(&mut budget, 1, at(10_100)), 34, "the requests have left the window");
 }
