Count the retries of gateway processes that have ended

Cause: the record of a process ends with it. A restarted gateway began with no retries and its whole part of the slack, and the others replaced the report of its former process by the new one, or dropped it when the gateway left.

Reports are now kept by process for one window after the last one; what they hold beyond the process's own requests stays spent. A process that starts while others may be running uses no slack for one window, as the buckets of customers already do.

Ruled out: delayed reports.

--- a/components/gateway/src/rate_limits.rs
+++ b/components/gateway/src/rate_limits.rs
@@ -49,9 +49,15 @@
             slack: self.bounds.retry_slack,
             window: Duration::from_millis(self.bounds.retry_window_ms),
         };
+        // The clock starts with the process.
+        let slack_from = match self.first_start {
+            true => Timestamp::default(),
+            false => Timestamp::default() + settings.window,
+        };
         for service in &config.services {
-            self.budgets
-                .get_or_insert_with(service.name.clone(), || FleetRetryBudget::new(settings));
+            self.budgets.get_or_insert_with(service.name.clone(), || {
+                FleetRetryBudget::new(settings, slack_from)
+            });
         }
     }
 
@@ -127,7 +133,6 @@
     /// Removes a gateway that has expired.
     pub(crate) fn remove_peer(&mut self, peer: &ProcessName) {
         self.buckets.values_mut().for_each(|bucket| bucket.remove_peer(peer));
-        self.budgets.values_mut().for_each(|budget| budget.remove_peer(peer));
     }
 
     /// Tokens that this gateway has admitted, reported to the other gateways.
--- a/components/rates/src/retry_budget.rs
+++ b/components/rates/src/retry_budget.rs
@@ -7,11 +7,15 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use base::{ProcessId, ProcessName, SortedMap, Timestamp};
+use base::{ProcessId, SortedMap, Timestamp};
 
 /// Usable fraction of a gateway's share; the rest covers clock differences and messages in flight.
 const USABLE_FRACTION: f64 = 0.85;
 
+/// Age from which a report is no longer current: the gateway has ended, restarted or is cut off.
+/// Reports arrive several times in this period.
+const REPORT_CURRENT: Duration = Duration::from_secs(1);
+
 /// Fraction of the whole budget up to which a gateway may exceed its own share.
 const POOL_FRACTION: f64 = 0.6;
 
@@ -31,9 +35,12 @@
 #[derive(Clone, Debug)]
 pub struct FleetRetryBudget {
     settings: RetryBudgetSettings,
+    /// Time from which the slack may be used.
+    slack_from: Timestamp,
     requests: VecDeque<Timestamp>,
     retries: VecDeque<Timestamp>,
-    peers: SortedMap<ProcessName, PeerReport>,
+    /// Newest report of each process; those of ended processes are kept for one window.
+    peers: SortedMap<ProcessId, PeerReport>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -49,7 +56,7 @@
     pub source: Option<RetrySource>,
     /// Requests and retries of this gateway, without this retry.
     pub own: RetryCounts,
-    /// Sum of what the other gateways reported.
+    /// Sum of what counts of the other gateways' reports.
     pub peers: RetryCounts,
     /// Number of the reports.
     pub reports: usize,
@@ -87,9 +94,13 @@
 
 impl FleetRetryBudget {
     /// Creates a budget with no recorded requests.
-    pub const fn new(settings: RetryBudgetSettings) -> Self {
+    ///
+    /// A process that starts while others are running has no record of the retries of its
+    /// predecessor. It may use the slack only from `slack_from`, one window after its start.
+    pub const fn new(settings: RetryBudgetSettings, slack_from: Timestamp) -> Self {
         Self {
             settings,
+            slack_from,
             requests: VecDeque::new(),
             retries: VecDeque::new(),
             peers: SortedMap::new(),
@@ -109,23 +120,21 @@
 
     /// Applies another gateway's report of its requests and retries in the window.
     pub fn update_peer(&mut self, peer: &ProcessId, counts: RetryCounts, now: Timestamp) {
-        self.peers.insert(peer.name.clone(), PeerReport { counts, received: now });
-    }
-
-    /// Removes a gateway that has left.
-    pub fn remove_peer(&mut self, peer: &ProcessName) {
-        self.peers.remove(peer);
+        self.peers.insert(peer.clone(), PeerReport { counts, received: now });
     }
 
     /// Spends one retry if this gateway's share among `gateways`, or the unused remainder of the
     /// whole budget, allows it.
     pub fn try_acquire(&mut self, gateways: u32, now: Timestamp) -> RetryDecision {
         let own = self.counts(now);
-        let peers = self.peers.values().fold(RetryCounts::default(), |sum, report| RetryCounts {
-            requests: sum.requests + report.counts.requests,
-            retries: sum.retries + report.counts.retries,
-        });
-        let source = self.source(gateways, peers);
+        let peers = self.peers.values().map(|report| self.counted(report, now)).fold(
+            RetryCounts::default(),
+            |sum, counts| RetryCounts {
+                requests: sum.requests + counts.requests,
+                retries: sum.retries + counts.retries,
+            },
+        );
+        let source = self.source(gateways, peers, now);
         if source.is_some() {
             self.retries.push_back(now);
         }
@@ -139,13 +148,26 @@
         }
     }
 
+    /// Returns what counts of a report. The requests of a process that no longer reports entitle
+    /// nobody to retries, since its callers may send them again to other gateways; its retries
+    /// count as far as its own requests did not cover them.
+    fn counted(&self, report: &PeerReport, now: Timestamp) -> RetryCounts {
+        let counts = report.counts;
+        if now.since(report.received) < REPORT_CURRENT {
+            return counts;
+        }
+        let covered = (self.settings.ratio * f64::from(counts.requests)) as u32;
+        RetryCounts { requests: 0, retries: counts.retries.saturating_sub(covered) }
+    }
+
     /// Returns the part of the budget that allows one more retry.
-    fn source(&self, gateways: u32, peers: RetryCounts) -> Option<RetrySource> {
+    fn source(&self, gateways: u32, peers: RetryCounts, now: Timestamp) -> Option<RetrySource> {
         let own = self.requests.len() as f64;
         let used = self.retries.len() as f64 + 1.0;
-        let own_slack = self.settings.slack / f64::from(gateways.max(1));
+        let slack = if now >= self.slack_from { self.settings.slack } else { 0.0 };
+        let own_slack = slack / f64::from(gateways.max(1));
         let within_share = used <= USABLE_FRACTION * (self.settings.ratio * own + own_slack);
-        let all = self.settings.ratio * (own + f64::from(peers.requests)) + self.settings.slack;
+        let all = self.settings.ratio * (own + f64::from(peers.requests)) + slack;
         let within_pool = used + f64::from(peers.retries) <= POOL_FRACTION * all;
         match (within_share, within_pool) {
             (true, _) => Some(RetrySource::OwnShare),
--- a/components/rates/tests/retry_budget.rs
+++ b/components/rates/tests/retry_budget.rs
@@ -10,11 +10,8 @@
 }
 
 fn budget() -> FleetRetryBudget {
-    FleetRetryBudget::new(RetryBudgetSettings {
-        ratio: 0.1,
-        slack: 40.0,
-        window: Duration::from_secs(10),
-    })
+    let window = Duration::from_secs(10);
+    FleetRetryBudget::new(RetryBudgetSettings { ratio: 0.1, slack: 40.0, window }, at(0))
 }
 
 /// A budget with a report of one other gateway at time 0.
--- a/components/rates/tests/retry_budget_fleet.rs
+++ b/components/rates/tests/retry_budget_fleet.rs
@@ -52,7 +52,7 @@
                 name: ProcessName::new(&format!("gateway-{index}")),
                 incarnation: Incarnation(0),
             },
-            budget: FleetRetryBudget::new(settings),
+            budget: FleetRetryBudget::new(settings, Timestamp::default()),
             started_ms: 0,
             load: *load,
             due: 0.0,
@@ -72,7 +72,8 @@
     fn restart(&mut self, index: usize) {
         let gateway = &mut self.gateways[index];
         gateway.process.incarnation = Incarnation(gateway.process.incarnation.0 + 1);
-        gateway.budget = FleetRetryBudget::new(self.settings);
+        let slack_from = Timestamp::from_millis(WINDOW_MS);
+        gateway.budget = FleetRetryBudget::new(self.settings, slack_from);
         gateway.started_ms = self.now_ms;
         self.reports.retain(|report| report.to != index);
     }
