Divide what is left of the retry budget among the reporting gateways

Callers' requests were retried beyond the fleet's budget even where no gateway restarted. Cause: two allowances that did not know of each other. A gateway could exceed its own share while the fleet was below 60% of the budget, every gateway at once until reports arrived, and the others could still use their own shares in full; a gateway that heard nobody took the slack of the whole fleet.

There is one account now: the budget less the retries that are reported. Each reporting gateway may take an equal part of it within 500 ms, in which the others learn of it, and the slack of gateways that do not report is left to them. The sum of the parts is what is left, so the fleet stays within the budget whichever gateways fail first, all at once, or while cut off.

Ruled out: a guaranteed part for each gateway beside the account. It needs a reserve that idle gateways leave unused, and the account gives each gateway the same part anyway. A period of 1 s instead of 500 ms: a single failing gateway gets less, and reports that are 900 ms late stay within the budget with 500 ms too.

The part of a retry in the log is replaced by the account itself.

--- a/components/gateway/src/retry.rs
+++ b/components/gateway/src/retry.rs
@@ -1,7 +1,6 @@
 //! Retries of a request within the budget of its service.
 
 use base::Timestamp;
-use rates::RetrySource;
 use telemetry::quote;
 
 use crate::dispatch::Dispatch;
@@ -15,21 +14,21 @@
         // Every service of the configuration in force has a budget.
         let Some(decision) = decision else { return false };
         log::info!(
-            "event=retry_checked request_id={} service={} source={} own_requests={} own_retries={} peer_requests={} peer_retries={} gateways={gateways} reports={} oldest_report_ms={}",
+            "event=retry_checked request_id={} service={} allowed={} left={:.1} own_requests={} own_retries={} peer_requests={} peer_retries={} gateways={gateways} reporting={}",
             quote(&self.request.id),
             quote(service),
-            decision.source.map_or("none", RetrySource::as_str),
+            decision.allowed,
+            decision.left,
             decision.own.requests,
             decision.own.retries,
             decision.peers.requests,
             decision.peers.retries,
-            decision.reports,
-            decision.oldest_report.as_millis()
+            decision.reporting
         );
-        match decision.source {
-            Some(_) => self.app.metrics.record_retry(),
-            None => self.app.metrics.record_retry_refused(),
+        match decision.allowed {
+            true => self.app.metrics.record_retry(),
+            false => self.app.metrics.record_retry_refused(),
         }
-        decision.source.is_some()
+        decision.allowed
     }
 }
--- a/components/rates/src/lib.rs
+++ b/components/rates/src/lib.rs
@@ -30,9 +30,7 @@
     BucketLayoutRecord, CustomerLevel, ReplacedOwner, SlotEntry, SlotRecord, SlotSnapshot,
     SnapshotSlot, WriterPosition,
 };
-pub use retry_budget::{
-    FleetRetryBudget, RetryBudgetSettings, RetryCounts, RetryDecision, RetrySource,
-};
+pub use retry_budget::{FleetRetryBudget, RetryBudgetSettings, RetryCounts, RetryDecision};
 pub use share::{
     MicroTokens, Share, WEIGHT_STORE_CUSTOMER, bucket_share, partition_of, slots_of, split,
 };
--- a/components/rates/src/retry_budget.rs
+++ b/components/rates/src/retry_budget.rs
@@ -1,24 +1,27 @@
 //! Retry budget shared by all gateways.
 //!
-//! A retry is a send of a request to a further target. Each gateway may always use its own share of
-//! the budget. It may also use what the others leave unused while the whole budget is far from
-//! exhausted; the margin is needed because the counts of the other gateways arrive with a delay.
+//! A retry is a send of a request to a further target. What is left of the budget, as far as the
+//! reports of the other gateways tell, is divided evenly among the reporting gateways, and each
+//! takes no more than its part within the time that reports need. The retries of all gateways
+//! together therefore stay within the budget, and a gateway can use nearly all of it while the
+//! others use nothing. The slack of gateways that don't report is left to them.
 
 use std::collections::VecDeque;
 use std::time::Duration;
 
 use base::{ProcessId, SortedMap, Timestamp};
 
-/// Usable fraction of a gateway's share; the rest covers clock differences and messages in flight.
+/// Usable fraction of the budget; the rest covers retries that arrive closer together than they
+/// were sent.
 const USABLE_FRACTION: f64 = 0.85;
 
+/// Time within which the other gateways know of a retry.
+const REPORT_DELAY: Duration = Duration::from_millis(500);
+
 /// Age from which a report is no longer current: the gateway has ended, restarted or is cut off.
 /// Reports arrive several times in this period.
 const REPORT_CURRENT: Duration = Duration::from_secs(1);
 
-/// Fraction of the whole budget up to which a gateway may exceed its own share.
-const POOL_FRACTION: f64 = 0.6;
-
 /// Retry budget of one service over the whole fleet.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RetryBudgetSettings {
@@ -50,37 +53,19 @@
 }
 
 /// Decision on a retry, with what it was based on.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RetryDecision {
-    /// Part of the budget that the retry was taken from; none if the budget is exhausted.
-    pub source: Option<RetrySource>,
+    /// Whether the retry is allowed.
+    pub allowed: bool,
     /// Requests and retries of this gateway, without this retry.
     pub own: RetryCounts,
-    /// Sum of what counts of the other gateways' reports.
+    /// Sum of what the other gateways reported.
     pub peers: RetryCounts,
-    /// Number of the reports.
-    pub reports: usize,
-    /// Age of the oldest report.
-    pub oldest_report: Duration,
-}
-
-/// Part of the budget that a retry is taken from.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum RetrySource {
-    /// This gateway's own share.
-    OwnShare,
-    /// What the whole fleet leaves unused.
-    Pool,
-}
-
-impl RetrySource {
-    /// Value for log lines.
-    pub const fn as_str(self) -> &'static str {
-        match self {
-            Self::OwnShare => "own_share",
-            Self::Pool => "pool",
-        }
-    }
+    /// Retries left for all reporting gateways; those that this gateway made within the report delay
+    /// are not taken off.
+    pub left: f64,
+    /// Number of gateways whose reports are current, with this one.
+    pub reporting: u32,
 }
 
 /// Number of requests and retries in the window.
@@ -123,64 +108,62 @@
         self.peers.insert(peer.clone(), PeerReport { counts, received: now });
     }
 
-    /// Spends one retry if this gateway's share among `gateways`, or the unused remainder of the
-    /// whole budget, allows it.
+    /// Spends one retry if this gateway's part of what is left allows it. `gateways` is the number
+    /// of gateways that may be running, including this one.
     pub fn try_acquire(&mut self, gateways: u32, now: Timestamp) -> RetryDecision {
         let own = self.counts(now);
-        let peers = self.peers.values().map(|report| self.counted(report, now)).fold(
-            RetryCounts::default(),
-            |sum, counts| RetryCounts {
-                requests: sum.requests + counts.requests,
-                retries: sum.retries + counts.retries,
-            },
-        );
-        let source = self.source(gateways, peers, now);
-        if source.is_some() {
+        let reporting = self.peers.values().filter(|report| report.is_current(now)).count();
+        let reporting = u32::try_from(reporting).unwrap_or(u32::MAX).saturating_add(1);
+        let left = self.left(reporting, gateways, now);
+        let allowed = self.allows_one_more(left, reporting, now);
+        if allowed {
             self.retries.push_back(now);
         }
-        let ages = self.peers.values().map(|report| now.since(report.received));
-        RetryDecision {
-            source,
-            own,
-            peers,
-            reports: self.peers.len(),
-            oldest_report: ages.max().unwrap_or_default(),
-        }
+        let peers = self.peers.values().fold(RetryCounts::default(), |sum, report| RetryCounts {
+            requests: sum.requests + report.counts.requests,
+            retries: sum.retries + report.counts.retries,
+        });
+        RetryDecision { allowed, own, peers, left, reporting }
     }
 
-    /// Returns what counts of a report. The requests of a process that no longer reports entitle
-    /// nobody to retries, since its callers may send them again to other gateways; its retries
-    /// count as far as its own requests did not cover them.
-    fn counted(&self, report: &PeerReport, now: Timestamp) -> RetryCounts {
-        let counts = report.counts;
-        if now.since(report.received) < REPORT_CURRENT {
-            return counts;
-        }
-        let covered = (self.settings.ratio * f64::from(counts.requests)) as u32;
-        RetryCounts { requests: 0, retries: counts.retries.saturating_sub(covered) }
+    /// Returns the requests and retries in the window, to report to the other gateways.
+    pub fn counts(&mut self, now: Timestamp) -> RetryCounts {
+        self.expire(now);
+        let count = |times: &VecDeque<Timestamp>| u32::try_from(times.len()).unwrap_or(u32::MAX);
+        RetryCounts { requests: count(&self.requests), retries: count(&self.retries) }
     }
 
-    /// Returns the part of the budget that allows one more retry.
-    fn source(&self, gateways: u32, peers: RetryCounts, now: Timestamp) -> Option<RetrySource> {
-        let own = self.requests.len() as f64;
-        let used = self.retries.len() as f64 + 1.0;
+    /// Retries left for all reporting gateways. Those of this gateway within the report delay are
+    /// not taken off, since they come out of its part.
+    fn left(&self, reporting: u32, gateways: u32, now: Timestamp) -> f64 {
+        let entitled = |requests: f64| -> f64 { USABLE_FRACTION * self.settings.ratio * requests };
         let slack = if now >= self.slack_from { self.settings.slack } else { 0.0 };
-        let own_slack = slack / f64::from(gateways.max(1));
-        let within_share = used <= USABLE_FRACTION * (self.settings.ratio * own + own_slack);
-        let all = self.settings.ratio * (own + f64::from(peers.requests)) + slack;
-        let within_pool = used + f64::from(peers.retries) <= POOL_FRACTION * all;
-        match (within_share, within_pool) {
-            (true, _) => Some(RetrySource::OwnShare),
-            (false, true) => Some(RetrySource::Pool),
-            (false, false) => None,
+        let reporting_fraction = f64::from(reporting) / f64::from(gateways.max(reporting));
+        let own_older = self.retries.len() - self.retries_within(REPORT_DELAY, now);
+        let own = entitled(self.requests.len() as f64) - own_older as f64;
+        let peers = self.peers.values().map(|report| {
+            let left =
+                entitled(f64::from(report.counts.requests)) - f64::from(report.counts.retries);
+            // The callers of a process that no longer reports send elsewhere, so what it left
+            // unused is not available; what it used beyond that stays spent.
+            if report.is_current(now) { left } else { left.min(0.0) }
+        });
+        USABLE_FRACTION * slack * reporting_fraction + own + peers.sum::<f64>()
+    }
+
+    /// Whether this gateway's part of what is left allows one more retry. A part below 1 allows one
+    /// retry in a correspondingly longer time.
+    fn allows_one_more(&self, left: f64, reporting: u32, now: Timestamp) -> bool {
+        if left < 1.0 {
+            return false;
         }
+        let part = left / f64::from(reporting);
+        let period = REPORT_DELAY.div_f64(part.min(1.0));
+        self.retries_within(period, now) as f64 + 1.0 <= part.max(1.0)
     }
 
-    /// Returns the requests and retries in the window, to report to the other gateways.
-    pub fn counts(&mut self, now: Timestamp) -> RetryCounts {
-        self.expire(now);
-        let count = |times: &VecDeque<Timestamp>| u32::try_from(times.len()).unwrap_or(u32::MAX);
-        RetryCounts { requests: count(&self.requests), retries: count(&self.retries) }
+    fn retries_within(&self, period: Duration, now: Timestamp) -> usize {
+        self.retries.len() - self.retries.partition_point(|at| now.since(*at) >= period)
     }
 
     fn expire(&mut self, now: Timestamp) {
@@ -193,3 +176,9 @@
         self.peers.retain(|_, report| now.since(report.received) < window);
     }
 }
+
+impl PeerReport {
+    fn is_current(&self, now: Timestamp) -> bool {
+        now.since(self.received) < REPORT_CURRENT
+    }
+}
--- a/components/rates/tests/retry_budget_fleet.rs
+++ b/components/rates/tests/retry_budget_fleet.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use base::{Incarnation, ProcessId, ProcessName, Timestamp};
+use base::{Incarnation, ProcessId, ProcessName, Timestamp, seeded_rng};
+use rand::Rng;
 use rates::{FleetRetryBudget, RetryBudgetSettings, RetryCounts};
 
 const STEP_MS: u64 = 10;
@@ -109,7 +110,7 @@
         let count = u32::try_from(self.gateways.len()).unwrap_or(u32::MAX);
         let gateway = &mut self.gateways[index];
         let now = age(gateway.started_ms, self.now_ms);
-        if gateway.budget.try_acquire(count, now).source.is_some() {
+        if gateway.budget.try_acquire(count, now).allowed {
             self.retries_ms.push(self.now_ms);
         }
     }
@@ -228,3 +229,56 @@
     fleet.play(10_000, |_| true);
     assert!(fleet.peak_use() <= 1.0, "{:.3} of the budget", fleet.peak_use());
 }
+
+/// Guards against a budget that is hardly used although every request fails at every gateway.
+#[test]
+fn lasting_failure_everywhere_uses_the_retry_budget() {
+    let mut fleet = Fleet::new(&[7.0; 28], 96.0);
+    fleet.play(30_000, |_| true);
+    assert!(fleet.peak_use() >= 0.7, "{:.3} of the budget", fleet.peak_use());
+    assert!(fleet.peak_use() <= 1.0, "{:.3} of the budget", fleet.peak_use());
+}
+
+/// Guards against gateways in front of a failing data centre that stop retrying although the others
+/// leave the budget unused.
+#[test]
+fn quarter_of_the_gateways_can_use_most_of_the_retry_budget() {
+    let mut fleet = Fleet::new(&[7.0; 28], 96.0);
+    fleet.play(10_000, |_| false);
+    fleet.play(10_000, |index| index < 7);
+    assert!(fleet.peak_use() >= 0.6, "{:.3} of the budget", fleet.peak_use());
+    assert!(fleet.peak_use() <= 1.0, "{:.3} of the budget", fleet.peak_use());
+}
+
+/// Guards against combinations of faults that no pattern above has: each gateway fails, is killed
+/// and is cut off at random, and streams break in groups.
+#[test]
+fn random_faults_do_not_exceed_the_retry_budget() {
+    for seed in 0..20 {
+        let mut rng = seeded_rng(seed);
+        let count = rng.random_range(2..=40);
+        let mean_load = rng.random_range(1.0..20.0);
+        let loads: Vec<f64> = (0..count).map(|_| mean_load * rng.random_range(0.2..1.8)).collect();
+        let mut fleet = Fleet::new(&loads, rng.random_range(20.0..100.0));
+        let kill_share = [0.0, 0.01, 0.03, 0.1][rng.random_range(0..4)];
+        let mut fails = vec![false; count];
+        for _ in 0..120 {
+            for (index, fails) in fails.iter_mut().enumerate() {
+                if rng.random_bool(0.1) {
+                    *fails = rng.random_bool(0.7);
+                }
+                if rng.random_bool(kill_share) {
+                    fleet.restart(index);
+                }
+                if rng.random_bool(0.05) {
+                    fleet.gateways[index].is_cut_off = rng.random_bool(0.3);
+                }
+                if rng.random_bool(0.02) {
+                    (0..20).for_each(|_| fleet.retry(index));
+                }
+            }
+            fleet.play(250, |index| fails[index]);
+        }
+        assert!(fleet.peak_use() <= 1.0, "seed {seed}: {:.3} of the budget", fleet.peak_use());
+    }
+}
