Apply changed retry bounds to services in use

A changed bounds.budget_ratio, budget_slack or budget_window_s in the settings file reached only services that were added afterwards, the others after a restart of the gateway: RateLimits::apply_configuration created a budget for a new service and never called FleetRetryBudget::set_settings. A fleet whose bounds were lowered could go on with the higher ones.

The budgets of all services move to RetryBudgets in the rates crate, where they can be tested, and set_bounds hands new settings to all of them at once. Decisions are unchanged otherwise.

--- a/components/gateway/src/fleet_link.rs
+++ b/components/gateway/src/fleet_link.rs
@@ -195,7 +195,7 @@
     let millis = |age: Duration| u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
     let (admitted, further_sends) = {
         let mut rates = app.rates.borrow_mut();
-        (rates.admitted(), rates.retry_counts(now))
+        (rates.admitted(), rates.retries.reports(now))
     };
     let (work, silent_targets) = {
         let fleet = app.fleet.borrow();
--- a/components/gateway/src/fleet_receiver.rs
+++ b/components/gateway/src/fleet_receiver.rs
@@ -121,7 +121,7 @@
         state.from.incarnation,
         &state.admitted,
     );
-    app.rates.borrow_mut().update_peer_retries(&state.from, &state.further_sends, now);
+    app.rates.borrow_mut().retries.update_peer(&state.from, &state.further_sends, now);
     app.demand.borrow_mut().update_peer(&state.from.name, state.demand.clone(), now);
     {
         let mut fleet = app.fleet.borrow_mut();
--- a/components/gateway/src/rate_limits.rs
+++ b/components/gateway/src/rate_limits.rs
@@ -2,13 +2,11 @@
 
 use std::time::Duration;
 
-use base::{Incarnation, ProcessId, ProcessName, SortedMap, Timestamp, short_hash};
+use base::{Incarnation, ProcessName, SortedMap, Timestamp, short_hash};
 use compact_str::CompactString;
 use config::{Customer, FleetBounds, FleetConfig};
-use rates::{
-    CustomerRate, FleetRetryBudget, RetryBudgetSettings, RetryCounts, RetryDecision, SharedBucket,
-};
-use wire::{AdmittedTokens, FurtherSends};
+use rates::{CustomerRate, RetryBudgetSettings, RetryBudgets, SharedBucket};
+use wire::AdmittedTokens;
 
 /// Share of the tolerated excess over a customer's rate that is admitted.
 const ADMITTED_EXCESS_SHARE: f64 = 0.6;
@@ -19,18 +17,21 @@
     first_start: bool,
     bounds: FleetBounds,
     buckets: SortedMap<CompactString, SharedBucket>,
-    budgets: SortedMap<CompactString, FleetRetryBudget>,
+    pub(crate) retries: RetryBudgets,
 }
 
 impl RateLimits {
     /// Rate limits without customers.
-    pub(crate) const fn new(first_start: bool, bounds: FleetBounds) -> Self {
-        Self { first_start, bounds, buckets: SortedMap::new(), budgets: SortedMap::new() }
+    pub(crate) fn new(first_start: bool, bounds: FleetBounds) -> Self {
+        let retries = RetryBudgets::new(retry_settings(&bounds), first_start);
+        Self { first_start, bounds, buckets: SortedMap::new(), retries }
     }
 
-    /// Sets the bounds; they take effect with the next configuration that is applied.
-    pub(crate) const fn set_bounds(&mut self, bounds: FleetBounds) {
+    /// Sets the bounds: for retries at once, for customers with the next configuration that is
+    /// applied.
+    pub(crate) fn set_bounds(&mut self, bounds: FleetBounds) {
         self.bounds = bounds;
+        self.retries.set_settings(retry_settings(&bounds));
     }
 
     /// Applies the customers and services of a configuration.
@@ -44,20 +45,8 @@
                 })
                 .set_rate(rate);
         }
-        let settings = RetryBudgetSettings {
-            ratio: self.bounds.retry_ratio,
-            slack: self.bounds.retry_slack,
-            window: Duration::from_millis(self.bounds.retry_window_ms),
-        };
-        // The clock starts with the process.
-        let slack_from = match self.first_start {
-            true => Timestamp::default(),
-            false => Timestamp::default() + settings.window,
-        };
         for service in &config.services {
-            self.budgets.get_or_insert_with(service.name.clone(), || {
-                FleetRetryBudget::new(settings, slack_from)
-            });
+            self.retries.add_service(&service.name);
         }
     }
 
@@ -66,55 +55,6 @@
         self.buckets.get_mut(customer)
     }
 
-    /// Counts a request for the retry budget of a service.
-    pub(crate) fn record_request(&mut self, service: &str, now: Timestamp) {
-        if let Some(budget) = self.budgets.get_mut(service) {
-            budget.record_request(now);
-        }
-    }
-
-    /// Takes one attempt at a further target from the retry budget of a service; returns none for a
-    /// service that is not in the configuration.
-    pub(crate) fn try_take_retry(
-        &mut self,
-        service: &str,
-        gateways: u32,
-        now: Timestamp,
-    ) -> Option<RetryDecision> {
-        Some(self.budgets.get_mut(service)?.try_acquire(gateways, now))
-    }
-
-    /// Requests and retries of this gateway, reported to the other gateways.
-    pub(crate) fn retry_counts(&mut self, now: Timestamp) -> Vec<FurtherSends> {
-        self.budgets
-            .iter_mut()
-            .map(|(service, budget)| {
-                let counts = budget.counts(now);
-                FurtherSends {
-                    service: short_hash(service.as_bytes()),
-                    requests: counts.requests,
-                    further: counts.retries,
-                }
-            })
-            .collect()
-    }
-
-    /// Applies another gateway's report on its requests and retries.
-    pub(crate) fn update_peer_retries(
-        &mut self,
-        peer: &ProcessId,
-        sends: &[FurtherSends],
-        now: Timestamp,
-    ) {
-        for (service, budget) in self.budgets.iter_mut() {
-            let hash = short_hash(service.as_bytes());
-            if let Some(report) = sends.iter().find(|report| report.service == hash) {
-                let counts = RetryCounts { requests: report.requests, retries: report.further };
-                budget.update_peer(peer, counts, now);
-            }
-        }
-    }
-
     /// Applies another gateway's report on the tokens that it admitted.
     pub(crate) fn update_peer_admitted(
         &mut self,
@@ -149,6 +89,14 @@
     }
 }
 
+const fn retry_settings(bounds: &FleetBounds) -> RetryBudgetSettings {
+    RetryBudgetSettings {
+        ratio: bounds.retry_ratio,
+        slack: bounds.retry_slack,
+        window: Duration::from_millis(bounds.retry_window_ms),
+    }
+}
+
 /// Admitted rate and burst of a customer.
 ///
 /// The deployment tolerates an excess over the rate in each window. The customer gets a share of
--- a/components/gateway/src/request.rs
+++ b/components/gateway/src/request.rs
@@ -144,7 +144,7 @@
     let customer =
         authenticate_customer(&config, route_id, &received, is_current, evidence.is_some())?;
     let plan = route_plan(&config, route_id, customer.as_deref());
-    app.rates.borrow_mut().record_request(&plan.service, now);
+    app.rates.borrow_mut().retries.record_request(&plan.service, now);
     let tokens = charged_tokens(&config, customer.as_deref(), &received.head);
     let route = config.route(route_id);
     let route_timeout = Duration::from_millis(route.timeout_ms);
--- a/components/gateway/src/retry.rs
+++ b/components/gateway/src/retry.rs
@@ -10,7 +10,7 @@
     pub(crate) fn try_take_retry(&self, now: Timestamp) -> bool {
         let service = &self.request.plan.service;
         let gateways = self.app.gateway_count(now).known;
-        let decision = self.app.rates.borrow_mut().try_take_retry(service, gateways, now);
+        let decision = self.app.rates.borrow_mut().retries.try_acquire(service, gateways, now);
         // Every service of the configuration in force has a budget.
         let Some(decision) = decision else { return false };
         log::info!(
--- a/components/rates/src/lib.rs
+++ b/components/rates/src/lib.rs
@@ -15,6 +15,7 @@
 mod planner;
 mod record;
 mod retry_budget;
+mod retry_budgets;
 mod share;
 mod shared_bucket;
 mod slot_owner;
@@ -31,6 +32,7 @@
     SnapshotSlot, WriterPosition,
 };
 pub use retry_budget::{FleetRetryBudget, RetryBudgetSettings, RetryCounts, RetryDecision};
+pub use retry_budgets::RetryBudgets;
 pub use share::{
     MicroTokens, Share, WEIGHT_STORE_CUSTOMER, bucket_share, partition_of, slots_of, split,
 };
