Log the framing of streams and what follows their last event

The logs of the truncated streams incident show that a stream was counted as complete, but neither what marked the end of its body nor whether it ended inside an event, so that they can't tell its three hypotheses apart. request_ended and stream_broken have both now. ResponseFraming is decoded with the other headers of a target's response; no decision uses it yet.

--- a/components/gateway/src/events.rs
+++ b/components/gateway/src/events.rs
@@ -55,6 +55,11 @@
         self.buffer.is_empty()
     }
 
+    /// Number of bytes after the last complete event.
+    pub fn rest_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Returns the bytes after the last complete event.
     pub fn rest(self) -> Bytes {
         self.buffer.freeze()
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -5,6 +5,7 @@
 use base::Timestamp;
 use compact_str::CompactString;
 use ingress::{BodySender, CallerDisconnected};
+use platform::ResponseFraming;
 use routing::TargetOutcome;
 use telemetry::quote;
 
@@ -61,6 +62,10 @@
     pub data_centre: CompactString,
     /// Number of events passed to the caller.
     pub events: u64,
+    /// Framing of the current target's response.
+    pub framing: ResponseFraming,
+    /// Bytes that the current target sent after its last complete event.
+    pub rest_bytes: usize,
 }
 
 impl StreamRelay {
@@ -74,6 +79,8 @@
             longest_gap: Duration::ZERO,
             data_centre: CompactString::default(),
             events: 0,
+            framing: ResponseFraming::default(),
+            rest_bytes: 0,
         }
     }
 
@@ -91,6 +98,7 @@
                 let fleet = self.dispatch.app.fleet.borrow();
                 fleet.target(send.pick.key).data_centre.clone()
             };
+            self.framing = response.head.framing;
             let end = self.relay_from(response.into_stream(), &send).await;
             match end {
                 RelayEnd::Whole => {
@@ -103,12 +111,14 @@
                 RelayEnd::Moved => self.dispatch.exclude_moved(&send),
             }
             log::info!(
-                "event=stream_broken request_id={} target={} last_event={} reason={} sends={}",
+                "event=stream_broken request_id={} target={} last_event={} reason={} sends={} framing={} rest_bytes={}",
                 quote(&self.dispatch.request.id),
                 quote(&send.pick.id),
                 self.dispatch.last_event.unwrap_or_default(),
                 end.as_str(),
-                self.dispatch.attempt_count()
+                self.dispatch.attempt_count(),
+                self.framing.as_str(),
+                self.rest_bytes
             );
             drop(send);
             match self.resume().await {
@@ -155,6 +165,7 @@
     async fn relay_from(&mut self, mut stream: TargetStream, send: &InFlightSend) -> RelayEnd {
         let mut splitter = EventSplitter::default();
         let mut started = false;
+        self.rest_bytes = 0;
         let mut received_at = self.dispatch.app.clock.now();
         loop {
             let left = self.time_to_deadline();
@@ -186,6 +197,7 @@
                             Err(CallerDisconnected) => return RelayEnd::CallerDisconnected,
                         }
                     }
+                    self.rest_bytes = splitter.rest_bytes();
                     if splitter.is_empty() && self.dispatch.should_leave(send) {
                         return RelayEnd::Moved;
                     }
--- a/components/gateway/src/request_handler.rs
+++ b/components/gateway/src/request_handler.rs
@@ -196,7 +196,7 @@
     }
     app.metrics.record_total(customer, class, total, request.output_tokens());
     log::info!(
-        "event=request_ended request_id={} end={end} status={status} route={} kind={} customer={} sends={sends} events={} longest_gap_ms={} first_event_ms={} total_ms={} objective_ms={}",
+        "event=request_ended request_id={} end={end} status={status} route={} kind={} customer={} sends={sends} events={} longest_gap_ms={} first_event_ms={} total_ms={} objective_ms={} framing={} rest_bytes={}",
         quote(&request.id),
         quote(&request.plan.route),
         request.plan.kind.as_str(),
@@ -205,6 +205,8 @@
         relay.map_or(0, |relay| relay.longest_gap.as_millis()),
         first_event_at.map_or(-1, |at| at.since(request.arrived).as_millis() as i64),
         total.as_millis(),
-        request.plan.objectives.response.as_millis()
+        request.plan.objectives.response.as_millis(),
+        relay.map_or("-", |relay| relay.framing.as_str()),
+        relay.map_or(0, |relay| relay.rest_bytes)
     );
 }
