--- a/tests/endless_answers.rs
+++ b/tests/endless_answers.rs
@@ -8,12 +8,9 @@
 
 use platform::header_names::RESPONSE_SIGNATURE;
 use platform_standin::{
-    CallerConnection, CallerKind, CallerRequest, CallerResponse, CustomerSpec, DeploymentSpec,
-    FleetLimits, Journal, MachineSpec, PlainTargetService, PlainTargetSettings, RouteKind,
-    RouteSpec, StoreServer, StoreSettings, TargetAnnouncement,
+    CallerConnection, CallerKind, CallerRequest, CallerResponse, RouteKind, RouteSpec,
 };
-use standin::Service;
-use support::{Process, own_ip, wait_until};
+use support::{CUSTOMER_KEY, HOST, PlainGateway, SERVICE, wait_until};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
@@ -67,32 +64,15 @@
     (address, closed)
 }
 
-fn site() -> DeploymentSpec {
-    DeploymentSpec {
-        version: 1,
-        host: "soak.example".into(),
-        engine_service: "engines".into(),
-        plain_service: "plain".into(),
-        engine_slots: 4,
-        weights_mb: 100,
-        adapter_slots: 2,
-        loads_per_s: 1.0,
-        models: Vec::new(),
-        routes: vec![RouteSpec {
-            name: "order".into(),
-            prefix: "/order/".into(),
-            service: "plain".into(),
-            kind: RouteKind::Once,
-            attempts: 1,
-            timeout_ms: 6_000,
-            objective_ms: 300,
-        }],
-        tenants: vec![CustomerSpec {
-            name: "shop".into(),
-            keys: vec!["key-1".into()],
-            tokens_per_s: 0,
-            burst_tokens: 0,
-        }],
+fn route() -> RouteSpec {
+    RouteSpec {
+        name: "order".into(),
+        prefix: "/order/".into(),
+        service: SERVICE.into(),
+        kind: RouteKind::Once,
+        attempts: 1,
+        timeout_ms: 6_000,
+        objective_ms: 300,
     }
 }
 
@@ -100,9 +80,9 @@
     let mut connection = CallerConnection::open(callers, DEADLINE).await.unwrap();
     let request = CallerRequest {
         id: format!("request-{number}").into(),
-        host: "soak.example".into(),
+        host: HOST.into(),
         path: "/order/1".into(),
-        key: "key-1".into(),
+        key: CUSTOMER_KEY.into(),
         deadline: DEADLINE,
         kind: CallerKind::Order,
         after_event: None,
@@ -114,46 +94,12 @@
 /// end of it, or that leaves the target sending.
 #[tokio::test]
 async fn answers_without_end_are_cut_and_their_callers_told() {
-    let store = StoreServer::start(StoreSettings::default()).await.unwrap();
-    let (topic, key) = DeploymentSpec::KEY;
-    store.service().put(topic, key, &site().document());
     let (target, mut closed) = endless_target().await;
-    let settings = PlainTargetSettings {
-        id: "target-1".into(),
-        service: "plain".into(),
-        data_centre: "north-a".into(),
-        slots: 64,
-        journal: Journal::default(),
-        ..PlainTargetSettings::default()
-    };
-    let notice = TargetAnnouncement { born_ms: 1, leaves: false, number: 1 };
-    let entry = PlainTargetService::new(settings).entry(target, notice);
-    store.service().put(DeploymentSpec::TARGETS, "target-1", &entry);
-
-    let spec = MachineSpec {
-        name: "front-1".into(),
-        data_centre: "north-a".into(),
-        data_centres: vec!["north-a".into()],
-        ip: own_ip().into(),
-        peer_port: 7_600,
-        caller_port: 8_221,
-        store: store.address(),
-        engine: None,
-        first_start: true,
-    };
-    let callers = spec.caller_address();
-    let file = spec.settings_file(&FleetLimits::default());
-    let directory = tempfile::tempdir().unwrap();
-    let path = directory.path().join("settings.conf");
-    std::fs::write(&path, file).unwrap();
-    let arguments = ["gateway", "--settings", path.to_str().unwrap()].map(str::to_owned);
-    let gateway = Process::start("gateway", &arguments);
-    gateway.wait_for_line("event=target_announced").await;
-    gateway.wait_for_line("event=configuration_in_force").await;
+    let gateway = PlainGateway::start(route(), &[target]).await;
 
     let mut orders = JoinSet::new();
     for number in 0..AT_ONCE {
-        orders.spawn(order(callers, number));
+        orders.spawn(order(gateway.callers, number));
     }
     let answers = orders.join_all().await;
     for answer in &answers {
@@ -162,7 +108,7 @@
     }
     wait_until("the target's connections are closed", async || closed.len() >= AT_ONCE).await;
     assert!(closed.recv().await.is_some());
-    let status = std::fs::read_to_string(format!("/proc/{}/status", gateway.id())).unwrap();
+    let status = std::fs::read_to_string(format!("/proc/{}/status", gateway.process.id())).unwrap();
     let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
     let peak_kb: u64 = peak.trim().trim_end_matches(" kB").parse().unwrap();
     assert!(peak_kb < MOST_MEMORY_KB, "{peak_kb} KB");
--- /dev/null
+++ b/tests/support/gateway.rs
@@ -0,0 +1,91 @@
+//! A gateway process whose store lists targets of a plain service.
+
+use std::net::SocketAddr;
+
+use platform_standin::{
+    CustomerSpec, DeploymentSpec, FleetLimits, MachineSpec, PlainTargetService,
+    PlainTargetSettings, RouteSpec, StoreServer, StoreSettings, TargetAnnouncement,
+};
+use standin::Service;
+use tempfile::TempDir;
+
+use super::{Process, own_ip};
+
+/// Service of the targets.
+pub const SERVICE: &str = "plain";
+/// Key of the one customer.
+pub const CUSTOMER_KEY: &str = "key-1";
+/// Host of the route.
+pub const HOST: &str = "soak.example";
+
+/// A running gateway with its store.
+pub struct PlainGateway {
+    /// The process.
+    pub process: Process,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    _store: StoreServer,
+    _directory: TempDir,
+}
+
+impl PlainGateway {
+    /// Starts a gateway with one route to `targets` and waits until it knows both.
+    pub async fn start(route: RouteSpec, targets: &[SocketAddr]) -> Self {
+        let store = StoreServer::start(StoreSettings::default()).await.unwrap();
+        let (topic, key) = DeploymentSpec::KEY;
+        store.service().put(topic, key, &deployment(route).document());
+        for (number, target) in (1..).zip(targets) {
+            let id = format!("target-{number}");
+            let settings = PlainTargetSettings {
+                id: id.as_str().into(),
+                service: SERVICE.into(),
+                data_centre: "north-a".into(),
+                slots: 64,
+                ..PlainTargetSettings::default()
+            };
+            let notice = TargetAnnouncement { born_ms: 1, leaves: false, number: 1 };
+            let entry = PlainTargetService::new(settings).entry(*target, notice);
+            store.service().put(DeploymentSpec::TARGETS, &id, &entry);
+        }
+        let spec = MachineSpec {
+            name: "front-1".into(),
+            data_centre: "north-a".into(),
+            data_centres: vec!["north-a".into()],
+            ip: own_ip().into(),
+            peer_port: 7_600,
+            caller_port: 8_221,
+            store: store.address(),
+            engine: None,
+            first_start: true,
+        };
+        let directory = tempfile::tempdir().unwrap();
+        let path = directory.path().join("settings.conf");
+        std::fs::write(&path, spec.settings_file(&FleetLimits::default())).unwrap();
+        let arguments = ["gateway", "--settings", path.to_str().unwrap()].map(str::to_owned);
+        let process = Process::start("gateway", &arguments);
+        process.wait_for_line("event=target_announced").await;
+        process.wait_for_line("event=configuration_in_force").await;
+        Self { process, callers: spec.caller_address(), _store: store, _directory: directory }
+    }
+}
+
+fn deployment(route: RouteSpec) -> DeploymentSpec {
+    DeploymentSpec {
+        version: 1,
+        host: HOST.into(),
+        engine_service: "engines".into(),
+        plain_service: SERVICE.into(),
+        engine_slots: 4,
+        weights_mb: 100,
+        adapter_slots: 2,
+        loads_per_s: 1.0,
+        models: Vec::new(),
+        routes: vec![route],
+        tenants: vec![CustomerSpec {
+            name: "shop".into(),
+            keys: vec![CUSTOMER_KEY.into()],
+            tokens_per_s: 0,
+            burst_tokens: 0,
+        }],
+    }
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -6,6 +6,7 @@
 
 mod caller;
 mod fleet;
+mod gateway;
 mod process;
 mod standins;
 
@@ -15,6 +16,7 @@
 
 pub use caller::{Caller, StreamedAnswer};
 pub use fleet::{Entry, Fleet, FleetOptions, KEY, MODEL, Side};
+pub use gateway::{CUSTOMER_KEY, HOST, PlainGateway, SERVICE};
 pub use process::Process;
 pub use standins::StandinProcess;
 use tokio::time::{Instant, sleep};
