Resume streams that end inside an event or with their target

Cause: where a response has neither a length nor chunks, the HTTP client reports the end of the connection as the end of the body. The relay took each regular end for the end of the stream and even passed the bytes of the cut event on, so that nothing was resumed and no line in the log told of it.

The end of a body is now judged by RunState, without network: an end inside an event is never complete, whatever the framing. If only the connection has ended, a stream without a first event, or without the event that a run before had begun, is not complete either, and an end between two events counts only if the target still accepts a connection, since the kernel closes the connections of a process that exits in the same way. The connection that is opened for this stays in the pool in place of the one that has ended. What isn't complete is resumed as after a reset; without an attempt left the caller's response is cut. EventBoundary tells where events end and replaces the search in the splitter.

Ruled out: a wait for an end mark, since the format has none.

--- a/components/api/src/lib.rs
+++ b/components/api/src/lib.rs
@@ -5,6 +5,7 @@
 mod error;
 mod error_code;
 mod estimate;
+mod event_boundary;
 mod generation_request;
 mod head_check;
 mod headers;
@@ -18,6 +19,7 @@
 pub use error::ApiError;
 pub use error_code::ErrorCode;
 pub use estimate::estimate_tokens;
+pub use event_boundary::EventBoundary;
 pub use generation_request::{GenerationRequest, GenerationRequestError};
 pub use head_check::{BodyFraming, ChunkedScanner, HeadError, check_head};
 pub use headers::{
--- a/components/gateway/src/events.rs
+++ b/components/gateway/src/events.rs
@@ -1,5 +1,6 @@
 //! Splits the body of an event stream into events.
 
+use api::EventBoundary;
 use bytes::{Bytes, BytesMut};
 
 /// Size limit of one event.
@@ -22,8 +23,9 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buffer: BytesMut,
-    /// Length of the buffer prefix that was already searched for the end of an event.
+    /// Length of the buffer prefix that `boundary` has seen.
     scanned: usize,
+    boundary: EventBoundary,
 }
 
 impl EventSplitter {
@@ -39,13 +41,13 @@
 
     /// Returns the next complete event.
     pub fn next_event(&mut self) -> Option<StreamEvent> {
-        let from = self.scanned.saturating_sub(3);
-        let Some(end) = end_of_event(&self.buffer[from..]) else {
+        let unscanned = &self.buffer[self.scanned..];
+        let Some(end) = unscanned.iter().position(|byte| self.boundary.push(*byte)) else {
             self.scanned = self.buffer.len();
             return None;
         };
+        let bytes = self.buffer.split_to(self.scanned + end + 1).freeze();
         self.scanned = 0;
-        let bytes = self.buffer.split_to(from + end).freeze();
         let id = event_id(&bytes);
         Some(StreamEvent { bytes, id })
     }
@@ -55,6 +57,11 @@
         self.buffer.is_empty()
     }
 
+    /// Whether the bytes so far end inside an event; all complete events must have been taken.
+    pub const fn is_inside_event(&self) -> bool {
+        self.boundary.is_inside_event()
+    }
+
     /// Number of bytes after the last complete event.
     pub fn rest_bytes(&self) -> usize {
         self.buffer.len()
@@ -66,20 +73,6 @@
     }
 }
 
-/// Position after the empty line that ends an event.
-fn end_of_event(bytes: &[u8]) -> Option<usize> {
-    bytes.iter().enumerate().filter(|(_, byte)| **byte == b'\n').find_map(|(at, _)| {
-        let rest = &bytes[at + 1..];
-        if rest.starts_with(b"\n") {
-            Some(at + 2)
-        } else if rest.starts_with(b"\r\n") {
-            Some(at + 3)
-        } else {
-            None
-        }
-    })
-}
-
 fn event_id(event: &[u8]) -> Option<u64> {
     event.split(|byte| *byte == b'\n').find_map(|line| {
         let value = line.strip_prefix(b"id:")?;
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -13,6 +13,7 @@
 use crate::events::{EventSplitter, StreamEvent};
 use crate::exchange::{StreamPart, TargetResponse, TargetStream};
 use crate::in_flight_send::InFlightSend;
+use crate::run_end::{RunEnd, RunState};
 
 /// Shortest time between two searches for a target that can resume a stalled stream.
 const MOVE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -66,6 +67,8 @@
     pub framing: ResponseFraming,
     /// Bytes that the current target sent after its last complete event.
     pub rest_bytes: usize,
+    /// Whether a target broke off inside the event that the caller lacks next.
+    next_event_begun: bool,
 }
 
 impl StreamRelay {
@@ -81,6 +84,7 @@
             events: 0,
             framing: ResponseFraming::default(),
             rest_bytes: 0,
+            next_event_begun: false,
         }
     }
 
@@ -165,6 +169,7 @@
     async fn relay_from(&mut self, mut stream: TargetStream, send: &InFlightSend) -> RelayEnd {
         let mut splitter = EventSplitter::default();
         let mut started = false;
+        let mut has_events = false;
         self.rest_bytes = 0;
         let mut received_at = self.dispatch.app.clock.now();
         loop {
@@ -191,6 +196,7 @@
                         return RelayEnd::Broken;
                     }
                     while let Some(event) = splitter.next_event() {
+                        has_events = true;
                         match self.forward_event(event).await {
                             Ok(true) => {}
                             Ok(false) => return RelayEnd::Broken,
@@ -203,6 +209,20 @@
                     }
                 }
                 StreamPart::End => {
+                    let state = RunState {
+                        framing: self.framing,
+                        inside_event: splitter.is_inside_event(),
+                        has_events,
+                        caller_has_events: self.dispatch.caller_has_events(),
+                        next_event_begun: self.next_event_begun,
+                    };
+                    self.next_event_begun |= state.inside_event;
+                    match state.end() {
+                        RunEnd::Complete => {}
+                        RunEnd::CompleteIfAlive if self.dispatch.is_alive(send).await => {}
+                        RunEnd::CompleteIfAlive | RunEnd::Truncated => return RelayEnd::Broken,
+                    }
+                    // Line ends after the last event.
                     let rest = splitter.rest();
                     if !rest.is_empty() && self.body.send(rest).await.is_err() {
                         return RelayEnd::CallerDisconnected;
@@ -210,7 +230,10 @@
                     stream.finish(&self.dispatch.app).await;
                     return RelayEnd::Whole;
                 }
-                StreamPart::Broken => return RelayEnd::Broken,
+                StreamPart::Broken => {
+                    self.next_event_begun |= splitter.is_inside_event();
+                    return RelayEnd::Broken;
+                }
                 StreamPart::Timeout => {
                     if self.time_to_deadline().is_zero() {
                         return RelayEnd::TimedOut;
@@ -236,6 +259,7 @@
         }
         self.body.send(event.bytes).await?;
         self.events += 1;
+        self.next_event_begun = false;
         let now = self.dispatch.app.clock.now();
         self.dispatch.record_event(event.id, now);
         self.first_event_at.get_or_insert(now);
--- a/components/gateway/src/stream_failover.rs
+++ b/components/gateway/src/stream_failover.rs
@@ -4,6 +4,7 @@
 
 use base::Timestamp;
 use routing::{DirectChoice, TargetOutcome};
+use telemetry::quote;
 
 use crate::dispatch::Dispatch;
 use crate::in_flight_send::InFlightSend;
@@ -39,6 +40,20 @@
         send.record_outcome(TargetOutcome::Failed);
     }
 
+    /// Whether a target still serves, after its connection has ended; if it doesn't, it may have
+    /// exited in the middle of its response.
+    pub(crate) async fn is_alive(&self, send: &InFlightSend) -> bool {
+        let alive = self.app.pool.add_connection(send.pick.address).await.is_ok();
+        if !alive {
+            log::info!(
+                "event=target_gone_after_answer request_id={} target={}",
+                quote(&self.request.id),
+                quote(&send.pick.id)
+            );
+        }
+        alive
+    }
+
     /// Whether another target than `current` can resume the stream at once. Until one can, a pause
     /// is better than the loss of the progress made at the current target.
     pub(crate) fn may_move(&self, current: &InFlightSend) -> bool {
@@ -97,6 +112,11 @@
         }
     }
 
+    /// Whether the caller has an event of the stream, from this response or from one before.
+    pub(crate) const fn caller_has_events(&self) -> bool {
+        self.last_event_at.is_some() || self.last_event.is_some()
+    }
+
     /// Waits until another attempt is allowed because a target was confirmed to have terminated;
     /// returns false if that isn't confirmed in time.
     pub(crate) async fn wait_for_send_allowance(&self) -> bool {
--- a/components/gateway/src/target_pool.rs
+++ b/components/gateway/src/target_pool.rs
@@ -85,18 +85,19 @@
         max_idle: Duration,
         limit: Duration,
     ) -> Result<TargetConnection, SendFailure> {
-        if let Some(connection) = self.take_idle(address, max_idle) {
-            return Ok(connection);
-        }
-        match timeout(limit.min(CONNECT_TIMEOUT), open(address)).await {
-            Ok(Ok(connection)) => Ok(connection),
-            Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
-                Err(SendFailure::Refused)
-            }
-            Ok(Err(_)) | Err(_) => Err(SendFailure::NotSent),
+        match self.take_idle(address, max_idle) {
+            Some(connection) => Ok(connection),
+            None => open_within(address, limit).await,
         }
     }
 
+    /// Opens an idle connection to a target.
+    pub(crate) async fn add_connection(&self, address: SocketAddr) -> Result<(), SendFailure> {
+        let connection = open_within(address, CONNECT_TIMEOUT).await?;
+        self.keep(connection, None);
+        Ok(())
+    }
+
     fn take_idle(&self, address: SocketAddr, max_idle: Duration) -> Option<TargetConnection> {
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
@@ -109,7 +110,7 @@
         connections.pop().map(|idle| idle.connection)
     }
 
-    /// Returns a connection to the pool after its response was read completely.
+    /// Puts a connection that can carry a request into the pool.
     pub(crate) fn keep(&self, connection: TargetConnection, keep_alive: Option<Duration>) {
         let now = Instant::now();
         let limit = keep_alive.map_or(DEFAULT_IDLE_TIMEOUT, |limit| limit.mul_f64(IDLE_SHARE));
@@ -127,6 +128,17 @@
     }
 }
 
+async fn open_within(
+    address: SocketAddr,
+    limit: Duration,
+) -> Result<TargetConnection, SendFailure> {
+    match timeout(limit.min(CONNECT_TIMEOUT), open(address)).await {
+        Ok(Ok(connection)) => Ok(connection),
+        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => Err(SendFailure::Refused),
+        Ok(Err(_)) | Err(_) => Err(SendFailure::NotSent),
+    }
+}
+
 async fn open(address: SocketAddr) -> Result<TargetConnection, std::io::Error> {
     let socket = TcpStream::connect(address).await?;
     socket.set_nodelay(true)?;
--- a/components/gateway/tests/events.rs
+++ b/components/gateway/tests/events.rs
@@ -41,6 +41,7 @@
         let ids: Vec<Option<u64>> = found.iter().map(|event| event.id).collect();
         let sent: Vec<Option<u64>> = events.iter().map(|(_, id, _)| Some(u64::from(*id))).collect();
         prop_assert_eq!(ids, sent);
+        prop_assert_eq!(splitter.is_inside_event(), !rest.is_empty());
         let left = splitter.rest();
         prop_assert_eq!(left.as_ref(), rest.as_bytes());
     }
