Report event streams of plain services that end inside an event

The same fault as at the gateway: a plain service whose event stream ends with its connection, in the middle of an event, was passed on with a regular end by the side process, and kept as the answer to later repeats of a call with an idempotency key. ResponseEnd tells from the headers and the bytes whether the response may be complete; if not, the caller's response is cut, and the claim of the key has an unknown outcome.

Looked at and unaffected: generations between engine and side process, whose last event is explicit (truncated_answer_is_reported), and responses to callers, which are chunked; a head of HTTP/1.0 is refused.

The test event_streams_that_end_inside_an_event_are_not_complete failed before this change.

--- a/components/api/src/event_boundary.rs
+++ b/components/api/src/event_boundary.rs
@@ -1,5 +1,16 @@
 //! Boundaries between the events of a server-sent event stream.
 
+use http::HeaderMap;
+use http::header::CONTENT_TYPE;
+
+/// Whether a response with these headers is a server-sent event stream.
+pub fn is_event_stream(headers: &HeaderMap) -> bool {
+    headers
+        .get(CONTENT_TYPE)
+        .and_then(|value| value.to_str().ok())
+        .is_some_and(|value| value.starts_with("text/event-stream"))
+}
+
 /// Tracks whether the bytes of an event stream so far end inside an event.
 ///
 /// An empty line ends an event; lines end with `\n` or `\r\n`.
--- a/components/api/src/lib.rs
+++ b/components/api/src/lib.rs
@@ -19,7 +19,7 @@
 pub use error::ApiError;
 pub use error_code::ErrorCode;
 pub use estimate::estimate_tokens;
-pub use event_boundary::EventBoundary;
+pub use event_boundary::{EventBoundary, is_event_stream};
 pub use generation_request::{GenerationRequest, GenerationRequestError};
 pub use head_check::{BodyFraming, ChunkedScanner, HeadError, check_head};
 pub use headers::{
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use api::is_event_stream;
 use base::Timestamp;
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode, Version};
@@ -157,10 +158,7 @@
 impl TargetResponse {
     /// Whether the response is a stream of events.
     pub(crate) fn is_stream(&self) -> bool {
-        self.headers
-            .get(http::header::CONTENT_TYPE)
-            .and_then(|value| value.to_str().ok())
-            .is_some_and(|value| value.starts_with("text/event-stream"))
+        is_event_stream(&self.headers)
     }
 
     /// Reads the whole body and returns the connection to the pool.
--- a/components/side/src/forward.rs
+++ b/components/side/src/forward.rs
@@ -16,6 +16,7 @@
 use crate::recent_request_ids::RecentRequestIds;
 use crate::request_body::{BodyPart, RequestBody};
 use crate::request_task::{Decision, QueueGuard};
+use crate::response_end::ResponseEnd;
 
 /// Maximum body bytes of a response in one frame; below the frame limit.
 pub(crate) const MAX_DATA_BYTES: usize = 256 << 10;
@@ -131,6 +132,7 @@
         headers: end_to_end(answer.headers()),
         replayed: false,
     };
+    let mut end = ResponseEnd::new(answer.headers());
     send(sender, &first, deadline).await?;
     let mut body = answer.into_body();
     loop {
@@ -141,9 +143,12 @@
                 return Err(CallFailure::Report(failed(ExecutionState::Unknown)));
             }
         };
-        let Some(frame) = frame else { return Ok(()) };
+        let Some(frame) = frame else {
+            return if end.is_complete() { Ok(()) } else { Err(truncated_stream(head)) };
+        };
         let frame = frame.map_err(|error| connection_failure(head, &error))?;
         let Ok(mut data) = frame.into_data() else { continue };
+        end.push(&data);
         while !data.is_empty() {
             let part = data.split_to(data.len().min(MAX_DATA_BYTES));
             send(sender, &ForwardDown::Data(part.to_vec()), deadline).await?;
@@ -151,6 +156,14 @@
     }
 }
 
+fn truncated_stream(head: &ForwardHead) -> CallFailure {
+    let (request, route) = (head.request_id, &head.route);
+    log::warn!(
+        "event=call_broken request_id={request} route={route} error=\"the stream ends inside an event\""
+    );
+    CallFailure::Report(failed(ExecutionState::Unknown))
+}
+
 fn connection_failure(head: &ForwardHead, error: &hyper::Error) -> CallFailure {
     let (request, route) = (head.request_id, &head.route);
     log::warn!("event=call_broken request_id={request} route={route} error=\"{error}\"");
--- a/components/side/src/idempotent_call.rs
+++ b/components/side/src/idempotent_call.rs
@@ -17,6 +17,7 @@
 use crate::plain_client::{PlainConnection, end_to_end, request_of};
 use crate::process::Shared;
 use crate::request_task::Decision;
+use crate::response_end::ResponseEnd;
 
 /// Maximum body of a call with an idempotency key, in bytes; entry processes have a smaller limit.
 const MAX_BODY_BYTES: usize = 1 << 20;
@@ -216,12 +217,14 @@
         headers: headers.clone(),
         replayed: false,
     };
+    let mut end = ResponseEnd::new(answer.headers());
     caller.send(&first).await;
     let limit = replica.outcome_body_bytes();
     let mut stored_body = Some(Vec::new());
     let mut body = answer.into_body();
     while let Some(frame) = timeout_at(caller.deadline, body.frame()).await.ok()? {
         let Ok(mut data) = frame.ok()?.into_data() else { continue };
+        end.push(&data);
         stored_body = stored_body.filter(|stored_body| stored_body.len() + data.len() <= limit);
         if let Some(stored_body) = &mut stored_body {
             stored_body.extend_from_slice(&data);
@@ -231,6 +234,9 @@
             caller.send(&ForwardDown::Data(part.to_vec())).await;
         }
     }
+    if !end.is_complete() {
+        return None;
+    }
     let headers = headers.into_iter().map(to_stored).collect();
     Some(StoredOutcome { status, headers, body: stored_body })
 }
--- a/components/side/src/lib.rs
+++ b/components/side/src/lib.rs
@@ -35,6 +35,7 @@
 mod report;
 mod request_body;
 mod request_task;
+mod response_end;
 mod start_record;
 
 pub use error::SideError;
--- a/components/side/tests/forward.rs
+++ b/components/side/tests/forward.rs
@@ -4,6 +4,7 @@
 
 mod common;
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use base::ExecutionState;
@@ -12,7 +13,10 @@
     wait_for,
 };
 use standin::{Blocked, Link, LinkFaults, PlainServer, PlainSettings};
-use wire::{ForwardUp, RefuseReason};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
+use wire::{ForwardHead, ForwardUp, RefuseReason};
 
 async fn start(settings: PlainSettings) -> (Platform, PlainServer, RunningSide) {
     let platform = Platform::start().await;
@@ -151,3 +155,51 @@
         assert_eq!(call(&client, &head(), b"pay").await.status, 200);
     });
 }
+
+/// Answers health checks, and each call with `body` as an event stream that ends with its connection.
+async fn start_event_source(body: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    spawn_local(async move {
+        while let Ok((mut socket, _)) = listener.accept().await {
+            let mut request = [0; 4_096];
+            let length = socket.read(&mut request).await.unwrap();
+            let response = match request[..length].starts_with(b"POST") {
+                true => format!("HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n{body}"),
+                false => "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n".to_owned(),
+            };
+            socket.write_all(response.as_bytes()).await.unwrap();
+            let _closed = socket.shutdown().await;
+        }
+    });
+    address
+}
+
+/// Guards against an event stream that the service breaks off inside an event and that is passed on
+/// as complete, because the end of its connection is also the end of its body; also where the response
+/// is kept for repeats.
+#[test]
+fn event_streams_that_end_inside_an_event_are_not_complete() {
+    run_test(async {
+        for (body, whole) in [
+            ("data: 1\n\ndata: 2\n\n", true),
+            ("data: 1\r\n\r\n", true),
+            ("data: 1\n\ndata: 2\n", false),
+            ("data: 1\n\nda", false),
+        ] {
+            for key in [None, Some([7; 32])] {
+                let platform = Platform::start().await;
+                let address = start_event_source(body).await;
+                let settings = side_settings(&platform, "p1", address);
+                let side = RunningSide::start(settings, config()).await;
+                side.wait_ready().await;
+                let client = connect(side.address).await;
+                let head = ForwardHead { idempotency_key_sha256: key, ..head() };
+                let answer = call(&client, &head, b"").await;
+                assert_eq!(answer.whole, whole, "{body:?}, key {}", key.is_some());
+                let failed = (!whole).then_some(ExecutionState::Unknown);
+                assert_eq!(answer.failed, failed, "{body:?}, key {}", key.is_some());
+            }
+        }
+    });
+}
