--- a/tests/support/gateway.rs
+++ b/tests/support/gateway.rs
@@ -24,7 +24,7 @@
     pub process: Process,
     /// Where callers connect.
     pub callers: SocketAddr,
-    _store: StoreServer,
+    store: StoreServer,
     _directory: TempDir,
 }
 
@@ -35,7 +35,7 @@
         let (topic, key) = DeploymentSpec::KEY;
         store.service().put(topic, key, &deployment(route).document());
         for (number, target) in (1..).zip(targets) {
-            let id = format!("target-{number}");
+            let id = target_id(number);
             let settings = PlainTargetSettings {
                 id: id.as_str().into(),
                 service: SERVICE.into(),
@@ -65,8 +65,17 @@
         let process = Process::start("gateway", &arguments);
         process.wait_for_line("event=target_announced").await;
         process.wait_for_line("event=configuration_in_force").await;
-        Self { process, callers: spec.caller_address(), _store: store, _directory: directory }
+        Self { process, callers: spec.caller_address(), store, _directory: directory }
     }
+
+    /// Removes a target, by its number from one, from the list in the store.
+    pub fn remove_target(&self, number: usize) {
+        self.store.service().put(DeploymentSpec::TARGETS, &target_id(number), &[]);
+    }
+}
+
+fn target_id(number: usize) -> String {
+    format!("target-{number}")
 }
 
 fn deployment(route: RouteSpec) -> DeploymentSpec {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod gateway;
 mod process;
+mod raw_target;
 mod standins;
 
 use std::net::Ipv4Addr;
@@ -18,6 +19,7 @@
 pub use fleet::{Entry, Fleet, FleetOptions, KEY, MODEL, Side};
 pub use gateway::{CUSTOMER_KEY, HOST, PlainGateway, SERVICE};
 pub use process::Process;
+pub use raw_target::{header_value, read_head};
 pub use standins::StandinProcess;
 use tokio::time::{Instant, sleep};
 
--- a/tests/truncated_streams.rs
+++ b/tests/truncated_streams.rs
@@ -12,8 +12,8 @@
 use platform_standin::{
     CallerConnection, CallerKind, CallerRequest, CallerResponse, RouteKind, RouteSpec,
 };
-use support::{CUSTOMER_KEY, HOST, PlainGateway, SERVICE};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use support::{CUSTOMER_KEY, HOST, PlainGateway, SERVICE, header_value, read_head};
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 use tokio::time::sleep;
@@ -86,19 +86,9 @@
 
 /// Reads a request and returns the id of the last event that its caller has.
 async fn read_request(socket: &mut TcpStream) -> Option<u64> {
-    let mut bytes = Vec::new();
-    while !bytes.windows(4).any(|part| part == b"\r\n\r\n") {
-        let mut part = [0; 4_096];
-        match socket.read(&mut part).await {
-            Ok(length) if length > 0 => bytes.extend_from_slice(&part[..length]),
-            Ok(_) | Err(_) => return None,
-        }
-    }
-    let text = String::from_utf8_lossy(&bytes).to_lowercase();
-    let value = text.lines().find_map(|line| {
-        line.strip_prefix(LAST_EVENT_ID.as_str())?.strip_prefix(':')?.trim().parse().ok()
-    });
-    Some(value.unwrap_or(0))
+    let head = read_head(socket).await?;
+    let last_event = header_value(&head, LAST_EVENT_ID.as_str());
+    Some(last_event.map_or(0, |value| value.parse().unwrap()))
 }
 
 /// Serves one request per connection; a message to `exits` closes the target's port.
