Quarantine prompt parts that end engines

Cause: a request that ends its engine was resumed at the next one, without limit, since sends to engines that have ended don't count against its attempts; and nothing connected different requests with a common part.

PartQuarantine collects it for all parts of a request but the last, without network: gateways report crashes and outputs with their ages in their state, as a set, so that late, lost and repeated reports do no harm. An output after a crash clears a part. A part is quarantined after three crashes by different prompts, or as many as make chance unlikely at the rate at which other requests meet crashes, if no other part explains them better. Crashes count once they are 600 ms old, when outputs at other gateways are known. Requests with the part are refused with 503, prompt_quarantined; those that wait at an engine are cancelled. After ten minutes one request is sent as a trial, and each failed one doubles the time. A request that ended its engine is sent once more only if none of its parts was in another crash.

Ruled out: quarantine after two crashes with one common part. It refused sound parts in the test of a fleet whose engines crash for other reasons, as did crashes that count at once.

The fleet tests play restarts, cuts, lost reports, two deadly parts and engines that end together.

--- a/components/api/src/error_code.rs
+++ b/components/api/src/error_code.rs
@@ -42,6 +42,8 @@
     NotAllowed,
     /// The call may have run; its answer is lost.
     OutcomeUnknown,
+    /// A part of the prompt ends engines; it is not sent for a while.
+    PromptQuarantined,
     /// The customer's queue is full.
     QueueFull,
     /// The customer's tokens are used up.
@@ -76,6 +78,7 @@
             Self::NoCapacity => "no_capacity",
             Self::NotAllowed => "not_allowed",
             Self::OutcomeUnknown => "outcome_unknown",
+            Self::PromptQuarantined => "prompt_quarantined",
             Self::QueueFull => "queue_full",
             Self::RateExceeded => "rate_exceeded",
             Self::RequestTimeout => "request_timeout",
@@ -103,6 +106,7 @@
             | Self::LogUnavailable
             | Self::NoAuthority
             | Self::NoCapacity
+            | Self::PromptQuarantined
             | Self::QueueFull => StatusCode::SERVICE_UNAVAILABLE,
             Self::UpstreamFailed => StatusCode::BAD_GATEWAY,
             Self::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
@@ -130,6 +134,7 @@
             | Self::LogUnavailable
             | Self::NoAuthority
             | Self::NoCapacity
+            | Self::PromptQuarantined
             | Self::QueueFull
             | Self::UpstreamFailed => "server_error",
         }
--- a/components/gateway/src/app.rs
+++ b/components/gateway/src/app.rs
@@ -13,6 +13,7 @@
 use membership::{Authority, GatewayTable, TargetDirectory};
 use placement::{FleetPlanner, ModelDemandTable};
 use platform::{Configuration, StoreClient};
+use quarantine::PartQuarantine;
 use rates::GatewayCount;
 use routing::DirectFleet;
 use telemetry::Metrics;
@@ -63,6 +64,10 @@
     pub gateways: RefCell<GatewayTable>,
     /// Rate limits of the customers and retry budgets of the services.
     pub rates: RefCell<RateLimits>,
+    /// Prompt parts that end engines.
+    pub quarantine: RefCell<PartQuarantine>,
+    /// Notified when a part is quarantined.
+    pub part_quarantined: Notify,
     /// Demand for each model.
     pub demand: RefCell<ModelDemandTable>,
     /// Placement planner; used only while this gateway leads the planning.
@@ -161,6 +166,7 @@
             behind as u64,
         );
         self.metrics.set_in_flight(self.in_flight.get() as u64);
+        self.metrics.set_quarantined_parts(self.quarantine.borrow().held() as u64);
     }
 
     /// Delay before a failed store call is retried: `usual`, scaled by the number of gateways. The
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -70,6 +70,8 @@
     /// Id of the last event that was passed to the caller.
     pub last_event: Option<u64>,
     charged: bool,
+    /// Whether the request must not be sent again, since it may have ended its target.
+    ended_its_target: bool,
     /// Whether the demand for the model has been recorded.
     demand_recorded: bool,
     /// Target at which the adapter was requested, and when.
@@ -99,6 +101,7 @@
             last_event_at: None,
             last_event,
             charged: false,
+            ended_its_target: false,
             demand_recorded: false,
             adapter_requested: None,
             target_error: None,
@@ -125,15 +128,22 @@
             }
             let send = self.record_attempt(&chosen);
             let limit = self.response_timeout(&chosen.pick);
-            let response = exchange(
+            let exchanged = exchange(
                 &self.app,
                 &self.request,
                 &chosen.pick,
                 chosen.urgency,
                 self.last_event,
                 limit,
-            )
-            .await;
+            );
+            let response = tokio::select! {
+                response = exchanged => response,
+                // Dropping the exchange cancels the request at the target.
+                () = self.quarantined() => {
+                    self.attempts.record_may_have_run();
+                    continue;
+                }
+            };
             match response {
                 Ok(response) => {
                     if let Some(end) = self.handle_response(response, send).await {
@@ -230,6 +240,7 @@
             self.app.fleet.borrow_mut().record_plain(pick.key, now)
         };
         self.attempts.begin(pick.key);
+        self.app.quarantine.borrow_mut().record_send(&self.request.parts, now);
         log::info!(
             "event=request_sent request_id={} target={} model={} adapter={} estimate_ms={:.0} read_ms={:.0} unread_tokens={} urgency={} sends={}",
             quote(&self.request.id),
@@ -299,6 +310,7 @@
                 let headers = forwarded_response_headers(&headers);
                 let full = FullResponse { status, headers, body };
                 if !status.is_server_error() {
+                    self.record_output(self.app.clock.now());
                     send.record_outcome(TargetOutcome::Answered);
                     return Some(DispatchOutcome::Whole(full));
                 }
@@ -321,6 +333,7 @@
                     status.as_u16(),
                     reason.as_str()
                 );
+                self.ended_its_target = !self.allows_retry_after_break(&send).await;
                 None
             }
         }
@@ -449,12 +462,13 @@
     /// Checks whether another attempt is allowed.
     fn check_send_allowed(&mut self, now: Timestamp) -> Result<(), ApiError> {
         let plan = &self.request.plan;
-        if self.attempts.may_have_run() && !plan.kind.may_run_again() {
+        if self.attempts.may_have_run() && (!plan.kind.may_run_again() || self.ended_its_target) {
             let text = "the target gave no answer; the request may have run";
             return Err(
                 ApiError::new(ErrorCode::UpstreamFailed, text).with_ran(ExecutionState::Unknown)
             );
         }
+        self.check_quarantine(now)?;
         let left = self.request.deadline.since(now);
         if left < MIN_ATTEMPT_TIME {
             let text = "the time allowed ran out";
--- a/components/gateway/src/fleet_link.rs
+++ b/components/gateway/src/fleet_link.rs
@@ -220,6 +220,7 @@
         news: link.recent(&link.target_updates, UPDATE_REPEAT_ROUNDS),
         silent_targets,
         further_sends,
+        suspects: app.part_reports(now),
     }
 }
 
--- a/components/gateway/src/fleet_receiver.rs
+++ b/components/gateway/src/fleet_receiver.rs
@@ -122,6 +122,7 @@
         &state.admitted,
     );
     app.rates.borrow_mut().retries.update_peer(&state.from, &state.further_sends, now);
+    app.apply_part_reports(&state.suspects, "gateway", now);
     app.demand.borrow_mut().update_peer(&state.from.name, state.demand.clone(), now);
     {
         let mut fleet = app.fleet.borrow_mut();
--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -13,6 +13,7 @@
 use membership::{Authority, GatewayTable, TargetDirectory};
 use placement::{FleetPlanner, ModelDemandTable};
 use platform::StoreClient;
+use quarantine::{PartQuarantine, QuarantineSettings};
 use routing::DirectFleet;
 use telemetry::Metrics;
 use tokio::net::{TcpListener, UdpSocket};
@@ -94,6 +95,7 @@
     let process =
         ProcessId { name: ProcessName::new(&settings.name), incarnation: new_incarnation() };
     let limit = App::evidence_limit(&settings);
+    let quarantine = PartQuarantine::new(QuarantineSettings::default(), &settings.name);
     Ok(App {
         clock: BootClock::start(),
         store: StoreClient::new(settings.store_address),
@@ -105,6 +107,8 @@
         fleet: RefCell::new(DirectFleet::new(&settings.data_centre)),
         gateways: RefCell::new(GatewayTable::new(process.clone(), &settings.data_centre)),
         rates: RefCell::new(RateLimits::new(settings.first_start, settings.bounds)),
+        quarantine: RefCell::new(quarantine),
+        part_quarantined: Notify::new(),
         demand: RefCell::new(ModelDemandTable::new()),
         planner: RefCell::new(FleetPlanner::new()),
         engine_orders: EngineOrders::new(&settings.bounds),
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod operators;
 mod peer_configuration;
 mod planning;
+mod quarantined_parts;
 mod rate_limits;
 mod registry;
 mod relay;
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -124,7 +124,12 @@
                 self.framing.as_str(),
                 self.rest_bytes
             );
+            let before_output = end == RelayEnd::Broken && !self.dispatch.caller_has_events();
+            let allowed = !before_output || self.dispatch.allows_retry_after_break(&send).await;
             drop(send);
+            if !allowed {
+                return (self, end);
+            }
             match self.resume().await {
                 Some(next) => current = next,
                 None => return (self, end),
@@ -258,9 +263,12 @@
             }
         }
         self.body.send(event.bytes).await?;
+        let now = self.dispatch.app.clock.now();
+        if self.events == 0 {
+            self.dispatch.record_output(now);
+        }
         self.events += 1;
         self.next_event_begun = false;
-        let now = self.dispatch.app.clock.now();
         self.dispatch.record_event(event.id, now);
         self.first_event_at.get_or_insert(now);
         if let Some(last) = self.last_event_at.replace(now) {
--- a/components/gateway/src/request.rs
+++ b/components/gateway/src/request.rs
@@ -79,6 +79,8 @@
     pub deadline: Timestamp,
     /// Hash chain of the prompt's prefixes.
     pub links: Vec<PrefixLink>,
+    /// Ids of the prompt's parts; the last one is the request's own.
+    pub parts: Vec<u64>,
 }
 
 /// A received request before it is admitted, without its body.
@@ -158,6 +160,7 @@
         }
         None => Vec::new(),
     };
+    let parts = received.head.prompt_parts.iter().map(|part| part.id).collect();
     Ok(CallerRequest {
         id: received.id,
         method: received.method,
@@ -171,6 +174,7 @@
         arrived: received.arrived,
         deadline: received.arrived + allowed,
         links,
+        parts,
     })
 }
 
--- a/components/membership/tests/gateway_table.rs
+++ b/components/membership/tests/gateway_table.rs
@@ -38,6 +38,7 @@
         news: Vec::new(),
         silent_targets: Vec::new(),
         further_sends: Vec::new(),
+        suspects: Vec::new(),
     }
 }
 
--- /dev/null
+++ b/components/quarantine/src/lib.rs
@@ -0,0 +1,13 @@
+//! Detection of queries of death: prompt parts that end each engine that begins to write an answer on
+//! them.
+
+mod background;
+mod crash;
+mod hold;
+mod part_quarantine;
+mod settings;
+mod suspect;
+
+pub use crash::Crash;
+pub use part_quarantine::{PartQuarantine, QuarantineChange, Refusal};
+pub use settings::QuarantineSettings;
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -54,6 +54,7 @@
     configuration_offset: Gauge<u64>,
     configuration_age: Gauge<f64>,
     gateways_behind: Gauge<u64>,
+    quarantined_parts: Gauge<u64>,
 }
 
 impl Metrics {
@@ -107,12 +108,18 @@
             configuration_offset: number("configuration_offset", "Configuration in force"),
             configuration_age: seconds("configuration_age", "Age of the configuration"),
             gateways_behind: number("gateways_behind", "Gateways on an old configuration"),
+            quarantined_parts: number("quarantined_parts", "Prompt parts in quarantine"),
             customers: RefCell::new(LabelSet::new(MAX_CUSTOMERS)),
             registry,
             _provider: provider,
         })
     }
 
+    /// Sets the number of prompt parts in quarantine.
+    pub fn set_quarantined_parts(&self, parts: u64) {
+        self.quarantined_parts.record(parts, &[]);
+    }
+
     /// Gives customers series of their own, while there is room.
     pub fn admit_customers<'a>(&self, names: impl Iterator<Item = &'a str>) {
         self.customers.borrow_mut().admit(names);
--- a/components/wire/src/fleet_state.rs
+++ b/components/wire/src/fleet_state.rs
@@ -7,7 +7,7 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
-use crate::TargetEntry;
+use crate::{PartReport, TargetEntry};
 
 /// A datagram.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -96,6 +96,8 @@
     pub silent_targets: Vec<u32>,
     /// Its requests and further sends in the window of the budget, by service.
     pub further_sends: Vec<FurtherSends>,
+    /// Evidence on prompt parts that end engines.
+    pub suspects: Vec<PartReport>,
 }
 
 /// Requests to a service, and sends to further targets.
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -15,6 +15,7 @@
 mod handshake;
 mod heartbeat;
 mod message;
+mod part_report;
 mod pool;
 mod request_id;
 mod server;
@@ -46,6 +47,7 @@
     LogRecordCopy, PeerCall, PeerReply, PermitOutcome, PinOutcome, ReserveOutcome, SlotId,
     SuggestOutcome, Suggestion,
 };
+pub use part_report::{CrashCopy, HoldCopy, PartReport};
 pub use pool::PeerPool;
 pub use request_id::RequestId;
 pub use server::{Incoming, Responder, serve_connection};
--- a/tests/query_of_death.rs
+++ b/tests/query_of_death.rs
@@ -23,6 +23,8 @@
 const DEADLY: u64 = 0xdead;
 /// Part of all other requests.
 const SOUND: u64 = 0x50;
+/// Sound requests before the first deadly one, from which the gateway knows how rarely targets end.
+const SOUND_BEFORE: usize = 120;
 const DEADLINE: Duration = Duration::from_secs(5);
 const EVENT: &str = "id: 1\ndata: line\n\n";
 /// Most requests with the deadly part that reach targets, attempts included: five crashes and three more.
@@ -132,6 +134,10 @@
 #[tokio::test]
 async fn requests_with_a_part_that_ends_targets_are_refused() {
     let (gateway, ended) = start(MAX_CRASHES + 2).await;
+    for number in 0..SOUND_BEFORE {
+        let sound = call(gateway.callers, &format!("before-{number}"), SOUND).await;
+        assert!(sound.is_complete, "{number}: {sound:?}");
+    }
     let mut refused = 0;
     for number in 0..12 {
         let deadly = call(gateway.callers, &format!("deadly-{number}"), DEADLY).await;
