Keep quarantined parts in the store

A quarantine ended with the last gateway that knew of it: after a loss of all gateways requests with the part would end engines again until it is named anew, up to six beyond what is allowed.

A gateway whose requests were in the crashes of a part writes its evidence to a topic of its own, and removes it when an engine writes output on the part. Ages are kept against the writer's time of day; a clock that is off by seconds changes a quarantine of minutes by as much.

The test a_quarantine_outlasts_the_gateways fails without the task (timed out waiting for part_quarantined after the restart).

--- a/components/gateway/src/app.rs
+++ b/components/gateway/src/app.rs
@@ -68,6 +68,10 @@
     pub quarantine: RefCell<PartQuarantine>,
     /// Notified when a part is quarantined.
     pub part_quarantined: Notify,
+    /// Parts whose quarantine has changed and is not stored yet.
+    pub changed_parts: RefCell<Vec<u64>>,
+    /// Notified when there is such a part.
+    pub stored_parts_changed: Notify,
     /// Demand for each model.
     pub demand: RefCell<ModelDemandTable>,
     /// Placement planner; used only while this gateway leads the planning.
--- a/components/gateway/src/fleet_receiver.rs
+++ b/components/gateway/src/fleet_receiver.rs
@@ -9,6 +9,7 @@
 
 use crate::app::App;
 use crate::fleet_link::{FleetLink, forward_to_local_gateways};
+use crate::quarantined_parts::EvidenceSource;
 
 /// Handles datagrams until the task is aborted.
 pub(crate) async fn receive_datagrams(app: Rc<App>, link: Rc<FleetLink>) {
@@ -122,7 +123,7 @@
         &state.admitted,
     );
     app.rates.borrow_mut().retries.update_peer(&state.from, &state.further_sends, now);
-    app.apply_part_reports(&state.suspects, "gateway", now);
+    app.apply_part_reports(&state.suspects, EvidenceSource::Gateway, now);
     app.demand.borrow_mut().update_peer(&state.from.name, state.demand.clone(), now);
     {
         let mut fleet = app.fleet.borrow_mut();
--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -34,6 +34,7 @@
 use crate::rate_limits::RateLimits;
 use crate::registry::maintain_registration;
 use crate::shutdown::drain;
+use crate::stored_parts::maintain_stored_parts;
 use crate::target_pool::TargetPool;
 use crate::target_watch::watch_targets;
 
@@ -76,6 +77,7 @@
     tasks.spawn_local(watch_configuration(Rc::clone(&app)));
     tasks.spawn_local(watch_targets(Rc::clone(&app), Rc::clone(&link)));
     tasks.spawn_local(maintain_registration(Rc::clone(&app)));
+    tasks.spawn_local(maintain_stored_parts(Rc::clone(&app)));
     tasks.spawn_local(broadcast_state(Rc::clone(&app), Rc::clone(&link)));
     tasks.spawn_local(plan_placement(Rc::clone(&app), Rc::clone(&link)));
     tasks.spawn_local(coordinate_engine_orders(Rc::clone(&app), Rc::clone(&link)));
@@ -109,6 +111,8 @@
         rates: RefCell::new(RateLimits::new(settings.first_start, settings.bounds)),
         quarantine: RefCell::new(quarantine),
         part_quarantined: Notify::new(),
+        changed_parts: RefCell::default(),
+        stored_parts_changed: Notify::new(),
         demand: RefCell::new(ModelDemandTable::new()),
         planner: RefCell::new(FleetPlanner::new()),
         engine_orders: EngineOrders::new(&settings.bounds),
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod retry;
 mod run_end;
 mod shutdown;
+mod stored_parts;
 mod stream_failover;
 mod target_pool;
 mod target_watch;
--- a/components/gateway/src/quarantined_parts.rs
+++ b/components/gateway/src/quarantined_parts.rs
@@ -11,16 +11,42 @@
 use crate::in_flight_send::InFlightSend;
 use crate::target_pool::SendFailure;
 
+/// What a quarantine began or ended on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum EvidenceSource {
+    /// Report of another gateway.
+    Gateway,
+    /// Crashes and outputs of this gateway's requests, with what the others reported.
+    Own,
+    /// Record in the store.
+    Store,
+}
+
+impl EvidenceSource {
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Gateway => "gateway",
+            Self::Own => "own",
+            Self::Store => "store",
+        }
+    }
+}
+
 impl App {
     /// Evidence on parts, to report to the other gateways.
     pub(crate) fn part_reports(&self, now: Timestamp) -> Vec<PartReport> {
         let reports = self.quarantine.borrow_mut().reports(now);
-        self.handle_quarantine_changes("evidence");
+        self.handle_quarantine_changes(EvidenceSource::Own);
         reports
     }
 
     /// Applies evidence on parts of another gateway or from the store.
-    pub(crate) fn apply_part_reports(&self, reports: &[PartReport], source: &str, now: Timestamp) {
+    pub(crate) fn apply_part_reports(
+        &self,
+        reports: &[PartReport],
+        source: EvidenceSource,
+        now: Timestamp,
+    ) {
         if reports.is_empty() {
             return;
         }
@@ -28,22 +54,44 @@
         self.handle_quarantine_changes(source);
     }
 
-    fn handle_quarantine_changes(&self, source: &str) {
+    fn store_part(&self, part: u64) {
+        let mut changed = self.changed_parts.borrow_mut();
+        if !changed.contains(&part) {
+            changed.push(part);
+        }
+        self.stored_parts_changed.notify_one();
+    }
+
+    fn handle_quarantine_changes(&self, source: EvidenceSource) {
         let changes = self.quarantine.borrow_mut().take_changes();
         for change in changes {
             match change {
-                QuarantineChange::Begun { part, crashes, hold, failed_trials } => {
+                QuarantineChange::Begun { part, crashes, hold, failed_trials, is_own } => {
                     log::warn!(
-                        "event=part_quarantined part={part:x} crashes={crashes} hold_ms={} failed_trials={failed_trials} source={source}",
-                        hold.as_millis()
+                        "event=part_quarantined part={part:x} crashes={crashes} hold_ms={} failed_trials={failed_trials} source={}",
+                        hold.as_millis(),
+                        source.as_str()
                     );
                     self.part_quarantined.notify_waiters();
+                    if is_own {
+                        self.store_part(part);
+                    }
                 }
                 QuarantineChange::Released { part } => {
-                    log::info!("event=part_released part={part:x} reason=output");
+                    log::info!(
+                        "event=part_released part={part:x} reason=output source={}",
+                        source.as_str()
+                    );
+                    if source == EvidenceSource::Own {
+                        self.store_part(part);
+                    }
                 }
                 QuarantineChange::Expired { part } => {
-                    log::info!("event=part_released part={part:x} reason=expired");
+                    log::info!(
+                        "event=part_released part={part:x} reason=expired source={}",
+                        source.as_str()
+                    );
+                    self.store_part(part);
                 }
             }
         }
@@ -78,7 +126,7 @@
     /// Records that a target wrote output for the request.
     pub(crate) fn record_output(&self, now: Timestamp) {
         self.app.quarantine.borrow_mut().record_output(&self.request.parts, now);
-        self.app.handle_quarantine_changes("output");
+        self.app.handle_quarantine_changes(EvidenceSource::Own);
     }
 
     /// Checks whether the target of a response that broke off before its first output has ended, and
@@ -105,7 +153,7 @@
             quote(&send.pick.id),
             self.request.parts.len() - 1
         );
-        self.app.handle_quarantine_changes("evidence");
+        self.app.handle_quarantine_changes(EvidenceSource::Own);
         allowed
     }
 }
--- a/components/quarantine/src/part_quarantine.rs
+++ b/components/quarantine/src/part_quarantine.rs
@@ -41,6 +41,8 @@
         hold: Duration,
         /// Trials that failed before.
         failed_trials: u32,
+        /// Whether a request of this gateway was in one of the crashes.
+        is_own: bool,
     },
     /// An engine wrote an answer on the part.
     Released {
@@ -89,6 +91,7 @@
             let settings = self.settings;
             let suspect = self.parts.get_or_insert_with(part, Suspect::default);
             suspect.add_crash(crash, settings.crash_gap);
+            suspect.is_own = true;
             if let Some(hold) = suspect.hold.filter(|hold| hold.on_trial) {
                 let failed_trials = hold.failed_trials.saturating_add(1);
                 let length = hold_length(&settings, failed_trials);
@@ -100,6 +103,7 @@
                     crashes,
                     hold: length,
                     failed_trials,
+                    is_own: true,
                 });
             }
         }
@@ -172,32 +176,14 @@
         }
         self.expire(now);
         self.judge(now);
-        let age_ms = |at: Timestamp| millis(now.since(at));
         let report_delay = self.settings.report_delay;
         let mut reports: Vec<((bool, bool, usize), PartReport)> = self
             .parts
             .iter()
             .map(|(part, suspect)| {
-                let report = PartReport {
-                    part: *part,
-                    crashes: suspect
-                        .crashes
-                        .iter()
-                        .map(|crash| CrashCopy {
-                            target: crash.target,
-                            prompt: crash.prompt,
-                            age_ms: age_ms(crash.at),
-                        })
-                        .collect(),
-                    cleared_age_ms: suspect.own_cleared_at.map(age_ms),
-                    hold: suspect.hold.map(|hold| HoldCopy {
-                        age_ms: age_ms(hold.since),
-                        remaining_ms: millis(hold.until.since(now)),
-                        failed_trials: hold.failed_trials,
-                    }),
-                };
                 let cleared = suspect.own_cleared_at.is_some_and(|at| now.since(at) < report_delay);
-                ((suspect.hold.is_some(), cleared, suspect.crashes.len()), report)
+                let strength = (suspect.hold.is_some(), cleared, suspect.crashes.len());
+                (strength, report_of(*part, suspect, now))
             })
             .collect();
         reports.sort_by_key(|(strength, _)| Reverse(*strength));
@@ -205,6 +191,12 @@
         reports.into_iter().map(|(_, report)| report).collect()
     }
 
+    /// Evidence on a part in quarantine, for the store; none if it isn't in quarantine.
+    pub fn held_report(&self, part: u64, now: Timestamp) -> Option<PartReport> {
+        let suspect = self.parts.get(&part).filter(|suspect| suspect.hold.is_some())?;
+        Some(report_of(part, suspect, now))
+    }
+
     /// Applies the evidence of another gateway, or that from the store.
     pub fn apply_reports(&mut self, reports: &[PartReport], now: Timestamp) {
         let report_delay = self.settings.report_delay;
@@ -235,6 +227,7 @@
                         crashes: suspect.crashes.len(),
                         hold: until.since(now),
                         failed_trials,
+                        is_own: false,
                     });
                 }
             }
@@ -283,6 +276,7 @@
                     crashes,
                     hold,
                     failed_trials: 0,
+                    is_own: suspect.is_own,
                 });
             }
         }
@@ -377,6 +371,25 @@
     settings.hold.saturating_mul(factor).min(settings.max_hold)
 }
 
+fn report_of(part: u64, suspect: &Suspect, now: Timestamp) -> PartReport {
+    let age_ms = |at: Timestamp| millis(now.since(at));
+    let crashes = suspect.crashes.iter().map(|crash| CrashCopy {
+        target: crash.target,
+        prompt: crash.prompt,
+        age_ms: age_ms(crash.at),
+    });
+    PartReport {
+        part,
+        crashes: crashes.collect(),
+        cleared_age_ms: suspect.own_cleared_at.map(age_ms),
+        hold: suspect.hold.map(|hold| HoldCopy {
+            age_ms: age_ms(hold.since),
+            remaining_ms: millis(hold.until.since(now)),
+            failed_trials: hold.failed_trials,
+        }),
+    }
+}
+
 fn millis(duration: Duration) -> u32 {
     u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
 }
--- a/components/quarantine/src/suspect.rs
+++ b/components/quarantine/src/suspect.rs
@@ -21,6 +21,8 @@
     pub cleared_at: Option<Timestamp>,
     /// Last output on the part at this gateway.
     pub own_cleared_at: Option<Timestamp>,
+    /// Whether a request of this gateway was in one of the crashes.
+    pub is_own: bool,
     /// The quarantine, if there is one.
     pub hold: Option<Hold>,
 }
--- a/components/quarantine/tests/lifecycle.rs
+++ b/components/quarantine/tests/lifecycle.rs
@@ -81,7 +81,7 @@
         hold *= 2;
         assert!(matches!(
             quarantine.take_changes()[..],
-            [QuarantineChange::Begun { hold: length, failed_trials: trials, .. }]
+            [QuarantineChange::Begun { hold: length, failed_trials: trials, is_own: true, .. }]
                 if length == hold && trials == failed_trials
         ));
         assert!(quarantine.refusal(&request, now + hold / 2).is_some());
--- a/components/store/src/topic.rs
+++ b/components/store/src/topic.rs
@@ -10,6 +10,8 @@
     Gateways,
     /// Records published by the operators; read-only for this system.
     Operators,
+    /// Prompt parts in quarantine, each under its id.
+    QuarantinedParts,
     /// Targets, each under its id; read-only for this system.
     Targets,
 }
@@ -21,6 +23,7 @@
             Self::Agents => "agents",
             Self::Gateways => "gateways",
             Self::Operators => "operators",
+            Self::QuarantinedParts => "quarantined_parts",
             Self::Targets => "targets",
         }
     }
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -47,7 +47,7 @@
     LogRecordCopy, PeerCall, PeerReply, PermitOutcome, PinOutcome, ReserveOutcome, SlotId,
     SuggestOutcome, Suggestion,
 };
-pub use part_report::{CrashCopy, HoldCopy, PartReport};
+pub use part_report::{CrashCopy, HoldCopy, PartReport, StoredPart};
 pub use pool::PeerPool;
 pub use request_id::RequestId;
 pub use server::{Incoming, Responder, serve_connection};
--- a/tests/query_of_death.rs
+++ b/tests/query_of_death.rs
@@ -78,16 +78,7 @@
     for number in 1..=targets {
         addresses.push(target(number, sender.clone()).await);
     }
-    let route = RouteSpec {
-        name: "lines".into(),
-        prefix: "/lines/".into(),
-        service: SERVICE.into(),
-        kind: RouteKind::ResumableStream,
-        attempts: 2,
-        timeout_ms: 5_000,
-        objective_ms: 1_000,
-    };
-    let gateway = Arc::new(PlainGateway::start(route, &addresses).await);
+    let gateway = Arc::new(PlainGateway::start(route(), &addresses).await);
     let ended = Arc::new(AtomicUsize::new(0));
     let (list, count) = (Arc::clone(&gateway), Arc::clone(&ended));
     tokio::spawn(async move {
@@ -99,6 +90,18 @@
     (gateway, ended)
 }
 
+fn route() -> RouteSpec {
+    RouteSpec {
+        name: "lines".into(),
+        prefix: "/lines/".into(),
+        service: SERVICE.into(),
+        kind: RouteKind::ResumableStream,
+        attempts: 2,
+        timeout_ms: 5_000,
+        objective_ms: 1_000,
+    }
+}
+
 async fn call(callers: SocketAddr, id: &str, part: u64) -> CallerResponse {
     let mut connection = CallerConnection::open(callers, DEADLINE).await.unwrap();
     let request = CallerRequest {
@@ -157,3 +160,31 @@
     assert!(refused >= 8, "{refused} of 12 deadly requests were refused");
     gateway.process.wait_for_line("event=part_quarantined").await;
 }
+
+/// Guards against a quarantine that ends with the process that knows of it: all gateways may be lost at
+/// once, and what must last is in the store.
+#[tokio::test]
+async fn a_quarantine_outlasts_the_gateways() {
+    let (sender, mut ends) = unbounded_channel();
+    let mut addresses = Vec::new();
+    for number in 1..=MAX_CRASHES + 2 {
+        addresses.push(target(number, sender.clone()).await);
+    }
+    let mut gateway = PlainGateway::start(route(), &addresses).await;
+    for number in 0..MAX_CRASHES {
+        call(gateway.callers, &format!("deadly-{number}"), DEADLY).await;
+        sleep(Duration::from_millis(600)).await;
+    }
+    gateway.process.wait_for_line("event=part_quarantined").await;
+    let mut ended = 0;
+    while ends.try_recv().is_ok() {
+        ended += 1;
+    }
+    assert!(ended <= MAX_CRASHES, "{ended} targets ended");
+
+    gateway.restart().await;
+    gateway.process.wait_for_line("event=part_quarantined").await;
+    let deadly = call(gateway.callers, "deadly-after", DEADLY).await;
+    assert!(deadly.guarantees_not_run(), "{deadly:?}");
+    assert!(ends.is_empty(), "a target ended after the restart");
+}
--- a/tests/support/gateway.rs
+++ b/tests/support/gateway.rs
@@ -1,6 +1,7 @@
 //! A gateway process whose store lists targets of a plain service.
 
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 
 use platform_standin::{
     CustomerSpec, DeploymentSpec, FleetLimits, MachineSpec, PlainTargetService,
@@ -25,6 +26,7 @@
     /// Where callers connect.
     pub callers: SocketAddr,
     store: StoreServer,
+    settings: PathBuf,
     _directory: TempDir,
 }
 
@@ -61,11 +63,20 @@
         let directory = tempfile::tempdir().unwrap();
         let path = directory.path().join("settings.conf");
         std::fs::write(&path, spec.settings_file(&FleetLimits::default())).unwrap();
-        let arguments = ["gateway", "--settings", path.to_str().unwrap()].map(str::to_owned);
-        let process = Process::start("gateway", &arguments);
-        process.wait_for_line("event=target_announced").await;
-        process.wait_for_line("event=configuration_in_force").await;
-        Self { process, callers: spec.caller_address(), store, _directory: directory }
+        let process = start_process(&path).await;
+        Self {
+            process,
+            callers: spec.caller_address(),
+            store,
+            settings: path,
+            _directory: directory,
+        }
+    }
+
+    /// Kills the process and starts it again.
+    pub async fn restart(&mut self) {
+        self.process.kill().await;
+        self.process = start_process(&self.settings).await;
     }
 
     /// Removes a target, by its number from one, from the list in the store.
@@ -74,6 +85,14 @@
     }
 }
 
+async fn start_process(settings: &Path) -> Process {
+    let arguments = ["gateway", "--settings", settings.to_str().unwrap()].map(str::to_owned);
+    let process = Process::start("gateway", &arguments);
+    process.wait_for_line("event=target_announced").await;
+    process.wait_for_line("event=configuration_in_force").await;
+    process
+}
+
 fn target_id(number: usize) -> String {
     format!("target-{number}")
 }
