Keep the place of a planned load while its agent may order it

Cause: the planner gave the place of a planned load away as soon as its engine left the list, but the agent carries a plan out for 3 s after the last reminder.

A load that is planned no longer keeps its place until the latest time at which it can begin, and for the window of the limit after that.

The test a_planned_fetch_keeps_its_place_while_its_engine_may_carry_it_out fails without the change with 16 engines, in the first round after the engines have left.

--- a/components/gateway/src/planning.rs
+++ b/components/gateway/src/planning.rs
@@ -88,6 +88,8 @@
         if logs_demand {
             log_demand(app, &models, &engines, budget);
         }
+        let load_window = Duration::from_millis(app.settings().bounds.load_window_ms);
+        app.planner.borrow_mut().set_load_window(load_window);
         let moves = app.planner.borrow_mut().plan(&models, &engines, budget, now);
         for planned in moves {
             log::info!(
--- a/components/placement/src/engine_order_scheduler.rs
+++ b/components/placement/src/engine_order_scheduler.rs
@@ -23,7 +23,7 @@
 /// Time for which a gateway's request for an adapter is valid.
 const ADAPTER_REQUEST_LIFETIME: Duration = Duration::from_millis(600);
 /// Age at which a plan expires.
-const PLAN_LIFETIME: Duration = Duration::from_millis(3_000);
+pub(crate) const PLAN_LIFETIME: Duration = Duration::from_millis(3_000);
 /// Backoff after an order that the engine refused.
 const REFUSAL_BACKOFF: Duration = Duration::from_millis(150);
 /// Time between the announcement of an unload and the order, in which gateways stop sending
--- a/components/placement/src/fleet_planner.rs
+++ b/components/placement/src/fleet_planner.rs
@@ -10,6 +10,8 @@
 use compact_str::CompactString;
 use wire::ModelChange;
 
+use crate::engine_order_scheduler::PLAN_LIFETIME;
+
 /// Target utilisation of an engine's time by the demand for its models. A higher value leaves no
 /// headroom for the bursts of a few hundred ms in which requests arrive.
 const TARGET_UTILISATION: f64 = 0.4;
@@ -21,6 +23,11 @@
 const IDLE_DEMAND_ENGINES: f64 = 0.01;
 /// Time after which a move without an effect is abandoned.
 const MOVE_TIMEOUT: Duration = Duration::from_secs(8);
+/// Time after which an agent carries out no plan that it is not reminded of any more, with the time that
+/// the last reminder takes.
+const LATEST_START: Duration = PLAN_LIFETIME.saturating_add(Duration::from_millis(500));
+/// Window of the weight store's limit, unless it is set.
+const DEFAULT_LOAD_WINDOW: Duration = Duration::from_secs(5);
 /// Maximum fraction of the engines that replace one model by another at the same time; each has
 /// less serving capacity in the meantime.
 const MAX_SWAPPING_FRACTION: f64 = 0.35;
@@ -153,9 +160,24 @@
 }
 
 /// Plans moves and tracks those in progress.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct FleetPlanner {
     pending: SortedMap<CompactString, PendingMove>,
+    /// Until when the loads from the weight store count that are planned no longer: their agents may
+    /// still order them, and nothing reports a load of an engine that has left.
+    dropped_fetches: Vec<Timestamp>,
+    /// Window of the weight store's limit.
+    load_window: Duration,
+}
+
+impl Default for FleetPlanner {
+    fn default() -> Self {
+        Self {
+            pending: SortedMap::new(),
+            dropped_fetches: Vec::new(),
+            load_window: DEFAULT_LOAD_WINDOW,
+        }
+    }
 }
 
 impl FleetPlanner {
@@ -164,6 +186,11 @@
         Self::default()
     }
 
+    /// Sets the window of the weight store's limit.
+    pub const fn set_load_window(&mut self, window: Duration) {
+        self.load_window = window;
+    }
+
     /// Returns the moves in progress.
     pub fn moves(&self) -> impl Iterator<Item = &FleetMove> {
         self.pending.values().map(|pending| &pending.planned)
@@ -191,7 +218,8 @@
     ) -> Vec<FleetMove> {
         self.drop_finished_moves(engines, now);
         let mut statuses = self.statuses(models, engines);
-        let mut remaining_fetches = fetch_room.saturating_sub(self.planned_fetches(engines));
+        let reserved = self.planned_fetches(engines) + self.dropped_fetches.len();
+        let mut remaining_fetches = fetch_room.saturating_sub(reserved);
         let max_swaps = ((engines.len() as f64 * MAX_SWAPPING_FRACTION).ceil() as usize).max(1);
         let mut planned = Vec::new();
         loop {
@@ -226,13 +254,21 @@
 
     /// Drops moves that are complete, have timed out or whose engine is gone.
     fn drop_finished_moves(&mut self, engines: &[FleetEngine], now: Timestamp) {
+        let counts_until = now + LATEST_START + self.load_window;
+        let dropped_fetches = &mut self.dropped_fetches;
+        dropped_fetches.retain(|until| now < *until);
         self.pending.retain(|id, pending| {
-            let Some(engine) = engines.iter().find(|engine| engine.id == *id) else {
-                return false;
-            };
-            let done = engine.models.contains(&pending.planned.load);
-            let loading = engine.changing.as_ref().is_some_and(|change| change.loading);
-            !done && (loading || now.since(pending.planned_at) < MOVE_TIMEOUT)
+            let engine = engines.iter().find(|engine| engine.id == *id);
+            let done = engine.is_some_and(|engine| engine.models.contains(&pending.planned.load));
+            let loading = engine
+                .and_then(|engine| engine.changing.as_ref())
+                .is_some_and(|change| change.loading);
+            let waits = engine.is_some() && now.since(pending.planned_at) < MOVE_TIMEOUT;
+            let kept = !done && (loading || waits);
+            if !kept && !done && pending.planned.may_fetch {
+                dropped_fetches.push(counts_until);
+            }
+            kept
         });
     }
 
--- a/components/placement/tests/fleet_planner.rs
+++ b/components/placement/tests/fleet_planner.rs
@@ -294,3 +294,36 @@
     plan_until_stable(&mut planner, &models, &mut engines);
     assert_eq!((copies(&engines, "m00"), copies(&engines, "m11")), (4, 1), "{engines:?}");
 }
+
+/// Time for which an agent carries out a plan that it is not reminded of, with the last reminder on its
+/// way, and the window in which a load of that time counts.
+const PLANNED_FETCH_COUNTS_MS: u64 = 3_500 + 5_000;
+
+/// Guards against loads from the weight store beyond its rate where engines are replaced: an engine that
+/// leaves may still carry out its planned load, so that the load's place must not be given away.
+#[test]
+fn a_planned_fetch_keeps_its_place_while_its_engine_may_carry_it_out() {
+    const FETCH_ROOM: usize = 9;
+    for count in [16, 100, 400] {
+        let names: Vec<CompactString> = (0..60).map(|at| format_compact!("m{at}")).collect();
+        let demands: Vec<(&str, f64)> = names.iter().map(|name| (name.as_str(), 100.0)).collect();
+        let models = models(&demands);
+        let mut fleet = engines(&vec![&[] as &[&str]; count]);
+        let mut planner = FleetPlanner::new();
+        let mut planned = planner.plan(&models, &fleet, FETCH_ROOM, at(0));
+        assert_eq!(planned.len(), FETCH_ROOM, "{count} engines");
+        for round in 1..=PLANNED_FETCH_COUNTS_MS / 125 {
+            // All engines with a planned load leave; nothing is known of loads that have begun.
+            fleet.retain(|engine| !planned.iter().any(|planned| planned.engine == engine.id));
+            let now = at(125 * round);
+            let more = planner.plan(&models, &fleet, FETCH_ROOM, now);
+            assert!(more.is_empty(), "{count} engines, {now:?}: {more:?}");
+            planned.extend(more);
+        }
+        if count > 2 * FETCH_ROOM {
+            let later =
+                planner.plan(&models, &fleet, FETCH_ROOM, at(PLANNED_FETCH_COUNTS_MS + 250));
+            assert_eq!(later.len(), FETCH_ROOM, "{count} engines");
+        }
+    }
+}
