--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 mod stream_failover;
 mod target_pool;
 mod target_watch;
+mod unanswered_request;
 mod waiting;
 
 pub use error::GatewayError;
--- a/components/gateway/src/request_handler.rs
+++ b/components/gateway/src/request_handler.rs
@@ -20,6 +20,7 @@
 use crate::fleet_link::FleetLink;
 use crate::relay::{RelayEnd, StreamRelay};
 use crate::request::{CallerRequest, ReceivedRequest, resolve_request};
+use crate::unanswered_request::UnansweredRequest;
 
 /// Limit on a request body while no configuration is in force.
 const DEFAULT_MAX_BODY_BYTES: usize = 4 << 20;
@@ -38,6 +39,7 @@
     let (parts, body) = request.into_parts();
     let head = RequestHead::decode(&parts.headers);
     let id = head.request_id.clone().unwrap_or_default();
+    let unanswered = UnansweredRequest::new(Rc::clone(&app), id.clone(), arrived);
     for field in &head.malformed {
         log::info!("event=header_unreadable request_id={} field={}", quote(&id), field.as_str());
     }
@@ -58,7 +60,10 @@
     };
     let request = match outcome.await {
         Ok(request) => request,
-        Err(error) => return error_response(&app, &error, &id, None, arrived),
+        Err(error) => {
+            unanswered.answered();
+            return error_response(&app, &error, &id, None, arrived);
+        }
     };
     let mut dispatch = Dispatch::new(Rc::clone(&app), link, Rc::clone(&request));
     let mut stage = app.stage.subscribe();
@@ -66,6 +71,7 @@
         end = dispatch.run() => Some(end),
         _ = stage.wait_for(|stage| *stage >= ShutdownStage::Aborting) => None,
     };
+    unanswered.answered();
     match end.unwrap_or_else(|| Err(dispatch.shutdown_error())) {
         Ok(DispatchOutcome::Whole(full)) => {
             log_request_end(
