--- a/components/gateway/src/quarantined_parts.rs
+++ b/components/gateway/src/quarantined_parts.rs
@@ -112,12 +112,16 @@
         Err(ApiError::new(ErrorCode::PromptQuarantined, text).with_retry_after(remaining))
     }
 
+    /// Whether a part of the request is in quarantine.
+    pub(crate) fn is_quarantined(&self, now: Timestamp) -> bool {
+        self.app.quarantine.borrow().refusal(&self.request.parts, now).is_some()
+    }
+
     /// Waits until a part of the request is quarantined.
     pub(crate) async fn quarantined(&self) {
         loop {
             self.app.part_quarantined.notified().await;
-            let now = self.app.clock.now();
-            if self.app.quarantine.borrow().refusal(&self.request.parts, now).is_some() {
+            if self.is_quarantined(self.app.clock.now()) {
                 return;
             }
         }
--- a/tests/query_of_death.rs
+++ b/tests/query_of_death.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use platform::header_names::{PROMPT_PARTS, RESPONSE_SIGNATURE};
 use platform_standin::{
@@ -25,6 +25,8 @@
 const SOUND: u64 = 0x50;
 /// Sound requests before the first deadly one, from which the gateway knows how rarely targets end.
 const SOUND_BEFORE: usize = 120;
+/// Time within which a request ends that is not sent again, with the wait for the end of its target.
+const AT_ONCE: Duration = Duration::from_millis(1_500);
 const DEADLINE: Duration = Duration::from_secs(5);
 const EVENT: &str = "id: 1\ndata: line\n\n";
 /// Most requests with the deadly part that reach targets, attempts included: five crashes and three more.
@@ -143,8 +145,10 @@
     }
     let mut refused = 0;
     for number in 0..12 {
+        let started = Instant::now();
         let deadly = call(gateway.callers, &format!("deadly-{number}"), DEADLY).await;
         assert!(!deadly.is_success() || !deadly.is_complete, "{deadly:?}");
+        assert!(started.elapsed() < AT_ONCE, "{number}: {:?}", started.elapsed());
         if deadly.guarantees_not_run() {
             refused += 1;
             let text = String::from_utf8_lossy(&deadly.body).into_owned();
