--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 mod stored_parts;
 mod stream_failover;
 mod target_pool;
+mod target_signals;
 mod target_watch;
 mod unanswered_request;
 mod waiting;
--- a/tests/settings_reload.rs
+++ b/tests/settings_reload.rs
@@ -7,24 +7,14 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 
-use platform_standin::{FleetLimits, MachineSpec};
+use platform_standin::FleetLimits;
 use rustix::process::Signal;
-use support::{Process, own_ip};
+use support::{Process, gateway_machine};
 use tempfile::TempDir;
 
 /// A settings file of a gateway on the loopback interface whose store answers nobody.
 fn settings() -> String {
-    let spec = MachineSpec {
-        name: "front-1".into(),
-        data_centre: "north-a".into(),
-        data_centres: vec!["north-a".into()],
-        ip: own_ip().into(),
-        peer_port: 7_600,
-        caller_port: 8_221,
-        store: SocketAddr::from((Ipv4Addr::LOCALHOST, 9)),
-        engine: None,
-        first_start: true,
-    };
+    let spec = gateway_machine(SocketAddr::from((Ipv4Addr::LOCALHOST, 9)));
     spec.settings_file(&FleetLimits { drain_ms: 2_000, ..FleetLimits::default() })
 }
 
--- a/tests/support/gateway.rs
+++ b/tests/support/gateway.rs
@@ -49,17 +49,7 @@
             let entry = PlainTargetService::new(settings).entry(*target, notice);
             store.service().put(DeploymentSpec::TARGETS, &id, &entry);
         }
-        let spec = MachineSpec {
-            name: "front-1".into(),
-            data_centre: "north-a".into(),
-            data_centres: vec!["north-a".into()],
-            ip: own_ip().into(),
-            peer_port: 7_600,
-            caller_port: 8_221,
-            store: store.address(),
-            engine: None,
-            first_start: true,
-        };
+        let spec = gateway_machine(store.address());
         let directory = tempfile::tempdir().unwrap();
         let path = directory.path().join("settings.conf");
         std::fs::write(&path, spec.settings_file(&FleetLimits::default())).unwrap();
@@ -85,6 +75,21 @@
     }
 }
 
+/// The machine of a gateway on the loopback interface.
+pub fn gateway_machine(store: SocketAddr) -> MachineSpec {
+    MachineSpec {
+        name: "front-1".into(),
+        data_centre: "north-a".into(),
+        data_centres: vec!["north-a".into()],
+        ip: own_ip().into(),
+        peer_port: 7_600,
+        caller_port: 8_221,
+        store,
+        engine: None,
+        first_start: true,
+    }
+}
+
 async fn start_process(settings: &Path) -> Process {
     let arguments = ["gateway", "--settings", settings.to_str().unwrap()].map(str::to_owned);
     let process = Process::start("gateway", &arguments);
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -17,7 +17,7 @@
 
 pub use caller::{Caller, StreamedAnswer};
 pub use fleet::{Entry, Fleet, FleetOptions, KEY, MODEL, Side};
-pub use gateway::{CUSTOMER_KEY, HOST, PlainGateway, SERVICE};
+pub use gateway::{CUSTOMER_KEY, HOST, PlainGateway, SERVICE, gateway_machine};
 pub use process::Process;
 pub use raw_target::{header_value, read_head};
 pub use standins::StandinProcess;
