Keep to the limits that targets name, all gateways together

Callers saw nothing; engines in need got more requests than the limit that they named in their answers: 13 to 22 in 4 s at 1 a second, 11 are allowed.

Cause: the header was not decoded, only passed on to callers. Hypothesis 2 (each gateway keeps a limit for itself) and 3 (requests on their way) are ruled out: one gateway alone sent 7 requests in a second, and the excess lasted for 7 s.

The rate is dealt out in turns among a number of gateways that grows with the limit, chosen by the target's id, so that the sum stays within it whoever reports. Dividing what is left among the gateways that report, as the retry budget does, was ruled out: at 1 a second each of 200 gateways may take the one request.

--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -363,6 +363,7 @@
                     waiting.get_or_insert_with(|| WaitingGuard::new(&self.app, &self.request));
                     self.wait_for_copy(loading_ms, wait_started).await?;
                 }
+                DirectChoice::Limited { key } => return Err(self.limited_error(key, now)),
                 DirectChoice::NoTarget => {
                     let text = "no target of the service can be used";
                     return Err(ApiError::new(ErrorCode::NoCapacity, text)
@@ -377,7 +378,9 @@
         let Some(model) = &self.request.head.model else { return };
         let uncached_tokens = match choice {
             DirectChoice::Serve(pick) => pick.uncached_tokens,
-            DirectChoice::NoCopy { .. } | DirectChoice::NoTarget => self.request.prompt_tokens(),
+            DirectChoice::Limited { .. } | DirectChoice::NoCopy { .. } | DirectChoice::NoTarget => {
+                self.request.prompt_tokens()
+            }
         };
         let tokens = uncached_tokens + OUTPUT_TOKEN_COST * self.request.output_tokens();
         let work_ms = self.app.fleet.borrow().prefill_ms(model, tokens);
--- a/components/gateway/src/fleet_link.rs
+++ b/components/gateway/src/fleet_link.rs
@@ -183,6 +183,7 @@
             app.update_freshness_metrics();
         }
         let expired = app.gateways.borrow_mut().expire(now);
+        app.update_limit_sharers(now);
         for name in expired {
             log::info!("event=gateway_gone gateway={name}");
             app.rates.borrow_mut().remove_peer(&name);
@@ -197,9 +198,9 @@
         let mut rates = app.rates.borrow_mut();
         (rates.admitted(), rates.retries.reports(now))
     };
-    let (work, silent_targets) = {
+    let (work, silent_targets, target_limits) = {
         let fleet = app.fleet.borrow();
-        (fleet.local_work(), fleet.unresponsive_targets(now))
+        (fleet.local_work(), fleet.unresponsive_targets(now), fleet.limit_reports(now))
     };
     GatewayState {
         from: app.process.clone(),
@@ -221,6 +222,7 @@
         silent_targets,
         further_sends,
         suspects: app.part_reports(now),
+        target_limits,
     }
 }
 
--- a/components/gateway/src/fleet_receiver.rs
+++ b/components/gateway/src/fleet_receiver.rs
@@ -133,6 +133,7 @@
             fleet.apply_peer_send(send, now);
         }
     }
+    app.apply_limit_reports(&state.target_limits, &state.from, now);
     for update in &state.news {
         if app.directory.borrow_mut().apply_update(update, now) {
             app.apply_target_update(update, now);
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod shutdown;
 mod stored_parts;
 mod stream_failover;
+mod target_limits;
 mod target_pool;
 mod target_signals;
 mod target_watch;
--- a/components/gateway/src/stream_failover.rs
+++ b/components/gateway/src/stream_failover.rs
@@ -74,7 +74,9 @@
         exclude.push(current.pick.key);
         match self.select_target(&exclude, now) {
             DirectChoice::Serve(pick) => !pick.needs_adapter_load && pick.estimate_ms < limit_ms,
-            DirectChoice::NoCopy { .. } | DirectChoice::NoTarget => false,
+            DirectChoice::Limited { .. } | DirectChoice::NoCopy { .. } | DirectChoice::NoTarget => {
+                false
+            }
         }
     }
 
--- a/components/gateway/src/target_signals.rs
+++ b/components/gateway/src/target_signals.rs
@@ -1,7 +1,9 @@
 //! What a response, or its absence, tells of its target.
 
+use api::{ApiError, ErrorCode};
+use base::Timestamp;
 use http::StatusCode;
-use routing::TargetOutcome;
+use routing::{NamedLimit, TargetKey, TargetOutcome};
 use telemetry::quote;
 
 use crate::dispatch::Dispatch;
@@ -19,6 +21,7 @@
                 quote(&send.pick.id)
             );
         }
+        self.record_limit(response, send);
         if let Some(wait) = response.head.retry_after
             && response.status == StatusCode::SERVICE_UNAVAILABLE
         {
@@ -33,6 +36,42 @@
         }
     }
 
+    fn record_limit(&self, response: &TargetResponse, send: &InFlightSend) {
+        let now = self.app.clock.now();
+        if response.head.limit == NamedLimit::Unreadable {
+            log::info!(
+                "event=target_limit_unreadable request_id={} target={}",
+                quote(&self.request.id),
+                quote(&send.pick.id)
+            );
+        }
+        let mut fleet = self.app.fleet.borrow_mut();
+        if fleet.record_limit(send.pick.key, response.head.limit, send.sent_at, now) {
+            log::info!(
+                "event=target_limit_changed target={} limit_per_s={} source=answer request_id={}",
+                quote(&send.pick.id),
+                fleet.target(send.pick.key).limit.per_s().unwrap_or(f64::INFINITY),
+                quote(&self.request.id)
+            );
+        }
+    }
+
+    /// Error for a request whose targets have all named a limit: `key` takes a request first.
+    pub(crate) fn limited_error(&self, key: TargetKey, now: Timestamp) -> ApiError {
+        let mut fleet = self.app.fleet.borrow_mut();
+        let target = fleet.target_mut(key);
+        let retry_after = target.limit.advise_return(now);
+        log::info!(
+            "event=target_limit_reached request_id={} target={} limit_per_s={} retry_after_ms={}",
+            quote(&self.request.id),
+            quote(&target.id),
+            target.limit.per_s().unwrap_or(f64::INFINITY),
+            retry_after.as_millis()
+        );
+        let text = "every target of the service has limited its requests";
+        ApiError::new(ErrorCode::NoCapacity, text).with_retry_after(retry_after)
+    }
+
     /// Handles an attempt that got no usable response.
     pub(crate) fn handle_failure(&mut self, failure: ExchangeFailure, send: &InFlightSend) {
         let reason = match failure {
--- a/components/membership/tests/gateway_table.rs
+++ b/components/membership/tests/gateway_table.rs
@@ -39,6 +39,7 @@
         silent_targets: Vec::new(),
         further_sends: Vec::new(),
         suspects: Vec::new(),
+        target_limits: Vec::new(),
     }
 }
 
--- a/components/routing/src/direct_choice.rs
+++ b/components/routing/src/direct_choice.rs
@@ -72,6 +72,12 @@
         /// Shortest remaining load time among targets that are loading the model, in milliseconds.
         loading_ms: Option<u32>,
     },
+    /// Every target that could serve the request has named a limit, and this gateway may not send it
+    /// another request yet.
+    Limited {
+        /// Target at which a request may be sent first.
+        key: TargetKey,
+    },
     /// The service has no usable target.
     NoTarget,
 }
--- a/components/routing/src/direct_fleet.rs
+++ b/components/routing/src/direct_fleet.rs
@@ -5,14 +5,14 @@
 
 use base::{ProcessName, SortedMap, Timestamp, rendezvous_score};
 use compact_str::CompactString;
-use wire::{AgentState, SendCopy, TargetEntry, TargetWorkCopy};
+use wire::{AgentState, SendCopy, TargetEntry, TargetLimitReport, TargetWorkCopy};
 
 use crate::direct_choice::{
     DirectChoice, DirectPick, DirectPlainRequirements, GenerationRequirements,
 };
 use crate::{
-    DirectTarget, PrefillEstimator, PrefixLink, RequestWork, SendId, TargetKey, TargetLoadSample,
-    TargetOutcome, Workload,
+    DirectTarget, LimitSharers, NamedLimit, PrefillEstimator, PrefixLink, RequestWork, SendId,
+    TargetKey, TargetLoadSample, TargetOutcome, Workload,
 };
 
 /// Delay of a new request per request in the batch, which lengthens decoding, in milliseconds.
@@ -39,6 +39,8 @@
 const STALLED_STREAM_MS: f64 = 60.0;
 /// Costs that differ by less than this count as equal, in milliseconds.
 const EQUAL_COST_MARGIN_MS: f64 = 1.0;
+/// Most limits reported in one state, so that it fits into a datagram.
+const MAX_LIMIT_REPORTS: usize = 500;
 /// Maximum share of the estimated wait in the estimated time of a request whose duration is used as
 /// an observation of the prefill time.
 const MAX_WAIT_SHARE_FOR_OBSERVATION: f64 = 0.25;
@@ -52,6 +54,7 @@
     by_hash: SortedMap<u32, TargetKey>,
     prefill_estimator: PrefillEstimator,
     cache_tokens: SortedMap<CompactString, u64>,
+    limit_sharers: LimitSharers,
 }
 
 impl DirectFleet {
@@ -64,6 +67,7 @@
             by_hash: SortedMap::new(),
             prefill_estimator: PrefillEstimator::new(),
             cache_tokens: SortedMap::new(),
+            limit_sharers: LimitSharers::default(),
         }
     }
 
@@ -215,6 +219,7 @@
         now: Timestamp,
     ) -> SendId {
         let target = &mut self.targets[pick.key.0 as usize];
+        target.limit.record_send(now);
         target.prefixes.record_prompt(requirements.links, now);
         let work = RequestWork {
             prefill_ms: pick.prefill_ms,
@@ -226,7 +231,9 @@
 
     /// Records a send of a plain request.
     pub fn record_plain(&mut self, key: TargetKey, now: Timestamp) -> SendId {
-        self.targets[key.0 as usize].work.add(RequestWork::default(), now)
+        let target = &mut self.targets[key.0 as usize];
+        target.limit.record_send(now);
+        target.work.add(RequestWork::default(), now)
     }
 
     /// Records that the first event of a generation arrived `took_ms` after the request was sent.
@@ -261,6 +268,58 @@
         self.targets[key.0 as usize].record_backoff(wait, now);
     }
 
+    /// Sets the gateways that share the limits of targets.
+    pub fn set_limit_sharers(&mut self, sharers: LimitSharers, now: Timestamp) {
+        if sharers == self.limit_sharers {
+            return;
+        }
+        self.limit_sharers = sharers;
+        for target in &mut self.targets {
+            target.limit.update_turns(&target.id, &self.limit_sharers, now);
+        }
+    }
+
+    /// Records what a response says of its target's limit; `sent_at` is the time of its request.
+    /// Returns whether the limit has changed.
+    pub fn record_limit(
+        &mut self,
+        key: TargetKey,
+        named: NamedLimit,
+        sent_at: Timestamp,
+        now: Timestamp,
+    ) -> bool {
+        let target = &mut self.targets[key.0 as usize];
+        target.limit.record_response(&target.id, named, &self.limit_sharers, sent_at, now)
+    }
+
+    /// Applies another gateway's reports of limits; returns the targets whose limit has changed.
+    pub fn apply_limit_reports(
+        &mut self,
+        reports: &[TargetLimitReport],
+        now: Timestamp,
+    ) -> Vec<TargetKey> {
+        let mut changed = Vec::new();
+        for report in reports {
+            let Some(key) = self.by_hash.get(&report.target).copied() else { continue };
+            let target = &mut self.targets[key.0 as usize];
+            if target.started_unix_ms == report.born_ms
+                && target.limit.apply_report(&target.id, report, &self.limit_sharers, now)
+            {
+                changed.push(key);
+            }
+        }
+        changed
+    }
+
+    /// Returns the limits of targets, to report to the other gateways.
+    pub fn limit_reports(&self, now: Timestamp) -> Vec<TargetLimitReport> {
+        self.targets
+            .iter()
+            .filter_map(|target| target.limit.report(target.hash, target.started_unix_ms, now))
+            .take(MAX_LIMIT_REPORTS)
+            .collect()
+    }
+
     /// Records that a target refused a connection.
     pub fn record_connection_refused(&mut self, key: TargetKey, now: Timestamp) {
         self.targets[key.0 as usize].record_connection_refused(now);
@@ -303,6 +362,7 @@
     ) -> DirectChoice {
         let mut any_usable = false;
         let mut loading_ms: Option<u32> = None;
+        let mut limited: Option<(Timestamp, TargetKey)> = None;
         let mut best: Option<(f64, DirectPick)> = None;
         let affinity_target = self.affinity_target(requirements, now);
         for (key, target) in self.usable(requirements.service, requirements.exclude, now) {
@@ -316,6 +376,11 @@
                 }
                 continue;
             }
+            if !target.limit.is_open(now) {
+                let candidate = (target.limit.next_return(now), key);
+                limited = Some(limited.map_or(candidate, |known| known.min(candidate)));
+                continue;
+            }
             let Some(pick) = self.estimate(key, target, requirements, now) else { continue };
             let affinity =
                 if affinity_target == Some(key) { AFFINITY_SHARE * pick.prefill_ms } else { 0.0 };
@@ -327,10 +392,11 @@
                 best = Some((cost, pick));
             }
         }
-        match (best, any_usable) {
-            (Some((_, pick)), _) => DirectChoice::Serve(pick),
-            (None, true) => DirectChoice::NoCopy { loading_ms },
-            (None, false) => DirectChoice::NoTarget,
+        match (best, limited, loading_ms) {
+            (Some((_, pick)), _, _) => DirectChoice::Serve(pick),
+            (None, Some((_, key)), None) => DirectChoice::Limited { key },
+            (None, _, _) if any_usable => DirectChoice::NoCopy { loading_ms },
+            (None, _, _) => DirectChoice::NoTarget,
         }
     }
 
@@ -417,7 +483,13 @@
         now: Timestamp,
     ) -> DirectChoice {
         let mut best: Option<(f64, DirectPick)> = None;
+        let mut limited: Option<(Timestamp, TargetKey)> = None;
         for (key, target) in self.usable(requirements.service, requirements.exclude, now) {
+            if !target.limit.is_open(now) {
+                let candidate = (target.limit.next_return(now), key);
+                limited = Some(limited.map_or(candidate, |known| known.min(candidate)));
+                continue;
+            }
             let work = target.work.total(now);
             let in_flight = f64::from(work.running + work.waiting);
             let slots = f64::from(target.slots.max(1));
@@ -440,7 +512,11 @@
                 best = Some((cost, pick));
             }
         }
-        best.map_or(DirectChoice::NoTarget, |(_, pick)| DirectChoice::Serve(pick))
+        match (best, limited) {
+            (Some((_, pick)), _) => DirectChoice::Serve(pick),
+            (None, Some((_, key))) => DirectChoice::Limited { key },
+            (None, None) => DirectChoice::NoTarget,
+        }
     }
 }
 
--- a/components/routing/src/direct_target.rs
+++ b/components/routing/src/direct_target.rs
@@ -7,7 +7,7 @@
 use compact_str::CompactString;
 use wire::{AdapterName, AgentState, ModelChange, TargetEntry, TargetState};
 
-use crate::{PrefixCacheEstimate, TargetHealth, TargetPhase, TargetWork};
+use crate::{PrefixCacheEstimate, TargetHealth, TargetLimit, TargetPhase, TargetWork};
 
 /// Time without a response to its agent after which an engine counts as lost and its model copies
 /// are replaced: longer than most pauses of a process, shorter than the 3 s after which its entry
@@ -77,6 +77,8 @@
     pub work: TargetWork,
     /// Health according to the outcomes of requests.
     pub health: TargetHealth,
+    /// Limit that the target names in its responses.
+    pub limit: TargetLimit,
     /// Estimated content of the prompt cache.
     pub prefixes: PrefixCacheEstimate,
     /// Unix time at which the target started, in milliseconds, if known.
@@ -150,6 +152,7 @@
             connection_refused_at: None,
             work: TargetWork::default(),
             health: TargetHealth::default(),
+            limit: TargetLimit::default(),
             prefixes: PrefixCacheEstimate::new(cache_tokens),
             started_unix_ms: entry.born_ms,
             adapter_requests: SortedMap::new(),
@@ -278,6 +281,7 @@
         self.unloading = None;
         self.prefixes.clear();
         self.health = TargetHealth::default();
+        self.limit = TargetLimit::default();
         self.prefill_slowdown = 1.0;
         self.unresponsive_since = None;
         self.announced_leaving = false;
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -24,6 +24,7 @@
 mod sends;
 mod target;
 mod target_health;
+mod target_limit;
 mod target_work;
 
 pub use admission::{Admission, Slack, admit};
@@ -47,4 +48,5 @@
 pub use score::{NetworkDelays, Reachability, reachability_of};
 pub use sends::SendId;
 pub use target_health::{TargetHealth, TargetOutcome};
+pub use target_limit::{LimitSharers, NamedLimit, TargetLimit};
 pub use target_work::{RequestWork, TargetLoadSample, TargetWork, Workload};
--- a/components/wire/src/fleet_state.rs
+++ b/components/wire/src/fleet_state.rs
@@ -7,7 +7,7 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
-use crate::{PartReport, TargetEntry};
+use crate::{PartReport, TargetEntry, TargetLimitReport};
 
 /// A datagram.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -98,6 +98,8 @@
     pub further_sends: Vec<FurtherSends>,
     /// Evidence on prompt parts that end engines.
     pub suspects: Vec<PartReport>,
+    /// Limits that targets name, and their ends.
+    pub target_limits: Vec<TargetLimitReport>,
 }
 
 /// Requests to a service, and sends to further targets.
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -23,6 +23,7 @@
 mod status;
 mod stored_document;
 mod target_entry;
+mod target_limit_report;
 
 pub use cache::{CacheChange, CacheEventCopy, CacheUpdate};
 pub use client::{PeerClient, PendingReceiver};
@@ -55,3 +56,4 @@
 pub use status::{ProcessStatus, StatusProblem};
 pub use stored_document::StoredDocument;
 pub use target_entry::{TargetEntry, TargetState};
+pub use target_limit_report::TargetLimitReport;
