Replace model copies on engines with a low limit

An engine that takes one request a second counted as a full copy of its models, so the planner placed no other copy, and loads went to it as to any engine. Below a quarter of its usual throughput its copies count as missing and it gets no loads. A shorter way, to drop such engines from the plan, was ruled out: their pending moves would be given up and counted as loads from the weight store.

copies_on_a_throttled_engine_are_replaced_elsewhere does not build before and passes now.

--- a/components/gateway/src/planning.rs
+++ b/components/gateway/src/planning.rs
@@ -153,6 +153,7 @@
                 warm: target.warm_copies().clone(),
                 requests: work.running + work.waiting,
                 accepts_orders: target.has_recent_agent_state(now),
+                is_throttled: target.is_throttled(),
             }
         })
         .collect()
--- a/components/placement/src/fleet_planner.rs
+++ b/components/placement/src/fleet_planner.rs
@@ -83,6 +83,8 @@
     pub requests: u32,
     /// Whether the engine's agent can send it orders.
     pub accepts_orders: bool,
+    /// Whether the engine takes so few requests that its copies don't carry their part of the demand.
+    pub is_throttled: bool,
 }
 
 /// A planned load of a model, which may require another model to be unloaded first.
@@ -323,6 +325,7 @@
     fn copies(&self, model: &FleetModel, engines: &[FleetEngine]) -> usize {
         engines
             .iter()
+            .filter(|engine| !engine.is_throttled)
             .filter(|engine| {
                 let change = engine.changing.as_ref();
                 let unloading = change.is_some_and(|c| !c.loading && c.model == model.name);
@@ -376,7 +379,8 @@
         let mut best: Option<(f64, FleetMove)> = None;
         for engine in fleet.engines {
             let is_busy = engine.changing.is_some() || self.pending.contains_key(&engine.id);
-            if is_busy || !engine.accepts_orders || engine.models.contains(&model.name) {
+            let takes_loads = engine.accepts_orders && !engine.is_throttled;
+            if is_busy || !takes_loads || engine.models.contains(&model.name) {
                 continue;
             }
             let (load_ms, may_fetch) = load_time(model, engine);
--- a/components/placement/tests/fleet_planner.rs
+++ b/components/placement/tests/fleet_planner.rs
@@ -76,6 +76,18 @@
     panic!("the plan does not converge: {count} moves");
 }
 
+/// Guards against models that are served by an engine alone that has limited its requests, and
+/// against loads that such an engine is given.
+#[test]
+fn copies_on_a_throttled_engine_are_replaced_elsewhere() {
+    let models = models(&[("a", 800.0), ("b", 100.0), ("c", 0.0)]);
+    let mut engines = engines(&[&["a"], &["b"], &[]]);
+    engines[0].is_throttled = true;
+    plan_until_stable(&mut FleetPlanner::new(), &models, &mut engines);
+    assert_eq!(engines[0].models, ["a"], "{engines:?}");
+    assert!(copies(&engines[1..], "a") >= 1, "{engines:?}");
+}
+
 /// Demand shifts from one model to another: copies follow it, and each model keeps at least one.
 #[test]
 fn copies_follow_demand_that_shifts_between_models() {
--- a/components/routing/src/direct_fleet.rs
+++ b/components/routing/src/direct_fleet.rs
@@ -10,6 +10,7 @@
 use crate::direct_choice::{
     DirectChoice, DirectPick, DirectPlainRequirements, GenerationRequirements,
 };
+use crate::direct_target::TYPICAL_RUN_MS;
 use crate::{
     DirectTarget, LimitSharers, NamedLimit, PrefillEstimator, PrefixLink, RequestWork, SendId,
     TargetKey, TargetLoadSample, TargetOutcome, Workload,
@@ -17,8 +18,6 @@
 
 /// Delay of a new request per request in the batch, which lengthens decoding, in milliseconds.
 const BATCH_DELAY_PER_REQUEST_MS: f64 = 0.7;
-/// Typical time that a request occupies a slot, in milliseconds.
-const TYPICAL_RUN_MS: f64 = 1_500.0;
 /// Cost of sending a request to another data centre, in milliseconds. The network delay is about
 /// 1 ms; the rest accounts for the price of traffic between data centres, which is equivalent to a
 /// wait of about this length.
--- a/components/routing/src/direct_target.rs
+++ b/components/routing/src/direct_target.rs
@@ -39,6 +39,10 @@
 const SLOWDOWN_BOUNDS: (f64, f64) = (0.5, 8.0);
 /// Maximum ratio of one observed prefill time to the estimated one; higher ratios are capped.
 const MAX_SLOWDOWN_RATIO: f64 = 2.0;
+/// Share of an engine's usual throughput below which a limit makes its copies count as missing.
+const THROTTLED_SHARE: f64 = 0.25;
+/// Typical time that a request occupies a slot of an engine, in milliseconds.
+pub(crate) const TYPICAL_RUN_MS: f64 = 1_500.0;
 /// Assumed duration of a plain request before the first observation, in milliseconds.
 const DEFAULT_PLAIN_DURATION_MS: f64 = 50.0;
 
@@ -341,6 +345,13 @@
         agent_expired && self.health.answered_at().is_none_or(|at| now.since(at) >= AGENT_STATE_TTL)
     }
 
+    /// Returns whether the engine has named a limit far below its usual throughput, so that its model
+    /// copies don't carry their part of the demand.
+    pub fn is_throttled(&self) -> bool {
+        let usual_per_s = f64::from(self.slots) * 1_000.0 / TYPICAL_RUN_MS;
+        self.limit.per_s().is_some_and(|limit_per_s| limit_per_s < THROTTLED_SHARE * usual_per_s)
+    }
+
     /// Returns whether a state from a local agent was ever received.
     pub const fn has_local_agent(&self) -> bool {
         self.has_local_agent
--- a/components/routing/tests/target_limit.rs
+++ b/components/routing/tests/target_limit.rs
@@ -384,6 +384,18 @@
     assert_eq!(gateway.target(TARGET).limit.per_s(), None);
 }
 
+/// Guards against an engine whose copies count as missing although it takes most of its usual requests.
+#[test]
+fn only_a_low_limit_throttles_a_target() {
+    let mut gateway = Fleet::new(1, 0.0, 8).gateways.remove(0).fleet;
+    let at = Timestamp::from_millis;
+    assert!(!gateway.target(TARGET).is_throttled());
+    gateway.record_limit(TARGET, NamedLimit::PerSecond(1.0), at(100), at(150));
+    assert!(gateway.target(TARGET).is_throttled());
+    gateway.record_limit(TARGET, NamedLimit::PerSecond(5.0), at(200), at(250));
+    assert!(!gateway.target(TARGET).is_throttled());
+}
+
 /// Guards against refused callers that are all told to return at the same time, or in another order
 /// than they came.
 #[test]
