--- a/tests/support/gateway.rs
+++ b/tests/support/gateway.rs
@@ -5,7 +5,7 @@
 
 use platform_standin::{
     CustomerSpec, DeploymentSpec, FleetLimits, MachineSpec, PlainTargetService,
-    PlainTargetSettings, RouteSpec, StoreServer, StoreSettings, TargetAnnouncement,
+    PlainTargetSettings, RouteSpec, StoreServer, StoreService, StoreSettings, TargetAnnouncement,
 };
 use standin::Service;
 use tempfile::TempDir;
@@ -35,7 +35,7 @@
     pub async fn start(route: RouteSpec, targets: &[SocketAddr]) -> Self {
         let store = StoreServer::start(StoreSettings::default()).await.unwrap();
         let (topic, key) = DeploymentSpec::KEY;
-        store.service().put(topic, key, &deployment(route).document());
+        store.service().put(topic, key, &Self::deployment(vec![route]).document());
         for (number, target) in (1..).zip(targets) {
             let id = target_id(number);
             let settings = PlainTargetSettings {
@@ -63,6 +63,39 @@
         }
     }
 
+    /// The store.
+    pub fn store(&self) -> &StoreService {
+        self.store.service()
+    }
+
+    /// Stores a configuration.
+    pub fn configure(&self, spec: &DeploymentSpec) {
+        let (topic, key) = DeploymentSpec::KEY;
+        self.store().put(topic, key, &spec.document());
+    }
+
+    /// A deployment with these routes.
+    pub fn deployment(routes: Vec<RouteSpec>) -> DeploymentSpec {
+        DeploymentSpec {
+            version: 1,
+            host: HOST.into(),
+            engine_service: "engines".into(),
+            plain_service: SERVICE.into(),
+            engine_slots: 4,
+            weights_mb: 100,
+            adapter_slots: 2,
+            loads_per_s: 1.0,
+            models: Vec::new(),
+            routes,
+            tenants: vec![CustomerSpec {
+                name: "shop".into(),
+                keys: vec![CUSTOMER_KEY.into()],
+                tokens_per_s: 0,
+                burst_tokens: 0,
+            }],
+        }
+    }
+
     /// Kills the process and starts it again.
     pub async fn restart(&mut self) {
         self.process.kill().await;
@@ -101,24 +134,3 @@
 fn target_id(number: usize) -> String {
     format!("target-{number}")
 }
-
-fn deployment(route: RouteSpec) -> DeploymentSpec {
-    DeploymentSpec {
-        version: 1,
-        host: HOST.into(),
-        engine_service: "engines".into(),
-        plain_service: SERVICE.into(),
-        engine_slots: 4,
-        weights_mb: 100,
-        adapter_slots: 2,
-        loads_per_s: 1.0,
-        models: Vec::new(),
-        routes: vec![route],
-        tenants: vec![CustomerSpec {
-            name: "shop".into(),
-            keys: vec![CUSTOMER_KEY.into()],
-            tokens_per_s: 0,
-            burst_tokens: 0,
-        }],
-    }
-}
