Keep configurations and targets when the store comes back from a copy

Callers got 404 on routes that the operators had added, and requests went to services that a route had left, from the moment at which the platform's store came back from an older copy until its new history was longer than the lost one. A gateway that started on the copy served a key that had been withdrawn.

Cause: offsets were taken for an order of time. Versions 8, 11 and 14 were read at offsets that are not above 3 and dropped in silence (hypothesis 1); the readers had started anew (against 2) and had regained the store (against 3).

Offsets now contain the store's era above the number, so that everything that compares offsets, positions and fencing tokens holds; configurations are ordered by the operators' version. Comparing offsets only within an era was ruled out: each holder would need to know when to forget. An era as a field of its own beside each offset was, too: it changes every comparison for the same order.

--- a/components/agent/src/app.rs
+++ b/components/agent/src/app.rs
@@ -48,6 +48,10 @@
     pub scheduler: RefCell<EngineOrderScheduler>,
     /// Fencing token of this run, once the store has assigned it.
     pub fencing_number: Cell<Option<u64>>,
+    /// Newest era of the store that a gateway has named.
+    pub store_era: Cell<u64>,
+    /// Notified when a gateway has named a newer era.
+    pub store_restored: Notify,
     /// Socket for datagrams.
     pub socket: DatagramSocket,
     /// Gateways that sent a query recently.
--- a/components/agent/src/gateway_link.rs
+++ b/components/agent/src/gateway_link.rs
@@ -29,6 +29,10 @@
 
 fn handle_query(app: &App, request: &AgentAsk, gateway: &ProcessId, echo: Echo, from: SocketAddr) {
     let now = app.clock.now();
+    if let Some(era) = request.store_era.filter(|era| *era > app.store_era.get()) {
+        app.store_era.set(era);
+        app.store_restored.notify_one();
+    }
     let peer = ActiveGateway {
         address: from,
         incarnation: gateway.incarnation,
--- a/components/agent/src/handle.rs
+++ b/components/agent/src/handle.rs
@@ -55,6 +55,8 @@
         engine_reachable: Cell::new(true),
         scheduler: RefCell::new(EngineOrderScheduler::new()),
         fencing_number: Cell::new(None),
+        store_era: Cell::new(0),
+        store_restored: Notify::new(),
         active_gateways: RefCell::new(SortedMap::new()),
         order_wakeup: Notify::new(),
         gateway_client: HttpClient::new(GATEWAY_CONNECT_TIMEOUT),
--- a/components/agent/src/start_record.rs
+++ b/components/agent/src/start_record.rs
@@ -13,7 +13,8 @@
 const RETRY_DELAY: Duration = Duration::from_millis(400);
 
 /// Writes a record of this start; its offset, used as the fencing token, is larger than that of
-/// every earlier run.
+/// every earlier run. A store that comes back from an older copy may lack the record, so it is
+/// written again in each era of the store.
 ///
 /// If the response to a write is lost, the record is written again. The token is then the offset of
 /// the last write, which is larger still.
@@ -28,7 +29,9 @@
                 log::info!("event=fencing_number_taken number={fencing_number}");
                 app.fencing_number.set(Some(fencing_number));
                 app.order_wakeup.notify_one();
-                return;
+                while app.store_era.get() <= offset.era() {
+                    app.store_restored.notified().await;
+                }
             }
             Err(error) => {
                 log::warn!("event=store_call_failed topic=agents error=\"{error}\"");
--- a/components/gateway/src/app.rs
+++ b/components/gateway/src/app.rs
@@ -10,7 +10,7 @@
 use clock::BootClock;
 use config::{FleetConfig, GatewaySettings};
 use ingress::ShutdownStage;
-use membership::{Authority, GatewayTable, TargetDirectory};
+use membership::{Authority, GatewayTable, StoreEra, TargetDirectory};
 use placement::{FleetPlanner, ModelDemandTable};
 use platform::{Configuration, StoreClient};
 use quarantine::PartQuarantine;
@@ -54,6 +54,10 @@
     pub document: RefCell<Option<StoredDocument>>,
     /// HTTP client for calls to other gateways.
     pub peer_client: HttpClient,
+    /// Era of the store.
+    pub store_era: Cell<StoreEra>,
+    /// Notified when the store came back from an older copy.
+    pub store_restored: Notify,
     /// Evidence that no withdrawal of a key was missed.
     pub authority: RefCell<Authority>,
     /// Targets listed in the store.
--- a/components/gateway/src/configuration_watch.rs
+++ b/components/gateway/src/configuration_watch.rs
@@ -6,9 +6,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use base::Timestamp;
+use base::{Offset, Timestamp};
 use platform::newest_configuration;
-use store::{KeyedReader, Topic};
+use store::{KeyedRead, KeyedReader, Topic};
 use tokio::time::sleep;
 
 use crate::app::App;
@@ -25,6 +25,8 @@
 const MAX_TIME_BEHIND: Duration = Duration::from_millis(500);
 /// Time between two checks of whether a read is needed.
 const CHECK_INTERVAL: Duration = Duration::from_millis(60);
+/// Delay after a read that is no evidence, while the store's content is being completed.
+const INCOMPLETE_STORE_DELAY: Duration = Duration::from_millis(250);
 /// Delay after the first failed call; doubles up to `MAX_BACKOFF`.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(100);
 /// Longest delay after a failed call.
@@ -36,6 +38,8 @@
     let mut backoff = INITIAL_BACKOFF;
     let mut reachable = true;
     let mut behind_since: Option<Timestamp> = None;
+    // Newest version that the store has.
+    let mut stored_version = Offset::default();
     loop {
         let requested_at = app.clock.now();
         let wait = match read_mode(&app, &mut behind_since, requested_at).await {
@@ -54,11 +58,21 @@
                 }
                 backoff = INITIAL_BACKOFF;
                 app.store_read_at.set(Some(requested_at));
+                app.record_answered_era(app.clock.now());
+                if matches!(read, KeyedRead::Snapshot(_)) {
+                    stored_version = Offset::default();
+                }
                 if let Some(configuration) = newest_configuration(read.page()) {
+                    stored_version = configuration.config.version;
                     app.apply_configuration(configuration, "store", app.clock.now());
                 }
-                if read.page().reaches_end() {
+                if !read.page().reaches_end() {
+                    continue;
+                }
+                if is_evidence(&app, stored_version, requested_at) {
                     app.authority.borrow_mut().note_end_read(requested_at);
+                } else if wait.is_zero() {
+                    sleep(INCOMPLETE_STORE_DELAY).await;
                 }
             }
             Err(error) => {
@@ -73,6 +87,14 @@
     }
 }
 
+/// Whether a read to the end of the topic, requested at `requested_at`, shows that no newer version
+/// than the one in force was stored. A store that came back from an older copy may lack versions that
+/// it had acknowledged, until the operators have written them again.
+fn is_evidence(app: &App, stored_version: Offset, requested_at: Timestamp) -> bool {
+    let newest_known = app.gateways.borrow().newest_config(requested_at).max(app.version());
+    app.store_is_settled(requested_at) && stored_version >= newest_known
+}
+
 /// How this gateway reads the store.
 enum ReadMode {
     /// No read: other gateways provide the configuration.
--- a/components/gateway/src/engine_orders.rs
+++ b/components/gateway/src/engine_orders.rs
@@ -88,6 +88,13 @@
         entry.engine.wakeup.notify_one();
     }
 
+    /// Gives up all partitions after the store has lost its groups, whose generations begin anew.
+    pub(crate) fn reset(&self) {
+        self.release_all();
+        let settings = self.lease.borrow().settings();
+        *self.lease.borrow_mut() = PartitionLease::new(settings);
+    }
+
     fn release_all(&self) {
         *self.managed.borrow_mut() = SortedMap::new();
         self.lease.borrow_mut().release_all();
@@ -228,9 +235,10 @@
             (lease.settings().lifetime, lease.generation())
         };
         let assignment = app.store.join(Group::EngineOrders, &member, lifetime, generation).await;
+        let now = app.clock.now();
+        app.record_answered_era(now);
         match assignment {
             Ok(assignment) => {
-                let now = app.clock.now();
                 let gained = orders.lease.borrow_mut().apply_assignment(
                     assignment.generation,
                     &assignment.parts,
@@ -324,6 +332,7 @@
         let request = AgentAsk {
             wants_state: false,
             config: app.version(),
+            store_era: app.store_era.get().known(),
             target: engine.target.clone(),
             born_ms: engine.started_unix_ms,
             used_adapters: Vec::new(),
--- a/components/gateway/src/fleet_link.rs
+++ b/components/gateway/src/fleet_link.rs
@@ -208,6 +208,8 @@
         data_centre: settings.data_centre.clone(),
         sent_micros: now.micros,
         config: app.version(),
+        store_era: app.store_era.get().known(),
+        store_era_settled: app.store_is_settled(now),
         // Rounded up, so that no gateway assumes the evidence to be newer than it is.
         evidence_age_ms: app.evidence_age(now).map(|age| millis(age).saturating_add(1)),
         store_read_age_ms: app.store_read_at.get().map(|at| millis(now.since(at))),
@@ -354,6 +356,7 @@
     let request = AgentAsk {
         wants_state,
         config: app.version(),
+        store_era: app.store_era.get().known(),
         target: target.id.clone(),
         born_ms: target.started_unix_ms,
         used_adapters,
--- a/components/gateway/src/fleet_receiver.rs
+++ b/components/gateway/src/fleet_receiver.rs
@@ -117,6 +117,12 @@
             state.data_centre
         );
     }
+    if let Some(era) = state.store_era {
+        app.record_store_era(era, "gateway", now);
+        if state.store_era_settled {
+            app.record_settled_era(era);
+        }
+    }
     app.rates.borrow_mut().update_peer_admitted(
         &state.from.name,
         state.from.incarnation,
--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -10,7 +10,7 @@
 use clock::{BootClock, new_incarnation};
 use config::GatewaySettings;
 use ingress::ShutdownStage;
-use membership::{Authority, GatewayTable, TargetDirectory};
+use membership::{Authority, GatewayTable, StoreEra, TargetDirectory};
 use placement::{FleetPlanner, ModelDemandTable};
 use platform::StoreClient;
 use quarantine::{PartQuarantine, QuarantineSettings};
@@ -104,6 +104,8 @@
         metrics: Metrics::new().map_err(GatewayError::Metrics)?,
         stage: watch::Sender::new(ShutdownStage::Serving),
         config: RefCell::new(None),
+        store_era: Cell::new(StoreEra::default()),
+        store_restored: Notify::new(),
         authority: RefCell::new(Authority::new(limit)),
         directory: RefCell::new(TargetDirectory::new()),
         fleet: RefCell::new(DirectFleet::new(&settings.data_centre)),
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod retry;
 mod run_end;
 mod shutdown;
+mod store_eras;
 mod stored_parts;
 mod stream_failover;
 mod target_limits;
--- a/components/gateway/src/quarantined_parts.rs
+++ b/components/gateway/src/quarantined_parts.rs
@@ -62,6 +62,12 @@
         self.stored_parts_changed.notify_one();
     }
 
+    /// Stores all parts in quarantine again, since the store may have lost them.
+    pub(crate) fn store_held_parts(&self) {
+        let held = self.quarantine.borrow().held_parts();
+        held.into_iter().for_each(|part| self.store_part(part));
+    }
+
     fn handle_quarantine_changes(&self, source: EvidenceSource) {
         let changes = self.quarantine.borrow_mut().take_changes();
         for change in changes {
--- a/components/gateway/src/target_watch.rs
+++ b/components/gateway/src/target_watch.rs
@@ -53,6 +53,7 @@
                     reachable = true;
                 }
                 app.directory.borrow_mut().note_contact(now);
+                app.record_answered_era(now);
                 for update in apply_read(&app, read, now) {
                     app.apply_target_update(&update, now);
                     link.record_target_update(update);
--- a/components/membership/src/gateway_table.rs
+++ b/components/membership/src/gateway_table.rs
@@ -290,6 +290,12 @@
         reachable().chain(std::iter::once(config)).filter(|known| *known < newest).count()
     }
 
+    /// Returns the newest version of the configuration that a reachable gateway has.
+    pub fn newest_config(&self, now: Timestamp) -> Offset {
+        let reachable = self.peers.values().filter(|peer| is_reachable(peer, now));
+        reachable.map(|peer| peer.config).max().unwrap_or_default()
+    }
+
     /// Returns the gateways with a newer configuration than `config`, those in the same data centre
     /// first. The flag tells whether the gateway is in the same data centre.
     pub fn peers_with_newer_config(
--- a/components/membership/src/target_directory.rs
+++ b/components/membership/src/target_directory.rs
@@ -2,7 +2,9 @@
 //! holds it.
 //!
 //! A few gateways read the list and distribute the changes to the others. Each record has an
-//! offset, so duplicate, late and reordered updates have no effect.
+//! offset, so duplicate, late and reordered updates have no effect. The first record of a target in a
+//! new era of the store may come from the copy that the store was restored from; it undoes neither the
+//! leaving nor the end of a target. The target itself writes a later one if it still serves.
 
 use std::time::Duration;
 
@@ -37,6 +39,7 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 struct Tombstone {
     offset: Offset,
+    born_ms: Option<u64>,
     at: Timestamp,
 }
 
@@ -82,6 +85,11 @@
         }
     }
 
+    /// Records that the store came back from an older copy: what is missing in it is no evidence.
+    pub fn note_restored(&mut self, now: Timestamp) {
+        self.recovered_at = Some(now);
+    }
+
     /// Applies a record of the list. Returns the update to distribute, if the record changes
     /// anything.
     pub fn apply(
@@ -158,6 +166,23 @@
 
     fn apply_entry(&mut self, offset: Offset, entry: TargetEntry) -> Option<TargetNews> {
         let id = entry.id.clone();
+        if let Some(tombstone) = self.tombstones.get_mut(&id)
+            && tombstone.offset.era() < offset.era()
+            && tombstone.born_ms == entry.born_ms
+        {
+            tombstone.offset = offset;
+            return None;
+        }
+        if let Some(listed) = self.targets.get_mut(&id)
+            && listed.offset.era() < offset.era()
+            && listed.entry.born_ms == entry.born_ms
+            && listed.entry.state != TargetState::Ready
+            && entry.state == TargetState::Ready
+        {
+            listed.offset = offset;
+            listed.missing_at = None;
+            return None;
+        }
         self.tombstones.remove(&id);
         let listed = ListedTarget { entry: entry.clone(), offset, missing_at: None };
         let former = self.targets.insert(id.clone(), listed);
@@ -176,8 +201,8 @@
     }
 
     fn drop_target(&mut self, offset: Offset, id: &str, now: Timestamp) -> Option<TargetNews> {
-        self.targets.remove(id)?;
-        self.tombstones.insert(CompactString::new(id), Tombstone { offset, at: now });
+        let born_ms = self.targets.remove(id)?.entry.born_ms;
+        self.tombstones.insert(CompactString::new(id), Tombstone { offset, born_ms, at: now });
         Some(TargetNews { offset, id: CompactString::new(id), entry: None })
     }
 
--- a/components/membership/tests/gateway_table.rs
+++ b/components/membership/tests/gateway_table.rs
@@ -40,6 +40,8 @@
         further_sends: Vec::new(),
         suspects: Vec::new(),
         target_limits: Vec::new(),
+        store_era: None,
+        store_era_settled: false,
     }
 }
 
@@ -116,7 +118,12 @@
     let mut table = table();
     for (name, port) in [("s1", 21), ("s2", 22)] {
         let process = process(name, 1);
-        let record = GatewayRecord { process, address: address(port), data_centre: "south".into() };
+        let record = GatewayRecord {
+            process,
+            address: address(port),
+            data_centre: "south".into(),
+            settled_era: None,
+        };
         table.apply_registration(&record, at(0));
     }
     let relays = |table: &GatewayTable, ms| -> Vec<String> {
--- a/components/membership/tests/target_directory.rs
+++ b/components/membership/tests/target_directory.rs
@@ -162,3 +162,56 @@
     assert_eq!(interval(2_000), interval(600_000));
     assert!(interval(2_000) >= Duration::from_millis(500));
 }
+
+/// Guards against targets that are dropped because the copy that the store came back from is older than
+/// their entries.
+#[test]
+fn targets_that_a_restored_store_lacks_have_time_to_register_again() {
+    let mut directory = directory(&["a", "b", "c"]);
+    directory.note_restored(at(5_000));
+    let copy = vec![(Offset::in_era(1, 1), entry("a", 1))];
+    assert!(directory.replace(copy, Offset::in_era(1, 2), at(5_000)).is_empty());
+    assert_eq!(ids(&directory), ["a", "b", "c"]);
+    directory.apply(Offset::in_era(1, 2), "b", Some(entry("b", 1)), at(6_200));
+    let updates = directory.expire(at(7_000));
+    assert_eq!(updates.len(), 1, "{updates:?}");
+    assert_eq!(ids(&directory), ["a", "b"]);
+    // News of the lost history changes nothing any more.
+    let late = TargetNews { offset: Offset(900), id: "b".into(), entry: None };
+    assert!(!directory.apply_update(&late, at(7_100)));
+}
+
+/// Guards against a copy that undoes the leaving or the end of a target, for a reader of the store and
+/// for a gateway that has the copy's content from another one.
+#[test]
+fn a_copy_undoes_neither_the_leaving_nor_the_end_of_a_target() {
+    let leaving =
+        TargetEntry { state: TargetState::Leaving { remaining_ms: None }, ..entry("a", 1) };
+    for is_reader in [true, false] {
+        let mut directory = directory(&["a", "b"]);
+        directory.apply(Offset(10), "a", Some(leaving.clone()), at(1_000));
+        directory.apply(Offset(11), "b", None, at(1_000));
+        directory.note_restored(at(5_000));
+        let mut tell = |number: u64, entry: TargetEntry, ms: u64| {
+            let (offset, id) = (Offset::in_era(1, number), entry.id.clone());
+            match is_reader {
+                true => {
+                    directory.apply(offset, &id, Some(entry), at(ms));
+                }
+                false => {
+                    let update = TargetNews { offset, id, entry: Some(entry) };
+                    directory.apply_update(&update, at(ms));
+                }
+            }
+            directory.entries().map(|e| (e.id.to_string(), e.state)).collect::<Vec<_>>()
+        };
+        tell(1, entry("a", 1), 5_000);
+        let known = tell(2, entry("b", 1), 5_000);
+        assert_eq!(known, [("a".to_owned(), leaving.state)], "reader: {is_reader}");
+        // What the targets write themselves counts, and so does another life.
+        let known = tell(3, entry("b", 1), 6_200);
+        assert_eq!(known.len(), 2, "reader: {is_reader}");
+        let known = tell(4, entry("a", 2), 6_300);
+        assert_eq!(known[0].1, TargetState::Ready, "reader: {is_reader}");
+    }
+}
--- a/components/placement/tests/engine_order_scheduler.rs
+++ b/components/placement/tests/engine_order_scheduler.rs
@@ -37,6 +37,7 @@
 
 fn request() -> AgentAsk {
     AgentAsk {
+        store_era: None,
         wants_state: true,
         config: base::Offset(1),
         target: "engine-1".into(),
--- a/components/quarantine/src/part_quarantine.rs
+++ b/components/quarantine/src/part_quarantine.rs
@@ -240,6 +240,12 @@
         self.evict();
     }
 
+    /// Parts in quarantine.
+    pub fn held_parts(&self) -> Vec<u64> {
+        let held = self.parts.iter().filter(|(_, suspect)| suspect.hold.is_some());
+        held.map(|(part, _)| *part).collect()
+    }
+
     /// Number of parts in quarantine.
     pub fn held(&self) -> usize {
         self.parts.values().filter(|suspect| suspect.hold.is_some()).count()
--- a/components/wire/src/fleet_state.rs
+++ b/components/wire/src/fleet_state.rs
@@ -72,6 +72,10 @@
     pub sent_micros: u64,
     /// Version of the configuration in force there.
     pub config: Offset,
+    /// Newest era of the store that it knows.
+    pub store_era: Option<u64>,
+    /// Whether the store's content is complete again in that era.
+    pub store_era_settled: bool,
     /// Age of its newest evidence that it knows every configuration, in milliseconds.
     pub evidence_age_ms: Option<u32>,
     /// Time since it last read anything on the store itself, in milliseconds.
@@ -190,6 +194,8 @@
     pub wants_state: bool,
     /// Version of the configuration that the sender can pass on.
     pub config: Offset,
+    /// Newest era of the store that the sender knows.
+    pub store_era: Option<u64>,
     /// Id of the life of the target that the sender knows.
     pub target: CompactString,
     /// Unix time of its start in milliseconds, if it says so.
@@ -297,4 +303,6 @@
     pub address: SocketAddr,
     /// Its data centre.
     pub data_centre: CompactString,
+    /// Newest era of the store whose content the gateway has found complete, if any.
+    pub settled_era: Option<u64>,
 }
--- a/tests/support/gateway.rs
+++ b/tests/support/gateway.rs
@@ -26,6 +26,7 @@
     /// Where callers connect.
     pub callers: SocketAddr,
     store: StoreServer,
+    machine: MachineSpec,
     settings: PathBuf,
     _directory: TempDir,
 }
@@ -58,6 +59,7 @@
             process,
             callers: spec.caller_address(),
             store,
+            machine: spec,
             settings: path,
             _directory: directory,
         }
@@ -96,9 +98,12 @@
         }
     }
 
-    /// Kills the process and starts it again.
+    /// Kills the process and starts it again, which is not the first start of the system.
     pub async fn restart(&mut self) {
         self.process.kill().await;
+        self.machine.first_start = false;
+        let settings = self.machine.settings_file(&FleetLimits::default());
+        std::fs::write(&self.settings, settings).unwrap();
         self.process = start_process(&self.settings).await;
     }
 
