Ignore list entries that can't be decoded

Cause: the decoder's error was taken for the record of a removal, though the page on the platform says that such an entry changes nothing.

--- a/components/gateway/src/target_watch.rs
+++ b/components/gateway/src/target_watch.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use base::{Offset, Timestamp};
+use compact_str::CompactString;
 use membership::TargetDirectory;
 use platform::decode_target_entry;
 use store::{KeyedPage, KeyedRead, KeyedReader, KeyedRecord, Topic};
@@ -108,11 +109,19 @@
     updates
 }
 
-/// Entry of a record, if it contains a valid target.
-fn decode_entry(record: &KeyedRecord) -> Option<TargetEntry> {
-    let value = record.value.as_ref()?;
+/// Content of a record in the list.
+enum ListRecord {
+    Entry(TargetEntry),
+    /// The target has no entry any more.
+    Removed,
+    /// No entry that can be used; another writer's, which says nothing of a target.
+    Undecoded,
+}
+
+fn decode_record(record: &KeyedRecord) -> ListRecord {
+    let Some(value) = &record.value else { return ListRecord::Removed };
     match decode_target_entry(&record.key, value) {
-        Ok(entry) => Some(entry),
+        Ok(entry) => ListRecord::Entry(entry),
         Err(error) => {
             log::warn!(
                 "event=target_entry_rejected target={} offset={} error={}",
@@ -120,35 +129,46 @@
                 record.offset.0,
                 quote(&error.to_string())
             );
-            None
+            ListRecord::Undecoded
         }
     }
 }
 
 fn replace_list(app: &App, page: &KeyedPage, now: Timestamp) -> Vec<TargetNews> {
-    let entries: Vec<(Offset, TargetEntry)> = page
-        .records
-        .iter()
-        .filter_map(|record| Some((record.offset, decode_entry(record)?)))
-        .collect();
+    let mut entries: Vec<(Offset, TargetEntry)> = Vec::new();
+    let mut undecoded: Vec<CompactString> = Vec::new();
+    for record in &page.records {
+        match decode_record(record) {
+            ListRecord::Entry(entry) => entries.push((record.offset, entry)),
+            ListRecord::Removed => {}
+            ListRecord::Undecoded => undecoded.push(record.key.clone()),
+        }
+    }
     log::info!("event=target_list_read targets={} offset={}", entries.len(), page.end.0);
-    app.directory.borrow_mut().replace(entries, page.end, now)
+    app.directory.borrow_mut().replace(entries, &undecoded, page.end, now)
 }
 
 fn apply_records(app: &App, records: &[KeyedRecord], now: Timestamp) -> Vec<TargetNews> {
+    let decoded: Vec<(&KeyedRecord, Option<TargetEntry>)> = records
+        .iter()
+        .filter_map(|record| match decode_record(record) {
+            ListRecord::Entry(entry) => Some((record, Some(entry))),
+            ListRecord::Removed => Some((record, None)),
+            ListRecord::Undecoded => None,
+        })
+        .collect();
     let mut updates = Vec::new();
-    for (at, record) in records.iter().enumerate() {
+    for (at, (record, entry)) in decoded.iter().enumerate() {
         // Only the last of several records of a target counts.
-        if records[at + 1..].iter().any(|later| later.key == record.key) {
+        if decoded[at + 1..].iter().any(|(later, _)| later.key == record.key) {
             continue;
         }
-        let entry = decode_entry(record);
-        if let Some(entry) = &entry {
+        if let Some(entry) = entry {
             // Request counts and adapters aren't part of a target update but are used here.
             app.fleet.borrow_mut().apply_entry(entry, now);
         }
-        let applied = app.directory.borrow_mut().apply(record.offset, &record.key, entry, now);
-        updates.extend(applied);
+        let mut directory = app.directory.borrow_mut();
+        updates.extend(directory.apply(record.offset, &record.key, entry.clone(), now));
     }
     updates
 }
--- a/components/membership/src/target_directory.rs
+++ b/components/membership/src/target_directory.rs
@@ -108,15 +108,17 @@
         }
     }
 
-    /// Applies the whole list as of offset `end`. Returns the updates to distribute.
+    /// Applies the whole list as of offset `end`; entries that can't be decoded, given by their ids,
+    /// change nothing. Returns the updates to distribute.
     pub fn replace(
         &mut self,
         entries: Vec<(Offset, TargetEntry)>,
+        undecoded: &[CompactString],
         end: Offset,
         now: Timestamp,
     ) -> Vec<TargetNews> {
-        let mut ids: Vec<CompactString> =
-            entries.iter().map(|(_, entry)| entry.id.clone()).collect();
+        let decoded = entries.iter().map(|(_, entry)| &entry.id);
+        let mut ids: Vec<CompactString> = decoded.chain(undecoded).cloned().collect();
         ids.sort_unstable();
         let mut updates: Vec<TargetNews> = entries
             .into_iter()
--- a/components/membership/tests/target_directory.rs
+++ b/components/membership/tests/target_directory.rs
@@ -52,7 +52,7 @@
     directory.note_failure(at(9_000));
     directory.note_contact(at(20_000));
     // The snapshot after the outage is empty.
-    assert!(directory.replace(Vec::new(), Offset(40), at(20_000)).is_empty());
+    assert!(directory.replace(Vec::new(), &[], Offset(40), at(20_000)).is_empty());
     assert!(directory.expire(at(21_999)).is_empty());
     assert_eq!(ids(&directory), ["a", "b"]);
     // One target registers again.
@@ -170,7 +170,7 @@
     let mut directory = directory(&["a", "b", "c"]);
     directory.note_restored(at(5_000));
     let copy = vec![(Offset::in_era(1, 1), entry("a", 1))];
-    assert!(directory.replace(copy, Offset::in_era(1, 2), at(5_000)).is_empty());
+    assert!(directory.replace(copy, &[], Offset::in_era(1, 2), at(5_000)).is_empty());
     assert_eq!(ids(&directory), ["a", "b", "c"]);
     directory.apply(Offset::in_era(1, 2), "b", Some(entry("b", 1)), at(6_200));
     let updates = directory.expire(at(7_000));
@@ -215,3 +215,13 @@
         assert_eq!(known[0].1, TargetState::Ready, "reader: {is_reader}");
     }
 }
+
+/// Guards against a target that is dropped because another writer left an entry that can't be decoded
+/// under its id.
+#[test]
+fn entry_that_cannot_be_decoded_changes_nothing() {
+    let mut directory = directory(&["a", "b"]);
+    let entries = vec![(Offset(1), entry("a", 1))];
+    assert!(directory.replace(entries, &["b".into()], Offset(9), at(100)).is_empty());
+    assert_eq!(ids(&directory), ["a", "b"]);
+}
--- a/tests/restored_store.rs
+++ b/tests/restored_store.rs
@@ -4,16 +4,12 @@
 
 mod support;
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
-use platform::header_names::RESPONSE_SIGNATURE;
 use platform_standin::{
     CallerConnection, CallerKind, CallerRequest, CustomerSpec, RouteKind, RouteSpec,
 };
-use support::{CUSTOMER_KEY, HOST, PlainGateway, SERVICE, read_head, wait_until};
-use tokio::io::AsyncWriteExt;
-use tokio::net::{TcpListener, TcpStream};
+use support::{CUSTOMER_KEY, HOST, PlainGateway, SERVICE, echo_target, wait_until};
 use tokio::time::{Instant, sleep};
 
 const DEADLINE: Duration = Duration::from_secs(4);
@@ -24,27 +20,6 @@
 /// Time until the operators write the lost configuration again.
 const REWRITTEN_AFTER: Duration = Duration::from_millis(1_200);
 
-async fn target() -> SocketAddr {
-    let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
-    let address = listener.local_addr().unwrap();
-    tokio::spawn(async move {
-        loop {
-            tokio::spawn(serve(listener.accept().await.unwrap().0));
-        }
-    });
-    address
-}
-
-async fn serve(mut socket: TcpStream) {
-    while read_head(&mut socket).await.is_some() {
-        let response =
-            format!("HTTP/1.1 200 OK\r\n{RESPONSE_SIGNATURE}: s\r\ncontent-length: 2\r\n\r\nok");
-        if socket.write_all(response.as_bytes()).await.is_err() {
-            return;
-        }
-    }
-}
-
 fn route(name: &str) -> RouteSpec {
     RouteSpec {
         name: name.into(),
@@ -106,7 +81,7 @@
 /// configuration until the new history is longer, or follows the copy back to an older one.
 #[tokio::test]
 async fn configurations_are_taken_in_order_across_a_restored_store() {
-    let gateway = PlainGateway::start(route("reads"), &[target().await]).await;
+    let gateway = PlainGateway::start(route("reads"), &[echo_target().await]).await;
     configure(&gateway, 3, &["reads"], &[CUSTOMER_KEY, WITHDRAWN_KEY]);
     wait_for_status(&gateway, "reads", WITHDRAWN_KEY, 200).await;
     let copy = gateway.store().copy();
@@ -130,7 +105,7 @@
 /// takes them for the continuation of the lost history; the store comes back from two copies in a row.
 #[tokio::test]
 async fn a_longer_history_after_the_restoration_is_read_from_its_start() {
-    let gateway = PlainGateway::start(route("reads"), &[target().await]).await;
+    let gateway = PlainGateway::start(route("reads"), &[echo_target().await]).await;
     let copy = gateway.store().copy();
     configure(&gateway, 5, &["reads", "added"], &[CUSTOMER_KEY]);
     wait_for_status(&gateway, "added", CUSTOMER_KEY, 200).await;
@@ -151,7 +126,7 @@
 /// that was withdrawn in the lost history is served again.
 #[tokio::test]
 async fn a_gateway_that_starts_on_a_restored_store_serves_no_withdrawn_key() {
-    let mut gateway = PlainGateway::start(route("reads"), &[target().await]).await;
+    let mut gateway = PlainGateway::start(route("reads"), &[echo_target().await]).await;
     configure(&gateway, 3, &["reads"], &[CUSTOMER_KEY, WITHDRAWN_KEY]);
     wait_for_status(&gateway, "reads", WITHDRAWN_KEY, 200).await;
     let copy = gateway.store().copy();
--- a/tests/support/gateway.rs
+++ b/tests/support/gateway.rs
@@ -2,10 +2,12 @@
 
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 
 use platform_standin::{
-    CustomerSpec, DeploymentSpec, FleetLimits, MachineSpec, PlainTargetService,
-    PlainTargetSettings, RouteSpec, StoreServer, StoreService, StoreSettings, TargetAnnouncement,
+    CallerConnection, CallerKind, CallerRequest, CallerResponse, CustomerSpec, DeploymentSpec,
+    FleetLimits, MachineSpec, PlainTargetService, PlainTargetSettings, RouteSpec, StoreServer,
+    StoreService, StoreSettings, TargetAnnouncement,
 };
 use standin::Service;
 use tempfile::TempDir;
@@ -38,17 +40,7 @@
         let (topic, key) = DeploymentSpec::KEY;
         store.service().put(topic, key, &Self::deployment(vec![route]).document());
         for (number, target) in (1..).zip(targets) {
-            let id = target_id(number);
-            let settings = PlainTargetSettings {
-                id: id.as_str().into(),
-                service: SERVICE.into(),
-                data_centre: "north-a".into(),
-                slots: 64,
-                ..PlainTargetSettings::default()
-            };
-            let notice = TargetAnnouncement { born_ms: 1, leaves: false, number: 1 };
-            let entry = PlainTargetService::new(settings).entry(*target, notice);
-            store.service().put(DeploymentSpec::TARGETS, &id, &entry);
+            announce(store.service(), number, *target);
         }
         let spec = gateway_machine(store.address());
         let directory = tempfile::tempdir().unwrap();
@@ -107,6 +99,11 @@
         self.process = start_process(&self.settings).await;
     }
 
+    /// Writes the entry of a target, by its number from one, to the list in the store.
+    pub fn announce(&self, number: usize, address: SocketAddr) {
+        announce(self.store(), number, address);
+    }
+
     /// Removes a target, by its number from one, from the list in the store.
     pub fn remove_target(&self, number: usize) {
         self.store.service().put(DeploymentSpec::TARGETS, &target_id(number), &[]);
@@ -136,6 +133,41 @@
     process
 }
 
+fn announce(store: &StoreService, number: usize, address: SocketAddr) {
+    let id = target_id(number);
+    let settings = PlainTargetSettings {
+        id: id.as_str().into(),
+        service: SERVICE.into(),
+        data_centre: "north-a".into(),
+        slots: 64,
+        ..PlainTargetSettings::default()
+    };
+    let notice = TargetAnnouncement { born_ms: 1, leaves: false, number: 1 };
+    let entry = PlainTargetService::new(settings).entry(address, notice);
+    store.put(DeploymentSpec::TARGETS, &id, &entry);
+}
+
+/// Sends a request of the customer with 4 s left, on a connection of its own.
+pub async fn plain_call(
+    gateway: &PlainGateway,
+    id: &str,
+    path: &str,
+    kind: CallerKind,
+) -> CallerResponse {
+    let deadline = Duration::from_secs(4);
+    let mut connection = CallerConnection::open(gateway.callers, deadline).await.unwrap();
+    let request = CallerRequest {
+        id: id.into(),
+        host: HOST.into(),
+        path: path.into(),
+        key: CUSTOMER_KEY.into(),
+        deadline,
+        kind,
+        after_event: None,
+    };
+    connection.call(&request).await
+}
+
 fn target_id(number: usize) -> String {
     format!("target-{number}")
 }
--- a/tests/support/raw_target.rs
+++ b/tests/support/raw_target.rs
@@ -1,7 +1,10 @@
 //! Parts of targets that speak HTTP on raw sockets.
 
-use tokio::io::AsyncReadExt;
-use tokio::net::TcpStream;
+use std::net::SocketAddr;
+
+use platform::header_names::{REQUEST_ID, RESPONSE_SIGNATURE};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
 
 /// Reads the head of a request, in lower case; none if the connection ends before.
 pub async fn read_head(socket: &mut TcpStream) -> Option<String> {
@@ -20,3 +23,33 @@
 pub fn header_value<'a>(head: &'a str, name: &str) -> Option<&'a str> {
     head.lines().find_map(|line| Some(line.strip_prefix(name)?.strip_prefix(':')?.trim()))
 }
+
+/// Header line with the id of the request that has this head; empty if it has none.
+pub fn id_line(head: &str) -> String {
+    let id = header_value(head, REQUEST_ID.as_str());
+    id.map_or_else(String::new, |id| format!("{REQUEST_ID}: {id}\r\n"))
+}
+
+/// Starts a target that answers each request with 200.
+pub async fn echo_target() -> SocketAddr {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        loop {
+            tokio::spawn(answer_all(listener.accept().await.unwrap().0));
+        }
+    });
+    address
+}
+
+async fn answer_all(mut socket: TcpStream) {
+    while let Some(head) = read_head(&mut socket).await {
+        let response = format!(
+            "HTTP/1.1 200 OK\r\n{RESPONSE_SIGNATURE}: s\r\n{}content-length: 2\r\n\r\nok",
+            id_line(&head)
+        );
+        if socket.write_all(response.as_bytes()).await.is_err() {
+            return;
+        }
+    }
+}
