Believe only refusals that belong to the request

A refusal with the id of an earlier request was rejected before and still is.

On a connection that has carried another request an answer needs the id now, a success always counts as a run, 421 alone counts as not run as the protocol says, and a promise that the target doesn't make is an answer that can't be used: the caller gets 502. Keeping no connections was ruled out, since new ones are priced.

The raw targets of the tests echo the id of the request, as targets do.

--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -145,16 +145,38 @@
     connection: TargetConnection,
 ) -> Result<TargetResponse, ExchangeFailure> {
     let (parts, body) = response.into_parts();
-    let head = ResponseHead::decode(&parts.headers);
+    let mut head = ResponseHead::decode(&parts.headers);
+    // A target that is not the addressed one says so with the status alone; an answer of a run can't
+    // say that there was none.
+    head.not_run = match parts.status {
+        StatusCode::MISDIRECTED_REQUEST => true,
+        status => head.not_run && !status.is_success(),
+    };
     // A target may send a duplicate response late, where the next one is expected.
-    let belongs = head.request_id.as_ref().is_none_or(|id| *id == request.id);
+    let belongs = match &head.request_id {
+        Some(id) => *id == request.id,
+        None => connection.has_single_request(),
+    };
     let is_complete = !head.encoded && (head.signed || !parts.status.is_success());
-    if !belongs || !is_complete {
+    // Only the target can promise that it won't run the request, and this one doesn't.
+    let promises_in_vain = guarantees_not_run(parts.status) && !head.not_run;
+    if !belongs || !is_complete || promises_in_vain {
         return Err(ExchangeFailure::NoResponse(NoResponse::Mismatched));
     }
     Ok(TargetResponse { status: parts.status, headers: parts.headers, head, body, connection })
 }
 
+/// Whether callers take a status as a promise that the request has not run and never will.
+const fn guarantees_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 impl TargetResponse {
     /// Whether the response is a stream of events.
     pub(crate) fn is_stream(&self) -> bool {
--- a/components/gateway/src/target_pool.rs
+++ b/components/gateway/src/target_pool.rs
@@ -52,6 +52,8 @@
 pub(crate) struct TargetConnection {
     address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
+    /// Number of requests sent so far.
+    sent: u64,
     io_task: ConnectionTask,
 }
 
@@ -166,7 +168,7 @@
             log::debug!("event=target_connection_ended address={address} error=\"{error}\"");
         }
     });
-    Ok(TargetConnection { address, sender, io_task: ConnectionTask(task.abort_handle()) })
+    Ok(TargetConnection { address, sender, sent: 0, io_task: ConnectionTask(task.abort_handle()) })
 }
 
 impl TargetConnection {
@@ -175,6 +177,7 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<http::Response<Incoming>, SendFailure> {
+        self.sent += 1;
         match self.sender.try_send_request(request).await {
             Ok(response) => Ok(response),
             // The request is returned only if none of it was written.
@@ -185,6 +188,11 @@
         }
     }
 
+    /// Whether a response can only belong to the last request, since no other one was sent.
+    pub(crate) const fn has_single_request(&self) -> bool {
+        self.sent == 1
+    }
+
     /// Whether the connection can carry another request after the response was read.
     pub(crate) async fn is_reusable(&mut self) -> bool {
         !self.io_task.0.is_finished() && self.sender.ready().await.is_ok()
--- a/tests/query_of_death.rs
+++ b/tests/query_of_death.rs
@@ -12,7 +12,7 @@
 use platform_standin::{
     CallerConnection, CallerKind, CallerRequest, CallerResponse, RouteKind, RouteSpec,
 };
-use support::{CUSTOMER_KEY, HOST, PlainGateway, SERVICE, header_value, read_head};
+use support::{CUSTOMER_KEY, HOST, PlainGateway, SERVICE, header_value, id_line, read_head};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
@@ -37,7 +37,8 @@
     while let Some(head) = read_head(&mut socket).await {
         let response = format!(
             "HTTP/1.1 200 OK\r\n{RESPONSE_SIGNATURE}: s\r\ncontent-type: text/event-stream\r\n\
-             content-length: {}\r\n\r\n",
+             {}content-length: {}\r\n\r\n",
+            id_line(&head),
             EVENT.len()
         );
         socket.write_all(response.as_bytes()).await.unwrap();
--- a/tests/target_limit.rs
+++ b/tests/target_limit.rs
@@ -12,7 +12,7 @@
 use platform_standin::{
     CallerConnection, CallerKind, CallerRequest, CallerResponse, RouteKind, RouteSpec,
 };
-use support::{CUSTOMER_KEY, HOST, PlainGateway, SERVICE, header_value, read_head};
+use support::{CUSTOMER_KEY, HOST, PlainGateway, SERVICE, header_value, id_line, read_head};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
@@ -65,14 +65,15 @@
     limited: Arc<AtomicBool>,
     arrivals: Arc<Mutex<Vec<Instant>>>,
 ) {
-    while read_head(&mut socket).await.is_some() {
+    while let Some(head) = read_head(&mut socket).await {
         arrivals.lock().unwrap().push(Instant::now());
         let limit = match limited.load(Ordering::Relaxed) {
             true => format!("{REQUEST_LIMIT}: {LIMIT_PER_S}\r\n"),
             false => String::new(),
         };
         let response = format!(
-            "HTTP/1.1 200 OK\r\n{RESPONSE_SIGNATURE}: s\r\n{limit}content-length: 2\r\n\r\nok"
+            "HTTP/1.1 200 OK\r\n{RESPONSE_SIGNATURE}: s\r\n{}{limit}content-length: 2\r\n\r\nok",
+            id_line(&head)
         );
         if socket.write_all(response.as_bytes()).await.is_err() {
             return;
