--- a/components/gateway/src/target_watch.rs
+++ b/components/gateway/src/target_watch.rs
@@ -111,7 +111,7 @@
 
 /// Content of a record in the list.
 enum ListRecord {
-    Entry(TargetEntry),
+    Entry(Box<TargetEntry>),
     /// The target has no entry any more.
     Removed,
     /// No entry that can be used; another writer's, which says nothing of a target.
@@ -121,7 +121,7 @@
 fn decode_record(record: &KeyedRecord) -> ListRecord {
     let Some(value) = &record.value else { return ListRecord::Removed };
     match decode_target_entry(&record.key, value) {
-        Ok(entry) => ListRecord::Entry(entry),
+        Ok(entry) => ListRecord::Entry(Box::new(entry)),
         Err(error) => {
             log::warn!(
                 "event=target_entry_rejected target={} offset={} error={}",
@@ -139,7 +139,7 @@
     let mut undecoded: Vec<CompactString> = Vec::new();
     for record in &page.records {
         match decode_record(record) {
-            ListRecord::Entry(entry) => entries.push((record.offset, entry)),
+            ListRecord::Entry(entry) => entries.push((record.offset, *entry)),
             ListRecord::Removed => {}
             ListRecord::Undecoded => undecoded.push(record.key.clone()),
         }
@@ -152,7 +152,7 @@
     let decoded: Vec<(&KeyedRecord, Option<TargetEntry>)> = records
         .iter()
         .filter_map(|record| match decode_record(record) {
-            ListRecord::Entry(entry) => Some((record, Some(entry))),
+            ListRecord::Entry(entry) => Some((record, Some(*entry))),
             ListRecord::Removed => Some((record, None)),
             ListRecord::Undecoded => None,
         })
