--- a/components/config/src/fleet_config.rs
+++ b/components/config/src/fleet_config.rs
@@ -10,7 +10,8 @@
 /// Everything that operators configure, as one process uses it.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct FleetConfig {
-    /// Log offset of the record that put this version in force.
+    /// Number that orders the versions: log offset of the record that put this one in force or, where
+    /// operators number their versions themselves, the number after theirs.
     pub version: Offset,
     /// Name of the deployment.
     pub name: CompactString,
--- a/components/gateway/src/fleet_link.rs
+++ b/components/gateway/src/fleet_link.rs
@@ -183,7 +183,7 @@
             app.update_freshness_metrics();
         }
         let expired = app.gateways.borrow_mut().expire(now);
-        app.update_limit_sharers(now);
+        app.update_sharing_gateways(now);
         for name in expired {
             log::info!("event=gateway_gone gateway={name}");
             app.rates.borrow_mut().remove_peer(&name);
--- a/components/gateway/src/target_limits.rs
+++ b/components/gateway/src/target_limits.rs
@@ -1,7 +1,7 @@
 //! Limits of targets that all gateways share.
 
 use base::{ProcessId, Timestamp, short_hash};
-use routing::LimitSharers;
+use routing::SharingGateways;
 use telemetry::quote;
 use wire::TargetLimitReport;
 
@@ -9,8 +9,8 @@
 
 impl App {
     /// Shares the limits of targets among this gateway and those that are known now.
-    pub(crate) fn update_limit_sharers(&self, now: Timestamp) {
-        let sharers = LimitSharers {
+    pub(crate) fn update_sharing_gateways(&self, now: Timestamp) {
+        let sharers = SharingGateways {
             process: short_hash(self.process.to_string().as_bytes()),
             local: self.process.name.as_str().to_owned(),
             others: self
@@ -20,7 +20,7 @@
                 .map(|(name, _)| name.as_str().to_owned())
                 .collect(),
         };
-        self.fleet.borrow_mut().set_limit_sharers(sharers, now);
+        self.fleet.borrow_mut().set_sharing_gateways(sharers, now);
     }
 
     /// Applies what another gateway reports of the limits of targets.
--- a/components/routing/src/direct_fleet.rs
+++ b/components/routing/src/direct_fleet.rs
@@ -12,7 +12,7 @@
 };
 use crate::direct_target::TYPICAL_RUN_MS;
 use crate::{
-    DirectTarget, LimitSharers, NamedLimit, PrefillEstimator, PrefixLink, RequestWork, SendId,
+    DirectTarget, NamedLimit, PrefillEstimator, PrefixLink, RequestWork, SendId, SharingGateways,
     TargetKey, TargetLoadSample, TargetOutcome, Workload,
 };
 
@@ -53,7 +53,7 @@
     by_hash: SortedMap<u32, TargetKey>,
     prefill_estimator: PrefillEstimator,
     cache_tokens: SortedMap<CompactString, u64>,
-    limit_sharers: LimitSharers,
+    sharing_gateways: SharingGateways,
 }
 
 impl DirectFleet {
@@ -66,7 +66,7 @@
             by_hash: SortedMap::new(),
             prefill_estimator: PrefillEstimator::new(),
             cache_tokens: SortedMap::new(),
-            limit_sharers: LimitSharers::default(),
+            sharing_gateways: SharingGateways::default(),
         }
     }
 
@@ -268,13 +268,13 @@
     }
 
     /// Sets the gateways that share the limits of targets.
-    pub fn set_limit_sharers(&mut self, sharers: LimitSharers, now: Timestamp) {
-        if sharers == self.limit_sharers {
+    pub fn set_sharing_gateways(&mut self, sharers: SharingGateways, now: Timestamp) {
+        if sharers == self.sharing_gateways {
             return;
         }
-        self.limit_sharers = sharers;
+        self.sharing_gateways = sharers;
         for target in &mut self.targets {
-            target.limit.update_turns(&target.id, &self.limit_sharers, now);
+            target.limit.update_share(&target.id, &self.sharing_gateways, now);
         }
     }
 
@@ -288,7 +288,7 @@
         now: Timestamp,
     ) -> bool {
         let target = &mut self.targets[key.0 as usize];
-        target.limit.record_response(&target.id, named, &self.limit_sharers, sent_at, now)
+        target.limit.record_response(&target.id, named, &self.sharing_gateways, sent_at, now)
     }
 
     /// Applies another gateway's reports of limits; returns the targets whose limit has changed.
@@ -302,7 +302,7 @@
             let Some(key) = self.by_hash.get(&report.target).copied() else { continue };
             let target = &mut self.targets[key.0 as usize];
             if target.started_unix_ms == report.born_ms
-                && target.limit.apply_report(&target.id, report, &self.limit_sharers, now)
+                && target.limit.apply_report(&target.id, report, &self.sharing_gateways, now)
             {
                 changed.push(key);
             }
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -48,5 +48,5 @@
 pub use score::{NetworkDelays, Reachability, reachability_of};
 pub use sends::SendId;
 pub use target_health::{TargetHealth, TargetOutcome};
-pub use target_limit::{LimitSharers, NamedLimit, TargetLimit};
+pub use target_limit::{NamedLimit, SharingGateways, TargetLimit};
 pub use target_work::{RequestWork, TargetLoadSample, TargetWork, Workload};
--- a/components/routing/src/target_limit.rs
+++ b/components/routing/src/target_limit.rs
@@ -2,11 +2,11 @@
 //!
 //! A target in need names the limit in its responses; a response without it, to a request that was
 //! sent when the limit was known, ends it. The gateways tell each other what they know. The newest
-//! word counts, in the time of this process; where the order is uncertain, the limit stays.
+//! observation counts, in the time of this process; where the order is uncertain, the limit stays.
 //!
-//! The requests are shared by turns: a fixed number of the known gateways may send, each an equal
-//! part of the rate. Gateways that don't report keep their turns, so that the sum stays within the
-//! limit while gateways are cut off from each other.
+//! A fixed number of the known gateways, chosen by the target's id, share the rate evenly. Gateways
+//! that don't report keep their shares, so that the sum stays within the limit while gateways are cut
+//! off from each other.
 
 use std::time::Duration;
 
@@ -16,13 +16,13 @@
 /// Lowest rate at which a target is sent requests. A target that named zero would otherwise get
 /// nothing, and its gateways would never learn that it takes requests again.
 const MIN_RATE_PER_S: f64 = 0.2;
-/// Number of gateways that take turns, beyond one for each request per second. Each may send one
+/// Number of gateways that have a share, beyond one for each request per second. Each may send one
 /// request at once, so their number bounds what a target gets beyond its limit.
 const EXTRA_SENDERS: u32 = 4;
 /// Time whose requests the gateways together may send at once.
 const BURST_TIME: Duration = Duration::from_millis(250);
-/// Difference in age from which one gateway's word of the end of a limit is newer than another one's
-/// word of the limit: longer than a datagram takes.
+/// Difference from which one gateway's observation that a limit has ended is newer than another one's
+/// observation of the limit, in microseconds: longer than a datagram takes.
 const ORDER_MARGIN_MICROS: i64 = 500_000;
 /// Time for which the end of a limit is reported, and again to a gateway that doesn't know of it.
 const END_REPORT_TIME: Duration = Duration::from_secs(10);
@@ -48,9 +48,9 @@
     micros: u64,
 }
 
-/// The newest word on the limit.
+/// What a response said of the limit, and when.
 #[derive(Clone, Copy, Debug, PartialEq)]
-struct Word {
+struct Observation {
     /// Requests per second; none if the limit has ended.
     limit_per_s: Option<f64>,
     origin: Origin,
@@ -61,25 +61,25 @@
     known_at: Timestamp,
 }
 
-/// This gateway's turns at a target.
+/// This gateway's share of a limit.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-struct Turns {
-    /// Part of the limit; zero for a gateway that has no turn.
+struct LimitShare {
+    /// Requests per second; zero for a gateway without a share.
     rate_per_s: f64,
     /// Most requests at once.
     depth: f64,
-    /// Place among the gateways that have turns, as a fraction of their number.
+    /// Rank among the gateways with a share, as a fraction of their number.
     phase: f64,
 }
 
-/// Limit of one target, with this gateway's part of it.
+/// Limit of one target, with this gateway's share of it.
 #[derive(Clone, Debug, Default)]
 pub struct TargetLimit {
-    word: Option<Word>,
-    /// Newest word of each gateway, by its clock. Words that come again over other gateways seem
-    /// younger each time and must not count again.
+    newest: Option<Observation>,
+    /// Time of the newest known observation of each gateway, by its clock. Observations that arrive
+    /// again through other gateways seem newer each time and must not count again.
     heard: SortedMap<u32, u64>,
-    turns: Turns,
+    share: LimitShare,
     /// Requests that may be sent, as of `updated`.
     level: f64,
     updated: Timestamp,
@@ -90,7 +90,7 @@
 
 /// The gateways that share the limits.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct LimitSharers {
+pub struct SharingGateways {
     /// Short hash of this process.
     pub process: u32,
     /// Name of this gateway.
@@ -99,18 +99,18 @@
     pub others: Vec<String>,
 }
 
-impl LimitSharers {
-    /// Computes this gateway's turns at a target.
-    fn turns(&self, target: &str, limit_per_s: f64) -> Turns {
+impl SharingGateways {
+    /// Computes this gateway's share of a target's limit.
+    fn share(&self, target: &str, limit_per_s: f64) -> LimitShare {
         let names = self.others.iter().map(String::as_str).chain([self.local.as_str()]);
         let ranked = rank_members(target.as_bytes(), names);
         let known = u32::try_from(ranked.len()).unwrap_or(u32::MAX);
         let rate_per_s = limit_per_s.max(MIN_RATE_PER_S);
         let senders = (rate_per_s as u32).saturating_add(EXTRA_SENDERS).min(known).max(1);
         let rank = ranked.iter().take(senders as usize).position(|name| *name == self.local);
-        let Some(rank) = rank else { return Turns::default() };
+        let Some(rank) = rank else { return LimitShare::default() };
         let senders = f64::from(senders);
-        Turns {
+        LimitShare {
             rate_per_s: rate_per_s / senders,
             depth: (rate_per_s * BURST_TIME.as_secs_f64() / senders).max(1.0),
             phase: rank as f64 / senders,
@@ -121,7 +121,7 @@
 impl TargetLimit {
     /// Returns the limit in requests per second, if the target has one.
     pub fn per_s(&self) -> Option<f64> {
-        self.word.and_then(|word| word.limit_per_s)
+        self.newest.and_then(|observation| observation.limit_per_s)
     }
 
     /// Records what a response says of the limit; `sent_at` is the time of its request. Returns
@@ -130,15 +130,15 @@
         &mut self,
         target: &str,
         named: NamedLimit,
-        sharers: &LimitSharers,
+        sharers: &SharingGateways,
         sent_at: Timestamp,
         now: Timestamp,
     ) -> bool {
-        let limit_per_s = match (named, self.word) {
+        let limit_per_s = match (named, self.newest) {
             (NamedLimit::PerSecond(limit_per_s), _) => Some(limit_per_s),
             // An older request may have been answered before the limit was named.
-            (NamedLimit::Absent, Some(word))
-                if word.limit_per_s.is_some() && sent_at >= word.known_at =>
+            (NamedLimit::Absent, Some(observation))
+                if observation.limit_per_s.is_some() && sent_at >= observation.known_at =>
             {
                 None
             }
@@ -146,8 +146,9 @@
         };
         let origin = Origin { gateway: sharers.process, micros: now.micros };
         self.heard.insert(origin.gateway, origin.micros);
-        let word = Word { limit_per_s, origin, at_micros: signed(now), known_at: now };
-        self.set_word(target, word, sharers, now)
+        let observation =
+            Observation { limit_per_s, origin, at_micros: signed(now), known_at: now };
+        self.set_observation(target, observation, sharers, now)
     }
 
     /// Applies another gateway's report; returns whether the limit has changed.
@@ -155,7 +156,7 @@
         &mut self,
         target: &str,
         report: &TargetLimitReport,
-        sharers: &LimitSharers,
+        sharers: &SharingGateways,
         now: Timestamp,
     ) -> bool {
         let origin = Origin { gateway: report.origin, micros: report.origin_micros };
@@ -170,56 +171,56 @@
             return false;
         }
         *heard = origin.micros;
-        let is_newer = match (self.word, limit_per_s) {
-            (Some(word), _) if word.origin.gateway == origin.gateway => true,
-            (Some(word), Some(_)) => at_micros > word.at_micros,
-            (Some(word), None) => at_micros > word.at_micros + ORDER_MARGIN_MICROS,
+        let is_newer = match (self.newest, limit_per_s) {
+            (Some(observation), _) if observation.origin.gateway == origin.gateway => true,
+            (Some(observation), Some(_)) => at_micros > observation.at_micros,
+            (Some(observation), None) => at_micros > observation.at_micros + ORDER_MARGIN_MICROS,
             (None, limit_per_s) => limit_per_s.is_some(),
         };
         if !is_newer {
             return false;
         }
-        let word = Word { limit_per_s, origin, at_micros, known_at: now };
-        self.set_word(target, word, sharers, now)
+        let observation = Observation { limit_per_s, origin, at_micros, known_at: now };
+        self.set_observation(target, observation, sharers, now)
     }
 
-    fn set_word(
+    fn set_observation(
         &mut self,
         target: &str,
-        word: Word,
-        sharers: &LimitSharers,
+        observation: Observation,
+        sharers: &SharingGateways,
         now: Timestamp,
     ) -> bool {
         let former = self.per_s();
-        self.word = Some(word);
-        if word.limit_per_s.is_none() {
+        self.newest = Some(observation);
+        if observation.limit_per_s.is_none() {
             self.end_reported_until = now + END_REPORT_TIME;
         }
-        if former == word.limit_per_s {
+        if former == observation.limit_per_s {
             return false;
         }
-        self.update_turns(target, sharers, now);
+        self.update_share(target, sharers, now);
         if former.is_none() {
-            // The gateways learn of a limit at about the same time; their first turns follow one
+            // The gateways learn of a limit at about the same time; their first requests follow one
             // another.
-            self.level = self.turns.phase;
+            self.level = self.share.phase;
             self.next_return = now;
         }
         true
     }
 
-    /// Computes this gateway's turns anew, for a changed limit or other gateways.
-    pub(crate) fn update_turns(&mut self, target: &str, sharers: &LimitSharers, now: Timestamp) {
+    /// Computes this gateway's share again, after a change of the limit or of the gateways.
+    pub(crate) fn update_share(&mut self, target: &str, sharers: &SharingGateways, now: Timestamp) {
         let Some(limit_per_s) = self.per_s() else { return };
         self.level = self.level_at(now);
         self.updated = now;
-        self.turns = sharers.turns(target, limit_per_s);
-        self.level = self.level.min(self.turns.depth);
+        self.share = sharers.share(target, limit_per_s);
+        self.level = self.level.min(self.share.depth);
     }
 
     fn level_at(&self, now: Timestamp) -> f64 {
-        let accrued = self.turns.rate_per_s * now.since(self.updated).as_secs_f64();
-        (self.level + accrued).min(self.turns.depth)
+        let accrued = self.share.rate_per_s * now.since(self.updated).as_secs_f64();
+        (self.level + accrued).min(self.share.depth)
     }
 
     /// Whether this gateway may send the target a request now.
@@ -237,11 +238,11 @@
 
     /// Returns the time at which the next refused caller would be asked to return.
     pub(crate) fn next_return(&self, now: Timestamp) -> Timestamp {
-        let until_turn_s = match self.turns.rate_per_s > 0.0 {
-            true => (1.0 - self.level_at(now)).max(0.0) / self.turns.rate_per_s,
+        let until_open_s = match self.share.rate_per_s > 0.0 {
+            true => (1.0 - self.level_at(now)).max(0.0) / self.share.rate_per_s,
             false => self.interval_s(),
         };
-        self.next_return.max(now + Duration::from_secs_f64(until_turn_s))
+        self.next_return.max(now + Duration::from_secs_f64(until_open_s))
     }
 
     /// Returns the time after which a refused caller should return. The callers that follow are asked
@@ -253,9 +254,9 @@
         at.since(now).clamp(RETURN_BOUNDS.0, RETURN_BOUNDS.1)
     }
 
-    /// Time between two requests of this gateway or, if it has no turn, of any gateway.
+    /// Time between two requests of this gateway or, if it has no share, of any gateway.
     fn interval_s(&self) -> f64 {
-        let own = self.turns.rate_per_s;
+        let own = self.share.rate_per_s;
         let rate_per_s =
             if own > 0.0 { own } else { self.per_s().unwrap_or_default().max(MIN_RATE_PER_S) };
         1.0 / rate_per_s
@@ -268,17 +269,18 @@
         born_ms: Option<u64>,
         now: Timestamp,
     ) -> Option<TargetLimitReport> {
-        let word = self.word?;
-        if word.limit_per_s.is_none() && now >= self.end_reported_until {
+        let observation = self.newest?;
+        if observation.limit_per_s.is_none() && now >= self.end_reported_until {
             return None;
         }
         Some(TargetLimitReport {
             target,
             born_ms,
-            limit_per_1000_s: word.limit_per_s.map(|limit| (limit * 1_000.0).round() as u64),
-            origin: word.origin.gateway,
-            origin_micros: word.origin.micros,
-            age_ms: u32::try_from((signed(now) - word.at_micros) / 1_000).unwrap_or_default(),
+            limit_per_1000_s: observation.limit_per_s.map(|limit| (limit * 1_000.0).round() as u64),
+            origin: observation.origin.gateway,
+            origin_micros: observation.origin.micros,
+            age_ms: u32::try_from((signed(now) - observation.at_micros) / 1_000)
+                .unwrap_or(u32::MAX),
         })
     }
 }
--- a/components/routing/tests/target_limit.rs
+++ b/components/routing/tests/target_limit.rs
@@ -7,7 +7,7 @@
 use base::{Timestamp, WarmCopies, seeded_rng};
 use rand::Rng;
 use routing::{
-    DirectChoice, DirectFleet, DirectPlainRequirements, LimitSharers, NamedLimit, TargetKey,
+    DirectChoice, DirectFleet, DirectPlainRequirements, NamedLimit, SharingGateways, TargetKey,
 };
 use wire::{TargetEntry, TargetLimitReport, TargetState};
 
@@ -131,8 +131,8 @@
         gateway.process = process;
         gateway.fleet = DirectFleet::new("north-a");
         gateway.fleet.apply_entry(&entry(born_ms), Timestamp::default());
-        let sharers = LimitSharers { process, local: gateway.name.clone(), others };
-        gateway.fleet.set_limit_sharers(sharers, Timestamp::default());
+        let sharers = SharingGateways { process, local: gateway.name.clone(), others };
+        gateway.fleet.set_sharing_gateways(sharers, Timestamp::default());
         gateway.started_ms = now_ms;
         gateway.excused_until_ms = now_ms + CONTACT_MS;
         self.reports.retain(|report| report.to != index);
--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -6,22 +6,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use platform_standin::{CallerKind, DeploymentSpec, RouteKind, RouteSpec};
-use support::{PlainGateway, SERVICE, echo_target, plain_call};
+use platform_standin::{CallerKind, DeploymentSpec, RouteKind};
+use support::{PlainGateway, SERVICE, echo_target, plain_call, plain_route};
 use tokio::time::sleep;
 
-fn route() -> RouteSpec {
-    RouteSpec {
-        name: "reads".into(),
-        prefix: "/reads/".into(),
-        service: SERVICE.into(),
-        kind: RouteKind::Repeatable,
-        attempts: 2,
-        timeout_ms: 4_000,
-        objective_ms: 300,
-    }
-}
-
 /// Entries of which none names a target.
 fn odd_entries(address: SocketAddr) -> Vec<String> {
     let entry = |address: &str, zone: &str, slots: &str| {
@@ -52,7 +40,8 @@
 #[tokio::test]
 async fn odd_entries_among_those_of_the_targets_change_nothing() {
     let target = echo_target().await;
-    let mut gateway = PlainGateway::start(route(), &[target]).await;
+    let mut gateway =
+        PlainGateway::start(plain_route("reads", RouteKind::Repeatable), &[target]).await;
     for is_new_process in [false, true] {
         for (number, entry) in odd_entries(target).iter().enumerate() {
             let id = format!("odd-{number}");
--- a/tests/repeated_refusal.rs
+++ b/tests/repeated_refusal.rs
@@ -9,8 +9,8 @@
 use std::time::Duration;
 
 use platform::header_names::{NOT_RUN, RESPONSE_SIGNATURE};
-use platform_standin::{CallerKind, CallerResponse, RouteKind, RouteSpec};
-use support::{PlainGateway, SERVICE, id_line, plain_call, read_head};
+use platform_standin::{CallerKind, CallerResponse, RouteKind};
+use support::{PlainGateway, id_line, plain_call, plain_route, read_head};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
@@ -86,24 +86,12 @@
     }
 }
 
-fn route() -> RouteSpec {
-    RouteSpec {
-        name: "orders".into(),
-        prefix: "/orders/".into(),
-        service: SERVICE.into(),
-        kind: RouteKind::Once,
-        attempts: 2,
-        timeout_ms: 2_000,
-        objective_ms: 300,
-    }
-}
-
 /// Returns the answer to a request on a kept connection that one of two targets runs, and the number of
 /// runs.
 async fn call_again(odd: Odd) -> (CallerResponse, usize) {
     let runs: Arc<Mutex<Runs>> = Arc::default();
     let targets = [target(odd, Arc::clone(&runs)).await, target(odd, Arc::clone(&runs)).await];
-    let gateway = PlainGateway::start(route(), &targets).await;
+    let gateway = PlainGateway::start(plain_route("orders", RouteKind::Once), &targets).await;
     for number in 0..20 {
         let id = format!("order-{number}");
         let response = plain_call(&gateway, &id, "/orders/1", CallerKind::Order).await;
--- a/tests/restored_store.rs
+++ b/tests/restored_store.rs
@@ -6,10 +6,8 @@
 
 use std::time::Duration;
 
-use platform_standin::{
-    CallerConnection, CallerKind, CallerRequest, CustomerSpec, RouteKind, RouteSpec,
-};
-use support::{CUSTOMER_KEY, HOST, PlainGateway, SERVICE, echo_target, wait_until};
+use platform_standin::{CallerConnection, CallerKind, CallerRequest, CustomerSpec, RouteKind};
+use support::{CUSTOMER_KEY, HOST, PlainGateway, echo_target, plain_route, wait_until};
 use tokio::time::{Instant, sleep};
 
 const DEADLINE: Duration = Duration::from_secs(4);
@@ -20,21 +18,11 @@
 /// Time until the operators write the lost configuration again.
 const REWRITTEN_AFTER: Duration = Duration::from_millis(1_200);
 
-fn route(name: &str) -> RouteSpec {
-    RouteSpec {
-        name: name.into(),
-        prefix: format!("/{name}/").into(),
-        service: SERVICE.into(),
-        kind: RouteKind::Repeatable,
-        attempts: 2,
-        timeout_ms: 4_000,
-        objective_ms: 300,
-    }
-}
-
 /// Stores a configuration as the operators do.
 fn configure(gateway: &PlainGateway, version: u64, routes: &[&str], keys: &[&str]) {
-    let mut spec = PlainGateway::deployment(routes.iter().map(|name| route(name)).collect());
+    let mut spec = PlainGateway::deployment(
+        routes.iter().map(|name| plain_route(name, RouteKind::Repeatable)).collect(),
+    );
     spec.version = version;
     spec.tenants = vec![CustomerSpec {
         keys: keys.iter().copied().map(Into::into).collect(),
@@ -81,7 +69,9 @@
 /// configuration until the new history is longer, or follows the copy back to an older one.
 #[tokio::test]
 async fn configurations_are_taken_in_order_across_a_restored_store() {
-    let gateway = PlainGateway::start(route("reads"), &[echo_target().await]).await;
+    let gateway =
+        PlainGateway::start(plain_route("reads", RouteKind::Repeatable), &[echo_target().await])
+            .await;
     configure(&gateway, 3, &["reads"], &[CUSTOMER_KEY, WITHDRAWN_KEY]);
     wait_for_status(&gateway, "reads", WITHDRAWN_KEY, 200).await;
     let copy = gateway.store().copy();
@@ -105,7 +95,9 @@
 /// takes them for the continuation of the lost history; the store comes back from two copies in a row.
 #[tokio::test]
 async fn a_longer_history_after_the_restoration_is_read_from_its_start() {
-    let gateway = PlainGateway::start(route("reads"), &[echo_target().await]).await;
+    let gateway =
+        PlainGateway::start(plain_route("reads", RouteKind::Repeatable), &[echo_target().await])
+            .await;
     let copy = gateway.store().copy();
     configure(&gateway, 5, &["reads", "added"], &[CUSTOMER_KEY]);
     wait_for_status(&gateway, "added", CUSTOMER_KEY, 200).await;
@@ -126,7 +118,9 @@
 /// that was withdrawn in the lost history is served again.
 #[tokio::test]
 async fn a_gateway_that_starts_on_a_restored_store_serves_no_withdrawn_key() {
-    let mut gateway = PlainGateway::start(route("reads"), &[echo_target().await]).await;
+    let mut gateway =
+        PlainGateway::start(plain_route("reads", RouteKind::Repeatable), &[echo_target().await])
+            .await;
     configure(&gateway, 3, &["reads"], &[CUSTOMER_KEY, WITHDRAWN_KEY]);
     wait_for_status(&gateway, "reads", WITHDRAWN_KEY, 200).await;
     let copy = gateway.store().copy();
--- a/tests/resumed_streams.rs
+++ b/tests/resumed_streams.rs
@@ -8,7 +8,7 @@
 
 use platform::header_names::{LAST_EVENT_ID, RESPONSE_SIGNATURE};
 use platform_standin::{CallerKind, CallerResponse, RouteKind, RouteSpec};
-use support::{PlainGateway, SERVICE, header_value, id_line, plain_call, read_head};
+use support::{PlainGateway, header_value, id_line, plain_call, plain_route, read_head};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 
@@ -84,15 +84,7 @@
     for _ in 0..3 {
         targets.push(target(&script, &first).await);
     }
-    let route = RouteSpec {
-        name: "lines".into(),
-        prefix: "/lines/".into(),
-        service: SERVICE.into(),
-        kind: RouteKind::ResumableStream,
-        attempts: 3,
-        timeout_ms: 4_000,
-        objective_ms: 1_000,
-    };
+    let route = RouteSpec { attempts: 3, ..plain_route("lines", RouteKind::ResumableStream) };
     let gateway = PlainGateway::start(route, &targets).await;
     plain_call(&gateway, "request-1", "/lines/1", CallerKind::Read).await
 }
--- a/tests/support/gateway.rs
+++ b/tests/support/gateway.rs
@@ -6,8 +6,8 @@
 
 use platform_standin::{
     CallerConnection, CallerKind, CallerRequest, CallerResponse, CustomerSpec, DeploymentSpec,
-    FleetLimits, MachineSpec, PlainTargetService, PlainTargetSettings, RouteSpec, StoreServer,
-    StoreService, StoreSettings, TargetAnnouncement,
+    FleetLimits, MachineSpec, PlainTargetService, PlainTargetSettings, RouteKind, RouteSpec,
+    StoreServer, StoreService, StoreSettings, TargetAnnouncement,
 };
 use standin::Service;
 use tempfile::TempDir;
@@ -133,6 +133,19 @@
     process
 }
 
+/// A route to the plain service under its name.
+pub fn plain_route(name: &str, kind: RouteKind) -> RouteSpec {
+    RouteSpec {
+        name: name.into(),
+        prefix: format!("/{name}/").into(),
+        service: SERVICE.into(),
+        kind,
+        attempts: 2,
+        timeout_ms: 4_000,
+        objective_ms: 300,
+    }
+}
+
 fn announce(store: &StoreService, number: usize, address: SocketAddr) {
     let id = target_id(number);
     let settings = PlainTargetSettings {
--- a/tests/target_limit.rs
+++ b/tests/target_limit.rs
@@ -9,15 +9,14 @@
 use std::time::{Duration, Instant};
 
 use platform::header_names::{DEADLINE_MS, REQUEST_ID, REQUEST_LIMIT, RESPONSE_SIGNATURE};
-use platform_standin::{
-    CallerConnection, CallerKind, CallerRequest, CallerResponse, RouteKind, RouteSpec,
+use platform_standin::{CallerKind, CallerResponse, RouteKind};
+use support::{
+    CUSTOMER_KEY, HOST, PlainGateway, header_value, id_line, plain_call, plain_route, read_head,
 };
-use support::{CUSTOMER_KEY, HOST, PlainGateway, SERVICE, header_value, id_line, read_head};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
 
-const DEADLINE: Duration = Duration::from_secs(4);
 const LIMIT_PER_S: f64 = 1.0;
 /// Window over which the limit is judged.
 const WINDOW: Duration = Duration::from_secs(4);
@@ -81,30 +80,8 @@
     }
 }
 
-fn route() -> RouteSpec {
-    RouteSpec {
-        name: "reads".into(),
-        prefix: "/reads/".into(),
-        service: SERVICE.into(),
-        kind: RouteKind::Repeatable,
-        attempts: 2,
-        timeout_ms: 4_000,
-        objective_ms: 300,
-    }
-}
-
-async fn call(callers: SocketAddr, id: &str) -> CallerResponse {
-    let mut connection = CallerConnection::open(callers, DEADLINE).await.unwrap();
-    let request = CallerRequest {
-        id: id.into(),
-        host: HOST.into(),
-        path: "/reads/1".into(),
-        key: CUSTOMER_KEY.into(),
-        deadline: DEADLINE,
-        kind: CallerKind::Read,
-        after_event: None,
-    };
-    connection.call(&request).await
+async fn call_read(gateway: &PlainGateway, id: &str) -> CallerResponse {
+    plain_call(gateway, id, "/reads/1", CallerKind::Read).await
 }
 
 /// Guards against a gateway that sends a target more requests than the limit that the target named,
@@ -112,14 +89,15 @@
 #[tokio::test]
 async fn a_target_gets_no_more_requests_than_its_limit_allows() {
     let target = Target::start().await;
-    let gateway = PlainGateway::start(route(), &[target.address]).await;
-    let first = call(gateway.callers, "first").await;
+    let gateway =
+        PlainGateway::start(plain_route("reads", RouteKind::Repeatable), &[target.address]).await;
+    let first = call_read(&gateway, "first").await;
     assert!(first.is_success(), "{first:?}");
     let named = Instant::now();
     let mut served = 0;
     let mut number = 0;
     while named.elapsed() < Duration::from_secs(10) {
-        let response = call(gateway.callers, &format!("limited-{number}")).await;
+        let response = call_read(&gateway, &format!("limited-{number}")).await;
         number += 1;
         if response.is_success() {
             served += 1;
@@ -138,8 +116,7 @@
     sleep(Duration::from_millis(1_500)).await;
     let mut refused = 0;
     for number in 0..20 {
-        refused +=
-            usize::from(!call(gateway.callers, &format!("after-{number}")).await.is_success());
+        refused += usize::from(!call_read(&gateway, &format!("after-{number}")).await.is_success());
     }
     assert!(refused <= 1, "{refused} of 20 refused after the end of the limit");
 }
@@ -148,7 +125,8 @@
 #[tokio::test]
 async fn the_limit_of_a_target_is_not_passed_on() {
     let target = Target::start().await;
-    let gateway = PlainGateway::start(route(), &[target.address]).await;
+    let gateway =
+        PlainGateway::start(plain_route("reads", RouteKind::Repeatable), &[target.address]).await;
     let mut socket = TcpStream::connect(gateway.callers).await.unwrap();
     let request = format!(
         "GET /reads/1 HTTP/1.1\r\nhost: {HOST}\r\n{REQUEST_ID}: raw-1\r\n\
