--- a/components/gateway/src/configuration_watch.rs
+++ b/components/gateway/src/configuration_watch.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use base::{Offset, Timestamp};
-use platform::newest_configuration;
+use platform::{has_configuration, newest_configuration};
 use store::{KeyedRead, KeyedReader, Topic};
 use tokio::time::sleep;
 
@@ -59,8 +59,12 @@
                 backoff = INITIAL_BACKOFF;
                 app.store_read_at.set(Some(requested_at));
                 app.record_answered_era(app.clock.now());
-                if matches!(read, KeyedRead::Snapshot(_)) {
-                    stored_version = Offset::default();
+                if let KeyedRead::Snapshot(page) = &read {
+                    // A version that can't be read leaves the one in force, as if it were not there.
+                    stored_version = match has_configuration(page) {
+                        true => app.version(),
+                        false => Offset::default(),
+                    };
                 }
                 if let Some(configuration) = newest_configuration(read.page()) {
                     stored_version = configuration.config.version;
--- a/tests/restored_store.rs
+++ b/tests/restored_store.rs
@@ -6,7 +6,9 @@
 
 use std::time::Duration;
 
-use platform_standin::{CallerConnection, CallerKind, CallerRequest, CustomerSpec, RouteKind};
+use platform_standin::{
+    CallerConnection, CallerKind, CallerRequest, CustomerSpec, DeploymentSpec, RouteKind,
+};
 use support::{CUSTOMER_KEY, HOST, PlainGateway, echo_target, plain_route, wait_until};
 use tokio::time::{Instant, sleep};
 
@@ -15,6 +17,8 @@
 const WITHDRAWN_KEY: &str = "key-2";
 /// Time from the store's answer within which a configuration is in force.
 const IN_FORCE_WITHIN: Duration = Duration::from_millis(2_000);
+/// Time after which no key is served without new evidence that none was withdrawn.
+const EVIDENCE_TIME: Duration = Duration::from_millis(6_000);
 /// Time until the operators write the lost configuration again.
 const REWRITTEN_AFTER: Duration = Duration::from_millis(1_200);
 
@@ -139,3 +143,19 @@
     wait_for_status(&gateway, "added", CUSTOMER_KEY, 200).await;
     wait_for_status(&gateway, "reads", WITHDRAWN_KEY, 401).await;
 }
+
+/// Guards against a gateway that stops serving keys because the newest configuration can't be read: the
+/// one before stays in force, also when the store has dropped its history.
+#[tokio::test]
+async fn a_configuration_that_cannot_be_read_changes_nothing() {
+    let gateway =
+        PlainGateway::start(plain_route("reads", RouteKind::Repeatable), &[echo_target().await])
+            .await;
+    let (topic, key) = DeploymentSpec::KEY;
+    gateway.store().put(topic, key, b"{\"version\":9,\"routes\":[{}]}");
+    gateway.store().put(topic, "other", b"{}");
+    gateway.store().drop_history();
+    // Longer than evidence is valid.
+    sleep(EVIDENCE_TIME).await;
+    assert_eq!(status(&gateway, "reads", CUSTOMER_KEY).await, 200);
+}
