--- a/review/standin/src/deployment.rs
+++ b/review/standin/src/deployment.rs
@@ -61,6 +61,37 @@
     )
 }
 
+/// Name of the service with engines.
+pub const ENGINE_SERVICE: &str = "llais-models";
+
+/// The operators' configuration, version 1, of a service with engines.
+pub fn engine_configuration(models: &[String], model_mb: u32, engine_mb: u32) -> String {
+    let models: Vec<String> = models
+        .iter()
+        .map(|name| {
+            format!(
+                "{{\"name\":\"{name}\",\"weights_mb\":{model_mb},\"load_s\":4.2,\"warm_s\":0.63,\
+                 \"disk_s\":0.84,\"adapters\":0,\"adapter_mb\":66}}"
+            )
+        })
+        .collect();
+    format!(
+        "{{\"version\":1,\"routes\":[{{\"name\":\"captions\",\"host\":\"{HOST}\",\
+         \"path_prefix\":\"/captions/\",\"kind\":\"streaming\",\"timeout_ms\":6000,\
+         \"target_latency_ms\":800,\"gap_target_ms\":400,\"priority\":1,\
+         \"service\":\"{ENGINE_SERVICE}\",\"attempts\":2,\"anonymous\":false,\"sticky\":true,\
+         \"resumable\":true}}],\"services\":[{{\"name\":\"{ENGINE_SERVICE}\",\
+         \"health_path\":\"/health\",\"connection_limit\":370,\"engine\":{{\"slots\":64,\
+         \"cache_tokens\":283072,\"stride\":4,\"max_count\":4,\"weights_mb\":{engine_mb},\
+         \"adapter_slots\":8,\"loads_per_s\":1.4,\"host_memory_mb\":0,\"disk_mb\":380000,\
+         \"models\":[{}]}}}}],\"tenants\":[{{\"name\":\"chapel\",\"keys\":[\"{KEY}\"],\
+         \"rate_per_s\":0,\"burst\":0,\"unit\":\"tokens\",\"plain_tokens\":100}}],\
+         \"limits\":{{\"header_bytes\":16384,\"body_bytes\":4194304,\
+         \"header_timeout_ms\":5000,\"idle_timeout_ms\":20000}}}}",
+        models.join(",")
+    )
+}
+
 /// Entry of a plain worker in the store's list.
 pub fn entry(address: SocketAddr, zone: &str, state: &str, born_ms: u128, number: u64) -> String {
     format!(
@@ -183,12 +214,59 @@
 
     /// Log lines that contain one of the texts.
     pub fn log_lines(&self, texts: &[&str]) -> Vec<String> {
-        let log = fs::read_to_string(&self.log).unwrap_or_default();
-        let shown = |line: &&str| texts.iter().any(|text| line.contains(text));
-        log.lines().filter(shown).map(str::to_owned).collect()
+        lines_with(&self.log, texts)
+    }
+}
+
+/// An agent as the deploy file starts it, beside an engine on the same machine.
+pub struct Agent {
+    pub name: String,
+    _process: Process,
+    log: PathBuf,
+}
+
+impl Agent {
+    /// Starts the program of the deploy file from the repository's root, which is the current folder.
+    pub fn start(
+        folder: &Folder,
+        machine: u8,
+        name: &str,
+        engine: SocketAddr,
+        store: SocketAddr,
+    ) -> io::Result<Self> {
+        let ip = own_ip(machine);
+        let settings = format!(
+            "node={name}\nrole=agent\nmachine_class=side\nserves=\nip_address={ip}\n\
+             zone=caerdydd-a\nregion=cymru-de\nzones.caerdydd-a=cymru-de\ninternal_ports=7600,7615\n\
+             app={engine}\nservice={ENGINE_SERVICE}\nfirst_start=true\nheartbeat_ms=1200\n\
+             bounds.checks_fence=true\nbounds.lease_ms=3000\nplatform_settings.address={store}\n\
+             platform_settings.form=log\nplatform_settings.parts=8\n"
+        );
+        let path = folder.0.join(format!("{name}.conf"));
+        fs::write(&path, settings)?;
+        let log = folder.0.join(format!("{name}.log"));
+        let child = Command::new("target/release/plantainbeam")
+            .arg("agent")
+            .env("PLANTAINBEAM_SETTINGS", &path)
+            .stdin(Stdio::null())
+            .stdout(File::create(&log)?)
+            .stderr(Stdio::null())
+            .spawn()?;
+        Ok(Self { name: name.to_owned(), _process: Process(child), log })
+    }
+
+    /// Log lines that contain one of the texts.
+    pub fn log_lines(&self, texts: &[&str]) -> Vec<String> {
+        lines_with(&self.log, texts)
     }
 }
 
+fn lines_with(log: &Path, texts: &[&str]) -> Vec<String> {
+    let log = fs::read_to_string(log).unwrap_or_default();
+    let shown = |line: &&str| texts.iter().any(|text| line.contains(text));
+    log.lines().filter(shown).map(str::to_owned).collect()
+}
+
 /// Whether the script runs with the disruption.
 pub fn has_trouble() -> bool {
     std::env::var("TROUBLE").map_or(true, |value| value != "0")
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -7,6 +7,7 @@
 mod early_answer;
 mod http;
 mod keep_alive;
+mod late_order;
 mod store;
 mod unframed;
 
@@ -31,6 +32,7 @@
         "drain" => drain::run(&record),
         "unframed" => unframed::run(&record),
         "early-answer" => early_answer::run(&record),
+        "late-order" => late_order::run(&record),
         "keep-alive" => keep_alive::run(&record),
         _ => return ExitCode::from(2),
     };
--- a/review/standin/src/store.rs
+++ b/review/standin/src/store.rs
@@ -153,8 +153,7 @@
             if from < records.len() || left.is_zero() {
                 let mut body = (records.len() as u64).to_be_bytes().to_vec();
                 body.extend_from_slice(&0u64.to_be_bytes());
-                let mut count = 0;
-                for record in records.iter().skip(from) {
+                for (count, record) in records.iter().skip(from).enumerate() {
                     if body.len() + 4 + record.len() > most_bytes {
                         let read = PartialRead {
                             at: Instant::now(),
@@ -168,7 +167,6 @@
                     }
                     body.extend_from_slice(&(record.len() as u32).to_be_bytes());
                     body.extend_from_slice(record);
-                    count += 1;
                 }
                 return response(200, "", &body);
             }
--- a/review/standin/src/unframed.rs
+++ b/review/standin/src/unframed.rs
@@ -193,7 +193,8 @@
             answer.is_complete,
             answer.error
         ));
-        if !has_trouble() && !(is_whole && answer.status() == 200) {
+        let is_served = is_whole && answer.status() == 200;
+        if !has_trouble() && !is_served {
             return Err(io::Error::other("an undisturbed request got no whole answer"));
         }
         if (200..300).contains(&answer.status()) && answer.is_complete && !is_whole {
