Keep all workers busy in case 2

Cause: one of five runs beside a build held, because the gateway that had read the old part of the list had no need of the draining worker for 8 callers. Change: 24 callers and requests of 60 ms; the rule, its bound and the disruption are as before.

--- a/review/standin/src/drain.rs
+++ b/review/standin/src/drain.rs
@@ -28,8 +28,13 @@
 const KILL_AFTER: Duration = Duration::from_millis(2_500);
 /// How long the draining worker serves on, and how long requests are sent.
 const LINGER: Duration = Duration::from_millis(8_000);
-const CALLERS: usize = 8;
-const WORK: Duration = Duration::from_millis(20);
+/// Callers of the second gateway, enough to keep all near workers busy: a gateway sends to the worker that it expects
+/// to answer first, and with 8 callers it had no need of the draining one in a run beside a build.
+const CALLERS: usize = 24;
+/// Time that a request takes, as in the users' table for orders.
+const WORK: Duration = Duration::from_millis(60);
+/// Pause of a caller between two requests.
+const CALLER_PAUSE: Duration = Duration::from_millis(20);
 
 /// An arrival at a worker: its id, the request's id and the time.
 type Arrival = (usize, String, Instant);
@@ -140,7 +145,7 @@
                     if answer.status() == 200 {
                         answered.fetch_add(1, Ordering::Relaxed);
                     }
-                    thread::sleep(Duration::from_millis(40));
+                    thread::sleep(CALLER_PAUSE);
                 }
             })
         })
