--- a/components/soak/src/site.rs
+++ b/components/soak/src/site.rs
@@ -157,6 +157,7 @@
             route("order", ORDER_PATH, PLAIN, RouteKind::Once),
         ],
         tenants: TENANTS.iter().map(|name| tenant(name)).collect(),
+        body_bytes: 1 << 20,
     }
 }
 
--- a/tests/support/gateway.rs
+++ b/tests/support/gateway.rs
@@ -30,22 +30,34 @@
     store: StoreServer,
     machine: MachineSpec,
     settings: PathBuf,
+    limits: FleetLimits,
     _directory: TempDir,
 }
 
 impl PlainGateway {
     /// Starts a gateway with one route to `targets` and waits until it knows both.
     pub async fn start(route: RouteSpec, targets: &[SocketAddr]) -> Self {
+        let deployment = Self::deployment(vec![route]);
+        Self::start_with(&deployment, targets, FleetLimits::default()).await
+    }
+
+    /// Starts a gateway of this deployment with these limits and waits until it knows the
+    /// configuration and the targets.
+    pub async fn start_with(
+        deployment: &DeploymentSpec,
+        targets: &[SocketAddr],
+        limits: FleetLimits,
+    ) -> Self {
         let store = StoreServer::start(StoreSettings::default()).await.unwrap();
         let (topic, key) = DeploymentSpec::KEY;
-        store.service().put(topic, key, &Self::deployment(vec![route]).document());
+        store.service().put(topic, key, &deployment.document());
         for (number, target) in (1..).zip(targets) {
             announce(store.service(), number, *target);
         }
         let spec = gateway_machine(store.address());
         let directory = tempfile::tempdir().unwrap();
         let path = directory.path().join("settings.conf");
-        std::fs::write(&path, spec.settings_file(&FleetLimits::default())).unwrap();
+        std::fs::write(&path, spec.settings_file(&limits)).unwrap();
         let process = start_process(&path).await;
         Self {
             process,
@@ -53,6 +65,7 @@
             store,
             machine: spec,
             settings: path,
+            limits,
             _directory: directory,
         }
     }
@@ -87,6 +100,7 @@
                 tokens_per_s: 0,
                 burst_tokens: 0,
             }],
+            body_bytes: 1 << 20,
         }
     }
 
@@ -94,7 +108,7 @@
     pub async fn restart(&mut self) {
         self.process.kill().await;
         self.machine.first_start = false;
-        let settings = self.machine.settings_file(&FleetLimits::default());
+        let settings = self.machine.settings_file(&self.limits);
         std::fs::write(&self.settings, settings).unwrap();
         self.process = start_process(&self.settings).await;
     }
