Bound the memory and the connections of callers

Cause: a gateway collected each body up to its limit, kept each chunk by itself, and held any number of bodies, connections and unread responses. 60 clients with 4 MB each took it to 404 MB of the 120 MB of its machine. Change: CallerBudget in ingress decides, without I/O, what is admitted and who gives way; gateways and entries use it. Its sizes come from limits.memory_mb and limits.file_descriptors (callers.memory_mb and callers.connections at an entry). A body is copied into one buffer whose capacity is counted before it is allocated. What has stalled or takes most is given up with 408 or 503 and connection close; what was passed on is not. An announced length over the limit gets 413 without a byte being read, and a body over 64 KiB is read only if its route and key are valid. Plain responses of targets wait for room, and connections that don't read theirs are closed for it. The kernel's buffers of callers' sockets are bounded. An entry with all its connections in use closes the one that has waited longest for a request instead of leaving new ones waiting. The listeners for operators and peers have at most 128 connections. A metric (budget_rejections) and a log line a second at most (caller_budget_used_up). The largest body is served whole and in chunks on a calm gateway with 120 MB.

--- a/components/config/src/entry_settings.rs
+++ b/components/config/src/entry_settings.rs
@@ -75,6 +75,8 @@
     pub body_timeout_ms: u64,
     /// Most connections.
     pub connections: usize,
+    /// Memory of the VM, in MB; a third of it is for bodies.
+    pub memory_mb: u64,
     /// Longest time for a generation, in milliseconds.
     pub request_timeout_ms: u64,
 }
@@ -90,6 +92,7 @@
             head_timeout_ms: 5_000,
             body_timeout_ms: 10_000,
             connections: 4_096,
+            memory_mb: 2_048,
             request_timeout_ms: 120_000,
         }
     }
--- a/components/config/src/gateway_settings.rs
+++ b/components/config/src/gateway_settings.rs
@@ -31,6 +31,8 @@
     pub first_start: bool,
     /// File descriptors of the process.
     pub file_descriptors: u64,
+    /// Memory of the VM, in MB.
+    pub memory_mb: u64,
     /// Bounds of the fleet.
     pub bounds: FleetBounds,
 }
@@ -50,6 +52,7 @@
             store_parts: 8,
             first_start: false,
             file_descriptors: 1_024,
+            memory_mb: 512,
             bounds: FleetBounds::default(),
         }
     }
--- a/components/config/src/settings_check.rs
+++ b/components/config/src/settings_check.rs
@@ -149,6 +149,7 @@
             ("forward_body_bytes", callers.forward_body_bytes, 1),
             ("idempotent_body_bytes", widen(callers.idempotent_body_bytes), 1),
             ("connections", widen(callers.connections), 1),
+            ("memory_mb", callers.memory_mb, 64),
         ] {
             check.range("callers", field, value, low, MAX_COUNT);
         }
--- a/components/entry/src/app.rs
+++ b/components/entry/src/app.rs
@@ -10,7 +10,7 @@
 use base::{Offset, ProcessId, Timestamp};
 use changes::ConfigLog;
 use config::{EntrySettings, FleetConfig};
-use ingress::ShutdownStage;
+use ingress::{SharedCallerBudget, ShutdownStage};
 use membership::{Authority, Membership};
 use store::{HttpLog, HttpVmList};
 use telemetry::Metrics;
@@ -48,6 +48,8 @@
     pub metrics: Metrics,
     /// Requests in progress.
     pub in_flight: Rc<InFlight>,
+    /// Memory and connections for callers.
+    pub budget: Rc<SharedCallerBudget>,
     /// Callers' connections.
     pub connections: Rc<Cell<usize>>,
     /// Stage of life.
--- a/components/entry/src/callers.rs
+++ b/components/entry/src/callers.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use api::{ApiError, HeadError};
-use ingress::{ConnectionOptions, CountGuard, raw_error_response, serve_caller};
+use ingress::{
+    BudgetedConnection, ConnectionOptions, CountGuard, raw_error_response, serve_caller,
+};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Semaphore;
 
 use crate::app::App;
 use crate::dispatch::dispatch;
@@ -17,17 +18,13 @@
 /// Longest time that a connection may be idle between requests.
 const IDLE_LIMIT: Duration = Duration::from_secs(75);
 
-/// Accepts connections up to the limit until the process drains; then closes the listener.
+/// Accepts connections within the budget until the process drains; then closes the listener.
 pub(crate) async fn accept_callers(app: Rc<App>, listener: TcpListener) {
-    let permits = std::sync::Arc::new(Semaphore::new(app.settings.callers.connections));
+    app.budget.bound_sockets(&listener);
     let mut stage = app.stage.subscribe();
     loop {
-        let accepted = async {
-            let permit = std::sync::Arc::clone(&permits).acquire_owned().await;
-            (permit, listener.accept().await)
-        };
-        let (permit, accepted) = tokio::select! {
-            accepted = accepted => accepted,
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
             _ = stage.wait_for(|stage| stage.is_draining()) => return,
         };
         let Ok((socket, _)) = accepted else {
@@ -37,24 +34,29 @@
         if let Err(error) = socket.set_nodelay(true) {
             log::debug!("event=nodelay_failed error=\"{error}\"");
         }
+        let Some(budgeted) = app.budget.open() else {
+            refuse_connection(&app, &socket);
+            continue;
+        };
         let app = Rc::clone(&app);
         tokio::task::spawn_local(async move {
             let _counted = CountGuard::new(&app.connections);
-            serve(&app, socket).await;
-            drop(permit);
+            serve(&app, socket, budgeted).await;
         });
     }
 }
 
-async fn serve(app: &Rc<App>, socket: TcpStream) {
+async fn serve(app: &Rc<App>, socket: TcpStream, budgeted: Rc<BudgetedConnection>) {
     let options = ConnectionOptions { limits: app.settings.callers, idle_timeout: IDLE_LIMIT };
     let mut stage = app.stage.subscribe();
     let draining = async {
         // The sender lives as long as the process.
         let _draining = stage.wait_for(|stage| stage.is_draining()).await;
     };
-    let answer = |request, closer| dispatch(Rc::clone(app), request, closer);
-    serve_caller(socket, options, answer, |fault| refuse_head(app, fault), draining).await;
+    let shared = Rc::clone(&budgeted);
+    let answer = |request, closer| dispatch(Rc::clone(app), request, closer, Rc::clone(&shared));
+    serve_caller(socket, options, budgeted, answer, |fault| refuse_head(app, fault), draining)
+        .await;
 }
 
 fn refuse_head(app: &App, fault: HeadError) -> String {
@@ -64,3 +66,13 @@
     log::info!("event=head_refused request_id={id} code={}", error.code.as_str());
     raw_error_response(&error, &id)
 }
+
+fn refuse_connection(app: &App, socket: &TcpStream) {
+    let code = ingress::refuse_connection(socket, &new_request_id().to_string());
+    app.metrics.record_refusal(code.as_str());
+}
+
+/// Reports what the budget rejected until the task is aborted.
+pub(crate) async fn report_budget(app: Rc<App>) {
+    app.budget.report(|reason, count| app.metrics.record_budget_rejections(reason, count)).await;
+}
--- a/components/entry/src/dispatch.rs
+++ b/components/entry/src/dispatch.rs
@@ -6,21 +6,20 @@
 
 use api::{ApiError, CompletionFormat, ErrorCode, HeadError, model_list, presented_key};
 use auth::{AuthFault, Caller, authenticate, permitted_names};
-use base::Timestamp;
+use base::{Timestamp, short_hash};
 use bytes::Bytes;
 use config::FleetConfig;
 use http::{HeaderMap, Method, Request};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use tokio::time::timeout;
 use wire::RequestId;
 
 use crate::app::App;
 use crate::forward_call::forward;
 use crate::generate_call::generate;
 use crate::request_id::new_request_id;
-use ingress::ConnectionCloser;
-use ingress::{CallerResponse, error_response, json_response};
+use ingress::{
+    BudgetedConnection, CallerResponse, ConnectionCloser, error_response, json_response,
+};
 
 /// Wait that is advised while the process has no configuration, in milliseconds.
 const NO_CONFIGURATION_RETRY_MS: u64 = 1_000;
@@ -35,6 +34,8 @@
     pub at: Timestamp,
     /// Closes the connection after the answer.
     pub closer: Rc<ConnectionCloser>,
+    /// The connection under the budget.
+    pub budgeted: Rc<BudgetedConnection>,
 }
 
 /// Answers one request.
@@ -42,8 +43,10 @@
     app: Rc<App>,
     request: Request<Incoming>,
     closer: Rc<ConnectionCloser>,
+    budgeted: Rc<BudgetedConnection>,
 ) -> CallerResponse {
-    let incoming = IncomingRequest { request, id: new_request_id(), at: app.clock.now(), closer };
+    let incoming =
+        IncomingRequest { request, id: new_request_id(), at: app.clock.now(), closer, budgeted };
     let id = incoming.id.to_string();
     match route(&app, incoming).await {
         Ok(response) => response,
@@ -132,30 +135,21 @@
     }
 }
 
-/// Reads a body of at most `limit` bytes within `time`.
+/// Reads a body of at most `limit` bytes within `time`; the customer shares the memory for bodies
+/// fairly with others.
 ///
 /// # Errors
 ///
-/// `body_too_large`, `request_timeout`, or `invalid_request` if it breaks off.
+/// `body_too_large`, `request_timeout`, `no_capacity`, or `invalid_request` if it breaks off.
 pub(crate) async fn read_body(
+    budgeted: &BudgetedConnection,
+    customer: Option<&str>,
     body: Incoming,
     limit: usize,
     time: Duration,
 ) -> Result<Bytes, ApiError> {
-    let too_large = || {
-        let text = format!("the body is larger than {limit} bytes");
-        ApiError::new(ErrorCode::BodyTooLarge, text)
-    };
-    let announced = http_body::Body::size_hint(&body).lower();
-    if announced > limit as u64 {
-        return Err(too_large());
-    }
-    match timeout(time, Limited::new(body, limit).collect()).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(too_large()),
-        Ok(Err(_)) => Err(ApiError::new(ErrorCode::InvalidRequest, "the body broke off")),
-        Err(_) => Err(ApiError::new(ErrorCode::RequestTimeout, "the body did not arrive in time")),
-    }
+    let group = customer.map_or(0, |name| short_hash(name.as_bytes()));
+    budgeted.read_body(body, limit, time, group).await.map_err(|fault| fault.into_error(limit))
 }
 
 /// The error for a request that is ended from outside.
--- a/components/entry/src/forward_call.rs
+++ b/components/entry/src/forward_call.rs
@@ -39,7 +39,7 @@
     incoming: IncomingRequest,
     config: &FleetConfig,
 ) -> Result<CallerResponse, ApiError> {
-    let IncomingRequest { request, id, at, closer } = incoming;
+    let IncomingRequest { request, id, at, closer, budgeted } = incoming;
     let (parts, body) = request.into_parts();
     let path = parts.uri.path();
     if !is_unambiguous_path(path) {
@@ -68,8 +68,9 @@
     let small = announced.upper().is_some_and(|most| most <= limits.idempotent_body_bytes as u64);
     let payload = if idempotency_key.is_some() || small {
         let time = timeout.min(Duration::from_millis(limits.body_timeout_ms));
+        let customer = principal.as_ref().map(|principal| principal.customer.as_str());
         let bytes = tokio::select! {
-            bytes = read_body(body, limits.idempotent_body_bytes, time) => bytes?,
+            bytes = read_body(&budgeted, customer, body, limits.idempotent_body_bytes, time) => bytes?,
             reason = in_flight_guard.cancel.cancelled() => return Err(cancel_error(reason)),
         };
         Payload::Buffered(bytes)
--- a/components/entry/src/generate_call.rs
+++ b/components/entry/src/generate_call.rs
@@ -32,7 +32,7 @@
     config: &FleetConfig,
     format: CompletionFormat,
 ) -> Result<CallerResponse, ApiError> {
-    let IncomingRequest { request, id, at, closer } = incoming;
+    let IncomingRequest { request, id, at, closer, budgeted } = incoming;
     let (parts, body) = request.into_parts();
     let (caller, key) = authenticated(app, config, &parts.headers)?;
     let principal = Principal {
@@ -43,8 +43,9 @@
         app.in_flight.insert(Some(principal.clone()), RequestedResource::Model(None));
     let limits = app.settings.callers;
     let time = Duration::from_millis(limits.body_timeout_ms);
+    let customer = Some(principal.customer.as_str());
     let bytes = tokio::select! {
-        bytes = read_body(body, limits.body_bytes, time) => bytes?,
+        bytes = read_body(&budgeted, customer, body, limits.body_bytes, time) => bytes?,
         reason = in_flight_guard.cancel.cancelled() => return Err(cancel_error(reason)),
     };
     let call = GenerationRequest::parse(format, &bytes, key).map_err(|fault| {
--- a/components/entry/src/handle.rs
+++ b/components/entry/src/handle.rs
@@ -9,7 +9,7 @@
 use changes::ConfigLog;
 use clock::new_incarnation;
 use config::EntrySettings;
-use ingress::ShutdownStage;
+use ingress::{CallerBudgetSettings, SharedCallerBudget, ShutdownStage};
 use membership::{Authority, LocalProcess, Membership};
 use placement::{Planner, PlannerSettings};
 use store::{HttpLog, HttpLogOptions, HttpVmList, Log};
@@ -21,7 +21,7 @@
 
 use crate::EntryError;
 use crate::app::App;
-use crate::callers::accept_callers;
+use crate::callers::{accept_callers, report_budget};
 use crate::clock::Clock;
 use crate::config_reader::{ConfigFollower, FleetFollower};
 use crate::fleet::Fleet;
@@ -140,6 +140,7 @@
     tasks.spawn_local(accept_peers(Rc::clone(&app), Rc::clone(&peer_listener), secret));
     tasks.spawn_local(serve_operators(Rc::clone(&app), operator_listener));
     tasks.spawn_local(accept_callers(Rc::clone(&app), caller_listener));
+    tasks.spawn_local(report_budget(Rc::clone(&app)));
     tasks.spawn_local(follow(Rc::clone(&app), ConfigFollower::default()));
     tasks.spawn_local(follow(Rc::clone(&app), SlotFollower));
     tasks.spawn_local(follow(Rc::clone(&app), FleetFollower::default()));
@@ -187,6 +188,8 @@
     let request_timeout = Duration::from_millis(platform.request_timeout_ms);
     let call_timeout = Duration::from_millis(settings.membership.call_timeout_ms);
     let authority = Authority::new(Duration::from_millis(settings.authority_ms));
+    let callers = settings.callers;
+    let budget = CallerBudgetSettings::with_connections(callers.memory_mb, callers.connections);
     Ok(App {
         address,
         clock,
@@ -196,6 +199,7 @@
         metrics: Metrics::new().map_err(EntryError::Metrics)?,
         in_flight: Rc::default(),
         connections: Rc::default(),
+        budget: SharedCallerBudget::new(budget),
         stage: watch::Sender::new(ShutdownStage::Serving),
         config: RefCell::new(ConfigLog::new(&process.region, retention)),
         slots: RefCell::new(Slots::new(process_id.clone(), retention)),
--- a/components/gateway/src/app.rs
+++ b/components/gateway/src/app.rs
@@ -9,7 +9,7 @@
 use calls::HttpClient;
 use clock::BootClock;
 use config::{FleetConfig, GatewaySettings};
-use ingress::ShutdownStage;
+use ingress::{CallerBudgetSettings, SharedCallerBudget, ShutdownStage};
 use membership::{Authority, GatewayTable, StoreEra, TargetDirectory};
 use placement::{FleetPlanner, ModelDemandTable};
 use platform::{Configuration, StoreClient};
@@ -90,6 +90,8 @@
     pub config_applied_at: Cell<Option<Timestamp>>,
     /// Number of requests in progress.
     pub in_flight: Rc<Cell<usize>>,
+    /// Memory and connections for callers.
+    pub budget: Rc<SharedCallerBudget>,
     /// Number of open connections from callers.
     pub connections: Rc<Cell<usize>>,
     /// Start of the last successful read of the store.
@@ -118,6 +120,11 @@
         self.config.borrow().as_ref().map_or(Offset::default(), |config| config.version)
     }
 
+    /// Sizes of the budget for callers.
+    pub(crate) fn budget_settings(settings: &GatewaySettings) -> CallerBudgetSettings {
+        CallerBudgetSettings::for_machine(settings.memory_mb, settings.file_descriptors)
+    }
+
     /// How long freshness evidence is valid.
     pub(crate) fn evidence_limit(settings: &GatewaySettings) -> Duration {
         Duration::from_millis(settings.bounds.revocation_ms).mul_f64(EVIDENCE_SHARE)
--- a/components/gateway/src/callers.rs
+++ b/components/gateway/src/callers.rs
@@ -5,7 +5,9 @@
 
 use api::{ApiError, HeadError};
 use config::CallerLimits;
-use ingress::{ConnectionOptions, CountGuard, raw_error_response, serve_caller};
+use ingress::{
+    BudgetedConnection, ConnectionOptions, CountGuard, raw_error_response, serve_caller,
+};
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::app::App;
@@ -22,6 +24,7 @@
 
 /// Accepts connections until the process drains, then closes the listener.
 pub(crate) async fn accept_callers(app: Rc<App>, link: Rc<FleetLink>, listener: TcpListener) {
+    app.budget.bound_sockets(&listener);
     let mut stage = app.stage.subscribe();
     loop {
         let accepted = tokio::select! {
@@ -39,15 +42,24 @@
         if let Err(error) = socket.set_nodelay(true) {
             log::debug!("event=nodelay_failed error=\"{error}\"");
         }
+        let Some(budgeted) = app.budget.open() else {
+            refuse_connection(&app, &socket);
+            continue;
+        };
         let (app, link) = (Rc::clone(&app), Rc::clone(&link));
         tokio::task::spawn_local(async move {
             let _counted = CountGuard::new(&app.connections);
-            serve(&app, &link, socket).await;
+            serve(&app, &link, socket, budgeted).await;
         });
     }
 }
 
-async fn serve(app: &Rc<App>, link: &Rc<FleetLink>, socket: TcpStream) {
+async fn serve(
+    app: &Rc<App>,
+    link: &Rc<FleetLink>,
+    socket: TcpStream,
+    budgeted: Rc<BudgetedConnection>,
+) {
     let bounds = app.config().and_then(|config| config.caller_bounds);
     let usual = CallerLimits::default();
     let options = ConnectionOptions {
@@ -65,8 +77,12 @@
         // The sender exists as long as the process, so this can't fail.
         let _draining = stage.wait_for(|stage| stage.is_draining()).await;
     };
-    let answer = |request, closer| handle_request(Rc::clone(app), Rc::clone(link), request, closer);
-    serve_caller(socket, options, answer, |fault| refuse_head(app, fault), draining).await;
+    let shared = Rc::clone(&budgeted);
+    let answer = |request, _closer| {
+        handle_request(Rc::clone(app), Rc::clone(link), request, Rc::clone(&shared))
+    };
+    serve_caller(socket, options, budgeted, answer, |fault| refuse_head(app, fault), draining)
+        .await;
 }
 
 fn refuse_head(app: &App, fault: HeadError) -> String {
@@ -75,3 +91,13 @@
     log::info!("event=head_refused code={}", error.code.as_str());
     raw_error_response(&error, "")
 }
+
+fn refuse_connection(app: &App, socket: &TcpStream) {
+    let code = ingress::refuse_connection(socket, "");
+    app.metrics.record_refusal(code.as_str());
+}
+
+/// Reports what the budget rejected until the task is aborted.
+pub(crate) async fn report_budget(app: Rc<App>) {
+    app.budget.report(|reason, count| app.metrics.record_budget_rejections(reason, count)).await;
+}
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -6,7 +6,7 @@
 use base::Timestamp;
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode, Version};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use platform::{ForwardingHeaders, ResponseHead, forwarded_request_headers};
 use routing::DirectPick;
@@ -16,8 +16,7 @@
 use crate::request::CallerRequest;
 use crate::target_pool::{SendFailure, TargetConnection};
 
-/// Limit on a response that isn't a stream. Faulty targets send endless responses; about thirty of
-/// this size fit into the memory of the smallest gateways, 160 MB.
+/// Limit on a response that isn't a stream; faulty targets send endless responses.
 const MAX_RESPONSE_BYTES: usize = 4 << 20;
 /// Idle time up to which a pooled connection is used for a non-repeatable request. A target may
 /// have closed a connection that was idle for longer, and then it is unknown whether the request
@@ -194,9 +193,9 @@
         limit: Duration,
     ) -> Result<(StatusCode, HeaderMap, Bytes), NoResponse> {
         let Self { status, headers, head, body, connection } = self;
-        let collected = Limited::new(body, MAX_RESPONSE_BYTES).collect();
+        let collected = app.budget.read_response(body, MAX_RESPONSE_BYTES);
         let bytes = match timeout(limit, collected).await {
-            Ok(Ok(collected)) => collected.to_bytes(),
+            Ok(Ok(bytes)) => bytes,
             Ok(Err(_)) => return Err(NoResponse::Truncated),
             Err(_) => return Err(NoResponse::Timeout),
         };
--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -9,7 +9,7 @@
 use calls::HttpClient;
 use clock::{BootClock, new_incarnation};
 use config::GatewaySettings;
-use ingress::ShutdownStage;
+use ingress::{SharedCallerBudget, ShutdownStage};
 use membership::{Authority, GatewayTable, StoreEra, TargetDirectory};
 use placement::{FleetPlanner, ModelDemandTable};
 use platform::StoreClient;
@@ -22,7 +22,7 @@
 use wire::DatagramSocket;
 
 use crate::app::App;
-use crate::callers::accept_callers;
+use crate::callers::{accept_callers, report_budget};
 use crate::configuration_watch::watch_configuration;
 use crate::engine_orders::{EngineOrders, coordinate_engine_orders};
 use crate::error::GatewayError;
@@ -84,6 +84,7 @@
     tasks.spawn_local(receive_datagrams(Rc::clone(&app), Rc::clone(&link)));
     tasks.spawn_local(serve_peers(Rc::clone(&app), peers));
     tasks.spawn_local(accept_callers(Rc::clone(&app), link, callers));
+    tasks.spawn_local(report_budget(Rc::clone(&app)));
     tasks.spawn_local(serve_operators(Rc::clone(&app), ready));
     tasks.spawn_local(serve_operators(Rc::clone(&app), metrics));
     Ok(GatewayHandle { app, _tasks: tasks })
@@ -123,6 +124,7 @@
         config_applied_at: Cell::default(),
         in_flight: Rc::default(),
         connections: Rc::default(),
+        budget: SharedCallerBudget::new(App::budget_settings(&settings)),
         store_read_at: Cell::new(None),
         targets_read_at: Cell::new(None),
         document: RefCell::new(None),
@@ -142,6 +144,7 @@
         self.app.settings_applied_at.set(self.app.clock.now());
         self.app.store.set_address(settings.store_address);
         self.app.rates.borrow_mut().set_bounds(settings.bounds);
+        self.app.budget.set_settings(App::budget_settings(&settings));
         self.app.authority.borrow_mut().set_limit(App::evidence_limit(&settings));
         *self.app.settings.borrow_mut() = Rc::new(settings);
         if let Some(config) = self.app.config() {
--- a/components/gateway/src/request.rs
+++ b/components/gateway/src/request.rs
@@ -115,17 +115,17 @@
     ApiError::new(ErrorCode::NoAuthority, text).with_retry_after(NOT_READY_RETRY_AFTER)
 }
 
-/// Checks a request against the configuration and the evidence.
+/// Checks a request's route and key against the configuration and the evidence. Returns both, the
+/// customer only if the route is not open.
 ///
 /// # Errors
 ///
 /// The error to return to the caller; the request has not been executed.
-pub(crate) fn resolve_request(
+pub(crate) fn check_access(
     app: &App,
-    received: ReceivedRequest,
-    body: Bytes,
-) -> Result<CallerRequest, ApiError> {
-    let now = app.clock.now();
+    received: &ReceivedRequest,
+    now: Timestamp,
+) -> Result<(Arc<FleetConfig>, RouteId, Option<CompactString>), ApiError> {
     let config = app.config().ok_or_else(|| not_ready("no configuration is in force yet"))?;
     let evidence = app.evidence_age(now);
     // A permanent rejection requires a current configuration.
@@ -144,7 +144,22 @@
         });
     };
     let customer =
-        authenticate_customer(&config, route_id, &received, is_current, evidence.is_some())?;
+        authenticate_customer(&config, route_id, received, is_current, evidence.is_some())?;
+    Ok((config, route_id, customer))
+}
+
+/// Checks a request against the configuration and the evidence.
+///
+/// # Errors
+///
+/// The error to return to the caller; the request has not been executed.
+pub(crate) fn resolve_request(
+    app: &App,
+    received: ReceivedRequest,
+    body: Bytes,
+) -> Result<CallerRequest, ApiError> {
+    let now = app.clock.now();
+    let (config, route_id, customer) = check_access(app, &received, now)?;
     let plan = route_plan(&config, route_id, customer.as_deref());
     app.rates.borrow_mut().retries.record_request(&plan.service, now);
     let tokens = charged_tokens(&config, customer.as_deref(), &received.head);
--- a/components/gateway/src/request_handler.rs
+++ b/components/gateway/src/request_handler.rs
@@ -1,29 +1,31 @@
 //! Handling of a caller's request.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use api::{ApiError, ErrorCode};
-use base::Timestamp;
+use base::{Timestamp, short_hash};
 use bytes::Bytes;
-use http::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use http::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use http::{Request, Response};
-use http_body_util::{BodyExt, Limited};
+use http_body::Body;
 use hyper::body::Incoming;
-use ingress::{CallerResponse, ConnectionCloser, CountGuard, ResponseBody, ShutdownStage};
+use ingress::{BudgetedConnection, CallerResponse, CountGuard, ResponseBody, ShutdownStage};
 use platform::{RequestHead, forwarded_response_headers, local_response_headers};
 use telemetry::{RequestClass, quote};
-use tokio::time::timeout;
 
 use crate::app::App;
 use crate::dispatch::{Dispatch, DispatchOutcome, FullResponse};
 use crate::fleet_link::FleetLink;
 use crate::relay::{RelayEnd, StreamRelay};
-use crate::request::{CallerRequest, ReceivedRequest, resolve_request};
+use crate::request::{CallerRequest, ReceivedRequest, check_access, resolve_request};
 use crate::unanswered_request::UnansweredRequest;
 
 /// Limit on a request body while no configuration is in force.
 const DEFAULT_MAX_BODY_BYTES: usize = 4 << 20;
+/// Largest body that is read before the key of its request is checked.
+const MAX_UNCHECKED_BODY_BYTES: u64 = 64 << 10;
 /// Longest time to receive a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -32,7 +34,7 @@
     app: Rc<App>,
     link: Rc<FleetLink>,
     request: Request<Incoming>,
-    _closer: Rc<ConnectionCloser>,
+    budgeted: Rc<BudgetedConnection>,
 ) -> CallerResponse {
     let arrived = app.clock.now();
     let in_flight = CountGuard::new(&app.in_flight);
@@ -51,8 +53,11 @@
         head,
         arrived,
     };
+    // What is left of an unread body would be taken for the next request.
+    let body_read = Cell::new(false);
     let outcome = async {
-        let body = read_body(&app, body).await?;
+        let body = read_body(&app, &received, body, &budgeted).await?;
+        body_read.set(true);
         if received.id.is_empty() {
             return Err(ApiError::new(ErrorCode::InvalidRequest, "the request has no id"));
         }
@@ -62,7 +67,11 @@
         Ok(request) => request,
         Err(error) => {
             unanswered.answered();
-            return error_response(&app, &error, &id, None, arrived);
+            let mut response = error_response(&app, &error, &id, None, arrived);
+            if !body_read.get() {
+                response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            return response;
         }
     };
     let mut dispatch = Dispatch::new(Rc::clone(&app), link, Rc::clone(&request));
@@ -114,20 +123,25 @@
     }
 }
 
-async fn read_body(app: &App, body: Incoming) -> Result<Bytes, ApiError> {
+/// Reads the body of a request. A large one is read only if its route and key are valid.
+async fn read_body(
+    app: &App,
+    received: &ReceivedRequest,
+    body: Incoming,
+    budgeted: &BudgetedConnection,
+) -> Result<Bytes, ApiError> {
     let limit = app
         .config()
         .and_then(|config| config.caller_bounds)
         .map_or(DEFAULT_MAX_BODY_BYTES, |bounds| bounds.body_bytes);
-    match timeout(BODY_TIMEOUT, Limited::new(body, limit).collect()).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            let text = format!("the body is larger than {limit} bytes");
-            Err(ApiError::new(ErrorCode::BodyTooLarge, text))
-        }
-        Ok(Err(_)) => Err(ApiError::new(ErrorCode::InvalidRequest, "the body broke off")),
-        Err(_) => Err(ApiError::new(ErrorCode::RequestTimeout, "the body did not arrive in time")),
-    }
+    let is_small = body.size_hint().upper().is_some_and(|bytes| bytes <= MAX_UNCHECKED_BODY_BYTES);
+    let owner = match is_small {
+        true => received.head.key.clone(),
+        false => check_access(app, received, app.clock.now())?.2,
+    };
+    let group = owner.map_or(0, |owner| short_hash(owner.as_bytes()));
+    let read = budgeted.read_body(body, limit, BODY_TIMEOUT, group).await;
+    read.map_err(|fault| fault.into_error(limit))
 }
 
 fn full_response(full: FullResponse) -> CallerResponse {
--- a/components/ingress/src/connection.rs
+++ b/components/ingress/src/connection.rs
@@ -4,11 +4,14 @@
 use std::future::poll_fn;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use api::HeadError;
+use bytes::Bytes;
 use config::CallerLimits;
 use http::Request;
+use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -18,7 +21,7 @@
 use tokio::time::timeout;
 
 use crate::head_validating_stream::HeadValidatingStream;
-use crate::{CallerResponse, ConnectionCloser};
+use crate::{BudgetedConnection, CallerResponse, ConnectionCloser, ResponseAborted, ResponseBody};
 
 /// Longest time to read from a connection after its last response (lingering close), so that the
 /// caller receives the response before the reset that unread bytes would cause.
@@ -27,6 +30,9 @@
 const MAX_LINGER_BYTES: usize = 1 << 20;
 /// Header limit of the HTTP parser; heads were checked against the configured limit before.
 const PARSER_MAX_HEADERS: usize = 256;
+/// Size of the HTTP server's buffers beyond the limit on heads. Its default, 400 KB for each
+/// connection, is more than the memory of a connection.
+const BUFFER_BYTES_BEYOND_HEAD: usize = 16 << 10;
 
 /// Limits of a connection.
 #[derive(Clone, Copy, Debug)]
@@ -37,13 +43,14 @@
     pub idle_timeout: Duration,
 }
 
-/// Serves a connection until either side closes it, or until `draining` completes and the request
-/// in progress is answered.
+/// Serves a connection until either side or the budget closes it, or until `draining` completes and
+/// the request in progress is answered.
 ///
 /// `refuse` returns the bytes of the response to a rejected request head.
 pub async fn serve_caller<A>(
     socket: TcpStream,
     options: ConnectionOptions,
+    budgeted: Rc<BudgetedConnection>,
     handle: impl Fn(Request<Incoming>, Rc<ConnectionCloser>) -> A,
     refuse: impl FnOnce(HeadError) -> String,
     draining: impl Future<Output = ()>,
@@ -52,21 +59,30 @@
 {
     let closer = Rc::new(ConnectionCloser::default());
     let service = service_fn(|request: Request<Incoming>| {
+        budgeted.start_request();
         let response = handle(request, Rc::clone(&closer));
+        let budgeted = Rc::clone(&budgeted);
         // Boxed because the connection must be `Unpin` to be taken apart at its end.
-        Box::pin(async move { Ok::<_, Infallible>(response.await) })
+        Box::pin(async move {
+            let response = response.await;
+            budgeted.start_response(response.body().size_hint().lower());
+            Ok::<_, Infallible>(response.map(|body| ReportedBody { body, budgeted }))
+        })
     });
-    let io = TokioIo::new(HeadValidatingStream::new(socket, options.limits));
+    let stream = HeadValidatingStream::new(socket, options.limits, Rc::clone(&budgeted));
+    let io = TokioIo::new(stream);
     let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(options.idle_timeout)
         .max_headers(PARSER_MAX_HEADERS)
+        .max_buf_size(options.limits.head_bytes + BUFFER_BYTES_BEYOND_HEAD)
         .serve_connection(io, service);
     let result = {
         let mut served = pin!(poll_fn(|context| connection.poll_without_shutdown(context)));
         tokio::select! {
             result = &mut served => Some(result),
             () = closer.closed() => None,
+            () = budgeted.closed() => return,
             () = draining => None,
         }
     };
@@ -74,7 +90,10 @@
         Some(result) => result,
         None => {
             Pin::new(&mut connection).graceful_shutdown();
-            poll_fn(|context| connection.poll_without_shutdown(context)).await
+            tokio::select! {
+                result = poll_fn(|context| connection.poll_without_shutdown(context)) => result,
+                () = budgeted.closed() => return,
+            }
         }
     };
     let stream = connection.into_parts().io.into_inner();
@@ -92,6 +111,38 @@
     }
 }
 
+/// Body of a response that tells the budget when its last part was taken.
+struct ReportedBody {
+    body: ResponseBody,
+    budgeted: Rc<BudgetedConnection>,
+}
+
+impl Drop for ReportedBody {
+    fn drop(&mut self) {
+        self.budgeted.finish_response();
+    }
+}
+
+impl Body for ReportedBody {
+    type Data = Bytes;
+    type Error = ResponseAborted;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, ResponseAborted>>> {
+        Pin::new(&mut self.get_mut().body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// Closes the sending side, then reads what the caller still sends, within limits.
 async fn linger(mut socket: TcpStream) {
     let mut buffer = [0; 8_192];
--- a/components/ingress/src/head_validating_stream.rs
+++ b/components/ingress/src/head_validating_stream.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
@@ -12,6 +13,8 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, Sleep, sleep_until};
 
+use crate::BudgetedConnection;
+
 const READ_BUFFER_BYTES: usize = 8_192;
 const HEAD_END: &[u8] = b"\r\n\r\n";
 
@@ -21,6 +24,7 @@
 /// head size limit plus one read buffer.
 pub struct HeadValidatingStream {
     inner: TcpStream,
+    budgeted: Rc<BudgetedConnection>,
     limits: CallerLimits,
     unchecked: BytesMut,
     checked: BytesMut,
@@ -37,9 +41,10 @@
 
 impl HeadValidatingStream {
     /// A stream whose first head must arrive within the timeout, counted from now.
-    pub fn new(inner: TcpStream, limits: CallerLimits) -> Self {
+    pub fn new(inner: TcpStream, limits: CallerLimits, budgeted: Rc<BudgetedConnection>) -> Self {
         let mut stream = Self {
             inner,
+            budgeted,
             limits,
             unchecked: BytesMut::new(),
             checked: BytesMut::new(),
@@ -126,6 +131,14 @@
         self.unchecked.advance(length);
     }
 
+    fn record_write(&self, result: &Poll<io::Result<usize>>) {
+        match result {
+            Poll::Ready(Ok(written)) => self.budgeted.record_sent(*written),
+            Poll::Ready(Err(_)) => {}
+            Poll::Pending => self.budgeted.record_blocked(),
+        }
+    }
+
     fn poll_head_deadline(&mut self, context: &mut Context<'_>) {
         if let Some(deadline) = &mut self.head_deadline
             && deadline.as_mut().poll(context).is_ready()
@@ -175,11 +188,17 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().inner).poll_write(context, bytes)
+        let this = self.get_mut();
+        let result = Pin::new(&mut this.inner).poll_write(context, bytes);
+        this.record_write(&result);
+        result
     }
 
     fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().inner).poll_flush(context)
+        let this = self.get_mut();
+        // The HTTP server flushes only after it has written all that it has.
+        this.budgeted.record_flush();
+        Pin::new(&mut this.inner).poll_flush(context)
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -191,7 +210,10 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().inner).poll_write_vectored(context, slices)
+        let this = self.get_mut();
+        let result = Pin::new(&mut this.inner).poll_write_vectored(context, slices);
+        this.record_write(&result);
+        result
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/components/ingress/src/internal_http.rs
+++ b/components/ingress/src/internal_http.rs
@@ -13,9 +13,19 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::TcpListener;
 
+use crate::{CallerBudgetSettings, SharedCallerBudget};
+
 /// Delay after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Connections of a listener. Beyond half of it the oldest one is closed for a new one; a fleet of
+/// 380 gateways asks for its configuration by and by.
+const MAX_CONNECTIONS: usize = 128;
+/// Size of the kernel's buffers of a connection.
+const SOCKET_BUFFER_BYTES: usize = 32 << 10;
+/// Size of the HTTP server's buffers of a connection, and so of a request head.
+const MAX_BUFFER_BYTES: usize = 16 << 10;
+
 /// Accepts connections until the task is aborted; the response depends only on the request head.
 /// `head_timeout` limits the time to receive a head, also on a kept-alive connection; `log_broken`
 /// logs the error of a connection.
@@ -26,24 +36,33 @@
     log_broken: fn(&hyper::Error),
 ) {
     let handle = Rc::new(handle);
+    let budget = SharedCallerBudget::new(CallerBudgetSettings {
+        memory_bytes: 0,
+        connections: MAX_CONNECTIONS,
+        socket_buffer_bytes: SOCKET_BUFFER_BYTES,
+    });
+    budget.bound_sockets(&listener);
     loop {
         let Ok((socket, _)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
+        let Some(budgeted) = budget.open() else { continue };
         let handle = Rc::clone(&handle);
         tokio::task::spawn_local(async move {
             let service = service_fn(move |request: Request<Incoming>| {
                 let response = handle(&request);
                 async move { Ok::<_, Infallible>(response) }
             });
-            let served = http1::Builder::new()
+            let connection = http1::Builder::new()
                 .timer(TokioTimer::new())
                 .header_read_timeout(head_timeout)
-                .serve_connection(TokioIo::new(socket), service)
-                .await;
-            if let Err(error) = served {
-                log_broken(&error);
+                .max_buf_size(MAX_BUFFER_BYTES)
+                .serve_connection(TokioIo::new(socket), service);
+            tokio::select! {
+                Err(error) = connection => log_broken(&error),
+                () = budgeted.closed() => {}
+                else => {}
             }
         });
     }
--- a/components/ingress/src/lib.rs
+++ b/components/ingress/src/lib.rs
@@ -2,16 +2,25 @@
 //! full or streamed responses, lingering close, shutdown stages, and HTTP servers for operators and
 //! peers.
 
+mod budgeted_connection;
+mod caller_budget;
+mod caller_budget_settings;
 mod connection;
 mod connection_closer;
 mod count_guard;
 mod head_validating_stream;
+mod held_bytes;
 mod internal_http;
 mod operator_endpoints;
 mod respond;
 mod response_body;
+mod response_reader;
+mod shared_caller_budget;
 mod shutdown_stage;
 
+pub use budgeted_connection::{BodyFault, BudgetedConnection};
+pub use caller_budget::{Admission, CallerBudget, ConnectionKey, Reservation, ResponseRoom};
+pub use caller_budget_settings::CallerBudgetSettings;
 pub use connection::{ConnectionOptions, serve_caller};
 pub use connection_closer::ConnectionCloser;
 pub use count_guard::CountGuard;
@@ -24,4 +33,6 @@
 pub use response_body::{
     BodySender, CallerDisconnected, ResponseAborted, ResponseBody, StreamingBody,
 };
+pub use response_reader::IncompleteResponse;
+pub use shared_caller_budget::{SharedCallerBudget, refuse_connection};
 pub use shutdown_stage::ShutdownStage;
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -47,6 +47,7 @@
     retries_refused: Counter<u64>,
     late_answers: Counter<u64>,
     replays: Counter<u64>,
+    budget_rejections: Counter<u64>,
     in_flight: Gauge<u64>,
     late_streams: Counter<u64>,
     settings_reads: Counter<u64>,
@@ -101,6 +102,7 @@
             retries_refused: count("retries_refused", "Attempts that the retry budget refused"),
             late_answers: count("late_answers", "Answers dropped as late or mismatched"),
             replays: count("replays", "Stored answers sent again"),
+            budget_rejections: count("budget_rejections", "Rejections for want of room"),
             in_flight: number("requests_in_flight", "Requests in progress"),
             late_streams: count("late_streams", "Streams that were late, by cause"),
             settings_reads: count("settings_reads", "Changes of the settings file, by outcome"),
@@ -168,6 +170,11 @@
         self.refusals.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts what the budget for callers rejected; `reason` is one of a closed set.
+    pub fn record_budget_rejections(&self, reason: &'static str, count: u64) {
+        self.budget_rejections.add(count, &[KeyValue::new("reason", reason)]);
+    }
+
     /// Counts an attempt after the first.
     pub fn record_retry(&self) {
         self.retries.add(1, &[]);
--- a/tests/client_limits.rs
+++ b/tests/client_limits.rs
@@ -351,3 +351,26 @@
     };
     check_clients(MEMORY_MB, SLOW_READERS, script).await;
 }
+
+/// Guards against a budget that rejects the largest allowed request although the machine is calm.
+#[tokio::test]
+async fn the_largest_request_is_served_in_calm_conditions() {
+    let _alone = ONE_TEST.lock().await;
+    let target = whole_request_target().await;
+    let mut deployment =
+        PlainGateway::deployment(vec![plain_route("reads", RouteKind::Repeatable)]);
+    deployment.body_bytes = BODY_BYTES;
+    let limits = FleetLimits { memory_mb: MEMORY_MB, ..FleetLimits::default() };
+    let gateway = PlainGateway::start_with(&deployment, &[target], limits).await;
+    let chunk_bytes = 64 << 10;
+    for script in [
+        large_body(COMPLETE_EVERY),
+        chunked_body(COMPLETE_EVERY, chunk_bytes, BODY_BYTES / chunk_bytes),
+    ] {
+        let mut socket = TcpStream::connect(gateway.callers).await.unwrap();
+        socket.write_all(script.head.as_bytes()).await.unwrap();
+        socket.write_all(&script.body).await.unwrap();
+        let head = read_head_alone(&mut socket).await.unwrap();
+        assert!(head.starts_with("http/1.1 200"), "{head}");
+    }
+}
--- a/tests/documentation.rs
+++ b/tests/documentation.rs
@@ -105,6 +105,7 @@
     metrics.record_retry_refused();
     metrics.record_late_answer();
     metrics.record_replay();
+    metrics.record_budget_rejections("body", 1);
     metrics.set_in_flight(1);
     metrics.record_late_stream("pause", "north-a");
     metrics.record_settings_read("taken");
