Send nothing to data centres that are evacuated

Cause: the operators' records on evacuations were not read; requests went on to targets in an evacuated data centre and the planner counted and loaded copies there. Every choice of a target goes through DirectFleet::usable, which leaves evacuated targets out; the planner leaves out their engines. bounds.evacuation_ms is read and bounds the age of the evidence without a read. The end of an evacuation whose record a restored store has lost needs a record of the operators. Moves of the planner are not tested with real engines. On x86-64 only; arm64 is not run.

--- a/components/config/src/fleet_bounds.rs
+++ b/components/config/src/fleet_bounds.rs
@@ -34,6 +34,9 @@
     pub load_window_ms: u64,
     /// Factor by which loads from the weight store may exceed their rate in a window.
     pub load_overage: f64,
+    /// Longest time from the store's acknowledgement of an evacuation to the last request to the data
+    /// centre, in milliseconds.
+    pub evacuation_ms: u64,
     /// Time between two announcements of a target, in milliseconds.
     pub announce_ms: u64,
 }
@@ -55,6 +58,7 @@
             lease_ms: 3_000,
             load_window_ms: 5_000,
             load_overage: 1.1,
+            evacuation_ms: 5_000,
             announce_ms: 1_200,
         }
     }
--- a/components/gateway/src/app.rs
+++ b/components/gateway/src/app.rs
@@ -10,7 +10,7 @@
 use clock::BootClock;
 use config::{FleetConfig, GatewaySettings};
 use ingress::ShutdownStage;
-use membership::{Authority, GatewayTable, StoreEra, TargetDirectory};
+use membership::{Authority, Evacuations, GatewayTable, StoreEra, TargetDirectory};
 use placement::{FleetPlanner, ModelDemandTable};
 use platform::{Configuration, StoreClient};
 use quarantine::PartQuarantine;
@@ -62,6 +62,8 @@
     pub authority: RefCell<Authority>,
     /// Targets listed in the store.
     pub directory: RefCell<TargetDirectory>,
+    /// Data centres that are being evacuated.
+    pub evacuations: RefCell<Evacuations>,
     /// State of the targets, for load balancing.
     pub fleet: RefCell<DirectFleet>,
     /// Other gateways and their state.
--- a/components/gateway/src/configuration_watch.rs
+++ b/components/gateway/src/configuration_watch.rs
@@ -59,6 +59,7 @@
                 backoff = INITIAL_BACKOFF;
                 app.store_read_at.set(Some(requested_at));
                 app.record_answered_era(app.clock.now());
+                app.apply_evacuation_read(&read, app.clock.now());
                 if let KeyedRead::Snapshot(page) = &read {
                     // A version that can't be read leaves the one in force, as if it were not there.
                     stored_version = match has_configuration(page) {
@@ -99,6 +100,12 @@
     app.store_is_settled(requested_at) && stored_version >= newest_known
 }
 
+/// Age of the evidence from which the store is read, where an evacuation must take effect within
+/// `evacuation_ms`: at most half of that time, so that the other half remains for a failed call.
+fn stale_evidence_age(evacuation_ms: u64) -> Duration {
+    STALE_EVIDENCE_AGE.min(Duration::from_millis(evacuation_ms / 2))
+}
+
 /// How this gateway reads the store.
 enum ReadMode {
     /// No read: other gateways provide the configuration.
@@ -128,7 +135,9 @@
     }
     *behind_since = None;
     match app.evidence_age(now) {
-        Some(age) if age < STALE_EVIDENCE_AGE => ReadMode::Skip,
+        Some(age) if age < stale_evidence_age(app.settings().bounds.evacuation_ms) => {
+            ReadMode::Skip
+        }
         _ => ReadMode::Once,
     }
 }
--- a/components/gateway/src/fleet_link.rs
+++ b/components/gateway/src/fleet_link.rs
@@ -225,6 +225,7 @@
         further_sends,
         suspects: app.part_reports(now),
         target_limits,
+        evacuations: app.evacuations.borrow().reports(now),
     }
 }
 
--- a/components/gateway/src/fleet_receiver.rs
+++ b/components/gateway/src/fleet_receiver.rs
@@ -140,6 +140,7 @@
         }
     }
     app.apply_limit_reports(&state.target_limits, &state.from, now);
+    app.apply_evacuation_reports(&state.evacuations, &state.from, now);
     for update in &state.news {
         if app.directory.borrow_mut().apply_update(update, now) {
             app.apply_target_update(update, now);
--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -10,7 +10,7 @@
 use clock::{BootClock, new_incarnation};
 use config::GatewaySettings;
 use ingress::ShutdownStage;
-use membership::{Authority, GatewayTable, StoreEra, TargetDirectory};
+use membership::{Authority, Evacuations, GatewayTable, StoreEra, TargetDirectory};
 use placement::{FleetPlanner, ModelDemandTable};
 use platform::StoreClient;
 use quarantine::{PartQuarantine, QuarantineSettings};
@@ -108,6 +108,7 @@
         store_restored: Notify::new(),
         authority: RefCell::new(Authority::new(limit)),
         directory: RefCell::new(TargetDirectory::new()),
+        evacuations: RefCell::new(Evacuations::default()),
         fleet: RefCell::new(DirectFleet::new(&settings.data_centre)),
         gateways: RefCell::new(GatewayTable::new(process.clone(), &settings.data_centre)),
         rates: RefCell::new(RateLimits::new(settings.first_start, settings.bounds)),
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 mod dispatch;
 mod engine_orders;
 mod error;
+mod evacuation;
 mod events;
 mod exchange;
 mod fleet_link;
--- a/components/gateway/src/planning.rs
+++ b/components/gateway/src/planning.rs
@@ -133,6 +133,8 @@
     fleet
         .targets()
         .filter(|target| target.service == service && target.accepts_work && !target.is_lost(now))
+        // Copies in an evacuated data centre serve nothing, and nothing is loaded there.
+        .filter(|target| !fleet.is_evacuated(target))
         .map(|target| {
             let adapters_mb = target
                 .models()
--- a/components/membership/src/lib.rs
+++ b/components/membership/src/lib.rs
@@ -4,6 +4,7 @@
 //! Each process decides for itself. Every decision is a function of recorded facts and `now`.
 
 mod authority;
+mod evacuations;
 mod gateway_table;
 mod member;
 mod membership;
@@ -15,6 +16,7 @@
 mod vm_list_history;
 
 pub use authority::{Authority, AuthorityBasis, AuthorityGrant};
+pub use evacuations::{EvacuationChange, Evacuations};
 pub use gateway_table::{GatewayPeer, GatewayTable, StaleState};
 pub use member::{Liveness, Member};
 pub use membership::{HeartbeatOutcome, LocalProcess, Membership};
--- a/components/routing/src/direct_fleet.rs
+++ b/components/routing/src/direct_fleet.rs
@@ -54,6 +54,8 @@
     prefill_estimator: PrefillEstimator,
     cache_tokens: SortedMap<CompactString, u64>,
     sharing_gateways: SharingGateways,
+    /// Data centres whose targets receive no requests, sorted by name.
+    evacuated: Vec<CompactString>,
 }
 
 impl DirectFleet {
@@ -67,6 +69,7 @@
             prefill_estimator: PrefillEstimator::new(),
             cache_tokens: SortedMap::new(),
             sharing_gateways: SharingGateways::default(),
+            evacuated: Vec::new(),
         }
     }
 
@@ -342,6 +345,17 @@
         self.targets[key.0 as usize].slots = sample.slots.max(1);
     }
 
+    /// Sets the data centres that are being evacuated, sorted by name. Their targets are no choice
+    /// for any request.
+    pub fn set_evacuated(&mut self, data_centres: Vec<CompactString>) {
+        self.evacuated = data_centres;
+    }
+
+    /// Returns whether the data centre of a target is being evacuated.
+    pub fn is_evacuated(&self, target: &DirectTarget) -> bool {
+        self.evacuated.binary_search(&target.data_centre).is_ok()
+    }
+
     fn usable<'a>(
         &'a self,
         service: &'a str,
@@ -349,7 +363,10 @@
         now: Timestamp,
     ) -> impl Iterator<Item = (TargetKey, &'a DirectTarget)> {
         (0..).map(TargetKey).zip(&self.targets).filter(move |(key, target)| {
-            target.service == service && !exclude.contains(key) && target.is_usable(now)
+            target.service == service
+                && !exclude.contains(key)
+                && target.is_usable(now)
+                && !self.is_evacuated(target)
         })
     }
 
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -8,6 +8,7 @@
 mod codec;
 mod datagram_socket;
 mod error;
+mod evacuation_report;
 mod fleet_state;
 mod forward;
 mod frames;
@@ -30,6 +31,7 @@
 pub use codec::{MAX_FRAME_BYTES, decode, encode};
 pub use datagram_socket::DatagramSocket;
 pub use error::WireError;
+pub use evacuation_report::{EvacuationRecord, EvacuationReport};
 pub use fleet_state::{
     AdapterName, AdmittedTokens, AgentAsk, AgentState, Datagram, DatagramBody, Echo, EnginePlan,
     FurtherSends, GatewayRecord, GatewayState, LinkCopy, ModelChange, ModelLoad, OrderGiver,
--- a/tests/support/gateway.rs
+++ b/tests/support/gateway.rs
@@ -62,6 +62,11 @@
         self.store.service()
     }
 
+    /// Where the store listens.
+    pub fn store_address(&self) -> SocketAddr {
+        self.store.address()
+    }
+
     /// Stores a configuration.
     pub fn configure(&self, spec: &DeploymentSpec) {
         let (topic, key) = DeploymentSpec::KEY;
@@ -104,6 +109,18 @@
         announce(self.store(), number, address);
     }
 
+    /// Writes the entry of a target in a data centre, by its number from one.
+    pub fn announce_in(&self, data_centre: &str, number: usize, address: SocketAddr) {
+        announce_in(self.store(), data_centre, number, address);
+    }
+
+    /// Writes the operators' record that begins the evacuation of a data centre, or ends it.
+    pub fn set_evacuated(&self, data_centre: &str, is_active: bool) {
+        let (topic, _) = DeploymentSpec::KEY;
+        let value: &[u8] = if is_active { b"{}" } else { b"" };
+        self.store().put(topic, &format!("evacuate/{data_centre}"), value);
+    }
+
     /// Removes a target, by its number from one, from the list in the store.
     pub fn remove_target(&self, number: usize) {
         self.store.service().put(DeploymentSpec::TARGETS, &target_id(number), &[]);
@@ -147,11 +164,15 @@
 }
 
 fn announce(store: &StoreService, number: usize, address: SocketAddr) {
+    announce_in(store, "north-a", number, address);
+}
+
+fn announce_in(store: &StoreService, data_centre: &str, number: usize, address: SocketAddr) {
     let id = target_id(number);
     let settings = PlainTargetSettings {
         id: id.as_str().into(),
         service: SERVICE.into(),
-        data_centre: "north-a".into(),
+        data_centre: data_centre.into(),
         slots: 64,
         ..PlainTargetSettings::default()
     };
@@ -166,9 +187,19 @@
     id: &str,
     path: &str,
     kind: CallerKind,
+) -> CallerResponse {
+    plain_call_at(gateway.callers, id, path, kind).await
+}
+
+/// Sends such a request to the gateway at `callers`.
+pub async fn plain_call_at(
+    callers: SocketAddr,
+    id: &str,
+    path: &str,
+    kind: CallerKind,
 ) -> CallerResponse {
     let deadline = Duration::from_secs(4);
-    let mut connection = CallerConnection::open(gateway.callers, deadline).await.unwrap();
+    let mut connection = CallerConnection::open(callers, deadline).await.unwrap();
     let request = CallerRequest {
         id: id.into(),
         host: HOST.into(),
