Bound the requests to cold targets

Cause: cold_s and cold_per_s of a service and cold_ms of an entry were not used; a target that starts during traffic or comes back from an evacuation got its usual load from every gateway at once. Change: routing::ColdLimit gives at most floor(bound - 1.25 x cold_per_s) of the known gateways a share of cold_per_s, by the target's id; TargetLimit uses the same place among them. Choice passes over a cold target without room and prefers others by 1 s. Cold is what the entry says, what starts during traffic without a report, and what was evacuated, until a later report. The reader of the list distributes entries that become cold or warm. A gateway sends cold targets nothing for its first 3 s. bounds.cold_overage and bounds.cold_slack are read. The list of platform names has the new ones. On x86-64 only; arm64 is not run. No test with engines that are cold.

--- a/components/config/src/fleet_bounds.rs
+++ b/components/config/src/fleet_bounds.rs
@@ -34,6 +34,10 @@
     pub load_window_ms: u64,
     /// Factor by which loads from the weight store may exceed their rate in a window.
     pub load_overage: f64,
+    /// Factor by which the requests to a cold target may exceed its rate in a second.
+    pub cold_overage: f64,
+    /// Requests to a cold target in a second that are allowed beyond that.
+    pub cold_slack: f64,
     /// Longest time from the store's acknowledgement of an evacuation to the last request to the data
     /// centre, in milliseconds.
     pub evacuation_ms: u64,
@@ -58,6 +62,8 @@
             lease_ms: 3_000,
             load_window_ms: 5_000,
             load_overage: 1.1,
+            cold_overage: 1.5,
+            cold_slack: 5.0,
             evacuation_ms: 5_000,
             announce_ms: 1_200,
         }
--- a/components/config/src/fleet_config.rs
+++ b/components/config/src/fleet_config.rs
@@ -163,6 +163,11 @@
     pub health_path: CompactString,
     /// Most connections that a target accepts from all callers together; zero for no limit.
     pub connection_limit: u32,
+    /// Requests in 1,000 seconds that a cold target takes from all gateways together; zero if its
+    /// targets are never cold.
+    pub cold_per_1000_s: u64,
+    /// Time for which a target is cold after it has started during traffic, in milliseconds.
+    pub cold_ms: u64,
     /// Limits of its engines, if its targets register themselves.
     pub engine: Option<EngineLimits>,
 }
--- a/components/gateway/src/app.rs
+++ b/components/gateway/src/app.rs
@@ -155,6 +155,7 @@
         self.metrics
             .admit_customers(config.customers.iter().map(|customer| customer.name.as_str()));
         *self.config.borrow_mut() = Some(Arc::new(config));
+        self.update_cold_rules(now);
         self.config_applied_at.set(Some(now));
         *self.document.borrow_mut() = Some(StoredDocument { offset, bytes: document });
         log::info!(
--- a/components/gateway/src/evacuation.rs
+++ b/components/gateway/src/evacuation.rs
@@ -27,7 +27,7 @@
                     .collect(),
             }
         };
-        self.apply_evacuation_changes(&changes, "store");
+        self.apply_evacuation_changes(&changes, "store", now);
     }
 
     /// Applies what another gateway reports of evacuations.
@@ -41,15 +41,19 @@
             let mut evacuations = self.evacuations.borrow_mut();
             reports.iter().filter_map(|report| evacuations.apply_report(report, now)).collect()
         };
-        self.apply_evacuation_changes(&changes, from.name.as_str());
+        self.apply_evacuation_changes(&changes, from.name.as_str(), now);
     }
 
-    fn apply_evacuation_changes(&self, changes: &[EvacuationChange], source: &str) {
+    fn apply_evacuation_changes(&self, changes: &[EvacuationChange], source: &str, now: Timestamp) {
         if changes.is_empty() {
             return;
         }
         self.fleet.borrow_mut().set_evacuated(self.evacuations.borrow().active());
         for change in changes {
+            if !change.is_active {
+                let mut fleet = self.fleet.borrow_mut();
+                fleet.assume_cold(&change.data_centre, change.age, now);
+            }
             log::warn!(
                 "event=evacuation_changed data_centre={} active={} offset={} age_ms={} source={source}",
                 quote(&change.data_centre),
--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -145,6 +145,7 @@
         self.app.rates.borrow_mut().set_bounds(settings.bounds);
         self.app.authority.borrow_mut().set_limit(App::evidence_limit(&settings));
         *self.app.settings.borrow_mut() = Rc::new(settings);
+        self.app.update_cold_rules(self.app.clock.now());
         if let Some(config) = self.app.config() {
             self.app.rates.borrow_mut().apply_configuration(&config, self.app.clock.now());
         }
--- a/components/gateway/src/target_limits.rs
+++ b/components/gateway/src/target_limits.rs
@@ -1,7 +1,10 @@
-//! Limits of targets that all gateways share.
+//! Limits of targets that all gateways share, those that targets name and those of cold targets.
+
+use std::time::Duration;
 
 use base::{ProcessId, Timestamp, short_hash};
-use routing::SharingGateways;
+use compact_str::CompactString;
+use routing::{ColdRule, SharingGateways};
 use telemetry::quote;
 use wire::TargetLimitReport;
 
@@ -20,7 +23,29 @@
                 .map(|(name, _)| name.as_str().to_owned())
                 .collect(),
         };
-        self.fleet.borrow_mut().set_sharing_gateways(sharers, now);
+        let mut fleet = self.fleet.borrow_mut();
+        fleet.set_sharing_gateways(sharers, now);
+        fleet.record_register_read(self.registry_read.get(), now);
+    }
+
+    /// Sets the limits on cold targets from the configuration and the settings in force.
+    pub(crate) fn update_cold_rules(&self, now: Timestamp) {
+        let Some(config) = self.config() else { return };
+        let bounds = self.settings().bounds;
+        let rules: Vec<(CompactString, ColdRule)> = config
+            .services
+            .iter()
+            .map(|service| {
+                let per_s = service.cold_per_1000_s as f64 / 1_000.0;
+                let rule = ColdRule {
+                    per_s,
+                    max_per_s: per_s * bounds.cold_overage + bounds.cold_slack,
+                    cold_for: Duration::from_millis(service.cold_ms),
+                };
+                (service.name.clone(), rule)
+            })
+            .collect();
+        self.fleet.borrow_mut().set_cold_rules(&rules, now);
     }
 
     /// Applies what another gateway reports of the limits of targets.
--- a/components/gateway/src/target_signals.rs
+++ b/components/gateway/src/target_signals.rs
@@ -56,19 +56,21 @@
         }
     }
 
-    /// Error for a request whose targets have all named a limit: `key` takes a request first.
+    /// Error for a request whose targets are all limited, by themselves or because they are cold: `key`
+    /// takes a request first.
     pub(crate) fn limited_error(&self, key: TargetKey, now: Timestamp) -> ApiError {
         let mut fleet = self.app.fleet.borrow_mut();
         let target = fleet.target_mut(key);
-        let retry_after = target.limit.advise_return(now);
+        let retry_after = target.advise_return(now);
         log::info!(
-            "event=target_limit_reached request_id={} target={} limit_per_s={} retry_after_ms={}",
+            "event=target_limit_reached request_id={} target={} limit_per_s={} cold={} retry_after_ms={}",
             quote(&self.request.id),
             quote(&target.id),
             target.limit.per_s().unwrap_or(f64::INFINITY),
+            target.cold.is_cold(now),
             retry_after.as_millis()
         );
-        let text = "every target of the service has limited its requests";
+        let text = "every target of the service is limited or cold";
         ApiError::new(ErrorCode::NoCapacity, text).with_retry_after(retry_after)
     }
 
--- a/components/gateway/src/target_watch.rs
+++ b/components/gateway/src/target_watch.rs
@@ -185,7 +185,7 @@
         };
         let models: Vec<&str> = entry.models.iter().map(|loaded| loaded.model.as_str()).collect();
         log::info!(
-            "event=target_announced target={} address={} state={} models={} offset={}",
+            "event=target_announced target={} address={} state={} models={} cold_ms={} offset={}",
             quote(&update.id),
             entry.address,
             match entry.state {
@@ -193,6 +193,7 @@
                 TargetState::Leaving { .. } => "leaving",
             },
             quote(&models.join(",")),
+            entry.cold_ms,
             update.offset.0
         );
         self.fleet.borrow_mut().apply_entry(entry, now);
--- a/components/membership/src/target_directory.rs
+++ b/components/membership/src/target_directory.rs
@@ -225,6 +225,9 @@
                 let mut bytes = entry.id.as_bytes().to_vec();
                 bytes.extend(entry.born_ms.unwrap_or_default().to_le_bytes());
                 bytes.extend(leaving.to_le_bytes());
+                if entry.cold_ms > 0 {
+                    bytes.push(1);
+                }
                 short_hash(&bytes)
             })
             .fold(0, |digest, hash| digest ^ hash)
@@ -253,4 +256,7 @@
         || leaving(former) != leaving(entry)
         || former.service != entry.service
         || models(former) != models(entry)
+        // The remaining time decreases by itself.
+        || (former.cold_ms > 0) != (entry.cold_ms > 0)
+        || former.cold_ms < entry.cold_ms
 }
--- a/components/routing/src/direct_fleet.rs
+++ b/components/routing/src/direct_fleet.rs
@@ -12,8 +12,8 @@
 };
 use crate::direct_target::TYPICAL_RUN_MS;
 use crate::{
-    DirectTarget, NamedLimit, PrefillEstimator, PrefixLink, RequestWork, SendId, SharingGateways,
-    TargetKey, TargetLoadSample, TargetOutcome, Workload,
+    ColdRules, DirectTarget, NamedLimit, PrefillEstimator, PrefixLink, RequestWork, SendId,
+    SharingGateways, TargetKey, TargetLoadSample, TargetOutcome, Workload,
 };
 
 /// Delay of a new request per request in the batch, which lengthens decoding, in milliseconds.
@@ -48,12 +48,13 @@
 #[derive(Clone, Debug)]
 pub struct DirectFleet {
     data_centre: CompactString,
-    targets: Vec<DirectTarget>,
+    pub(crate) targets: Vec<DirectTarget>,
     by_id: SortedMap<CompactString, TargetKey>,
     by_hash: SortedMap<u32, TargetKey>,
     prefill_estimator: PrefillEstimator,
     cache_tokens: SortedMap<CompactString, u64>,
-    sharing_gateways: SharingGateways,
+    pub(crate) sharing_gateways: SharingGateways,
+    pub(crate) cold_rules: ColdRules,
     /// Data centres whose targets receive no requests, sorted by name.
     evacuated: Vec<CompactString>,
 }
@@ -69,6 +70,7 @@
             prefill_estimator: PrefillEstimator::new(),
             cache_tokens: SortedMap::new(),
             sharing_gateways: SharingGateways::default(),
+            cold_rules: ColdRules::default(),
             evacuated: Vec::new(),
         }
     }
@@ -83,8 +85,9 @@
 
     /// Applies the entry of a target in the target list.
     pub fn apply_entry(&mut self, entry: &TargetEntry, now: Timestamp) {
-        if let Some(key) = self.by_id.get(&entry.id) {
+        if let Some(key) = self.by_id.get(&entry.id).copied() {
             self.targets[key.0 as usize].apply_entry(entry, now);
+            self.record_coldness(key, Some(entry.cold_ms), now);
             return;
         }
         let Ok(at) = u32::try_from(self.targets.len()) else { return };
@@ -94,6 +97,7 @@
         self.by_id.insert(target.id.clone(), TargetKey(at));
         self.by_hash.insert(target.hash, TargetKey(at));
         self.targets.push(target);
+        self.record_coldness(TargetKey(at), Some(entry.cold_ms), now);
     }
 
     /// Marks targets with the same address and an earlier start as superseded: they have ended,
@@ -118,14 +122,19 @@
     /// Applies the state that an agent reports of its engine; returns false if the state is
     /// outdated or the engine is unknown.
     pub fn apply_agent_state(&mut self, state: &AgentState, now: Timestamp) -> bool {
-        match self.by_id.get(&state.target) {
-            Some(key) => self.targets[key.0 as usize].apply_agent_state(state, now),
-            None => false,
+        let Some(key) = self.by_id.get(&state.target).copied() else { return false };
+        let is_new = self.targets[key.0 as usize].apply_agent_state(state, now);
+        if is_new {
+            self.record_coldness(key, None, now);
         }
+        is_new
     }
 
     /// Applies a peer's report of its work at targets; targets missing from the report have none.
     pub fn apply_peer_work(&mut self, peer: &ProcessName, work: &[TargetWorkCopy], now: Timestamp) {
+        if !work.is_empty() {
+            self.cold_rules.record_traffic();
+        }
         let named: SortedMap<u32, &TargetWorkCopy> =
             work.iter().map(|copy| (copy.target, copy)).collect();
         for target in &mut self.targets {
@@ -220,8 +229,9 @@
         requirements: &GenerationRequirements<'_>,
         now: Timestamp,
     ) -> SendId {
+        self.cold_rules.record_traffic();
         let target = &mut self.targets[pick.key.0 as usize];
-        target.limit.record_send(now);
+        target.record_send(now);
         target.prefixes.record_prompt(requirements.links, now);
         let work = RequestWork {
             prefill_ms: pick.prefill_ms,
@@ -233,8 +243,9 @@
 
     /// Records a send of a plain request.
     pub fn record_plain(&mut self, key: TargetKey, now: Timestamp) -> SendId {
+        self.cold_rules.record_traffic();
         let target = &mut self.targets[key.0 as usize];
-        target.limit.record_send(now);
+        target.record_send(now);
         target.work.add(RequestWork::default(), now)
     }
 
@@ -279,6 +290,7 @@
         for target in &mut self.targets {
             target.limit.update_share(&target.id, &self.sharing_gateways, now);
         }
+        self.update_cold_shares(now);
     }
 
     /// Records what a response says of its target's limit; `sent_at` is the time of its request.
@@ -392,8 +404,8 @@
                 }
                 continue;
             }
-            if !target.limit.is_open(now) {
-                let candidate = (target.limit.next_return(now), key);
+            if !target.is_open(now) {
+                let candidate = (target.next_return(now), key);
                 limited = Some(limited.map_or(candidate, |known| known.min(candidate)));
                 continue;
             }
@@ -403,6 +415,7 @@
             let cost = pick.estimate_ms - affinity
                 + stall_cost(target, pick.prefill_ms, now)
                 + FAILED_ATTEMPT_MS * target.health.failure_share()
+                + target.cold.cost_ms(now)
                 + self.distance_ms(target);
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
                 best = Some((cost, pick));
@@ -501,8 +514,8 @@
         let mut best: Option<(f64, DirectPick)> = None;
         let mut limited: Option<(Timestamp, TargetKey)> = None;
         for (key, target) in self.usable(requirements.service, requirements.exclude, now) {
-            if !target.limit.is_open(now) {
-                let candidate = (target.limit.next_return(now), key);
+            if !target.is_open(now) {
+                let candidate = (target.next_return(now), key);
                 limited = Some(limited.map_or(candidate, |known| known.min(candidate)));
                 continue;
             }
@@ -514,6 +527,7 @@
             let cost = estimate_ms
                 + target.plain_duration_ms * in_flight / slots
                 + FAILED_ATTEMPT_MS * target.health.failure_share()
+                + target.cold.cost_ms(now)
                 + self.distance_ms(target);
             if best.as_ref().is_none_or(|(least, _)| cost + EQUAL_COST_MARGIN_MS < *least) {
                 let pick = DirectPick {
--- a/components/routing/src/direct_target.rs
+++ b/components/routing/src/direct_target.rs
@@ -7,7 +7,7 @@
 use compact_str::CompactString;
 use wire::{AdapterName, AgentState, ModelChange, TargetEntry, TargetState};
 
-use crate::{PrefixCacheEstimate, TargetHealth, TargetLimit, TargetPhase, TargetWork};
+use crate::{ColdLimit, PrefixCacheEstimate, TargetHealth, TargetLimit, TargetPhase, TargetWork};
 
 /// Time without a response to its agent after which an engine counts as lost and its model copies
 /// are replaced: longer than most pauses of a process, shorter than the 3 s after which its entry
@@ -83,6 +83,8 @@
     pub health: TargetHealth,
     /// Limit that the target names in its responses.
     pub limit: TargetLimit,
+    /// Limit while the target is cold.
+    pub cold: ColdLimit,
     /// Estimated content of the prompt cache.
     pub prefixes: PrefixCacheEstimate,
     /// Unix time at which the target started, in milliseconds, if known.
@@ -157,6 +159,7 @@
             work: TargetWork::default(),
             health: TargetHealth::default(),
             limit: TargetLimit::default(),
+            cold: ColdLimit::default(),
             prefixes: PrefixCacheEstimate::new(cache_tokens),
             started_unix_ms: entry.born_ms,
             adapter_requests: SortedMap::new(),
@@ -286,6 +289,7 @@
         self.prefixes.clear();
         self.health = TargetHealth::default();
         self.limit = TargetLimit::default();
+        self.cold.record_restart();
         self.prefill_slowdown = 1.0;
         self.unresponsive_since = None;
         self.announced_leaving = false;
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -7,6 +7,8 @@
 mod admission;
 mod attempts;
 mod backoff;
+mod cold_limit;
+mod cold_targets;
 mod direct_choice;
 mod direct_fleet;
 mod direct_target;
@@ -31,6 +33,7 @@
 pub use attempts::{Attempts, TargetPhase};
 pub use backoff::{Backoff, RetryBudget, remaining_for_hop};
 pub use base::PREFIX_BLOCK_BYTES;
+pub use cold_limit::{ColdLimit, ColdRule, ColdRules};
 pub use direct_choice::{
     DirectChoice, DirectPick, DirectPlainRequirements, GenerationRequirements,
 };
--- a/components/routing/src/target_limit.rs
+++ b/components/routing/src/target_limit.rs
@@ -100,20 +100,26 @@
 }
 
 impl SharingGateways {
-    /// Computes this gateway's share of a target's limit.
-    fn share(&self, target: &str, limit_per_s: f64) -> LimitShare {
+    /// Returns the rank of this gateway among the first `most` for a target, and their number; none
+    /// if it is not among them.
+    pub(crate) fn place(&self, target: &str, most: u32) -> Option<(u32, u32)> {
         let names = self.others.iter().map(String::as_str).chain([self.local.as_str()]);
         let ranked = rank_members(target.as_bytes(), names);
-        let known = u32::try_from(ranked.len()).unwrap_or(u32::MAX);
+        let senders = u32::try_from(ranked.len()).unwrap_or(u32::MAX).min(most);
+        let rank = ranked.iter().take(senders as usize).position(|name| *name == self.local)?;
+        Some((u32::try_from(rank).unwrap_or(u32::MAX), senders))
+    }
+
+    /// Computes this gateway's share of a target's limit.
+    fn share(&self, target: &str, limit_per_s: f64) -> LimitShare {
         let rate_per_s = limit_per_s.max(MIN_RATE_PER_S);
-        let senders = (rate_per_s as u32).saturating_add(EXTRA_SENDERS).min(known).max(1);
-        let rank = ranked.iter().take(senders as usize).position(|name| *name == self.local);
-        let Some(rank) = rank else { return LimitShare::default() };
+        let place = self.place(target, (rate_per_s as u32).saturating_add(EXTRA_SENDERS));
+        let Some((rank, senders)) = place else { return LimitShare::default() };
         let senders = f64::from(senders);
         LimitShare {
             rate_per_s: rate_per_s / senders,
             depth: (rate_per_s * BURST_TIME.as_secs_f64() / senders).max(1.0),
-            phase: rank as f64 / senders,
+            phase: f64::from(rank) / senders,
         }
     }
 }
--- a/components/soak/src/targets.rs
+++ b/components/soak/src/targets.rs
@@ -52,7 +52,7 @@
 }
 
 fn notice() -> TargetAnnouncement {
-    TargetAnnouncement { born_ms: now_ms(), leaves: false, number: 0 }
+    TargetAnnouncement { born_ms: now_ms(), ..TargetAnnouncement::default() }
 }
 
 impl Engine {
--- a/tests/evacuation.rs
+++ b/tests/evacuation.rs
@@ -4,69 +4,17 @@
 mod support;
 
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use platform::header_names::RESPONSE_SIGNATURE;
-use platform_standin::{CallerKind, CallerResponse, FleetLimits, MachineSpec, RouteKind};
+use platform_standin::{CallerKind, CallerResponse, RouteKind};
 use standin::{Blocked, Link, LinkFaults};
-use support::{
-    PlainGateway, Process, gateway_machine, id_line, plain_call_at, plain_route, read_head,
-    wait_until,
-};
-use tokio::io::AsyncWriteExt;
-use tokio::net::{TcpListener, TcpStream};
+use support::{CountingTarget, PeerGateway, PlainGateway, plain_call_at, plain_route};
 use tokio::time::sleep;
 
 /// Time within which a gateway in contact with the store or another gateway knows of a record; the
 /// platform allows 5 s.
 const KNOWN_WITHIN: Duration = Duration::from_millis(1_500);
 
-/// A target that counts the requests that reach it; a target that fails answers none of them.
-struct Target {
-    address: SocketAddr,
-    arrivals: Arc<AtomicUsize>,
-}
-
-impl Target {
-    async fn start(fails: bool) -> Self {
-        let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
-        let target = Self {
-            address: listener.local_addr().unwrap(),
-            arrivals: Arc::new(AtomicUsize::new(0)),
-        };
-        let arrivals = Arc::clone(&target.arrivals);
-        tokio::spawn(async move {
-            loop {
-                let (socket, _) = listener.accept().await.unwrap();
-                tokio::spawn(serve(socket, fails, Arc::clone(&arrivals)));
-            }
-        });
-        target
-    }
-
-    fn count(&self) -> usize {
-        self.arrivals.load(Ordering::Relaxed)
-    }
-}
-
-async fn serve(mut socket: TcpStream, fails: bool, arrivals: Arc<AtomicUsize>) {
-    while let Some(head) = read_head(&mut socket).await {
-        arrivals.fetch_add(1, Ordering::Relaxed);
-        if fails {
-            return;
-        }
-        let response = format!(
-            "HTTP/1.1 200 OK\r\n{RESPONSE_SIGNATURE}: s\r\n{}content-length: 2\r\n\r\nok",
-            id_line(&head)
-        );
-        if socket.write_all(response.as_bytes()).await.is_err() {
-            return;
-        }
-    }
-}
-
 async fn call(callers: SocketAddr, id: &str) -> CallerResponse {
     plain_call_at(callers, id, "/reads/1", CallerKind::Read).await
 }
@@ -83,7 +31,7 @@
 }
 
 /// Starts a gateway with a near target in `north-a` and `far` in `north-b`.
-async fn start(near: &Target, far: &Target) -> PlainGateway {
+async fn start(near: &CountingTarget, far: &CountingTarget) -> PlainGateway {
     let gateway =
         PlainGateway::start(plain_route("reads", RouteKind::Repeatable), &[near.address]).await;
     gateway.announce_in("north-b", 2, far.address);
@@ -91,20 +39,11 @@
     gateway
 }
 
-async fn wait_for_request_at(target: &Target, callers: SocketAddr, name: &str) {
-    let before = target.count();
-    wait_until(name, async || {
-        call(callers, &format!("{name}-{}", rand::random::<u32>())).await;
-        target.count() > before
-    })
-    .await;
-}
-
 /// Guards against requests to an evacuated data centre, first ones, retries and those of a gateway
 /// that starts during the evacuation, and against a data centre that stays empty after its end.
 #[tokio::test]
 async fn an_evacuated_data_centre_gets_no_request() {
-    let (near, far) = (Target::start(false).await, Target::start(true).await);
+    let (near, far) = (CountingTarget::start(false).await, CountingTarget::start(true).await);
     let mut gateway = start(&near, &far).await;
     assert_eq!(calls(gateway.callers, "calm", 5).await, 5);
     assert!(near.count() >= 5);
@@ -143,7 +82,7 @@
 /// against a record that hides the configuration from a gateway.
 #[tokio::test]
 async fn a_restored_store_ends_no_evacuation() {
-    let (near, far) = (Target::start(false).await, Target::start(false).await);
+    let (near, far) = (CountingTarget::start(false).await, CountingTarget::start(false).await);
     let gateway = start(&near, &far).await;
     let copy = gateway.store().copy();
     gateway.set_evacuated("north-a", true);
@@ -167,20 +106,14 @@
 /// evacuation the other gateways know of, or keeps it empty after the end.
 #[tokio::test]
 async fn gateways_tell_each_other_of_an_evacuation() {
-    let (near, far) = (Target::start(false).await, Target::start(false).await);
+    let (near, far) = (CountingTarget::start(false).await, CountingTarget::start(false).await);
     let first = start(&near, &far).await;
     let link = Link::start(first.store_address()).await.unwrap();
-    let machine = MachineSpec { name: "front-2".into(), ..gateway_machine(link.address()) };
-    let directory = tempfile::tempdir().unwrap();
-    let path = directory.path().join("settings.conf");
-    std::fs::write(&path, machine.settings_file(&FleetLimits::default())).unwrap();
-    let arguments = ["gateway", "--settings", path.to_str().unwrap()].map(str::to_owned);
-    let second = Process::start("second gateway", &arguments);
-    second.wait_for_line("event=gateway_heard").await;
-    second.wait_for_line("target=target-2 ").await;
-    first.process.wait_for_line("event=gateway_heard").await;
-    let callers = machine.caller_address();
-    wait_for_request_at(&near, callers, "calm").await;
+    let second = PeerGateway::start(&first, link.address()).await;
+    second.process.wait_for_line("target=target-2 ").await;
+    let callers = second.callers;
+    assert_eq!(calls(callers, "calm", 5).await, 5);
+    assert!(near.count() > 0);
 
     link.set(LinkFaults { blocked: Blocked::Both, ..LinkFaults::default() });
     first.set_evacuated("north-a", true);
--- a/tests/platform_names.rs
+++ b/tests/platform_names.rs
@@ -7,13 +7,16 @@
 
 /// Fields, topics and variables of the platform that have no other use. Header names are read from
 /// `platform/src/header_names.rs`.
-const NAMES: [&str; 20] = [
+const NAMES: [&str; 23] = [
     "PLANTAINBEAM_SETTINGS",
     "\"app\"",
     "\"born\"",
     "bounds.budget_",
     "bounds.quota_",
+    "\"cold_per_s\"",
     "cold_remaining_ms",
+    "\"cold_s\"",
+    "evacuate/",
     "\"expected\"",
     "fencing_token",
     "gap_target_ms",
--- a/tests/support/gateway.rs
+++ b/tests/support/gateway.rs
@@ -111,14 +111,23 @@
 
     /// Writes the entry of a target in a data centre, by its number from one.
     pub fn announce_in(&self, data_centre: &str, number: usize, address: SocketAddr) {
-        announce_in(self.store(), data_centre, number, address);
+        put_entry(self.store(), data_centre, number, address, announcement());
+    }
+
+    /// Writes the entry of a target that is cold for some time, by its number from one.
+    pub fn announce_cold(&self, number: usize, address: SocketAddr, time: Duration) {
+        let notice = TargetAnnouncement {
+            cold_ms: u64::try_from(time.as_millis()).unwrap(),
+            ..announcement()
+        };
+        put_entry(self.store(), "north-a", number, address, notice);
     }
 
     /// Writes the operators' record that begins the evacuation of a data centre, or ends it.
     pub fn set_evacuated(&self, data_centre: &str, is_active: bool) {
         let (topic, _) = DeploymentSpec::KEY;
         let value: &[u8] = if is_active { b"{}" } else { b"" };
-        self.store().put(topic, &format!("evacuate/{data_centre}"), value);
+        self.store().put(topic, &DeploymentSpec::evacuation_key(data_centre), value);
     }
 
     /// Removes a target, by its number from one, from the list in the store.
@@ -127,6 +136,30 @@
     }
 }
 
+/// A further gateway of the same fleet.
+pub struct PeerGateway {
+    /// The process.
+    pub process: Process,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    _directory: TempDir,
+}
+
+impl PeerGateway {
+    /// Starts a gateway that reaches the store of `first` at `store`, and waits until it knows the
+    /// targets and the two know each other.
+    pub async fn start(first: &PlainGateway, store: SocketAddr) -> Self {
+        let machine = MachineSpec { name: "front-2".into(), ..gateway_machine(store) };
+        let directory = tempfile::tempdir().unwrap();
+        let path = directory.path().join("settings.conf");
+        std::fs::write(&path, machine.settings_file(&FleetLimits::default())).unwrap();
+        let process = start_process(&path).await;
+        process.wait_for_line("event=gateway_heard").await;
+        first.process.wait_for_line("event=gateway_heard").await;
+        Self { process, callers: machine.caller_address(), _directory: directory }
+    }
+}
+
 /// The machine of a gateway on the loopback interface.
 pub fn gateway_machine(store: SocketAddr) -> MachineSpec {
     MachineSpec {
@@ -164,10 +197,20 @@
 }
 
 fn announce(store: &StoreService, number: usize, address: SocketAddr) {
-    announce_in(store, "north-a", number, address);
+    put_entry(store, "north-a", number, address, announcement());
+}
+
+fn announcement() -> TargetAnnouncement {
+    TargetAnnouncement { born_ms: 1, number: 1, ..TargetAnnouncement::default() }
 }
 
-fn announce_in(store: &StoreService, data_centre: &str, number: usize, address: SocketAddr) {
+fn put_entry(
+    store: &StoreService,
+    data_centre: &str,
+    number: usize,
+    address: SocketAddr,
+    notice: TargetAnnouncement,
+) {
     let id = target_id(number);
     let settings = PlainTargetSettings {
         id: id.as_str().into(),
@@ -176,7 +219,6 @@
         slots: 64,
         ..PlainTargetSettings::default()
     };
-    let notice = TargetAnnouncement { born_ms: 1, leaves: false, number: 1 };
     let entry = PlainTargetService::new(settings).entry(address, notice);
     store.put(DeploymentSpec::TARGETS, &id, &entry);
 }
--- a/tests/support/raw_target.rs
+++ b/tests/support/raw_target.rs
@@ -1,6 +1,8 @@
 //! Parts of targets that speak HTTP on raw sockets.
 
 use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 
 use platform::header_names::{REQUEST_ID, RESPONSE_SIGNATURE};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -32,18 +34,53 @@
 
 /// Starts a target that answers each request with 200.
 pub async fn echo_target() -> SocketAddr {
-    let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
-    let address = listener.local_addr().unwrap();
-    tokio::spawn(async move {
-        loop {
-            tokio::spawn(answer_all(listener.accept().await.unwrap().0));
-        }
-    });
-    address
+    CountingTarget::start(false).await.address
+}
+
+/// A target that keeps the times at which requests reach it.
+pub struct CountingTarget {
+    /// Where it listens.
+    pub address: SocketAddr,
+    arrivals: Arc<Mutex<Vec<Instant>>>,
+}
+
+impl CountingTarget {
+    /// Starts a target that answers each request with 200 or, if it `fails`, closes the connection.
+    pub async fn start(fails: bool) -> Self {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+        let target = Self { address: listener.local_addr().unwrap(), arrivals: Arc::default() };
+        let arrivals = Arc::clone(&target.arrivals);
+        tokio::spawn(async move {
+            loop {
+                let (socket, _) = listener.accept().await.unwrap();
+                tokio::spawn(serve(socket, fails, Arc::clone(&arrivals)));
+            }
+        });
+        target
+    }
+
+    /// Number of requests that have reached it.
+    pub fn count(&self) -> usize {
+        self.arrivals.lock().unwrap().len()
+    }
+
+    /// Most requests that have reached it in any `window` that began after `from`.
+    pub fn peak(&self, from: Instant, window: Duration) -> usize {
+        let arrivals = self.arrivals.lock().unwrap();
+        let counted: Vec<Instant> = arrivals.iter().copied().filter(|at| *at >= from).collect();
+        let in_window = |(first, at): (usize, &Instant)| {
+            counted[first..].iter().filter(|later| later.duration_since(*at) < window).count()
+        };
+        counted.iter().enumerate().map(in_window).max().unwrap_or_default()
+    }
 }
 
-async fn answer_all(mut socket: TcpStream) {
+async fn serve(mut socket: TcpStream, fails: bool, arrivals: Arc<Mutex<Vec<Instant>>>) {
     while let Some(head) = read_head(&mut socket).await {
+        arrivals.lock().unwrap().push(Instant::now());
+        if fails {
+            return;
+        }
         let response = format!(
             "HTTP/1.1 200 OK\r\n{RESPONSE_SIGNATURE}: s\r\n{}content-length: 2\r\n\r\nok",
             id_line(&head)
