--- a/components/gateway/src/app.rs
+++ b/components/gateway/src/app.rs
@@ -10,7 +10,7 @@
 use clock::BootClock;
 use config::{FleetConfig, GatewaySettings};
 use ingress::{CallerBudgetSettings, SharedCallerBudget, ShutdownStage};
-use membership::{Authority, GatewayTable, StoreEra, TargetDirectory};
+use membership::{Authority, Evacuations, GatewayTable, StoreEra, TargetDirectory};
 use placement::{FleetPlanner, ModelDemandTable};
 use platform::{Configuration, StoreClient};
 use quarantine::PartQuarantine;
@@ -62,6 +62,8 @@
     pub authority: RefCell<Authority>,
     /// Targets listed in the store.
     pub directory: RefCell<TargetDirectory>,
+    /// Data centres that are being evacuated.
+    pub evacuations: RefCell<Evacuations>,
     /// State of the targets, for load balancing.
     pub fleet: RefCell<DirectFleet>,
     /// Other gateways and their state.
@@ -160,6 +162,7 @@
         self.metrics
             .admit_customers(config.customers.iter().map(|customer| customer.name.as_str()));
         *self.config.borrow_mut() = Some(Arc::new(config));
+        self.update_cold_rules(now);
         self.config_applied_at.set(Some(now));
         *self.document.borrow_mut() = Some(StoredDocument { offset, bytes: document });
         log::info!(
--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -10,7 +10,7 @@
 use clock::{BootClock, new_incarnation};
 use config::GatewaySettings;
 use ingress::{SharedCallerBudget, ShutdownStage};
-use membership::{Authority, GatewayTable, StoreEra, TargetDirectory};
+use membership::{Authority, Evacuations, GatewayTable, StoreEra, TargetDirectory};
 use placement::{FleetPlanner, ModelDemandTable};
 use platform::StoreClient;
 use quarantine::{PartQuarantine, QuarantineSettings};
@@ -109,6 +109,7 @@
         store_restored: Notify::new(),
         authority: RefCell::new(Authority::new(limit)),
         directory: RefCell::new(TargetDirectory::new()),
+        evacuations: RefCell::new(Evacuations::default()),
         fleet: RefCell::new(DirectFleet::new(&settings.data_centre)),
         gateways: RefCell::new(GatewayTable::new(process.clone(), &settings.data_centre)),
         rates: RefCell::new(RateLimits::new(settings.first_start, settings.bounds)),
@@ -147,6 +148,7 @@
         self.app.budget.set_settings(App::budget_settings(&settings));
         self.app.authority.borrow_mut().set_limit(App::evidence_limit(&settings));
         *self.app.settings.borrow_mut() = Rc::new(settings);
+        self.app.update_cold_rules(self.app.clock.now());
         if let Some(config) = self.app.config() {
             self.app.rates.borrow_mut().apply_configuration(&config, self.app.clock.now());
         }
