Compare offsets before any of a list read is used

Cause: apply_records passed the entries of a read to DirectFleet::apply_entry before TargetDirectory::apply had compared their offsets. A read that did not reach the end of the list also counted as fresh, so that the rest was read page by page, one each 550 ms. Change: one path.

KeyedReader reports a page that doesn't advance as malformed, as readers continue without a delay. The same reasoning elsewhere, changed: the register of gateways, the quarantined parts and the agents' records took a partial read for a whole one, the last of them to decide that an engine has no agent; an agent applied the limits of whatever configuration it fetched, also of an older one (EngineOrderScheduler::set_limits compares now). Read and left: App::apply_configuration compares the version before keys, limits and rates are touched, and partial reads are no evidence; quarantine orders its evidence by times, not by arrival; target limits are fed by responses and peers only, with incarnation and clock; log_reader, config_source and claim_replica check for the end of the log.

--- a/components/gateway/src/engine_orders.rs
+++ b/components/gateway/src/engine_orders.rs
@@ -197,7 +197,6 @@
         if self.read_at.is_none_or(|at| now.since(at) >= AGENT_RECORDS_INTERVAL) {
             match self.reader.read(&app.store, Duration::ZERO).await {
                 Ok(read) => {
-                    self.read_at = Some(now);
                     let records = read.page().records.iter().filter_map(|r| r.value.as_ref());
                     let engines = records
                         .filter_map(|value| wire::decode::<OrderGiver>(value).ok()?.engine)
@@ -205,6 +204,11 @@
                     self.with_agent.extend(engines);
                     self.with_agent.sort_unstable();
                     self.with_agent.dedup();
+                    if !read.page().reaches_end() {
+                        // The record of an agent may be among those that follow.
+                        return Vec::new();
+                    }
+                    self.read_at = Some(now);
                 }
                 Err(error) => {
                     log::warn!("event=store_call_failed topic=agents error=\"{error}\"");
--- a/components/gateway/src/registry.rs
+++ b/components/gateway/src/registry.rs
@@ -44,6 +44,9 @@
                 for record in &read.page().records {
                     recorded_era = recorded_era.max(apply_record(&app, record));
                 }
+                if !read.page().reaches_end() {
+                    continue;
+                }
                 app.registry_read.set(true);
             }
             Err(error) => {
--- a/components/gateway/src/stored_parts.rs
+++ b/components/gateway/src/stored_parts.rs
@@ -21,7 +21,12 @@
     let mut reader = KeyedReader::new(Topic::QuarantinedParts);
     loop {
         match reader.read(&app.store, Duration::ZERO).await {
-            Ok(read) => read.page().records.iter().for_each(|record| apply_record(&app, record)),
+            Ok(read) => {
+                read.page().records.iter().for_each(|record| apply_record(&app, record));
+                if !read.page().reaches_end() {
+                    continue;
+                }
+            }
             Err(error) => {
                 log::warn!("event=quarantined_parts_unread error=\"{error}\"");
                 sleep(app.retry_delay(RETRY_DELAY)).await;
--- a/components/gateway/src/target_watch.rs
+++ b/components/gateway/src/target_watch.rs
@@ -55,11 +55,15 @@
                 }
                 app.directory.borrow_mut().note_contact(now);
                 app.record_answered_era(now);
-                for update in apply_read(&app, read, now) {
+                for update in apply_read(&app, &read, now) {
                     app.apply_target_update(&update, now);
                     link.record_target_update(update);
                 }
                 app.store_read_at.set(Some(requested_at));
+                if !read.page().reaches_end() {
+                    // Such a read does not show that the list is known: the rest is read at once.
+                    continue;
+                }
                 app.targets_read_at.set(Some(requested_at));
                 mismatch_since = None;
                 sleep(TargetDirectory::read_interval(now.since(Timestamp::default()))).await;
@@ -100,12 +104,28 @@
     STANDBY_AFTER.saturating_add(STANDBY_STEP.saturating_mul(steps)).min(STALE_AFTER)
 }
 
-fn apply_read(app: &App, read: KeyedRead, now: Timestamp) -> Vec<TargetNews> {
+/// Applies a read to the directory and, from there, to the fleet. Returns the updates to distribute.
+///
+/// A reader whose position is old gets records from before those that other gateways have reported.
+/// Therefore the directory compares offsets first, and only what it accepts reaches the fleet.
+fn apply_read(app: &App, read: &KeyedRead, now: Timestamp) -> Vec<TargetNews> {
+    let page = read.page();
+    let mut directory = app.directory.borrow_mut();
     let mut updates = match read {
-        KeyedRead::Snapshot(page) => replace_list(app, &page, now),
-        KeyedRead::Changes(page) => apply_records(app, &page.records, now),
+        KeyedRead::Snapshot(page) => replace_list(&mut directory, page, now),
+        KeyedRead::Changes(page) => apply_records(&mut directory, &page.records, now),
     };
-    updates.extend(app.directory.borrow_mut().expire(now));
+    // Request counts and adapters aren't part of an update but are used here.
+    let mut fleet = app.fleet.borrow_mut();
+    for record in &page.records {
+        if let Some(entry) = directory.entry_at(&record.key, record.offset) {
+            fleet.apply_entry(entry, now);
+        }
+    }
+    // Before the end of the list, a target that seems to be missing may have an entry.
+    if page.reaches_end() {
+        updates.extend(directory.expire(now));
+    }
     updates
 }
 
@@ -134,7 +154,11 @@
     }
 }
 
-fn replace_list(app: &App, page: &KeyedPage, now: Timestamp) -> Vec<TargetNews> {
+fn replace_list(
+    directory: &mut TargetDirectory,
+    page: &KeyedPage,
+    now: Timestamp,
+) -> Vec<TargetNews> {
     let mut entries: Vec<(Offset, TargetEntry)> = Vec::new();
     let mut undecoded: Vec<CompactString> = Vec::new();
     for record in &page.records {
@@ -145,10 +169,14 @@
         }
     }
     log::info!("event=target_list_read targets={} offset={}", entries.len(), page.end.0);
-    app.directory.borrow_mut().replace(entries, &undecoded, page.end, now)
+    directory.replace(entries, &undecoded, page.end, now)
 }
 
-fn apply_records(app: &App, records: &[KeyedRecord], now: Timestamp) -> Vec<TargetNews> {
+fn apply_records(
+    directory: &mut TargetDirectory,
+    records: &[KeyedRecord],
+    now: Timestamp,
+) -> Vec<TargetNews> {
     let decoded: Vec<(&KeyedRecord, Option<TargetEntry>)> = records
         .iter()
         .filter_map(|record| match decode_record(record) {
@@ -163,11 +191,6 @@
         if decoded[at + 1..].iter().any(|(later, _)| later.key == record.key) {
             continue;
         }
-        if let Some(entry) = entry {
-            // Request counts and adapters aren't part of a target update but are used here.
-            app.fleet.borrow_mut().apply_entry(entry, now);
-        }
-        let mut directory = app.directory.borrow_mut();
         updates.extend(directory.apply(record.offset, &record.key, entry.clone(), now));
     }
     updates
--- a/components/membership/src/target_directory.rs
+++ b/components/membership/src/target_directory.rs
@@ -235,6 +235,12 @@
         self.targets.get(id).map(|listed| &listed.entry)
     }
 
+    /// Returns the entry of a target if the record at `offset` is its newest one. After [`Self::apply`]
+    /// this shows whether the record was applied or is outdated.
+    pub fn entry_at(&self, id: &str, offset: Offset) -> Option<&TargetEntry> {
+        self.targets.get(id).filter(|listed| listed.offset == offset).map(|listed| &listed.entry)
+    }
+
     /// Iterates over the entries by id, including those of leaving targets.
     pub fn entries(&self) -> impl Iterator<Item = &TargetEntry> {
         self.targets.values().map(|listed| &listed.entry)
--- a/components/placement/src/engine_order_scheduler.rs
+++ b/components/placement/src/engine_order_scheduler.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use base::{LoadedModel, ProcessId, SortedMap, Timestamp};
+use base::{LoadedModel, Offset, ProcessId, SortedMap, Timestamp};
 use compact_str::CompactString;
 use config::FleetConfig;
 use wire::{AdapterName, AgentAsk, AgentState, EnginePlan, ModelChange, PlannedCopy};
@@ -86,6 +86,8 @@
 /// Scheduler of the orders for one engine.
 #[derive(Clone, Debug, Default)]
 pub struct EngineOrderScheduler {
+    /// Version of the configuration that the limits are from.
+    limits_version: Offset,
     weights_mb: u64,
     adapter_slots: usize,
     sizes: SortedMap<CompactString, ModelSize>,
@@ -121,12 +123,17 @@
         Self { reports_may_lag: true, ..Self::default() }
     }
 
-    /// Sets the limits of the engines of `service` and the sizes of models.
+    /// Sets the limits of the engines of `service` and the sizes of models; an older configuration
+    /// than the last one has no effect.
     pub fn set_limits(&mut self, config: &FleetConfig, service: &str) {
+        if config.version < self.limits_version {
+            return;
+        }
         let Some(limits) = config.service_id(service).and_then(|id| config.service(id).engine)
         else {
             return;
         };
+        self.limits_version = config.version;
         self.weights_mb = limits.weights_mb;
         self.adapter_slots = usize::try_from(limits.adapter_slots).unwrap_or(usize::MAX);
         self.sizes = config
--- a/components/placement/tests/engine_order_scheduler.rs
+++ b/components/placement/tests/engine_order_scheduler.rs
@@ -13,6 +13,14 @@
 /// Returns a scheduler for an engine of 100 MB with two adapter slots; models take 40 MB and load
 /// in 2 s, adapters take 5 MB.
 fn scheduler() -> EngineOrderScheduler {
+    let mut scheduler = EngineOrderScheduler::new();
+    scheduler.set_limits(&configuration(100, 2), "engines");
+    scheduler.apply_request(&request(), at(0));
+    scheduler
+}
+
+/// Returns a configuration with engines of `weights_mb`.
+fn configuration(weights_mb: u64, version: u64) -> FleetConfig {
     let models = ["a", "b", "c"].map(|name| Model {
         name: name.into(),
         memory_mb: 40,
@@ -20,19 +28,32 @@
         load_ms: 2_000,
         ..Model::default()
     });
-    let limits = EngineLimits { weights_mb: 100, adapter_slots: 2, ..EngineLimits::default() };
+    let limits = EngineLimits { weights_mb, adapter_slots: 2, ..EngineLimits::default() };
     let service = Service {
         name: "engines".into(),
         kind: ServiceKind::Engine,
         engine: Some(limits),
         ..Service::default()
     };
-    let config =
-        FleetConfig { models: models.to_vec(), services: vec![service], ..FleetConfig::default() };
-    let mut scheduler = EngineOrderScheduler::new();
-    scheduler.set_limits(&config, "engines");
-    scheduler.apply_request(&request(), at(0));
-    scheduler
+    FleetConfig {
+        version: base::Offset(version),
+        models: models.to_vec(),
+        services: vec![service],
+        ..FleetConfig::default()
+    }
+}
+
+/// Guards against an agent that fetches the configuration from a gateway that is behind and plans
+/// with the former limits of its engine.
+#[test]
+fn limits_of_an_older_configuration_have_no_effect() {
+    let mut scheduler = scheduler();
+    scheduler.set_limits(&configuration(200, 1), "engines");
+    scheduler.apply_report(report(&[("a", &[]), ("b", &[])], 2), at(10));
+    scheduler.apply_request(&plan(&["a", "b", "c"], &[]), at(10));
+    assert_eq!(next_order(&scheduler, 20), None, "100 MB hold two models of 40 MB");
+    scheduler.set_limits(&configuration(200, 3), "engines");
+    assert!(next_order(&scheduler, 30).is_some());
 }
 
 fn request() -> AgentAsk {
--- a/components/store/src/keyed_reader.rs
+++ b/components/store/src/keyed_reader.rs
@@ -47,7 +47,8 @@
     ///
     /// # Errors
     ///
-    /// Returns the reason for a missing response; the position does not change.
+    /// Returns the reason for a missing response; the position does not change. A page that neither
+    /// advances nor reaches the end is `Malformed`: readers continue at once before the end.
     pub async fn read(
         &mut self,
         log: &impl KeyedLog,
@@ -55,6 +56,9 @@
     ) -> Result<KeyedRead, StoreError> {
         if let Some(next) = self.next {
             match log.tail(self.topic, next, wait).await? {
+                KeyedTail::Page(page) if page.next <= next && !page.reaches_end() => {
+                    return Err(StoreError::Malformed);
+                }
                 KeyedTail::Page(page) => {
                     self.next = Some(page.next);
                     return Ok(KeyedRead::Changes(page));
--- a/tests/support/gateway.rs
+++ b/tests/support/gateway.rs
@@ -30,7 +30,7 @@
     store: StoreServer,
     machine: MachineSpec,
     settings: PathBuf,
-    _directory: TempDir,
+    directory: TempDir,
 }
 
 impl PlainGateway {
@@ -53,7 +53,7 @@
             store,
             machine: spec,
             settings: path,
-            _directory: directory,
+            directory,
         }
     }
 
@@ -62,6 +62,18 @@
         self.store.service()
     }
 
+    /// Starts a second gateway on the same store; returns it and where callers connect.
+    pub async fn start_peer(&self) -> (Process, SocketAddr) {
+        let spec = MachineSpec {
+            name: "front-2".into(),
+            first_start: false,
+            ..gateway_machine(self.machine.store)
+        };
+        let path = self.directory.path().join("peer.conf");
+        std::fs::write(&path, spec.settings_file(&FleetLimits::default())).unwrap();
+        (start_process(&path).await, spec.caller_address())
+    }
+
     /// Stores a configuration.
     pub fn configure(&self, spec: &DeploymentSpec) {
         let (topic, key) = DeploymentSpec::KEY;
@@ -104,6 +116,11 @@
         announce(self.store(), number, address);
     }
 
+    /// Writes the entry of a target that will leave to the list in the store.
+    pub fn announce_leaving(&self, number: usize, address: SocketAddr) {
+        write_entry(self.store(), number, address, true);
+    }
+
     /// Removes a target, by its number from one, from the list in the store.
     pub fn remove_target(&self, number: usize) {
         self.store.service().put(DeploymentSpec::TARGETS, &target_id(number), &[]);
@@ -147,6 +164,10 @@
 }
 
 fn announce(store: &StoreService, number: usize, address: SocketAddr) {
+    write_entry(store, number, address, false);
+}
+
+fn write_entry(store: &StoreService, number: usize, address: SocketAddr, leaves: bool) {
     let id = target_id(number);
     let settings = PlainTargetSettings {
         id: id.as_str().into(),
@@ -155,7 +176,7 @@
         slots: 64,
         ..PlainTargetSettings::default()
     };
-    let notice = TargetAnnouncement { born_ms: 1, leaves: false, number: 1 };
+    let notice = TargetAnnouncement { born_ms: 1, leaves, number: 1 };
     let entry = PlainTargetService::new(settings).entry(address, notice);
     store.put(DeploymentSpec::TARGETS, &id, &entry);
 }
@@ -166,9 +187,19 @@
     id: &str,
     path: &str,
     kind: CallerKind,
+) -> CallerResponse {
+    plain_call_at(gateway.callers, id, path, kind).await
+}
+
+/// Sends a request like [`plain_call`] to a caller address.
+pub async fn plain_call_at(
+    callers: SocketAddr,
+    id: &str,
+    path: &str,
+    kind: CallerKind,
 ) -> CallerResponse {
     let deadline = Duration::from_secs(4);
-    let mut connection = CallerConnection::open(gateway.callers, deadline).await.unwrap();
+    let mut connection = CallerConnection::open(callers, deadline).await.unwrap();
     let request = CallerRequest {
         id: id.into(),
         host: HOST.into(),
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -18,7 +18,8 @@
 pub use caller::{Caller, StreamedAnswer};
 pub use fleet::{Entry, Fleet, FleetOptions, KEY, MODEL, Side};
 pub use gateway::{
-    CUSTOMER_KEY, HOST, PlainGateway, SERVICE, gateway_machine, plain_call, plain_route,
+    CUSTOMER_KEY, HOST, PlainGateway, SERVICE, gateway_machine, plain_call, plain_call_at,
+    plain_route,
 };
 pub use process::Process;
 pub use raw_target::{echo_target, header_value, id_line, read_head};
