--- a/tests/support/gateway.rs
+++ b/tests/support/gateway.rs
@@ -144,6 +144,12 @@
         self.store().put(topic, &DeploymentSpec::evacuation_key(data_centre), value);
     }
 
+    /// Writes the entry of a target that will leave to the list in the store.
+    pub fn announce_leaving(&self, number: usize, address: SocketAddr) {
+        let notice = TargetAnnouncement { leaves: true, ..announcement() };
+        put_entry(self.store(), "north-a", number, address, notice);
+    }
+
     /// Removes a target, by its number from one, from the list in the store.
     pub fn remove_target(&self, number: usize) {
         self.store.service().put(DeploymentSpec::TARGETS, &target_id(number), &[]);
