Distrust plain responses that end with their connection

Cause: the kernel closes the connections of a killed process as after a complete response. A plain response without a length or chunks was delivered as whole by the gateway, with a Content-Length of its half. The side process passed on such responses as complete too, also event streams that end between two events, and kept them for repeats. Change: `ResponseFraming` and `RunEnd` move to `api`, so that the side process has the same rule. After a body that only the end of its connection ended, both open a connection to the target; if that fails, the response is cut off. A repeatable request goes to another target, any other one ends with 502 and "unknown". Responses without a body (204, 304, HEAD) need no check. The side process reports "unknown"; the entry process has then sent the head, so it breaks the caller's connection off, also for repeatable calls. Other places: reports, entries, configurations and store answers are JSON objects, of which a part does not parse, and pages of the store name their end. Generations at engines end with an event of their own. Not changed: `HttpEngine::export_kv` would take a part of a KV cache for the whole; nothing calls it in a deployment. A stream that breaks off for an HTTP/1.0 caller ends with its connection as well, so that such a caller can't see it.

--- a/components/api/src/lib.rs
+++ b/components/api/src/lib.rs
@@ -12,6 +12,8 @@
 mod key_removal;
 mod models;
 mod query;
+mod response_framing;
+mod run_end;
 mod sse;
 
 pub use completion::{Completion, completion_body};
@@ -27,6 +29,8 @@
 };
 pub use models::model_list;
 pub use query::{is_unambiguous_path, path_contains_key, strip_query_credentials};
+pub use response_framing::ResponseFraming;
+pub use run_end::RunEnd;
 pub use sse::{
     DONE_EVENT, Usage, delta_event, error_event, finish_event, first_event, usage_event,
 };
--- a/platform/src/response_framing.rs
+++ b/components/api/src/response_framing.rs
@@ -2,6 +2,8 @@
 
 use http::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 
+use crate::RunEnd;
+
 /// What marks the end of a response body (RFC 9112, section 6.3).
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum ResponseFraming {
@@ -28,6 +30,15 @@
         }
     }
 
+    /// Judges the end of a body that isn't a stream of events and that the target did not reset.
+    /// `has_body` is false if the status or the method excludes a body, so that nothing can be missing.
+    pub const fn end(self, has_body: bool) -> RunEnd {
+        match self {
+            Self::ConnectionEnd if has_body => RunEnd::CompleteIfAlive,
+            Self::Chunked | Self::ConnectionEnd | Self::Length => RunEnd::Complete,
+        }
+    }
+
     /// Value for log lines.
     pub const fn as_str(self) -> &'static str {
         match self {
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use api::{ApiError, ErrorCode};
+use api::{ApiError, ErrorCode, RunEnd};
 use base::{ExecutionState, Timestamp};
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode};
@@ -18,7 +18,7 @@
 use tokio::time::timeout;
 
 use crate::app::App;
-use crate::exchange::{TargetResponse, exchange};
+use crate::exchange::{NoResponse, ReadResponse, TargetResponse, exchange};
 use crate::fleet_link::{FleetLink, query_agent};
 use crate::in_flight_send::InFlightSend;
 use crate::request::{CallerRequest, charge, check_rate};
@@ -296,11 +296,16 @@
         }
         let status = response.status;
         let limit = self.request.deadline.since(self.app.clock.now());
-        match response.read_full(&self.app, limit).await {
-            Ok((status, headers, body)) => {
+        let read = response.read_full(&self.app, limit).await;
+        let read_at = self.app.clock.now();
+        let read = match read {
+            Ok(read) if !self.is_complete(&read, &send).await => Err(NoResponse::Truncated),
+            read => read,
+        };
+        match read {
+            Ok(ReadResponse { status, headers, body, .. }) => {
                 if !self.request.plan.engine {
-                    let elapsed_ms =
-                        self.app.clock.now().since(send.sent_at).as_secs_f64() * 1_000.0;
+                    let elapsed_ms = read_at.since(send.sent_at).as_secs_f64() * 1_000.0;
                     self.app
                         .fleet
                         .borrow_mut()
@@ -339,6 +344,18 @@
         }
     }
 
+    /// Whether a response that was read is complete, as far as can be told before the deadline.
+    async fn is_complete(&self, read: &ReadResponse, send: &InFlightSend) -> bool {
+        match read.end {
+            RunEnd::Complete => true,
+            RunEnd::CompleteIfAlive => {
+                let left = self.request.deadline.since(self.app.clock.now());
+                timeout(left, self.is_alive(send)).await.unwrap_or(false)
+            }
+            RunEnd::Truncated => false,
+        }
+    }
+
     /// Chooses the next target; waits for a model or an adapter within limits.
     async fn choose(&mut self) -> Result<ChosenTarget, ApiError> {
         let wait_started = self.app.clock.now();
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
-use api::is_event_stream;
+use api::{RunEnd, is_event_stream};
 use base::Timestamp;
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode, Version};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use platform::{ForwardingHeaders, ResponseHead, forwarded_request_headers};
 use routing::DirectPick;
 use tokio::time::timeout;
@@ -40,6 +40,18 @@
     connection: TargetConnection,
 }
 
+/// Response of a target whose body has been read.
+pub(crate) struct ReadResponse {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers as received.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+    /// Whether the body is complete.
+    pub end: RunEnd,
+}
+
 /// Why there is no usable response.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum ExchangeFailure {
@@ -192,16 +204,17 @@
         self,
         app: &App,
         limit: Duration,
-    ) -> Result<(StatusCode, HeaderMap, Bytes), NoResponse> {
+    ) -> Result<ReadResponse, NoResponse> {
         let Self { status, headers, head, body, connection } = self;
+        let end = head.framing.end(!body.is_end_stream());
         let collected = Limited::new(body, MAX_RESPONSE_BYTES).collect();
-        let bytes = match timeout(limit, collected).await {
+        let body = match timeout(limit, collected).await {
             Ok(Ok(collected)) => collected.to_bytes(),
             Ok(Err(_)) => return Err(NoResponse::Truncated),
             Err(_) => return Err(NoResponse::Timeout),
         };
         return_to_pool(app, connection, &head).await;
-        Ok((status, headers, bytes))
+        Ok(ReadResponse { status, headers, body, end })
     }
 
     /// Body and connection of a stream; the connection must stay open while the body is read.
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -38,4 +38,4 @@
 pub use error::GatewayError;
 pub use events::{EventSplitter, EventTooLong, StreamEvent};
 pub use handle::{GatewayHandle, start};
-pub use run_end::{RunEnd, RunState};
+pub use run_end::RunState;
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use api::RunEnd;
 use base::Timestamp;
 use compact_str::CompactString;
 use ingress::{BodySender, CallerDisconnected};
@@ -13,7 +14,7 @@
 use crate::events::{EventSplitter, StreamEvent};
 use crate::exchange::{StreamPart, TargetResponse, TargetStream};
 use crate::in_flight_send::InFlightSend;
-use crate::run_end::{RunEnd, RunState};
+use crate::run_end::RunState;
 
 /// Shortest time between two searches for a target that can resume a stalled stream.
 const MOVE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
--- a/components/gateway/src/run_end.rs
+++ b/components/gateway/src/run_end.rs
@@ -1,5 +1,6 @@
 //! What the end of a target's body says about a stream.
 
+use api::RunEnd;
 use platform::ResponseFraming;
 
 /// State of a stream at the end of a target's body.
@@ -17,18 +18,6 @@
     pub next_event_begun: bool,
 }
 
-/// Conclusion from the end of a target's body.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum RunEnd {
-    /// The stream is complete.
-    Complete,
-    /// The stream is complete if the target did not exit: the kernel closes the connections of a
-    /// process that exits in the same way.
-    CompleteIfAlive,
-    /// The target broke off.
-    Truncated,
-}
-
 impl RunState {
     /// Judges the end of a body that the target did not reset.
     pub const fn end(self) -> RunEnd {
--- a/components/gateway/tests/run_end.rs
+++ b/components/gateway/tests/run_end.rs
@@ -1,6 +1,7 @@
 //! Conclusions from the end of a target's body.
 
-use gateway::{RunEnd, RunState};
+use api::RunEnd;
+use gateway::RunState;
 use platform::ResponseFraming;
 
 const FRAMINGS: [ResponseFraming; 3] =
--- a/components/side/src/forward.rs
+++ b/components/side/src/forward.rs
@@ -91,8 +91,8 @@
             return Err(CallFailure::Report(refused(RefuseReason::TargetUnhealthy)));
         };
         // Point of no return: from here on the call may have run.
-        let Self { head, body, sender, deadline, .. } = self;
-        let exchange = exchange(&mut connection, request, head, sender, *deadline);
+        let Self { head, body, sender, target, deadline } = self;
+        let exchange = exchange(&mut connection, request, head, sender, *target, *deadline);
         // A response may begin before the caller's body has ended, so both run concurrently.
         let upload = upload(body, parts);
         tokio::pin!(exchange, upload);
@@ -114,6 +114,7 @@
     request: Request<RequestBody>,
     head: &ForwardHead,
     sender: &mut FrameSender<ForwardDown>,
+    target: SocketAddr,
     deadline: Instant,
 ) -> Result<(), CallFailure> {
     let answer = tokio::select! {
@@ -132,7 +133,7 @@
         headers: end_to_end(answer.headers()),
         replayed: false,
     };
-    let mut end = ResponseEnd::new(answer.headers());
+    let mut end = ResponseEnd::new(&answer);
     send(sender, &first, deadline).await?;
     let mut body = answer.into_body();
     loop {
@@ -144,7 +145,7 @@
             }
         };
         let Some(frame) = frame else {
-            return if end.is_complete() { Ok(()) } else { Err(truncated_stream(head)) };
+            return if end.is_complete(target).await { Ok(()) } else { Err(truncated(head)) };
         };
         let frame = frame.map_err(|error| connection_failure(head, &error))?;
         let Ok(mut data) = frame.into_data() else { continue };
@@ -156,10 +157,10 @@
     }
 }
 
-fn truncated_stream(head: &ForwardHead) -> CallFailure {
+fn truncated(head: &ForwardHead) -> CallFailure {
     let (request, route) = (head.request_id, &head.route);
     log::warn!(
-        "event=call_broken request_id={request} route={route} error=\"the stream ends inside an event\""
+        "event=call_broken request_id={request} route={route} error=\"the response is cut off\""
     );
     CallFailure::Report(failed(ExecutionState::Unknown))
 }
--- a/components/side/src/idempotent_call.rs
+++ b/components/side/src/idempotent_call.rs
@@ -185,7 +185,7 @@
     // Point of no return: from here on the call may have run.
     let deadline = caller.deadline;
     let answer = match timeout_at(deadline, connection.send(request)).await {
-        Ok(Ok(answer)) => stream_and_collect(answer, head, replica, &mut caller).await,
+        Ok(Ok(answer)) => stream_and_collect(answer, head, target, replica, &mut caller).await,
         Ok(Err(_)) | Err(_) => None,
     };
     match answer {
@@ -205,6 +205,7 @@
 async fn stream_and_collect(
     answer: Response<Incoming>,
     head: &ForwardHead,
+    target: SocketAddr,
     replica: &ClaimReplica,
     caller: &mut CallerStream,
 ) -> Option<StoredOutcome> {
@@ -217,7 +218,7 @@
         headers: headers.clone(),
         replayed: false,
     };
-    let mut end = ResponseEnd::new(answer.headers());
+    let mut end = ResponseEnd::new(&answer);
     caller.send(&first).await;
     let limit = replica.outcome_body_bytes();
     let mut stored_body = Some(Vec::new());
@@ -234,7 +235,7 @@
             caller.send(&ForwardDown::Data(part.to_vec())).await;
         }
     }
-    if !end.is_complete() {
+    if !end.is_complete(target).await {
         return None;
     }
     let headers = headers.into_iter().map(to_stored).collect();
--- a/components/side/src/response_end.rs
+++ b/components/side/src/response_end.rs
@@ -1,7 +1,14 @@
 //! Completeness of a plain target's response.
 
-use api::{EventBoundary, is_event_stream};
-use http::HeaderMap;
+use std::net::SocketAddr;
+
+use api::{EventBoundary, ResponseFraming, RunEnd, is_event_stream};
+use bytes::Bytes;
+use http::Response;
+use http_body_util::Empty;
+use hyper::body::{Body, Incoming};
+
+use crate::plain_client::PlainConnection;
 
 /// Tells whether a response is complete when its body has ended as its framing states.
 ///
@@ -9,14 +16,22 @@
 /// connections too; in an event stream, an event that has begun shows it.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ResponseEnd {
+    framing: ResponseFraming,
+    /// False if the status or the method excludes a body.
+    has_body: bool,
     /// None if the response isn't an event stream.
     boundary: Option<EventBoundary>,
 }
 
 impl ResponseEnd {
-    /// For a response with these headers.
-    pub(crate) fn new(headers: &HeaderMap) -> Self {
-        Self { boundary: is_event_stream(headers).then(EventBoundary::default) }
+    /// For a response whose body has not been read.
+    pub(crate) fn new(response: &Response<Incoming>) -> Self {
+        let headers = response.headers();
+        Self {
+            framing: ResponseFraming::decode(headers),
+            has_body: !response.body().is_end_stream(),
+            boundary: is_event_stream(headers).then(EventBoundary::default),
+        }
     }
 
     /// Takes the next bytes of the body.
@@ -28,8 +43,18 @@
         }
     }
 
-    /// Whether the response is complete if its body ends here.
-    pub(crate) fn is_complete(&self) -> bool {
-        self.boundary.is_none_or(|boundary| !boundary.is_inside_event())
+    /// Whether the response of `target` is complete if its body ends here. Opens a connection to the
+    /// target if only the end of the connection ended the body.
+    pub(crate) async fn is_complete(&self, target: SocketAddr) -> bool {
+        if self.boundary.is_some_and(|boundary| boundary.is_inside_event()) {
+            return false;
+        }
+        match self.framing.end(self.has_body) {
+            RunEnd::Complete => true,
+            RunEnd::CompleteIfAlive => {
+                PlainConnection::<Empty<Bytes>>::open(target).await.is_some()
+            }
+            RunEnd::Truncated => false,
+        }
     }
 }
--- a/components/side/tests/forward.rs
+++ b/components/side/tests/forward.rs
@@ -203,3 +203,48 @@
         }
     });
 }
+
+/// Answers health checks and, by the end of its connection, one call with half a body; its port is closed
+/// first, as the kernel does for a killed process.
+async fn start_killed_service(content_type: &'static str, body: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    spawn_local(async move {
+        loop {
+            let (mut socket, _) = listener.accept().await.unwrap();
+            let mut request = [0; 4_096];
+            let length = socket.read(&mut request).await.unwrap();
+            if request[..length].starts_with(b"POST") {
+                let head = format!("HTTP/1.1 200 OK\r\ncontent-type: {content_type}\r\n\r\n");
+                socket.write_all((head + body).as_bytes()).await.unwrap();
+                drop(listener);
+                return;
+            }
+            socket.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n").await.unwrap();
+        }
+    });
+    address
+}
+
+/// Guards against half a response of a killed service that is passed on as complete, because the end of
+/// its connection is also the end of its body; also where the response is kept for repeats.
+#[test]
+fn responses_that_end_with_their_service_are_not_complete() {
+    run_test(async {
+        for (content_type, body) in [("text/plain", "half"), ("text/event-stream", "data: 1\n\n")] {
+            for key in [None, Some([7; 32])] {
+                let platform = Platform::start().await;
+                let address = start_killed_service(content_type, body).await;
+                let settings = side_settings(&platform, "p1", address);
+                let side = RunningSide::start(settings, config()).await;
+                side.wait_ready().await;
+                let client = connect(side.address).await;
+                let head = ForwardHead { idempotency_key_sha256: key, ..head() };
+                let answer = call(&client, &head, b"").await;
+                assert!(!answer.whole, "{content_type}, key {}", key.is_some());
+                let failed = Some(ExecutionState::Unknown);
+                assert_eq!(answer.failed, failed, "{content_type}, key {}", key.is_some());
+            }
+        }
+    });
+}
