Let idle models yield their places, and charge prompts for the gaps that they cause

Cause: one copy of each of 86 models fits, so 30 models without requests kept their places and the hottest models had 2 to 8 of the 5 to 18 copies that their demand needs; chats had events later than 600 ms whenever some 20,000 prompt tokens were sent to their engine within 600 ms. Change: while models lack more copies than there are free places, models without demand yield theirs (FleetPlanner::update_idle_yield).

--- a/components/config/src/fleet_config.rs
+++ b/components/config/src/fleet_config.rs
@@ -273,6 +273,19 @@
         find(&self.routes, name, |r| &r.name).map(RouteId)
     }
 
+    /// The shortest gap objective, in milliseconds, of the routes to a service that declare one.
+    pub fn shortest_gap_objective_ms(&self, service: ServiceId) -> Option<u64> {
+        let leads_there = |route: &&Route| {
+            let mut shares = route.direct.shares.iter();
+            match shares.len() {
+                0 => route.service == service,
+                _ => shares.any(|share| share.service == service),
+            }
+        };
+        let routes = self.routes.iter().filter(leads_there);
+        routes.map(|route| route.direct.gap_objective_ms).filter(|gap_ms| *gap_ms > 0).min()
+    }
+
     /// The key with this hash, by binary search; callers compare the full hash in constant time.
     pub fn key_by_sha256(&self, sha256: &[u8; 32]) -> Option<KeyId> {
         let at = self.keys.binary_search_by(|key| key.sha256.cmp(sha256)).ok()?;
--- a/components/gateway/src/app.rs
+++ b/components/gateway/src/app.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use base::{Offset, ProcessId, Timestamp};
+use base::{Offset, ProcessId, ServiceId, Timestamp};
 use calls::HttpClient;
 use clock::BootClock;
 use config::{FleetConfig, GatewaySettings};
@@ -143,9 +143,11 @@
         }
         {
             let mut fleet = self.fleet.borrow_mut();
-            for service in &config.services {
+            for (id, service) in (0..).map(ServiceId).zip(&config.services) {
                 if let Some(engine) = service.engine {
                     fleet.set_cache_tokens(&service.name, engine.cache_tokens);
+                    let gap_ms = config.shortest_gap_objective_ms(id).unwrap_or_default();
+                    fleet.set_gap_objective(&service.name, Duration::from_millis(gap_ms));
                 }
             }
         }
--- a/components/placement/src/fleet_planner.rs
+++ b/components/placement/src/fleet_planner.rs
@@ -21,6 +21,9 @@
 /// Demand, in engines, below which a model is not entitled to a copy if the models don't all fit:
 /// about one short request in 10 s.
 const IDLE_DEMAND_ENGINES: f64 = 0.01;
+/// Share of the places beyond one copy of each model up to which the demand must fall before idle
+/// models are entitled to a copy again; less than 1, so that copies don't move back and forth.
+const IDLE_RETURN_SHARE: f64 = 0.5;
 /// Time after which a move without an effect is abandoned.
 const MOVE_TIMEOUT: Duration = Duration::from_secs(8);
 /// Time after which an agent carries out no plan that it is not reminded of any more, with the time that
@@ -139,6 +142,8 @@
     fetch_room: usize,
     /// Whether a move may unload a model.
     may_swap: bool,
+    /// Whether the demand needs the places of idle models.
+    idle_yield: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -170,6 +175,8 @@
     dropped_fetches: Vec<Timestamp>,
     /// Window of the weight store's limit.
     load_window: Duration,
+    /// Whether the demand needs the places of idle models.
+    idle_yield: bool,
 }
 
 impl Default for FleetPlanner {
@@ -178,6 +185,7 @@
             pending: SortedMap::new(),
             dropped_fetches: Vec::new(),
             load_window: DEFAULT_LOAD_WINDOW,
+            idle_yield: false,
         }
     }
 }
@@ -219,6 +227,7 @@
         now: Timestamp,
     ) -> Vec<FleetMove> {
         self.drop_finished_moves(engines, now);
+        self.update_idle_yield(models, engines);
         let mut statuses = self.statuses(models, engines);
         let reserved = self.planned_fetches(engines) + self.dropped_fetches.len();
         let mut remaining_fetches = fetch_room.saturating_sub(reserved);
@@ -232,6 +241,7 @@
                 statuses: &statuses,
                 fetch_room: remaining_fetches,
                 may_swap: swaps < max_swaps,
+                idle_yield: self.idle_yield,
             };
             let Some(next) = self.next_move(fleet) else { break };
             let index = models.iter().position(|model| model.name == next.load);
@@ -288,12 +298,43 @@
             .count()
     }
 
+    /// Decides whether idle models yield their places: the demand needs more copies than there are
+    /// free places, and than there are places beyond one for each model.
+    fn update_idle_yield(&mut self, models: &[FleetModel], engines: &[FleetEngine]) {
+        let demand: f64 = models.iter().map(demand_in_engines).sum();
+        if demand <= 0.0 {
+            self.idle_yield = false;
+            return;
+        }
+        // Memory that is too small for a typical copy can't be used.
+        let typical_mb = models
+            .iter()
+            .map(|model| model.memory_mb as f64 * demand_in_engines(model) / demand)
+            .sum::<f64>()
+            .max(1.0);
+        let places = |memory_mb: u64| (memory_mb as f64 / typical_mb).floor();
+        let all: f64 = engines.iter().map(|engine| places(engine.capacity_mb)).sum();
+        let free: f64 = engines
+            .iter()
+            .map(|engine| places(engine.capacity_mb.saturating_sub(used_mb(models, engine))))
+            .sum();
+        let lacking: f64 = models
+            .iter()
+            .map(|model| demand_in_engines(model).ceil() - self.copies(model, engines) as f64)
+            .map(|copies| copies.max(0.0))
+            .sum();
+        let spare = (all - models.len() as f64).max(0.0);
+        let share = if self.idle_yield { IDLE_RETURN_SHARE } else { 1.0 };
+        let is_short = self.idle_yield || lacking > free;
+        self.idle_yield = is_short && excess_demand(models) > share * spare;
+    }
+
     /// Computes the status of each model. Copies being loaded or planned are included, those being
     /// unloaded are not.
     fn statuses(&self, models: &[FleetModel], engines: &[FleetEngine]) -> Vec<ModelCopyStatus> {
         let capacity_mb: u64 = engines.iter().map(|engine| engine.capacity_mb).sum();
         let all_mb: u64 = models.iter().map(|model| model.memory_mb).sum();
-        let all_fit = all_mb <= capacity_mb;
+        let all_fit = all_mb <= capacity_mb && !self.idle_yield;
         let needs_copy = |model: &FleetModel| {
             all_fit || model.waiting > 0 || demand_in_engines(model) >= IDLE_DEMAND_ENGINES
         };
@@ -420,11 +461,16 @@
     model.work_ms_per_s / 1_000.0 / TARGET_UTILISATION
 }
 
+/// Returns the demand beyond one copy of each model, in engines at the target utilisation.
+fn excess_demand(models: &[FleetModel]) -> f64 {
+    models.iter().map(|model| (demand_in_engines(model) - 1.0).max(0.0)).sum()
+}
+
 /// Returns the fraction of the demand beyond one copy of each model that `spare_copies` further
 /// copies can satisfy. If the demand exceeds the fleet, the shortage is spread evenly over all
 /// models, so that none keeps its copies at the expense of others.
 fn satisfiable_fraction(models: &[FleetModel], spare_copies: f64) -> f64 {
-    let excess: f64 = models.iter().map(|model| (demand_in_engines(model) - 1.0).max(0.0)).sum();
+    let excess = excess_demand(models);
     if excess > spare_copies { spare_copies / excess } else { 1.0 }
 }
 
@@ -450,6 +496,14 @@
     losing.copies > 1 && after_loss < max_ratio * after_gain
 }
 
+/// Returns the memory that an engine's models and adapters use, in MB.
+fn used_mb(models: &[FleetModel], engine: &FleetEngine) -> u64 {
+    let size = |name: &CompactString| {
+        models.iter().find(|model| model.name == *name).map_or(0, |model| model.memory_mb)
+    };
+    engine.models.iter().map(size).sum::<u64>() + engine.adapters_mb
+}
+
 /// Returns the models to unload so that the one at `model_index` fits, empty if it fits already,
 /// and the cost in milliseconds.
 fn make_room(
@@ -463,7 +517,7 @@
     let size = |name: &CompactString| {
         fleet.models.iter().find(|model| model.name == *name).map_or(0, |model| model.memory_mb)
     };
-    let used_mb: u64 = engine.models.iter().map(size).sum::<u64>() + engine.adapters_mb;
+    let used_mb = used_mb(fleet.models, engine);
     if used_mb + model.memory_mb <= engine.capacity_mb {
         return Some((Vec::new(), 0.0));
     }
@@ -476,9 +530,10 @@
             let status = fleet.statuses[at];
             let may_unload = match reason {
                 // A needed copy is unloaded only for the first copy of a model that requests wait
-                // for.
+                // for. While idle models yield, no model may have more copies than it needs.
                 MoveReason::Waiting | MoveReason::NoCopy if gaining.copies == 0 => {
-                    status.copies > status.needed || (model.waiting > 0 && status.copies > 1)
+                    status.copies > status.needed
+                        || ((model.waiting > 0 || fleet.idle_yield) && status.copies > 1)
                 }
                 MoveReason::Waiting | MoveReason::NoCopy | MoveReason::Demand
                     if status.needed == 0 =>
--- a/components/routing/src/direct_fleet.rs
+++ b/components/routing/src/direct_fleet.rs
@@ -12,8 +12,8 @@
 };
 use crate::direct_target::TYPICAL_RUN_MS;
 use crate::{
-    DirectTarget, NamedLimit, PrefillEstimator, PrefixLink, RequestWork, SendId, SharingGateways,
-    TargetKey, TargetLoadSample, TargetOutcome, Workload,
+    DirectTarget, NamedLimit, PrefillEstimator, PrefillGaps, PrefixLink, RequestWork, SendId,
+    SharingGateways, TargetKey, TargetLoadSample, TargetOutcome, Workload,
 };
 
 /// Delay of a new request per request in the batch, which lengthens decoding, in milliseconds.
@@ -32,10 +32,6 @@
 /// so that gateways that don't receive each other's reports send the same prompts to the same
 /// targets.
 const AFFINITY_SHARE: f64 = 0.25;
-/// Backlog of prefill work above which the streams at the same engine stall, in milliseconds.
-const TOLERATED_PREFILL_MS: f64 = 250.0;
-/// Cost per stalled stream, in milliseconds.
-const STALLED_STREAM_MS: f64 = 60.0;
 /// Costs that differ by less than this count as equal, in milliseconds.
 const EQUAL_COST_MARGIN_MS: f64 = 1.0;
 /// Most limits reported in one state, so that it fits into a datagram.
@@ -53,6 +49,7 @@
     by_hash: SortedMap<u32, TargetKey>,
     prefill_estimator: PrefillEstimator,
     cache_tokens: SortedMap<CompactString, u64>,
+    prefill_gaps: SortedMap<CompactString, PrefillGaps>,
     sharing_gateways: SharingGateways,
 }
 
@@ -66,6 +63,7 @@
             by_hash: SortedMap::new(),
             prefill_estimator: PrefillEstimator::new(),
             cache_tokens: SortedMap::new(),
+            prefill_gaps: SortedMap::new(),
             sharing_gateways: SharingGateways::default(),
         }
     }
@@ -78,6 +76,11 @@
         }
     }
 
+    /// Sets the shortest gap objective of the streams of a service.
+    pub fn set_gap_objective(&mut self, service: &str, gap_objective: Duration) {
+        self.prefill_gaps.insert(CompactString::new(service), PrefillGaps::new(gap_objective));
+    }
+
     /// Applies the entry of a target in the target list.
     pub fn apply_entry(&mut self, entry: &TargetEntry, now: Timestamp) {
         if let Some(key) = self.by_id.get(&entry.id) {
@@ -384,7 +387,7 @@
             let affinity =
                 if affinity_target == Some(key) { AFFINITY_SHARE * pick.prefill_ms } else { 0.0 };
             let cost = pick.estimate_ms - affinity
-                + stall_cost(target, pick.prefill_ms, now)
+                + self.gap_cost_ms(target, pick.prefill_ms, now)
                 + FAILED_ATTEMPT_MS * target.health.failure_share()
                 + self.distance_ms(target);
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
@@ -471,6 +474,14 @@
         over as f64 / *capacity as f64 * TYPICAL_RUN_MS
     }
 
+    /// Returns the cost of the gaps that a prompt's prefill causes in the streams that run at a
+    /// target, in milliseconds. The prompt's own stream counts too.
+    fn gap_cost_ms(&self, target: &DirectTarget, prefill_ms: f64, now: Timestamp) -> f64 {
+        let work = target.work.total(now);
+        let gaps = self.prefill_gaps.get(&target.service).copied().unwrap_or_default();
+        gaps.cost_ms(work.pending_prefill_ms + prefill_ms, work.running + 1)
+    }
+
     fn distance_ms(&self, target: &DirectTarget) -> f64 {
         if target.data_centre == self.data_centre { 0.0 } else { CROSS_DATA_CENTRE_MS }
     }
@@ -525,16 +536,3 @@
     let load_ms = if target.free_adapter_slots > 0 { ADAPTER_LOAD_MS } else { ADAPTER_SWAP_MS };
     load_ms + target.model_change().map_or(0.0, |change| f64::from(change.remaining_ms))
 }
-
-/// Returns the cost of the stalls that a prompt's prefill causes in the streams that run at a
-/// target, in milliseconds.
-///
-/// Engines prefill prompts in chunks between the tokens of running streams. While there is a
-/// backlog of chunks, each token takes as long as a chunk, so that an event of several tokens
-/// misses its objective.
-fn stall_cost(target: &DirectTarget, prefill_ms: f64, now: Timestamp) -> f64 {
-    let work = target.work.total(now);
-    let backlog_ms = work.pending_prefill_ms + prefill_ms;
-    let over = ((backlog_ms - TOLERATED_PREFILL_MS) / TOLERATED_PREFILL_MS).clamp(0.0, 1.0);
-    over * STALLED_STREAM_MS * f64::from(work.running)
-}
--- a/components/routing/src/target_work.rs
+++ b/components/routing/src/target_work.rs
@@ -119,18 +119,26 @@
 
     /// Returns the work of this process and of all peers with a recent report.
     pub fn total(&self, now: Timestamp) -> Workload {
-        self.peers.values().filter(|(_, at)| now.since(*at) < PEER_WORKLOAD_TTL).fold(
-            self.local(),
-            |mut sum, (workload, at)| {
-                // The target has continued its prefill since the peer's report.
-                let age_ms = now.since(*at).as_secs_f64() * 1_000.0;
-                sum.pending_prefill_ms += (workload.pending_prefill_ms - age_ms).max(0.0);
-                sum.waiting += workload.waiting;
-                sum.running += workload.running;
-                sum.cache_tokens += workload.cache_tokens;
-                sum
-            },
-        )
+        let mut sum = self.local();
+        let mut reported_ms = 0.0;
+        let mut weighted_age_ms = 0.0;
+        for (workload, at) in self.peers.values() {
+            let age = now.since(*at);
+            if age >= PEER_WORKLOAD_TTL {
+                continue;
+            }
+            reported_ms += workload.pending_prefill_ms;
+            weighted_age_ms += workload.pending_prefill_ms * age.as_secs_f64() * 1_000.0;
+            sum.waiting += workload.waiting;
+            sum.running += workload.running;
+            sum.cache_tokens += workload.cache_tokens;
+        }
+        if reported_ms > 0.0 {
+            // The target has continued its prefill since the reports, one prompt after the other
+            // whichever gateway sent it.
+            sum.pending_prefill_ms += (reported_ms - weighted_age_ms / reported_ms).max(0.0);
+        }
+        sum
     }
 
     /// Returns the longest time that a request of this process has waited for its first event, in
