Count as lacking only copies of models with demand

Cause: on empty engines idle models counted as lacking a copy and therefore yielded their first one (empty_engines_load_one_copy_of_each_model_first failed). Change: models below the idle threshold are not counted.

--- a/components/placement/src/fleet_planner.rs
+++ b/components/placement/src/fleet_planner.rs
@@ -320,6 +320,7 @@
             .sum();
         let lacking: f64 = models
             .iter()
+            .filter(|model| demand_in_engines(model) >= IDLE_DEMAND_ENGINES)
             .map(|model| demand_in_engines(model).ceil() - self.copies(model, engines) as f64)
             .map(|copies| copies.max(0.0))
             .sum();
