Read the fourth figure of load reports

Cause: targets of the new deployments report a fourth figure, the pace of their work; the decoder rejected a value with four figures, so that the whole report was dropped.

--- a/components/routing/src/target_work.rs
+++ b/components/routing/src/target_work.rs
@@ -19,6 +19,9 @@
     pub waiting: u32,
     /// Maximum number of concurrently running requests.
     pub slots: u32,
+    /// Time that work takes at the target at this moment, in percent of its usual time, if the target
+    /// reports it.
+    pub pace_percent: Option<u32>,
 }
 
 /// Work of one process at one target.
