Estimate the speed of targets and share the times of plain requests

Cause: targets of one service differ in speed and change it. The moving average of a plain target's duration had no decay, so a target that was slow got no requests after its recovery; each gateway learned from its own one response a second; all gateways followed the same delayed knowledge; the reported pace was unused. Change: `routing::TargetSpeed` estimates the slowdown of each target by kind of work from observed times and the reported pace, and the concurrency beyond which plain requests only wait. Gateways tell each other the times of their plain requests (`GatewayState::target_speeds`). `choose_plain` and `estimate` use the estimates; admission does not (`DirectPick::admission_ms`). Responses with a server error no longer count as times, time-outs do.

--- a/components/gateway/src/app.rs
+++ b/components/gateway/src/app.rs
@@ -175,6 +175,11 @@
         );
         self.metrics.set_in_flight(self.in_flight.get() as u64);
         self.metrics.set_quarantined_parts(self.quarantine.borrow().held() as u64);
+        let fleet = self.fleet.borrow();
+        let in_use = || fleet.targets().filter(|target| target.accepts_work);
+        let slow = in_use().filter(|target| target.speed.is_slow(now)).count();
+        let limited = in_use().filter(|target| target.speed.concurrency_limit(now).is_some());
+        self.metrics.set_uneven_targets(slow as u64, limited.count() as u64);
     }
 
     /// Delay before a failed store call is retried: `usual`, scaled by the number of gateways. The
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -263,7 +263,8 @@
         send: InFlightSend,
     ) -> Option<DispatchOutcome> {
         if let Some(sample) = response.head.load {
-            self.app.fleet.borrow_mut().record_load(send.pick.key, sample);
+            let now = self.app.clock.now();
+            self.app.fleet.borrow_mut().record_load(send.pick.key, sample, now);
         }
         self.record_target_signals(&response, &send);
         if response.head.not_run {
@@ -298,14 +299,8 @@
         let limit = self.request.deadline.since(self.app.clock.now());
         match response.read_full(&self.app, limit).await {
             Ok((status, headers, body)) => {
-                if !self.request.plan.engine {
-                    let elapsed_ms =
-                        self.app.clock.now().since(send.sent_at).as_secs_f64() * 1_000.0;
-                    self.app
-                        .fleet
-                        .borrow_mut()
-                        .target_mut(send.pick.key)
-                        .record_plain_duration(elapsed_ms);
+                if !self.request.plan.engine && !status.is_server_error() {
+                    send.record_plain_response();
                 }
                 let headers = forwarded_response_headers(&headers);
                 let full = FullResponse { status, headers, body };
@@ -458,7 +453,7 @@
             deadline: self.time_for_first_event(now),
             priority: plan.priority,
         };
-        match admit(pick.estimate_ms, slack) {
+        match admit(pick.admission_ms, slack) {
             Admission::Send { urgency } => {
                 let urgency = plan.engine.then_some(urgency);
                 Ok(ChosenTarget { pick, urgency })
@@ -468,7 +463,7 @@
                     "event=admission_refused request_id={} target={} estimate_ms={:.0} left_ms={}",
                     quote(&self.request.id),
                     quote(&pick.id),
-                    pick.estimate_ms,
+                    pick.admission_ms,
                     slack.deadline.as_millis()
                 );
                 let text = "no target can answer within the time allowed";
--- a/components/gateway/src/fleet_link.rs
+++ b/components/gateway/src/fleet_link.rs
@@ -198,9 +198,10 @@
         let mut rates = app.rates.borrow_mut();
         (rates.admitted(), rates.retries.reports(now))
     };
-    let (work, silent_targets, target_limits) = {
+    let (work, silent_targets, target_limits, target_speeds) = {
         let fleet = app.fleet.borrow();
-        (fleet.local_work(), fleet.unresponsive_targets(now), fleet.limit_reports(now))
+        let speeds = fleet.speed_reports(now);
+        (fleet.local_work(), fleet.unresponsive_targets(now), fleet.limit_reports(now), speeds)
     };
     GatewayState {
         from: app.process.clone(),
@@ -225,6 +226,7 @@
         further_sends,
         suspects: app.part_reports(now),
         target_limits,
+        target_speeds,
     }
 }
 
--- a/components/gateway/src/fleet_receiver.rs
+++ b/components/gateway/src/fleet_receiver.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use base::{ProcessId, Timestamp};
+use base::{ProcessId, Timestamp, short_hash};
 use membership::StaleState;
 use wire::{AgentState, Datagram, DatagramBody, GatewayState, LogView, RelayedItem};
 
@@ -135,6 +135,8 @@
         let mut fleet = app.fleet.borrow_mut();
         fleet.apply_peer_work(&state.from.name, &state.work, now);
         fleet.apply_peer_unresponsive(&state.silent_targets, now);
+        let process = short_hash(state.from.to_string().as_bytes());
+        fleet.apply_speed_reports(process, &state.target_speeds, now);
         for send in link.new_sends(state) {
             fleet.apply_peer_send(send, now);
         }
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -106,6 +106,8 @@
             let end = self.relay_from(response.into_stream(), &send).await;
             match end {
                 RelayEnd::Whole => {
+                    let model = self.dispatch.request.head.model.as_deref().unwrap_or_default();
+                    send.record_stream_end(model);
                     send.record_outcome(TargetOutcome::Answered);
                     return (self, end);
                 }
@@ -200,6 +202,7 @@
                         let model = self.dispatch.request.head.model.as_deref().unwrap_or_default();
                         send.record_first_event(model);
                     }
+                    send.record_part(received_at);
                     if splitter.push(&bytes).is_err() {
                         return RelayEnd::Broken;
                     }
--- a/components/gateway/src/target_signals.rs
+++ b/components/gateway/src/target_signals.rs
@@ -98,6 +98,9 @@
                 self.app.fleet.borrow_mut().record_connection_refused(send.pick.key, now);
             }
             ExchangeFailure::NoResponse(reason) => {
+                if reason == NoResponse::Timeout && !self.request.plan.engine {
+                    send.record_plain_timeout();
+                }
                 match reason {
                     NoResponse::Broken | NoResponse::Truncated => self.attempts.record_broken(),
                     NoResponse::Mismatched | NoResponse::Timeout => {
--- a/components/membership/tests/gateway_table.rs
+++ b/components/membership/tests/gateway_table.rs
@@ -40,6 +40,7 @@
         further_sends: Vec::new(),
         suspects: Vec::new(),
         target_limits: Vec::new(),
+        target_speeds: Vec::new(),
         store_era: None,
         store_era_settled: false,
     }
--- a/components/routing/src/direct_choice.rs
+++ b/components/routing/src/direct_choice.rs
@@ -54,10 +54,15 @@
     pub address: SocketAddr,
     /// Estimated time until the first event or the response, in milliseconds.
     pub estimate_ms: f64,
+    /// The estimate without what the target's present speed adds, in milliseconds. Admission uses it,
+    /// so that a slow target does not cause refusals.
+    pub admission_ms: f64,
     /// Prefill time included in the estimate, in milliseconds.
     pub prefill_ms: f64,
     /// Number of prompt tokens that are not cached at the target.
     pub uncached_tokens: u64,
+    /// Requests at the target when it was chosen, including this one.
+    pub in_flight: u32,
     /// Whether the target must load the adapter first.
     pub needs_adapter_load: bool,
 }
--- a/components/routing/src/direct_fleet.rs
+++ b/components/routing/src/direct_fleet.rs
@@ -5,15 +5,19 @@
 
 use base::{ProcessName, SortedMap, Timestamp, rendezvous_score};
 use compact_str::CompactString;
-use wire::{AgentState, SendCopy, TargetEntry, TargetLimitReport, TargetWorkCopy};
+use wire::{
+    AgentState, SendCopy, TargetEntry, TargetLimitReport, TargetSpeedReport, TargetWorkCopy,
+};
 
 use crate::direct_choice::{
     DirectChoice, DirectPick, DirectPlainRequirements, GenerationRequirements,
 };
 use crate::direct_target::TYPICAL_RUN_MS;
+use crate::target_speed::spread_ms;
+use crate::usual_times::UsualTimes;
 use crate::{
     DirectTarget, NamedLimit, PrefillEstimator, PrefixLink, RequestWork, SendId, SharingGateways,
-    TargetKey, TargetLoadSample, TargetOutcome, Workload,
+    TargetKey, TargetLoadSample, TargetOutcome, WorkKind, Workload,
 };
 
 /// Delay of a new request per request in the batch, which lengthens decoding, in milliseconds.
@@ -36,10 +40,8 @@
 const TOLERATED_PREFILL_MS: f64 = 250.0;
 /// Cost per stalled stream, in milliseconds.
 const STALLED_STREAM_MS: f64 = 60.0;
-/// Costs that differ by less than this count as equal, in milliseconds.
-const EQUAL_COST_MARGIN_MS: f64 = 1.0;
-/// Most limits reported in one state, so that it fits into a datagram.
-const MAX_LIMIT_REPORTS: usize = 500;
+/// Most limits, and most times, reported in one state, so that it fits into a datagram.
+const MAX_TARGET_REPORTS: usize = 500;
 /// Maximum share of the estimated wait in the estimated time of a request whose duration is used as
 /// an observation of the prefill time.
 const MAX_WAIT_SHARE_FOR_OBSERVATION: f64 = 0.25;
@@ -52,6 +54,7 @@
     by_id: SortedMap<CompactString, TargetKey>,
     by_hash: SortedMap<u32, TargetKey>,
     prefill_estimator: PrefillEstimator,
+    usual_times: UsualTimes,
     cache_tokens: SortedMap<CompactString, u64>,
     sharing_gateways: SharingGateways,
 }
@@ -65,6 +68,7 @@
             by_id: SortedMap::new(),
             by_hash: SortedMap::new(),
             prefill_estimator: PrefillEstimator::new(),
+            usual_times: UsualTimes::default(),
             cache_tokens: SortedMap::new(),
             sharing_gateways: SharingGateways::default(),
         }
@@ -232,17 +236,65 @@
     pub fn record_plain(&mut self, key: TargetKey, now: Timestamp) -> SendId {
         let target = &mut self.targets[key.0 as usize];
         target.limit.record_send(now);
+        target.speed.record_send(now);
         target.work.add(RequestWork::default(), now)
     }
 
+    /// Records the response of a plain request, `took_ms` after it was sent and before its end.
+    pub fn record_plain_response(&mut self, pick: &DirectPick, took_ms: f64, now: Timestamp) {
+        let target = &mut self.targets[pick.key.0 as usize];
+        self.usual_times.record_plain_response(target, pick, took_ms, now);
+    }
+
+    /// Records that a plain request had no response `waited_ms` after it was sent.
+    pub fn record_plain_timeout(&mut self, pick: &DirectPick, waited_ms: f64, now: Timestamp) {
+        let target = &mut self.targets[pick.key.0 as usize];
+        self.usual_times.record_plain_timeout(target, pick, waited_ms, now);
+    }
+
+    /// Records the average time between two parts of a complete stream.
+    pub fn record_event_gap(&mut self, key: TargetKey, model: &str, gap_ms: f64, now: Timestamp) {
+        let target = &mut self.targets[key.0 as usize];
+        self.usual_times.record_event_gap(target, model, gap_ms, now);
+    }
+
+    /// Returns the times of this gateway's plain requests, to report to the other gateways.
+    pub fn speed_reports(&self, now: Timestamp) -> Vec<TargetSpeedReport> {
+        let reports = self.targets.iter().filter_map(|target| target.speed_report(now));
+        reports.take(MAX_TARGET_REPORTS).collect()
+    }
+
+    /// Applies the reports of the gateway whose process has the short hash `peer`.
+    pub fn apply_speed_reports(
+        &mut self,
+        peer: u32,
+        reports: &[TargetSpeedReport],
+        now: Timestamp,
+    ) {
+        for report in reports {
+            let Some(key) = self.by_hash.get(&report.target) else { continue };
+            self.usual_times.apply_report(&mut self.targets[key.0 as usize], peer, report, now);
+        }
+    }
+
     /// Records that the first event of a generation arrived `took_ms` after the request was sent.
-    pub fn record_first_event(&mut self, pick: &DirectPick, model: &str, id: SendId, took_ms: f64) {
+    pub fn record_first_event(
+        &mut self,
+        pick: &DirectPick,
+        model: &str,
+        id: SendId,
+        took_ms: f64,
+        now: Timestamp,
+    ) {
         let target = &mut self.targets[pick.key.0 as usize];
         target.work.record_first_event(id);
         let wait_ms = pick.estimate_ms - pick.prefill_ms;
         if pick.prefill_ms > 0.0 && wait_ms <= MAX_WAIT_SHARE_FOR_OBSERVATION * pick.estimate_ms {
-            target.record_prefill_ratio(took_ms / pick.estimate_ms.max(1.0));
-            let slowdown = target.prefill_slowdown;
+            let usual_ms = self.prefill_estimator.prefill_ms(model, pick.uncached_tokens);
+            let assumed_slowdown = pick.prefill_ms / usual_ms;
+            let ratio = assumed_slowdown * took_ms / pick.estimate_ms.max(1.0);
+            target.speed.record_first_event(ratio, now);
+            let slowdown = target.speed.slowdown(WorkKind::Prefill, now);
             self.prefill_estimator.observe(model, pick.uncached_tokens, took_ms / slowdown);
         }
     }
@@ -315,7 +367,7 @@
         self.targets
             .iter()
             .filter_map(|target| target.limit.report(target.hash, target.started_unix_ms, now))
-            .take(MAX_LIMIT_REPORTS)
+            .take(MAX_TARGET_REPORTS)
             .collect()
     }
 
@@ -338,8 +390,10 @@
     }
 
     /// Records the load that a target reported with a response.
-    pub fn record_load(&mut self, key: TargetKey, sample: TargetLoadSample) {
-        self.targets[key.0 as usize].slots = sample.slots.max(1);
+    pub fn record_load(&mut self, key: TargetKey, sample: TargetLoadSample, now: Timestamp) {
+        let target = &mut self.targets[key.0 as usize];
+        target.slots = sample.slots.max(1);
+        target.speed.record_report(sample, now);
     }
 
     fn usable<'a>(
@@ -436,21 +490,27 @@
             .prompt_tokens
             .saturating_sub(target.prefixes.matched_tokens(requirements.links))
             .max(1);
-        let prefill_ms = self.prefill_estimator.prefill_ms(requirements.model, uncached_tokens)
-            * target.prefill_slowdown;
+        let usual_prefill_ms =
+            self.prefill_estimator.prefill_ms(requirements.model, uncached_tokens);
+        let prefill_ms = usual_prefill_ms * target.speed.slowdown(WorkKind::Prefill, now);
         let wait_ms = work.pending_prefill_ms.max(target.work.oldest_wait_ms(now) / 2.0);
         let in_batch = work.running + work.waiting;
         let over = f64::from((in_batch + 1).saturating_sub(target.slots.max(1)));
         let slot_ms = over / f64::from(target.slots.max(1)) * TYPICAL_RUN_MS;
         let memory_ms = self.memory_ms(target, work.cache_tokens, requirements);
-        let batch_ms = BATCH_DELAY_PER_REQUEST_MS * f64::from(in_batch);
+        let usual_batch_ms = BATCH_DELAY_PER_REQUEST_MS * f64::from(in_batch);
+        let batch_ms = usual_batch_ms * target.speed.slowdown(WorkKind::Decode, now);
+        let other_ms = wait_ms + slot_ms + memory_ms + adapter_ms;
+        let estimate_ms = other_ms + prefill_ms + batch_ms;
         Some(DirectPick {
             key,
             id: target.id.clone(),
             address: target.address,
-            estimate_ms: wait_ms + prefill_ms + slot_ms + memory_ms + batch_ms + adapter_ms,
+            estimate_ms,
+            admission_ms: estimate_ms.min(other_ms + usual_prefill_ms + usual_batch_ms),
             prefill_ms,
             uncached_tokens,
+            in_flight: in_batch + 1,
             needs_adapter_load,
         })
     }
@@ -483,29 +543,29 @@
     ) -> DirectChoice {
         let mut best: Option<(f64, DirectPick)> = None;
         let mut limited: Option<(Timestamp, TargetKey)> = None;
+        let service_ms = self.usual_times.service_ms(requirements.service);
         for (key, target) in self.usable(requirements.service, requirements.exclude, now) {
             if !target.limit.is_open(now) {
                 let candidate = (target.limit.next_return(now), key);
                 limited = Some(limited.map_or(candidate, |known| known.min(candidate)));
                 continue;
             }
-            let work = target.work.total(now);
-            let in_flight = f64::from(work.running + work.waiting);
-            let slots = f64::from(target.slots.max(1));
-            let queued = (in_flight + 1.0 - slots).max(0.0);
-            let estimate_ms = target.plain_duration_ms * (1.0 + queued / slots);
-            let cost = estimate_ms
-                + target.plain_duration_ms * in_flight / slots
+            let load = target.plain_load(now);
+            let estimate = target.speed.estimate_plain(load, service_ms, now);
+            let cost = estimate.cost_ms
+                + spread_ms(self.sharing_gateways.process, &target.id, service_ms, now)
                 + FAILED_ATTEMPT_MS * target.health.failure_share()
                 + self.distance_ms(target);
-            if best.as_ref().is_none_or(|(least, _)| cost + EQUAL_COST_MARGIN_MS < *least) {
+            if best.as_ref().is_none_or(|(least, _)| cost < *least) {
                 let pick = DirectPick {
                     key,
                     id: target.id.clone(),
                     address: target.address,
-                    estimate_ms,
+                    estimate_ms: estimate.response_ms,
+                    admission_ms: estimate.response_ms.min(estimate.usual_ms),
                     prefill_ms: 0.0,
                     uncached_tokens: 0,
+                    in_flight: load.known + 1,
                     needs_adapter_load: false,
                 };
                 best = Some((cost, pick));
--- a/components/routing/src/direct_target.rs
+++ b/components/routing/src/direct_target.rs
@@ -5,9 +5,10 @@
 
 use base::{Incarnation, LoadedModel, SortedMap, Timestamp, WarmCopies, short_hash};
 use compact_str::CompactString;
-use wire::{AdapterName, AgentState, ModelChange, TargetEntry, TargetState};
+use wire::{AdapterName, AgentState, ModelChange, TargetEntry, TargetSpeedReport, TargetState};
 
-use crate::{PrefixCacheEstimate, TargetHealth, TargetLimit, TargetPhase, TargetWork};
+use crate::target_speed::PlainLoad;
+use crate::{PrefixCacheEstimate, TargetHealth, TargetLimit, TargetPhase, TargetSpeed, TargetWork};
 
 /// Time without a response to its agent after which an engine counts as lost and its model copies
 /// are replaced: longer than most pauses of a process, shorter than the 3 s after which its entry
@@ -33,18 +34,10 @@
 const PEER_UNRESPONSIVE_TTL: Duration = Duration::from_millis(500);
 /// Time for which loads from the weight store are recorded; longer than any window that is queried.
 const WEIGHT_LOAD_RETENTION: Duration = Duration::from_secs(30);
-/// Weight of a new observation in the moving averages of a target's durations.
-const OBSERVATION_WEIGHT: f64 = 0.1;
-/// Bounds of a target's prefill time relative to the estimate for its models.
-const SLOWDOWN_BOUNDS: (f64, f64) = (0.5, 8.0);
-/// Maximum ratio of one observed prefill time to the estimated one; higher ratios are capped.
-const MAX_SLOWDOWN_RATIO: f64 = 2.0;
 /// Share of an engine's usual throughput below which a limit makes its copies count as missing.
 const THROTTLED_SHARE: f64 = 0.25;
 /// Typical time that a request occupies a slot of an engine, in milliseconds.
 pub(crate) const TYPICAL_RUN_MS: f64 = 1_500.0;
-/// Assumed duration of a plain request before the first observation, in milliseconds.
-const DEFAULT_PLAIN_DURATION_MS: f64 = 50.0;
 
 /// Key of a target in its fleet; stays valid for as long as the process runs.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -123,8 +116,8 @@
     earlier_weight_loads: Vec<Timestamp>,
     /// Time of the last report from a peer that the target does not respond.
     peer_unresponsive_at: Option<Timestamp>,
-    pub(crate) prefill_slowdown: f64,
-    pub(crate) plain_duration_ms: f64,
+    /// Speed at which the target works.
+    pub speed: TargetSpeed,
 }
 
 /// Load of an engine as reported by its agent.
@@ -179,8 +172,7 @@
             weight_loads: Vec::new(),
             earlier_weight_loads: Vec::new(),
             peer_unresponsive_at: None,
-            prefill_slowdown: 1.0,
-            plain_duration_ms: DEFAULT_PLAIN_DURATION_MS,
+            speed: TargetSpeed::default(),
         };
         target.apply_entry(entry, Timestamp::default());
         target
@@ -286,7 +278,7 @@
         self.prefixes.clear();
         self.health = TargetHealth::default();
         self.limit = TargetLimit::default();
-        self.prefill_slowdown = 1.0;
+        self.speed = TargetSpeed::default();
         self.unresponsive_since = None;
         self.announced_leaving = false;
         self.backoff_until = None;
@@ -491,15 +483,30 @@
             .collect()
     }
 
-    /// Records the ratio of an observed prefill time to its estimate.
-    pub(crate) fn record_prefill_ratio(&mut self, ratio: f64) {
-        let (least, most) = SLOWDOWN_BOUNDS;
-        let observed = (self.prefill_slowdown * ratio.min(MAX_SLOWDOWN_RATIO)).clamp(least, most);
-        self.prefill_slowdown += OBSERVATION_WEIGHT * (observed - self.prefill_slowdown);
+    /// Returns the average number of requests at a plain target between the choice of one of them,
+    /// when there were `chosen_at`, and now.
+    pub(crate) fn mean_in_flight(&self, chosen_at: u32, now: Timestamp) -> u32 {
+        let at_end = self.speed.in_flight(self.plain_load(now), now);
+        ((f64::from(chosen_at) + at_end) / 2.0).round().max(1.0) as u32
     }
 
-    /// Records the duration of a plain request, in milliseconds.
-    pub fn record_plain_duration(&mut self, took_ms: f64) {
-        self.plain_duration_ms += OBSERVATION_WEIGHT * (took_ms - self.plain_duration_ms);
+    /// Returns the times of this gateway's plain requests at the target, to report to the others.
+    pub(crate) fn speed_report(&self, now: Timestamp) -> Option<TargetSpeedReport> {
+        self.speed.plain_totals(now).map(|totals| TargetSpeedReport {
+            target: self.hash,
+            born_ms: self.started_unix_ms,
+            responses: totals.responses,
+            log_ms_sum: totals.log_ms_sum,
+        })
+    }
+
+    /// Returns the requests at a plain target.
+    pub(crate) fn plain_load(&self, now: Timestamp) -> PlainLoad {
+        let (total, local) = (self.work.total(now), self.work.local());
+        PlainLoad {
+            known: total.running + total.waiting,
+            local: local.running + local.waiting,
+            slots: self.slots,
+        }
     }
 }
--- a/components/routing/tests/direct_fleet.rs
+++ b/components/routing/tests/direct_fleet.rs
@@ -7,7 +7,7 @@
 use compact_str::format_compact;
 use routing::{
     DirectChoice, DirectFleet, DirectPick, DirectPlainRequirements, GenerationRequirements,
-    PromptPart, TargetKey, TargetOutcome, prefix_links,
+    PromptPart, TargetKey, TargetLoadSample, TargetOutcome, WorkKind, prefix_links,
 };
 use wire::{SendCopy, TargetEntry, TargetState, TargetWorkCopy};
 
@@ -408,3 +408,66 @@
     fleet.apply_agent_state(&unloading(1_000, None), at(1_000));
     assert!(!fleet.target(key).unload_is_overdue("other", at(9_000)), "the unload is complete");
 }
+
+/// Lets the first events of an engine's prompts arrive after `slowdown` times the usual time.
+fn observe_first_events(fleet: &mut DirectFleet, key: TargetKey, slowdown: f64, from_ms: u64) {
+    let others: Vec<TargetKey> =
+        fleet.targets().enumerate().map(|(at, _)| TargetKey(at as u32)).collect();
+    let others: Vec<TargetKey> = others.into_iter().filter(|other| *other != key).collect();
+    for ms in (0..20).map(|number| from_ms + 200 * number) {
+        let prompt = links(100_000 + ms);
+        let requirements = requirements(&prompt, &others);
+        let chosen = pick(fleet, &requirements, ms);
+        let usual_ms = fleet.prefill_ms("m", chosen.uncached_tokens);
+        let id = fleet.record_generation(&chosen, &requirements, at(ms));
+        fleet.record_first_event(&chosen, "m", id, slowdown * usual_ms, at(ms));
+        fleet.record_end(chosen.key, id);
+    }
+}
+
+/// Guards against prompts at an engine that prefills three times as slowly as 38 others, and against an
+/// engine that is avoided for ever.
+#[test]
+fn slow_engine_of_many_is_avoided_until_its_slowness_is_old() {
+    let mut fleet = DirectFleet::new("north-a");
+    (0..39).for_each(|number| fleet.apply_entry(&entry(number, "north-a"), at(0)));
+    let slow = fleet.key_of("engine-7").unwrap();
+    observe_first_events(&mut fleet, slow, 3.0, 0);
+    assert!(fleet.target(slow).speed.slowdown(WorkKind::Prefill, at(4_000)) > 1.8);
+    let chosen_at = |ms: u64| {
+        let prompts = (1..200).map(|number| links(1_000 * number));
+        prompts.filter(|prompt| pick(&fleet, &requirements(prompt, &[]), ms).key == slow).count()
+    };
+    assert_eq!(chosen_at(4_000), 0);
+    assert!(chosen_at(60_000) > 0);
+}
+
+/// Guards against a request that is refused because the only engine with its model is slow: admission
+/// does not count the slowness, whether it is observed or reported.
+#[test]
+fn slow_engine_with_the_only_copy_is_used() {
+    let mut fleet = fleet();
+    let key = fleet.key_of("engine-1").unwrap();
+    let others: Vec<TargetKey> = (0..4).map(TargetKey).filter(|other| *other != key).collect();
+    let prompt = links(7);
+    observe_first_events(&mut fleet, key, 1.0, 0);
+    let usual = pick(&fleet, &requirements(&prompt, &others), 4_000);
+    observe_first_events(&mut fleet, key, 8.0, 4_000);
+    let sample = TargetLoadSample { running: 8, waiting: 90, slots: 8, pace_percent: Some(10_000) };
+    fleet.record_load(key, sample, at(8_000));
+    let slow = pick(&fleet, &requirements(&prompt, &others), 8_000);
+    assert_eq!(slow.key, key);
+    assert!(slow.estimate_ms > 3.0 * usual.estimate_ms, "{slow:?}");
+    // What is known of the model itself follows its only engine, slowly.
+    assert!(slow.admission_ms < 2.0 * usual.admission_ms, "{slow:?} {usual:?}");
+}
+
+/// Guards against the speed of an engine that is taken for that of its successor.
+#[test]
+fn restart_resets_the_speed() {
+    let mut fleet = fleet();
+    let key = fleet.key_of("engine-1").unwrap();
+    observe_first_events(&mut fleet, key, 4.0, 0);
+    fleet.apply_entry(&TargetEntry { born_ms: Some(2), ..entry(1, "north-a") }, at(4_100));
+    assert_eq!(fleet.target(key).speed.slowdown(WorkKind::Prefill, at(4_100)), 1.0);
+}
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -55,6 +55,8 @@
     configuration_age: Gauge<f64>,
     gateways_behind: Gauge<u64>,
     quarantined_parts: Gauge<u64>,
+    slow_targets: Gauge<u64>,
+    limited_targets: Gauge<u64>,
 }
 
 impl Metrics {
@@ -109,6 +111,8 @@
             configuration_age: seconds("configuration_age", "Age of the configuration"),
             gateways_behind: number("gateways_behind", "Gateways on an old configuration"),
             quarantined_parts: number("quarantined_parts", "Prompt parts in quarantine"),
+            slow_targets: number("slow_targets", "Targets that take twice the usual time"),
+            limited_targets: number("limited_targets", "Targets with a concurrency limit"),
             customers: RefCell::new(LabelSet::new(MAX_CUSTOMERS)),
             registry,
             _provider: provider,
@@ -120,6 +124,12 @@
         self.quarantined_parts.record(parts, &[]);
     }
 
+    /// Sets the numbers of slow targets and of targets with a concurrency limit.
+    pub fn set_uneven_targets(&self, slow: u64, limited: u64) {
+        self.slow_targets.record(slow, &[]);
+        self.limited_targets.record(limited, &[]);
+    }
+
     /// Gives customers series of their own, while there is room.
     pub fn admit_customers<'a>(&self, names: impl Iterator<Item = &'a str>) {
         self.customers.borrow_mut().admit(names);
--- a/components/wire/src/fleet_state.rs
+++ b/components/wire/src/fleet_state.rs
@@ -7,7 +7,7 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
-use crate::{PartReport, TargetEntry, TargetLimitReport};
+use crate::{PartReport, TargetEntry, TargetLimitReport, TargetSpeedReport};
 
 /// A datagram.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -104,6 +104,8 @@
     pub suspects: Vec<PartReport>,
     /// Limits that targets name, and their ends.
     pub target_limits: Vec<TargetLimitReport>,
+    /// Times of its plain requests at targets.
+    pub target_speeds: Vec<TargetSpeedReport>,
 }
 
 /// Requests to a service, and sends to further targets.
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -24,6 +24,7 @@
 mod stored_document;
 mod target_entry;
 mod target_limit_report;
+mod target_speed_report;
 
 pub use cache::{CacheChange, CacheEventCopy, CacheUpdate};
 pub use client::{PeerClient, PendingReceiver};
@@ -57,3 +58,4 @@
 pub use stored_document::StoredDocument;
 pub use target_entry::{TargetEntry, TargetState};
 pub use target_limit_report::TargetLimitReport;
+pub use target_speed_report::TargetSpeedReport;
