--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -263,7 +263,8 @@
         send: InFlightSend,
     ) -> Option<DispatchOutcome> {
         if let Some(sample) = response.head.load {
-            self.app.fleet.borrow_mut().record_load(send.pick.key, sample);
+            let now = self.app.clock.now();
+            self.app.fleet.borrow_mut().record_load(send.pick.key, sample, now);
         }
         self.record_target_signals(&response, &send);
         if response.head.not_run {
@@ -304,13 +305,8 @@
         };
         match read {
             Ok(ReadResponse { status, headers, body, .. }) => {
-                if !self.request.plan.engine {
-                    let elapsed_ms = read_at.since(send.sent_at).as_secs_f64() * 1_000.0;
-                    self.app
-                        .fleet
-                        .borrow_mut()
-                        .target_mut(send.pick.key)
-                        .record_plain_duration(elapsed_ms);
+                if !self.request.plan.engine && !status.is_server_error() {
+                    send.record_plain_response(read_at);
                 }
                 let headers = forwarded_response_headers(&headers);
                 let full = FullResponse { status, headers, body };
@@ -475,7 +471,7 @@
             deadline: self.time_for_first_event(now),
             priority: plan.priority,
         };
-        match admit(pick.estimate_ms, slack) {
+        match admit(pick.admission_ms, slack) {
             Admission::Send { urgency } => {
                 let urgency = plan.engine.then_some(urgency);
                 Ok(ChosenTarget { pick, urgency })
@@ -485,7 +481,7 @@
                     "event=admission_refused request_id={} target={} estimate_ms={:.0} left_ms={}",
                     quote(&self.request.id),
                     quote(&pick.id),
-                    pick.estimate_ms,
+                    pick.admission_ms,
                     slack.deadline.as_millis()
                 );
                 let text = "no target can answer within the time allowed";
--- a/components/membership/tests/gateway_table.rs
+++ b/components/membership/tests/gateway_table.rs
@@ -41,6 +41,7 @@
         suspects: Vec::new(),
         target_limits: Vec::new(),
         evacuations: Vec::new(),
+        target_speeds: Vec::new(),
         store_era: None,
         store_era_settled: false,
     }
--- a/components/wire/src/fleet_state.rs
+++ b/components/wire/src/fleet_state.rs
@@ -7,7 +7,7 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
-use crate::{EvacuationReport, PartReport, TargetEntry, TargetLimitReport};
+use crate::{EvacuationReport, PartReport, TargetEntry, TargetLimitReport, TargetSpeedReport};
 
 /// A datagram.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -106,6 +106,8 @@
     pub target_limits: Vec<TargetLimitReport>,
     /// Evacuations of data centres that it knows of, and their ends.
     pub evacuations: Vec<EvacuationReport>,
+    /// Times of its plain requests at targets.
+    pub target_speeds: Vec<TargetSpeedReport>,
 }
 
 /// Requests to a service, and sends to further targets.
