Send requests only to targets in their homes

Cause: home_regions of routes and customers in the configuration was not read. Change: platform/ decodes home_regions and the regions of data centres in the settings; routing::Homes decides, both lists apply where both are set, and an unknown region is outside of all homes. Dispatch::select_target excludes the targets outside, for first sends, retries, resumed and moved streams alike. No test with a real process and two regions. On x86-64 only; arm64 is not run.

--- a/components/config/src/direct_route.rs
+++ b/components/config/src/direct_route.rs
@@ -69,4 +69,6 @@
     pub gap_objective_ms: u64,
     /// Rank; 0 is the most urgent.
     pub priority: u8,
+    /// Regions in which its requests may run; empty for all.
+    pub home_regions: Vec<CompactString>,
 }
--- a/components/config/src/fleet_config.rs
+++ b/components/config/src/fleet_config.rs
@@ -65,6 +65,8 @@
     pub priority: Option<u8>,
     /// Tokens that a request without a token count is charged.
     pub uncounted_tokens: u64,
+    /// Regions in which its requests may run; empty for all.
+    pub home_regions: Vec<CompactString>,
 }
 
 /// A key, known only by its hash.
--- a/components/config/src/gateway_settings.rs
+++ b/components/config/src/gateway_settings.rs
@@ -2,6 +2,7 @@
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
+use base::SortedMap;
 use compact_str::CompactString;
 
 use crate::FleetBounds;
@@ -15,6 +16,8 @@
     pub region: CompactString,
     /// Data centre.
     pub data_centre: CompactString,
+    /// Regions of the data centres, as far as they are known.
+    pub data_centre_regions: SortedMap<CompactString, CompactString>,
     /// Address of the VM.
     pub ip: IpAddr,
     /// Address for callers.
@@ -42,6 +45,7 @@
             name: CompactString::default(),
             region: CompactString::default(),
             data_centre: CompactString::default(),
+            data_centre_regions: SortedMap::new(),
             ip: any_port.ip(),
             caller_address: any_port,
             ready_address: any_port,
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -389,11 +389,15 @@
 
     pub(crate) fn select_target(&self, exclude: &[TargetKey], now: Timestamp) -> DirectChoice {
         let fleet = self.app.fleet.borrow();
-        if self.request.plan.engine {
+        let plan = &self.request.plan;
+        let regions = &self.app.settings().data_centre_regions;
+        let mut excluded = fleet.outside_homes(&plan.service, &plan.homes, regions);
+        excluded.extend(exclude);
+        let exclude = excluded.as_slice();
+        if plan.engine {
             fleet.choose_generation(&generation_requirements(&self.request, exclude), now)
         } else {
-            let requirements =
-                DirectPlainRequirements { service: &self.request.plan.service, exclude };
+            let requirements = DirectPlainRequirements { service: &plan.service, exclude };
             fleet.choose_plain(&requirements, now)
         }
     }
--- a/components/gateway/src/request.rs
+++ b/components/gateway/src/request.rs
@@ -13,7 +13,7 @@
 use platform::RequestHead;
 use rand::Rng;
 use rates::{GatewayCount, SharedBucket};
-use routing::{LatencyObjectives, PrefixLink, prefix_links};
+use routing::{Homes, LatencyObjectives, PrefixLink, prefix_links};
 use telemetry::quote;
 
 use crate::app::App;
@@ -47,6 +47,8 @@
     pub objectives: LatencyObjectives,
     /// Scheduling priority; 0 is the most urgent.
     pub priority: u8,
+    /// Regions in which the request may run.
+    pub homes: Homes,
     /// Priority within the customer's rate; 0 is the most urgent. Plain requests cost next to
     /// nothing.
     pub rate_priority: u8,
@@ -217,9 +219,7 @@
         hit
     });
     let service = config.service(drawn.map_or(route.service, |share| share.service));
-    let customer_priority = customer
-        .and_then(|name| config.customer_id(name))
-        .and_then(|id| config.customer(id).priority);
+    let customer = customer.and_then(|name| config.customer_id(name)).map(|id| config.customer(id));
     RoutePlan {
         route: route.name.clone(),
         service: service.name.clone(),
@@ -230,7 +230,11 @@
             response: Duration::from_millis(direct.answer_objective_ms),
             event_gap: Duration::from_millis(direct.gap_objective_ms),
         },
-        priority: customer_priority.unwrap_or(direct.priority),
+        priority: customer.and_then(|customer| customer.priority).unwrap_or(direct.priority),
+        homes: Homes::of(
+            &direct.home_regions,
+            customer.map_or(&[], |customer| &customer.home_regions),
+        ),
         rate_priority: if service.engine.is_some() { direct.priority } else { 0 },
     }
 }
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -12,6 +12,7 @@
 mod direct_choice;
 mod direct_fleet;
 mod direct_target;
+mod homes;
 mod latency_objectives;
 mod load_wait;
 mod prefill_estimator;
@@ -39,6 +40,7 @@
 };
 pub use direct_fleet::DirectFleet;
 pub use direct_target::{AgentLoad, DirectTarget, TargetKey};
+pub use homes::Homes;
 pub use latency_objectives::LatencyObjectives;
 pub use load_wait::{LoadWait, wait_for_model, waits_for_adapter};
 pub use prefill_estimator::PrefillEstimator;
--- a/tests/platform_names.rs
+++ b/tests/platform_names.rs
@@ -7,7 +7,7 @@
 
 /// Fields, topics and variables of the platform that have no other use. Header names are read from
 /// `platform/src/header_names.rs`.
-const NAMES: [&str; 23] = [
+const NAMES: [&str; 24] = [
     "PLANTAINBEAM_SETTINGS",
     "\"app\"",
     "\"born\"",
@@ -20,6 +20,7 @@
     "\"expected\"",
     "fencing_token",
     "gap_target_ms",
+    "\"home_regions\"",
     "internal_ports",
     "keyed.gateways",
     "keyed.op",
