Let slow bodies and late heads give way to new connections

Cause: bodies that come byte by byte never stall, so enough of them kept all other callers out; and connections that arrived at once closed each other at half of the limit, before their heads were read. Change: without another candidate the slowest body that has taken 1 s or more gives way to a new connection. The bound of half of the connections counts those that have waited 200 ms for their first head. Two tests of clients are added: pipelined requests whose responses are not read, and bodies sent byte by byte; neither was run on the code without a budget.

--- a/components/ingress/src/caller_budget.rs
+++ b/components/ingress/src/caller_budget.rs
@@ -18,6 +18,9 @@
 /// Time that a new connection has for its first head before it gives way to others earlier than
 /// connections that wait for another request.
 const HEAD_GRACE: Duration = Duration::from_millis(200);
+/// Time after which a body that makes progress may give way to a new connection. Typical bodies take
+/// a few round trips.
+const BODY_GRACE: Duration = Duration::from_secs(1);
 
 /// A connection.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -129,12 +132,14 @@
     }
 
     /// Admits a connection, if necessary by closing another one: one that waits for a head,
-    /// otherwise one whose body or reading of a response has stalled. At most half of the connections may be without their
+    /// otherwise one whose body or reading of a response has stalled, otherwise the slowest body. At
+    /// most half of the connections may be without their
     /// first head.
     pub fn open(&mut self, now: Timestamp) -> Admission {
-        let headless = self.connections.values().filter(|each| !each.has_had_head).count();
-        let closed = if headless >= self.settings.connections.div_ceil(2) {
-            self.longest_waiting(|each| !each.has_had_head)
+        let half = self.settings.connections.div_ceil(2);
+        let late = |each: &Connection| each.is_late_head(now);
+        let closed = if self.connections.values().filter(|each| late(each)).count() >= half {
+            self.longest_waiting(late)
         } else if self.connections.len() >= self.settings.connections {
             let Some(key) = self.connection_to_close(now) else { return Admission::Refused };
             Some(key)
@@ -161,12 +166,25 @@
     }
 
     fn connection_to_close(&self, now: Timestamp) -> Option<ConnectionKey> {
-        let late = |each: &Connection| !each.has_had_head && now.since(each.since) >= HEAD_GRACE;
-        self.longest_waiting(late)
+        let headless = self.connections.values().filter(|each| !each.has_had_head).count();
+        let is_flooded = headless >= self.settings.connections.div_ceil(2);
+        self.longest_waiting(|each| each.is_late_head(now))
+            .or_else(|| self.longest_waiting(|each| is_flooded && !each.has_had_head))
             .or_else(|| self.longest_waiting(|each| each.has_had_head))
             .or_else(|| self.longest_waiting(|_| true))
             .or_else(|| self.longest_stalled(now, |each| each.phase == Phase::Reading))
             .or_else(|| self.longest_stalled(now, Connection::is_unread))
+            .or_else(|| self.slowest_body(now))
+    }
+
+    fn slowest_body(&self, now: Timestamp) -> Option<ConnectionKey> {
+        let slow =
+            |each: &Connection| each.phase == Phase::Reading && now.since(each.since) >= BODY_GRACE;
+        let bytes_per_s = |each: &Connection| {
+            u128::from(each.charged_bytes) * 1_000 / now.since(each.since).as_millis().max(1)
+        };
+        let bodies = self.connections.iter().filter(|(_, each)| slow(each));
+        bodies.min_by_key(|(key, each)| (bytes_per_s(each), **key)).map(|(key, _)| *key)
     }
 
     fn longest_stalled(
@@ -374,6 +392,10 @@
 }
 
 impl Connection {
+    fn is_late_head(&self, now: Timestamp) -> bool {
+        !self.has_had_head && now.since(self.since) >= HEAD_GRACE
+    }
+
     fn is_unread(&self) -> bool {
         self.phase == Phase::Answering && self.is_blocked
     }
--- a/components/ingress/tests/caller_budget.rs
+++ b/components/ingress/tests/caller_budget.rs
@@ -351,6 +351,41 @@
     assert_ne!(closed, Some(running));
 }
 
+/// Guards against ordinary callers that are closed because they all connect at once, before their
+/// heads are read.
+#[test]
+fn connections_that_arrive_together_are_all_kept() {
+    let mut budget = CallerBudget::new(settings(1_000 * KB, 100));
+    for _ in 0..100 {
+        open(&mut budget, Timestamp::default());
+    }
+    // Silent ones beyond half of the connections are closed as soon as they are late.
+    let late = Timestamp::from_millis(300);
+    let Admission::Admitted { closed, .. } = budget.open(late) else { panic!("refused") };
+    assert!(closed.is_some());
+}
+
+/// Guards against bodies that come byte by byte and so keep all others out, and against the large
+/// one that is closed in their place.
+#[test]
+fn the_slowest_body_gives_way_to_a_new_connection() {
+    let mut budget = CallerBudget::new(settings(10_000 * KB, 3));
+    let start = Timestamp::default();
+    let large = open_reading(&mut budget, 1, start);
+    assert!(budget.reserve(large, 2_000 * KB, 0, start).granted);
+    let slow: Vec<ConnectionKey> = (0..2).map(|_| open_reading(&mut budget, 1, start)).collect();
+    for key in &slow {
+        assert!(budget.reserve(*key, KB, 0, start).granted);
+    }
+    let mut now = start;
+    for _ in 0..3 {
+        now = now + Duration::from_millis(400);
+        [large, slow[0], slow[1]].iter().for_each(|key| budget.record_progress(*key, now));
+    }
+    let Admission::Admitted { closed, .. } = budget.open(now) else { panic!("refused") };
+    assert_eq!(closed, Some(slow[0]));
+}
+
 /// Guards against sizes that overflow, and against a machine that serves nobody because its settings
 /// are too small.
 #[test]
--- a/tests/client_limits.rs
+++ b/tests/client_limits.rs
@@ -352,6 +352,30 @@
     check_clients(MEMORY_MB, SLOW_READERS, script).await;
 }
 
+/// Guards against a gateway that reads requests ahead, or holds their responses, for callers that
+/// send many of them at once and don't read.
+#[tokio::test]
+async fn pipelined_requests_stay_within_the_memory() {
+    let script = |id| ClientScript {
+        body: Arc::new(request_head("GET", "/reads/1", id, "").into_bytes()),
+        repeats: 20_000,
+        ..ClientScript::default()
+    };
+    check_clients(MEMORY_MB, LARGE_CLIENTS, script).await;
+}
+
+/// Guards against bodies that come byte by byte and take all connections or descriptors.
+#[tokio::test]
+async fn bodies_sent_byte_by_byte_leave_room_for_others() {
+    let script = |id| ClientScript {
+        body: Arc::new(vec![b'a']),
+        repeats: BODY_BYTES - MISSING_BYTES,
+        pause: Duration::from_millis(300),
+        ..large_body(id)
+    };
+    check_clients(MEMORY_MB, HEADLESS_CLIENTS / 2, script).await;
+}
+
 /// Guards against a budget that rejects the largest allowed request although the machine is calm.
 #[tokio::test]
 async fn the_largest_request_is_served_in_calm_conditions() {
