Subtract peers' reports only from a bucket with a limit

Cause: SharedBucket::update_peer subtracted what peers admit also while the customer has no limit, although a replica's own requests take nothing then. A limit that was set later began with a large debt. Change: reports are recorded but not subtracted while there is no limit. Searched for the same: the retry budgets count each window from its reports and keep no balance. Left: a gateway that gets a new limit before its peers subtracts what they still admit without one until the configuration reaches them. Result: limit_that_is_set_later_starts_without_the_debt_of_the_time_before failed before (level -9,000,000) and passes now; the 13 tests of the file pass.

--- a/components/rates/src/shared_bucket.rs
+++ b/components/rates/src/shared_bucket.rs
@@ -149,7 +149,10 @@
             // discovered; for one that started empty, that lies before its start.
             None => tokens.min(self.rate.burst_tokens),
         };
-        self.level -= spent as f64;
+        // Without a limit nothing is taken from the level, here or for this process's own requests.
+        if self.rate.tokens_per_s > 0 {
+            self.level -= spent as f64;
+        }
         self.peers.insert(peer.clone(), PeerReport { incarnation, tokens, demand_per_s });
     }
 
--- a/components/rates/tests/shared_bucket.rs
+++ b/components/rates/tests/shared_bucket.rs
@@ -75,6 +75,30 @@
     assert!(bucket.take(1, 0, all(1), at(0)).is_err());
 }
 
+/// Guards against a bucket without a limit that subtracts what peers admit, so that a limit that is set
+/// later starts with a debt and refuses the customer's requests for a long time.
+#[test]
+fn limit_that_is_set_later_starts_without_the_debt_of_the_time_before() {
+    for first_start in [true, false] {
+        let mut bucket = SharedBucket::new(CustomerRate::default(), first_start, at(0));
+        bucket.update_peer(&name(1), Incarnation(1), 0, 0);
+        bucket.update_peer(&name(1), Incarnation(1), 5_000_000, 0);
+        bucket.update_peer(&name(1), Incarnation(2), 4_000_000, 0);
+        assert!(bucket.take(1_000_000, 0, all(2), at(4_000)).is_ok());
+        bucket.set_rate(RATE);
+        assert!(
+            bucket.levels().shared >= 0.0,
+            "first_start={first_start}: {:?} at the start of the limit",
+            bucket.levels()
+        );
+        assert!(bucket.take(100, 0, all(2), at(5_000)).is_ok());
+        // From here on, reports count, and only with what is new in them.
+        let before = bucket.levels().shared;
+        bucket.update_peer(&name(1), Incarnation(2), 4_003_000, 0);
+        assert_eq!(before - bucket.levels().shared, 3_000.0);
+    }
+}
+
 /// Guards against starvation of large requests by small ones when a customer's demand always
 /// exceeds its rate.
 #[test]
