Let only entries of configured services supersede a target

Cause: DirectFleet::supersede_previous retired a target when an entry with its address and a later start arrived, also if that entry named a service that isn't configured, as another writer's may. Change: an entry supersedes targets of its own service, and others only if its service is configured. The services come with the configuration (set_services), which is checked again for entries that arrived before it. Searched for the same: when such an entry is removed, only idle connections to its address are closed, which is left.

--- a/components/gateway/src/app.rs
+++ b/components/gateway/src/app.rs
@@ -143,6 +143,7 @@
         }
         {
             let mut fleet = self.fleet.borrow_mut();
+            fleet.set_services(config.services.iter().map(|service| service.name.as_str()));
             for service in &config.services {
                 if let Some(engine) = service.engine {
                     fleet.set_cache_tokens(&service.name, engine.cache_tokens);
--- a/components/routing/src/direct_fleet.rs
+++ b/components/routing/src/direct_fleet.rs
@@ -13,7 +13,7 @@
 use crate::direct_target::TYPICAL_RUN_MS;
 use crate::{
     DirectTarget, NamedLimit, PrefillEstimator, PrefixLink, RequestWork, SendId, SharingGateways,
-    TargetKey, TargetLoadSample, TargetOutcome, Workload,
+    TargetKey, TargetLoadSample, TargetOutcome, TargetPhase, Workload,
 };
 
 /// Delay of a new request per request in the batch, which lengthens decoding, in milliseconds.
@@ -53,6 +53,8 @@
     by_hash: SortedMap<u32, TargetKey>,
     prefill_estimator: PrefillEstimator,
     cache_tokens: SortedMap<CompactString, u64>,
+    /// Services of the configuration, sorted.
+    services: Vec<CompactString>,
     sharing_gateways: SharingGateways,
 }
 
@@ -66,6 +68,7 @@
             by_hash: SortedMap::new(),
             prefill_estimator: PrefillEstimator::new(),
             cache_tokens: SortedMap::new(),
+            services: Vec::new(),
             sharing_gateways: SharingGateways::default(),
         }
     }
@@ -85,7 +88,7 @@
             return;
         }
         let Ok(at) = u32::try_from(self.targets.len()) else { return };
-        self.supersede_previous(entry);
+        self.supersede_previous(&entry.service, entry.address, entry.born_ms);
         let cache_tokens = self.cache_tokens.get(&entry.service).copied().unwrap_or(0);
         let target = DirectTarget::new(entry, cache_tokens);
         self.by_id.insert(target.id.clone(), TargetKey(at));
@@ -93,11 +96,41 @@
         self.targets.push(target);
     }
 
+    /// Sets the services of the configuration.
+    pub fn set_services<'a>(&mut self, names: impl Iterator<Item = &'a str>) {
+        let mut services: Vec<CompactString> = names.map(CompactString::new).collect();
+        services.sort_unstable();
+        if services == self.services {
+            return;
+        }
+        self.services = services;
+        // Entries may arrive before the configuration with their service.
+        for at in 0..self.targets.len() {
+            let target = &self.targets[at];
+            if target.phase(Timestamp::default()) == TargetPhase::Active {
+                let (service, address) = (target.service.clone(), target.address);
+                self.supersede_previous(&service, address, target.started_unix_ms);
+            }
+        }
+    }
+
     /// Marks targets with the same address and an earlier start as superseded: they have ended,
     /// even if they are still listed.
-    fn supersede_previous(&mut self, entry: &TargetEntry) {
-        let same_address = self.targets.iter_mut().filter(|target| target.address == entry.address);
-        for target in same_address.filter(|target| target.started_unix_ms < entry.born_ms) {
+    ///
+    /// An entry of a service that is neither that of the earlier target nor configured may be of
+    /// another writer, and says nothing about the address.
+    fn supersede_previous(
+        &mut self,
+        service: &str,
+        address: SocketAddr,
+        started_unix_ms: Option<u64>,
+    ) {
+        let is_configured =
+            self.services.binary_search_by(|name| name.as_str().cmp(service)).is_ok();
+        let same_address = self.targets.iter_mut().filter(|target| target.address == address);
+        for target in same_address.filter(|target| {
+            target.started_unix_ms < started_unix_ms && (is_configured || target.service == service)
+        }) {
             target.accepts_work = false;
             target.is_superseded = true;
         }
--- a/components/routing/tests/direct_fleet.rs
+++ b/components/routing/tests/direct_fleet.rs
@@ -7,7 +7,7 @@
 use compact_str::format_compact;
 use routing::{
     DirectChoice, DirectFleet, DirectPick, DirectPlainRequirements, GenerationRequirements,
-    PromptPart, TargetKey, TargetOutcome, prefix_links,
+    PromptPart, TargetKey, TargetOutcome, TargetPhase, prefix_links,
 };
 use wire::{SendCopy, TargetEntry, TargetState, TargetWorkCopy};
 
@@ -205,6 +205,48 @@
     assert!(!fleet.target(superseded).is_usable(at(20)));
 }
 
+/// Guards against an entry of another writer that names a service which is not configured and the
+/// address of a target in use: it must not end the use of that target.
+#[test]
+fn entry_of_an_unconfigured_service_supersedes_no_target() {
+    let mut fleet = fleet();
+    fleet.set_services(["engines", "plain"].into_iter());
+    let key = fleet.key_of("engine-0").unwrap();
+    let foreign = TargetEntry {
+        id: "other-1".into(),
+        service: "unknown".into(),
+        born_ms: Some(9),
+        ..entry(0, "north-a")
+    };
+    fleet.apply_entry(&foreign, at(10));
+    assert!(fleet.target(key).is_usable(at(10)));
+    assert_eq!(fleet.target(key).phase(at(10)), TargetPhase::Active);
+    // A target of another configured service that reuses the address has replaced it.
+    let successor =
+        TargetEntry { id: "plain-1".into(), service: "plain".into(), ..foreign.clone() };
+    fleet.apply_entry(&successor, at(20));
+    assert!(!fleet.target(key).is_usable(at(20)));
+}
+
+/// Guards against a successor that is never recognised because its entry arrived before the
+/// configuration with its service.
+#[test]
+fn services_that_are_configured_later_supersede_targets_then() {
+    let mut fleet = fleet();
+    let successor = TargetEntry {
+        id: "plain-1".into(),
+        service: "plain".into(),
+        born_ms: Some(9),
+        ..entry(0, "north-a")
+    };
+    fleet.apply_entry(&successor, at(10));
+    let key = fleet.key_of("engine-0").unwrap();
+    assert!(fleet.target(key).is_usable(at(10)));
+    fleet.set_services(["engines", "plain"].into_iter());
+    assert!(!fleet.target(key).is_usable(at(20)));
+    assert!(fleet.target(fleet.key_of("plain-1").unwrap()).is_usable(at(20)));
+}
+
 /// Covers the price of traffic between data centres: an engine in the same data centre is
 /// preferred, unless it is busy.
 #[test]
