--- a/components/routing/src/direct_target.rs
+++ b/components/routing/src/direct_target.rs
@@ -211,7 +211,12 @@
     /// one, or describes the engine before its last restart.
     pub(crate) fn apply_agent_state(&mut self, state: &AgentState, now: Timestamp) -> bool {
         let version = (state.from.incarnation, state.sent_micros);
-        if self.agent_state_version.is_some_and(|known| known >= version) {
+        // An agent that starts after a backward step of its clock has a lower incarnation.
+        let may_be_restart = |known: (Incarnation, u64)| {
+            known.0 != state.from.incarnation && !self.has_recent_agent_state(now)
+        };
+        if self.agent_state_version.is_some_and(|known| known >= version && !may_be_restart(known))
+        {
             return false;
         }
         if state.born_ms.is_some() && state.born_ms != self.started_unix_ms {
--- a/components/routing/tests/direct_fleet.rs
+++ b/components/routing/tests/direct_fleet.rs
@@ -205,6 +205,23 @@
     assert!(!fleet.target(superseded).is_usable(at(20)));
 }
 
+/// Guards against an agent that starts after a backward step of its clock and is ignored for as long as
+/// the step: its incarnation is lower than that of the run before.
+#[test]
+fn agent_with_a_lower_incarnation_is_heard_after_the_former_state_expires() {
+    let mut fleet = fleet();
+    let state = |incarnation, sent_ms| {
+        let mut state = agent_state("engine-0", sent_ms);
+        state.from.incarnation = base::Incarnation(incarnation);
+        state
+    };
+    assert!(fleet.apply_agent_state(&state(5, 1_000), at(1_000)));
+    assert!(!fleet.apply_agent_state(&state(4, 900), at(1_100)), "a late state of an earlier run");
+    assert!(!fleet.apply_agent_state(&state(5, 900), at(9_000)), "a late state of the same run");
+    assert!(fleet.apply_agent_state(&state(4, 10), at(9_000)));
+    assert!(fleet.apply_agent_state(&state(4, 20), at(9_100)));
+}
+
 /// Guards against an entry of another writer that names a service which is not configured and the
 /// address of a target in use: it must not end the use of that target.
 #[test]
