Pass responses on before their request's body is written

Cause: after a response was read, the gateway waited without limit until its connection could carry another request, which is only when the target has read the whole body. `read_full` and the end of a stream both waited for it. Change: the connection returns to the pool in a task of its own, and the response is passed on at once. The side process closes its connection to a plain target with the call; before, it kept up to 1 MB for a target that has responded and reads no more. Other places: the entry and side processes already passed responses on while they write the body. The HTTP clients of the store, of orders and of engines return the response first; what they keep for it is small, apart from `HttpEngine::import_kv`, which no deployment calls. A gateway reads a caller's body before it asks a target.

--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -1,5 +1,6 @@
 //! Exchange of one request with one target.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use api::{RunEnd, is_event_stream};
@@ -14,7 +15,7 @@
 
 use crate::app::App;
 use crate::request::CallerRequest;
-use crate::target_pool::{SendFailure, TargetConnection};
+use crate::target_pool::{SendFailure, TargetConnection, TargetPool};
 
 /// Limit on a response that isn't a stream. Faulty targets send endless responses; about thirty of
 /// this size fit into the memory of the smallest gateways, 160 MB.
@@ -195,14 +196,14 @@
         is_event_stream(&self.headers)
     }
 
-    /// Reads the whole body and returns the connection to the pool.
+    /// Reads the whole body. The connection returns to the pool once the request is written.
     ///
     /// # Errors
     ///
     /// If the body is truncated or doesn't arrive within `limit`.
     pub(crate) async fn read_full(
         self,
-        app: &App,
+        app: &Rc<App>,
         limit: Duration,
     ) -> Result<ReadResponse, NoResponse> {
         let Self { status, headers, head, body, connection } = self;
@@ -213,7 +214,7 @@
             Ok(Err(_)) => return Err(NoResponse::Truncated),
             Err(_) => return Err(NoResponse::Timeout),
         };
-        return_to_pool(app, connection, &head).await;
+        return_to_pool(app, connection, &head);
         Ok(ReadResponse { status, headers, body, end })
     }
 
@@ -223,9 +224,9 @@
     }
 }
 
-async fn return_to_pool(app: &App, mut connection: TargetConnection, head: &ResponseHead) {
-    if !head.closes_connection && connection.is_reusable().await {
-        app.pool.keep(connection, head.keep_alive);
+fn return_to_pool(app: &Rc<App>, connection: TargetConnection, head: &ResponseHead) {
+    if !head.closes_connection {
+        TargetPool::keep_when_written(app, connection, head.keep_alive);
     }
 }
 
@@ -266,8 +267,8 @@
         }
     }
 
-    /// Returns the connection of a completely read stream to the pool.
-    pub(crate) async fn finish(self, app: &App) {
-        return_to_pool(app, self.connection, &self.head).await;
+    /// Returns the connection of a completely read stream to the pool once the request is written.
+    pub(crate) fn finish(self, app: &Rc<App>) {
+        return_to_pool(app, self.connection, &self.head);
     }
 }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -33,6 +33,7 @@
 mod target_signals;
 mod target_watch;
 mod unanswered_request;
+mod unwritten_requests;
 mod waiting;
 
 pub use error::GatewayError;
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -239,7 +239,7 @@
                     if !rest.is_empty() && self.body.send(rest).await.is_err() {
                         return RelayEnd::CallerDisconnected;
                     }
-                    stream.finish(&self.dispatch.app).await;
+                    stream.finish(&self.dispatch.app);
                     return RelayEnd::Whole;
                 }
                 StreamPart::Broken => {
--- a/components/gateway/src/target_pool.rs
+++ b/components/gateway/src/target_pool.rs
@@ -3,13 +3,14 @@
 use std::cell::RefCell;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use base::SortedMap;
 use bytes::Bytes;
 use http::Request;
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
@@ -17,6 +18,9 @@
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout};
 
+use crate::app::App;
+use crate::unwritten_requests::UnwrittenRequests;
+
 /// Timeout for opening a connection: a handshake takes a few ms, a retransmission after packet loss
 /// a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
@@ -36,6 +40,10 @@
 /// Time after which unacknowledged data breaks the connection.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_000);
 
+/// Longest time for which the rest of a request is written after its response was read. The target
+/// has responded, so a reset that discards the rest changes nothing for the caller.
+const MAX_REST_WRITE: Duration = Duration::from_millis(2_000);
+
 /// Why a request got no response from a target.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum SendFailure {
@@ -54,6 +62,8 @@
     sender: SendRequest<Full<Bytes>>,
     /// Number of requests sent so far.
     sent: u64,
+    /// Size of the last request's body.
+    body_bytes: usize,
     io_task: ConnectionTask,
 }
 
@@ -76,6 +86,7 @@
 #[derive(Default)]
 pub(crate) struct TargetPool {
     idle: RefCell<SortedMap<SocketAddr, Vec<IdleConnection>>>,
+    unwritten: UnwrittenRequests,
 }
 
 impl TargetPool {
@@ -124,6 +135,31 @@
         }
     }
 
+    /// Puts a connection whose response was read into the pool of `app` once its request is written.
+    /// Returns at once; the connection is closed if that takes too long or too much waits for it.
+    pub(crate) fn keep_when_written(
+        app: &Rc<App>,
+        mut connection: TargetConnection,
+        keep_alive: Option<Duration>,
+    ) {
+        let address = connection.address;
+        let Some(unwritten) = app.pool.unwritten.add(connection.body_bytes) else {
+            log::info!("event=request_not_written address={address} reason=too_many_bytes");
+            return;
+        };
+        let app = Rc::clone(app);
+        tokio::task::spawn_local(async move {
+            match timeout(MAX_REST_WRITE, connection.is_reusable()).await {
+                Ok(true) => app.pool.keep(connection, keep_alive),
+                Ok(false) => {}
+                Err(_) => {
+                    log::info!("event=request_not_written address={address} reason=too_slow");
+                }
+            }
+            drop(unwritten);
+        });
+    }
+
     /// Closes the idle connections to a removed target.
     pub(crate) fn remove(&self, address: SocketAddr) {
         self.idle.borrow_mut().remove(&address);
@@ -168,7 +204,8 @@
             log::debug!("event=target_connection_ended address={address} error=\"{error}\"");
         }
     });
-    Ok(TargetConnection { address, sender, sent: 0, io_task: ConnectionTask(task.abort_handle()) })
+    let io_task = ConnectionTask(task.abort_handle());
+    Ok(TargetConnection { address, sender, sent: 0, body_bytes: 0, io_task })
 }
 
 impl TargetConnection {
@@ -178,6 +215,8 @@
         request: Request<Full<Bytes>>,
     ) -> Result<http::Response<Incoming>, SendFailure> {
         self.sent += 1;
+        let body_bytes = request.body().size_hint().exact().unwrap_or_default();
+        self.body_bytes = usize::try_from(body_bytes).unwrap_or(usize::MAX);
         match self.sender.try_send_request(request).await {
             Ok(response) => Ok(response),
             // The request is returned only if none of it was written.
@@ -193,8 +232,9 @@
         self.sent == 1
     }
 
-    /// Whether the connection can carry another request after the response was read.
-    pub(crate) async fn is_reusable(&mut self) -> bool {
+    /// Waits until the request is written after its response was read; returns whether the connection
+    /// can carry another request.
+    async fn is_reusable(&mut self) -> bool {
         !self.io_task.0.is_finished() && self.sender.ready().await.is_ok()
     }
 }
--- a/components/side/src/plain_client.rs
+++ b/components/side/src/plain_client.rs
@@ -11,6 +11,7 @@
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
 use tokio::time::timeout;
 use wire::{ForwardHead, Header};
 
@@ -34,6 +35,15 @@
 /// sent, the outcome of a call that it never read would be unknown.
 pub(crate) struct PlainConnection<B> {
     sender: http1::SendRequest<B>,
+    io_task: AbortHandle,
+}
+
+/// Closes the connection, so that a target that has responded and does not read the rest of the body
+/// holds nothing.
+impl<B> Drop for PlainConnection<B> {
+    fn drop(&mut self) {
+        self.io_task.abort();
+    }
 }
 
 impl<B> PlainConnection<B>
@@ -46,12 +56,12 @@
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await.ok()?.ok()?;
         stream.set_nodelay(true).ok()?;
         let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
-        tokio::spawn(async move {
+        let io_task = tokio::spawn(async move {
             if let Err(error) = connection.await {
                 log::debug!("event=target_connection_ended error=\"{error}\"");
             }
         });
-        Some(Self { sender })
+        Some(Self { sender, io_task: io_task.abort_handle() })
     }
 
     /// Sends the call; from this point it may have run.
