--- a/components/base/src/offset.rs
+++ b/components/base/src/offset.rs
@@ -4,6 +4,8 @@
 
 /// Bits of an offset below its era; larger than the number of records that a stream gets in years.
 const ERA_SHIFT: u32 = 40;
+/// Largest number of a record.
+const MAX_NUMBER: u64 = (1 << ERA_SHIFT) - 1;
 
 /// Position of a record in one stream of the log; the first record has offset 1.
 ///
@@ -16,8 +18,9 @@
 pub struct Offset(pub u64);
 
 impl Offset {
-    /// The position with a number in an era of the log.
+    /// The position with a number in an era of the log; larger ones than fit count as the largest.
     pub const fn in_era(era: u64, number: u64) -> Self {
+        let (era, number) = (min(era, u64::MAX >> ERA_SHIFT), min(number, MAX_NUMBER));
         Self((era << ERA_SHIFT) | number)
     }
 
@@ -28,11 +31,15 @@
 
     /// Number of the record in its era.
     pub const fn number(self) -> u64 {
-        self.0 & ((1 << ERA_SHIFT) - 1)
+        self.0 & MAX_NUMBER
     }
 
     /// The position after this one.
     pub const fn next(self) -> Self {
-        Self(self.0 + 1)
+        Self(self.0.saturating_add(1))
     }
 }
+
+const fn min(a: u64, b: u64) -> u64 {
+    if a < b { a } else { b }
+}
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -265,7 +265,7 @@
             if id <= last {
                 return Ok(true);
             }
-            if id > last + 1 {
+            if id > last.saturating_add(1) {
                 return Ok(false);
             }
         }
