--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -242,7 +242,7 @@
                     if !rest.is_empty() && self.body.send(rest).await.is_err() {
                         return RelayEnd::CallerDisconnected;
                     }
-                    stream.finish(&self.dispatch.app).await;
+                    stream.finish(&self.dispatch.app);
                     return RelayEnd::Whole;
                 }
                 StreamPart::Broken => {
@@ -268,7 +268,7 @@
             if id <= last {
                 return Ok(true);
             }
-            if id > last + 1 {
+            if id > last.saturating_add(1) {
                 return Ok(false);
             }
         }
