Forward X-Api-Key in gateways

Cause: `check_head` counted `X-Api-Key` as a second credential for all processes, so a gateway rejected a request with it and `Authorization` with 400; on the platform only `Authorization` is a key. Change: the process says whether `X-Api-Key` is a credential (`CallerLimits::api_key_header`, which no file sets); in gateways it is not. Two `Authorization` headers stay an error, and entry processes reject both as before. Result: tests/forwarded_headers.rs failed on the code before with 400 and passes now, as do tests/documentation.rs, head_rules of api and bad_input of entry; clippy of api, config, ingress and gateway has no warning. The other tests of config, ingress and gateway were not run again on this change.

--- a/components/api/src/head_check.rs
+++ b/components/api/src/head_check.rs
@@ -79,12 +79,17 @@
     Length(u64),
 }
 
-/// Checks a whole head, final empty line included, and says how its body is framed.
+/// Checks a whole head, final empty line included, and says how its body is framed. `api_key_header` says
+/// whether `X-Api-Key` is a credential too; otherwise it is a header like any other.
 ///
 /// # Errors
 ///
 /// What is wrong with the head.
-pub fn check_head(head: &[u8], max_fields: usize) -> Result<BodyFraming, HeadError> {
+pub fn check_head(
+    head: &[u8],
+    max_fields: usize,
+    api_key_header: bool,
+) -> Result<BodyFraming, HeadError> {
     let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
     let mut request = httparse::Request::new(&mut fields);
     match request.parse(head) {
@@ -106,7 +111,8 @@
             .collect()
     };
     let (lengths, encodings) = (values("content-length"), values("transfer-encoding"));
-    if values("authorization").len() + values("x-api-key").len() > 1 {
+    let api_keys = if api_key_header { values("x-api-key").len() } else { 0 };
+    if values("authorization").len() + api_keys > 1 {
         return Err(HeadError::RepeatedCredential);
     }
     if [lengths.len(), encodings.len(), values("host").len(), values("idempotency-key").len()]
--- a/components/config/src/entry_settings.rs
+++ b/components/config/src/entry_settings.rs
@@ -63,6 +63,9 @@
     pub head_bytes: usize,
     /// Most header fields.
     pub header_count: usize,
+    /// Whether `X-Api-Key` is a credential. Set by the process, not by operators.
+    #[serde(skip)]
+    pub api_key_header: bool,
     /// Most bytes of a body for a model.
     pub body_bytes: usize,
     /// Most bytes of a body for a plain service.
@@ -84,6 +87,7 @@
         Self {
             head_bytes: 16_384,
             header_count: 64,
+            api_key_header: true,
             body_bytes: 1 << 20,
             forward_body_bytes: 64 << 20,
             idempotent_body_bytes: 256 << 10,
--- a/components/gateway/src/callers.rs
+++ b/components/gateway/src/callers.rs
@@ -54,6 +54,8 @@
         limits: CallerLimits {
             head_bytes: bounds.map_or(usual.head_bytes, |bounds| bounds.head_bytes),
             head_timeout_ms: bounds.map_or(usual.head_timeout_ms, |bounds| bounds.head_timeout_ms),
+            // Only `Authorization` is a key on the platform.
+            api_key_header: false,
             ..usual
         },
         idle_timeout: bounds.map_or(DEFAULT_IDLE_TIMEOUT, |bounds| {
--- a/components/ingress/src/head_validating_stream.rs
+++ b/components/ingress/src/head_validating_stream.rs
@@ -91,12 +91,15 @@
                         }
                         return Ok(());
                     }
-                    self.phase =
-                        match check_head(&self.unchecked[..length], self.limits.header_count)? {
-                            BodyFraming::Length(0) => Phase::Head,
-                            BodyFraming::Length(bytes) => Phase::Length(bytes),
-                            BodyFraming::Chunked => Phase::Chunked(ChunkedScanner::default()),
-                        };
+                    self.phase = match check_head(
+                        &self.unchecked[..length],
+                        self.limits.header_count,
+                        self.limits.api_key_header,
+                    )? {
+                        BodyFraming::Length(0) => Phase::Head,
+                        BodyFraming::Length(bytes) => Phase::Length(bytes),
+                        BodyFraming::Chunked => Phase::Chunked(ChunkedScanner::default()),
+                    };
                     self.head_deadline = None;
                     self.release(length);
                 }
