--- a/components/routing/src/direct_fleet.rs
+++ b/components/routing/src/direct_fleet.rs
@@ -5,9 +5,7 @@
 
 use base::{ProcessName, SortedMap, Timestamp, rendezvous_score};
 use compact_str::CompactString;
-use wire::{
-    AgentState, SendCopy, TargetEntry, TargetLimitReport, TargetSpeedReport, TargetWorkCopy,
-};
+use wire::{AgentState, SendCopy, TargetEntry, TargetWorkCopy};
 
 use crate::direct_choice::{
     DirectChoice, DirectPick, DirectPlainRequirements, GenerationRequirements,
@@ -16,9 +14,8 @@
 use crate::target_speed::spread_ms;
 use crate::usual_times::UsualTimes;
 use crate::{
-    ColdRules, DirectTarget, NamedLimit, PrefillEstimator, PrefillGaps, PrefixLink, RequestWork,
-    SendId, SharingGateways, TargetKey, TargetLoadSample, TargetOutcome, TargetPhase, WorkKind,
-    Workload,
+    ColdRules, DirectTarget, PrefillEstimator, PrefillGaps, PrefixLink, RequestWork, SendId,
+    SharingGateways, TargetKey, TargetLoadSample, TargetOutcome, TargetPhase, WorkKind, Workload,
 };
 
 /// Delay of a new request per request in the batch, which lengthens decoding, in milliseconds.
@@ -37,8 +34,6 @@
 /// so that gateways that don't receive each other's reports send the same prompts to the same
 /// targets.
 const AFFINITY_SHARE: f64 = 0.25;
-/// Most limits, and most times, reported in one state, so that it fits into a datagram.
-const MAX_TARGET_REPORTS: usize = 500;
 /// Maximum share of the estimated wait in the estimated time of a request whose duration is used as
 /// an observation of the prefill time.
 const MAX_WAIT_SHARE_FOR_OBSERVATION: f64 = 0.25;
@@ -49,9 +44,9 @@
     data_centre: CompactString,
     pub(crate) targets: Vec<DirectTarget>,
     by_id: SortedMap<CompactString, TargetKey>,
-    by_hash: SortedMap<u32, TargetKey>,
+    pub(crate) by_hash: SortedMap<u32, TargetKey>,
     prefill_estimator: PrefillEstimator,
-    usual_times: UsualTimes,
+    pub(crate) usual_times: UsualTimes,
     cache_tokens: SortedMap<CompactString, u64>,
     prefill_gaps: SortedMap<CompactString, PrefillGaps>,
     /// Services of the configuration, sorted.
@@ -309,25 +304,6 @@
         self.usual_times.record_event_gap(target, model, gap_ms, now);
     }
 
-    /// Returns the times of this gateway's plain requests, to report to the other gateways.
-    pub fn speed_reports(&self, now: Timestamp) -> Vec<TargetSpeedReport> {
-        let reports = self.targets.iter().filter_map(|target| target.speed_report(now));
-        reports.take(MAX_TARGET_REPORTS).collect()
-    }
-
-    /// Applies the reports of the gateway whose process has the short hash `peer`.
-    pub fn apply_speed_reports(
-        &mut self,
-        peer: u32,
-        reports: &[TargetSpeedReport],
-        now: Timestamp,
-    ) {
-        for report in reports {
-            let Some(key) = self.by_hash.get(&report.target) else { continue };
-            self.usual_times.apply_report(&mut self.targets[key.0 as usize], peer, report, now);
-        }
-    }
-
     /// Records that the first event of a generation arrived `took_ms` after the request was sent.
     pub fn record_first_event(
         &mut self,
@@ -370,59 +346,6 @@
         self.targets[key.0 as usize].record_backoff(wait, now);
     }
 
-    /// Sets the gateways that share the limits of targets.
-    pub fn set_sharing_gateways(&mut self, sharers: SharingGateways, now: Timestamp) {
-        if sharers == self.sharing_gateways {
-            return;
-        }
-        self.sharing_gateways = sharers;
-        for target in &mut self.targets {
-            target.limit.update_share(&target.id, &self.sharing_gateways, now);
-        }
-        self.update_cold_shares(now);
-    }
-
-    /// Records what a response says of its target's limit; `sent_at` is the time of its request.
-    /// Returns whether the limit has changed.
-    pub fn record_limit(
-        &mut self,
-        key: TargetKey,
-        named: NamedLimit,
-        sent_at: Timestamp,
-        now: Timestamp,
-    ) -> bool {
-        let target = &mut self.targets[key.0 as usize];
-        target.limit.record_response(&target.id, named, &self.sharing_gateways, sent_at, now)
-    }
-
-    /// Applies another gateway's reports of limits; returns the targets whose limit has changed.
-    pub fn apply_limit_reports(
-        &mut self,
-        reports: &[TargetLimitReport],
-        now: Timestamp,
-    ) -> Vec<TargetKey> {
-        let mut changed = Vec::new();
-        for report in reports {
-            let Some(key) = self.by_hash.get(&report.target).copied() else { continue };
-            let target = &mut self.targets[key.0 as usize];
-            if target.started_unix_ms == report.born_ms
-                && target.limit.apply_report(&target.id, report, &self.sharing_gateways, now)
-            {
-                changed.push(key);
-            }
-        }
-        changed
-    }
-
-    /// Returns the limits of targets, to report to the other gateways.
-    pub fn limit_reports(&self, now: Timestamp) -> Vec<TargetLimitReport> {
-        self.targets
-            .iter()
-            .filter_map(|target| target.limit.report(target.hash, target.started_unix_ms, now))
-            .take(MAX_TARGET_REPORTS)
-            .collect()
-    }
-
     /// Records that a target refused a connection.
     pub fn record_connection_refused(&mut self, key: TargetKey, now: Timestamp) {
         self.targets[key.0 as usize].record_connection_refused(now);
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -32,6 +32,7 @@
 mod target;
 mod target_health;
 mod target_limit;
+mod target_reports;
 mod target_speed;
 mod target_work;
 mod usual_time;
