Tell a target that is exiting from one that runs

Cause: after a response breaks off, a gateway opens a connection to see whether the target has exited. Change: the connection is looked at again after 20 ms and opened once more if it was reset.

--- a/components/gateway/src/target_pool.rs
+++ b/components/gateway/src/target_pool.rs
@@ -16,7 +16,7 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::app::App;
 use crate::unwritten_requests::UnwrittenRequests;
@@ -29,6 +29,8 @@
 /// Share of the target's keep-alive limit after which a connection isn't reused, so that a request
 /// doesn't cross the target's close.
 const IDLE_SHARE: f64 = 0.6;
+/// Time in which a process that exits closes its sockets one after the other.
+const EXIT_TIME: Duration = Duration::from_millis(20);
 /// Most idle connections to one target.
 const MAX_IDLE_PER_TARGET: usize = 64;
 /// Idle time after which the kernel sends TCP keep-alive probes.
@@ -104,9 +106,14 @@
         }
     }
 
-    /// Opens an idle connection to a target.
+    /// Opens an idle connection to a target. A connection that is reset at once is opened again, since
+    /// a target that is exiting may close its connections before its listening socket.
     pub(crate) async fn add_connection(&self, address: SocketAddr) -> Result<(), SendFailure> {
-        let connection = open_within(address, CONNECT_TIMEOUT).await?;
+        let mut connection = open_within(address, CONNECT_TIMEOUT).await?;
+        sleep(EXIT_TIME).await;
+        if connection.sender.is_closed() {
+            connection = open_within(address, CONNECT_TIMEOUT).await?;
+        }
         self.keep(connection, None);
         Ok(())
     }
