Prefer warm plain targets to cold ones whatever the cost

The cost of a new target's ramp exceeded that of a cold one, so that requests went to a cold target while a warm one could serve them (warm_targets_are_preferred failed). Change: plain targets are ranked by coldness, then by cost. The deployments at hand have no cold plain targets. Result: the tests of routing pass.

--- a/components/routing/src/direct_fleet.rs
+++ b/components/routing/src/direct_fleet.rs
@@ -539,7 +539,7 @@
         requirements: &DirectPlainRequirements<'_>,
         now: Timestamp,
     ) -> DirectChoice {
-        let mut best: Option<(f64, DirectPick)> = None;
+        let mut best: Option<((bool, f64), DirectPick)> = None;
         let mut limited: Option<(Timestamp, TargetKey)> = None;
         let service_ms = self.usual_times.service_ms(requirements.service);
         for (key, target) in self.usable(requirements.service, requirements.exclude, now) {
@@ -553,9 +553,10 @@
             let cost = estimate.cost_ms
                 + spread_ms(self.sharing_gateways.process, &target.id, service_ms, now)
                 + FAILED_ATTEMPT_MS * target.health.failure_share()
-                + target.cold.cost_ms(now)
                 + self.distance_ms(target);
-            if best.as_ref().is_none_or(|(least, _)| cost < *least) {
+            // The ramp of new targets must not move requests to cold ones.
+            let rank = (target.cold.is_cold(now), cost);
+            if best.as_ref().is_none_or(|(least, _)| rank < *least) {
                 let pick = DirectPick {
                     key,
                     id: target.id.clone(),
@@ -567,7 +568,7 @@
                     in_flight: load.known + 1,
                     needs_adapter_load: false,
                 };
-                best = Some((cost, pick));
+                best = Some((rank, pick));
             }
         }
         match (best, limited) {
