Log bytes of callers that are dropped with their connections

Cause: a request that is dropped with its connection before a handler gets it stands in no line of the log, so that the ways in which this can happen can't be told apart. Change: serve_caller returns why a connection was closed, how many bytes had arrived by then and were not handled, and how many came after it; gateways and entries log caller_bytes_dropped if there are any.

--- a/components/entry/src/callers.rs
+++ b/components/entry/src/callers.rs
@@ -56,7 +56,8 @@
     let shared = Rc::clone(&budgeted);
     let answer = |request, closer| dispatch(Rc::clone(app), request, closer, Rc::clone(&shared));
     serve_caller(socket, options, budgeted, answer, |fault| refuse_head(app, fault), draining)
-        .await;
+        .await
+        .log();
 }
 
 fn refuse_head(app: &App, fault: HeadError) -> String {
--- a/components/gateway/src/callers.rs
+++ b/components/gateway/src/callers.rs
@@ -84,7 +84,8 @@
         handle_request(Rc::clone(app), Rc::clone(link), request, Rc::clone(&shared))
     };
     serve_caller(socket, options, budgeted, answer, |fault| refuse_head(app, fault), draining)
-        .await;
+        .await
+        .log();
 }
 
 fn refuse_head(app: &App, fault: HeadError) -> String {
--- a/components/ingress/src/connection.rs
+++ b/components/ingress/src/connection.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::future::poll_fn;
+use std::io::Read;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -16,12 +17,16 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 use crate::head_validating_stream::HeadValidatingStream;
-use crate::{BudgetedConnection, CallerResponse, ConnectionCloser, ResponseAborted, ResponseBody};
+use crate::{
+    BudgetedConnection, CallerResponse, CloseCause, ConnectionCloser, ConnectionEnd,
+    ResponseAborted, ResponseBody,
+};
 
 /// Longest time to read from a connection after its last response (lingering close), so that the
 /// caller receives the response before the reset that unread bytes would cause.
@@ -44,7 +49,7 @@
 }
 
 /// Serves a connection until either side or the budget closes it, or until `draining` completes and
-/// the request in progress is answered.
+/// the request in progress is answered; returns how it ended.
 ///
 /// `refuse` returns the bytes of the response to a rejected request head.
 pub async fn serve_caller<A>(
@@ -54,7 +59,8 @@
     handle: impl Fn(Request<Incoming>, Rc<ConnectionCloser>) -> A,
     refuse: impl FnOnce(HeadError) -> String,
     draining: impl Future<Output = ()>,
-) where
+) -> ConnectionEnd
+where
     A: Future<Output = CallerResponse> + 'static,
 {
     let closer = Rc::new(ConnectionCloser::default());
@@ -77,38 +83,47 @@
         .max_headers(PARSER_MAX_HEADERS)
         .max_buf_size(options.limits.head_bytes + BUFFER_BYTES_BEYOND_HEAD)
         .serve_connection(io, service);
-    let result = {
+    let mut cause = {
         let mut served = pin!(poll_fn(|context| connection.poll_without_shutdown(context)));
         tokio::select! {
-            result = &mut served => Some(result),
-            () = closer.closed() => None,
-            () = budgeted.closed() => return,
-            () = draining => None,
+            result = &mut served => CloseCause::of(result),
+            () = closer.closed() => CloseCause::Handler,
+            () = budgeted.closed() => CloseCause::Budget,
+            () = draining => CloseCause::Drain,
         }
     };
-    let result = match result {
-        Some(result) => result,
-        None => {
-            Pin::new(&mut connection).graceful_shutdown();
-            tokio::select! {
-                result = poll_fn(|context| connection.poll_without_shutdown(context)) => result,
-                () = budgeted.closed() => return,
+    if matches!(cause, CloseCause::Handler | CloseCause::Drain) {
+        Pin::new(&mut connection).graceful_shutdown();
+        tokio::select! {
+            result = poll_fn(|context| connection.poll_without_shutdown(context)) => {
+                if result.is_err() {
+                    cause = CloseCause::of(result);
+                }
             }
+            () = budgeted.closed() => cause = CloseCause::Budget,
         }
-    };
-    let stream = connection.into_parts().io.into_inner();
+    }
+    let parts = connection.into_parts();
+    let stream = parts.io.into_inner();
     let fault = stream.head_fault();
+    let buffered = parts.read_buf.len() + stream.buffered_bytes();
     let mut socket = stream.into_socket();
-    match (result, fault) {
-        (_, Some(fault)) => {
-            let response = refuse(fault);
-            if timeout(LINGER_TIMEOUT, socket.write_all(response.as_bytes())).await.is_ok() {
-                linger(socket).await;
-            }
+    let mut end = ConnectionEnd { cause, unread_bytes: buffered, late_bytes: 0 };
+    if let Some(fault) = fault {
+        end.cause = CloseCause::Fault;
+        let response = refuse(fault);
+        if timeout(LINGER_TIMEOUT, socket.write_all(response.as_bytes())).await.is_ok() {
+            linger(socket, &mut end).await;
+        }
+        return end;
+    }
+    match end.cause {
+        CloseCause::Budget | CloseCause::Broken => end.unread_bytes += read_waiting(&socket),
+        CloseCause::Drain | CloseCause::Fault | CloseCause::Handler | CloseCause::Server => {
+            linger(socket, &mut end).await;
         }
-        (Ok(()), None) => linger(socket).await,
-        (Err(error), None) => log::debug!("event=caller_connection_ended error=\"{error}\""),
     }
+    end
 }
 
 /// Body of a response that tells the budget when its last part was taken.
@@ -144,14 +159,14 @@
 }
 
 /// Closes the sending side, then reads what the caller still sends, within limits.
-async fn linger(mut socket: TcpStream) {
+async fn linger(mut socket: TcpStream, end: &mut ConnectionEnd) {
+    end.unread_bytes += read_waiting(&socket);
     let mut buffer = [0; 8_192];
     let drain = async {
         if socket.shutdown().await.is_ok() {
-            let mut read = 0;
-            while read < MAX_LINGER_BYTES {
+            while end.late_bytes < MAX_LINGER_BYTES {
                 match socket.read(&mut buffer).await {
-                    Ok(length) if length > 0 => read += length,
+                    Ok(length) if length > 0 => end.late_bytes += length,
                     Ok(_) | Err(_) => return,
                 }
             }
@@ -160,3 +175,17 @@
     // The socket is dropped whether or not this times out.
     let _drained = timeout(LINGER_TIMEOUT, drain).await;
 }
+
+/// Reads what has arrived on a connection, within limits; returns the number of bytes.
+fn read_waiting(socket: &TcpStream) -> usize {
+    let mut buffer = [0; 8_192];
+    let mut total = 0;
+    let socket = SockRef::from(socket);
+    while total < MAX_LINGER_BYTES {
+        match (&*socket).read(&mut buffer) {
+            Ok(length) if length > 0 => total += length,
+            Ok(_) | Err(_) => break,
+        }
+    }
+    total
+}
--- a/components/ingress/src/head_validating_stream.rs
+++ b/components/ingress/src/head_validating_stream.rs
@@ -65,6 +65,11 @@
         }
     }
 
+    /// Bytes that were read from the socket and not passed on.
+    pub fn buffered_bytes(&self) -> usize {
+        self.checked.len() + self.unchecked.len()
+    }
+
     /// Returns the socket, to send an error response and close it.
     pub fn into_socket(self) -> TcpStream {
         self.inner
--- a/components/ingress/src/lib.rs
+++ b/components/ingress/src/lib.rs
@@ -7,6 +7,7 @@
 mod caller_budget_settings;
 mod connection;
 mod connection_closer;
+mod connection_end;
 mod count_guard;
 mod head_validating_stream;
 mod held_bytes;
@@ -23,6 +24,7 @@
 pub use caller_budget_settings::CallerBudgetSettings;
 pub use connection::{ConnectionOptions, serve_caller};
 pub use connection_closer::ConnectionCloser;
+pub use connection_end::{CloseCause, ConnectionEnd};
 pub use count_guard::CountGuard;
 pub use internal_http::serve_internal_http;
 pub use operator_endpoints::serve_operator_endpoints;
