Answer requests that arrive while a process drains

Callers saw kept connections closed without an answer around planned stops, among them requests that may not be repeated. Cause: at the end of its notice a process closed each connection that had no request in progress at its HTTP server. Requests in the kernel's buffer or on the link were read and dropped by the lingering close. Gateways with little processor time and slow links have such requests at most stops. Change: from SIGTERM on responses announce the end of their connections; idle connections stay open for 5 s and are then closed without a read unless a request has arrived. A gateway accepts connections until 1.55 s before its limit, refuses at once what can't end by then, and starts no request after that. Entries use the same connections and empty their backlog before they stop to accept. The tests of ingress, gateway and entry pass; the others were not run.

--- a/components/entry/src/callers.rs
+++ b/components/entry/src/callers.rs
@@ -5,7 +5,8 @@
 
 use api::{ApiError, HeadError};
 use ingress::{
-    BudgetedConnection, ConnectionOptions, CountGuard, raw_error_response, serve_caller,
+    BudgetedConnection, ConnectionOptions, CountGuard, ShutdownStage, raw_error_response,
+    serve_caller,
 };
 use tokio::net::{TcpListener, TcpStream};
 
@@ -23,7 +24,9 @@
     app.budget.bound_sockets(&listener);
     let mut stage = app.stage.subscribe();
     loop {
+        // Connections that have been made are accepted before the listener is closed.
         let accepted = tokio::select! {
+            biased;
             accepted = listener.accept() => accepted,
             _ = stage.wait_for(|stage| stage.is_draining()) => return,
         };
@@ -51,7 +54,7 @@
     let mut stage = app.stage.subscribe();
     let draining = async {
         // The sender lives as long as the process.
-        let _draining = stage.wait_for(|stage| stage.is_draining()).await;
+        let _draining = stage.wait_for(|stage| *stage > ShutdownStage::Serving).await;
     };
     let shared = Rc::clone(&budgeted);
     let answer = |request, closer| dispatch(Rc::clone(app), request, closer, Rc::clone(&shared));
--- a/components/gateway/src/app.rs
+++ b/components/gateway/src/app.rs
@@ -48,6 +48,8 @@
     pub metrics: Metrics,
     /// Progress of a graceful shutdown.
     pub stage: watch::Sender<ShutdownStage>,
+    /// When unanswered requests are aborted; set while the process drains.
+    pub abort_at: Cell<Option<Timestamp>>,
     /// Configuration in force.
     pub config: RefCell<Option<Arc<FleetConfig>>>,
     /// Stored form of the configuration in force, served to other gateways and to agents.
--- a/components/gateway/src/callers.rs
+++ b/components/gateway/src/callers.rs
@@ -6,7 +6,8 @@
 use api::{ApiError, HeadError};
 use config::CallerLimits;
 use ingress::{
-    BudgetedConnection, ConnectionOptions, CountGuard, raw_error_response, serve_caller,
+    BudgetedConnection, ConnectionOptions, CountGuard, ShutdownStage, raw_error_response,
+    serve_caller,
 };
 use tokio::net::{TcpListener, TcpStream};
 
@@ -22,14 +23,17 @@
 /// Idle timeout while no configuration sets one.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
-/// Accepts connections until the process drains, then closes the listener.
+/// Accepts connections until shortly before the process exits, then closes the listener. The load
+/// balancer may choose a gateway that is not ready if too few others are.
 pub(crate) async fn accept_callers(app: Rc<App>, link: Rc<FleetLink>, listener: TcpListener) {
     app.budget.bound_sockets(&listener);
     let mut stage = app.stage.subscribe();
     loop {
+        // Connections that have been made are accepted before the listener is closed.
         let accepted = tokio::select! {
+            biased;
             accepted = listener.accept() => accepted,
-            _ = stage.wait_for(|stage| stage.is_draining()) => return,
+            _ = stage.wait_for(|stage| *stage >= ShutdownStage::Closing) => return,
         };
         let socket = match accepted {
             Ok((socket, _)) => socket,
@@ -77,7 +81,7 @@
     let mut stage = app.stage.subscribe();
     let draining = async {
         // The sender exists as long as the process, so this can't fail.
-        let _draining = stage.wait_for(|stage| stage.is_draining()).await;
+        let _draining = stage.wait_for(|stage| *stage > ShutdownStage::Serving).await;
     };
     let shared = Rc::clone(&budgeted);
     let answer = |request, _closer| {
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -22,14 +22,13 @@
 use crate::fleet_link::{FleetLink, query_agent};
 use crate::in_flight_send::InFlightSend;
 use crate::request::{CallerRequest, charge, check_rate};
+use crate::shutdown::draining_error;
 use crate::waiting::WaitingGuard;
 
 /// Shortest time left before the deadline for which another attempt is made.
 const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(30);
 /// Longest wait for a model or adapter while this process shuts down.
 const MAX_DRAINING_WAIT: Duration = Duration::from_millis(700);
-/// `Retry-After` while this process shuts down; another gateway can be tried at once.
-const DRAINING_RETRY_AFTER: Duration = Duration::from_millis(100);
 /// Longest wait for an engine state change before the targets are checked again, while a model or
 /// adapter is loaded.
 const LOAD_POLL_INTERVAL: Duration = Duration::from_millis(100);
@@ -157,13 +156,10 @@
 
     /// Error for a request that is aborted because this process shuts down.
     pub(crate) fn shutdown_error(&self) -> ApiError {
-        let ran = self.ran();
-        let text = "this process is shutting down";
-        match ran {
-            ExecutionState::NotRun => {
-                ApiError::new(ErrorCode::Draining, text).with_retry_after(DRAINING_RETRY_AFTER)
-            }
-            ExecutionState::Ran | ExecutionState::Unknown => {
+        match self.ran() {
+            ExecutionState::NotRun => draining_error(),
+            ran @ (ExecutionState::Ran | ExecutionState::Unknown) => {
+                let text = "this process is shutting down";
                 ApiError::new(ErrorCode::UpstreamFailed, text).with_ran(ran)
             }
         }
@@ -555,8 +551,7 @@
         if *self.app.stage.borrow() == ShutdownStage::Serving || waited < MAX_DRAINING_WAIT {
             return Ok(());
         }
-        let text = "this process is shutting down";
-        Err(ApiError::new(ErrorCode::Draining, text).with_retry_after(DRAINING_RETRY_AFTER))
+        Err(draining_error())
     }
 
     /// Waits until the state of an engine changes or the poll interval has passed.
--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -104,6 +104,7 @@
         store: StoreClient::new(settings.store_address),
         metrics: Metrics::new().map_err(GatewayError::Metrics)?,
         stage: watch::Sender::new(ShutdownStage::Serving),
+        abort_at: Cell::new(None),
         config: RefCell::new(None),
         store_era: Cell::new(StoreEra::default()),
         store_restored: Notify::new(),
--- a/components/gateway/src/request_handler.rs
+++ b/components/gateway/src/request_handler.rs
@@ -11,7 +11,7 @@
 use http::{Request, Response};
 use http_body::Body;
 use hyper::body::Incoming;
-use ingress::{BudgetedConnection, CallerResponse, CountGuard, ResponseBody, ShutdownStage};
+use ingress::{BudgetedConnection, CallerResponse, CountGuard, ResponseBody};
 use platform::{RequestHead, forwarded_response_headers, local_response_headers};
 use telemetry::{RequestClass, quote};
 
@@ -20,6 +20,7 @@
 use crate::fleet_link::FleetLink;
 use crate::relay::{RelayEnd, StreamRelay};
 use crate::request::{CallerRequest, ReceivedRequest, check_access, resolve_request};
+use crate::shutdown::{aborting, check_time_left, draining_error};
 use crate::unanswered_request::UnansweredRequest;
 
 /// Limit on a request body while no configuration is in force.
@@ -61,9 +62,18 @@
         if received.id.is_empty() {
             return Err(ApiError::new(ErrorCode::InvalidRequest, "the request has no id"));
         }
-        resolve_request(&app, received, body).map(Rc::new)
+        let request = resolve_request(&app, received, body)?;
+        if let Some(abort_at) = app.abort_at.get() {
+            check_time_left(&request.plan, abort_at.since(app.clock.now()))?;
+        }
+        Ok(Rc::new(request))
+    };
+    let outcome = tokio::select! {
+        biased;
+        () = aborting(&app) => Err(draining_error()),
+        outcome = outcome => outcome,
     };
-    let request = match outcome.await {
+    let request = match outcome {
         Ok(request) => request,
         Err(error) => {
             unanswered.answered();
@@ -75,10 +85,10 @@
         }
     };
     let mut dispatch = Dispatch::new(Rc::clone(&app), link, Rc::clone(&request));
-    let mut stage = app.stage.subscribe();
     let end = tokio::select! {
+        biased;
+        () = aborting(&app) => None,
         end = dispatch.run() => Some(end),
-        _ = stage.wait_for(|stage| *stage >= ShutdownStage::Aborting) => None,
     };
     unanswered.answered();
     match end.unwrap_or_else(|| Err(dispatch.shutdown_error())) {
--- a/components/ingress/src/connection.rs
+++ b/components/ingress/src/connection.rs
@@ -2,7 +2,6 @@
 
 use std::convert::Infallible;
 use std::future::poll_fn;
-use std::io::Read;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -12,17 +11,18 @@
 use bytes::Bytes;
 use config::CallerLimits;
 use http::Request;
+use http::header::{CONNECTION, HeaderValue};
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{Instant, sleep_until, timeout};
 
-use crate::head_validating_stream::HeadValidatingStream;
+use crate::connection_activity::ConnectionActivity;
+use crate::head_validating_stream::{HeadValidatingStream, waiting_bytes};
 use crate::{
     BudgetedConnection, CallerResponse, CloseCause, ConnectionCloser, ConnectionEnd,
     ResponseAborted, ResponseBody,
@@ -48,10 +48,10 @@
     pub idle_timeout: Duration,
 }
 
-/// Serves a connection until either side or the budget closes it, or until `draining` completes and
-/// the request in progress is answered; returns how it ended.
+/// Serves a connection until either side or the budget closes it; returns how it ended.
 ///
-/// `refuse` returns the bytes of the response to a rejected request head.
+/// Once `draining` completes, each response announces the end of the connection, and one that stays
+/// idle is closed later. `refuse` returns the bytes of the response to a rejected request head.
 pub async fn serve_caller<A>(
     socket: TcpStream,
     options: ConnectionOptions,
@@ -64,51 +64,85 @@
     A: Future<Output = CallerResponse> + 'static,
 {
     let closer = Rc::new(ConnectionCloser::default());
-    let service = service_fn(|request: Request<Incoming>| {
+    let activity = Rc::new(ConnectionActivity::new(Instant::now()));
+    let service = |request: Request<Incoming>| {
         budgeted.start_request();
+        activity.start_request();
         let response = handle(request, Rc::clone(&closer));
-        let budgeted = Rc::clone(&budgeted);
+        let (budgeted, activity) = (Rc::clone(&budgeted), Rc::clone(&activity));
         // Boxed because the connection must be `Unpin` to be taken apart at its end.
         Box::pin(async move {
-            let response = response.await;
+            let mut response = response.await;
+            if activity.is_draining() {
+                response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            }
             budgeted.start_response(response.body().size_hint().lower());
-            Ok::<_, Infallible>(response.map(|body| ReportedBody { body, budgeted }))
+            Ok::<_, Infallible>(response.map(|body| ReportedBody { body, budgeted, activity }))
         })
-    });
-    let stream = HeadValidatingStream::new(socket, options.limits, Rc::clone(&budgeted));
-    let io = TokioIo::new(stream);
-    let mut connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(options.idle_timeout)
-        .max_headers(PARSER_MAX_HEADERS)
-        .max_buf_size(options.limits.head_bytes + BUFFER_BYTES_BEYOND_HEAD)
-        .serve_connection(io, service);
-    let mut cause = {
-        let mut served = pin!(poll_fn(|context| connection.poll_without_shutdown(context)));
-        tokio::select! {
-            result = &mut served => CloseCause::of(result),
-            () = closer.closed() => CloseCause::Handler,
-            () = budgeted.closed() => CloseCause::Budget,
-            () = draining => CloseCause::Drain,
-        }
     };
-    if matches!(cause, CloseCause::Handler | CloseCause::Drain) {
-        Pin::new(&mut connection).graceful_shutdown();
-        tokio::select! {
-            result = poll_fn(|context| connection.poll_without_shutdown(context)) => {
-                if result.is_err() {
-                    cause = CloseCause::of(result);
+    let mut stream = HeadValidatingStream::new(socket, options.limits, Rc::clone(&budgeted));
+    let mut draining = pin!(draining);
+    loop {
+        let io = TokioIo::new(stream);
+        let mut connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(options.idle_timeout)
+            .max_headers(PARSER_MAX_HEADERS)
+            .max_buf_size(options.limits.head_bytes + BUFFER_BYTES_BEYOND_HEAD)
+            .serve_connection(io, service_fn(&service));
+        let mut cause = {
+            let mut served = pin!(poll_fn(|context| connection.poll_without_shutdown(context)));
+            loop {
+                let next_check = activity.next_check(Instant::now());
+                // The HTTP server comes first, so that it reads what has arrived.
+                tokio::select! {
+                    biased;
+                    result = &mut served => break CloseCause::of(result),
+                    () = closer.closed() => break CloseCause::Handler,
+                    () = budgeted.closed() => break CloseCause::Budget,
+                    () = &mut draining, if !activity.is_draining() => {
+                        activity.start_drain(Instant::now());
+                    }
+                    () = sleep_until(next_check), if activity.is_draining() => {
+                        if activity.is_unused(Instant::now()) {
+                            break CloseCause::Drain;
+                        }
+                    }
+                }
+            }
+        };
+        if cause == CloseCause::Handler {
+            Pin::new(&mut connection).graceful_shutdown();
+            tokio::select! {
+                result = poll_fn(|context| connection.poll_without_shutdown(context)) => {
+                    if result.is_err() {
+                        cause = CloseCause::of(result);
+                    }
                 }
+                () = budgeted.closed() => cause = CloseCause::Budget,
             }
-            () = budgeted.closed() => cause = CloseCause::Budget,
         }
+        let parts = connection.into_parts();
+        stream = parts.io.into_inner();
+        if cause == CloseCause::Drain && stream.has_input() {
+            activity.finish_request(Instant::now());
+            continue;
+        }
+        return close(stream, parts.read_buf.len(), cause, refuse).await;
     }
-    let parts = connection.into_parts();
-    let stream = parts.io.into_inner();
+}
+
+/// Closes a connection that is no longer served; `unread_bytes` were read and not handled.
+async fn close(
+    stream: HeadValidatingStream,
+    unread_bytes: usize,
+    cause: CloseCause,
+    refuse: impl FnOnce(HeadError) -> String,
+) -> ConnectionEnd {
     let fault = stream.head_fault();
-    let buffered = parts.read_buf.len() + stream.buffered_bytes();
+    let unread_bytes = unread_bytes + stream.buffered_bytes();
+    let mut end = ConnectionEnd { cause, unread_bytes, late_bytes: 0 };
     let mut socket = stream.into_socket();
-    let mut end = ConnectionEnd { cause, unread_bytes: buffered, late_bytes: 0 };
     if let Some(fault) = fault {
         end.cause = CloseCause::Fault;
         let response = refuse(fault);
@@ -118,23 +152,31 @@
         return end;
     }
     match end.cause {
-        CloseCause::Budget | CloseCause::Broken => end.unread_bytes += read_waiting(&socket),
-        CloseCause::Drain | CloseCause::Fault | CloseCause::Handler | CloseCause::Server => {
+        CloseCause::Budget | CloseCause::Broken => end.unread_bytes += waiting_bytes(&socket),
+        // Nothing is read any more: a caller may send a request again that was not read.
+        CloseCause::Drain => {
+            if let Err(error) = socket.shutdown().await {
+                log::debug!("event=caller_connection_ended error=\"{error}\"");
+            }
+        }
+        CloseCause::Fault | CloseCause::Handler | CloseCause::Server => {
             linger(socket, &mut end).await;
         }
     }
     end
 }
 
-/// Body of a response that tells the budget when its last part was taken.
+/// Body of a response that reports when its last part was taken.
 struct ReportedBody {
     body: ResponseBody,
     budgeted: Rc<BudgetedConnection>,
+    activity: Rc<ConnectionActivity>,
 }
 
 impl Drop for ReportedBody {
     fn drop(&mut self) {
         self.budgeted.finish_response();
+        self.activity.finish_request(Instant::now());
     }
 }
 
@@ -160,32 +202,20 @@
 
 /// Closes the sending side, then reads what the caller still sends, within limits.
 async fn linger(mut socket: TcpStream, end: &mut ConnectionEnd) {
-    end.unread_bytes += read_waiting(&socket);
+    end.unread_bytes += waiting_bytes(&socket);
     let mut buffer = [0; 8_192];
     let drain = async {
         if socket.shutdown().await.is_ok() {
-            while end.late_bytes < MAX_LINGER_BYTES {
+            let mut read = 0;
+            while read < MAX_LINGER_BYTES {
                 match socket.read(&mut buffer).await {
-                    Ok(length) if length > 0 => end.late_bytes += length,
-                    Ok(_) | Err(_) => return,
+                    Ok(length) if length > 0 => read += length,
+                    Ok(_) | Err(_) => break,
                 }
             }
+            end.late_bytes = read.saturating_sub(end.unread_bytes);
         }
     };
     // The socket is dropped whether or not this times out.
     let _drained = timeout(LINGER_TIMEOUT, drain).await;
 }
-
-/// Reads what has arrived on a connection, within limits; returns the number of bytes.
-fn read_waiting(socket: &TcpStream) -> usize {
-    let mut buffer = [0; 8_192];
-    let mut total = 0;
-    let socket = SockRef::from(socket);
-    while total < MAX_LINGER_BYTES {
-        match (&*socket).read(&mut buffer) {
-            Ok(length) if length > 0 => total += length,
-            Ok(_) | Err(_) => break,
-        }
-    }
-    total
-}
--- a/components/ingress/src/head_validating_stream.rs
+++ b/components/ingress/src/head_validating_stream.rs
@@ -1,6 +1,7 @@
 //! Connection of a caller that validates each request head before the HTTP server reads it.
 
 use std::io;
+use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
@@ -9,6 +10,7 @@
 use api::{BodyFraming, ChunkedScanner, HeadError, check_head};
 use bytes::{Buf, BytesMut};
 use config::CallerLimits;
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, Sleep, sleep_until};
@@ -70,6 +72,11 @@
         self.checked.len() + self.unchecked.len()
     }
 
+    /// Whether bytes have arrived that were not passed on.
+    pub fn has_input(&self) -> bool {
+        self.buffered_bytes() > 0 || waiting_bytes(&self.inner) > 0
+    }
+
     /// Returns the socket, to send an error response and close it.
     pub fn into_socket(self) -> TcpStream {
         self.inner
@@ -156,6 +163,13 @@
     }
 }
 
+/// Bytes that wait in a socket, as far as one read would take them. The runtime's view of the socket
+/// may be older.
+pub(crate) fn waiting_bytes(socket: &TcpStream) -> usize {
+    let mut buffer = [MaybeUninit::uninit(); READ_BUFFER_BYTES];
+    SockRef::from(socket).peek(&mut buffer).unwrap_or_default()
+}
+
 impl AsyncRead for HeadValidatingStream {
     fn poll_read(
         self: Pin<&mut Self>,
--- a/components/ingress/src/lib.rs
+++ b/components/ingress/src/lib.rs
@@ -6,6 +6,7 @@
 mod caller_budget;
 mod caller_budget_settings;
 mod connection;
+mod connection_activity;
 mod connection_closer;
 mod connection_end;
 mod count_guard;
--- a/components/ingress/src/shutdown_stage.rs
+++ b/components/ingress/src/shutdown_stage.rs
@@ -8,8 +8,10 @@
     /// Still accepts requests, but fails the readiness check so that the load balancer stops
     /// sending new ones.
     NotReady,
-    /// Accepts no connections; completes requests in progress.
+    /// Completes the requests in progress and takes only those that end soon.
     Draining,
+    /// Also accepts no connections, so that each one has time for an answer.
+    Closing,
     /// Answers the remaining requests with an error.
     Aborting,
     /// All remaining work is aborted.
--- a/components/ingress/tests/drain.rs
+++ b/components/ingress/tests/drain.rs
@@ -4,7 +4,6 @@
 
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream as CallerSocket};
-use std::rc::Rc;
 use std::time::Duration;
 
 use config::CallerLimits;
