Close idle connections of a draining process after 2.5 s

Cause: with 5 s, idle connections kept most gateways in their drain until the end of their grace. Change: 2.5 s, as long as the notice for the load balancer.

--- a/components/ingress/src/connection_activity.rs
+++ b/components/ingress/src/connection_activity.rs
@@ -6,9 +6,9 @@
 use tokio::time::Instant;
 
 /// Time without a request after which a connection is closed while the process drains. A close
-/// crosses the requests that are on their way, and callers that use a connection often have sent
-/// one by then, whose response announces the end.
-const DRAIN_IDLE_TIMEOUT: Duration = Duration::from_secs(5);
+/// crosses requests that are on their way: callers that use a connection often have sent one by
+/// then, whose response announces the end. A longer one keeps the process from being replaced.
+const DRAIN_IDLE_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 /// What a connection is doing, for the end of the process.
 #[derive(Debug)]
