Release internal connections that end without an error

Cause: select! waited for the budget's close once a connection had ended with Ok, since the pattern of its branch was Err(error). The task and its descriptor stayed, and the connection still counted as one without a first head. Past half of the 128 connections of a listener each new one closed the oldest, among them kept ones in use (readiness, metrics, configuration for other gateways). Change: the branch takes either result. Result: ended_connections_do_not_displace_a_kept_one failed on (the kept connection was closed after 80 short ones) and passes.

--- a/components/ingress/src/internal_http.rs
+++ b/components/ingress/src/internal_http.rs
@@ -60,9 +60,12 @@
                 .max_buf_size(MAX_BUFFER_BYTES)
                 .serve_connection(TokioIo::new(socket), service);
             tokio::select! {
-                Err(error) = connection => log_broken(&error),
+                served = connection => {
+                    if let Err(error) = served {
+                        log_broken(&error);
+                    }
+                }
                 () = budgeted.closed() => {}
-                else => {}
             }
         });
     }
