Send a slowly read response whole while a process drains

Callers that read a response for longer than 5 s after SIGTERM got a truncated one. Cause: a request counted as ended when the HTTP server took the last part of its response. The server may hold most of it for a caller that reads slowly, so the drain took the connection for idle and dropped the rest. Change: a request ends with the flush after the last part, as in the budget for callers.

--- a/components/ingress/src/connection.rs
+++ b/components/ingress/src/connection.rs
@@ -80,7 +80,12 @@
             Ok::<_, Infallible>(response.map(|body| ReportedBody { body, budgeted, activity }))
         })
     };
-    let mut stream = HeadValidatingStream::new(socket, options.limits, Rc::clone(&budgeted));
+    let mut stream = HeadValidatingStream::new(
+        socket,
+        options.limits,
+        Rc::clone(&budgeted),
+        Rc::clone(&activity),
+    );
     let mut draining = pin!(draining);
     loop {
         let io = TokioIo::new(stream);
@@ -176,7 +181,7 @@
 impl Drop for ReportedBody {
     fn drop(&mut self) {
         self.budgeted.finish_response();
-        self.activity.finish_request(Instant::now());
+        self.activity.finish_response();
     }
 }
 
--- a/components/ingress/src/connection_activity.rs
+++ b/components/ingress/src/connection_activity.rs
@@ -15,6 +15,8 @@
 pub(crate) struct ConnectionActivity {
     is_draining: Cell<bool>,
     has_request: Cell<bool>,
+    /// Whether the HTTP server has taken the whole response to the last request.
+    has_whole_response: Cell<bool>,
     idle_since: Cell<Instant>,
 }
 
@@ -24,6 +26,7 @@
         Self {
             is_draining: Cell::new(false),
             has_request: Cell::new(false),
+            has_whole_response: Cell::new(false),
             idle_since: Cell::new(now),
         }
     }
@@ -42,6 +45,20 @@
     /// A request is in progress.
     pub(crate) fn start_request(&self) {
         self.has_request.set(true);
+        self.has_whole_response.set(false);
+    }
+
+    /// The HTTP server has taken the whole response. It may hold most of it for a caller that reads
+    /// slowly, so the request ends with the next flush.
+    pub(crate) fn finish_response(&self) {
+        self.has_whole_response.set(true);
+    }
+
+    /// All that the HTTP server had to send was written to the socket.
+    pub(crate) fn record_flush(&self, now: Instant) {
+        if self.has_whole_response.replace(false) {
+            self.finish_request(now);
+        }
     }
 
     /// No request is in progress.
--- a/components/ingress/src/head_validating_stream.rs
+++ b/components/ingress/src/head_validating_stream.rs
@@ -16,6 +16,7 @@
 use tokio::time::{Instant, Sleep, sleep_until};
 
 use crate::BudgetedConnection;
+use crate::connection_activity::ConnectionActivity;
 
 const READ_BUFFER_BYTES: usize = 8_192;
 const HEAD_END: &[u8] = b"\r\n\r\n";
@@ -27,6 +28,7 @@
 pub struct HeadValidatingStream {
     inner: TcpStream,
     budgeted: Rc<BudgetedConnection>,
+    activity: Rc<ConnectionActivity>,
     limits: CallerLimits,
     unchecked: BytesMut,
     checked: BytesMut,
@@ -43,10 +45,16 @@
 
 impl HeadValidatingStream {
     /// A stream whose first head must arrive within the timeout, counted from now.
-    pub fn new(inner: TcpStream, limits: CallerLimits, budgeted: Rc<BudgetedConnection>) -> Self {
+    pub(crate) fn new(
+        inner: TcpStream,
+        limits: CallerLimits,
+        budgeted: Rc<BudgetedConnection>,
+        activity: Rc<ConnectionActivity>,
+    ) -> Self {
         let mut stream = Self {
             inner,
             budgeted,
+            activity,
             limits,
             unchecked: BytesMut::new(),
             checked: BytesMut::new(),
@@ -220,6 +228,7 @@
         let this = self.get_mut();
         // The HTTP server flushes only after it has written all that it has.
         this.budgeted.record_flush();
+        this.activity.record_flush(Instant::now());
         Pin::new(&mut this.inner).poll_flush(context)
     }
 
--- a/components/ingress/tests/drain.rs
+++ b/components/ingress/tests/drain.rs
@@ -4,11 +4,13 @@
 
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream as CallerSocket};
+use std::rc::Rc;
 use std::time::Duration;
 
 use config::CallerLimits;
 use ingress::{
-    CallerBudgetSettings, ConnectionOptions, SharedCallerBudget, json_response, serve_caller,
+    CallerBudgetSettings, CallerResponse, ConnectionOptions, SharedCallerBudget, json_response,
+    serve_caller,
 };
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -19,6 +21,10 @@
 const CONNECTIONS: usize = 32;
 const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nhost: test.example\r\n\r\n";
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+/// More than the buffers of the two sockets take.
+const LARGE_BODY_BYTES: usize = 16 << 20;
+/// Longer than a connection may be idle while its process drains.
+const PAST_DRAIN_IDLE: Duration = Duration::from_millis(5_500);
 
 /// A server whose connections drain when `draining` becomes true.
 struct Server {
@@ -29,6 +35,16 @@
 
 impl Server {
     async fn start() -> Self {
+        let settings = CallerBudgetSettings::for_machine(512, 4_096);
+        Self::start_with(settings, async || json_response("{}".to_owned(), "r-1")).await
+    }
+
+    async fn start_with<H, A>(settings: CallerBudgetSettings, handle: H) -> Self
+    where
+        H: Fn() -> A + 'static,
+        A: Future<Output = CallerResponse> + 'static,
+    {
+        let handle = Rc::new(handle);
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let draining = watch::Sender::new(false);
@@ -37,14 +53,15 @@
         tasks.spawn_local(async move {
             let options =
                 ConnectionOptions { limits: CallerLimits::default(), idle_timeout: IDLE_TIMEOUT };
-            let budget = SharedCallerBudget::new(CallerBudgetSettings::for_machine(512, 4_096));
+            let budget = SharedCallerBudget::new(settings);
             loop {
                 let (socket, _) = listener.accept().await.unwrap();
                 let budgeted = budget.open().unwrap();
                 let mut stage = stage.subscribe();
+                let handle = Rc::clone(&handle);
                 spawn_local(async move {
                     let draining = async { drop(stage.wait_for(|drains| *drains).await) };
-                    let handle = async |_, _| json_response("{}".to_owned(), "r-1");
+                    let handle = |_, _| handle();
                     serve_caller(socket, options, budgeted, handle, |_| String::new(), draining)
                         .await
                         .log();
@@ -126,3 +143,40 @@
         assert!(response.starts_with("HTTP/1.1 200"), "{response:?}");
     });
 }
+
+/// Guards against a drain that takes a connection for idle while its caller still reads a response:
+/// the rest of the response is dropped.
+#[test]
+fn a_response_that_is_read_slowly_is_sent_whole_while_the_process_drains() {
+    run(async {
+        let settings = CallerBudgetSettings::for_machine(512, 4_096);
+        let body = "x".repeat(LARGE_BODY_BYTES);
+        let handle = move || {
+            let body = body.clone();
+            async { json_response(body, "r-1") }
+        };
+        let server = Server::start_with(settings, handle).await;
+        let mut socket = CallerSocket::connect(server.address).unwrap();
+        socket.set_nonblocking(true).unwrap();
+        socket.write_all(REQUEST).unwrap();
+        sleep(Duration::from_millis(200)).await;
+        server.draining.send_replace(true);
+        sleep(PAST_DRAIN_IDLE).await;
+        let mut received = 0;
+        let mut buffer = vec![0; 1 << 20];
+        let read = async {
+            while received < LARGE_BODY_BYTES {
+                match socket.read(&mut buffer) {
+                    Ok(0) => return,
+                    Ok(length) => received += length,
+                    Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                        sleep(Duration::from_millis(1)).await;
+                    }
+                    Err(_) => return,
+                }
+            }
+        };
+        let _in_time = timeout(Duration::from_secs(20), read).await;
+        assert!(received >= LARGE_BODY_BYTES, "{received} bytes");
+    });
+}
