Read nothing on connections that the budget has closed

A request that arrived in the same turn in which the budget closed its connection was read, and its handler started, before the close was seen; the connection then ended without an answer. A request without a body may have been sent to a target by then. Cause: the close was polled after the HTTP server, since always and before it in a random order. Change: the close is polled first. The request stays unread, so that its caller may send it again.

--- a/components/ingress/src/connection.rs
+++ b/components/ingress/src/connection.rs
@@ -99,12 +99,13 @@
             let mut served = pin!(poll_fn(|context| connection.poll_without_shutdown(context)));
             loop {
                 let next_check = activity.next_check(Instant::now());
-                // The HTTP server comes first, so that it reads what has arrived.
+                // Nothing is read once the budget has closed the connection; otherwise the HTTP server
+                // comes first, so that it reads what has arrived.
                 tokio::select! {
                     biased;
+                    () = budgeted.closed() => break CloseCause::Budget,
                     result = &mut served => break CloseCause::of(result),
                     () = closer.closed() => break CloseCause::Handler,
-                    () = budgeted.closed() => break CloseCause::Budget,
                     () = &mut draining, if !activity.is_draining() => {
                         activity.start_drain(Instant::now());
                     }
@@ -119,12 +120,13 @@
         if cause == CloseCause::Handler {
             Pin::new(&mut connection).graceful_shutdown();
             tokio::select! {
+                biased;
+                () = budgeted.closed() => cause = CloseCause::Budget,
                 result = poll_fn(|context| connection.poll_without_shutdown(context)) => {
                     if result.is_err() {
                         cause = CloseCause::of(result);
                     }
                 }
-                () = budgeted.closed() => cause = CloseCause::Budget,
             }
         }
         let parts = connection.into_parts();
--- a/components/ingress/tests/drain.rs
+++ b/components/ingress/tests/drain.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
 
+use std::cell::Cell;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream as CallerSocket};
 use std::rc::Rc;
@@ -25,6 +26,8 @@
 const LARGE_BODY_BYTES: usize = 16 << 20;
 /// Longer than a connection may be idle while its process drains.
 const PAST_DRAIN_IDLE: Duration = Duration::from_millis(5_500);
+/// Time that a handler needs; its request is lost if its connection ends before.
+const HANDLER_TIME: Duration = Duration::from_millis(50);
 
 /// A server whose connections drain when `draining` becomes true.
 struct Server {
@@ -180,3 +183,35 @@
         assert!(received >= LARGE_BODY_BYTES, "{received} bytes");
     });
 }
+
+/// Guards against a request that is read and handled on a connection that the budget has closed: its
+/// caller can't know whether it ran.
+#[test]
+fn no_request_is_read_on_a_connection_that_the_budget_has_closed() {
+    run(async {
+        let handled = Rc::new(Cell::new(0));
+        let counter = Rc::clone(&handled);
+        let handle = move || {
+            counter.set(counter.get() + 1);
+            async {
+                sleep(HANDLER_TIME).await;
+                json_response("{}".to_owned(), "r-1")
+            }
+        };
+        let server =
+            Server::start_with(CallerBudgetSettings::with_connections(512, 1), handle).await;
+        let mut answered = 0;
+        for _ in 0..CONNECTIONS {
+            let mut socket = server.used_connection().await;
+            answered += 1;
+            // The connection is closed for the new one before its task reads the request; no task
+            // of the server runs between these two steps.
+            let _new = CallerSocket::connect(server.address).unwrap();
+            socket.write_all(REQUEST).unwrap();
+            if read_response(&mut socket).await.starts_with("HTTP/1.1 200") {
+                answered += 1;
+            }
+        }
+        assert_eq!(handled.get(), answered);
+    });
+}
