Refuse requests that reach an entry process after its drain limit

A request that arrived on a kept connection in the 500 ms between the drain limit and the exit was passed on to a target and cut at the exit. Cause: requests in progress are ended at the limit, and nothing refused later ones. Idle connections stay open for 5 s since, so limits below that are affected. Change: the process enters the stage Aborting at its limit, in which it refuses requests as not run. Result: a_stop_refuses_requests_that_arrive_after_its_limit failed before (the call reached the side process) and passes, as do the other tests of entry's shutdown.

--- a/components/entry/src/dispatch.rs
+++ b/components/entry/src/dispatch.rs
@@ -18,7 +18,8 @@
 use crate::generate_call::generate;
 use crate::request_id::new_request_id;
 use ingress::{
-    BudgetedConnection, CallerResponse, ConnectionCloser, error_response, json_response,
+    BudgetedConnection, CallerResponse, ConnectionCloser, ShutdownStage, error_response,
+    json_response,
 };
 
 /// Wait that is advised while the process has no configuration, in milliseconds.
@@ -64,6 +65,10 @@
 }
 
 async fn route(app: &Rc<App>, incoming: IncomingRequest) -> Result<CallerResponse, ApiError> {
+    // The process exits before a target could answer.
+    if *app.stage.borrow() >= ShutdownStage::Aborting {
+        return Err(cancel_error(ErrorCode::Draining));
+    }
     let config = current_config(app)?;
     let request = &incoming.request;
     let expected = match request.uri().path() {
--- a/components/entry/src/shutdown.rs
+++ b/components/entry/src/shutdown.rs
@@ -43,6 +43,7 @@
     };
     if timeout_at(limit, idle).await.is_err() {
         log::warn!("event=drain_limit_reached in_flight={}", app.in_flight.len());
+        app.stage.send_replace(ShutdownStage::Aborting);
         app.in_flight.cancel_all(ErrorCode::Draining);
         sleep(FLUSH_LIMIT).await;
     }
--- a/components/entry/tests/shutdown.rs
+++ b/components/entry/tests/shutdown.rs
@@ -5,8 +5,9 @@
 use std::time::Duration;
 
 use common::fake_side::{Act, answer_text};
-use common::raw::{call, open, read_to_end, read_until};
+use common::raw::{call, open, read_to_end, read_until, request};
 use common::{KEY, Node, SMALL_KEY, Site, completion, eventually, named_settings, run, settings};
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep};
 
@@ -60,6 +61,31 @@
     });
 }
 
+/// Guards against a stop that passes on a request after it has ended all others, and cuts it at its
+/// exit.
+#[test]
+fn a_stop_refuses_requests_that_arrive_after_its_limit() {
+    run(async {
+        let mut settings = settings();
+        settings.process.drain_limit_ms = 600;
+        let site = Site::start(settings, &["s1"]).await;
+        let mut kept = open(site.callers(), "GET", "/v1/models", Some(KEY), "").await;
+        read_until(&mut kept, "m-fish").await;
+        site.script(&[Act::Hang, Act::Hang]);
+        let mut running = open(site.callers(), "POST", "/pay/1", Some(KEY), "hi").await;
+        eventually(|| site.sides[0].calls().len() == 1).await;
+        site.entry().stop();
+        // Ends at the limit.
+        read_to_end(&mut running).await;
+        let late = request("POST", "/pay/2", Some(KEY), "", "hi");
+        kept.write_all(late.as_bytes()).await.unwrap();
+        let answer = String::from_utf8(read_to_end(&mut kept).await).unwrap();
+        assert!(answer.contains("HTTP/1.1 503"), "{answer}");
+        assert!(answer.contains("\"ran\":\"not_run\""), "{answer}");
+        assert_eq!(site.sides[0].calls().len(), 1);
+    });
+}
+
 /// Guards against slots that stay with a process that has stopped, and against a customer that gets its
 /// burst once more through the new owner.
 #[test]
