Send no stream to a further target after the drain limit

A resumable stream whose target broke off between the drain limit and the exit was sent to a further target, which ran it in vain. Cause: the handlers of requests end with the drain limit, but the task that relays a stream resumes it by itself. Change: each attempt checks the stage of the process. Result: a_stream_that_breaks_after_the_drain_limit_is_sent_to_no_further_target failed before (2 sends, the second 8 ms after drain_limit_reached) and passes, as do the two other tests of drained_gateway.

--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -413,6 +413,10 @@
 
     /// Checks whether another attempt is allowed.
     fn check_send_allowed(&mut self, now: Timestamp) -> Result<(), ApiError> {
+        // A stream outlives the handler that ends with the drain.
+        if *self.app.stage.borrow() >= ShutdownStage::Aborting {
+            return Err(self.shutdown_error());
+        }
         let plan = &self.request.plan;
         if self.attempts.may_have_run() && (!plan.kind.may_run_again() || self.ended_its_target) {
             let text = "the target gave no answer; the request may have run";
--- a/tests/drained_gateway.rs
+++ b/tests/drained_gateway.rs
@@ -4,13 +4,18 @@
 
 mod support;
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
-use platform_standin::{CallerKind, RouteKind};
+use platform::header_names::RESPONSE_SIGNATURE;
+use platform_standin::{CallerKind, FleetLimits, RouteKind};
 use rustix::process::Signal;
-use support::{CUSTOMER_KEY, HOST, PlainGateway, echo_target, plain_call, plain_route};
+use support::{
+    CUSTOMER_KEY, HOST, PlainGateway, echo_target, id_line, plain_call, plain_route, read_head,
+};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 /// The process may handle the end of its notice before or after the requests that wait.
@@ -19,6 +24,8 @@
 const BEFORE_NOTICE_END: Duration = Duration::from_millis(2_200);
 const AFTER_NOTICE_END: Duration = Duration::from_millis(3_000);
 const ANSWER_LIMIT: Duration = Duration::from_secs(5);
+/// Pause between two events of a stream.
+const EVENT_PAUSE: Duration = Duration::from_millis(50);
 
 async fn send(socket: &mut TcpStream, id: &str) {
     let request = format!(
@@ -102,3 +109,67 @@
     assert_eq!(status_line(&mut kept).await, "HTTP/1.1 200 OK");
     assert!(gateway.process.wait_exit().await.success());
 }
+
+async fn send_events(mut socket: TcpStream, mut broken: watch::Receiver<bool>) {
+    let Some(head) = read_head(&mut socket).await else { return };
+    let response = format!(
+        "HTTP/1.1 200 OK\r\n{RESPONSE_SIGNATURE}: s\r\n{}content-type: text/event-stream\r\n\
+         content-length: 1000000\r\n\r\n",
+        id_line(&head)
+    );
+    socket.write_all(response.as_bytes()).await.unwrap();
+    let events = async {
+        for id in 1.. {
+            let event = format!("id: {id}\ndata: event {id}\n\n");
+            if socket.write_all(event.as_bytes()).await.is_err() {
+                return;
+            }
+            sleep(EVENT_PAUSE).await;
+        }
+    };
+    tokio::select! {
+        () = events => {}
+        _ = broken.wait_for(|broken| *broken) => {}
+    }
+}
+
+/// A target whose streams break off when `broken` becomes true.
+async fn stream_target(broken: &watch::Sender<bool>) -> SocketAddr {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let broken = broken.clone();
+    tokio::spawn(async move {
+        loop {
+            let (socket, _) = listener.accept().await.unwrap();
+            tokio::spawn(send_events(socket, broken.subscribe()));
+        }
+    });
+    address
+}
+
+/// Guards against a stream that is sent to a further target by a process that is about to exit: the
+/// target runs it in vain.
+#[tokio::test]
+async fn a_stream_that_breaks_after_the_drain_limit_is_sent_to_no_further_target() {
+    let broken = watch::Sender::new(false);
+    let targets = [stream_target(&broken).await, stream_target(&broken).await];
+    let route = plain_route("lines", RouteKind::ResumableStream);
+    let limits = FleetLimits { grace_s: 3, ..FleetLimits::default() };
+    let deployment = PlainGateway::deployment(vec![route]);
+    let mut gateway = PlainGateway::start_with(&deployment, &targets, limits).await;
+    let callers = gateway.callers;
+    let call = tokio::spawn(async move {
+        support::plain_call_at(callers, "stream", "/lines/1", CallerKind::Read).await
+    });
+    gateway.process.wait_for_line("event=request_sent").await;
+    gateway.process.signal(Signal::TERM);
+    gateway.process.wait_for_line("event=drain_limit_reached").await;
+    broken.send_replace(true);
+    assert!(gateway.process.wait_exit().await.success());
+    let response = call.await.unwrap();
+    assert!(!response.is_complete, "{response:?}");
+    let log = gateway.process.log();
+    assert!(log.iter().any(|line| line.contains("event=stream_broken")), "{log:#?}");
+    let sends = log.iter().filter(|line| line.contains("event=request_sent")).count();
+    assert_eq!(sends, 1, "{log:#?}");
+}
