Close the listener in a drain when accepting fails

Without free descriptors a gateway or entry process kept its listener open to its exit, so that callers connected to a process that could not serve them. Cause: since connections are accepted before the stage is looked at, and a failing accept is ready each time. Change: the stage is looked at after each failure. Result: a_listener_without_descriptors_is_closed_in_a_drain failed before and passes, as do the three other tests of drained_gateway. The same change in entry has no test of its own.

--- a/components/entry/src/callers.rs
+++ b/components/entry/src/callers.rs
@@ -32,6 +32,10 @@
         };
         let Ok((socket, _)) = accepted else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
+            // The next attempt fails at once as well, before the stage would be looked at.
+            if stage.borrow().is_draining() {
+                return;
+            }
             continue;
         };
         if let Err(error) = socket.set_nodelay(true) {
--- a/components/gateway/src/callers.rs
+++ b/components/gateway/src/callers.rs
@@ -40,6 +40,10 @@
             Err(error) => {
                 log::warn!("event=accept_failed error=\"{error}\"");
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                // The next attempt fails at once as well, before the stage would be looked at.
+                if *stage.borrow() >= ShutdownStage::Closing {
+                    return;
+                }
                 continue;
             }
         };
--- a/tests/drained_gateway.rs
+++ b/tests/drained_gateway.rs
@@ -9,7 +9,7 @@
 
 use platform::header_names::RESPONSE_SIGNATURE;
 use platform_standin::{CallerKind, FleetLimits, RouteKind};
-use rustix::process::Signal;
+use rustix::process::{Pid, Resource, Rlimit, Signal, getrlimit, prlimit};
 use support::{
     CUSTOMER_KEY, HOST, PlainGateway, echo_target, id_line, plain_call, plain_route, read_head,
 };
@@ -173,3 +173,29 @@
     let sends = log.iter().filter(|line| line.contains("event=request_sent")).count();
     assert_eq!(sends, 1, "{log:#?}");
 }
+
+/// Guards against a listener that stays open to the end of a stop because each attempt to accept a
+/// connection fails: callers then wait for answers of a process that exits.
+#[tokio::test]
+async fn a_listener_without_descriptors_is_closed_in_a_drain() {
+    let broken = watch::Sender::new(false);
+    let route = plain_route("lines", RouteKind::ResumableStream);
+    let limits = FleetLimits { grace_s: 3, ..FleetLimits::default() };
+    let deployment = PlainGateway::deployment(vec![route]);
+    let targets = [stream_target(&broken).await];
+    let gateway = PlainGateway::start_with(&deployment, &targets, limits).await;
+    let callers = gateway.callers;
+    let call = tokio::spawn(async move {
+        support::plain_call_at(callers, "stream", "/lines/1", CallerKind::Read).await
+    });
+    gateway.process.wait_for_line("event=request_sent").await;
+    let pid = Pid::from_raw(i32::try_from(gateway.process.id()).unwrap());
+    // No further descriptor can be opened. The log polls one, which a limit of 0 would reject.
+    let limit = Rlimit { current: Some(1), ..getrlimit(Resource::Nofile) };
+    prlimit(pid, Resource::Nofile, limit).unwrap();
+    let _waiting = TcpStream::connect(callers).await.unwrap();
+    gateway.process.signal(Signal::TERM);
+    gateway.process.wait_for_line("event=drain_limit_reached").await;
+    assert!(TcpStream::connect(callers).await.is_err());
+    assert!(!call.await.unwrap().is_complete);
+}
