Log the digest of each request that is sent

Cause: the logs of the incident name requests by ids, which are new at each arrival. Nothing showed whether two ids were the same request, so a request that ends one target after the other looked like many. Change: request_sent has the digest of route, method, path with query, customer, prompt parts and body; it is computed once for each request. No logic changes. Alternatives: the path in the log would show callers' data, and without the body it can't tell the requests of one class apart.

--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -242,8 +242,9 @@
         self.attempts.begin(pick.key);
         self.app.quarantine.borrow_mut().record_send(&self.request.parts, now);
         log::info!(
-            "event=request_sent request_id={} target={} model={} adapter={} estimate_ms={:.0} read_ms={:.0} unread_tokens={} urgency={} sends={}",
+            "event=request_sent request_id={} digest={:x} target={} model={} adapter={} estimate_ms={:.0} read_ms={:.0} unread_tokens={} urgency={} sends={}",
             quote(&self.request.id),
+            self.request.digest,
             quote(&pick.id),
             self.request.head.model.as_deref().unwrap_or("-"),
             self.request.head.adapter.as_deref().unwrap_or("-"),
--- a/components/gateway/src/request.rs
+++ b/components/gateway/src/request.rs
@@ -9,8 +9,10 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 use config::{Access, DirectKind, FleetConfig};
+use http::uri::PathAndQuery;
 use http::{HeaderMap, Method, Uri, header};
 use platform::RequestHead;
+use quarantine::RequestIdentity;
 use rand::Rng;
 use rates::{GatewayCount, SharedBucket};
 use routing::{Homes, LatencyObjectives, PrefixLink, prefix_links};
@@ -83,6 +85,8 @@
     pub links: Vec<PrefixLink>,
     /// Ids of the prompt's parts; the last one is the request's own.
     pub parts: Vec<u64>,
+    /// Digest that the repetitions of the request share.
+    pub digest: u64,
 }
 
 /// A received request before it is admitted, without its body.
@@ -177,7 +181,18 @@
         }
         None => Vec::new(),
     };
-    let parts = received.head.prompt_parts.iter().map(|part| part.id).collect();
+    let parts: Vec<u64> = received.head.prompt_parts.iter().map(|part| part.id).collect();
+    let identity = RequestIdentity {
+        route: &plan.route,
+        method: received.method.as_str(),
+        path: received.uri.path_and_query().map_or("", PathAndQuery::as_str),
+        customer: customer.as_deref(),
+        model: received.head.model.as_deref(),
+        adapter: received.head.adapter.as_deref(),
+        parts: &parts,
+        body: &body,
+    };
+    let digest = identity.digest();
     Ok(CallerRequest {
         id: received.id,
         method: received.method,
@@ -192,6 +207,7 @@
         deadline: received.arrived + allowed,
         links,
         parts,
+        digest,
     })
 }
 
--- a/components/quarantine/src/lib.rs
+++ b/components/quarantine/src/lib.rs
@@ -5,9 +5,11 @@
 mod crash;
 mod hold;
 mod part_quarantine;
+mod request_identity;
 mod settings;
 mod suspect;
 
 pub use crash::Crash;
 pub use part_quarantine::{PartQuarantine, QuarantineChange, Refusal};
+pub use request_identity::RequestIdentity;
 pub use settings::QuarantineSettings;
