Refuse a request that has ended three targets

Cause: a plain request that ends the targets that run it was sent to further ones for as long as it came, at all gateways. Only parts of prompts had a quarantine; nothing named a request as a whole. Change: the quarantine judges subjects, which are parts of prompts or whole requests by their digest, with one evidence, one spread and one store record. Connections of plain requests that break count as crashes if their targets then refuse connections and were not leaving. A request that ended its target is sent once more only if the same request was in no other crash. Callers get 503 request_quarantined. Relays add the time for which they held a report to its ages. The log events and the record in the state of gateways are renamed, since they no longer mean parts only; tests/query_of_death.rs waits for the new name of the same line. Alternatives: a limit on the retries of one arrival leaves the next arrival; counting crashes within 500 ms once, as for parts, misses the series that retries make; wall-clock times fail with one stepped clock.

--- a/components/api/src/error_code.rs
+++ b/components/api/src/error_code.rs
@@ -48,6 +48,8 @@
     QueueFull,
     /// The customer's tokens are used up.
     RateExceeded,
+    /// The same request ends targets; it is not sent for a while.
+    RequestQuarantined,
     /// The request did not arrive in time.
     RequestTimeout,
     /// No route has a prefix of the path.
@@ -81,6 +83,7 @@
             Self::PromptQuarantined => "prompt_quarantined",
             Self::QueueFull => "queue_full",
             Self::RateExceeded => "rate_exceeded",
+            Self::RequestQuarantined => "request_quarantined",
             Self::RequestTimeout => "request_timeout",
             Self::RouteNotFound => "route_not_found",
             Self::UpstreamFailed => "upstream_failed",
@@ -107,7 +110,8 @@
             | Self::NoAuthority
             | Self::NoCapacity
             | Self::PromptQuarantined
-            | Self::QueueFull => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::QueueFull
+            | Self::RequestQuarantined => StatusCode::SERVICE_UNAVAILABLE,
             Self::UpstreamFailed => StatusCode::BAD_GATEWAY,
             Self::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -136,6 +140,7 @@
             | Self::NoCapacity
             | Self::PromptQuarantined
             | Self::QueueFull
+            | Self::RequestQuarantined
             | Self::UpstreamFailed => "server_error",
         }
     }
--- a/components/gateway/src/app.rs
+++ b/components/gateway/src/app.rs
@@ -13,12 +13,12 @@
 use membership::{Authority, Evacuations, GatewayTable, StoreEra, TargetDirectory};
 use placement::{FleetPlanner, ModelDemandTable};
 use platform::{Configuration, StoreClient};
-use quarantine::PartQuarantine;
+use quarantine::Quarantine;
 use rates::GatewayCount;
 use routing::DirectFleet;
 use telemetry::Metrics;
 use tokio::sync::{Notify, watch};
-use wire::StoredDocument;
+use wire::{StoredDocument, Subject};
 
 use crate::engine_orders::EngineOrders;
 use crate::rate_limits::RateLimits;
@@ -70,14 +70,14 @@
     pub gateways: RefCell<GatewayTable>,
     /// Rate limits of the customers and retry budgets of the services.
     pub rates: RefCell<RateLimits>,
-    /// Prompt parts that end engines.
-    pub quarantine: RefCell<PartQuarantine>,
-    /// Notified when a part is quarantined.
-    pub part_quarantined: Notify,
-    /// Parts whose quarantine has changed and is not stored yet.
-    pub changed_parts: RefCell<Vec<u64>>,
-    /// Notified when there is such a part.
-    pub stored_parts_changed: Notify,
+    /// Requests and prompt parts that end targets.
+    pub quarantine: RefCell<Quarantine>,
+    /// Notified when a quarantine begins.
+    pub quarantine_begun: Notify,
+    /// Quarantines that have changed and are not stored yet.
+    pub changed_quarantines: RefCell<Vec<Subject>>,
+    /// Notified when there is one.
+    pub stored_quarantines_changed: Notify,
     /// Demand for each model.
     pub demand: RefCell<ModelDemandTable>,
     /// Placement planner; used only while this gateway leads the planning.
@@ -187,7 +187,12 @@
             behind as u64,
         );
         self.metrics.set_in_flight(self.in_flight.get() as u64);
-        self.metrics.set_quarantined_parts(self.quarantine.borrow().held() as u64);
+        let (parts, requests): (Vec<Subject>, Vec<Subject>) = self
+            .quarantine
+            .borrow()
+            .held_subjects()
+            .partition(|subject| matches!(subject, Subject::Part(_)));
+        self.metrics.set_quarantined(parts.len() as u64, requests.len() as u64);
         let fleet = self.fleet.borrow();
         let in_use = || fleet.targets().filter(|target| target.accepts_work);
         let slow = in_use().filter(|target| target.speed.is_slow(now)).count();
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -150,7 +150,12 @@
                         return Ok(end);
                     }
                 }
-                Err(failure) => self.handle_failure(failure, &send),
+                Err(failure) => {
+                    self.handle_failure(failure, &send);
+                    if failure.breaks_connection() {
+                        self.ended_its_target = !self.allows_retry_after_break(&send, false).await;
+                    }
+                }
             }
         }
     }
@@ -240,7 +245,7 @@
             self.app.fleet.borrow_mut().record_plain(pick.key, now)
         };
         self.attempts.begin(pick.key);
-        self.app.quarantine.borrow_mut().record_send(&self.request.parts, now);
+        self.record_quarantined_send(now);
         log::info!(
             "event=request_sent request_id={} digest={:x} target={} model={} adapter={} estimate_ms={:.0} read_ms={:.0} unread_tokens={} urgency={} sends={}",
             quote(&self.request.id),
@@ -335,7 +340,7 @@
                     status.as_u16(),
                     reason.as_str()
                 );
-                self.ended_its_target = !self.allows_retry_after_break(&send).await;
+                self.ended_its_target = !self.allows_retry_after_break(&send, true).await;
                 None
             }
         }
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -63,6 +63,13 @@
     NoResponse(NoResponse),
 }
 
+impl ExchangeFailure {
+    /// Whether the connection ended while the target had the request.
+    pub(crate) const fn breaks_connection(self) -> bool {
+        matches!(self, Self::NoResponse(NoResponse::Broken | NoResponse::Truncated))
+    }
+}
+
 /// What happened instead of a response.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum NoResponse {
--- a/components/gateway/src/fleet_link.rs
+++ b/components/gateway/src/fleet_link.rs
@@ -60,8 +60,8 @@
     target_updates: RefCell<VecDeque<(u64, TargetNews)>>,
     /// Highest processed send number of each gateway incarnation.
     last_processed: RefCell<SortedMap<ProcessId, u64>>,
-    /// State of gateways in this data centre that has not been forwarded yet.
-    local_gateway_states: RefCell<SortedMap<ProcessName, GatewayState>>,
+    /// State of gateways in this data centre that has not been forwarded yet, and when it arrived.
+    local_gateway_states: RefCell<SortedMap<ProcessName, (GatewayState, Timestamp)>>,
     /// State of agents in this data centre, by target.
     local_agents: RefCell<SortedMap<CompactString, LocalAgent>>,
 }
@@ -96,8 +96,8 @@
     }
 
     /// Queues the state of a gateway in this data centre to be forwarded.
-    pub(crate) fn record_local_gateway(&self, state: GatewayState) {
-        self.local_gateway_states.borrow_mut().insert(state.from.name.clone(), state);
+    pub(crate) fn record_local_gateway(&self, state: GatewayState, now: Timestamp) {
+        self.local_gateway_states.borrow_mut().insert(state.from.name.clone(), (state, now));
     }
 
     /// Queues the state of an agent in this data centre to be forwarded.
@@ -224,7 +224,7 @@
         news: link.recent(&link.target_updates, UPDATE_REPEAT_ROUNDS),
         silent_targets,
         further_sends,
-        suspects: app.part_reports(now),
+        suspects: app.crash_reports(now),
         target_limits,
         evacuations: app.evacuations.borrow().reports(now),
         target_speeds,
@@ -247,14 +247,18 @@
 /// and agents in it to the relays of the other data centres.
 fn send_to_remote_gateways(app: &App, link: &FleetLink, state: GatewayState, now: Timestamp) {
     let gateways = app.gateways.borrow();
-    let local: Vec<GatewayState> = link.local_gateway_states.borrow().values().cloned().collect();
-    *link.local_gateway_states.borrow_mut() = SortedMap::new();
+    let local = link.local_gateway_states.take();
     if !gateways.is_relay(now) {
         return;
     }
     let agents = link.agents_to_forward(now);
     let items = std::iter::once(state)
-        .chain(local)
+        .chain(local.values().map(|(state, arrived)| {
+            let mut state = state.clone();
+            let waited_ms = u32::try_from(now.since(*arrived).as_millis()).unwrap_or(u32::MAX);
+            state.suspects.iter_mut().for_each(|report| report.add_age(waited_ms));
+            state
+        }))
         .map(RelayedItem::Gateway)
         .chain(agents.into_iter().map(RelayedItem::Agent))
         .collect();
--- a/components/gateway/src/fleet_receiver.rs
+++ b/components/gateway/src/fleet_receiver.rs
@@ -8,8 +8,8 @@
 use wire::{AgentState, Datagram, DatagramBody, GatewayState, LogView, RelayedItem};
 
 use crate::app::App;
+use crate::crash_quarantine::EvidenceSource;
 use crate::fleet_link::{FleetLink, forward_to_local_gateways};
-use crate::quarantined_parts::EvidenceSource;
 
 /// Handles datagrams until the task is aborted.
 pub(crate) async fn receive_datagrams(app: Rc<App>, link: Rc<FleetLink>) {
@@ -35,7 +35,7 @@
             let echoed_at = app.gateways.borrow_mut().apply_echo(&from, echo);
             record_evidence(app, &state, address, echoed_at);
             if is_new {
-                link.record_local_gateway(state);
+                link.record_local_gateway(state, now);
             }
         }
         DatagramBody::Relayed { pass_on: forward, items } => {
@@ -129,7 +129,7 @@
         &state.admitted,
     );
     app.rates.borrow_mut().retries.update_peer(&state.from, &state.further_sends, now);
-    app.apply_part_reports(&state.suspects, EvidenceSource::Gateway, now);
+    app.apply_crash_reports(&state.suspects, EvidenceSource::Gateway, now);
     app.demand.borrow_mut().update_peer(&state.from.name, state.demand.clone(), now);
     {
         let mut fleet = app.fleet.borrow_mut();
--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -13,7 +13,7 @@
 use membership::{Authority, Evacuations, GatewayTable, StoreEra, TargetDirectory};
 use placement::{FleetPlanner, ModelDemandTable};
 use platform::StoreClient;
-use quarantine::{PartQuarantine, QuarantineSettings};
+use quarantine::{Quarantine, QuarantineSettings};
 use routing::DirectFleet;
 use telemetry::Metrics;
 use tokio::net::{TcpListener, UdpSocket};
@@ -34,7 +34,7 @@
 use crate::rate_limits::RateLimits;
 use crate::registry::maintain_registration;
 use crate::shutdown::drain;
-use crate::stored_parts::maintain_stored_parts;
+use crate::stored_quarantines::maintain_stored_quarantines;
 use crate::target_pool::TargetPool;
 use crate::target_watch::watch_targets;
 
@@ -77,7 +77,7 @@
     tasks.spawn_local(watch_configuration(Rc::clone(&app)));
     tasks.spawn_local(watch_targets(Rc::clone(&app), Rc::clone(&link)));
     tasks.spawn_local(maintain_registration(Rc::clone(&app)));
-    tasks.spawn_local(maintain_stored_parts(Rc::clone(&app)));
+    tasks.spawn_local(maintain_stored_quarantines(Rc::clone(&app)));
     tasks.spawn_local(broadcast_state(Rc::clone(&app), Rc::clone(&link)));
     tasks.spawn_local(plan_placement(Rc::clone(&app), Rc::clone(&link)));
     tasks.spawn_local(coordinate_engine_orders(Rc::clone(&app), Rc::clone(&link)));
@@ -98,7 +98,7 @@
     let process =
         ProcessId { name: ProcessName::new(&settings.name), incarnation: new_incarnation() };
     let limit = App::evidence_limit(&settings);
-    let quarantine = PartQuarantine::new(QuarantineSettings::default(), &settings.name);
+    let quarantine = Quarantine::new(QuarantineSettings::default(), &settings.name);
     Ok(App {
         clock: BootClock::start(),
         store: StoreClient::new(settings.store_address),
@@ -114,9 +114,9 @@
         gateways: RefCell::new(GatewayTable::new(process.clone(), &settings.data_centre)),
         rates: RefCell::new(RateLimits::new(settings.first_start, settings.bounds)),
         quarantine: RefCell::new(quarantine),
-        part_quarantined: Notify::new(),
-        changed_parts: RefCell::default(),
-        stored_parts_changed: Notify::new(),
+        quarantine_begun: Notify::new(),
+        changed_quarantines: RefCell::default(),
+        stored_quarantines_changed: Notify::new(),
         demand: RefCell::new(ModelDemandTable::new()),
         planner: RefCell::new(FleetPlanner::new()),
         engine_orders: EngineOrders::new(&settings.bounds),
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -128,7 +128,8 @@
                 self.rest_bytes
             );
             let before_output = end == RelayEnd::Broken && !self.dispatch.caller_has_events();
-            let allowed = !before_output || self.dispatch.allows_retry_after_break(&send).await;
+            let allowed =
+                !before_output || self.dispatch.allows_retry_after_break(&send, true).await;
             drop(send);
             if !allowed {
                 return (self, end);
--- a/components/gateway/src/store_eras.rs
+++ b/components/gateway/src/store_eras.rs
@@ -31,7 +31,7 @@
         );
         self.directory.borrow_mut().note_restored(now);
         self.engine_orders.reset(now);
-        self.store_held_parts();
+        self.store_quarantines();
         self.store_restored.notify_waiters();
     }
 
--- a/components/gateway/src/stored_parts.rs
+++ b/components/gateway/src/stored_quarantines.rs
@@ -1,24 +1,24 @@
-//! Quarantined parts in the store, where they outlast the loss of all gateways.
+//! Quarantines in the store, where they outlast the loss of all gateways.
 
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use store::{KeyedLog, KeyedReader, KeyedRecord, StoreError, Topic};
 use tokio::time::{sleep, timeout};
-use wire::StoredPart;
+use wire::{StoredSubject, Subject};
 
 use crate::app::App;
-use crate::quarantined_parts::EvidenceSource;
+use crate::crash_quarantine::EvidenceSource;
 
 /// Time between two reads, for a gateway that no other one reaches.
 const READ_INTERVAL: Duration = Duration::from_secs(30);
 /// Delay after a failed call.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 
-/// Reads the quarantined parts, and writes those that this gateway has evidence for, until the task is
+/// Reads the quarantines, and writes those that this gateway has evidence for, until the task is
 /// aborted.
-pub(crate) async fn maintain_stored_parts(app: Rc<App>) {
-    let mut reader = KeyedReader::new(Topic::QuarantinedParts);
+pub(crate) async fn maintain_stored_quarantines(app: Rc<App>) {
+    let mut reader = KeyedReader::new(Topic::Quarantines);
     loop {
         match reader.read(&app.store, Duration::ZERO).await {
             Ok(read) => {
@@ -28,49 +28,49 @@
                 }
             }
             Err(error) => {
-                log::warn!("event=quarantined_parts_unread error=\"{error}\"");
+                log::warn!("event=quarantines_unread error=\"{error}\"");
                 sleep(app.retry_delay(RETRY_DELAY)).await;
                 continue;
             }
         }
-        let changed = timeout(READ_INTERVAL, app.stored_parts_changed.notified());
+        let changed = timeout(READ_INTERVAL, app.stored_quarantines_changed.notified());
         if changed.await.is_ok() {
-            write_parts(&app).await;
+            write_quarantines(&app).await;
         }
     }
 }
 
-/// Writes the parts whose quarantine has changed; what can't be written is tried again.
-async fn write_parts(app: &App) {
+/// Writes the quarantines that have changed; what can't be written is tried again.
+async fn write_quarantines(app: &App) {
     loop {
-        let Some(part) = app.changed_parts.borrow().last().copied() else { return };
-        match write_part(app, part).await {
-            Ok(()) => app.changed_parts.borrow_mut().retain(|changed| *changed != part),
+        let Some(subject) = app.changed_quarantines.borrow().last().copied() else { return };
+        match write_quarantine(app, subject).await {
+            Ok(()) => app.changed_quarantines.borrow_mut().retain(|changed| *changed != subject),
             Err(error) => {
-                log::warn!("event=quarantined_part_unwritten part={part:x} error=\"{error}\"");
+                log::warn!("event=quarantine_unwritten subject={subject} error=\"{error}\"");
                 sleep(app.retry_delay(RETRY_DELAY)).await;
             }
         }
     }
 }
 
-async fn write_part(app: &App, part: u64) -> Result<(), StoreError> {
-    let report = app.quarantine.borrow().held_report(part, app.clock.now());
-    let stored = report.map(|report| StoredPart { report, stored_unix_ms: unix_ms() });
+async fn write_quarantine(app: &App, subject: Subject) -> Result<(), StoreError> {
+    let report = app.quarantine.borrow().held_report(subject, app.clock.now());
+    let stored = report.map(|report| StoredSubject { report, stored_unix_ms: unix_ms() });
     let value = stored.and_then(|stored| wire::encode(&stored).ok());
-    app.store.put(Topic::QuarantinedParts, &format!("{part:x}"), value.as_deref()).await?;
+    app.store.put(Topic::Quarantines, &subject.to_string(), value.as_deref()).await?;
     Ok(())
 }
 
 fn apply_record(app: &App, record: &KeyedRecord) {
     let Some(value) = &record.value else { return };
-    match wire::decode::<StoredPart>(value) {
+    match wire::decode::<StoredSubject>(value) {
         Ok(stored) => {
             let report = stored.report_at(unix_ms());
-            app.apply_part_reports(&[report], EvidenceSource::Store, app.clock.now());
+            app.apply_crash_reports(&[report], EvidenceSource::Store, app.clock.now());
         }
         Err(error) => log::warn!(
-            "event=quarantined_part_rejected part={} error=\"{error}\"",
+            "event=quarantine_rejected subject={} error=\"{error}\"",
             telemetry::quote(&record.key)
         ),
     }
--- a/components/quarantine/src/background.rs
+++ b/components/quarantine/src/background.rs
@@ -1,4 +1,4 @@
-//! How often requests of this gateway meet the crash of an engine before their first output.
+//! How often requests of this gateway meet the crash of a target before their first output.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -41,9 +41,9 @@
         self.outputs[0] = self.outputs[0].saturating_add(1);
     }
 
-    /// Probability that a request meets a crash that has nothing to do with a part.
-    pub fn crash_probability(&self, part: &Suspect) -> f64 {
-        let others = self.crashes.iter().filter(|crash| !part.was_in(crash)).count() as f64;
+    /// Probability that a request meets a crash that the subject did not cause.
+    pub fn crash_probability(&self, suspect: &Suspect) -> f64 {
+        let others = self.crashes.iter().filter(|crash| !suspect.was_in(crash)).count() as f64;
         let outputs = f64::from(self.outputs[0]) + f64::from(self.outputs[1]);
         (others + PRIOR_CRASHES) / (others + outputs + PRIOR_REQUESTS)
     }
--- a/components/quarantine/src/crash.rs
+++ b/components/quarantine/src/crash.rs
@@ -1,14 +1,25 @@
-//! Crash of an engine as evidence against a part.
+//! Crash of a target as evidence against what its requests have in common.
+
+use std::time::Duration;
 
 use base::Timestamp;
 
-/// Crash of an engine while it began to answer a request.
+/// Crash of a target while it ran a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Crash {
-    /// Short hash of the id of the engine's life.
+    /// Short hash of the id of the target's life.
     pub target: u32,
     /// Short hash of the whole prompt.
     pub prompt: u32,
+    /// Short hash of the name of the gateway that saw it. Times from one gateway are exact.
+    pub reporter: u32,
     /// When it was seen.
     pub at: Timestamp,
 }
+
+impl Crash {
+    /// Time between two crashes.
+    pub(crate) fn distance(&self, other: &Self) -> Duration {
+        self.at.since(other.at).max(other.at.since(self.at))
+    }
+}
--- a/components/quarantine/src/hold.rs
+++ b/components/quarantine/src/hold.rs
@@ -1,8 +1,8 @@
-//! Quarantine of one part.
+//! Quarantine of one subject.
 
 use base::Timestamp;
 
-/// A part is in quarantine: no request with it is sent.
+/// A subject is in quarantine: no request with it is sent.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) struct Hold {
     /// When it began.
--- a/components/quarantine/src/lib.rs
+++ b/components/quarantine/src/lib.rs
@@ -1,15 +1,17 @@
-//! Detection of queries of death: prompt parts that end each engine that begins to write an answer on
-//! them.
+//! Detection of queries of death: requests that end each target that runs them, as a whole or by a part
+//! of their prompt.
 
 mod background;
 mod crash;
 mod hold;
-mod part_quarantine;
+mod quarantine;
 mod request_identity;
+mod request_subjects;
 mod settings;
 mod suspect;
 
 pub use crash::Crash;
-pub use part_quarantine::{PartQuarantine, QuarantineChange, Refusal};
+pub use quarantine::{Quarantine, QuarantineChange, Refusal};
 pub use request_identity::RequestIdentity;
+pub use request_subjects::RequestSubjects;
 pub use settings::QuarantineSettings;
--- /dev/null
+++ b/components/quarantine/src/request_subjects.rs
@@ -0,0 +1,28 @@
+//! What may be held responsible for a crash during a request.
+
+use wire::Subject;
+
+/// What a request has in common with others.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct RequestSubjects<'a> {
+    /// Ids of the prompt's parts; the last one is the request's own.
+    pub parts: &'a [u64],
+    /// Digest that the repetitions of the request share.
+    pub digest: u64,
+}
+
+impl RequestSubjects<'_> {
+    /// The whole request and the first `max_parts` of the parts that other requests may have too: all
+    /// but the last.
+    pub(crate) fn iter(&self, max_parts: usize) -> impl Iterator<Item = Subject> + use<'_> {
+        let shared = self.parts.len().saturating_sub(1).min(max_parts);
+        let parts = self.parts[..shared].iter().copied().map(Subject::Part);
+        std::iter::once(Subject::Request(self.digest)).chain(parts)
+    }
+
+    /// Short hash of the whole prompt.
+    pub(crate) fn prompt_hash(&self) -> u32 {
+        let bytes: Vec<u8> = self.parts.iter().flat_map(|part| part.to_le_bytes()).collect();
+        base::short_hash(&bytes)
+    }
+}
--- a/components/quarantine/src/suspect.rs
+++ b/components/quarantine/src/suspect.rs
@@ -1,25 +1,29 @@
-//! Evidence for and against one part.
+//! Evidence for and against one subject.
 
 use std::time::Duration;
 
-use base::Timestamp;
+use base::{SortedMap, Timestamp};
+use wire::Subject;
 
 use crate::crash::Crash;
 use crate::hold::Hold;
+use crate::settings::QuarantineSettings;
 
-/// Crashes of a part up to which all are kept; beyond them only those that count by themselves.
+/// Crashes of a subject up to which all are kept; beyond them only those that count by themselves.
 const FULL_CRASHES: usize = 8;
-/// Most crashes kept of a part.
+/// Most crashes kept of a subject.
 const MAX_CRASHES: usize = 24;
 
-/// A part that was in a request at the crash of an engine.
-#[derive(Clone, Debug, Default)]
+/// A part or a request that was at a target when that crashed.
+#[derive(Clone, Debug)]
 pub(crate) struct Suspect {
+    /// What it is.
+    subject: Subject,
     /// Crashes after the last output, in order of time.
     pub crashes: Vec<Crash>,
-    /// Last output on the part at any gateway.
+    /// Last output on it at any gateway.
     pub cleared_at: Option<Timestamp>,
-    /// Last output on the part at this gateway.
+    /// Last output on it at this gateway.
     pub own_cleared_at: Option<Timestamp>,
     /// Whether a request of this gateway was in one of the crashes.
     pub is_own: bool,
@@ -28,15 +32,27 @@
 }
 
 impl Suspect {
+    /// A subject without crashes, with its last output at this gateway.
+    pub const fn new(subject: Subject, output_at: Option<Timestamp>) -> Self {
+        Self {
+            subject,
+            crashes: Vec::new(),
+            cleared_at: output_at,
+            own_cleared_at: output_at,
+            is_own: false,
+            hold: None,
+        }
+    }
+
     /// Adds a crash unless an output came after it.
     pub fn add_crash(&mut self, crash: Crash, gap: Duration) {
         if self.cleared_at.is_some_and(|cleared| cleared >= crash.at) {
             return;
         }
-        let known = self
-            .crashes
-            .iter()
-            .position(|known| known.target == crash.target && known.prompt == crash.prompt);
+        let known = self.crashes.iter().position(|known| {
+            (known.target, known.prompt, known.reporter)
+                == (crash.target, crash.prompt, crash.reporter)
+        });
         match known {
             // Reports take time, so the earliest time is the closest.
             Some(at) => self.crashes[at].at = self.crashes[at].at.min(crash.at),
@@ -69,9 +85,23 @@
         self.crashes.retain(|crash| crash.at >= oldest);
     }
 
-    /// Number of crashes up to `settled` that count, each by another prompt. Crashes within `gap` count
-    /// once if there were others at that time, as when engines lose power together; `others` tells.
+    /// Number of crashes up to `settled` that count; `others` tells whether other requests met
+    /// crashes at a time.
     pub fn weight(
+        &self,
+        settings: &QuarantineSettings,
+        settled: Timestamp,
+        others: impl Fn(Timestamp) -> bool,
+    ) -> usize {
+        match self.subject {
+            Subject::Part(_) => self.weight_of_part(settings.crash_gap, settled, others),
+            Subject::Request(_) => self.weight_of_request(settings, settled),
+        }
+    }
+
+    /// Crashes count once for each prompt. Crashes within `gap` count once if there were others at
+    /// that time, as when engines lose power together.
+    fn weight_of_part(
         &self,
         gap: Duration,
         settled: Timestamp,
@@ -91,17 +121,66 @@
         weight
     }
 
+    /// Crashes count once for each target. A popular request is at all targets that lose power
+    /// together, so crashes count once within the precision of their times: those that one gateway saw
+    /// are exact, as when it sends the request from one target to the next.
+    fn weight_of_request(&self, settings: &QuarantineSettings, settled: Timestamp) -> usize {
+        let reporters: SortedMap<u32, ()> =
+            self.crashes.iter().map(|crash| (crash.reporter, ())).collect();
+        let from_view_of = |first: u32| {
+            let others = reporters.keys().copied().filter(|reporter| *reporter != first);
+            let mut counted = self.seen_by(first, &[], settings, settled);
+            let mut weight = counted.len();
+            for reporter in others {
+                let seen = self.seen_by(reporter, &counted, settings, settled);
+                let apart = seen.iter().filter(|crash| {
+                    counted.iter().all(|other| crash.distance(other) >= settings.reported_gap)
+                });
+                // Of several that one gateway saw one after the other, only the first may be one that
+                // another gateway saw.
+                weight += apart.count().max(seen.len().saturating_sub(1));
+                counted.extend(seen);
+            }
+            weight
+        };
+        reporters.keys().map(|reporter| from_view_of(*reporter)).max().unwrap_or_default()
+    }
+
+    /// Crashes up to `settled` that one gateway saw one after the other, at targets that are not among
+    /// `counted`.
+    fn seen_by(
+        &self,
+        reporter: u32,
+        counted: &[Crash],
+        settings: &QuarantineSettings,
+        settled: Timestamp,
+    ) -> Vec<Crash> {
+        let mut seen: Vec<Crash> = Vec::new();
+        let own = |crash: &&Crash| crash.at <= settled && crash.reporter == reporter;
+        for crash in self.crashes.iter().filter(own) {
+            let is_new = !seen.iter().chain(counted).any(|other| other.target == crash.target);
+            if is_new && seen.iter().all(|other| crash.distance(other) >= settings.exact_gap) {
+                seen.push(*crash);
+            }
+        }
+        seen
+    }
+
     /// Number of crashes by a prompt.
     pub fn crashes_by(&self, prompt: u32) -> usize {
         self.crashes.iter().filter(|crash| crash.prompt == prompt).count()
     }
 
-    /// Whether the part was in this crash.
+    /// Whether the subject was in this crash: a part in a request that met it, a whole request at the
+    /// target that ended.
     pub fn was_in(&self, crash: &Crash) -> bool {
-        self.crashes.iter().any(|own| own.target == crash.target && own.prompt == crash.prompt)
+        let is_part = matches!(self.subject, Subject::Part(_));
+        self.crashes
+            .iter()
+            .any(|own| own.target == crash.target && (!is_part || own.prompt == crash.prompt))
     }
 
-    /// Whether the part was in all crashes of `other`.
+    /// Whether the subject was in all crashes of `other`.
     pub fn covers(&self, other: &Self) -> bool {
         other.crashes.iter().all(|crash| self.was_in(crash))
     }
--- a/components/quarantine/tests/fleet.rs
+++ b/components/quarantine/tests/fleet.rs
@@ -2,9 +2,9 @@
 //! end.
 
 use base::{Timestamp, seeded_rng};
-use quarantine::{PartQuarantine, QuarantineChange, QuarantineSettings};
+use quarantine::{Quarantine, QuarantineChange, QuarantineSettings, RequestSubjects};
 use rand::Rng;
-use wire::PartReport;
+use wire::SubjectReport;
 
 const STEP_MS: u64 = 10;
 /// Time between two reports of a gateway.
@@ -25,14 +25,14 @@
 const ALSO_DEADLY: u64 = 0xbeef;
 
 struct Gateway {
-    quarantine: PartQuarantine,
+    quarantine: Quarantine,
     is_cut_off: bool,
 }
 
 struct Report {
     arrives_ms: u64,
     to: usize,
-    reports: Vec<PartReport>,
+    reports: Vec<SubjectReport>,
 }
 
 struct Request {
@@ -171,7 +171,7 @@
         }
         parts.push(self.last_part);
         let gateway = self.rng.random_range(0..self.gateways.len());
-        let refused = self.gateways[gateway].quarantine.refusal(&parts, now).is_some();
+        let refused = self.gateways[gateway].quarantine.refusal(&of(&parts), now).is_some();
         if deadly.is_none() {
             self.sound += 1;
             self.sound_refused += u32::from(refused);
@@ -185,7 +185,7 @@
         if let Some(part) = deadly_part(&request.parts) {
             self.deadly_sends.push((part, self.now_ms));
         }
-        self.gateways[request.gateway].quarantine.record_send(&request.parts, now);
+        self.gateways[request.gateway].quarantine.record_send(&of(&request.parts), now);
         request.ends_ms = self.now_ms + ANSWER_MS;
         self.running.push(request);
     }
@@ -195,7 +195,7 @@
             self.deadly_crashes.push((part, self.now_ms));
             self.crash(request, now);
         } else {
-            self.gateways[request.gateway].quarantine.record_output(&request.parts, now);
+            self.gateways[request.gateway].quarantine.record_output(&of(&request.parts), now);
         }
     }
 
@@ -203,8 +203,8 @@
     fn crash(&mut self, mut request: Request, now: Timestamp) {
         self.lives += 1;
         let quarantine = &mut self.gateways[request.gateway].quarantine;
-        quarantine.record_crash(&request.parts, self.lives, now);
-        if request.attempt == 0 && quarantine.allows_retry(&request.parts, now) {
+        quarantine.record_crash(&of(&request.parts), self.lives, now);
+        if request.attempt == 0 && quarantine.allows_retry(&of(&request.parts), now) {
             request.attempt += 1;
             self.send(request, now);
         }
@@ -255,10 +255,15 @@
 
 fn new_gateway(number: usize, since_ms: u64) -> Gateway {
     let name = format!("gateway-{number}-{since_ms}");
-    let quarantine = PartQuarantine::new(QuarantineSettings::default(), &name);
+    let quarantine = Quarantine::new(QuarantineSettings::default(), &name);
     Gateway { quarantine, is_cut_off: false }
 }
 
+/// The request with these parts, which is never repeated.
+fn of(parts: &[u64]) -> RequestSubjects<'_> {
+    RequestSubjects { parts, digest: parts.last().copied().unwrap_or_default() }
+}
+
 fn deadly_part(parts: &[u64]) -> Option<u64> {
     parts.iter().copied().find(|part| [DEADLY, ALSO_DEADLY].contains(part))
 }
--- a/components/quarantine/tests/lifecycle.rs
+++ b/components/quarantine/tests/lifecycle.rs
@@ -3,36 +3,46 @@
 use std::time::Duration;
 
 use base::Timestamp;
-use quarantine::{PartQuarantine, QuarantineChange, QuarantineSettings};
+use quarantine::{Quarantine, QuarantineChange, QuarantineSettings, RequestSubjects};
+use wire::Subject;
 
 const DEADLY: u64 = 7;
+const DEADLY_PART: Subject = Subject::Part(DEADLY);
 
 fn at(ms: u64) -> Timestamp {
     Timestamp::from_millis(ms)
 }
 
+/// The request with these parts, which is never repeated.
+fn of(parts: &[u64]) -> RequestSubjects<'_> {
+    RequestSubjects { parts, digest: parts.last().copied().unwrap_or_default() }
+}
+
 /// Parts of the request with this number.
 fn deadly_request(number: u64) -> [u64; 3] {
     [DEADLY, 100 + number, 1_000 + number]
 }
 
 /// A gateway that has seen many outputs, then crashes by three requests, and has quarantined the part.
-fn quarantined() -> (PartQuarantine, Timestamp) {
-    let mut quarantine = PartQuarantine::new(QuarantineSettings::default(), "gateway-1");
+fn quarantined() -> (Quarantine, Timestamp) {
+    let mut quarantine = Quarantine::new(QuarantineSettings::default(), "gateway-1");
     for number in 0..200 {
-        quarantine.record_output(&[1, 2, number], at(1_000));
+        quarantine.record_output(&of(&[1, 2, number]), at(1_000));
     }
     for number in 0..3 {
         let now = at(2_000 + 1_000 * number);
-        quarantine.record_send(&deadly_request(number), now);
-        quarantine.record_crash(&deadly_request(number), number as u32, now);
+        quarantine.record_send(&of(&deadly_request(number)), now);
+        quarantine.record_crash(&of(&deadly_request(number)), number as u32, now);
     }
     let now = at(5_000);
     let reports = quarantine.reports(now);
-    assert!(reports.iter().any(|report| report.part == DEADLY && report.hold.is_some()));
+    assert!(reports.iter().any(|report| report.subject == DEADLY_PART && report.hold.is_some()));
     let changes = quarantine.take_changes();
     assert!(
-        matches!(changes[..], [QuarantineChange::Begun { part: DEADLY, failed_trials: 0, .. }]),
+        matches!(
+            changes[..],
+            [QuarantineChange::Begun { subject: DEADLY_PART, failed_trials: 0, .. }]
+        ),
         "{changes:?}"
     );
     (quarantine, now)
@@ -43,11 +53,11 @@
 #[test]
 fn only_requests_with_the_shared_part_are_refused() {
     let (quarantine, now) = quarantined();
-    let refusal = quarantine.refusal(&deadly_request(9), now);
-    assert_eq!(refusal.map(|refusal| refusal.part), Some(DEADLY));
-    assert_eq!(quarantine.refusal(&[100, 101, 102, 9_000], now), None);
-    assert_eq!(quarantine.refusal(&[100, DEADLY], now), None);
-    assert_eq!(quarantine.refusal(&[], now), None);
+    let refusal = quarantine.refusal(&of(&deadly_request(9)), now);
+    assert_eq!(refusal.map(|refusal| refusal.subject), Some(DEADLY_PART));
+    assert_eq!(quarantine.refusal(&of(&[100, 101, 102, 9_000]), now), None);
+    assert_eq!(quarantine.refusal(&of(&[100, DEADLY]), now), None);
+    assert_eq!(quarantine.refusal(&of(&[]), now), None);
 }
 
 /// Guards against a quarantine that never ends, and against more than one trial after it.
@@ -56,14 +66,14 @@
     let settings = QuarantineSettings::default();
     let (mut quarantine, now) = quarantined();
     let end = now + settings.hold + settings.trial_spread;
-    assert!(quarantine.refusal(&deadly_request(9), now + settings.hold / 2).is_some());
-    assert!(quarantine.refusal(&deadly_request(9), end).is_none());
-    quarantine.record_send(&deadly_request(9), end);
-    assert!(quarantine.refusal(&deadly_request(10), end).is_some());
-
-    quarantine.record_output(&deadly_request(9), end);
-    assert_eq!(quarantine.take_changes(), [QuarantineChange::Released { part: DEADLY }]);
-    assert!(quarantine.refusal(&deadly_request(10), end).is_none());
+    assert!(quarantine.refusal(&of(&deadly_request(9)), now + settings.hold / 2).is_some());
+    assert!(quarantine.refusal(&of(&deadly_request(9)), end).is_none());
+    quarantine.record_send(&of(&deadly_request(9)), end);
+    assert!(quarantine.refusal(&of(&deadly_request(10)), end).is_some());
+
+    quarantine.record_output(&of(&deadly_request(9)), end);
+    assert_eq!(quarantine.take_changes(), [QuarantineChange::Released { subject: DEADLY_PART }]);
+    assert!(quarantine.refusal(&of(&deadly_request(10)), end).is_none());
 }
 
 /// Guards against trials that end an engine every ten minutes for ever.
@@ -75,16 +85,16 @@
     for failed_trials in 1..4 {
         now = now + hold + settings.trial_spread;
         let request = deadly_request(10 + u64::from(failed_trials));
-        assert!(quarantine.refusal(&request, now).is_none());
-        quarantine.record_send(&request, now);
-        quarantine.record_crash(&request, 50 + failed_trials, now);
+        assert!(quarantine.refusal(&of(&request), now).is_none());
+        quarantine.record_send(&of(&request), now);
+        quarantine.record_crash(&of(&request), 50 + failed_trials, now);
         hold *= 2;
         assert!(matches!(
             quarantine.take_changes()[..],
             [QuarantineChange::Begun { hold: length, failed_trials: trials, is_own: true, .. }]
                 if length == hold && trials == failed_trials
         ));
-        assert!(quarantine.refusal(&request, now + hold / 2).is_some());
+        assert!(quarantine.refusal(&of(&request), now + hold / 2).is_some());
     }
 }
 
@@ -92,19 +102,19 @@
 #[test]
 fn an_output_at_another_gateway_ends_the_quarantine() {
     let (mut quarantine, now) = quarantined();
-    let mut other = PartQuarantine::new(QuarantineSettings::default(), "gateway-2");
+    let mut other = Quarantine::new(QuarantineSettings::default(), "gateway-2");
     other.apply_reports(&quarantine.reports(now), now);
-    assert!(other.refusal(&deadly_request(9), now).is_some());
+    assert!(other.refusal(&of(&deadly_request(9)), now).is_some());
 
     let later = now + Duration::from_secs(2);
-    other.record_output(&deadly_request(3), later);
-    assert!(other.refusal(&deadly_request(9), later).is_none());
+    other.record_output(&of(&deadly_request(3)), later);
+    assert!(other.refusal(&of(&deadly_request(9)), later).is_none());
     quarantine.apply_reports(&other.reports(later), later);
-    assert_eq!(quarantine.take_changes(), [QuarantineChange::Released { part: DEADLY }]);
+    assert_eq!(quarantine.take_changes(), [QuarantineChange::Released { subject: DEADLY_PART }]);
 
     // A report from before the output does not renew it.
     other.apply_reports(&quarantined().0.reports(at(5_000)), later);
-    assert!(other.refusal(&deadly_request(9), later).is_none());
+    assert!(other.refusal(&of(&deadly_request(9)), later).is_none());
 }
 
 /// Guards against a quarantine whose part is never seen again and stays in memory.
@@ -114,8 +124,8 @@
     let (mut quarantine, now) = quarantined();
     let end = now + settings.hold + settings.max_hold + Duration::from_secs(1);
     assert_eq!(quarantine.reports(end), []);
-    assert_eq!(quarantine.take_changes(), [QuarantineChange::Expired { part: DEADLY }]);
-    assert_eq!((quarantine.held(), quarantine.suspects()), (0, 0));
+    assert_eq!(quarantine.take_changes(), [QuarantineChange::Expired { subject: DEADLY_PART }]);
+    assert_eq!((quarantine.held_subjects().count(), quarantine.suspect_count()), (0, 0));
 }
 
 /// Guards against memory and reports that grow with the callers' parts.
@@ -125,10 +135,10 @@
     let (mut quarantine, now) = quarantined();
     for number in 0..5_000_u64 {
         let parts: Vec<u64> = (0..40).map(|part| 10_000 + 40 * number + part).collect();
-        quarantine.record_output(&parts, now);
-        quarantine.record_crash(&parts, number as u32, now);
+        quarantine.record_output(&of(&parts), now);
+        quarantine.record_crash(&of(&parts), number as u32, now);
     }
-    assert!(quarantine.suspects() <= settings.max_parts);
+    assert!(quarantine.suspect_count() <= settings.max_subjects);
     assert!(quarantine.reports(now).len() <= settings.max_reported);
-    assert!(quarantine.refusal(&deadly_request(9), now).is_some(), "the quarantine is kept");
+    assert!(quarantine.refusal(&of(&deadly_request(9)), now).is_some(), "the quarantine is kept");
 }
--- a/components/store/src/topic.rs
+++ b/components/store/src/topic.rs
@@ -10,8 +10,8 @@
     Gateways,
     /// Records published by the operators; read-only for this system.
     Operators,
-    /// Prompt parts in quarantine, each under its id.
-    QuarantinedParts,
+    /// Requests and prompt parts in quarantine, each under its name.
+    Quarantines,
     /// Targets, each under its id; read-only for this system.
     Targets,
 }
@@ -23,7 +23,7 @@
             Self::Agents => "agents",
             Self::Gateways => "gateways",
             Self::Operators => "operators",
-            Self::QuarantinedParts => "quarantined_parts",
+            Self::Quarantines => "quarantines",
             Self::Targets => "targets",
         }
     }
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -56,6 +56,7 @@
     configuration_age: Gauge<f64>,
     gateways_behind: Gauge<u64>,
     quarantined_parts: Gauge<u64>,
+    quarantined_requests: Gauge<u64>,
     slow_targets: Gauge<u64>,
     limited_targets: Gauge<u64>,
 }
@@ -113,6 +114,7 @@
             configuration_age: seconds("configuration_age", "Age of the configuration"),
             gateways_behind: number("gateways_behind", "Gateways on an old configuration"),
             quarantined_parts: number("quarantined_parts", "Prompt parts in quarantine"),
+            quarantined_requests: number("quarantined_requests", "Requests in quarantine"),
             slow_targets: number("slow_targets", "Targets that take twice the usual time"),
             limited_targets: number("limited_targets", "Targets with a concurrency limit"),
             customers: RefCell::new(LabelSet::new(MAX_CUSTOMERS)),
@@ -121,9 +123,10 @@
         })
     }
 
-    /// Sets the number of prompt parts in quarantine.
-    pub fn set_quarantined_parts(&self, parts: u64) {
+    /// Sets the numbers of prompt parts and of requests in quarantine.
+    pub fn set_quarantined(&self, parts: u64, requests: u64) {
         self.quarantined_parts.record(parts, &[]);
+        self.quarantined_requests.record(requests, &[]);
     }
 
     /// Sets the numbers of slow targets and of targets with a concurrency limit.
--- a/components/wire/src/fleet_state.rs
+++ b/components/wire/src/fleet_state.rs
@@ -7,7 +7,7 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
-use crate::{EvacuationReport, PartReport, TargetEntry, TargetLimitReport, TargetSpeedReport};
+use crate::{EvacuationReport, SubjectReport, TargetEntry, TargetLimitReport, TargetSpeedReport};
 
 /// A datagram.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -100,8 +100,8 @@
     pub silent_targets: Vec<u32>,
     /// Its requests and further sends in the window of the budget, by service.
     pub further_sends: Vec<FurtherSends>,
-    /// Evidence on prompt parts that end engines.
-    pub suspects: Vec<PartReport>,
+    /// Evidence on requests and prompt parts that end targets.
+    pub suspects: Vec<SubjectReport>,
     /// Limits that targets name, and their ends.
     pub target_limits: Vec<TargetLimitReport>,
     /// Evacuations of data centres that it knows of, and their ends.
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -16,13 +16,13 @@
 mod handshake;
 mod heartbeat;
 mod message;
-mod part_report;
 mod pool;
 mod request_id;
 mod server;
 mod start_record;
 mod status;
 mod stored_document;
+mod subject_report;
 mod target_entry;
 mod target_limit_report;
 mod target_speed_report;
@@ -51,13 +51,13 @@
     LogRecordCopy, PeerCall, PeerReply, PermitOutcome, PinOutcome, ReserveOutcome, SlotId,
     SuggestOutcome, Suggestion,
 };
-pub use part_report::{CrashCopy, HoldCopy, PartReport, StoredPart};
 pub use pool::PeerPool;
 pub use request_id::RequestId;
 pub use server::{Incoming, Responder, serve_connection};
 pub use start_record::{FLEET_STREAM, StartRecord};
 pub use status::{ProcessStatus, StatusProblem};
 pub use stored_document::StoredDocument;
+pub use subject_report::{CrashCopy, HoldCopy, StoredSubject, Subject, SubjectReport};
 pub use target_entry::{TargetEntry, TargetState};
 pub use target_limit_report::TargetLimitReport;
 pub use target_speed_report::TargetSpeedReport;
--- a/tests/documentation.rs
+++ b/tests/documentation.rs
@@ -110,7 +110,7 @@
     metrics.record_late_stream("pause", "north-a");
     metrics.record_settings_read("taken");
     metrics.set_freshness(wait, Some(wait), 1, 0);
-    metrics.set_quarantined_parts(0);
+    metrics.set_quarantined(0, 0);
     metrics.set_uneven_targets(0, 0);
     let text = metrics.to_text().unwrap();
     let exported = names_after(&text, "# TYPE ");
--- a/tests/query_of_death.rs
+++ b/tests/query_of_death.rs
@@ -163,7 +163,7 @@
     let ended = ended.load(Ordering::Relaxed);
     assert!(ended <= MAX_CRASHES, "{ended} targets ended");
     assert!(refused >= 8, "{refused} of 12 deadly requests were refused");
-    gateway.process.wait_for_line("event=part_quarantined").await;
+    gateway.process.wait_for_line("event=quarantine_begun").await;
 }
 
 /// Guards against a quarantine that ends with the process that knows of it: all gateways may be lost at
@@ -180,7 +180,7 @@
         call(gateway.callers, &format!("deadly-{number}"), DEADLY).await;
         sleep(Duration::from_millis(600)).await;
     }
-    gateway.process.wait_for_line("event=part_quarantined").await;
+    gateway.process.wait_for_line("event=quarantine_begun").await;
     let mut ended = 0;
     while ends.try_recv().is_ok() {
         ended += 1;
@@ -188,7 +188,7 @@
     assert!(ended <= MAX_CRASHES, "{ended} targets ended");
 
     gateway.restart().await;
-    gateway.process.wait_for_line("event=part_quarantined").await;
+    gateway.process.wait_for_line("event=quarantine_begun").await;
     let deadly = call(gateway.callers, "deadly-after", DEADLY).await;
     assert!(deadly.guarantees_not_run(), "{deadly:?}");
     assert!(ends.is_empty(), "a target ended after the restart");
