Test that ends of targets quarantine no ordinary request

Cause: a quarantine that names a sound request refuses its callers for ten minutes; only the decision was tested against that. Change: ordinary callers of two gateways beside targets that are replaced with notice, killed 100 and 500 ms apart and all at once. Requests that a leaving target cuts must not be recorded as crashes, and nothing may be quarantined.

--- a/tests/repeated_crashing_request.rs
+++ b/tests/repeated_crashing_request.rs
@@ -4,6 +4,7 @@
 mod support;
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -15,7 +16,8 @@
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
+use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
 const TARGETS: usize = 4;
@@ -25,6 +27,10 @@
 const CRASH_TIME: Duration = Duration::from_millis(50);
 /// Time in which other requests are answered.
 const ANSWER_TIME: Duration = Duration::from_millis(20);
+/// The same for slow ones, and the time between the announcement of an end and the end: some slow
+/// requests are cut then.
+const SLOW_ANSWER_TIME: Duration = Duration::from_millis(800);
+const NOTICE_TIME: Duration = Duration::from_millis(500);
 /// Time between two arrivals of the request, and for how long it comes.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(300);
 const SERIES_TIME: Duration = Duration::from_secs(20);
@@ -109,7 +115,7 @@
             let _ended = end.send(true);
             return;
         }
-        sleep(ANSWER_TIME).await;
+        sleep(if content.contains("slow") { SLOW_ANSWER_TIME } else { ANSWER_TIME }).await;
         let response = format!(
             "HTTP/1.1 200 OK\r\n{RESPONSE_SIGNATURE}: s\r\n{id_line}content-length: 2\r\n\r\nok"
         );
@@ -119,18 +125,26 @@
     }
 }
 
+/// Handle of a target.
+struct Target {
+    address: SocketAddr,
+    /// Number of its current life.
+    number: AtomicUsize,
+    /// Ends it.
+    kill: Notify,
+}
+
 /// Runs a target, which comes back at its address as another one after each end.
 async fn run_target(
     mut listener: TcpListener,
-    mut number: usize,
+    target: Arc<Target>,
     gateway: Arc<PlainGateway>,
     crashing: Arc<str>,
     record: Arc<Mutex<Record>>,
 ) {
-    let address = listener.local_addr().unwrap();
     loop {
         let (end, mut is_over) = watch::channel(false);
-        let mut connections = tokio::task::JoinSet::new();
+        let mut connections = JoinSet::new();
         loop {
             tokio::select! {
                 accepted = listener.accept() => {
@@ -138,15 +152,16 @@
                     connections.spawn(serve(accepted.unwrap().0, crashing, record, end.clone()));
                 }
                 _ = is_over.changed() => break,
+                () = target.kill.notified() => break,
             }
         }
         drop((listener, connections));
         record.lock().unwrap().ends.push(Instant::now());
         sleep(DOWN_TIME).await;
+        let number = target.number.fetch_add(TARGETS, Ordering::Relaxed);
         gateway.remove_target(number);
-        number += TARGETS;
-        listener = TcpListener::bind(address).await.unwrap();
-        gateway.announce(number, address);
+        listener = TcpListener::bind(target.address).await.unwrap();
+        gateway.announce(number + TARGETS, target.address);
     }
 }
 
@@ -154,6 +169,7 @@
 struct Fleet {
     gateway: Arc<PlainGateway>,
     peer: PeerGateway,
+    targets: Vec<Arc<Target>>,
     record: Arc<Mutex<Record>>,
 }
 
@@ -179,21 +195,25 @@
         let gateway = PlainGateway::start_with(&deployment, &addresses, limits).await;
         let peer = PeerGateway::start(&gateway, gateway.store_address()).await;
         let (gateway, record) = (Arc::new(gateway), Arc::default());
+        let mut targets = Vec::new();
         for (number, listener) in (1..).zip(listeners) {
+            let address = addresses[number - 1];
+            let target = Target { address, number: number.into(), kill: Notify::new() };
+            let target = Arc::new(target);
+            targets.push(Arc::clone(&target));
             let (gateway, record) = (Arc::clone(&gateway), Arc::clone(&record));
-            tokio::spawn(run_target(listener, number, gateway, crashing.into(), record));
+            tokio::spawn(run_target(listener, target, gateway, crashing.into(), record));
         }
-        Self { gateway, peer, record }
+        Self { gateway, peer, targets, record }
     }
 
     fn callers(&self, number: usize) -> SocketAddr {
         if number.is_multiple_of(2) { self.gateway.callers } else { self.peer.callers }
     }
 
-    /// Sends `crashing` again and again for the time of the series, beside ordinary calls.
-    async fn play(&self, crashing: &Call, ordinary: &[Call]) {
-        let end = Instant::now() + SERIES_TIME;
-        let mut tasks = tokio::task::JoinSet::new();
+    /// Starts ordinary callers, which call until `end`.
+    fn call_until(&self, end: Instant, ordinary: &[Call]) -> JoinSet<()> {
+        let mut tasks = JoinSet::new();
         for (caller, call) in ordinary.iter().cloned().enumerate() {
             let callers = self.callers(caller);
             tasks.spawn(async move {
@@ -206,6 +226,13 @@
                 }
             });
         }
+        tasks
+    }
+
+    /// Sends `crashing` again and again for the time of the series, beside ordinary calls.
+    async fn play(&self, crashing: &Call, ordinary: &[Call]) {
+        let end = Instant::now() + SERIES_TIME;
+        let mut tasks = self.call_until(end, ordinary);
         // The gateways learn from ordinary answers how rarely targets end.
         sleep(Duration::from_secs(3)).await;
         for number in 0.. {
@@ -221,6 +248,24 @@
         while tasks.join_next().await.is_some() {}
     }
 
+    /// Ends the targets one after the other.
+    async fn kill_all(&self, interval: Duration) {
+        for target in &self.targets {
+            target.kill.notify_one();
+            sleep(interval).await;
+        }
+    }
+
+    /// Announces the end of each target before it.
+    async fn replace_all(&self) {
+        for target in &self.targets {
+            let number = target.number.load(Ordering::Relaxed);
+            self.gateway.announce_leaving(number, target.address);
+            sleep(NOTICE_TIME).await;
+            target.kill.notify_one();
+        }
+    }
+
     fn assert_request_is_stopped(&self) {
         let record = self.record.lock().unwrap();
         assert!(record.ends.len() >= FREE_CRASHES, "{} targets ended", record.ends.len());
@@ -236,9 +281,9 @@
         for (number, call) in ordinary.iter().enumerate() {
             for (name, callers) in [("first", self.gateway.callers), ("second", self.peer.callers)]
             {
-                let attempt = std::sync::atomic::AtomicUsize::new(0);
+                let attempt = AtomicUsize::new(0);
                 wait_until(&format!("{call:?} at the {name} gateway"), async || {
-                    let attempt = attempt.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+                    let attempt = attempt.fetch_add(1, Ordering::Relaxed);
                     let id = format!("after-{name}-{number}-{attempt}");
                     call.send(callers, &id).await == Some(200)
                 })
@@ -282,3 +327,32 @@
     fleet.assert_request_is_stopped();
     fleet.assert_ordinary_calls_are_answered(&ordinary).await;
 }
+
+/// Guards against ordinary requests that are refused because targets are replaced, killed in series or
+/// lose power together while they run.
+#[tokio::test]
+async fn ends_of_targets_quarantine_no_ordinary_request() {
+    let mut ordinary = neighbours(&Call::get(CUSTOMER_KEY, "/read/sound"));
+    ordinary.extend((0..4).map(|_| Call::post(CUSTOMER_KEY, "/order/slow", "slow")));
+    let fleet = Fleet::start("").await;
+    let end = Instant::now() + Duration::from_secs(26);
+    let met = |text: &str| {
+        let log = [fleet.gateway.process.log(), fleet.peer.process.log()].concat();
+        log.into_iter().filter(|line| line.contains(text)).collect::<Vec<String>>()
+    };
+    let mut callers = fleet.call_until(end, &ordinary);
+    let back = DOWN_TIME + Duration::from_secs(1);
+    sleep(Duration::from_secs(2)).await;
+    fleet.replace_all().await;
+    sleep(back).await;
+    assert!(!met("event=answer_missing").is_empty(), "no request was cut");
+    assert_eq!(met("event=crash_recorded"), [String::new(); 0]);
+    for interval in [Duration::from_millis(100), Duration::from_millis(500), Duration::ZERO] {
+        fleet.kill_all(interval).await;
+        sleep(back).await;
+    }
+    while callers.join_next().await.is_some() {}
+    assert!(!met("event=crash_recorded").is_empty(), "no request met the end of a target");
+    assert_eq!(met("event=quarantine_begun"), [String::new(); 0]);
+    fleet.assert_ordinary_calls_are_answered(&ordinary).await;
+}
