Take no end of a target that is listed no more as a crash

Cause: a target that is removed from the list while it finishes its requests counts as ended, not as leaving, so that what it cuts counted as a crash.

--- a/components/gateway/src/crash_quarantine.rs
+++ b/components/gateway/src/crash_quarantine.rs
@@ -5,7 +5,6 @@
 use api::{ApiError, ErrorCode};
 use base::{Timestamp, short_hash};
 use quarantine::{QuarantineChange, Refusal, RequestSubjects};
-use routing::TargetPhase;
 use telemetry::quote;
 use tokio::time::timeout;
 use wire::{Subject, SubjectReport};
@@ -175,8 +174,8 @@
         has_head: bool,
     ) -> bool {
         let broken_at = self.app.clock.now();
-        // A target that leaves as announced may break off what it has not finished.
-        if self.target_phase(broken_at)(send.pick.key) == TargetPhase::Leaving {
+        // A target that leaves as announced, or is listed no more, may cut what it has not finished.
+        if !self.app.fleet.borrow().target(send.pick.key).accepts_work {
             return true;
         }
         let checked =
