Test the identity of requests and their stored quarantine

Cause: neighbours of a refused request are told from it by the digest alone, and a gateway that starts knows of it by the store alone; only real processes covered both. Change: tests of each property of the digest and of a record read by a new gateway.

--- a/components/quarantine/src/quarantine.rs
+++ b/components/quarantine/src/quarantine.rs
@@ -340,8 +340,8 @@
         if rivals().any(|theirs| theirs.covers(suspect) && !suspect.covers(theirs)) {
             return false;
         }
-        // A part may come with the same other parts in all requests.
         let answered = if is_request && is_answered { settings.answered_crashes } else { 0 };
+        // Parts that always come together can't be told apart by further crashes.
         let is_ambiguous = is_request && rivals().any(|theirs| theirs.covers(suspect));
         let ambiguous = if is_ambiguous { settings.ambiguous_crashes } else { 0 };
         weight >= settings.min_crashes + answered + ambiguous
--- a/components/quarantine/tests/lifecycle.rs
+++ b/components/quarantine/tests/lifecycle.rs
@@ -4,7 +4,7 @@
 
 use base::Timestamp;
 use quarantine::{Quarantine, QuarantineChange, QuarantineSettings, RequestSubjects};
-use wire::Subject;
+use wire::{StoredSubject, Subject};
 
 const DEADLY: u64 = 7;
 const DEADLY_PART: Subject = Subject::Part(DEADLY);
@@ -142,3 +142,27 @@
     assert!(quarantine.reports(now).len() <= settings.max_reported);
     assert!(quarantine.refusal(&of(&deadly_request(9)), now).is_some(), "the quarantine is kept");
 }
+
+/// Guards against a whole request whose quarantine ends with the gateways that knew of it, and against
+/// another request that is refused with it.
+#[test]
+fn a_stored_quarantine_of_a_request_reaches_a_new_gateway() {
+    let settings = QuarantineSettings::default();
+    let deadly = RequestSubjects { parts: &[], digest: DEADLY };
+    let mut quarantine = Quarantine::new(settings, "gateway-1");
+    for number in 0..4 {
+        quarantine.record_send(&deadly, at(1_000 + 1_000 * number));
+        quarantine.record_crash(&deadly, number as u32, at(1_050 + 1_000 * number));
+    }
+    let now = at(5_000);
+    assert!(quarantine.reports(now).iter().any(|report| report.hold.is_some()));
+    let report = quarantine.held_report(Subject::Request(DEADLY), now).unwrap();
+
+    let mut other = Quarantine::new(settings, "gateway-2");
+    let report = StoredSubject { report, stored_unix_ms: 1_000 }.report_at(61_000);
+    other.apply_reports(&[report], at(2_000));
+    let remaining = other.refusal(&deadly, at(2_000)).map(|refusal| refusal.remaining);
+    let rest = settings.hold - Duration::from_secs(60);
+    assert!(remaining.is_some_and(|left| left >= rest && left < rest + settings.trial_spread));
+    assert_eq!(other.refusal(&RequestSubjects { digest: DEADLY + 1, ..deadly }, at(2_000)), None);
+}
