Count only unexplained crashes of the same service as chance

Cause: the probability of meeting a crash by chance was taken over all services and all crashes. After engines had crashed, or after another request had ended targets, a request needed up to six crashes of its own before it was refused. Change: crashes and outputs are counted by service, and crashes of subjects in quarantine are left out. Reports of crashes have the service. Result: explained_crashes_do_not_delay_a_quarantine; the simulations of the crate pass as before.

--- a/components/gateway/src/crash_quarantine.rs
+++ b/components/gateway/src/crash_quarantine.rs
@@ -113,7 +113,11 @@
 impl Dispatch {
     /// What the request has in common with others.
     fn subjects(&self) -> RequestSubjects<'_> {
-        RequestSubjects { parts: &self.request.parts, digest: self.request.digest }
+        RequestSubjects {
+            parts: &self.request.parts,
+            digest: self.request.digest,
+            service: short_hash(self.request.plan.service.as_bytes()),
+        }
     }
 
     /// Returns the error for a request that is in quarantine or has a part in it.
--- a/components/quarantine/src/background.rs
+++ b/components/quarantine/src/background.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use base::Timestamp;
+use base::{SortedMap, Timestamp};
 
 use crate::crash::Crash;
 use crate::suspect::Suspect;
@@ -16,9 +16,15 @@
 /// Most crashes kept.
 const MAX_CRASHES: usize = 256;
 
-/// Crashes and outputs of this gateway's requests.
+/// Crashes and outputs of this gateway's requests, by service.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Background {
+    services: SortedMap<u32, ServiceBackground>,
+}
+
+/// Crashes and outputs of requests to one service.
+#[derive(Clone, Debug, Default)]
+struct ServiceBackground {
     crashes: VecDeque<Crash>,
     /// Outputs in the current half of the window and in the one before.
     outputs: [u32; 2],
@@ -28,26 +34,40 @@
 impl Background {
     /// Records a crash.
     pub fn record_crash(&mut self, crash: Crash) {
-        if self.crashes.len() == MAX_CRASHES {
-            self.crashes.pop_front();
+        let service = self.services.get_or_insert_with(crash.service, ServiceBackground::default);
+        if service.crashes.len() == MAX_CRASHES {
+            service.crashes.pop_front();
         }
-        self.crashes.push_back(crash);
-        self.expire(crash.at);
+        service.crashes.push_back(crash);
+        service.expire(crash.at);
     }
 
-    /// Records an output.
-    pub fn record_output(&mut self, now: Timestamp) {
-        self.expire(now);
-        self.outputs[0] = self.outputs[0].saturating_add(1);
+    /// Records an output for a request to `service`.
+    pub fn record_output(&mut self, service: u32, now: Timestamp) {
+        let service = self.services.get_or_insert_with(service, ServiceBackground::default);
+        service.expire(now);
+        service.outputs[0] = service.outputs[0].saturating_add(1);
     }
 
-    /// Probability that a request meets a crash that the subject did not cause.
-    pub fn crash_probability(&self, suspect: &Suspect) -> f64 {
-        let others = self.crashes.iter().filter(|crash| !suspect.was_in(crash)).count() as f64;
-        let outputs = f64::from(self.outputs[0]) + f64::from(self.outputs[1]);
+    /// Probability that a request to the service of the suspect's last crash meets a crash that neither
+    /// the suspect caused nor, by `is_explained`, a subject in quarantine.
+    pub fn crash_probability(
+        &self,
+        suspect: &Suspect,
+        is_explained: impl Fn(&Crash) -> bool,
+    ) -> f64 {
+        let last = suspect.crashes.last().map(|crash| crash.service);
+        let (others, outputs) =
+            last.and_then(|service| self.services.get(&service)).map_or((0.0, 0.0), |service| {
+                let is_other = |crash: &&Crash| !suspect.was_in(crash) && !is_explained(crash);
+                let others = service.crashes.iter().filter(is_other).count() as f64;
+                (others, service.outputs.iter().copied().map(f64::from).sum())
+            });
         (others + PRIOR_CRASHES) / (others + outputs + PRIOR_REQUESTS)
     }
+}
 
+impl ServiceBackground {
     fn expire(&mut self, now: Timestamp) {
         while self.crashes.front().is_some_and(|crash| now.since(crash.at) > WINDOW) {
             self.crashes.pop_front();
--- a/components/quarantine/src/crash.rs
+++ b/components/quarantine/src/crash.rs
@@ -9,6 +9,8 @@
 pub struct Crash {
     /// Short hash of the id of the target's life.
     pub target: u32,
+    /// Short hash of the target's service.
+    pub service: u32,
     /// Short hash of the whole prompt.
     pub prompt: u32,
     /// Short hash of the name of the gateway that saw it. Times from one gateway are exact.
--- a/components/quarantine/src/quarantine.rs
+++ b/components/quarantine/src/quarantine.rs
@@ -89,7 +89,8 @@
     pub fn record_crash(&mut self, subjects: &RequestSubjects<'_>, target: u32, now: Timestamp) {
         let settings = self.settings;
         let reporter = (self.process_hash >> 32) as u32;
-        let crash = Crash { target, prompt: subjects.prompt_hash(), reporter, at: now };
+        let (prompt, service) = (subjects.prompt_hash(), subjects.service);
+        let crash = Crash { target, service, prompt, reporter, at: now };
         self.background.record_crash(crash);
         for subject in subjects.iter(settings.max_parts_of_request) {
             let output = self.outputs.get(&subject).copied();
@@ -117,7 +118,7 @@
 
     /// Records that a target wrote output for the request with these subjects.
     pub fn record_output(&mut self, subjects: &RequestSubjects<'_>, now: Timestamp) {
-        self.background.record_output(now);
+        self.background.record_output(subjects.service, now);
         for subject in subjects.iter(self.settings.max_parts_of_request) {
             self.outputs.insert(subject, now);
             let Some(suspect) = self.suspects.get_mut(&subject) else { continue };
@@ -223,8 +224,8 @@
             let suspect =
                 self.suspects.get_or_insert_with(subject, || Suspect::new(subject, output));
             for copy in &report.crashes {
-                let CrashCopy { target, prompt, reporter, age_ms } = *copy;
-                let crash = Crash { target, prompt, reporter, at: ago(age_ms) };
+                let CrashCopy { target, service, prompt, reporter, age_ms } = *copy;
+                let crash = Crash { target, service, prompt, reporter, at: ago(age_ms) };
                 suspect.add_crash(crash, self.settings.crash_gap);
             }
             if let Some(copy) = report.hold {
@@ -331,7 +332,10 @@
         if weight < settings.min_crashes {
             return false;
         }
-        let probability = self.background.crash_probability(suspect);
+        let is_explained = |crash: &Crash| {
+            self.suspects.values().any(|other| other.hold.is_some() && other.was_in(crash))
+        };
+        let probability = self.background.crash_probability(suspect, is_explained);
         let exponent = i32::try_from(weight).unwrap_or(i32::MAX);
         if probability.powi(exponent) > false_positive {
             return false;
@@ -411,6 +415,7 @@
     let age_ms = |at: Timestamp| millis(now.since(at));
     let crashes = suspect.crashes.iter().map(|crash| CrashCopy {
         target: crash.target,
+        service: crash.service,
         prompt: crash.prompt,
         reporter: crash.reporter,
         age_ms: age_ms(crash.at),
--- a/components/quarantine/src/request_subjects.rs
+++ b/components/quarantine/src/request_subjects.rs
@@ -9,6 +9,8 @@
     pub parts: &'a [u64],
     /// Digest that the repetitions of the request share.
     pub digest: u64,
+    /// Short hash of the service that it is sent to.
+    pub service: u32,
 }
 
 impl RequestSubjects<'_> {
--- a/components/quarantine/tests/fleet.rs
+++ b/components/quarantine/tests/fleet.rs
@@ -261,7 +261,7 @@
 
 /// The request with these parts, which is never repeated.
 fn of(parts: &[u64]) -> RequestSubjects<'_> {
-    RequestSubjects { parts, digest: parts.last().copied().unwrap_or_default() }
+    RequestSubjects { parts, digest: parts.last().copied().unwrap_or_default(), service: 1 }
 }
 
 fn deadly_part(parts: &[u64]) -> Option<u64> {
--- a/components/quarantine/tests/lifecycle.rs
+++ b/components/quarantine/tests/lifecycle.rs
@@ -15,7 +15,7 @@
 
 /// The request with these parts, which is never repeated.
 fn of(parts: &[u64]) -> RequestSubjects<'_> {
-    RequestSubjects { parts, digest: parts.last().copied().unwrap_or_default() }
+    RequestSubjects { parts, digest: parts.last().copied().unwrap_or_default(), service: 1 }
 }
 
 /// Parts of the request with this number.
@@ -148,7 +148,7 @@
 #[test]
 fn a_stored_quarantine_of_a_request_reaches_a_new_gateway() {
     let settings = QuarantineSettings::default();
-    let deadly = RequestSubjects { parts: &[], digest: DEADLY };
+    let deadly = RequestSubjects { parts: &[], digest: DEADLY, service: 1 };
     let mut quarantine = Quarantine::new(settings, "gateway-1");
     for number in 0..4 {
         quarantine.record_send(&deadly, at(1_000 + 1_000 * number));
@@ -166,3 +166,31 @@
     assert!(remaining.is_some_and(|left| left >= rest && left < rest + settings.trial_spread));
     assert_eq!(other.refusal(&RequestSubjects { digest: DEADLY + 1, ..deadly }, at(2_000)), None);
 }
+
+/// Guards against a request that goes on to end targets because many requests met crashes that it can't
+/// have caused: of another service, or by another request that is in quarantine.
+#[test]
+fn explained_crashes_do_not_delay_a_quarantine() {
+    for bystander_service in [1, 2] {
+        let mut quarantine = Quarantine::new(QuarantineSettings::default(), "gateway-1");
+        for (deadly, start_ms) in [(DEADLY, 1_000), (DEADLY + 1, 20_000)] {
+            let request = RequestSubjects { parts: &[], digest: deadly, service: 1 };
+            for number in 0..3 {
+                let now = at(start_ms + 1_000 * number);
+                let target = (start_ms + number) as u32;
+                for bystander in 0..10 {
+                    let digest = start_ms + 100 * number + bystander;
+                    let beside = RequestSubjects { parts: &[], digest, service: bystander_service };
+                    let is_elsewhere = u32::from(bystander_service != 1);
+                    quarantine.record_crash(&beside, target + 1_000_000 * is_elsewhere, now);
+                }
+                quarantine.record_crash(&request, target, now);
+            }
+            let now = at(start_ms + 5_000);
+            quarantine.reports(now);
+            let held: Vec<Subject> = quarantine.held_subjects().collect();
+            assert!(held.contains(&Subject::Request(deadly)), "{held:?}");
+        }
+        assert_eq!(quarantine.held_subjects().count(), 2);
+    }
+}
--- a/components/quarantine/tests/repeated_requests.rs
+++ b/components/quarantine/tests/repeated_requests.rs
@@ -194,7 +194,7 @@
 }
 
 fn of(digest: u64) -> RequestSubjects<'static> {
-    RequestSubjects { parts: &[], digest }
+    RequestSubjects { parts: &[], digest, service: 1 }
 }
 
 /// Guards against a request that comes again and ends targets without end, and against requests beside it
--- a/components/wire/src/subject_report.rs
+++ b/components/wire/src/subject_report.rs
@@ -93,6 +93,8 @@
 pub struct CrashCopy {
     /// Short hash of the id of the target's life.
     pub target: u32,
+    /// Short hash of the target's service.
+    pub service: u32,
     /// Short hash of the prompt.
     pub prompt: u32,
     /// Short hash of the name of the gateway that saw it.
