Cut off responses that are interim ones without end

Callers saw: while a target sent 1xx responses without a final one, the gateway answered nobody. With 60 such requests its thread used 8.5 s of processor time in 8.5 s, wrote no log line, ran no timeout and sent no heartbeat; an ordinary request got no response in 4 s, and one after the endless ones got 503 or nothing.

Cause: the HTTP client skips interim responses in a loop that ends only when the socket has nothing to read. A sender that is as fast as the client keeps it in the loop, and time limits are checked only between polls.

Change: InterimResponses counts them for each request (hyper's callback for informational responses), and at most 64 are taken. Connections to targets (gateway, side) fail their next read then; calls to the store, to engines and between processes end with "no response". The stand-in EndlessServer is shared by the tests of the crates.

Ruled out: a time limit around the request (there was one, it can't run while the thread is occupied); reading in smaller turns (the requests would go on until their deadlines at full processor load).

--- a/components/calls/src/http_client.rs
+++ b/components/calls/src/http_client.rs
@@ -12,6 +12,8 @@
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use tokio::time::timeout;
 
+use crate::InterimResponses;
+
 /// Limit on a response body; pages of the store have a few MB at most.
 const MAX_RESPONSE_BYTES: usize = 64 << 20;
 /// Idle time after which a pooled connection is closed; below the idle timeouts of the servers
@@ -119,10 +121,15 @@
             .body(Full::new(call.body))
             .map_err(|_| CallError::Invalid)?;
         *request.headers_mut() = call.headers;
-        match timeout(call.timeout, self.exchange(request)).await {
-            Ok(result) => result,
-            Err(_) => Err(CallError::NoResponse),
-        }
+        let interim = InterimResponses::default();
+        interim.watch(&mut request);
+        let exchange = async {
+            tokio::select! {
+                result = self.exchange(request) => result,
+                () = interim.exceeded() => Err(CallError::NoResponse),
+            }
+        };
+        timeout(call.timeout, exchange).await.unwrap_or(Err(CallError::NoResponse))
     }
 
     async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<CallResponse, CallError> {
--- a/components/calls/src/lib.rs
+++ b/components/calls/src/lib.rs
@@ -1,6 +1,10 @@
 //! HTTP/1.1 client with timeouts for calls to the store, to engines and between processes of the
-//! fleet.
+//! fleet, and connections to servers that may send bytes without end.
 
 mod http_client;
+mod interim_responses;
+mod target_io;
 
 pub use http_client::{CallError, CallResponse, HttpCall, HttpClient};
+pub use interim_responses::InterimResponses;
+pub use target_io::{TargetIo, open_http};
--- a/components/engine/src/http_engine.rs
+++ b/components/engine/src/http_engine.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use calls::InterimResponses;
 use compact_str::{CompactString, format_compact};
 use http::{Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
@@ -96,7 +97,7 @@
         id: &str,
         body: Bytes,
     ) -> Result<Response<Incoming>, EngineError> {
-        let request = Request::builder()
+        let mut request = Request::builder()
             .method(method)
             .uri(format!("http://{}{path}", self.address))
             .header(header::CONTENT_TYPE, "application/json")
@@ -104,9 +105,15 @@
             .body(Full::new(body))
             // The id is not a valid header value or path; nothing is sent.
             .map_err(|_| EngineError::Rejected { status: 400 })?;
-        let response = self.client.request(request).await.map_err(|error| {
-            if error.is_connect() { EngineError::Unreachable } else { EngineError::OutcomeUnknown }
-        })?;
+        let interim = InterimResponses::default();
+        interim.watch(&mut request);
+        let response = tokio::select! {
+            response = self.client.request(request) => response.map_err(|error| {
+                let unreachable = error.is_connect();
+                if unreachable { EngineError::Unreachable } else { EngineError::OutcomeUnknown }
+            })?,
+            () = interim.exceeded() => return Err(EngineError::OutcomeUnknown),
+        };
         if response
             .headers()
             .get(REQUEST_ID_HEADER)
--- a/components/gateway/src/target_pool.rs
+++ b/components/gateway/src/target_pool.rs
@@ -8,11 +8,11 @@
 
 use base::SortedMap;
 use bytes::Bytes;
+use calls::{InterimResponses, open_http};
 use http::Request;
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
-use hyper::client::conn::http1::{SendRequest, handshake};
-use hyper_util::rt::TokioIo;
+use hyper::client::conn::http1::SendRequest;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
@@ -67,6 +67,7 @@
     /// Size of the last request's body.
     body_bytes: usize,
     io_task: ConnectionTask,
+    interim: InterimResponses,
 }
 
 /// Task that drives the connection's I/O; aborted on drop.
@@ -204,24 +205,24 @@
     {
         log::debug!("event=socket_options_refused address={address} error=\"{error}\"");
     }
-    let (sender, connection) =
-        handshake(TokioIo::new(socket)).await.map_err(std::io::Error::other)?;
+    let (sender, connection, interim) = open_http(socket).await.map_err(std::io::Error::other)?;
     let task = tokio::task::spawn_local(async move {
         if let Err(error) = connection.await {
             log::debug!("event=target_connection_ended address={address} error=\"{error}\"");
         }
     });
     let io_task = ConnectionTask(task.abort_handle());
-    Ok(TargetConnection { address, sender, sent: 0, body_bytes: 0, io_task })
+    Ok(TargetConnection { address, sender, sent: 0, body_bytes: 0, io_task, interim })
 }
 
 impl TargetConnection {
     /// Sends a request and waits for the response head.
     pub(crate) async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
     ) -> Result<http::Response<Incoming>, SendFailure> {
         self.sent += 1;
+        self.interim.watch(&mut request);
         let body_bytes = request.body().size_hint().exact().unwrap_or_default();
         self.body_bytes = usize::try_from(body_bytes).unwrap_or(usize::MAX);
         match self.sender.try_send_request(request).await {
--- a/components/side/src/plain_client.rs
+++ b/components/side/src/plain_client.rs
@@ -4,12 +4,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use calls::{InterimResponses, open_http};
 use http::header::{self, HeaderName, HeaderValue};
 use http::{HeaderMap, Method, Request, Response, Uri, Version};
 use http_body::Body;
 use hyper::body::Incoming;
-use hyper::client::conn::http1;
-use hyper_util::rt::TokioIo;
+use hyper::client::conn::http1::SendRequest;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
@@ -34,8 +34,9 @@
 /// Each call opens its own connection: if the target closed a kept-alive one while a call is being
 /// sent, the outcome of a call that it never read would be unknown.
 pub(crate) struct PlainConnection<B> {
-    sender: http1::SendRequest<B>,
+    sender: SendRequest<B>,
     io_task: AbortHandle,
+    interim: InterimResponses,
 }
 
 /// Closes the connection, so that a target that has responded and does not read the rest of the body
@@ -55,17 +56,21 @@
     pub async fn open(address: SocketAddr) -> Option<Self> {
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await.ok()?.ok()?;
         stream.set_nodelay(true).ok()?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+        let (sender, connection, interim) = open_http(stream).await.ok()?;
         let io_task = tokio::spawn(async move {
             if let Err(error) = connection.await {
                 log::debug!("event=target_connection_ended error=\"{error}\"");
             }
         });
-        Some(Self { sender, io_task: io_task.abort_handle() })
+        Some(Self { sender, io_task: io_task.abort_handle(), interim })
     }
 
     /// Sends the call; from this point it may have run.
-    pub async fn send(&mut self, request: Request<B>) -> Result<Response<Incoming>, hyper::Error> {
+    pub async fn send(
+        &mut self,
+        mut request: Request<B>,
+    ) -> Result<Response<Incoming>, hyper::Error> {
+        self.interim.watch(&mut request);
         self.sender.send_request(request).await
     }
 }
--- a/components/standin/src/lib.rs
+++ b/components/standin/src/lib.rs
@@ -4,6 +4,7 @@
 //! ephemeral loopback port; its settings can be changed through its handle or by `POST /control`.
 
 mod control;
+mod endless_server;
 mod engine_generate;
 mod engine_journal;
 mod engine_orders;
@@ -21,6 +22,7 @@
 mod vm_list_server;
 mod weight_store;
 
+pub use endless_server::{EndlessAnswer, EndlessServer, EndlessServerSettings};
 pub use engine_journal::{EngineJournal, OrderEntry, OrderOutcome, RunEntry};
 pub use engine_server::{EngineServer, EngineService};
 pub use engine_settings::{EngineSettings, PreloadedModel};
--- a/tests/endless_answers.rs
+++ b/tests/endless_answers.rs
@@ -6,14 +6,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use platform::header_names::RESPONSE_SIGNATURE;
+use platform::header_names::{REQUEST_ID, RESPONSE_SIGNATURE};
 use platform_standin::{
     CallerConnection, CallerKind, CallerRequest, CallerResponse, RouteKind, RouteSpec,
 };
+use standin::{EndlessAnswer, EndlessServer, EndlessServerSettings};
 use support::{CUSTOMER_KEY, HOST, PlainGateway, SERVICE, wait_until};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::task::JoinSet;
 
 /// Requests that meet an endless answer at once.
@@ -23,45 +21,12 @@
 /// What a caller allows.
 const DEADLINE: Duration = Duration::from_secs(6);
 
-/// What a target sends before the bytes without end.
-fn heads() -> [String; 4] {
-    [
-        String::new(),
-        "HTTP/1.1 200 OK\r\nx-endless: ".to_owned(),
-        format!(
-            "HTTP/1.1 200 OK\r\n{RESPONSE_SIGNATURE}: s\r\ncontent-length: 900000000000\r\n\r\n"
-        ),
-        format!("HTTP/1.1 200 OK\r\n{RESPONSE_SIGNATURE}: s\r\n\r\n"),
-    ]
-}
-
-/// Reads a request and answers with bytes until the connection is closed, which it reports.
-async fn answer_without_end(mut socket: TcpStream, head: String, closed: UnboundedSender<()>) {
-    let mut request = [0; 4_096];
-    if socket.read(&mut request).await.unwrap_or(0) == 0 {
-        return;
-    }
-    let noise = vec![b'a'; 64 << 10];
-    let mut written = socket.write_all(head.as_bytes()).await;
-    while written.is_ok() {
-        written = socket.write_all(&noise).await;
-    }
-    closed.send(()).unwrap();
-}
+/// Path of requests with an ordinary response.
+const SOUND_PATH: &str = "/order/sound";
 
-/// A target whose answers begin in each of the ways in turn.
-async fn endless_target() -> (SocketAddr, UnboundedReceiver<()>) {
-    let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
-    let address = listener.local_addr().unwrap();
-    let (sender, closed) = unbounded_channel();
-    tokio::spawn(async move {
-        for at in 0.. {
-            let (socket, _) = listener.accept().await.unwrap();
-            let head = heads()[at % heads().len()].clone();
-            tokio::spawn(answer_without_end(socket, head, sender.clone()));
-        }
-    });
-    (address, closed)
+fn answer(head: &str, part: &'static str) -> EndlessAnswer {
+    let head = head.replace("signed", &format!("{RESPONSE_SIGNATURE}: s\r\n"));
+    EndlessAnswer { head, part }
 }
 
 fn route() -> RouteSpec {
@@ -76,12 +41,12 @@
     }
 }
 
-async fn order(callers: SocketAddr, number: usize) -> CallerResponse {
+async fn order(callers: SocketAddr, id: String, path: &str) -> CallerResponse {
     let mut connection = CallerConnection::open(callers, DEADLINE).await.unwrap();
     let request = CallerRequest {
-        id: format!("request-{number}").into(),
+        id: id.into(),
         host: HOST.into(),
-        path: "/order/1".into(),
+        path: path.into(),
         key: CUSTOMER_KEY.into(),
         deadline: DEADLINE,
         kind: CallerKind::Order,
@@ -90,26 +55,67 @@
     connection.call(&request).await
 }
 
-/// Guards against a gateway that collects an endless head or body until its memory is used up, that waits for the
-/// end of it, or that leaves the target sending.
-#[tokio::test]
-async fn answers_without_end_are_cut_and_their_callers_told() {
-    let (target, mut closed) = endless_target().await;
-    let gateway = PlainGateway::start(route(), &[target]).await;
+/// A target with these endless answers, and an ordinary one at [`SOUND_PATH`].
+fn settings(answers: Vec<EndlessAnswer>) -> EndlessServerSettings {
+    let response = format!(
+        "HTTP/1.1 200 OK\r\n{REQUEST_ID}: {{{REQUEST_ID}}}\r\n{RESPONSE_SIGNATURE}: s\r\n\
+         content-length: 2\r\n\r\nok"
+    );
+    EndlessServerSettings { answers, ordinary: vec![(SOUND_PATH, response)] }
+}
+
+/// Checks that each request with an ordinary response is told something, and one of them gets the response: a
+/// target that breaks off others counts as unusable for a while.
+async fn check_is_served(callers: SocketAddr) {
+    let mut number = 0;
+    wait_until("an ordinary request is served", async || {
+        number += 1;
+        let sound = order(callers, format!("sound-{number}"), SOUND_PATH).await;
+        assert!(sound.is_success() || sound.status == Some(503), "{sound:?}");
+        sound.is_success()
+    })
+    .await;
+}
+
+/// Sends requests that meet these answers and checks that each is refused, that the connections are
+/// closed, that memory stays within that of the machine, and that a request in between is served.
+async fn check_answers_are_cut(answers: Vec<EndlessAnswer>) {
+    let mut target = EndlessServer::start(settings(answers)).await.unwrap();
+    let gateway = PlainGateway::start(route(), &[target.address()]).await;
 
     let mut orders = JoinSet::new();
     for number in 0..AT_ONCE {
-        orders.spawn(order(gateway.callers, number));
+        orders.spawn(order(gateway.callers, format!("request-{number}"), "/order/1"));
     }
-    let answers = orders.join_all().await;
-    for answer in &answers {
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    check_is_served(gateway.callers).await;
+    for answer in &orders.join_all().await {
         assert_eq!(answer.status, Some(502), "{answer:?}");
         assert!(answer.is_complete && answer.seal.is_none(), "{answer:?}");
     }
-    wait_until("the target's connections are closed", async || closed.len() >= AT_ONCE).await;
-    assert!(closed.recv().await.is_some());
-    let status = std::fs::read_to_string(format!("/proc/{}/status", gateway.process.id())).unwrap();
-    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
-    let peak_kb: u64 = peak.trim().trim_end_matches(" kB").parse().unwrap();
+    let closed = async || target.closed() >= AT_ONCE;
+    wait_until("the target's connections are closed", closed).await;
+    assert!(target.next_closed().await.is_some());
+    let peak_kb = gateway.process.peak_memory_kb();
     assert!(peak_kb < MOST_MEMORY_KB, "{peak_kb} KB");
 }
+
+/// Guards against a gateway that collects an endless head or body until its memory is used up, that waits for the
+/// end of it, or that leaves the target sending.
+#[tokio::test]
+async fn answers_without_end_are_cut_and_their_callers_told() {
+    let answers = vec![
+        answer("", "a"),
+        answer("HTTP/1.1 200 OK\r\nx-endless: ", "a"),
+        answer("HTTP/1.1 200 OK\r\nsignedcontent-length: 900000000000\r\n\r\n", "a"),
+        answer("HTTP/1.1 200 OK\r\nsigned\r\n", "a"),
+    ];
+    check_answers_are_cut(answers).await;
+}
+
+/// Guards against a gateway whose one thread does nothing but skip interim responses as long as a target
+/// sends them.
+#[tokio::test]
+async fn interim_responses_without_end_delay_no_other_request() {
+    check_answers_are_cut(vec![answer("", "HTTP/1.1 100 Continue\r\n\r\n")]).await;
+}
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -55,6 +55,13 @@
         self.child.id().expect("the process has ended")
     }
 
+    /// Most memory that the process has had, in KB.
+    pub fn peak_memory_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.id())).unwrap();
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
+        peak.trim().trim_end_matches(" kB").parse().unwrap()
+    }
+
     /// Sends a signal to the process, by its id.
     pub fn signal(&self, signal: Signal) {
         let id = self.id();
