Pause connections to servers that send faster than they are read

Callers saw: while targets sent the digits of a chunk size without end, the gateway answered nobody for as long as they sent (8.4 s of processor time in 8.5 s with 60 requests) and then refused all requests with no_authority, since it had lost touch with the store. One call of HttpClient with a timeout of 500 ms ended after 10.6 s.

Cause: the HTTP client reads on while bytes arrive that it skips, up to the 128 reads that the runtime allows, of up to 408 KB each. Yielding does not suffice: the runtime checks timers and sockets only after 61 polls, so a test with turns of 4 reads took 18.9 s.

Change: TargetIo pauses for 1 ms after two reads without waiting for the server, and read buffers have 64 KB (the head of a response is bounded by it too). All HTTP clients of the processes use it: connections to targets of gateway and side, HttpClient, HttpEngine; TargetConnector opens those of the pooled ones. A connection whose server is slower than the process never pauses.

Ruled out: yielding without a timer (above); smaller turns alone, which cost large responses more polls and don't let the timers run.

Tests that failed before: chunk_sizes_without_end_delay_no_other_request (tests/endless_answers.rs) and chunk_sizes_without_end_are_cut_at_the_timeout (calls). With 300 such answers at once a debug build still delays an ordinary request past 4 s; not measured with a release build.

--- a/components/calls/src/http_client.rs
+++ b/components/calls/src/http_client.rs
@@ -8,11 +8,10 @@
 use http::{HeaderMap, Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use tokio::time::timeout;
 
-use crate::InterimResponses;
+use crate::{InterimResponses, READ_BUFFER_BYTES, TargetConnector};
 
 /// Limit on a response body; pages of the store have a few MB at most.
 const MAX_RESPONSE_BYTES: usize = 64 << 20;
@@ -90,22 +89,18 @@
 /// connection, so that an unresponsive connection is used at most once.
 #[derive(Clone, Debug)]
 pub struct HttpClient {
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: Client<TargetConnector, Full<Bytes>>,
 }
 
 impl HttpClient {
     /// A client with `connect_timeout` as the timeout for opening a connection.
     pub fn new(connect_timeout: Duration) -> Self {
-        let mut connector = HttpConnector::new();
-        // A failed connection attempt must be reported before the call's own timeout, since only
-        // then is it known that nothing was sent.
-        connector.set_connect_timeout(Some(connect_timeout));
-        connector.set_nodelay(true);
         let client = Client::builder(TokioExecutor::new())
+            .http1_max_buf_size(READ_BUFFER_BYTES)
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(POOL_IDLE_TIMEOUT)
             .pool_max_idle_per_host(MAX_IDLE_PER_HOST)
-            .build(connector);
+            .build(TargetConnector::new(connect_timeout));
         Self { client }
     }
 
--- a/components/calls/src/lib.rs
+++ b/components/calls/src/lib.rs
@@ -3,8 +3,10 @@
 
 mod http_client;
 mod interim_responses;
+mod target_connector;
 mod target_io;
 
 pub use http_client::{CallError, CallResponse, HttpCall, HttpClient};
 pub use interim_responses::InterimResponses;
-pub use target_io::{TargetIo, open_http};
+pub use target_connector::TargetConnector;
+pub use target_io::{READ_BUFFER_BYTES, TargetIo, open_http};
--- a/components/calls/src/target_io.rs
+++ b/components/calls/src/target_io.rs
@@ -1,27 +1,45 @@
 //! Connection to a server that may send bytes without end.
 
+use std::future::Future;
 use std::io::{Error, IoSlice};
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body::Body;
-use hyper::client::conn::http1::{Builder, Connection, SendRequest};
+use hyper::client::conn::http1::{Builder, Connection as HttpConnection, SendRequest};
 use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper_util::client::legacy::connect::{Connected, Connection};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
+use tokio::time::{Sleep, sleep};
 
 use crate::InterimResponses;
 
-/// Socket of a connection whose reads fail after too many interim responses.
+/// Size of a connection's read buffer, which also bounds the head of a response. A process may have some
+/// 400 such connections with 120 MB of memory.
+pub const READ_BUFFER_BYTES: usize = 64 << 10;
+/// Reads without waiting for the server after which a connection pauses. The HTTP client reads on while
+/// bytes arrive that it skips, such as the digits of a chunk size, and no time limit is checked meanwhile.
+const READS_PER_TURN: u32 = 2;
+/// Length of a pause: the shortest that lets the runtime check its timers and sockets. A task that only
+/// yields is polled some 60 times before. With full buffers a connection reads 60 to 120 MB/s.
+const PAUSE: Duration = Duration::from_millis(1);
+
+/// Socket of a connection that pauses while the server sends faster than it is read, and whose reads fail
+/// after too many interim responses.
 #[derive(Debug)]
 pub struct TargetIo {
     socket: TokioIo<TcpStream>,
     interim: InterimResponses,
+    /// Reads since the connection paused or waited for the server.
+    reads: u32,
+    pause: Option<Pin<Box<Sleep>>>,
 }
 
 /// A connection that sends requests, the task that drives it, and the count of interim responses.
-type Opened<B> = (SendRequest<B>, Connection<TargetIo, B>, InterimResponses);
+type Opened<B> = (SendRequest<B>, HttpConnection<TargetIo, B>, InterimResponses);
 
 /// Begins HTTP on `socket`. Each request must be watched by the count of interim responses.
 ///
@@ -34,11 +52,23 @@
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     let interim = InterimResponses::default();
-    let io = TargetIo { socket: TokioIo::new(socket), interim: interim.clone() };
-    let (sender, connection) = Builder::new().handshake(io).await?;
+    let io = TargetIo { interim: interim.clone(), ..TargetIo::new(TokioIo::new(socket)) };
+    let (sender, connection) = Builder::new().max_buf_size(READ_BUFFER_BYTES).handshake(io).await?;
     Ok((sender, connection, interim))
 }
 
+impl TargetIo {
+    pub(crate) fn new(socket: TokioIo<TcpStream>) -> Self {
+        Self { socket, interim: InterimResponses::default(), reads: 0, pause: None }
+    }
+}
+
+impl Connection for TargetIo {
+    fn connected(&self) -> Connected {
+        self.socket.connected()
+    }
+}
+
 impl Read for TargetIo {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -48,7 +78,17 @@
         if self.interim.is_exceeded() {
             return Poll::Ready(Err(Error::other("too many interim responses")));
         }
-        Pin::new(&mut self.socket).poll_read(context, buffer)
+        if self.reads >= READS_PER_TURN {
+            self.reads = 0;
+            self.pause = Some(Box::pin(sleep(PAUSE)));
+        }
+        if let Some(pause) = &mut self.pause {
+            ready!(pause.as_mut().poll(context));
+            self.pause = None;
+        }
+        let read = Pin::new(&mut self.socket).poll_read(context, buffer);
+        self.reads = if read.is_pending() { 0 } else { self.reads + 1 };
+        read
     }
 }
 
--- a/components/calls/tests/endless_responses.rs
+++ b/components/calls/tests/endless_responses.rs
@@ -32,6 +32,31 @@
     check_call_is_cut("", "HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n").await;
 }
 
+/// Guards against a call that reads a chunk size without end past its timeout, since nothing else gets the
+/// thread meanwhile.
+#[tokio::test]
+async fn chunk_sizes_without_end_are_cut_at_the_timeout() {
+    let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n".to_owned();
+    let answers = vec![EndlessAnswer { head, part: "0" }];
+    let settings = EndlessServerSettings { answers, ..EndlessServerSettings::default() };
+    // On a thread of its own, which can send as fast as the client reads.
+    let (sender, address) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        runtime.block_on(async {
+            let mut server = EndlessServer::start(settings).await.unwrap();
+            sender.send(server.address()).unwrap();
+            server.next_closed().await
+        })
+    });
+    let address = address.recv().unwrap();
+    let (timeout, limit) = (Duration::from_millis(500), Duration::from_secs(3));
+    let began = Instant::now();
+    let response = HttpClient::new(timeout).call(HttpCall::get(address, "/", timeout)).await;
+    assert_eq!(response.map(|response| response.status), Err(CallError::NoResponse));
+    assert!(began.elapsed() < limit, "{:?}", began.elapsed());
+}
+
 /// Guards against a call that collects or skips what is no response until its timeout.
 #[tokio::test]
 async fn heads_and_framing_without_end_are_cut() {
--- a/components/engine/src/http_engine.rs
+++ b/components/engine/src/http_engine.rs
@@ -6,13 +6,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use calls::InterimResponses;
+use calls::{InterimResponses, READ_BUFFER_BYTES, TargetConnector};
 use compact_str::{CompactString, format_compact};
 use http::{Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -32,7 +31,7 @@
 pub struct HttpEngine {
     address: SocketAddr,
     limits: EngineLimits,
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: Client<TargetConnector, Full<Bytes>>,
     dropped: Arc<AtomicU64>,
     calls: Arc<AtomicU64>,
 }
@@ -70,12 +69,10 @@
 impl HttpEngine {
     /// Creates a client for the engine at `address`.
     pub fn new(address: SocketAddr, limits: EngineLimits) -> Self {
-        let mut connector = HttpConnector::new();
-        // The connect timeout must be shorter than the call's limit: only a connect error proves
-        // that nothing was sent.
-        connector.set_connect_timeout(Some(limits.connect));
-        connector.set_nodelay(true);
-        let client = Client::builder(TokioExecutor::new()).build(connector);
+        let connector = TargetConnector::new(limits.connect);
+        let client = Client::builder(TokioExecutor::new())
+            .http1_max_buf_size(READ_BUFFER_BYTES)
+            .build(connector);
         let (dropped, calls) = (Arc::default(), Arc::default());
         Self { address, limits, client, dropped, calls }
     }
--- a/components/standin/src/endless_server.rs
+++ b/components/standin/src/endless_server.rs
@@ -1,12 +1,15 @@
 //! A server in trouble that sends bytes without end.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
 
 use compact_str::CompactString;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::task::JoinHandle;
+use tokio::time::sleep;
 
 /// Bytes of one write.
 const WRITE_BYTES: usize = 64 << 10;
@@ -28,6 +31,8 @@
     /// Requests whose head contains one of these get the response beside it, written as the head of an
     /// [`EndlessAnswer`].
     pub ordinary: Vec<(&'static str, String)>,
+    /// Pause between writes of 64 KB, so that all connections send in step.
+    pub pause: Duration,
 }
 
 /// A server that sends endless responses until its clients close the connections.
@@ -49,10 +54,11 @@
         let address = listener.local_addr()?;
         let (sender, closed) = unbounded_channel();
         let task = tokio::spawn(async move {
+            let settings = Arc::new(settings);
             let mut answers = settings.answers.iter().cycle();
             while let Ok((socket, _)) = listener.accept().await {
                 let answer = answers.next().cloned().unwrap_or_default();
-                tokio::spawn(serve(socket, answer, settings.ordinary.clone(), sender.clone()));
+                tokio::spawn(serve(socket, answer, Arc::clone(&settings), sender.clone()));
             }
         });
         Ok(Self { address, closed, task })
@@ -84,11 +90,11 @@
 async fn serve(
     mut socket: TcpStream,
     answer: EndlessAnswer,
-    ordinary: Vec<(&'static str, String)>,
+    settings: Arc<EndlessServerSettings>,
     closed: UnboundedSender<CompactString>,
 ) {
     while let Some(request) = read_head(&mut socket).await {
-        let known = ordinary.iter().find(|(part, _)| request.contains(part));
+        let known = settings.ordinary.iter().find(|(part, _)| request.contains(part));
         if let Some((_, response)) = known {
             if socket.write_all(fill_in(response, &request).as_bytes()).await.is_err() {
                 return;
@@ -99,6 +105,7 @@
         let mut written = socket.write_all(fill_in(&answer.head, &request).as_bytes()).await;
         while written.is_ok() && !noise.is_empty() {
             written = socket.write_all(noise.as_bytes()).await;
+            sleep(settings.pause).await;
         }
         let line = request.lines().next().unwrap_or_default();
         // Nobody counts after the server has been dropped.
--- a/tests/endless_answers.rs
+++ b/tests/endless_answers.rs
@@ -8,7 +8,7 @@
 
 use platform::header_names::{REQUEST_ID, RESPONSE_SIGNATURE};
 use platform_standin::{
-    CallerConnection, CallerKind, CallerRequest, CallerResponse, RouteKind, RouteSpec,
+    CallerConnection, CallerKind, CallerRequest, CallerResponse, FleetLimits, RouteKind, RouteSpec,
 };
 use standin::{EndlessAnswer, EndlessServer, EndlessServerSettings};
 use support::{CUSTOMER_KEY, HOST, PlainGateway, SERVICE, wait_until};
@@ -18,6 +18,11 @@
 const AT_ONCE: usize = 60;
 /// Most memory of the gateway, in KB: that of the smallest machines.
 const MOST_MEMORY_KB: u64 = 160_000;
+/// Requests that meet an endless answer at once at a machine of the smallest class, which takes this many
+/// connections.
+const AT_ONCE_AT_SMALLEST: usize = 300;
+/// Memory of the smallest machines, in MB.
+const SMALLEST_MEMORY_MB: u64 = 120;
 /// What a caller allows.
 const DEADLINE: Duration = Duration::from_secs(6);
 
@@ -61,7 +66,11 @@
         "HTTP/1.1 200 OK\r\n{REQUEST_ID}: {{{REQUEST_ID}}}\r\n{RESPONSE_SIGNATURE}: s\r\n\
          content-length: 2\r\n\r\nok"
     );
-    EndlessServerSettings { answers, ordinary: vec![(SOUND_PATH, response)] }
+    EndlessServerSettings {
+        answers,
+        ordinary: vec![(SOUND_PATH, response)],
+        ..EndlessServerSettings::default()
+    }
 }
 
 /// Checks that each request with an ordinary response is told something, and one of them gets the response: a
@@ -77,9 +86,9 @@
     .await;
 }
 
-/// Sends requests that meet these answers and checks that each is refused, that the connections are
-/// closed, that memory stays within that of the machine, and that a request in between is served.
-async fn check_answers_are_cut(answers: Vec<EndlessAnswer>) {
+/// Sends requests that meet these answers and returns the responses to them. Checks that the connections
+/// are closed, that memory stays within that of the machine, and that a request in between is served.
+async fn meet_endless_answers(answers: Vec<EndlessAnswer>) -> Vec<CallerResponse> {
     let mut target = EndlessServer::start(settings(answers)).await.unwrap();
     let gateway = PlainGateway::start(route(), &[target.address()]).await;
 
@@ -89,15 +98,20 @@
     }
     tokio::time::sleep(Duration::from_millis(200)).await;
     check_is_served(gateway.callers).await;
-    for answer in &orders.join_all().await {
-        assert_eq!(answer.status, Some(502), "{answer:?}");
-        assert!(answer.is_complete && answer.seal.is_none(), "{answer:?}");
-    }
+    let responses = orders.join_all().await;
     let closed = async || target.closed() >= AT_ONCE;
     wait_until("the target's connections are closed", closed).await;
     assert!(target.next_closed().await.is_some());
     let peak_kb = gateway.process.peak_memory_kb();
     assert!(peak_kb < MOST_MEMORY_KB, "{peak_kb} KB");
+    responses
+}
+
+fn assert_all_are_told(responses: &[CallerResponse]) {
+    for response in responses {
+        assert_eq!(response.status, Some(502), "{response:?}");
+        assert!(response.is_complete && response.seal.is_none(), "{response:?}");
+    }
 }
 
 /// Guards against a gateway that collects an endless head or body until its memory is used up, that waits for the
@@ -110,12 +124,49 @@
         answer("HTTP/1.1 200 OK\r\nsignedcontent-length: 900000000000\r\n\r\n", "a"),
         answer("HTTP/1.1 200 OK\r\nsigned\r\n", "a"),
     ];
-    check_answers_are_cut(answers).await;
+    assert_all_are_told(&meet_endless_answers(answers).await);
 }
 
 /// Guards against a gateway whose one thread does nothing but skip interim responses as long as a target
 /// sends them.
 #[tokio::test]
 async fn interim_responses_without_end_delay_no_other_request() {
-    check_answers_are_cut(vec![answer("", "HTTP/1.1 100 Continue\r\n\r\n")]).await;
+    let interim = vec![answer("", "HTTP/1.1 100 Continue\r\n\r\n")];
+    assert_all_are_told(&meet_endless_answers(interim).await);
+}
+
+/// Guards against a gateway whose one thread does nothing but read a chunk size that never ends: it neither
+/// serves others nor keeps its time limits and its touch with the store.
+#[tokio::test]
+async fn chunk_sizes_without_end_delay_no_other_request() {
+    let chunked = "HTTP/1.1 200 OK\r\nsignedtransfer-encoding: chunked\r\n\r\n";
+    let answers = vec![answer(chunked, "0"), answer(&format!("{chunked}1"), " ")];
+    for response in &meet_endless_answers(answers).await {
+        // They end with the callers' deadlines.
+        assert!(response.status.is_none_or(|status| status >= 500), "{response:?}");
+    }
+}
+
+/// Guards against a gateway whose buffers for targets are bounded for each connection, but not for as many as
+/// its callers may have.
+#[tokio::test]
+async fn answers_without_end_to_many_callers_fit_into_the_smallest_machine() {
+    let answers = vec![answer("HTTP/1.1 200 OK\r\nx-endless: ", "a")];
+    let pause = Duration::from_millis(100);
+    let settings = EndlessServerSettings { pause, ..settings(answers) };
+    let target = EndlessServer::start(settings).await.unwrap();
+    let limits = FleetLimits { memory_mb: SMALLEST_MEMORY_MB, ..FleetLimits::default() };
+    let deployment = PlainGateway::deployment(vec![route()]);
+    let gateway = PlainGateway::start_with(&deployment, &[target.address()], limits).await;
+
+    let mut orders = JoinSet::new();
+    for number in 0..AT_ONCE_AT_SMALLEST {
+        orders.spawn(order(gateway.callers, format!("request-{number}"), "/order/1"));
+    }
+    for answer in &orders.join_all().await {
+        assert!(!answer.is_success(), "{answer:?}");
+    }
+    check_is_served(gateway.callers).await;
+    let peak_kb = gateway.process.peak_memory_kb();
+    assert!(peak_kb < SMALLEST_MEMORY_MB * 1_000, "{peak_kb} KB");
 }
