Bound what calls keep of a response

Callers saw: a store that sent bodies without end took 126 MB of a gateway's memory (smallest machines: 120 MB); with bodies in chunks of one byte a call kept 40 times the bytes of the body.

Cause: HttpClient took 64 MB from every server, a gateway reads several topics at once, and the collected chunks were copied into a second buffer. Chunks were kept one by one, each with a record of 32 bytes and the received bytes around it.

Ruled out: a common budget of all calls (the calls of a gateway are few, and a store in trouble would take the room of the other calls).

--- a/components/calls/src/http_client.rs
+++ b/components/calls/src/http_client.rs
@@ -6,15 +6,16 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use tokio::time::timeout;
 
-use crate::{InterimResponses, READ_BUFFER_BYTES, TargetConnector};
+use crate::{InterimResponses, READ_BUFFER_BYTES, TargetConnector, collect_body};
 
-/// Limit on a response body; pages of the store have a few MB at most.
-const MAX_RESPONSE_BYTES: usize = 64 << 20;
+/// Limit on a response body, if a call states none: four pages of the platform's store, of 1 MB each. A
+/// gateway reads four topics at once with 120 MB of memory.
+const MAX_RESPONSE_BYTES: usize = 4 << 20;
 /// Idle time after which a pooled connection is closed; below the idle timeouts of the servers
 /// called.
 const POOL_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
@@ -59,18 +60,21 @@
     pub body: Bytes,
     /// Timeout for the whole response.
     pub timeout: Duration,
+    /// Most bytes of the response's body.
+    pub max_response_bytes: usize,
 }
 
 impl<'a> HttpCall<'a> {
     /// A `GET` without headers.
     pub fn get(address: SocketAddr, path: &'a str, timeout: Duration) -> Self {
         let (headers, body) = (HeaderMap::new(), Bytes::new());
-        Self { method: Method::GET, address, path, headers, body, timeout }
+        let max_response_bytes = MAX_RESPONSE_BYTES;
+        Self { method: Method::GET, address, path, headers, body, timeout, max_response_bytes }
     }
 
     /// A `POST` without headers.
     pub fn post(address: SocketAddr, path: &'a str, body: Bytes, timeout: Duration) -> Self {
-        Self { method: Method::POST, address, path, headers: HeaderMap::new(), body, timeout }
+        Self { method: Method::POST, body, ..Self::get(address, path, timeout) }
     }
 }
 
@@ -110,6 +114,7 @@
     ///
     /// `NoResponse` if the call may have had an effect, else `Invalid` or `Unreachable`.
     pub async fn call(&self, call: HttpCall<'_>) -> Result<CallResponse, CallError> {
+        let max_response_bytes = call.max_response_bytes;
         let mut request = Request::builder()
             .method(call.method)
             .uri(format!("http://{}{}", call.address, call.path))
@@ -120,23 +125,24 @@
         interim.watch(&mut request);
         let exchange = async {
             tokio::select! {
-                result = self.exchange(request) => result,
+                result = self.exchange(request, max_response_bytes) => result,
                 () = interim.exceeded() => Err(CallError::NoResponse),
             }
         };
         timeout(call.timeout, exchange).await.unwrap_or(Err(CallError::NoResponse))
     }
 
-    async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<CallResponse, CallError> {
+    async fn exchange(
+        &self,
+        request: Request<Full<Bytes>>,
+        max_response_bytes: usize,
+    ) -> Result<CallResponse, CallError> {
         let response = self.client.request(request).await.map_err(|error| {
             if error.is_connect() { CallError::Unreachable } else { CallError::NoResponse }
         })?;
         let (parts, body) = response.into_parts();
-        let collected = Limited::new(body, MAX_RESPONSE_BYTES)
-            .collect()
-            .await
-            .map_err(|_| CallError::NoResponse)?;
-        let body = collected.to_bytes();
+        let body = collect_body(body, max_response_bytes).await;
+        let body = body.map_err(|_| CallError::NoResponse)?;
         Ok(CallResponse { status: parts.status, headers: parts.headers, body })
     }
 }
--- a/components/calls/tests/endless_responses.rs
+++ b/components/calls/tests/endless_responses.rs
@@ -57,6 +57,12 @@
     assert!(began.elapsed() < limit, "{:?}", began.elapsed());
 }
 
+/// Guards against a call that collects a body beyond its limit.
+#[tokio::test]
+async fn bodies_without_end_are_cut() {
+    check_call_is_cut("HTTP/1.1 200 OK\r\n\r\n", "a").await;
+}
+
 /// Guards against a call that collects or skips what is no response until its timeout.
 #[tokio::test]
 async fn heads_and_framing_without_end_are_cut() {
--- a/components/store/src/json_client.rs
+++ b/components/store/src/json_client.rs
@@ -10,6 +10,10 @@
 
 use crate::error::{StoreError, require_success};
 
+/// Limit on a response body. A page of the log has 500 records, of which some hold whole configurations of
+/// up to 600 KB.
+const MAX_RESPONSE_BYTES: usize = 64 << 20;
+
 #[derive(Clone, Debug)]
 pub(crate) struct JsonClient {
     address: SocketAddr,
@@ -45,6 +49,7 @@
     async fn call<T: DeserializeOwned>(&self, mut call: HttpCall<'_>) -> Result<T, StoreError> {
         let json = HeaderValue::from_static("application/json");
         call.headers.insert(header::CONTENT_TYPE, json);
+        call.max_response_bytes = MAX_RESPONSE_BYTES;
         let answer = require_success(self.client.call(call).await?)?;
         serde_json::from_slice(&answer.body).map_err(|_| StoreError::Malformed)
     }
--- a/tests/endless_answers.rs
+++ b/tests/endless_answers.rs
@@ -103,6 +103,7 @@
     wait_until("the target's connections are closed", closed).await;
     assert!(target.next_closed().await.is_some());
     let peak_kb = gateway.process.peak_memory_kb();
+
     assert!(peak_kb < MOST_MEMORY_KB, "{peak_kb} KB");
     responses
 }
@@ -168,5 +169,26 @@
     }
     check_is_served(gateway.callers).await;
     let peak_kb = gateway.process.peak_memory_kb();
+
+    assert!(peak_kb < SMALLEST_MEMORY_MB * 1_000, "{peak_kb} KB");
+}
+
+/// Guards against a gateway that collects endless responses of the store, several at once, until its memory
+/// is used up.
+#[tokio::test]
+async fn responses_of_the_store_without_end_fit_into_the_smallest_machine() {
+    let target = EndlessServer::start(settings(Vec::new())).await.unwrap();
+    let mut gateway = PlainGateway::start(route(), &[target.address()]).await;
+    let body = |start: &str| answer(&format!("HTTP/1.1 200 OK\r\n\r\n{start}"), "[[]],");
+    let answers = vec![body(""), body("{\"more\":true,\"items\":["), body("\0\0\0\0")];
+    let store = EndlessServer::start(settings(answers)).await.unwrap();
+
+    let own_store = gateway.store_address();
+    gateway.move_to_store(store.address());
+    wait_until("calls to the store are cut", async || store.closed() >= 12).await;
+    gateway.move_to_store(own_store);
+    check_is_served(gateway.callers).await;
+    let peak_kb = gateway.process.peak_memory_kb();
+
     assert!(peak_kb < SMALLEST_MEMORY_MB * 1_000, "{peak_kb} KB");
 }
--- a/tests/support/gateway.rs
+++ b/tests/support/gateway.rs
@@ -9,6 +9,7 @@
     FleetLimits, MachineSpec, PlainTargetService, PlainTargetSettings, RouteKind, RouteSpec,
     StoreServer, StoreService, StoreSettings, TargetAnnouncement,
 };
+use rustix::process::Signal;
 use standin::Service;
 use tempfile::TempDir;
 
@@ -118,6 +119,13 @@
         self.process = start_process(&self.settings).await;
     }
 
+    /// Has the process use the store at `address` from now on.
+    pub fn move_to_store(&mut self, address: SocketAddr) {
+        self.machine.store = address;
+        std::fs::write(&self.settings, self.machine.settings_file(&self.limits)).unwrap();
+        self.process.signal(Signal::HUP);
+    }
+
     /// Writes the entry of a target, by its number from one, to the list in the store.
     pub fn announce(&self, number: usize, address: SocketAddr) {
         announce(self.store(), number, address);
