End answers of engines that exceed what was asked

Callers saw: an engine that generates tokens without end is read until the deadline, and the entry process keeps the whole text to be able to resume it (128 MB of memory). Reads of an engine's state took up to 64 MB each, twice, and kept small chunks one by one.

Cause: HttpAnswer did not compare the tokens with max_tokens, nor bound the text; one limit was meant for KV caches and control calls alike.

Change: an answer with more tokens than max_tokens (which counts the whole answer) or more than 1 MB of text, above which it can't be resumed, is malformed and fails like one with a gap. Control calls take 4 MB, read with collect_body; KV caches 64 MB as before.

Ruled out: a bound in the entry process alone; the side process would go on reading and sending.

--- a/components/engine/src/http_answer.rs
+++ b/components/engine/src/http_answer.rs
@@ -13,6 +13,10 @@
 use crate::sse::SseLines;
 use crate::{Answer, AnswerError, AnswerEvent, FinishReason};
 
+/// Most bytes of an answer's text. Entry processes keep it, and can resume an answer only if its text fits
+/// into a message of 1 MB.
+const MAX_TEXT_BYTES: usize = 1 << 20;
+
 /// Response to a generation over HTTP.
 #[derive(Debug)]
 pub struct HttpAnswer {
@@ -20,6 +24,10 @@
     body: Incoming,
     lines: SseLines,
     next_index: u64,
+    /// Most tokens of the whole answer.
+    max_tokens: u64,
+    /// Text of the tokens so far.
+    text_bytes: usize,
     limit: Duration,
     /// Deadline for the next event of this request.
     due: Instant,
@@ -53,12 +61,13 @@
         id: CompactString,
         body: Incoming,
         next_index: u64,
+        max_tokens: u64,
         limit: Duration,
         dropped: Arc<AtomicU64>,
     ) -> Self {
         let due = Instant::now() + limit;
         let (lines, state) = (SseLines::default(), State::Running);
-        Self { id, body, lines, next_index, limit, due, state, dropped }
+        Self { id, body, lines, next_index, max_tokens, text_bytes: 0, limit, due, state, dropped }
     }
 
     /// Returns the next event that belongs to this response.
@@ -96,6 +105,11 @@
             EventContent::Token { index, .. } if index > self.next_index => Err(AnswerError::Gap),
             EventContent::Token { index, count, text } => {
                 self.next_index += u64::from(count);
+                self.text_bytes += text.len();
+                // An engine in trouble may go on without end.
+                if self.next_index > self.max_tokens || self.text_bytes > MAX_TEXT_BYTES {
+                    return Err(AnswerError::Malformed);
+                }
                 Ok(Some(AnswerEvent::Token { index, count, text }))
             }
             EventContent::Finished { output_tokens, .. } if output_tokens != self.next_index => {
--- a/components/engine/src/http_engine.rs
+++ b/components/engine/src/http_engine.rs
@@ -6,10 +6,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use calls::{InterimResponses, READ_BUFFER_BYTES, TargetConnector};
+use calls::{InterimResponses, READ_BUFFER_BYTES, TargetConnector, collect_body};
 use compact_str::{CompactString, format_compact};
 use http::{Method, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
@@ -22,8 +22,11 @@
     LoadSample, Order, OrderKind, OrderResult,
 };
 
-/// Maximum size of a non-streamed response; bounds the client's memory.
-const MAX_RESPONSE_BYTES: usize = 64 << 20;
+/// Limit on a response that is neither an answer nor a KV cache. Decoded JSON may take some ten times its
+/// bytes, and a side process has 128 MB of memory.
+const MAX_RESPONSE_BYTES: usize = 4 << 20;
+/// Limit on a KV cache.
+const MAX_KV_BYTES: usize = 64 << 20;
 const REQUEST_ID_HEADER: &str = "x-request-id";
 
 /// Client of one engine; clones share connections and counters.
@@ -138,12 +141,24 @@
         id: &str,
         body: Bytes,
         limit: Duration,
+    ) -> Result<Bytes, EngineError> {
+        self.call_for(method, path, id, body, limit, MAX_RESPONSE_BYTES).await
+    }
+
+    /// A call whose response has at most `max_bytes`.
+    async fn call_for(
+        &self,
+        method: Method,
+        path: &str,
+        id: &str,
+        body: Bytes,
+        limit: Duration,
+        max_bytes: usize,
     ) -> Result<Bytes, EngineError> {
         let exchange = async {
             let response = self.send(method, path, id, body).await?;
-            let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES);
-            let collected = body.collect().await.map_err(|_| EngineError::OutcomeUnknown)?;
-            Ok(collected.to_bytes())
+            let collected = collect_body(response.into_body(), max_bytes).await;
+            collected.map_err(|_| EngineError::OutcomeUnknown)
         };
         timeout(limit, exchange).await.unwrap_or(Err(EngineError::OutcomeUnknown))
     }
@@ -176,6 +191,7 @@
             call.id.clone(),
             response.into_body(),
             next_index,
+            call.max_tokens,
             self.limits.event,
             self.dropped.clone(),
         ))
@@ -224,7 +240,8 @@
 
     async fn export_kv(&self, id: &str) -> Result<Bytes, EngineError> {
         let body = to_json(&RequestIdBody { id });
-        self.call(Method::POST, "/kv/export", id, body, self.limits.kv_transfer).await
+        let limit = self.limits.kv_transfer;
+        self.call_for(Method::POST, "/kv/export", id, body, limit, MAX_KV_BYTES).await
     }
 
     async fn import_kv(&self, id: &str, model: &str, cache: Bytes) -> Result<(), EngineError> {
