Bound the memory of events that never end

Callers saw: 300 streams, as many as the smallest machine takes, whose targets sent one event without end took 372 MB of a gateway with 120 MB.

Cause: a stream may hold an incomplete event of 1 MB, and nothing bounded all streams together.

Change: 32 KB of an incomplete event count for nothing; beyond, all streams share 4 MB (SharedBytes, which also replaces the count of unwritten requests). A stream that finds no room is broken off like one with an event over 1 MB.

Ruled out: a smaller event for all, which would break off streams that pass today; the budget for callers, in which a response that finds no room waits, and an event that never ends would hold the room while others wait.

--- a/components/gateway/src/app.rs
+++ b/components/gateway/src/app.rs
@@ -22,6 +22,7 @@
 
 use crate::engine_orders::EngineOrders;
 use crate::rate_limits::RateLimits;
+use crate::shared_bytes::SharedBytes;
 use crate::target_pool::TargetPool;
 
 /// Share of the key revocation deadline for which freshness evidence is valid. The rest covers the
@@ -84,6 +85,8 @@
     pub planner: RefCell<FleetPlanner>,
     /// Orders to engines that have no agent.
     pub engine_orders: EngineOrders,
+    /// Memory of events that are incomplete and large.
+    pub large_events: SharedBytes,
     /// Connection pool for targets.
     pub pool: TargetPool,
     /// When the settings in force were applied.
--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -33,6 +33,8 @@
 use crate::planning::plan_placement;
 use crate::rate_limits::RateLimits;
 use crate::registry::maintain_registration;
+use crate::relay::MAX_LARGE_EVENT_BYTES;
+use crate::shared_bytes::SharedBytes;
 use crate::shutdown::drain;
 use crate::stored_parts::maintain_stored_parts;
 use crate::target_pool::TargetPool;
@@ -120,6 +122,7 @@
         demand: RefCell::new(ModelDemandTable::new()),
         planner: RefCell::new(FleetPlanner::new()),
         engine_orders: EngineOrders::new(&settings.bounds),
+        large_events: SharedBytes::new(MAX_LARGE_EVENT_BYTES),
         pool: TargetPool::default(),
         settings_applied_at: Cell::default(),
         config_applied_at: Cell::default(),
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod request_handler;
 mod retry;
 mod run_end;
+mod shared_bytes;
 mod shutdown;
 mod store_eras;
 mod stored_parts;
@@ -34,7 +35,6 @@
 mod target_signals;
 mod target_watch;
 mod unanswered_request;
-mod unwritten_requests;
 mod waiting;
 
 pub use error::GatewayError;
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -19,6 +19,11 @@
 /// Shortest time between two searches for a target that can resume a stalled stream.
 const MOVE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Bytes of an incomplete event that each stream may hold; events of a model have some 200.
+const SMALL_EVENT_BYTES: usize = 32 << 10;
+/// Bytes beyond these that all streams together may hold: four of the largest events.
+pub(crate) const MAX_LARGE_EVENT_BYTES: usize = 4 << 20;
+
 /// How a stream, or one run of it at a target, ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum RelayEnd {
@@ -177,6 +182,7 @@
 
     async fn relay_from(&mut self, mut stream: TargetStream, send: &InFlightSend) -> RelayEnd {
         let mut splitter = EventSplitter::default();
+        let mut large_event = self.dispatch.app.large_events.empty();
         let mut started = false;
         let mut has_events = false;
         // An event without an id can't be placed after those that the caller has.
@@ -219,6 +225,9 @@
                         }
                     }
                     self.rest_bytes = splitter.rest_bytes();
+                    if !large_event.resize(self.rest_bytes.saturating_sub(SMALL_EVENT_BYTES)) {
+                        return RelayEnd::Broken;
+                    }
                     if splitter.is_empty() && self.dispatch.should_leave(send) {
                         return RelayEnd::Moved;
                     }
--- a/components/gateway/src/target_pool.rs
+++ b/components/gateway/src/target_pool.rs
@@ -19,7 +19,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::app::App;
-use crate::unwritten_requests::UnwrittenRequests;
+use crate::shared_bytes::SharedBytes;
 
 /// Timeout for opening a connection: a handshake takes a few ms, a retransmission after packet loss
 /// a second.
@@ -46,6 +46,12 @@
 /// has responded, so a reset that discards the rest changes nothing for the caller.
 const MAX_REST_WRITE: Duration = Duration::from_millis(2_000);
 
+/// Most bytes of such requests at all targets together: two bodies of the usual largest size, a
+/// fifteenth of the memory of the smallest gateways, 120 MB.
+const MAX_UNWRITTEN_BYTES: usize = 8 << 20;
+/// Bytes that a connection counts besides the body, so that their number is bounded as well.
+const CONNECTION_BYTES: usize = 16 << 10;
+
 /// Why a request got no response from a target.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum SendFailure {
@@ -86,10 +92,16 @@
 }
 
 /// Idle connections by target.
-#[derive(Default)]
 pub(crate) struct TargetPool {
     idle: RefCell<SortedMap<SocketAddr, Vec<IdleConnection>>>,
-    unwritten: UnwrittenRequests,
+    /// Requests whose response was read before their body was written.
+    unwritten: SharedBytes,
+}
+
+impl Default for TargetPool {
+    fn default() -> Self {
+        Self { idle: RefCell::default(), unwritten: SharedBytes::new(MAX_UNWRITTEN_BYTES) }
+    }
 }
 
 impl TargetPool {
@@ -151,7 +163,8 @@
         keep_alive: Option<Duration>,
     ) {
         let address = connection.address;
-        let Some(unwritten) = app.pool.unwritten.add(connection.body_bytes) else {
+        let bytes = connection.body_bytes.saturating_add(CONNECTION_BYTES);
+        let Some(unwritten) = app.pool.unwritten.reserve(bytes) else {
             log::info!("event=request_not_written address={address} reason=too_many_bytes");
             return;
         };
