Cut off responses that are framing without end

Callers saw: while a target sends the digits of a chunk size without end, the request waits for its deadline and costs the gateway its whole processor.

Cause: the pauses of connections keep other requests going, but nothing bounds what the HTTP client skips.

Change: ResponseWatch, which counted interim responses, also counts the bytes received since the last head or part of a body; a connection to a target (gateway, side) fails above 256 KB, four read buffers. TargetIo reads through a buffer of 16 KB on the stack to know the bytes of a read. Pooled clients have no such link from a body to its connection: their calls end with their timeouts.

Ruled out: a bound on the bytes of a connection without regard to what was passed on, which would cut long responses.

--- a/components/calls/src/http_client.rs
+++ b/components/calls/src/http_client.rs
@@ -11,7 +11,7 @@
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use tokio::time::timeout;
 
-use crate::{InterimResponses, READ_BUFFER_BYTES, TargetConnector, collect_body};
+use crate::{READ_BUFFER_BYTES, ResponseWatch, TargetConnector, collect_body};
 
 /// Limit on a response body, if a call states none: four pages of the platform's store, of 1 MB each. A
 /// gateway reads four topics at once with 120 MB of memory.
@@ -121,12 +121,12 @@
             .body(Full::new(call.body))
             .map_err(|_| CallError::Invalid)?;
         *request.headers_mut() = call.headers;
-        let interim = InterimResponses::default();
-        interim.watch(&mut request);
+        let watch = ResponseWatch::default();
+        watch.watch(&mut request);
         let exchange = async {
             tokio::select! {
                 result = self.exchange(request, max_response_bytes) => result,
-                () = interim.exceeded() => Err(CallError::NoResponse),
+                () = watch.interim_exceeded() => Err(CallError::NoResponse),
             }
         };
         timeout(call.timeout, exchange).await.unwrap_or(Err(CallError::NoResponse))
--- a/components/calls/src/lib.rs
+++ b/components/calls/src/lib.rs
@@ -3,12 +3,12 @@
 
 mod collect_body;
 mod http_client;
-mod interim_responses;
+mod response_watch;
 mod target_connector;
 mod target_io;
 
 pub use collect_body::{IncompleteBody, collect_body};
 pub use http_client::{CallError, CallResponse, HttpCall, HttpClient};
-pub use interim_responses::InterimResponses;
+pub use response_watch::{ResponseWatch, WatchedBody};
 pub use target_connector::TargetConnector;
 pub use target_io::{READ_BUFFER_BYTES, TargetIo, open_http};
--- a/components/calls/src/target_io.rs
+++ b/components/calls/src/target_io.rs
@@ -2,6 +2,7 @@
 
 use std::future::Future;
 use std::io::{Error, IoSlice};
+use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
@@ -12,36 +13,39 @@
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::client::legacy::connect::{Connected, Connection};
 use hyper_util::rt::TokioIo;
+use tokio::io::{AsyncRead, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::{Sleep, sleep};
 
-use crate::InterimResponses;
+use crate::ResponseWatch;
 
 /// Size of a connection's read buffer, which also bounds the head of a response. A process may have some
 /// 400 such connections with 120 MB of memory.
 pub const READ_BUFFER_BYTES: usize = 64 << 10;
 /// Reads without waiting for the server after which a connection pauses. The HTTP client reads on while
 /// bytes arrive that it skips, such as the digits of a chunk size, and no time limit is checked meanwhile.
-const READS_PER_TURN: u32 = 2;
+const READS_PER_TURN: u32 = 8;
+/// Most bytes of a read.
+const READ_BYTES: usize = 16 << 10;
 /// Length of a pause: the shortest that lets the runtime check its timers and sockets. A task that only
-/// yields is polled some 60 times before. With full buffers a connection reads 60 to 120 MB/s.
+/// yields is polled some 60 times before. Such a connection reads 60 to 120 MB/s.
 const PAUSE: Duration = Duration::from_millis(1);
 
 /// Socket of a connection that pauses while the server sends faster than it is read, and whose reads fail
-/// after too many interim responses.
+/// if the watch says that the server sends too much beside its responses.
 #[derive(Debug)]
 pub struct TargetIo {
     socket: TokioIo<TcpStream>,
-    interim: InterimResponses,
+    watch: Option<ResponseWatch>,
     /// Reads since the connection paused or waited for the server.
     reads: u32,
     pause: Option<Pin<Box<Sleep>>>,
 }
 
-/// A connection that sends requests, the task that drives it, and the count of interim responses.
-type Opened<B> = (SendRequest<B>, HttpConnection<TargetIo, B>, InterimResponses);
+/// A connection that sends requests, the future that drives it, and its watch.
+type Opened<B> = (SendRequest<B>, HttpConnection<TargetIo, B>, ResponseWatch);
 
-/// Begins HTTP on `socket`. Each request must be watched by the count of interim responses.
+/// Begins HTTP on `socket`. Each request and each response must be given to the watch.
 ///
 /// # Errors
 ///
@@ -51,15 +55,15 @@
     B: Body<Data = Bytes> + 'static,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    let interim = InterimResponses::default();
-    let io = TargetIo { interim: interim.clone(), ..TargetIo::new(TokioIo::new(socket)) };
+    let watch = ResponseWatch::default();
+    let io = TargetIo { watch: Some(watch.clone()), ..TargetIo::new(TokioIo::new(socket)) };
     let (sender, connection) = Builder::new().max_buf_size(READ_BUFFER_BYTES).handshake(io).await?;
-    Ok((sender, connection, interim))
+    Ok((sender, connection, watch))
 }
 
 impl TargetIo {
     pub(crate) fn new(socket: TokioIo<TcpStream>) -> Self {
-        Self { socket, interim: InterimResponses::default(), reads: 0, pause: None }
+        Self { socket, watch: None, reads: 0, pause: None }
     }
 }
 
@@ -73,10 +77,10 @@
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
-        buffer: ReadBufCursor<'_>,
+        mut buffer: ReadBufCursor<'_>,
     ) -> Poll<Result<(), Error>> {
-        if self.interim.is_exceeded() {
-            return Poll::Ready(Err(Error::other("too many interim responses")));
+        if self.watch.as_ref().is_some_and(ResponseWatch::is_exceeded) {
+            return Poll::Ready(Err(Error::other("too many bytes beside the response")));
         }
         if self.reads >= READS_PER_TURN {
             self.reads = 0;
@@ -86,9 +90,17 @@
             ready!(pause.as_mut().poll(context));
             self.pause = None;
         }
-        let read = Pin::new(&mut self.socket).poll_read(context, buffer);
+        let mut bytes = [MaybeUninit::uninit(); READ_BYTES];
+        let length = buffer.remaining().min(READ_BYTES);
+        let mut received = ReadBuf::uninit(&mut bytes[..length]);
+        let read = Pin::new(self.socket.inner_mut()).poll_read(context, &mut received);
         self.reads = if read.is_pending() { 0 } else { self.reads + 1 };
-        read
+        ready!(read)?;
+        buffer.put_slice(received.filled());
+        if let Some(watch) = &self.watch {
+            watch.record_received(received.filled().len());
+        }
+        Poll::Ready(Ok(()))
     }
 }
 
--- a/components/engine/src/http_engine.rs
+++ b/components/engine/src/http_engine.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use calls::{InterimResponses, READ_BUFFER_BYTES, TargetConnector, collect_body};
+use calls::{READ_BUFFER_BYTES, ResponseWatch, TargetConnector, collect_body};
 use compact_str::{CompactString, format_compact};
 use http::{Method, Request, Response, StatusCode, header};
 use http_body_util::Full;
@@ -105,14 +105,14 @@
             .body(Full::new(body))
             // The id is not a valid header value or path; nothing is sent.
             .map_err(|_| EngineError::Rejected { status: 400 })?;
-        let interim = InterimResponses::default();
-        interim.watch(&mut request);
+        let watch = ResponseWatch::default();
+        watch.watch(&mut request);
         let response = tokio::select! {
             response = self.client.request(request) => response.map_err(|error| {
                 let unreachable = error.is_connect();
                 if unreachable { EngineError::Unreachable } else { EngineError::OutcomeUnknown }
             })?,
-            () = interim.exceeded() => return Err(EngineError::OutcomeUnknown),
+            () = watch.interim_exceeded() => return Err(EngineError::OutcomeUnknown),
         };
         if response
             .headers()
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -6,9 +6,10 @@
 use api::{RunEnd, is_event_stream};
 use base::Timestamp;
 use bytes::Bytes;
+use calls::WatchedBody;
 use http::{HeaderMap, Request, Response, StatusCode, Version};
 use http_body_util::{BodyExt, Full};
-use hyper::body::{Body, Incoming};
+use hyper::body::Body;
 use platform::{ForwardingHeaders, ResponseHead, forwarded_request_headers};
 use routing::DirectPick;
 use tokio::time::timeout;
@@ -36,7 +37,7 @@
     pub headers: HeaderMap,
     /// Decoded headers.
     pub head: ResponseHead,
-    body: Incoming,
+    body: WatchedBody,
     connection: TargetConnection,
 }
 
@@ -153,7 +154,7 @@
 
 fn check_response(
     request: &CallerRequest,
-    response: Response<Incoming>,
+    response: Response<WatchedBody>,
     connection: TargetConnection,
 ) -> Result<TargetResponse, ExchangeFailure> {
     let (parts, body) = response.into_parts();
@@ -232,7 +233,7 @@
 /// A streamed response of a target.
 pub(crate) struct TargetStream {
     head: ResponseHead,
-    body: Incoming,
+    body: WatchedBody,
     connection: TargetConnection,
 }
 
--- a/components/gateway/src/target_pool.rs
+++ b/components/gateway/src/target_pool.rs
@@ -8,10 +8,10 @@
 
 use base::SortedMap;
 use bytes::Bytes;
-use calls::{InterimResponses, open_http};
+use calls::{ResponseWatch, WatchedBody, open_http};
 use http::Request;
 use http_body_util::Full;
-use hyper::body::{Body, Incoming};
+use hyper::body::Body;
 use hyper::client::conn::http1::SendRequest;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
@@ -73,7 +73,7 @@
     /// Size of the last request's body.
     body_bytes: usize,
     io_task: ConnectionTask,
-    interim: InterimResponses,
+    watch: ResponseWatch,
 }
 
 /// Task that drives the connection's I/O; aborted on drop.
@@ -218,14 +218,14 @@
     {
         log::debug!("event=socket_options_refused address={address} error=\"{error}\"");
     }
-    let (sender, connection, interim) = open_http(socket).await.map_err(std::io::Error::other)?;
+    let (sender, connection, watch) = open_http(socket).await.map_err(std::io::Error::other)?;
     let task = tokio::task::spawn_local(async move {
         if let Err(error) = connection.await {
             log::debug!("event=target_connection_ended address={address} error=\"{error}\"");
         }
     });
     let io_task = ConnectionTask(task.abort_handle());
-    Ok(TargetConnection { address, sender, sent: 0, body_bytes: 0, io_task, interim })
+    Ok(TargetConnection { address, sender, sent: 0, body_bytes: 0, io_task, watch })
 }
 
 impl TargetConnection {
@@ -233,13 +233,13 @@
     pub(crate) async fn send(
         &mut self,
         mut request: Request<Full<Bytes>>,
-    ) -> Result<http::Response<Incoming>, SendFailure> {
+    ) -> Result<http::Response<WatchedBody>, SendFailure> {
         self.sent += 1;
-        self.interim.watch(&mut request);
+        self.watch.watch(&mut request);
         let body_bytes = request.body().size_hint().exact().unwrap_or_default();
         self.body_bytes = usize::try_from(body_bytes).unwrap_or(usize::MAX);
         match self.sender.try_send_request(request).await {
-            Ok(response) => Ok(response),
+            Ok(response) => Ok(self.watch.watch_body(response)),
             // The request is returned only if none of it was written.
             Err(mut error) => match error.take_message() {
                 Some(_) => Err(SendFailure::NotSent),
--- a/components/side/src/idempotent_call.rs
+++ b/components/side/src/idempotent_call.rs
@@ -5,9 +5,9 @@
 
 use base::{ExecutionState, Tokens};
 use bytes::{Bytes, BytesMut};
+use calls::WatchedBody;
 use http::Response;
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
 use once::{AttemptId, ClaimKey, Fingerprint, PriorOutcome, StoredHeader, StoredOutcome};
 use tokio::time::{Instant, sleep_until, timeout_at};
 use wire::{ForwardDown, ForwardHead, ForwardUp, FrameSender, Header, RefuseReason};
@@ -203,7 +203,7 @@
 
 /// Streams the response to the caller and collects it; none if it is incomplete.
 async fn stream_and_collect(
-    answer: Response<Incoming>,
+    answer: Response<WatchedBody>,
     head: &ForwardHead,
     target: SocketAddr,
     replica: &ClaimReplica,
--- a/components/side/src/plain_client.rs
+++ b/components/side/src/plain_client.rs
@@ -4,11 +4,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use calls::{InterimResponses, open_http};
+use calls::{ResponseWatch, WatchedBody, open_http};
 use http::header::{self, HeaderName, HeaderValue};
 use http::{HeaderMap, Method, Request, Response, Uri, Version};
 use http_body::Body;
-use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
@@ -36,7 +35,7 @@
 pub(crate) struct PlainConnection<B> {
     sender: SendRequest<B>,
     io_task: AbortHandle,
-    interim: InterimResponses,
+    watch: ResponseWatch,
 }
 
 /// Closes the connection, so that a target that has responded and does not read the rest of the body
@@ -56,22 +55,22 @@
     pub async fn open(address: SocketAddr) -> Option<Self> {
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await.ok()?.ok()?;
         stream.set_nodelay(true).ok()?;
-        let (sender, connection, interim) = open_http(stream).await.ok()?;
+        let (sender, connection, watch) = open_http(stream).await.ok()?;
         let io_task = tokio::spawn(async move {
             if let Err(error) = connection.await {
                 log::debug!("event=target_connection_ended error=\"{error}\"");
             }
         });
-        Some(Self { sender, io_task: io_task.abort_handle(), interim })
+        Some(Self { sender, io_task: io_task.abort_handle(), watch })
     }
 
     /// Sends the call; from this point it may have run.
     pub async fn send(
         &mut self,
         mut request: Request<B>,
-    ) -> Result<Response<Incoming>, hyper::Error> {
-        self.interim.watch(&mut request);
-        self.sender.send_request(request).await
+    ) -> Result<Response<WatchedBody>, hyper::Error> {
+        self.watch.watch(&mut request);
+        self.sender.send_request(request).await.map(|response| self.watch.watch_body(response))
     }
 }
 
--- a/components/side/src/response_end.rs
+++ b/components/side/src/response_end.rs
@@ -4,9 +4,10 @@
 
 use api::{EventBoundary, ResponseFraming, RunEnd, is_event_stream};
 use bytes::Bytes;
+use calls::WatchedBody;
 use http::Response;
 use http_body_util::Empty;
-use hyper::body::{Body, Incoming};
+use hyper::body::Body;
 
 use crate::plain_client::PlainConnection;
 
@@ -25,7 +26,7 @@
 
 impl ResponseEnd {
     /// For a response whose body has not been read.
-    pub(crate) fn new(response: &Response<Incoming>) -> Self {
+    pub(crate) fn new(response: &Response<WatchedBody>) -> Self {
         let headers = response.headers();
         Self {
             framing: ResponseFraming::decode(headers),
--- a/tests/endless_answers.rs
+++ b/tests/endless_answers.rs
@@ -91,10 +91,7 @@
 
 /// Sends `at_once` requests that meet these answers and returns the responses to them. Checks that the connections
 /// are closed, that memory stays within that of the machine, and that a request in between is served.
-async fn meet_endless_answers(
-    at_once: usize,
-    answers: Vec<EndlessAnswer>,
-) -> Vec<CallerResponse> {
+async fn meet_endless_answers(at_once: usize, answers: Vec<EndlessAnswer>) -> Vec<CallerResponse> {
     let mut target = EndlessServer::start(settings(answers)).await.unwrap();
     let gateway = PlainGateway::start(route(), &[target.address()]).await;
 
