--- a/tests/endless_answers.rs
+++ b/tests/endless_answers.rs
@@ -8,10 +8,11 @@
 
 use platform::header_names::{DEADLINE_MS, REQUEST_ID, RESPONSE_SIGNATURE};
 use platform_standin::{
-    CallerConnection, CallerKind, CallerRequest, CallerResponse, FleetLimits, RouteKind, RouteSpec,
+    CallerConnection, CallerKind, CallerRequest, CallerResponse, FleetLimits, MachineSpec,
+    RouteKind, RouteSpec, StoreServer, StoreSettings,
 };
 use standin::{EndlessAnswer, EndlessServer, EndlessServerSettings};
-use support::{CUSTOMER_KEY, HOST, PlainGateway, SERVICE, wait_until};
+use support::{CUSTOMER_KEY, HOST, PlainGateway, Process, SERVICE, gateway_machine, wait_until};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
@@ -26,6 +27,8 @@
 const AT_ONCE_AT_SMALLEST: usize = 300;
 /// Memory of the smallest machines, in MB.
 const SMALLEST_MEMORY_MB: u64 = 120;
+/// Most memory of an agent, in KB: a fifth of that of its machine, 192 MB.
+const MOST_AGENT_MEMORY_KB: u64 = 38_000;
 /// What a caller allows.
 const DEADLINE: Duration = Duration::from_secs(6);
 
@@ -270,3 +273,37 @@
     let response = order(gateway.callers, "large".to_owned(), SOUND_PATH).await;
     assert_eq!(response.body.len(), event.len());
 }
+
+/// Guards against an agent that collects what its engine sends in place of a report, or skips it without end.
+#[tokio::test]
+async fn reports_without_end_are_cut() {
+    let report =
+        "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n\r\n{\"sequence\":1,\"models\":[";
+    let chunked = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+    let answers = vec![
+        answer(report, "{\"name\":\"m\",\"version\":1},"),
+        answer("", "a"),
+        answer("", "HTTP/1.1 100 Continue\r\n\r\n"),
+        answer("HTTP/1.1 200 OK\r\nx-endless: ", "a"),
+        answer(chunked, "0"),
+        answer(chunked, "1\r\na\r\n"),
+    ];
+    let at_least = 3 * answers.len();
+    let engine = EndlessServer::start(settings(answers)).await.unwrap();
+    let store = StoreServer::start(StoreSettings::default()).await.unwrap();
+    let machine = MachineSpec {
+        name: "engine-1".into(),
+        engine: Some((engine.address(), SERVICE.into())),
+        ..gateway_machine(store.address())
+    };
+    let directory = tempfile::tempdir().unwrap();
+    let path = directory.path().join("settings.conf");
+    std::fs::write(&path, machine.settings_file(&FleetLimits::default())).unwrap();
+    let arguments = ["agent", "--settings", path.to_str().unwrap()].map(str::to_owned);
+    let agent = Process::start("agent", &arguments);
+
+    agent.wait_for_line("event=engine_lost").await;
+    wait_until("reports are cut", async || engine.closed() >= at_least).await;
+    let peak_kb = agent.peak_memory_kb();
+    assert!(peak_kb < MOST_AGENT_MEMORY_KB, "{peak_kb} KB");
+}
