Read large pages of the log service in smaller ones

Callers would see: an entry process (128 MB) takes 65 MB for one page of the log service without end, and reads several streams.

Cause: the limit on a response had to allow pages of 500 records with whole configurations.

Change: the limit is 12 MB, eight of the largest records. A page that is larger, or malformed, is read once more with eight records.

Ruled out: a lower limit alone, with which readers would never get past such a page.

--- a/components/calls/src/collect_body.rs
+++ b/components/calls/src/collect_body.rs
@@ -4,9 +4,14 @@
 use http_body::Body;
 use http_body_util::BodyExt;
 
-/// A body is larger than its limit, or broke off.
+/// Why a body was not read to its end.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct IncompleteBody;
+pub enum IncompleteBody {
+    /// It broke off.
+    Broken,
+    /// It is larger than its limit.
+    TooLarge,
+}
 
 /// Reads a body of at most `max_bytes` into one buffer: kept chunks would take some 40 times their bytes if
 /// they are small.
@@ -20,9 +25,9 @@
 {
     let mut collected = BytesMut::new();
     while let Some(frame) = body.frame().await {
-        let Ok(bytes) = frame.map_err(|_| IncompleteBody)?.into_data() else { continue };
+        let Ok(bytes) = frame.map_err(|_| IncompleteBody::Broken)?.into_data() else { continue };
         if collected.len() + bytes.len() > max_bytes {
-            return Err(IncompleteBody);
+            return Err(IncompleteBody::TooLarge);
         }
         collected.extend_from_slice(&bytes);
     }
--- a/components/calls/src/http_client.rs
+++ b/components/calls/src/http_client.rs
@@ -11,7 +11,7 @@
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use tokio::time::timeout;
 
-use crate::{READ_BUFFER_BYTES, ResponseWatch, TargetConnector, collect_body};
+use crate::{IncompleteBody, READ_BUFFER_BYTES, ResponseWatch, TargetConnector, collect_body};
 
 /// Limit on a response body, if a call states none: four pages of the platform's store, of 1 MB each. A
 /// gateway reads four topics at once with 120 MB of memory.
@@ -29,6 +29,8 @@
     Invalid,
     /// The request was sent, and no complete response arrived in time.
     NoResponse,
+    /// The request was sent, and the response is larger than the call allows.
+    TooLarge,
     /// No connection could be opened; nothing was sent.
     Unreachable,
 }
@@ -38,6 +40,7 @@
         f.write_str(match self {
             Self::Invalid => "the call is not a valid request",
             Self::NoResponse => "no complete response in time",
+            Self::TooLarge => "the response is too large",
             Self::Unreachable => "connection failed",
         })
     }
@@ -112,7 +115,7 @@
     ///
     /// # Errors
     ///
-    /// `NoResponse` if the call may have had an effect, else `Invalid` or `Unreachable`.
+    /// `NoResponse` or `TooLarge` if the call may have had an effect, else `Invalid` or `Unreachable`.
     pub async fn call(&self, call: HttpCall<'_>) -> Result<CallResponse, CallError> {
         let max_response_bytes = call.max_response_bytes;
         let mut request = Request::builder()
@@ -142,7 +145,10 @@
         })?;
         let (parts, body) = response.into_parts();
         let body = collect_body(body, max_response_bytes).await;
-        let body = body.map_err(|_| CallError::NoResponse)?;
+        let body = body.map_err(|error| match error {
+            IncompleteBody::Broken => CallError::NoResponse,
+            IncompleteBody::TooLarge => CallError::TooLarge,
+        })?;
         Ok(CallResponse { status: parts.status, headers: parts.headers, body })
     }
 }
--- a/components/store/src/error.rs
+++ b/components/store/src/error.rs
@@ -43,6 +43,8 @@
         match error {
             CallError::Invalid => Self::Rejected { status: 400 },
             CallError::NoResponse => Self::OutcomeUnknown,
+            // No response of the protocol is larger than the limit of its call.
+            CallError::TooLarge => Self::Malformed,
             CallError::Unreachable => Self::Unreachable,
         }
     }
--- a/components/store/src/http_log.rs
+++ b/components/store/src/http_log.rs
@@ -15,6 +15,9 @@
 use crate::json_client::JsonClient;
 use crate::{AppendBudget, Log, LogPage, LogRecord, StoreError};
 
+/// Records of a page that fits into the limit on a response whatever their sizes.
+const SMALL_PAGE_RECORDS: u32 = 8;
+
 /// Options of a log client.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct HttpLogOptions {
@@ -102,12 +105,21 @@
         limit: u32,
         wait: Duration,
     ) -> Result<LogPage, StoreError> {
-        let path = format!(
-            "/streams/{stream}/records?from={}&limit={limit}&wait_ms={}",
-            from.0.max(1),
-            wait.as_millis()
-        );
-        let answer: ReadAnswer = self.client.get(&path, self.timeout + wait).await?;
+        let read = async |limit: u32| -> Result<ReadAnswer, StoreError> {
+            let path = format!(
+                "/streams/{stream}/records?from={}&limit={limit}&wait_ms={}",
+                from.0.max(1),
+                wait.as_millis()
+            );
+            self.client.get(&path, self.timeout + wait).await
+        };
+        let answer = match read(limit).await {
+            // The page may have too many large records.
+            Err(StoreError::Malformed) if limit > SMALL_PAGE_RECORDS => {
+                read(SMALL_PAGE_RECORDS).await?
+            }
+            answer => answer?,
+        };
         let records = answer.records.into_iter().map(LogRecord::try_from);
         Ok(LogPage {
             records: records.collect::<Result<_, _>>()?,
--- a/components/store/src/json_client.rs
+++ b/components/store/src/json_client.rs
@@ -10,9 +10,8 @@
 
 use crate::error::{StoreError, require_success};
 
-/// Limit on a response body. A page of the log has 500 records, of which some hold whole configurations of
-/// up to 600 KB.
-const MAX_RESPONSE_BYTES: usize = 64 << 20;
+/// Limit on a response body: eight of the largest records of the log, of 1 MB in base64.
+const MAX_RESPONSE_BYTES: usize = 12 << 20;
 
 #[derive(Clone, Debug)]
 pub(crate) struct JsonClient {
--- a/components/store/tests/log.rs
+++ b/components/store/tests/log.rs
@@ -171,3 +171,23 @@
     assert!((3..=5).contains(&stored), "stored {stored}");
     assert_eq!(server.records("config").len(), stored);
 }
+
+/// Guards against a reader that never gets past records whose page is larger than the limit on a response.
+#[tokio::test]
+async fn large_records_are_read_in_smaller_pages() {
+    let server = LogServer::start(LogServerSettings::default()).await.unwrap();
+    let options = HttpLogOptions { request_timeout_ms: 10_000, appends_per_s: 1_000 };
+    let log = HttpLog::new(server.address(), options);
+    let payload = vec![7; 1_000_000];
+    for number in 0..12 {
+        log.append("s", &format!("r{number}"), &payload).await.unwrap();
+    }
+    let (mut read, mut next) = (0, Offset(1));
+    while read < 12 {
+        let page = log.read("s", next, 500, Duration::ZERO).await.unwrap();
+        assert!(page.records.iter().all(|record| record.payload.len() == payload.len()));
+        read += page.records.len();
+        next = Offset(page.records.last().unwrap().offset.0 + 1);
+    }
+    assert_eq!(read, 12);
+}
