--- a/components/engine/src/http_engine.rs
+++ b/components/engine/src/http_engine.rs
@@ -6,12 +6,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use calls::{READ_BUFFER_BYTES, ResponseWatch, TargetConnector, collect_body};
 use compact_str::{CompactString, format_compact};
 use http::{Method, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -22,8 +22,11 @@
     LoadSample, Order, OrderKind, OrderResult,
 };
 
-/// Maximum size of a non-streamed response; bounds the client's memory.
-const MAX_RESPONSE_BYTES: usize = 64 << 20;
+/// Limit on a response that is neither an answer nor a KV cache. Decoded JSON may take some ten times its
+/// bytes, and a side process has 128 MB of memory.
+const MAX_RESPONSE_BYTES: usize = 4 << 20;
+/// Limit on a KV cache.
+const MAX_KV_BYTES: usize = 64 << 20;
 const REQUEST_ID_HEADER: &str = "x-request-id";
 
 /// Client of one engine; clones share connections and counters.
@@ -31,7 +34,7 @@
 pub struct HttpEngine {
     address: SocketAddr,
     limits: EngineLimits,
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: Client<TargetConnector, Full<Bytes>>,
     dropped: Arc<AtomicU64>,
     calls: Arc<AtomicU64>,
 }
@@ -69,12 +72,10 @@
 impl HttpEngine {
     /// Creates a client for the engine at `address`.
     pub fn new(address: SocketAddr, limits: EngineLimits) -> Self {
-        let mut connector = HttpConnector::new();
-        // The connect timeout must be shorter than the call's limit: only a connect error proves
-        // that nothing was sent.
-        connector.set_connect_timeout(Some(limits.connect));
-        connector.set_nodelay(true);
-        let client = Client::builder(TokioExecutor::new()).build(connector);
+        let connector = TargetConnector::new(limits.connect);
+        let client = Client::builder(TokioExecutor::new())
+            .http1_max_buf_size(READ_BUFFER_BYTES)
+            .build(connector);
         let (dropped, calls) = (Arc::default(), Arc::default());
         Self { address, limits, client, dropped, calls }
     }
@@ -96,7 +97,7 @@
         id: &str,
         body: Bytes,
     ) -> Result<Response<Incoming>, EngineError> {
-        let request = Request::builder()
+        let mut request = Request::builder()
             .method(method)
             .uri(format!("http://{}{path}", self.address))
             .header(header::CONTENT_TYPE, "application/json")
@@ -104,9 +105,15 @@
             .body(Full::new(body))
             // The id is not a valid header value or path; nothing is sent.
             .map_err(|_| EngineError::Rejected { status: 400 })?;
-        let response = self.client.request(request).await.map_err(|error| {
-            if error.is_connect() { EngineError::Unreachable } else { EngineError::OutcomeUnknown }
-        })?;
+        let watch = ResponseWatch::default();
+        watch.watch(&mut request);
+        let response = tokio::select! {
+            response = self.client.request(request) => response.map_err(|error| {
+                let unreachable = error.is_connect();
+                if unreachable { EngineError::Unreachable } else { EngineError::OutcomeUnknown }
+            })?,
+            () = watch.interim_exceeded() => return Err(EngineError::OutcomeUnknown),
+        };
         if response
             .headers()
             .get(REQUEST_ID_HEADER)
@@ -134,12 +141,24 @@
         id: &str,
         body: Bytes,
         limit: Duration,
+    ) -> Result<Bytes, EngineError> {
+        self.call_for(method, path, id, body, limit, MAX_RESPONSE_BYTES).await
+    }
+
+    /// A call whose response has at most `max_bytes`.
+    async fn call_for(
+        &self,
+        method: Method,
+        path: &str,
+        id: &str,
+        body: Bytes,
+        limit: Duration,
+        max_bytes: usize,
     ) -> Result<Bytes, EngineError> {
         let exchange = async {
             let response = self.send(method, path, id, body).await?;
-            let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES);
-            let collected = body.collect().await.map_err(|_| EngineError::OutcomeUnknown)?;
-            Ok(collected.to_bytes())
+            let collected = collect_body(response.into_body(), max_bytes).await;
+            collected.map_err(|_| EngineError::OutcomeUnknown)
         };
         timeout(limit, exchange).await.unwrap_or(Err(EngineError::OutcomeUnknown))
     }
@@ -172,6 +191,7 @@
             call.id.clone(),
             response.into_body(),
             next_index,
+            call.max_tokens,
             self.limits.event,
             self.dropped.clone(),
         ))
@@ -220,7 +240,8 @@
 
     async fn export_kv(&self, id: &str) -> Result<Bytes, EngineError> {
         let body = to_json(&RequestIdBody { id });
-        self.call(Method::POST, "/kv/export", id, body, self.limits.kv_transfer).await
+        let limit = self.limits.kv_transfer;
+        self.call_for(Method::POST, "/kv/export", id, body, limit, MAX_KV_BYTES).await
     }
 
     async fn import_kv(&self, id: &str, model: &str, cache: Bytes) -> Result<(), EngineError> {
--- a/components/gateway/src/target_pool.rs
+++ b/components/gateway/src/target_pool.rs
@@ -8,18 +8,18 @@
 
 use base::SortedMap;
 use bytes::Bytes;
+use calls::{ResponseWatch, WatchedBody, open_http};
 use http::Request;
 use http_body_util::Full;
-use hyper::body::{Body, Incoming};
-use hyper::client::conn::http1::{SendRequest, handshake};
-use hyper_util::rt::TokioIo;
+use hyper::body::Body;
+use hyper::client::conn::http1::SendRequest;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::app::App;
-use crate::unwritten_requests::UnwrittenRequests;
+use crate::shared_bytes::SharedBytes;
 
 /// Timeout for opening a connection: a handshake takes a few ms, a retransmission after packet loss
 /// a second.
@@ -46,6 +46,12 @@
 /// has responded, so a reset that discards the rest changes nothing for the caller.
 const MAX_REST_WRITE: Duration = Duration::from_millis(2_000);
 
+/// Most bytes of such requests at all targets together: two bodies of the usual largest size, a
+/// fifteenth of the memory of the smallest gateways, 120 MB.
+const MAX_UNWRITTEN_BYTES: usize = 8 << 20;
+/// Bytes that a connection counts besides the body, so that their number is bounded as well.
+const CONNECTION_BYTES: usize = 16 << 10;
+
 /// Why a request got no response from a target.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum SendFailure {
@@ -67,6 +73,7 @@
     /// Size of the last request's body.
     body_bytes: usize,
     io_task: ConnectionTask,
+    watch: ResponseWatch,
 }
 
 /// Task that drives the connection's I/O; aborted on drop.
@@ -85,10 +92,16 @@
 }
 
 /// Idle connections by target.
-#[derive(Default)]
 pub(crate) struct TargetPool {
     idle: RefCell<SortedMap<SocketAddr, Vec<IdleConnection>>>,
-    unwritten: UnwrittenRequests,
+    /// Requests whose response was read before their body was written.
+    unwritten: SharedBytes,
+}
+
+impl Default for TargetPool {
+    fn default() -> Self {
+        Self { idle: RefCell::default(), unwritten: SharedBytes::new(MAX_UNWRITTEN_BYTES) }
+    }
 }
 
 impl TargetPool {
@@ -150,7 +163,8 @@
         keep_alive: Option<Duration>,
     ) {
         let address = connection.address;
-        let Some(unwritten) = app.pool.unwritten.add(connection.body_bytes) else {
+        let bytes = connection.body_bytes.saturating_add(CONNECTION_BYTES);
+        let Some(unwritten) = app.pool.unwritten.reserve(bytes) else {
             log::info!("event=request_not_written address={address} reason=too_many_bytes");
             return;
         };
@@ -204,28 +218,28 @@
     {
         log::debug!("event=socket_options_refused address={address} error=\"{error}\"");
     }
-    let (sender, connection) =
-        handshake(TokioIo::new(socket)).await.map_err(std::io::Error::other)?;
+    let (sender, connection, watch) = open_http(socket).await.map_err(std::io::Error::other)?;
     let task = tokio::task::spawn_local(async move {
         if let Err(error) = connection.await {
             log::debug!("event=target_connection_ended address={address} error=\"{error}\"");
         }
     });
     let io_task = ConnectionTask(task.abort_handle());
-    Ok(TargetConnection { address, sender, sent: 0, body_bytes: 0, io_task })
+    Ok(TargetConnection { address, sender, sent: 0, body_bytes: 0, io_task, watch })
 }
 
 impl TargetConnection {
     /// Sends a request and waits for the response head.
     pub(crate) async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
-    ) -> Result<http::Response<Incoming>, SendFailure> {
+        mut request: Request<Full<Bytes>>,
+    ) -> Result<http::Response<WatchedBody>, SendFailure> {
         self.sent += 1;
+        self.watch.watch(&mut request);
         let body_bytes = request.body().size_hint().exact().unwrap_or_default();
         self.body_bytes = usize::try_from(body_bytes).unwrap_or(usize::MAX);
         match self.sender.try_send_request(request).await {
-            Ok(response) => Ok(response),
+            Ok(response) => Ok(self.watch.watch_body(response)),
             // The request is returned only if none of it was written.
             Err(mut error) => match error.take_message() {
                 Some(_) => Err(SendFailure::NotSent),
--- a/components/store/src/json_client.rs
+++ b/components/store/src/json_client.rs
@@ -10,6 +10,9 @@
 
 use crate::error::{StoreError, require_success};
 
+/// Limit on a response body: eight of the largest records of the log, of 1 MB in base64.
+const MAX_RESPONSE_BYTES: usize = 12 << 20;
+
 #[derive(Clone, Debug)]
 pub(crate) struct JsonClient {
     address: SocketAddr,
@@ -45,6 +48,7 @@
     async fn call<T: DeserializeOwned>(&self, mut call: HttpCall<'_>) -> Result<T, StoreError> {
         let json = HeaderValue::from_static("application/json");
         call.headers.insert(header::CONTENT_TYPE, json);
+        call.max_response_bytes = MAX_RESPONSE_BYTES;
         let answer = require_success(self.client.call(call).await?)?;
         serde_json::from_slice(&answer.body).map_err(|_| StoreError::Malformed)
     }
