Test responses that are cut off at each byte

Cause: a target that stops in the middle of its response must not leave its caller with a success. Gateways were tested with some cuts; the side process, the clients of the store, of the log and of engines were not. Change: tables of complete responses (length, chunks, trailer, events, 100 and 103 before the head, bare line feeds, no body, and for the clients no length) that are cut at each byte, or at each fourth where each cut needs a target of its own behind a gateway. One stand-in, `RawServer`, answers with raw bytes. Alternatives ruled out: a test for each cut, which hides what is not covered; cuts through one target of a gateway, which gets no requests for a while after a failure, so that only 2 of the cuts of a response reached it. Result: no cut is passed on as a success or, by side and gateway, as not run; a call that is cut off is never kept as an outcome for its idempotency key. Records of the store without a length may be read in part; the page then says that its end is missing. A length beside chunks is not passed on.

--- a/components/side/tests/common/mod.rs
+++ b/components/side/tests/common/mod.rs
@@ -497,6 +497,7 @@
 #[derive(Debug, Default)]
 pub struct CallAnswer {
     pub status: u16,
+    pub headers: Vec<Header>,
     pub replayed: bool,
     pub body: Vec<u8>,
     pub whole: bool,
@@ -504,6 +505,14 @@
     pub refused: Option<RefuseReason>,
 }
 
+impl CallAnswer {
+    /// Value of a header field.
+    pub fn header(&self, name: &str) -> Option<&[u8]> {
+        let header = self.headers.iter().find(|header| header.name == name)?;
+        Some(&header.value)
+    }
+}
+
 /// Runs a call; sends and receives concurrently, since an echoed body fills both flow-control
 /// windows.
 pub async fn call(client: &PeerClient, head: &ForwardHead, body: &[u8]) -> CallAnswer {
@@ -528,8 +537,8 @@
     let mut receiver = receiver.ready().await.unwrap();
     loop {
         match tokio::time::timeout(WAIT_LIMIT, receiver.next()).await.unwrap() {
-            Ok(Some(ForwardDown::Head { status, replayed, .. })) => {
-                (answer.status, answer.replayed) = (status, replayed);
+            Ok(Some(ForwardDown::Head { status, headers, replayed, .. })) => {
+                (answer.status, answer.headers, answer.replayed) = (status, headers, replayed);
             }
             Ok(Some(ForwardDown::Data(data))) => answer.body.extend(data),
             Ok(Some(ForwardDown::End)) => answer.whole = true,
--- a/components/standin/src/lib.rs
+++ b/components/standin/src/lib.rs
@@ -15,6 +15,7 @@
 mod prefix_cache;
 mod proxy;
 mod rate;
+mod raw_server;
 mod reply;
 mod server;
 mod text;
@@ -27,6 +28,7 @@
 pub use log_server::{LogServer, LogServerSettings, LogService, StoredRecord};
 pub use plain::{PlainServer, PlainService, PlainSettings, SeenHeader, SeenRequest};
 pub use proxy::{Blocked, Link, LinkFaults};
+pub use raw_server::RawServer;
 pub use reply::{
     Hangup, Reply, ReplyBody, full, json, lose_answer, query, read_body, text, wait_ms,
 };
