Refuse callers of HTTP/1.0

Cause: callers of HTTP/1.0 know no chunks, so that the end of the connection ends a streamed response. A response whose target broke off therefore looked complete to them: 200 (gateway) or 201 (entry) with a part of the body. The check of request heads said that it takes HTTP/1.1 only, but did not look at the version. Change: `check_head` rejects other versions with 400, `invalid_request`, at entry and gateway. Alternatives ruled out: to collect responses for such callers, which holds streams back; to reset the connection after a cut, which a proxy in between may turn into an ordinary end.

--- a/components/api/src/head_check.rs
+++ b/components/api/src/head_check.rs
@@ -99,6 +99,11 @@
         Err(httparse::Error::TooManyHeaders) => return Err(HeadError::TooManyFields),
         Err(_) => return Err(HeadError::Malformed),
     }
+    // For HTTP/1.0, the end of the connection ends a response without a length, so that one that is cut off
+    // would look complete.
+    if request.version != Some(1) {
+        return Err(HeadError::Malformed);
+    }
     if request.headers.len() > max_fields {
         return Err(HeadError::TooManyFields);
     }
--- a/components/api/tests/head_rules.rs
+++ b/components/api/tests/head_rules.rs
@@ -60,6 +60,16 @@
     assert_eq!(two, Err(HeadError::RepeatedCredential));
 }
 
+/// Guards against callers of HTTP/1.0, to which a response that is cut off looks complete if it has no
+/// length.
+#[test]
+fn refuses_other_versions() {
+    for version in ["HTTP/1.0", "HTTP/2.0", "HTTP/1.2"] {
+        let head = format!("GET /x {version}\r\nHost: a\r\n\r\n");
+        assert_eq!(check_head(head.as_bytes(), 64, true), Err(HeadError::Malformed), "{version}");
+    }
+}
+
 /// Guards against unbounded numbers of fields.
 #[test]
 fn limits_the_number_of_fields() {
--- a/components/entry/tests/forwarding.rs
+++ b/components/entry/tests/forwarding.rs
@@ -219,6 +219,23 @@
     }
 }
 
+/// Guards against half an answer that looks whole to a caller of HTTP/1.0, which knows no chunks: the
+/// end of the connection ends its body.
+#[test]
+fn a_caller_of_http_1_0_gets_no_answer_that_can_break_off() {
+    run(async {
+        let site = Site::start(settings(), &["s1"]).await;
+        site.script(&[Act::HalfChunked]);
+        // Half of it is more than what waits in buffers when the answer breaks off.
+        let body = "0123456789".repeat(60_000);
+        let text = request("POST", "/look/x", Some(KEY), "", &body);
+        let text = text.replace("HTTP/1.1", "HTTP/1.0");
+        let answer = send(site.callers(), text.as_bytes()).await;
+        assert_eq!(answer.summary(), "400 invalid_request not_run", "{}", answer.head);
+        assert!(calls(&site).is_empty());
+    });
+}
+
 /// Guards against a body that breaks off and is passed on as if it were whole.
 #[test]
 fn a_body_that_breaks_off_is_not_ended_towards_the_target() {
--- a/tests/cut_responses.rs
+++ b/tests/cut_responses.rs
@@ -5,11 +5,15 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
 
-use platform::header_names::RESPONSE_SIGNATURE;
+use platform::header_names::{DEADLINE_MS, REQUEST_ID, RESPONSE_SIGNATURE};
 use platform_standin::{CallerKind, RouteKind, RouteSpec};
 use standin::RawServer;
-use support::{PlainGateway, plain_call, plain_route};
+use support::{CUSTOMER_KEY, HOST, PlainGateway, plain_call, plain_route};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
 
 /// Bytes between two cuts.
 const CUT_STEP: usize = 4;
@@ -104,3 +108,24 @@
         assert!(answer.is_success() && answer.is_complete, "{kind:?} {response:?}: {answer:?}");
     }
 }
+
+/// Guards against a truncated stream that looks complete to a caller of HTTP/1.0, which knows no chunks: the
+/// end of the connection ends its body.
+#[tokio::test]
+async fn a_caller_of_http_1_0_gets_no_response_that_can_break_off() {
+    let (_, events) = responses().pop().unwrap();
+    let target = Target::start(&events.as_bytes()[..events.len() - 30]).await;
+    let kind = RouteKind::ResumableStream;
+    let gateway = PlainGateway::start(route(kind), &[target.server.address()]).await;
+    let mut socket = TcpStream::connect(gateway.callers).await.unwrap();
+    let request = format!(
+        "GET /calls/1 HTTP/1.0\r\nhost: {HOST}\r\nauthorization: Bearer {CUSTOMER_KEY}\r\n\
+         {REQUEST_ID}: request-1\r\n{DEADLINE_MS}: 4000\r\n\r\n"
+    );
+    socket.write_all(request.as_bytes()).await.unwrap();
+    let mut answer = Vec::new();
+    let read = timeout(Duration::from_secs(10), socket.read_to_end(&mut answer)).await.unwrap();
+    let answer = String::from_utf8_lossy(&answer);
+    assert!(read.is_ok() && answer.starts_with("HTTP/1.1 400 "), "{answer}");
+    assert_eq!(target.runs(), 0);
+}
