Treat a target's change of protocol as no response

Cause: the HTTP library skips informational responses except 101, which it returns as a response without a body. Gateways and side processes passed it on as complete, though no request asks for another protocol and the header that does is not forwarded; the call may have run. Change: a gateway counts it as no response of the target (502), a side process reports the outcome as unknown, at the one place where it reads heads, also for calls with an idempotency key. Alternatives ruled out: to read on after the 101, since what follows is no HTTP.

--- a/components/side/src/forward.rs
+++ b/components/side/src/forward.rs
@@ -1,6 +1,7 @@
 //! Task of one call to a plain service: waits in the queue, calls the target, streams the response.
 
 use std::cell::RefCell;
+use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -165,7 +166,7 @@
     CallFailure::Report(failed(ExecutionState::Unknown))
 }
 
-fn connection_failure(head: &ForwardHead, error: &hyper::Error) -> CallFailure {
+fn connection_failure(head: &ForwardHead, error: &dyn fmt::Display) -> CallFailure {
     let (request, route) = (head.request_id, &head.route);
     log::warn!("event=call_broken request_id={request} route={route} error=\"{error}\"");
     CallFailure::Report(failed(ExecutionState::Unknown))
--- a/components/side/src/plain_client.rs
+++ b/components/side/src/plain_client.rs
@@ -1,5 +1,6 @@
 //! HTTP/1.1 client for a plain service.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -29,6 +30,24 @@
     header::UPGRADE,
 ];
 
+/// Why a call that was sent has no response.
+#[derive(Debug)]
+pub(crate) enum NoResponse {
+    /// The connection failed.
+    Broken(hyper::Error),
+    /// The target changed the protocol, which no call asks for.
+    ProtocolChanged,
+}
+
+impl fmt::Display for NoResponse {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Broken(error) => error.fmt(f),
+            Self::ProtocolChanged => f.write_str("the target changed the protocol"),
+        }
+    }
+}
+
 /// A connection to the target for one call.
 ///
 /// Each call opens its own connection: if the target closed a kept-alive one while a call is being
@@ -65,8 +84,14 @@
     }
 
     /// Sends the call; from this point it may have run.
-    pub async fn send(&mut self, request: Request<B>) -> Result<Response<Incoming>, hyper::Error> {
-        self.sender.send_request(request).await
+    pub async fn send(&mut self, request: Request<B>) -> Result<Response<Incoming>, NoResponse> {
+        match self.sender.send_request(request).await {
+            Ok(response) if response.status().is_informational() => {
+                Err(NoResponse::ProtocolChanged)
+            }
+            Ok(response) => Ok(response),
+            Err(error) => Err(NoResponse::Broken(error)),
+        }
     }
 }
 
--- a/components/side/tests/cut_responses.rs
+++ b/components/side/tests/cut_responses.rs
@@ -129,3 +129,23 @@
         }
     });
 }
+
+/// Guards against a change of protocol that nobody asked for and that is passed on as a complete response.
+#[test]
+fn a_change_of_protocol_is_no_response() {
+    run_test(async {
+        let fixture = Fixture::start().await;
+        let response =
+            b"HTTP/1.1 101 Switching Protocols\r\nupgrade: x\r\nconnection: upgrade\r\n\r\n";
+        for key in [None, Some([7; 32])] {
+            let answer = fixture.call(response, key).await;
+            let seen = (answer.whole, answer.refused, answer.failed);
+            assert_eq!(
+                seen,
+                (false, None, Some(ExecutionState::Unknown)),
+                "status {}",
+                answer.status
+            );
+        }
+    });
+}
--- a/tests/cut_responses.rs
+++ b/tests/cut_responses.rs
@@ -109,6 +109,18 @@
     }
 }
 
+/// Guards against a change of protocol that nobody asked for and that is passed on as a complete response.
+#[tokio::test]
+async fn a_change_of_protocol_is_no_response() {
+    let fields = "upgrade: x\r\nconnection: upgrade\r\n";
+    let response = head("HTTP/1.1 101 Switching Protocols", fields);
+    let target = Target::start(response.as_bytes()).await;
+    let gateway = PlainGateway::start(route(RouteKind::Once), &[target.server.address()]).await;
+    let answer = plain_call(&gateway, "request-1", "/calls/1", CallerKind::Order).await;
+    assert_eq!(answer.status, Some(502), "{answer:?}");
+    assert_eq!(target.runs(), 1);
+}
+
 /// Guards against a truncated stream that looks complete to a caller of HTTP/1.0, which knows no chunks: the
 /// end of the connection ends its body.
 #[tokio::test]
