Require a length or chunks for exported KV caches

Cause: the body of `POST /kv/export` has no form of its own. Where the end of the connection ends it, a part of a cache was taken for all of it. The processes don't call it yet; a request resumed from such a cache would go on from wrong memory. Change: without a length or chunks the outcome is unknown. The other calls decode JSON, whose end shows, and take responses without a length as before. Alternatives ruled out: the same rule for all calls, which would refuse orders' results that are plainly complete.

--- a/components/engine/src/http_engine.rs
+++ b/components/engine/src/http_engine.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use api::ResponseFraming;
 use bytes::Bytes;
 use compact_str::{CompactString, format_compact};
 use http::{Method, Request, Response, StatusCode, header};
@@ -127,23 +128,36 @@
         }
     }
 
-    async fn call(
+    /// Returns the body of a response and what marks its end.
+    async fn exchange(
         &self,
         method: Method,
         path: &str,
         id: &str,
         body: Bytes,
         limit: Duration,
-    ) -> Result<Bytes, EngineError> {
+    ) -> Result<(ResponseFraming, Bytes), EngineError> {
         let exchange = async {
             let response = self.send(method, path, id, body).await?;
+            let framing = ResponseFraming::decode(response.headers());
             let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES);
             let collected = body.collect().await.map_err(|_| EngineError::OutcomeUnknown)?;
-            Ok(collected.to_bytes())
+            Ok((framing, collected.to_bytes()))
         };
         timeout(limit, exchange).await.unwrap_or(Err(EngineError::OutcomeUnknown))
     }
 
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        id: &str,
+        body: Bytes,
+        limit: Duration,
+    ) -> Result<Bytes, EngineError> {
+        self.exchange(method, path, id, body, limit).await.map(|(_, body)| body)
+    }
+
     async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, EngineError> {
         let id = self.next_id();
         parse(&self.call(Method::GET, path, &id, Bytes::new(), self.limits.call).await?)
@@ -220,7 +234,12 @@
 
     async fn export_kv(&self, id: &str) -> Result<Bytes, EngineError> {
         let body = to_json(&RequestIdBody { id });
-        self.call(Method::POST, "/kv/export", id, body, self.limits.kv_transfer).await
+        let limit = self.limits.kv_transfer;
+        match self.exchange(Method::POST, "/kv/export", id, body, limit).await? {
+            (ResponseFraming::Chunked | ResponseFraming::Length, cache) => Ok(cache),
+            // Unlike JSON, a cache doesn't show that its end is missing.
+            (ResponseFraming::ConnectionEnd, _) => Err(EngineError::OutcomeUnknown),
+        }
     }
 
     async fn import_kv(&self, id: &str, model: &str, cache: Bytes) -> Result<(), EngineError> {
