Wait in the stop of a side process until its answers are read

Cause: callers got 200 and a connection that ended inside the body, for calls that ran and may not run twice, in a planned stop of a side process. A call ends for the process when its last frame is handed to the HTTP library, which may hold 4 MB of a connection for a slow link. The process exited 200 ms later. What the kernel still had to send was lost as well: a message of the peer that reaches a closed socket resets the connection. Change: when its work has ended, the process closes the connections of its peers in order (GOAWAY), keeps the sockets open until the peers have read everything and closed, and then exits; at the latest after 5 s or at the drain limit, with the event `peers_not_closed`. New connections are not accepted meanwhile, which tells entries that nothing was sent. Alternatives ruled out: a longer fixed pause, which is too long for most stops and proves nothing; to let the HTTP library close its socket, which resets the connection as before.

--- a/components/side/src/generation.rs
+++ b/components/side/src/generation.rs
@@ -18,7 +18,7 @@
 
 use crate::clock::to_millis;
 use crate::labels::refuse_label;
-use crate::request_task::{Decision, QueueGuard, handed_over};
+use crate::request_task::{Decision, QueueGuard, signalled};
 
 /// Retry delay after the engine refused a request, in milliseconds.
 const RETRY_AFTER_MS: u32 = 200;
@@ -123,7 +123,7 @@
                 event = answer.next() => event,
                 () = self.sender.closed() => return StreamEnd::CallerGone,
                 () = sleep_until(self.deadline) => Err(AnswerError::Timeout),
-                () = handed_over(&mut self.handover) => {
+                () = signalled(&mut self.handover) => {
                     log::info!("event=stream_handed_over request_id={}", self.request.request_id);
                     return StreamEnd::Frame(failed(ExecutionState::Unknown));
                 }
--- a/components/side/src/process.rs
+++ b/components/side/src/process.rs
@@ -16,8 +16,10 @@
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::task::{JoinSet, LocalSet, spawn_local};
-use tokio::time::{Instant, sleep, sleep_until, timeout};
-use wire::{FleetSecret, Heartbeat, Incoming, PeerIdentity, PeerPool, RefuseReason};
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
+use wire::{
+    FleetSecret, Heartbeat, Incoming, PeerIdentity, PeerPool, RefuseReason, serve_connection_until,
+};
 
 use crate::claim_replica::ClaimReplica;
 use crate::clock::Clock;
@@ -30,15 +32,18 @@
 use crate::operators::serve_operators;
 use crate::probe::{probe_engine, probe_plain};
 use crate::recent_request_ids::RecentRequestIds;
-use crate::request_task::Decision;
+use crate::request_task::{Decision, signalled};
 
 /// Capacity of the queue from peer connections to the event loop.
 const INCOMING_QUEUE_MESSAGES: usize = 1_024;
 /// Longest sleep of the event loop, so that states that only time changes, such as the retry delay
 /// of a permit, are updated.
 const MAX_LOOP_WAIT: Duration = Duration::from_millis(50);
-/// Time for connection tasks to write their last frames before the process exits.
+/// Time for connection tasks to write their last frames before the process exits at the drain limit.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
+/// Longest time before that limit for peers to read the last frames; the window of a connection, 4 MB,
+/// takes 3.4 s at 10 Mbit/s.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// State shared by the event loop and the tasks around it.
 pub(crate) struct Shared {
@@ -209,7 +214,10 @@
         let shared = Rc::new(self.share(&secret));
         let announce = Rc::new(Notify::new());
         let (incoming, mut arrivals) = mpsc::channel(INCOMING_QUEUE_MESSAGES);
-        spawn_local(accept_peers(self.peer_listener, self.identity.clone(), secret, incoming));
+        let closing = watch::Sender::new(false);
+        let accepting = closing.subscribe();
+        let identity = self.identity.clone();
+        spawn_local(accept_peers(self.peer_listener, identity, secret, incoming, accepting));
         spawn_local(serve_operators(
             self.operator_listener,
             shared.core.clone(),
@@ -261,12 +269,15 @@
             }
         };
         shared.run_loop(&mut arrivals, &mut self.event_queue, drained).await;
-        // Connection tasks still write their last frames.
-        let _flushed = timeout(
-            FLUSH_TIMEOUT,
-            shared.run_loop(&mut arrivals, &mut self.event_queue, std::future::pending()),
-        )
-        .await;
+        closing.send_replace(true);
+        let now = Instant::now();
+        let close_end = end.min(now + CLOSE_TIMEOUT).max(now + FLUSH_TIMEOUT);
+        let closed = async {
+            if timeout_at(close_end, closing.closed()).await.is_err() {
+                log::warn!("event=peers_not_closed process={}", self.identity.process);
+            }
+        };
+        shared.run_loop(&mut arrivals, &mut self.event_queue, closed).await;
         log::info!("event=stopped process={}", self.identity.process);
     }
 
@@ -350,20 +361,28 @@
     }
 }
 
+/// Accepts peers until the process closes its connections; each connection holds a receiver of `closing`.
 async fn accept_peers(
     listener: TcpListener,
     identity: PeerIdentity,
     secret: FleetSecret,
     incoming: mpsc::Sender<Incoming>,
+    mut closing: watch::Receiver<bool>,
 ) {
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = signalled(&mut closing) => return,
+        };
+        match accepted {
             Ok((stream, from)) => {
                 let (identity, secret, incoming) =
                     (identity.clone(), secret.clone(), incoming.clone());
+                let mut closing = closing.clone();
                 tokio::spawn(async move {
+                    let closed = signalled(&mut closing);
                     if let Err(error) =
-                        wire::serve_connection(stream, &identity, &secret, incoming).await
+                        serve_connection_until(stream, &identity, &secret, incoming, closed).await
                     {
                         log::warn!("event=peer_connection_closed from={from} error=\"{error}\"");
                     }
--- a/components/side/src/request_task.rs
+++ b/components/side/src/request_task.rs
@@ -71,9 +71,9 @@
     }
 }
 
-/// Waits until the drain hands streams over; never returns otherwise.
-pub(crate) async fn handed_over(handover: &mut watch::Receiver<bool>) {
-    if handover.wait_for(|handed_over| *handed_over).await.is_err() {
+/// Waits for a signal of the drain; never returns if it isn't given.
+pub(crate) async fn signalled(signal: &mut watch::Receiver<bool>) {
+    if signal.wait_for(|given| *given).await.is_err() {
         std::future::pending::<()>().await;
     }
 }
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -54,7 +54,7 @@
 pub use part_report::{CrashCopy, HoldCopy, PartReport, StoredPart};
 pub use pool::PeerPool;
 pub use request_id::RequestId;
-pub use server::{Incoming, Responder, serve_connection};
+pub use server::{Incoming, Responder, serve_connection, serve_connection_until};
 pub use start_record::{FLEET_STREAM, StartRecord};
 pub use status::{ProcessStatus, StatusProblem};
 pub use stored_document::StoredDocument;
--- a/components/wire/src/server.rs
+++ b/components/wire/src/server.rs
@@ -1,5 +1,7 @@
 //! Server end of a connection from a peer.
 
+use std::future::{Future, pending};
+use std::pin::pin;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -8,6 +10,7 @@
 use http::{Request, Response, StatusCode};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
@@ -90,15 +93,36 @@
 /// The reason for which the connection was closed: a failed handshake, a malformed message, or the
 /// transport. Nothing from a peer that failed the handshake reaches `incoming`.
 pub async fn serve_connection(
+    stream: TcpStream,
+    identity: &PeerIdentity,
+    secret: &FleetSecret,
+    incoming: mpsc::Sender<Incoming>,
+) -> Result<(), WireError> {
+    serve_connection_until(stream, identity, secret, incoming, pending()).await
+}
+
+/// Like [`serve_connection`], but closes the connection in order once `closing` completes: ends when the
+/// streams have ended and the peer has read them.
+///
+/// # Errors
+///
+/// As [`serve_connection`].
+pub async fn serve_connection_until(
     mut stream: TcpStream,
     identity: &PeerIdentity,
     secret: &FleetSecret,
     incoming: mpsc::Sender<Incoming>,
+    closing: impl Future<Output = ()>,
 ) -> Result<(), WireError> {
     stream.set_nodelay(true)?;
     let peer = timeout(HANDSHAKE_LIMIT, accept(&mut stream, identity, secret))
         .await
         .map_err(|_| WireError::Timeout)??;
+    // The HTTP library closes its socket when it has written everything. A message from the peer would then
+    // reset the connection, and the peer would lose what it has not received.
+    let stream = stream.into_std()?;
+    let mut kept = TcpStream::from_std(stream.try_clone()?)?;
+    let stream = TcpStream::from_std(stream)?;
     let mut connection = h2::server::Builder::new()
         .initial_window_size(WINDOW_BYTES)
         .initial_connection_window_size(WINDOW_BYTES * 4)
@@ -106,10 +130,12 @@
         .handshake(stream)
         .await?;
     let (fail, mut failure) = mpsc::channel::<WireError>(1);
+    let mut closing = pin!(closing);
+    let mut is_closing = false;
     loop {
         tokio::select! {
             accepted = connection.accept() => match accepted {
-                None => return Ok(()),
+                None => break,
                 Some(Err(error)) => return Err(error.into()),
                 Some(Ok((request, respond))) => {
                     let (peer, incoming, fail) = (peer.clone(), incoming.clone(), fail.clone());
@@ -127,8 +153,18 @@
                 connection.abrupt_shutdown(Reason::PROTOCOL_ERROR);
                 return Err(error);
             }
+            () = &mut closing, if !is_closing => {
+                is_closing = true;
+                connection.graceful_shutdown();
+            }
         }
     }
+    if is_closing {
+        // The peer closes its end when it has read everything.
+        let mut rest = [0; 4_096];
+        while kept.read(&mut rest).await? > 0 {}
+    }
+    Ok(())
 }
 
 async fn serve_stream(
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -36,11 +36,16 @@
     pub engine: Value,
     /// Settings of the entry processes, added to the defaults of the harness.
     pub entry: Value,
+    /// Targets of a plain service, each with its side process. Calls under `/once/` may run once only.
+    pub plain: Vec<SocketAddr>,
+    /// Longest time of a planned stop in milliseconds.
+    pub drain_limit_ms: u64,
 }
 
 impl Default for FleetOptions {
     fn default() -> Self {
-        Self { entries: 2, sides: 1, engine: json!({}), entry: json!({}) }
+        let (engine, entry) = (json!({}), json!({}));
+        Self { entries: 2, sides: 1, engine, entry, plain: Vec::new(), drain_limit_ms: 10_000 }
     }
 }
 
@@ -82,6 +87,15 @@
     arguments: Vec<String>,
 }
 
+/// A side process on its VM, beside a target of the plain service.
+pub struct PlainSide {
+    /// The process.
+    pub process: Process,
+    /// Its links.
+    pub links: Links,
+    operators: SocketAddr,
+}
+
 /// A running fleet.
 pub struct Fleet {
     /// Stand-in log.
@@ -90,8 +104,11 @@
     pub vm_list: StandinProcess,
     /// Entry processes.
     pub entries: Vec<Entry>,
-    /// Side processes.
+    /// Side processes of engines.
     pub sides: Vec<Side>,
+    /// Side processes of the plain service.
+    pub plain_sides: Vec<PlainSide>,
+    drain_limit_ms: u64,
     directory: TempDir,
 }
 
@@ -117,7 +134,15 @@
         let log = StandinProcess::start("log", &json!({})).await;
         let vm_list = StandinProcess::start("vm-list", &json!({})).await;
         let directory = tempfile::tempdir().unwrap();
-        let mut fleet = Self { log, vm_list, entries: Vec::new(), sides: Vec::new(), directory };
+        let mut fleet = Self {
+            log,
+            vm_list,
+            entries: Vec::new(),
+            sides: Vec::new(),
+            plain_sides: Vec::new(),
+            drain_limit_ms: options.drain_limit_ms,
+            directory,
+        };
         for at in 0..options.entries {
             let entry = fleet.start_entry(at, &options.entry).await;
             fleet.entries.push(entry);
@@ -126,17 +151,24 @@
             let side = fleet.start_side(at, &options.engine).await;
             fleet.sides.push(side);
         }
+        for (at, target) in options.plain.iter().enumerate() {
+            let side = fleet.start_plain_side(at, *target).await;
+            fleet.plain_sides.push(side);
+        }
         fleet.list_vms().await;
         // The first entry process to see a configuration claims every bucket slot unless it knows
         // the others, and gives them away only much later.
         fleet.wait_acquainted().await;
-        fleet.publish(options.sides).await;
+        fleet.publish(options.sides, options.plain.len()).await;
         for entry in &fleet.entries {
             entry.wait_ready().await;
         }
         for side in &fleet.sides {
             side.wait_ready().await;
         }
+        for side in &fleet.plain_sides {
+            wait_ready(side.operators).await;
+        }
         fleet.wait_served().await;
         fleet
     }
@@ -180,7 +212,7 @@
         }
     }
 
-    async fn publish(&self, sides: usize) {
+    async fn publish(&self, sides: usize, plain: usize) {
         let targets: Vec<Value> = (0..sides)
             .map(|at| {
                 json!({
@@ -189,6 +221,9 @@
                 })
             })
             .collect();
+        let plain: Vec<Value> = (0..plain)
+            .map(|at| json!({"name": format!("plain-{at}"), "data_centre": data_centre(at)}))
+            .collect();
         let sha256: String = Sha256::digest(KEY).iter().map(|byte| format!("{byte:02x}")).collect();
         let base = json!({
             "name": "test",
@@ -200,7 +235,13 @@
                 "name": "chapel", "rate_tokens_per_s": 1_000_000, "burst_tokens": 10_000_000,
             }],
             "keys": [{"name": KEY_NAME, "customer": "chapel", "sha256": sha256}],
-            "services": [{"name": "llais-models", "targets": targets}],
+            "services": [
+                {"name": "llais-models", "targets": targets},
+                {"name": "desk", "kind": "plain", "targets": plain},
+            ],
+            "routes": [
+                {"name": "once", "prefix": "/once/", "service": "desk", "customers": ["chapel"]},
+            ],
             "models": [{
                 "name": MODEL, "version": "1", "service": "llais-models",
                 "memory_mb": MODEL_MB, "residency": "always",
@@ -236,7 +277,7 @@
         let [peers, operators, callers] = free_addresses();
         let links = self.links(peers).await;
         let name = format!("entry-{at}");
-        let mut settings = settings(&name, data_centre(at), [peers, operators], &links);
+        let mut settings = self.settings(&name, at, [peers, operators], &links);
         settings["caller_address"] = json!(callers);
         settings["drain_notice_ms"] = json!(200);
         add(&mut settings, more);
@@ -263,7 +304,7 @@
         add(&mut engine_settings, engine);
         let engine = StandinProcess::start("engine", &engine_settings).await;
         let to_engine = Link::start(engine.address).await.unwrap();
-        let mut settings = settings(&name, data_centre(at), [peers, operators], &links);
+        let mut settings = self.settings(&name, at, [peers, operators], &links);
         add(
             &mut settings,
             &json!({
@@ -276,6 +317,42 @@
         Side { process, links, to_engine, engine, peers, operators, arguments }
     }
 
+    async fn start_plain_side(&self, at: usize, target: SocketAddr) -> PlainSide {
+        let [peers, operators] = free_addresses();
+        let links = self.links(peers).await;
+        let name = format!("plain-side-{at}");
+        let mut settings = self.settings(&name, at, [peers, operators], &links);
+        let more = json!({
+            "target": format!("plain-{at}"), "target_address": target, "probe_ms": 100,
+        });
+        add(&mut settings, &more);
+        let process = Process::start(&name, &self.arguments("side", &name, &settings));
+        PlainSide { process, links, operators }
+    }
+
+    fn settings(
+        &self,
+        name: &str,
+        number: usize,
+        addresses: [SocketAddr; 2],
+        links: &Links,
+    ) -> Value {
+        let [peers, operators] = addresses;
+        json!({
+            "process": {
+                "name": name, "vm": format!("vm-{name}"), "region": "cymru-de",
+                "data_centre": data_centre(number), "peer_address": peers,
+                "advertised_address": links.peers.address(), "operator_address": operators,
+                "fleet_secret": SECRET, "drain_limit_ms": self.drain_limit_ms,
+            },
+            "platform": {
+                "log_address": links.log.address(), "vm_list_address": links.vm_list.address(),
+                "log_poll_ms": 200,
+            },
+            "membership": {"vm_list_poll_ms": 200},
+        })
+    }
+
     fn arguments(&self, command: &str, name: &str, settings: &Value) -> Vec<String> {
         let file = self.directory.path().join(format!("{name}.yaml"));
         // JSON is YAML too.
@@ -284,17 +361,20 @@
     }
 
     async fn list_vms(&self) {
-        let vm = |role: &str, at: usize, link: &Link| {
+        let vm = |name: &str, at: usize, link: &Link| {
             json!({
-                "name": format!("vm-{role}-{at}"), "address": link.address(), "role": role,
+                "name": format!("vm-{name}-{at}"), "address": link.address(),
+                "role": if name == "entry" { "entry" } else { "side" },
                 "region": "cymru-de", "data_centre": data_centre(at), "state": "live",
             })
         };
         let entries = self.entries.iter().zip(0..);
         let sides = self.sides.iter().zip(0..);
+        let plain = self.plain_sides.iter().zip(0..);
         let vms: Vec<Value> = entries
             .map(|(entry, at)| vm("entry", at, &entry.links.peers))
             .chain(sides.map(|(side, at)| vm("side", at, &side.links.peers)))
+            .chain(plain.map(|(side, at)| vm("plain-side", at, &side.links.peers)))
             .collect();
         self.vm_list.control(&json!({"vms": vms})).await;
     }
@@ -305,23 +385,6 @@
     DATA_CENTRES[number % DATA_CENTRES.len()]
 }
 
-fn settings(name: &str, data_centre: &str, addresses: [SocketAddr; 2], links: &Links) -> Value {
-    let [peers, operators] = addresses;
-    json!({
-        "process": {
-            "name": name, "vm": format!("vm-{name}"), "region": "cymru-de",
-            "data_centre": data_centre, "peer_address": peers,
-            "advertised_address": links.peers.address(), "operator_address": operators,
-            "fleet_secret": SECRET, "drain_limit_ms": 10_000,
-        },
-        "platform": {
-            "log_address": links.log.address(), "vm_list_address": links.vm_list.address(),
-            "log_poll_ms": 200,
-        },
-        "membership": {"vm_list_poll_ms": 200},
-    })
-}
-
 async fn wait_ready(operators: SocketAddr) {
     wait_until("readiness", async || {
         Caller::get_status(operators, "/readyz").await == Some(StatusCode::OK)
