Answer calls cut by a stop that may have run with an unknown outcome

Cause: at the limit of a planned stop of an entry process, a call that may run once only and that its target had was answered with 503, `draining`, `ran` unknown. The status invites a repeat, which may run the call twice; everywhere else such a call gets 409, `outcome_unknown`. The loss of authority did the same with `no_authority`. Change: one function makes the error for a call that ends before its answer; a reason with status 503 becomes `outcome_unknown` if the call may have run and may not run twice. Alternatives ruled out: 502, which is for calls that may run twice. Result: `a_call_in_progress_at_the_limit_of_a_stop_has_an_unknown_outcome` failed before ("503 draining unknown") and passes now. The loss of authority has no test of its own.

--- a/components/entry/src/forward_job.rs
+++ b/components/entry/src/forward_job.rs
@@ -7,6 +7,7 @@
 use base::{ExecutionState, Timestamp, hash_bytes};
 use bytes::Bytes;
 use compact_str::CompactString;
+use http::StatusCode;
 use hyper::body::Incoming;
 use routing::{CallKind, Failure, Pick, RetryDecision, retry_decision};
 use telemetry::{RequestClass, quote};
@@ -142,7 +143,7 @@
             tokio::select! {
                 () = sleep(wait) => {}
                 reason = self.in_flight_guard.cancel.cancelled() => {
-                    return Some(cancel_error(reason).with_ran(self.ran()));
+                    return Some(self.stop_error(reason));
                 }
             }
             self.head.attempt += 1;
@@ -158,16 +159,26 @@
             reason = cancel.cancelled() => reason,
             () = deadline => ErrorCode::DeadlineExceeded,
         };
-        ForwardOutcome::Stopped(match reason {
-            ErrorCode::DeadlineExceeded if self.reached_target && !self.head.repeatable => {
+        ForwardOutcome::Stopped(self.stop_error(reason))
+    }
+
+    /// The error for a call that ends before its answer. A 503 would invite the caller to repeat a call that
+    /// may have run.
+    fn stop_error(&self, reason: ErrorCode) -> ApiError {
+        let may_have_run = self.reached_target && !self.head.repeatable;
+        match reason {
+            ErrorCode::DeadlineExceeded if may_have_run => {
                 ApiError::new(ErrorCode::OutcomeUnknown, "no answer in the time allowed")
             }
             ErrorCode::DeadlineExceeded => {
                 ApiError::new(ErrorCode::DeadlineExceeded, "no answer in the time allowed")
                     .with_ran(self.ran())
             }
+            reason if may_have_run && reason.status() == StatusCode::SERVICE_UNAVAILABLE => {
+                ApiError::new(ErrorCode::OutcomeUnknown, cancel_error(reason).message)
+            }
             reason => cancel_error(reason).with_ran(self.ran()),
-        })
+        }
     }
 
     fn kind(&self) -> CallKind {
--- a/components/entry/tests/common/raw.rs
+++ b/components/entry/tests/common/raw.rs
@@ -49,7 +49,12 @@
     let mut stream = TcpStream::connect(address).await.unwrap();
     // The server may close before it has taken everything.
     let _sent = stream.write_all(bytes).await;
-    Answer::parse(&read_to_end(&mut stream).await)
+    read_answer(&mut stream).await
+}
+
+/// Reads an answer until the server closes.
+pub async fn read_answer(stream: &mut TcpStream) -> Answer {
+    Answer::parse(&read_to_end(stream).await)
 }
 
 /// Reads until the server closes; a reset counts as the end.
--- a/components/entry/tests/shutdown.rs
+++ b/components/entry/tests/shutdown.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use common::fake_side::{Act, answer_text};
-use common::raw::{call, open, read_to_end, read_until};
+use common::raw::{call, open, read_answer, read_to_end, read_until};
 use common::{KEY, Node, SMALL_KEY, Site, completion, eventually, named_settings, run, settings};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep};
@@ -60,6 +60,24 @@
     });
 }
 
+/// Guards against a call that may have run and whose caller is invited to send it again, by the status of a
+/// refusal, when the time for the stop is over.
+#[test]
+fn a_call_in_progress_at_the_limit_of_a_stop_has_an_unknown_outcome() {
+    run(async {
+        let mut settings = settings();
+        settings.process.drain_limit_ms = 300;
+        let mut site = Site::start(settings, &["s1"]).await;
+        site.script(&[Act::Hang]);
+        let mut stream = open(site.callers(), "POST", "/pay/1", Some(KEY), "amount=20").await;
+        eventually(|| site.sides[0].calls().len() == 1).await;
+        site.entry().stop();
+        let answer = read_answer(&mut stream).await;
+        assert_eq!(answer.summary(), "409 outcome_unknown unknown", "{answer:?}");
+        site.nodes.remove(0).handle.finished().await;
+    });
+}
+
 /// Guards against slots that stay with a process that has stopped, and against a customer that gets its
 /// burst once more through the new owner.
 #[test]
