Tell callers when to retry what a stop has refused

Cause: a call whose body was still arriving at the limit of an entry's stop was refused as not run, without `Retry-After`, unlike all other refusals that waiting helps. Change: `draining` has `Retry-After` of 1 s; the process has stopped accepting connections by then. Alternatives ruled out: none. Result: `a_request_without_its_whole_body_at_the_limit_is_refused_as_not_run` failed before (no `Retry-After`) and passes now.

--- a/components/entry/src/dispatch.rs
+++ b/components/entry/src/dispatch.rs
@@ -21,6 +21,8 @@
     BudgetedConnection, CallerResponse, ConnectionCloser, error_response, json_response,
 };
 
+/// Wait that is advised while the process stops, in milliseconds; by then it accepts no connections.
+const DRAINING_RETRY_MS: u64 = 1_000;
 /// Wait that is advised while the process has no configuration, in milliseconds.
 const NO_CONFIGURATION_RETRY_MS: u64 = 1_000;
 
@@ -163,5 +165,9 @@
         ErrorCode::Draining => "this process is shutting down",
         _ => "the request was ended",
     };
-    ApiError::new(reason, text)
+    let error = ApiError::new(reason, text);
+    match reason {
+        ErrorCode::Draining => error.with_retry_after_ms(DRAINING_RETRY_MS),
+        _ => error,
+    }
 }
--- a/components/entry/tests/shutdown.rs
+++ b/components/entry/tests/shutdown.rs
@@ -5,8 +5,9 @@
 use std::time::Duration;
 
 use common::fake_side::{Act, answer_text};
-use common::raw::{call, open, read_answer, read_to_end, read_until};
+use common::raw::{call, open, read_answer, read_to_end, read_until, request};
 use common::{KEY, Node, SMALL_KEY, Site, completion, eventually, named_settings, run, settings};
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep};
 
@@ -60,6 +61,28 @@
     });
 }
 
+/// Guards against a body that is still arriving at the limit of a stop and whose caller isn't told when to
+/// send the call again.
+#[test]
+fn a_request_without_its_whole_body_at_the_limit_is_refused_as_not_run() {
+    run(async {
+        let mut settings = settings();
+        settings.process.drain_limit_ms = 300;
+        let mut site = Site::start(settings, &["s1"]).await;
+        let text = request("POST", "/pay/1", Some(KEY), "", "amount=20");
+        let mut stream = TcpStream::connect(site.callers()).await.unwrap();
+        stream.write_all(&text.as_bytes()[..text.len() - 1]).await.unwrap();
+        sleep(Duration::from_millis(20)).await;
+        site.entry().stop();
+        let answer = read_answer(&mut stream).await;
+        assert_eq!(answer.summary(), "503 draining not_run", "{answer:?}");
+        assert_eq!(answer.header("retry-after"), Some("1"), "{answer:?}");
+        assert_eq!(answer.header("connection"), Some("close"), "{answer:?}");
+        assert!(site.sides[0].calls().is_empty());
+        site.nodes.remove(0).handle.finished().await;
+    });
+}
+
 /// Guards against a call that may have run and whose caller is invited to send it again, by the status of a
 /// refusal, when the time for the stop is over.
 #[test]
