Test malformed heads of plain targets at the side process

Cause: a head that is not one of a response (a folded line, no colon, lengths that differ, chunks in HTTP/1.0) must not be accepted as one; only cut heads were tested. Change: a table of such heads. Alternatives ruled out: none; the HTTP library decides, and the test holds it to that.

--- a/components/side/tests/cut_responses.rs
+++ b/components/side/tests/cut_responses.rs
@@ -113,6 +113,29 @@
     });
 }
 
+/// Guards against a head that is not one of a response and that is passed on: with a folded line, a line
+/// without a colon or with a space before it, lengths that differ, or a status of one digit.
+#[test]
+fn malformed_heads_are_no_responses() {
+    run_test(async {
+        let fixture = Fixture::start().await;
+        for response in [
+            "HTTP/1.1 200 OK\r\nx-long: a\r\n b\r\ncontent-length: 2\r\n\r\nok",
+            "HTTP/1.1 200 OK\r\ncontent-length\r\n\r\nok",
+            "HTTP/1.1 200 OK\r\ncontent-length : 2\r\n\r\nok",
+            "HTTP/1.1 200 OK\r\ncontent-length: 2\r\ncontent-length: 3\r\n\r\nok",
+            "HTTP/1.1 200 OK\r\ncontent-length: -2\r\n\r\nok",
+            "HTTP/1.0 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+            "HTTP/1.1 2\r\n\r\n",
+            "\r\n\r\n",
+        ] {
+            let answer = fixture.call(response.as_bytes(), None).await;
+            let seen = (answer.whole, answer.refused, answer.failed);
+            assert_eq!(seen, (false, None, Some(ExecutionState::Unknown)), "{response:?}");
+        }
+    });
+}
+
 /// Guards against a length beside chunks that is passed on: the caller would get that many bytes of the
 /// body, framed as whole.
 #[test]
