--- a/components/engine/src/http_engine.rs
+++ b/components/engine/src/http_engine.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use api::ResponseFraming;
 use bytes::Bytes;
 use calls::{READ_BUFFER_BYTES, ResponseWatch, TargetConnector, collect_body};
 use compact_str::{CompactString, format_compact};
@@ -134,33 +135,35 @@
         }
     }
 
-    async fn call(
+    /// Returns the body of a response of at most `max_bytes` and what marks its end.
+    async fn exchange(
         &self,
         method: Method,
         path: &str,
         id: &str,
         body: Bytes,
         limit: Duration,
-    ) -> Result<Bytes, EngineError> {
-        self.call_for(method, path, id, body, limit, MAX_RESPONSE_BYTES).await
+        max_bytes: usize,
+    ) -> Result<(ResponseFraming, Bytes), EngineError> {
+        let exchange = async {
+            let response = self.send(method, path, id, body).await?;
+            let framing = ResponseFraming::decode(response.headers());
+            let collected = collect_body(response.into_body(), max_bytes).await;
+            Ok((framing, collected.map_err(|_| EngineError::OutcomeUnknown)?))
+        };
+        timeout(limit, exchange).await.unwrap_or(Err(EngineError::OutcomeUnknown))
     }
 
-    /// A call whose response has at most `max_bytes`.
-    async fn call_for(
+    async fn call(
         &self,
         method: Method,
         path: &str,
         id: &str,
         body: Bytes,
         limit: Duration,
-        max_bytes: usize,
     ) -> Result<Bytes, EngineError> {
-        let exchange = async {
-            let response = self.send(method, path, id, body).await?;
-            let collected = collect_body(response.into_body(), max_bytes).await;
-            collected.map_err(|_| EngineError::OutcomeUnknown)
-        };
-        timeout(limit, exchange).await.unwrap_or(Err(EngineError::OutcomeUnknown))
+        let exchange = self.exchange(method, path, id, body, limit, MAX_RESPONSE_BYTES);
+        exchange.await.map(|(_, body)| body)
     }
 
     async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, EngineError> {
@@ -241,7 +244,12 @@
     async fn export_kv(&self, id: &str) -> Result<Bytes, EngineError> {
         let body = to_json(&RequestIdBody { id });
         let limit = self.limits.kv_transfer;
-        self.call_for(Method::POST, "/kv/export", id, body, limit, MAX_KV_BYTES).await
+        let exchange = self.exchange(Method::POST, "/kv/export", id, body, limit, MAX_KV_BYTES);
+        match exchange.await? {
+            (ResponseFraming::Chunked | ResponseFraming::Length, cache) => Ok(cache),
+            // Unlike JSON, a cache doesn't show that its end is missing.
+            (ResponseFraming::ConnectionEnd, _) => Err(EngineError::OutcomeUnknown),
+        }
     }
 
     async fn import_kv(&self, id: &str, model: &str, cache: Bytes) -> Result<(), EngineError> {
