Identify a repeated request by its host instead of its route

Cause: the digest of a request contained the name of its route. Change: the host takes the place of the route.

--- a/components/gateway/src/request.rs
+++ b/components/gateway/src/request.rs
@@ -99,6 +99,18 @@
     pub arrived: Timestamp,
 }
 
+impl ReceivedRequest {
+    /// Host without the port, which the host of a route doesn't include.
+    fn host(&self) -> &str {
+        let host = self
+            .uri
+            .host()
+            .or_else(|| self.headers.get(header::HOST).and_then(|host| host.to_str().ok()))
+            .unwrap_or_default();
+        host.rsplit_once(':').map_or(host, |(name, _)| name)
+    }
+}
+
 impl CallerRequest {
     /// Tokens of the prompt: the caller's count or, without one, the tokens of its parts.
     pub(crate) fn prompt_tokens(&self) -> u64 {
@@ -136,14 +148,7 @@
     let evidence = app.evidence_age(now);
     // A permanent rejection requires a current configuration.
     let is_current = evidence.is_some_and(|age| age <= MAX_REJECTION_EVIDENCE_AGE);
-    let host = received
-        .uri
-        .host()
-        .or_else(|| received.headers.get(header::HOST).and_then(|host| host.to_str().ok()))
-        .unwrap_or_default();
-    // A route's host doesn't include the port.
-    let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
-    let Some(route_id) = config.match_direct(host, received.uri.path()) else {
+    let Some(route_id) = config.match_direct(received.host(), received.uri.path()) else {
         return Err(match is_current {
             true => ApiError::new(ErrorCode::RouteNotFound, "no route has this host and path"),
             false => not_ready("the configuration here may be out of date"),
@@ -183,7 +188,7 @@
     };
     let parts: Vec<u64> = received.head.prompt_parts.iter().map(|part| part.id).collect();
     let identity = RequestIdentity {
-        route: &plan.route,
+        host: received.host(),
         method: received.method.as_str(),
         path: received.uri.path_and_query().map_or("", PathAndQuery::as_str),
         customer: customer.as_deref(),
--- a/components/quarantine/src/request_identity.rs
+++ b/components/quarantine/src/request_identity.rs
@@ -6,8 +6,8 @@
 /// headers that say how the caller waits for it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct RequestIdentity<'a> {
-    /// Name of the route.
-    pub route: &'a str,
+    /// Host. Not the route, which a new configuration may rename or split.
+    pub host: &'a str,
     /// Method.
     pub method: &'a str,
     /// Path and query.
@@ -30,7 +30,7 @@
     pub fn digest(&self) -> u64 {
         let text = |field: Option<&str>| field.map_or(0, |field| hash_bytes(field.as_bytes()));
         let fields = [
-            text(Some(self.route)),
+            text(Some(self.host)),
             text(Some(self.method)),
             text(Some(self.path)),
             text(self.customer),
