Refuse late calls before a side process closes its connections

The process used to refuse calls for 200 ms more. Change: it does so again before it closes. Alternatives ruled out: to take a stream that ends with a GOAWAY for not sent, as long as no test shows that the HTTP library never says so of a stream that was processed.

--- a/components/side/src/process.rs
+++ b/components/side/src/process.rs
@@ -39,7 +39,8 @@
 /// Longest sleep of the event loop, so that states that only time changes, such as the retry delay
 /// of a permit, are updated.
 const MAX_LOOP_WAIT: Duration = Duration::from_millis(50);
-/// Time for connection tasks to write their last frames before the process exits at the drain limit.
+/// Time after the last work, or after the drain limit, in which calls are still refused and last frames are
+/// written.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
 /// Longest time before that limit for peers to read the last frames; the window of a connection, 4 MB,
 /// takes 3.4 s at 10 Mbit/s.
@@ -269,9 +270,11 @@
             }
         };
         shared.run_loop(&mut arrivals, &mut self.event_queue, drained).await;
+        // Entry processes that have not heard of the drain get refusals, which say that nothing ran.
+        shared.run_loop(&mut arrivals, &mut self.event_queue, sleep(FLUSH_TIMEOUT)).await;
         closing.send_replace(true);
         let now = Instant::now();
-        let close_end = end.min(now + CLOSE_TIMEOUT).max(now + FLUSH_TIMEOUT);
+        let close_end = end.min(now + CLOSE_TIMEOUT);
         let closed = async {
             if timeout_at(close_end, closing.closed()).await.is_err() {
                 log::warn!("event=peers_not_closed process={}", self.identity.process);
