--- a/components/calls/src/target_io.rs
+++ b/components/calls/src/target_io.rs
@@ -19,8 +19,8 @@
 
 use crate::ResponseWatch;
 
-/// Size of a connection's read buffer, which also bounds the head of a response. A process may have some
-/// 400 such connections with 120 MB of memory.
+/// Size of a connection's read buffer, which also bounds the head of a response. A gateway with
+/// 120 MB of memory serves 366 callers at once, each with such a connection.
 pub const READ_BUFFER_BYTES: usize = 64 << 10;
 /// Reads without waiting for the server after which a connection pauses. The HTTP client reads on while
 /// bytes arrive that it skips, such as the digits of a chunk size, and no time limit is checked meanwhile.
