--- a/components/engine/tests/cut_responses.rs
+++ b/components/engine/tests/cut_responses.rs
@@ -130,7 +130,12 @@
 async fn generations_cut_before_their_last_event_are_not_complete() {
     for framing in FRAMINGS {
         let (missing, _server, client) = start(framing, EVENTS).await;
-        let call = GenerateCall { id: "r1".into(), model: "m".into(), ..GenerateCall::default() };
+        let call = GenerateCall {
+            id: "r1".into(),
+            model: "m".into(),
+            max_tokens: 1,
+            ..GenerateCall::default()
+        };
         let longest = response("x-request-id: r1", framing, EVENTS).len();
         for cut in 0..longest {
             missing.store(cut, Ordering::Relaxed);
