--- a/components/ingress/src/shutdown_stage.rs
+++ b/components/ingress/src/shutdown_stage.rs
@@ -19,7 +19,7 @@
 }
 
 impl ShutdownStage {
-    /// Whether new connections and requests are refused.
+    /// Whether an entry process accepts no connections, and a gateway only requests that end soon.
     pub fn is_draining(self) -> bool {
         self >= Self::Draining
     }
