Judge prompt parts by requests whose response had begun

Cause: since whole requests are evidence too, all requests of an engine that ends are recorded, most of them without a head. They counted as crashes that have nothing to do with the part, so that three crashes in a row seemed likely, and the part was quarantined after eight. Change: the chance for a part is taken from requests whose response had begun, as before; a part's first crash is reported before those of whole requests. The decision on whole requests is unchanged.

--- a/components/quarantine/src/background.rs
+++ b/components/quarantine/src/background.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use base::{SortedMap, Timestamp};
+use wire::Subject;
 
 use crate::crash::Crash;
 use crate::suspect::Suspect;
@@ -25,20 +26,24 @@
 /// Crashes and outputs of requests to one service.
 #[derive(Clone, Debug, Default)]
 struct ServiceBackground {
-    crashes: VecDeque<Crash>,
+    /// Crashes during requests whose response had begun, which are evidence on parts.
+    begun: VecDeque<Crash>,
+    /// Crashes during other requests.
+    others: VecDeque<Crash>,
     /// Outputs in the current half of the window and in the one before.
     outputs: [u32; 2],
     half_since: Timestamp,
 }
 
 impl Background {
-    /// Records a crash.
-    pub fn record_crash(&mut self, crash: Crash) {
+    /// Records a crash; `has_begun` tells whether the response to the request had.
+    pub fn record_crash(&mut self, crash: Crash, has_begun: bool) {
         let service = self.services.get_or_insert_with(crash.service, ServiceBackground::default);
-        if service.crashes.len() == MAX_CRASHES {
-            service.crashes.pop_front();
+        let crashes = if has_begun { &mut service.begun } else { &mut service.others };
+        if crashes.len() == MAX_CRASHES {
+            crashes.pop_front();
         }
-        service.crashes.push_back(crash);
+        crashes.push_back(crash);
         service.expire(crash.at);
     }
 
@@ -60,7 +65,11 @@
         let (others, outputs) =
             last.and_then(|service| self.services.get(&service)).map_or((0.0, 0.0), |service| {
                 let is_other = |crash: &&Crash| !suspect.was_in(crash) && !is_explained(crash);
-                let others = service.crashes.iter().filter(is_other).count() as f64;
+                let mut others = service.begun.iter().filter(is_other).count();
+                if matches!(suspect.subject, Subject::Request(_)) {
+                    others += service.others.iter().filter(is_other).count();
+                }
+                let others = others as f64;
                 (others, service.outputs.iter().copied().map(f64::from).sum())
             });
         (others + PRIOR_CRASHES) / (others + outputs + PRIOR_REQUESTS)
@@ -69,8 +78,10 @@
 
 impl ServiceBackground {
     fn expire(&mut self, now: Timestamp) {
-        while self.crashes.front().is_some_and(|crash| now.since(crash.at) > WINDOW) {
-            self.crashes.pop_front();
+        for crashes in [&mut self.begun, &mut self.others] {
+            while crashes.front().is_some_and(|crash| now.since(crash.at) > WINDOW) {
+                crashes.pop_front();
+            }
         }
         if now.since(self.half_since) >= WINDOW / 2 {
             self.outputs = [0, self.outputs[0]];
--- a/components/quarantine/src/quarantine.rs
+++ b/components/quarantine/src/quarantine.rs
@@ -91,7 +91,7 @@
         let reporter = (self.process_hash >> 32) as u32;
         let (prompt, service) = (subjects.prompt_hash(), subjects.service);
         let crash = Crash { target, service, prompt, reporter, at: now };
-        self.background.record_crash(crash);
+        self.background.record_crash(crash, !subjects.parts.is_empty());
         for subject in subjects.iter(settings.max_parts_of_request) {
             let output = self.outputs.get(&subject).copied();
             let suspect =
@@ -199,7 +199,10 @@
                 let is_due = suspect.hold.is_some()
                     || suspect.crashes.len() != 1
                     || newest.is_some_and(|at| age(at) < settings.single_crash_reported);
-                let strength = (suspect.hold.is_some(), cleared, suspect.crashes.len(), newest);
+                // A crash names one part for many requests that were beside it.
+                let is_part = matches!(subject, Subject::Part(_));
+                let strength =
+                    (suspect.hold.is_some(), cleared, suspect.crashes.len(), is_part, newest);
                 is_due.then_some((strength, *subject, suspect))
             })
             .collect();
--- a/components/quarantine/src/suspect.rs
+++ b/components/quarantine/src/suspect.rs
@@ -18,7 +18,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Suspect {
     /// What it is.
-    subject: Subject,
+    pub subject: Subject,
     /// Crashes after the last output, in order of time.
     pub crashes: Vec<Crash>,
     /// Last output on it at any gateway.
--- a/components/quarantine/tests/lifecycle.rs
+++ b/components/quarantine/tests/lifecycle.rs
@@ -194,3 +194,32 @@
         assert_eq!(quarantine.held_subjects().count(), 2);
     }
 }
+
+/// Guards against a part that goes on to end engines because each end also breaks many requests that had no
+/// response yet: they say nothing of how often sound parts meet crashes.
+#[test]
+fn requests_without_a_response_do_not_delay_the_quarantine_of_a_part() {
+    let mut quarantine = Quarantine::new(QuarantineSettings::default(), "gateway-1");
+    let mut other = Quarantine::new(QuarantineSettings::default(), "gateway-2");
+    for number in 0..120 {
+        quarantine.record_output(&of(&[1, 2, number]), at(500));
+        other.record_output(&of(&[1, 2, number]), at(500));
+    }
+    for number in 0..3 {
+        let now = at(1_000 + 1_000 * number);
+        for bystander in 0..40 {
+            let digest = 1_000 * (number + 1) + bystander;
+            let beside = RequestSubjects { parts: &[], digest, service: 1 };
+            quarantine.record_crash(&beside, number as u32, now);
+        }
+        quarantine.record_crash(&of(&deadly_request(number)), number as u32, now);
+        let reports = quarantine.reports(at(1_100 + 1_000 * number));
+        assert!(reports.iter().any(|report| report.subject == DEADLY_PART), "after {number}");
+        other.apply_reports(&reports, at(1_200 + 1_000 * number));
+    }
+    let now = at(5_000);
+    quarantine.reports(now);
+    other.reports(now);
+    assert!(quarantine.refusal(&of(&deadly_request(9)), now).is_some());
+    assert!(other.refusal(&of(&deadly_request(9)), now).is_some());
+}
