Count late bytes of callers also when lingering times out

Cause: the number of bytes that arrive after a close was stored at the end of the lingering read. If the caller kept the connection open, the read timed out before, and caller_bytes_dropped showed no late bytes or was not written at all. What an HTTP server had buffered was also taken from that number. Change: the bytes are counted in the loop and stored after the timeout, less only what waited in the socket. What is read, answered and closed is unchanged.

--- a/components/ingress/src/connection.rs
+++ b/components/ingress/src/connection.rs
@@ -209,20 +209,21 @@
 
 /// Closes the sending side, then reads what the caller still sends, within limits.
 async fn linger(mut socket: TcpStream, end: &mut ConnectionEnd) {
-    end.unread_bytes += waiting_bytes(&socket);
+    let waiting = waiting_bytes(&socket);
     let mut buffer = [0; 8_192];
+    let mut read = 0;
     let drain = async {
         if socket.shutdown().await.is_ok() {
-            let mut read = 0;
             while read < MAX_LINGER_BYTES {
                 match socket.read(&mut buffer).await {
                     Ok(length) if length > 0 => read += length,
                     Ok(_) | Err(_) => break,
                 }
             }
-            end.late_bytes = read.saturating_sub(end.unread_bytes);
         }
     };
     // The socket is dropped whether or not this times out.
     let _drained = timeout(LINGER_TIMEOUT, drain).await;
+    end.unread_bytes += waiting;
+    end.late_bytes = read.saturating_sub(waiting);
 }
