Judge silent targets by all their streams and agents

Cause: each stream judged the silence of its target alone, 1.4 to 2.9 s after its own last event, and the choice of a target knew of no silence, so that requests were sent to a frozen engine until its entry lapsed.

Change: gateways judge a target by the signs of life that all of them and the agent got (500 ms with several streams, 900 ms with one, 2 s with requests that wait). A silent target is no choice; its streams and waiting requests leave if another target can take them. States of agents that were held back count from when they were sent. A gateway that hears nobody judges nothing.

--- a/components/gateway/src/app.rs
+++ b/components/gateway/src/app.rs
@@ -109,6 +109,8 @@
     pub registry_read: Cell<bool>,
     /// Notified when the state of an engine has changed.
     pub engines_changed: Notify,
+    /// Notified when a target is found to stand still.
+    pub target_silent: Notify,
 }
 
 impl App {
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -18,7 +18,7 @@
 use tokio::time::timeout;
 
 use crate::app::App;
-use crate::exchange::{NoResponse, ReadResponse, TargetResponse, exchange};
+use crate::exchange::{ExchangeFailure, NoResponse, ReadResponse, TargetResponse, exchange};
 use crate::fleet_link::{FleetLink, query_agent};
 use crate::in_flight_send::InFlightSend;
 use crate::request::{CallerRequest, charge, check_rate};
@@ -142,6 +142,9 @@
                     self.attempts.record_may_have_run();
                     continue;
                 }
+                () = self.target_silent(&send) => {
+                    Err(ExchangeFailure::NoResponse(NoResponse::TargetSilent))
+                }
             };
             match response {
                 Ok(response) => {
@@ -264,8 +267,9 @@
         response: TargetResponse,
         send: InFlightSend,
     ) -> Option<DispatchOutcome> {
+        let now = self.app.clock.now();
+        self.app.fleet.borrow_mut().record_sign(send.pick.key, now);
         if let Some(sample) = response.head.load {
-            let now = self.app.clock.now();
             self.app.fleet.borrow_mut().record_load(send.pick.key, sample, now);
         }
         self.record_target_signals(&response, &send);
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -80,6 +80,8 @@
     Truncated,
     /// The response belongs to another request or doesn't come from the target.
     Mismatched,
+    /// The target stands still, and another one can take the request at once.
+    TargetSilent,
     /// The response didn't arrive in time.
     Timeout,
 }
@@ -91,6 +93,7 @@
             Self::Broken => "connection_broken",
             Self::Truncated => "answer_cut_short",
             Self::Mismatched => "foreign_answer",
+            Self::TargetSilent => "target_silent",
             Self::Timeout => "no_answer_in_time",
         }
     }
--- a/components/gateway/src/fleet_link.rs
+++ b/components/gateway/src/fleet_link.rs
@@ -47,6 +47,8 @@
 #[derive(Clone, Debug)]
 struct LocalAgent {
     state: AgentState,
+    /// When it arrived.
+    received_at: Timestamp,
     /// State that was forwarded last, and when.
     last_forwarded: Option<(AgentState, Timestamp)>,
 }
@@ -101,14 +103,12 @@
     }
 
     /// Queues the state of an agent in this data centre to be forwarded.
-    pub(crate) fn record_local_agent(&self, state: AgentState) {
+    pub(crate) fn record_local_agent(&self, state: AgentState, now: Timestamp) {
         let mut agents = self.local_agents.borrow_mut();
-        match agents.get_mut(&state.target) {
-            Some(agent) => agent.state = state,
-            None => {
-                agents.insert(state.target.clone(), LocalAgent { state, last_forwarded: None });
-            }
-        }
+        let last_forwarded =
+            agents.get(&state.target).and_then(|agent| agent.last_forwarded.clone());
+        let target = state.target.clone();
+        agents.insert(target, LocalAgent { state, received_at: now, last_forwarded });
     }
 
     /// Returns the sends of a gateway that were not processed before.
@@ -142,7 +142,10 @@
             });
             if is_due {
                 agent.last_forwarded = Some((agent.state.clone(), now));
-                due.push(agent.state.clone());
+                let waited = now.since(agent.received_at).as_millis();
+                let mut state = agent.state.clone();
+                state.waited_ms = u32::try_from(waited).unwrap_or(u32::MAX);
+                due.push(state);
             }
         }
         due
@@ -184,6 +187,7 @@
         }
         let expired = app.gateways.borrow_mut().expire(now);
         app.update_sharing_gateways(now);
+        app.judge_silence(now);
         for name in expired {
             log::info!("event=gateway_gone gateway={name}");
             app.rates.borrow_mut().remove_peer(&name);
@@ -201,7 +205,7 @@
     let (work, silent_targets, target_limits, target_speeds) = {
         let fleet = app.fleet.borrow();
         let speeds = fleet.speed_reports(now);
-        (fleet.local_work(), fleet.unresponsive_targets(now), fleet.limit_reports(now), speeds)
+        (fleet.local_work(now), fleet.unresponsive_targets(now), fleet.limit_reports(now), speeds)
     };
     GatewayState {
         from: app.process.clone(),
@@ -257,6 +261,7 @@
             let mut state = state.clone();
             let waited_ms = u32::try_from(now.since(*arrived).as_millis()).unwrap_or(u32::MAX);
             state.suspects.iter_mut().for_each(|report| report.add_age(waited_ms));
+            state.work.iter_mut().for_each(|work| work.add_age(waited_ms));
             state
         }))
         .map(RelayedItem::Gateway)
@@ -308,7 +313,7 @@
         link.socket
             .send(&Datagram { from: app.process.clone(), echo, body: body.clone() }, peer.address);
     }
-    link.record_local_agent(state);
+    link.record_local_agent(state, now);
 }
 
 /// Forwards state from another data centre to the gateways in this one.
--- a/components/gateway/src/fleet_receiver.rs
+++ b/components/gateway/src/fleet_receiver.rs
@@ -23,6 +23,7 @@
 fn handle_datagram(app: &App, link: &FleetLink, datagram: Datagram, address: SocketAddr) {
     let now = app.clock.now();
     let Datagram { from, echo, body } = datagram;
+    app.fleet.borrow_mut().record_heard(now);
     match body {
         DatagramBody::Gateway(state) => {
             if state.from != from {
@@ -58,7 +59,7 @@
                         .is_some_and(|key| fleet.target(key).data_centre == *own)
                 };
                 if is_local {
-                    link.record_local_agent(state);
+                    link.record_local_agent(state, now);
                 }
             }
         }
--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -136,6 +136,7 @@
         peer_client: HttpClient::new(PEER_CONNECT_TIMEOUT),
         registry_read: Cell::new(false),
         engines_changed: Notify::new(),
+        target_silent: Notify::new(),
         process,
         settings: RefCell::new(Rc::new(settings)),
     })
--- a/components/gateway/src/in_flight_send.rs
+++ b/components/gateway/src/in_flight_send.rs
@@ -76,6 +76,7 @@
         let first = self.parts_between.get().map_or(at, |(first, _)| first);
         self.parts_between.set(Some((first, at)));
         self.parts.set(self.parts.get().saturating_add(1));
+        self.app.fleet.borrow_mut().record_sign(self.pick.key, at);
     }
 
     /// Records the speed of a complete stream of `model`.
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod run_end;
 mod shared_bytes;
 mod shutdown;
+mod silent_targets;
 mod store_eras;
 mod stored_quarantines;
 mod stream_failover;
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -17,7 +17,7 @@
 use crate::run_end::RunState;
 
 /// Shortest time between two searches for a target that can resume a stalled stream.
-const MOVE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+pub(crate) const MOVE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Bytes of an incomplete event that each stream may hold; events of a model have some 200.
 const SMALL_EVENT_BYTES: usize = 32 << 10;
@@ -35,6 +35,8 @@
     Broken,
     /// No event arrived in time.
     Stalled,
+    /// The target stands still, and another one can resume the stream at once.
+    TargetSilent,
     /// The stream is moved away from a target that is waiting to unload the model.
     Moved,
     /// The deadline passed.
@@ -50,6 +52,7 @@
             Self::Broken => "broken",
             Self::Stalled => "silent",
             Self::Moved => "moved",
+            Self::TargetSilent => "target_silent",
             Self::TimedOut => "timed_out",
         }
     }
@@ -119,7 +122,7 @@
                 }
                 RelayEnd::CallerDisconnected | RelayEnd::TimedOut => return (self, end),
                 RelayEnd::Broken => self.dispatch.exclude_broken(&send),
-                RelayEnd::Stalled => self.dispatch.exclude_stalled(&send),
+                RelayEnd::Stalled | RelayEnd::TargetSilent => self.dispatch.exclude_stalled(&send),
                 RelayEnd::Moved => self.dispatch.exclude_moved(&send),
             }
             log::info!(
@@ -201,6 +204,7 @@
             let part = tokio::select! {
                 part = stream.next(limit) => part,
                 () = self.body.closed() => return RelayEnd::CallerDisconnected,
+                () = self.dispatch.target_silent(send) => return RelayEnd::TargetSilent,
             };
             match part {
                 StreamPart::Bytes(bytes) => {
--- a/components/gateway/src/stream_failover.rs
+++ b/components/gateway/src/stream_failover.rs
@@ -5,9 +5,11 @@
 use base::Timestamp;
 use routing::{DirectChoice, TargetOutcome};
 use telemetry::quote;
+use tokio::time::sleep;
 
 use crate::dispatch::Dispatch;
 use crate::in_flight_send::InFlightSend;
+use crate::relay::MOVE_CHECK_INTERVAL;
 
 /// Shortest remaining patience of the caller for which resuming the stream is tried again: it
 /// covers one check of the targets and the prefill of a prompt.
@@ -54,6 +56,22 @@
         alive
     }
 
+    /// Waits until the target of a send stands still and another target can take the request at once.
+    pub(crate) async fn target_silent(&self, current: &InFlightSend) {
+        loop {
+            let changed = self.app.target_silent.notified();
+            let is_silent = self.app.fleet.borrow().target(current.pick.key).silence.is_silent();
+            if is_silent && self.may_move(current) {
+                return;
+            }
+            if is_silent {
+                sleep(MOVE_CHECK_INTERVAL).await;
+            } else {
+                changed.await;
+            }
+        }
+    }
+
     /// Whether another target than `current` can resume the stream at once. Until one can, a pause
     /// is better than the loss of the progress made at the current target.
     pub(crate) fn may_move(&self, current: &InFlightSend) -> bool {
--- a/components/gateway/src/target_signals.rs
+++ b/components/gateway/src/target_signals.rs
@@ -105,12 +105,14 @@
                 }
                 match reason {
                     NoResponse::Broken | NoResponse::Truncated => self.attempts.record_broken(),
-                    NoResponse::Mismatched | NoResponse::Timeout => {
+                    NoResponse::Mismatched | NoResponse::TargetSilent | NoResponse::Timeout => {
                         self.attempts.record_may_have_run()
                     }
                 }
                 send.record_outcome(match reason {
-                    NoResponse::Broken | NoResponse::Timeout => TargetOutcome::NoResponse,
+                    NoResponse::Broken | NoResponse::TargetSilent | NoResponse::Timeout => {
+                        TargetOutcome::NoResponse
+                    }
                     NoResponse::Truncated | NoResponse::Mismatched => TargetOutcome::Failed,
                 });
             }
--- a/components/placement/src/engine_order_scheduler.rs
+++ b/components/placement/src/engine_order_scheduler.rs
@@ -314,6 +314,7 @@
         Some(AgentState {
             from,
             sent_micros: now.micros,
+            waited_ms: 0,
             target: target.clone(),
             born_ms,
             answers,
--- a/components/routing/src/direct_fleet.rs
+++ b/components/routing/src/direct_fleet.rs
@@ -11,6 +11,7 @@
     DirectChoice, DirectPick, DirectPlainRequirements, GenerationRequirements,
 };
 use crate::direct_target::TYPICAL_RUN_MS;
+use crate::silent_targets::Hearing;
 use crate::target_speed::spread_ms;
 use crate::usual_times::UsualTimes;
 use crate::{
@@ -55,6 +56,7 @@
     pub(crate) cold_rules: ColdRules,
     /// Data centres whose targets receive no requests, sorted by name.
     evacuated: Vec<CompactString>,
+    pub(crate) hearing: Hearing,
 }
 
 impl DirectFleet {
@@ -73,6 +75,7 @@
             sharing_gateways: SharingGateways::default(),
             cold_rules: ColdRules::default(),
             evacuated: Vec::new(),
+            hearing: Hearing::default(),
         }
     }
 
@@ -182,6 +185,9 @@
                     cache_tokens: copy.cache_tokens,
                 });
             target.work.update_peer(peer, workload, now);
+            if let Some(quiet_ms) = named.get(&target.hash).and_then(|copy| copy.quiet_ms) {
+                target.silence.record_peer(now - Duration::from_millis(u64::from(quiet_ms)));
+            }
         }
     }
 
@@ -197,7 +203,7 @@
     }
 
     /// Returns the work of this process at each target where it has any.
-    pub fn local_work(&self) -> Vec<TargetWorkCopy> {
+    pub fn local_work(&self, now: Timestamp) -> Vec<TargetWorkCopy> {
         self.targets
             .iter()
             .filter(|target| !target.work.is_idle())
@@ -210,6 +216,10 @@
                     waiting: local.waiting,
                     running: local.running,
                     cache_tokens: local.cache_tokens,
+                    quiet_ms: target
+                        .silence
+                        .own_sign_at()
+                        .map(|at| u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX)),
                 }
             })
             .collect()
--- a/components/routing/src/direct_target.rs
+++ b/components/routing/src/direct_target.rs
@@ -9,7 +9,8 @@
 
 use crate::target_speed::PlainLoad;
 use crate::{
-    ColdLimit, PrefixCacheEstimate, TargetHealth, TargetLimit, TargetPhase, TargetSpeed, TargetWork,
+    ColdLimit, PrefixCacheEstimate, TargetHealth, TargetLimit, TargetPhase, TargetSilence,
+    TargetSpeed, TargetWork,
 };
 
 /// Time without a response to its agent after which an engine counts as lost and its model copies
@@ -122,6 +123,8 @@
     peer_unresponsive_at: Option<Timestamp>,
     /// Speed at which the target works.
     pub speed: TargetSpeed,
+    /// Signs of life, and whether the target stands still.
+    pub silence: TargetSilence,
 }
 
 /// Load of an engine as reported by its agent.
@@ -178,6 +181,7 @@
             earlier_weight_loads: Vec::new(),
             peer_unresponsive_at: None,
             speed: TargetSpeed::default(),
+            silence: TargetSilence::default(),
         };
         target.apply_entry(entry, Timestamp::default());
         target
@@ -226,6 +230,8 @@
         self.responds_to_agent = state.answers;
         if state.answers {
             self.unresponsive_since = None;
+            let waited = Duration::from_millis(u64::from(state.waited_ms));
+            self.silence.record_own(now - waited);
         } else {
             self.unresponsive_since.get_or_insert(now);
         }
@@ -290,6 +296,7 @@
         self.limit = TargetLimit::default();
         self.cold.record_restart();
         self.speed = TargetSpeed::default();
+        self.silence = TargetSilence::default();
         self.unresponsive_since = None;
         self.announced_leaving = false;
         self.backoff_until = None;
@@ -380,6 +387,7 @@
             && !is_before(self.misdirected_until)
             && !is_before(self.backoff_until)
             && self.health.is_usable(now)
+            && !self.silence.is_silent()
             && !self.is_unresponsive_for_peers(now)
     }
 
--- a/components/routing/tests/direct_fleet.rs
+++ b/components/routing/tests/direct_fleet.rs
@@ -39,6 +39,7 @@
             incarnation: base::Incarnation(1),
         },
         sent_micros: sent_ms * 1_000,
+        waited_ms: 0,
         target: engine.into(),
         born_ms: Some(1),
         answers: true,
@@ -146,6 +147,7 @@
         waiting: 6,
         running: 8,
         cache_tokens: 20_000,
+        quiet_ms: None,
     };
     fleet.apply_peer_work(&peer, &[busy(0), busy(1), busy(2)], at(0));
     for number in 0..5 {
@@ -280,6 +282,7 @@
         waiting: 1,
         running: 0,
         cache_tokens: 0,
+        quiet_ms: None,
     };
     fleet.apply_peer_work(&peer, &[short_queue], at(0));
     assert_eq!(
@@ -292,7 +295,7 @@
         let chosen = pick(&fleet, &requirements(&other, &[]), 0);
         fleet.record_generation(&chosen, &requirements(&other, &[]), at(0));
     }
-    let work: Vec<u32> = fleet.local_work().iter().map(|work| work.waiting).collect();
+    let work: Vec<u32> = fleet.local_work(at(0)).iter().map(|work| work.waiting).collect();
     assert_eq!(
         work.len(),
         2,
@@ -401,6 +404,7 @@
         waiting: 1,
         running,
         cache_tokens: 0,
+        quiet_ms: None,
     };
     let reported = [work(0, 20, 6), work(1, 20, 6), work(2, 20, 6), work(3, 90, 0)];
     fleet.apply_peer_work(&peer, &reported, at(0));
--- a/components/routing/tests/target_speed.rs
+++ b/components/routing/tests/target_speed.rs
@@ -142,7 +142,7 @@
             let mut start = None;
             if now_us == next_exchange_us {
                 next_exchange_us += EXCHANGE_MS * 1_000;
-                let state = |fleet: &DirectFleet| (fleet.local_work(), fleet.speed_reports(now));
+                let state = |fleet: &DirectFleet| (fleet.local_work(now), fleet.speed_reports(now));
                 let states: Vec<_> = fleets.iter().map(state).collect();
                 for (at, fleet) in fleets.iter_mut().enumerate() {
                     for (from, (work, speeds)) in
--- a/components/wire/src/fleet_state.rs
+++ b/components/wire/src/fleet_state.rs
@@ -156,6 +156,17 @@
     pub running: u32,
     /// Memory of all of them, in tokens.
     pub cache_tokens: u64,
+    /// Time since the sender itself last heard of the target, in milliseconds; none if it never did.
+    pub quiet_ms: Option<u32>,
+}
+
+impl TargetWorkCopy {
+    /// Adds the time that the report was under way.
+    pub fn add_age(&mut self, elapsed_ms: u32) {
+        if let Some(quiet_ms) = &mut self.quiet_ms {
+            *quiet_ms = quiet_ms.saturating_add(elapsed_ms);
+        }
+    }
 }
 
 /// A send, for the prefixes that the target keeps from it.
@@ -250,6 +261,8 @@
     pub from: ProcessId,
     /// Its clock when it said so, in microseconds.
     pub sent_micros: u64,
+    /// Time that the state waited at gateways that pass it on, in milliseconds.
+    pub waited_ms: u32,
     /// Id of the engine's life; empty while the agent does not know it.
     pub target: CompactString,
     /// Unix time of the engine's start in milliseconds, if it says so.
--- a/tests/silent_target.rs
+++ b/tests/silent_target.rs
@@ -49,29 +49,27 @@
     }
 
     async fn serve(self, mut socket: TcpStream) {
-        while let Some(head) = read_head(&mut socket).await {
-            let from: Option<u64> =
-                header_value(&head, LAST_EVENT_ID.as_str()).map(|id| id.parse().unwrap());
-            self.arrivals.lock().unwrap().push((Instant::now(), from.is_some()));
-            let response = format!(
-                "HTTP/1.1 200 OK\r\n{RESPONSE_SIGNATURE}: s\r\n{}content-type: text/event-stream\r\n\
-                 connection: close\r\n\r\n",
-                id_line(&head)
-            );
-            if socket.write_all(response.as_bytes()).await.is_err() {
-                return;
-            }
-            for id in from.unwrap_or_default() + 1..=EVENTS {
+        let Some(head) = read_head(&mut socket).await else { return };
+        let from: Option<u64> =
+            header_value(&head, LAST_EVENT_ID.as_str()).map(|id| id.parse().unwrap());
+        self.arrivals.lock().unwrap().push((Instant::now(), from.is_some()));
+        let response = format!(
+            "HTTP/1.1 200 OK\r\n{RESPONSE_SIGNATURE}: s\r\n{}content-type: text/event-stream\r\n\
+             connection: close\r\n\r\n",
+            id_line(&head)
+        );
+        if socket.write_all(response.as_bytes()).await.is_err() {
+            return;
+        }
+        for id in from.unwrap_or_default() + 1..=EVENTS {
+            sleep(EVENT_INTERVAL).await;
+            while self.stopped.load(Ordering::Relaxed) {
                 sleep(EVENT_INTERVAL).await;
-                while self.stopped.load(Ordering::Relaxed) {
-                    sleep(EVENT_INTERVAL).await;
-                }
-                let event = format!("id: {id}\ndata: event {id}\n\n");
-                if socket.write_all(event.as_bytes()).await.is_err() {
-                    return;
-                }
             }
-            return;
+            let event = format!("id: {id}\ndata: event {id}\n\n");
+            if socket.write_all(event.as_bytes()).await.is_err() {
+                return;
+            }
         }
     }
 
