Count runs on targets that fell silent against the attempts

Cause: a frozen target's entry lapses after three heartbeats, and the run there then counted as ended, which freed an attempt; the target goes on with the run when it thaws. The same held for a target that leaves the list and goes on serving.

Change: an absent entry, or an agent that gets no answer, is no proof of an end (TargetPhase::Unheard). A run there counts unless its connection broke. A refused connection and a successor at the address remain proof.

Ruled out: counting silence alone as an end, which is the same guess sooner.

--- a/components/routing/src/attempts.rs
+++ b/components/routing/src/attempts.rs
@@ -28,7 +28,10 @@
     Active,
     /// The target is leaving; it completes the requests that it has accepted.
     Leaving,
-    /// The target has ended or can't be reached.
+    /// The target is not listed any more, or does not respond to its agent: it may have ended, or stand
+    /// still and go on later with what it runs.
+    Unheard,
+    /// The target has ended: its address refuses connections or belongs to another target.
     Ended,
 }
 
@@ -42,7 +45,7 @@
 ///
 /// The limit of a route is on the number of targets that run a request. A target that ended, or was
 /// cut off while leaving, during the run does not count: its run is over, and the request can
-/// continue elsewhere as if that run had not begun.
+/// continue elsewhere as if that run had not begun. A target that only fell silent may still run it.
 #[derive(Clone, Debug)]
 pub struct Attempts {
     max_runs: usize,
@@ -54,8 +57,12 @@
     fn is_lost(&self, phase: TargetPhase) -> bool {
         match (self.state, phase) {
             (SendState::MayHaveRun | SendState::Open, TargetPhase::Ended) => true,
-            (SendState::Broken, TargetPhase::Ended | TargetPhase::Leaving) => true,
-            (SendState::NotRun, _) | (_, TargetPhase::Active | TargetPhase::Leaving) => false,
+            (
+                SendState::Broken,
+                TargetPhase::Ended | TargetPhase::Unheard | TargetPhase::Leaving,
+            ) => true,
+            (SendState::NotRun, _)
+            | (_, TargetPhase::Active | TargetPhase::Leaving | TargetPhase::Unheard) => false,
         }
     }
 }
--- a/components/routing/src/direct_target.rs
+++ b/components/routing/src/direct_target.rs
@@ -326,15 +326,15 @@
         self.connection_refused_at = Some(now);
     }
 
-    /// Returns the lifecycle phase of the target. It has ended if it was removed from the list, if
-    /// its address refuses connections or belongs to another target, or if it does not respond to
-    /// its agent.
+    /// Returns the lifecycle phase of the target.
     pub fn phase(&self, now: Timestamp) -> TargetPhase {
         let refused =
             self.connection_refused_at.is_some_and(|at| now.since(at) < CONNECTION_REFUSED_TTL);
         let unresponsive = self.has_recent_agent_state(now) && !self.responds_to_agent;
-        if self.is_superseded || self.is_unlisted || refused || unresponsive {
+        if self.is_superseded || refused {
             TargetPhase::Ended
+        } else if self.is_unlisted || unresponsive {
+            TargetPhase::Unheard
         } else if self.accepts_work {
             TargetPhase::Active
         } else {
--- a/components/routing/tests/attempts.rs
+++ b/components/routing/tests/attempts.rs
@@ -13,22 +13,28 @@
     NoResponseEnded,
     /// No response, and the target is leaving.
     NoResponseLeaving,
+    /// No response, and the target may have ended or stand still.
+    NoResponseUnheard,
     /// The response breaks off, and the target is active.
     BrokenActive,
     /// The response breaks off, and the target is leaving.
     BrokenLeaving,
     /// The response breaks off, and the target has ended.
     BrokenEnded,
+    /// The response breaks off, and nothing is heard of the target.
+    BrokenUnheard,
 }
 
-const STEPS: [Step; 7] = [
+const STEPS: [Step; 9] = [
     Step::Refused,
     Step::NoResponseActive,
     Step::NoResponseEnded,
     Step::NoResponseLeaving,
+    Step::NoResponseUnheard,
     Step::BrokenActive,
     Step::BrokenLeaving,
     Step::BrokenEnded,
+    Step::BrokenUnheard,
 ];
 
 impl Step {
@@ -37,16 +43,26 @@
             Self::Refused | Self::NoResponseActive | Self::BrokenActive => TargetPhase::Active,
             Self::NoResponseLeaving | Self::BrokenLeaving => TargetPhase::Leaving,
             Self::NoResponseEnded | Self::BrokenEnded => TargetPhase::Ended,
+            Self::NoResponseUnheard | Self::BrokenUnheard => TargetPhase::Unheard,
         }
     }
 
     /// Returns whether the run counts against the limit of the route.
     fn counts_as_run(self) -> bool {
-        matches!(self, Self::NoResponseActive | Self::NoResponseLeaving | Self::BrokenActive)
+        matches!(
+            self,
+            Self::NoResponseActive
+                | Self::NoResponseLeaving
+                | Self::NoResponseUnheard
+                | Self::BrokenActive
+        )
     }
 
     fn is_lost(self) -> bool {
-        matches!(self, Self::NoResponseEnded | Self::BrokenLeaving | Self::BrokenEnded)
+        matches!(
+            self,
+            Self::NoResponseEnded | Self::BrokenLeaving | Self::BrokenEnded | Self::BrokenUnheard
+        )
     }
 }
 
@@ -54,10 +70,13 @@
     attempts.begin(TargetKey(u32::try_from(at).unwrap_or_default()));
     match step {
         Step::Refused => attempts.record_not_run(),
-        Step::NoResponseActive | Step::NoResponseEnded | Step::NoResponseLeaving => {
-            attempts.record_may_have_run()
+        Step::NoResponseActive
+        | Step::NoResponseEnded
+        | Step::NoResponseLeaving
+        | Step::NoResponseUnheard => attempts.record_may_have_run(),
+        Step::BrokenActive | Step::BrokenLeaving | Step::BrokenEnded | Step::BrokenUnheard => {
+            attempts.record_broken()
         }
-        Step::BrokenActive | Step::BrokenLeaving | Step::BrokenEnded => attempts.record_broken(),
     }
 }
 
@@ -119,6 +138,17 @@
     }
 }
 
+/// Guards against a third run while the first one goes on: a frozen target left the list, and its run
+/// no longer counted although the target went on with it later.
+#[test]
+fn a_run_on_a_target_that_fell_silent_counts() {
+    let mut attempts = Attempts::new(2);
+    apply(&mut attempts, 0, Step::NoResponseUnheard);
+    apply(&mut attempts, 1, Step::NoResponseActive);
+    assert!(!attempts.allow_another(phase_of(&[Step::NoResponseUnheard, Step::NoResponseActive])));
+    assert!(attempts.allow_another(phase_of(&[Step::NoResponseEnded, Step::NoResponseActive])));
+}
+
 /// Guards against reporting a request as not run while a target may be running it.
 #[test]
 fn only_refused_requests_did_not_run() {
