Show streams that are joined from two software versions

Gateways decode no version of a target's software, and nothing reads which attempt a take-up resumes.

--- a/components/soak/src/load.rs
+++ b/components/soak/src/load.rs
@@ -158,6 +158,7 @@
             deadline,
             kind,
             after_event: None,
+            resumes: None,
         }
     }
 
--- a/components/soak/tests/checks.rs
+++ b/components/soak/tests/checks.rs
@@ -25,6 +25,7 @@
         deadline: ms(3_000),
         kind,
         after_event: None,
+        resumes: None,
     }
 }
 
--- a/tests/caller_left.rs
+++ b/tests/caller_left.rs
@@ -36,6 +36,7 @@
         deadline,
         kind: CallerKind::Read,
         after_event: None,
+        resumes: None,
     };
     let called = timeout(Duration::from_millis(300), connection.call(&request)).await;
     assert!(called.is_err(), "the target does not answer");
--- a/tests/endless_answers.rs
+++ b/tests/endless_answers.rs
@@ -62,6 +62,7 @@
         deadline: DEADLINE,
         kind: CallerKind::Order,
         after_event: None,
+        resumes: None,
     };
     connection.call(&request).await
 }
--- a/tests/query_of_death.rs
+++ b/tests/query_of_death.rs
@@ -120,6 +120,7 @@
             prompt: part,
         },
         after_event: None,
+        resumes: None,
     };
     connection.call(&request).await
 }
--- a/tests/restored_store.rs
+++ b/tests/restored_store.rs
@@ -48,6 +48,7 @@
         deadline: DEADLINE,
         kind: CallerKind::Read,
         after_event: None,
+        resumes: None,
     };
     connection.call(&request).await.status.unwrap_or(0)
 }
--- /dev/null
+++ b/tests/software_versions.rs
@@ -0,0 +1,164 @@
+//! Streams of a service whose targets run two versions of their software.
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+mod support;
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use compact_str::CompactString;
+use platform::header_names::{LAST_EVENT_ID, RESPONSE_SIGNATURE};
+use platform_standin::{
+    CallerConnection, CallerKind, CallerRequest, CallerResponse, RouteKind, RouteSpec,
+};
+use support::{CUSTOMER_KEY, HOST, PlainGateway, header_value, id_line, plain_route, read_head};
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+
+/// Events of a complete stream.
+const EVENTS: u64 = 4;
+/// Events before a stream breaks off.
+const BEFORE_BREAK: u64 = 2;
+
+/// A target of event streams whose events name its version.
+#[derive(Clone)]
+struct VersionedTarget {
+    version: &'static str,
+    /// Whether it breaks off each stream that begins there.
+    breaks: Arc<Mutex<bool>>,
+    requests: Arc<Mutex<usize>>,
+}
+
+impl VersionedTarget {
+    fn new(version: &'static str, breaks: bool) -> Self {
+        Self { version, breaks: Arc::new(Mutex::new(breaks)), requests: Arc::default() }
+    }
+
+    async fn start(&self) -> SocketAddr {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let target = self.clone();
+        tokio::spawn(async move {
+            loop {
+                let (socket, _) = listener.accept().await.unwrap();
+                tokio::spawn(target.clone().serve(socket));
+            }
+        });
+        address
+    }
+
+    async fn serve(self, mut socket: TcpStream) {
+        while let Some(head) = read_head(&mut socket).await {
+            *self.requests.lock().unwrap() += 1;
+            let from: Option<u64> =
+                header_value(&head, LAST_EVENT_ID.as_str()).map(|id| id.parse().unwrap());
+            let breaks = from.is_none() && *self.breaks.lock().unwrap();
+            let last = if breaks { BEFORE_BREAK } else { EVENTS };
+            let body: String = (from.unwrap_or_default() + 1..=last)
+                .map(|id| format!("id: {id}\ndata: {}\n\n", self.version))
+                .collect();
+            let response = format!(
+                "HTTP/1.1 200 OK\r\n{RESPONSE_SIGNATURE}: s\r\n{}content-type: text/event-stream\r\n\
+                 content-length: {}\r\n\r\n{body}",
+                id_line(&head),
+                body.len() + usize::from(breaks)
+            );
+            if socket.write_all(response.as_bytes()).await.is_err() || breaks {
+                return;
+            }
+        }
+    }
+}
+
+fn route() -> RouteSpec {
+    RouteSpec { attempts: 3, ..plain_route("lines", RouteKind::ResumableStream) }
+}
+
+/// A gateway that knows these targets with their versions.
+async fn gateway(targets: &[&VersionedTarget]) -> PlainGateway {
+    let mut addresses = Vec::new();
+    for target in targets {
+        addresses.push(target.start().await);
+    }
+    let mut gateway = PlainGateway::start(route(), &addresses).await;
+    for (number, (target, address)) in (1..).zip(targets.iter().zip(addresses)) {
+        gateway.announce_version(number, address, target.version);
+    }
+    // The new process knows only these entries.
+    gateway.restart().await;
+    gateway
+}
+
+async fn call(gateway: &PlainGateway, id: &str, after: Option<(&str, u64)>) -> CallerResponse {
+    let deadline = Duration::from_secs(4);
+    let mut connection = CallerConnection::open(gateway.callers, deadline).await.unwrap();
+    let request = CallerRequest {
+        id: id.into(),
+        host: HOST.into(),
+        path: "/lines/1".into(),
+        key: CUSTOMER_KEY.into(),
+        deadline,
+        kind: CallerKind::Read,
+        after_event: after.map(|(_, event)| event),
+        resumes: after.map(|(attempt, _)| CompactString::new(attempt)),
+    };
+    connection.call(&request).await
+}
+
+/// Versions whose events are in a response.
+fn versions(response: &CallerResponse) -> Vec<&'static str> {
+    let body = String::from_utf8_lossy(&response.body).into_owned();
+    ["v1", "v2"].into_iter().filter(|version| body.contains(version)).collect()
+}
+
+/// Guards against a stream that breaks off at one version and goes on at another one in the same
+/// response.
+#[tokio::test]
+async fn no_response_holds_events_of_two_versions() {
+    let [old, new] = ["v1", "v2"].map(|version| VersionedTarget::new(version, true));
+    let gateway = gateway(&[&old, &new]).await;
+    for number in 0..4 {
+        let response = call(&gateway, &format!("request-{number}"), None).await;
+        assert_eq!(versions(&response).len(), 1, "{response:?}");
+        assert!(!response.is_complete, "no other target runs the version: {response:?}");
+    }
+}
+
+/// Guards against a caller that takes its stream up and gets the rest from another version than the one
+/// that began it.
+#[tokio::test]
+async fn a_taken_up_stream_goes_on_at_the_version_that_began_it() {
+    let [old, new] = ["v1", "v2"].map(|version| VersionedTarget::new(version, true));
+    let gateway = gateway(&[&old, &new]).await;
+    for number in 0..8 {
+        let id = format!("request-{number}");
+        let begun = versions(&call(&gateway, &id, None).await);
+        let resumed = call(&gateway, &format!("again-{number}"), Some((&id, BEFORE_BREAK))).await;
+        assert_eq!(versions(&resumed), begun, "{resumed:?}");
+        assert!(resumed.is_complete, "a target of the version serves: {resumed:?}");
+    }
+}
+
+/// Guards against a guess: a gateway that can't know which version began a stream, with two in service,
+/// must say that the request has not run.
+#[tokio::test]
+async fn a_stream_of_an_unknown_version_is_refused_while_two_serve() {
+    let [old, new] = ["v1", "v2"].map(|version| VersionedTarget::new(version, false));
+    let gateway = gateway(&[&old, &new]).await;
+    for after in [("not-known-1", 2), ("not-known-2", 2), ("not-known-3", 3)] {
+        let response = call(&gateway, after.0, Some(after)).await;
+        assert!(response.guarantees_not_run(), "{response:?}");
+    }
+    assert_eq!((*old.requests.lock().unwrap(), *new.requests.lock().unwrap()), (0, 0));
+}
+
+/// Guards against take-ups that are refused although only one version can have begun their streams.
+#[tokio::test]
+async fn a_stream_is_taken_up_while_one_version_serves() {
+    let targets = [VersionedTarget::new("v1", false), VersionedTarget::new("v1", false)];
+    let gateway = gateway(&[&targets[0], &targets[1]]).await;
+    let response = call(&gateway, "again", Some(("begun-elsewhere", BEFORE_BREAK))).await;
+    assert_eq!(versions(&response), ["v1"]);
+    assert!(response.is_complete, "{response:?}");
+}
--- a/tests/support/gateway.rs
+++ b/tests/support/gateway.rs
@@ -136,6 +136,12 @@
         put_entry(self.store(), data_centre, number, address, announcement());
     }
 
+    /// Writes the entry of a target that runs this version of its software, by its number from one.
+    pub fn announce_version(&self, number: usize, address: SocketAddr, software: &'static str) {
+        let notice = TargetAnnouncement { software: Some(software), ..announcement() };
+        put_entry(self.store(), "north-a", number, address, notice);
+    }
+
     /// Writes the entry of a target that is cold for some time, by its number from one.
     pub fn announce_cold(&self, number: usize, address: SocketAddr, time: Duration) {
         let notice = TargetAnnouncement {
@@ -278,6 +284,7 @@
         deadline,
         kind,
         after_event: None,
+        resumes: None,
     };
     connection.call(&request).await
 }
--- a/tests/truncated_streams.rs
+++ b/tests/truncated_streams.rs
@@ -175,6 +175,7 @@
         deadline: DEADLINE,
         kind: CallerKind::Read,
         after_event: None,
+        resumes: None,
     };
     let response = connection.call(&request).await;
     gateway.process.wait_for_line("event=request_ended request_id=request-1").await;
