Keep streams at the software version that began them

Cause: streams were resumed by position alone. The version in a target's entry was not decoded and nothing read Resumes, so moves within a response and take-ups by callers went to any target.

Change: the first event that reaches the caller binds a stream to a version, which each further choice of a target asks for. Two agents on target VMs, found by rendezvous, are told before that event is passed on and outlive the gateways. A gateway that doesn't know a stream asks four. What nobody knows goes on if only one version was in service lately, and is refused as not run otherwise. A stream without a listed target of its version ends at once.

Ruled out: the store (a write for each stream, down when needed), gateways' memory alone (lost with all of them), runs in engines' reports (misses short streams).

--- a/components/agent/src/app.rs
+++ b/components/agent/src/app.rs
@@ -9,6 +9,7 @@
 use config::AgentSettings;
 use placement::EngineOrderScheduler;
 use platform::{EngineClient, StoreClient};
+use streams::StreamOrigins;
 use tokio::sync::Notify;
 use wire::DatagramSocket;
 
@@ -62,6 +63,8 @@
     pub order_wakeup: Notify,
     /// HTTP client for calls to gateways.
     pub gateway_client: HttpClient,
+    /// Versions that began streams, for the gateways that callers ask to go on with them.
+    pub streams: RefCell<StreamOrigins>,
     /// Notified when a query of a gateway arrives.
     pub query_received: Notify,
 }
--- a/components/agent/src/gateway_link.rs
+++ b/components/agent/src/gateway_link.rs
@@ -6,7 +6,7 @@
 
 use base::ProcessId;
 use telemetry::quote;
-use wire::{AgentAsk, Datagram, DatagramBody, Echo};
+use wire::{AgentAsk, Datagram, DatagramBody, Echo, StreamAnswer, StreamAsk};
 
 use crate::app::{ActiveGateway, App};
 
@@ -20,7 +20,14 @@
         let (Datagram { from: gateway, echo, body }, from) = app.socket.receive(&mut buffer).await;
         match body {
             DatagramBody::Ask(request) => handle_query(&app, &request, &gateway, echo, from),
-            DatagramBody::Agent(_) | DatagramBody::Gateway(_) | DatagramBody::Relayed { .. } => {
+            DatagramBody::StreamBegun(origin) => {
+                app.streams.borrow_mut().record(&origin, app.clock.now());
+            }
+            DatagramBody::StreamAsk(ask) => answer_stream_ask(&app, ask, &gateway, echo, from),
+            DatagramBody::Agent(_)
+            | DatagramBody::Gateway(_)
+            | DatagramBody::Relayed { .. }
+            | DatagramBody::StreamAnswer(_) => {
                 log::debug!("event=datagram_misplaced from={from}");
             }
         }
@@ -69,6 +76,24 @@
     }
 }
 
+/// Tells a gateway what is known of a stream.
+fn answer_stream_ask(app: &App, ask: StreamAsk, gateway: &ProcessId, echo: Echo, from: SocketAddr) {
+    let now = app.clock.now();
+    let streams = app.streams.borrow();
+    let answer = StreamAnswer {
+        attempt: ask.attempt,
+        software: streams.software_of(ask.attempt, ask.service, now).cloned(),
+        versions: streams.versions(ask.service, now),
+    };
+    let echo = Echo {
+        sent_micros: now.micros,
+        heard_micros: echo.sent_micros,
+        heard_incarnation: gateway.incarnation.0,
+    };
+    let body = DatagramBody::StreamAnswer(answer);
+    app.socket.send(&Datagram { from: app.process.clone(), echo, body }, from);
+}
+
 /// Sends the state to all gateways that sent a query recently and want state changes.
 pub(crate) fn send_state_to_all(app: &App) {
     let now = app.clock.now();
--- a/components/agent/src/handle.rs
+++ b/components/agent/src/handle.rs
@@ -62,6 +62,7 @@
         order_wakeup: Notify::new(),
         gateway_client: HttpClient::new(GATEWAY_CONNECT_TIMEOUT),
         query_received: Notify::new(),
+        streams: RefCell::default(),
         socket: DatagramSocket::new(socket),
         process,
         settings,
--- a/components/gateway/src/app.rs
+++ b/components/gateway/src/app.rs
@@ -16,6 +16,7 @@
 use quarantine::Quarantine;
 use rates::GatewayCount;
 use routing::DirectFleet;
+use streams::StreamOrigins;
 use telemetry::Metrics;
 use tokio::sync::{Notify, watch};
 use wire::{StoredDocument, Subject};
@@ -23,6 +24,7 @@
 use crate::engine_orders::EngineOrders;
 use crate::rate_limits::RateLimits;
 use crate::shared_bytes::SharedBytes;
+use crate::stream_software::StreamLookups;
 use crate::target_pool::TargetPool;
 
 /// Share of the key revocation deadline for which freshness evidence is valid. The rest covers the
@@ -109,6 +111,12 @@
     pub registry_read: Cell<bool>,
     /// Notified when the state of an engine has changed.
     pub engines_changed: Notify,
+    /// Versions that began the streams of this gateway.
+    pub streams: RefCell<StreamOrigins>,
+    /// Searches for the versions that began other streams.
+    pub stream_lookups: RefCell<StreamLookups>,
+    /// Notified when an agent has answered in such a search.
+    pub stream_answered: Notify,
     /// Notified when a target is found to stand still.
     pub target_silent: Notify,
 }
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -6,6 +6,7 @@
 use api::{ApiError, ErrorCode, RunEnd};
 use base::{ExecutionState, Timestamp};
 use bytes::Bytes;
+use compact_str::CompactString;
 use http::{HeaderMap, StatusCode};
 use ingress::ShutdownStage;
 use platform::forwarded_response_headers;
@@ -33,7 +34,7 @@
 /// adapter is loaded.
 const LOAD_POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// `Retry-After` if no target is usable: the time within which a new target is discovered.
-const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(500);
+pub(crate) const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// Cost of a generated token in prompt tokens, in terms of engine time at a usual batch size.
 const OUTPUT_TOKEN_COST: u64 = 12;
@@ -66,6 +67,8 @@
     pub(crate) attempts: Attempts,
     /// When the last event was passed to the caller.
     pub(crate) last_event_at: Option<Timestamp>,
+    /// Version of the software that began the stream; none before the first event.
+    pub(crate) software: Option<CompactString>,
     /// Id of the last event that was passed to the caller.
     pub last_event: Option<u64>,
     charged: bool,
@@ -98,6 +101,7 @@
             without_adapter: Vec::new(),
             attempts,
             last_event_at: None,
+            software: None,
             last_event,
             charged: false,
             ended_its_target: false,
@@ -116,6 +120,7 @@
         if !self.charged {
             check_rate(&self.app, &self.request, self.app.clock.now())?;
         }
+        self.find_software().await?;
         loop {
             let chosen = match self.choose().await {
                 Ok(chosen) => chosen,
@@ -413,10 +418,13 @@
         let mut excluded = fleet.outside_homes(&plan.service, &plan.homes, regions);
         excluded.extend(exclude);
         let exclude = excluded.as_slice();
+        let software = self.software.as_deref();
         if plan.engine {
-            fleet.choose_generation(&generation_requirements(&self.request, exclude), now)
+            let requirements = generation_requirements(&self.request, exclude);
+            fleet.choose_generation(&GenerationRequirements { software, ..requirements }, now)
         } else {
-            let requirements = DirectPlainRequirements { service: &plan.service, exclude };
+            let requirements =
+                DirectPlainRequirements { service: &plan.service, software, exclude };
             fleet.choose_plain(&requirements, now)
         }
     }
@@ -585,6 +593,7 @@
         links: &request.links,
         prompt_tokens: request.prompt_tokens(),
         output_tokens: request.output_tokens(),
+        software: None,
         exclude,
     }
 }
--- a/components/gateway/src/fleet_receiver.rs
+++ b/components/gateway/src/fleet_receiver.rs
@@ -64,6 +64,13 @@
             }
         }
         DatagramBody::Ask(request) => app.engine_orders.apply_request(&request, now),
+        DatagramBody::StreamAnswer(answer) => {
+            app.stream_lookups.borrow_mut().apply(address, &answer);
+            app.stream_answered.notify_waiters();
+        }
+        DatagramBody::StreamAsk(_) | DatagramBody::StreamBegun(_) => {
+            log::debug!("event=datagram_misplaced from={address}");
+        }
     }
 }
 
--- a/components/gateway/src/in_flight_send.rs
+++ b/components/gateway/src/in_flight_send.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use base::Timestamp;
+use compact_str::CompactString;
 use routing::{DirectPick, SendId, TargetOutcome, WorkKind};
 use telemetry::quote;
 
@@ -17,6 +18,8 @@
     app: Rc<App>,
     /// Chosen target.
     pub pick: DirectPick,
+    /// Version of the target's software.
+    pub software: CompactString,
     /// Id of the attempt at the target.
     pub number: SendId,
     /// When it was sent.
@@ -35,13 +38,10 @@
 
 impl InFlightSend {
     /// An attempt that starts now.
-    pub(crate) const fn new(
-        app: Rc<App>,
-        pick: DirectPick,
-        number: SendId,
-        now: Timestamp,
-    ) -> Self {
+    pub(crate) fn new(app: Rc<App>, pick: DirectPick, number: SendId, now: Timestamp) -> Self {
+        let software = app.fleet.borrow().target(pick.key).software.clone();
         Self {
+            software,
             app,
             pick,
             number,
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -223,6 +223,9 @@
                         if needs_ids && event.id.is_none() {
                             return RelayEnd::Broken;
                         }
+                        if self.events == 0 {
+                            self.dispatch.record_software(send);
+                        }
                         match self.forward_event(event).await {
                             Ok(true) => {}
                             Ok(false) => return RelayEnd::Broken,
--- a/components/gateway/src/stream_failover.rs
+++ b/components/gateway/src/stream_failover.rs
@@ -109,11 +109,12 @@
         target_waits && self.may_move_within(current, gap_ms * MOVE_PAUSE_SHARE, now)
     }
 
-    /// Whether another attempt to resume a stream is worthwhile: attempts are left, no part is in
-    /// quarantine, and the caller is still waiting.
+    /// Whether another attempt to resume a stream is worthwhile: attempts are left, a target of its version
+    /// is listed, no part is in quarantine, and the caller is still waiting.
     pub(crate) fn may_retry_resume(&self) -> bool {
         let now = self.app.clock.now();
         self.attempts.allow_another(self.target_phase(now))
+            && self.may_find_software()
             && !self.is_quarantined(now)
             && self.time_for_first_event(now) > MIN_RESUME_TIME
     }
--- /dev/null
+++ b/components/gateway/src/stream_software.rs
@@ -0,0 +1,213 @@
+//! Keeps each stream at the version of the software that began it, across gateways and attempts.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use api::{ApiError, ErrorCode};
+use base::{Timestamp, hash_bytes, short_hash};
+use routing::SOFTWARE_RETENTION;
+use streams::{Lookup, Ruling};
+use telemetry::quote;
+use tokio::time::timeout;
+use wire::{Datagram, DatagramBody, Echo, StreamAnswer, StreamAsk, StreamOrigin};
+
+use crate::app::App;
+use crate::dispatch::{Dispatch, NO_TARGET_RETRY_AFTER};
+use crate::in_flight_send::InFlightSend;
+
+/// Agents that are told of a stream, so that one of them may be lost.
+const KEEPERS: usize = 2;
+/// Agents that are asked for a stream: the keepers, and as many that may have moved down since machines
+/// were added.
+const ASKED_KEEPERS: usize = 4;
+/// Time between two asks of an agent that has not answered.
+const ASK_INTERVAL: Duration = Duration::from_millis(60);
+/// Longest wait for the answers of agents.
+const LOOKUP_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Searches in progress.
+#[derive(Debug, Default)]
+pub(crate) struct StreamLookups {
+    next_id: u64,
+    searches: Vec<StreamLookup>,
+}
+
+#[derive(Debug)]
+struct StreamLookup {
+    id: u64,
+    attempt: u64,
+    lookup: Lookup,
+}
+
+impl StreamLookups {
+    fn begin(&mut self, attempt: u64, lookup: Lookup) -> u64 {
+        self.next_id += 1;
+        self.searches.push(StreamLookup { id: self.next_id, attempt, lookup });
+        self.next_id
+    }
+
+    fn get(&self, id: u64) -> Option<&Lookup> {
+        let at = self.searches.binary_search_by_key(&id, |search| search.id).ok()?;
+        self.searches.get(at).map(|search| &search.lookup)
+    }
+
+    fn end(&mut self, id: u64) {
+        self.searches.retain(|search| search.id != id);
+    }
+
+    /// Applies an answer to the searches for its stream.
+    pub(crate) fn apply(&mut self, from: SocketAddr, answer: &StreamAnswer) {
+        let searches = self.searches.iter_mut().filter(|search| search.attempt == answer.attempt);
+        searches.for_each(|search| search.lookup.apply(from, answer));
+    }
+}
+
+/// A search that ends when it is dropped.
+struct SearchGuard<'a> {
+    app: &'a App,
+    id: u64,
+}
+
+impl Drop for SearchGuard<'_> {
+    fn drop(&mut self) {
+        self.app.stream_lookups.borrow_mut().end(self.id);
+    }
+}
+
+impl Dispatch {
+    /// Hash of the attempt that brought the first event of the stream.
+    fn first_attempt(&self) -> u64 {
+        let request = &self.request;
+        let earlier = request.head.resumes.as_ref().filter(|_| self.is_taken_up());
+        hash_bytes(earlier.unwrap_or(&request.id).as_bytes())
+    }
+
+    /// Whether the caller has events of the stream from another attempt.
+    fn is_taken_up(&self) -> bool {
+        self.request.plan.kind.is_stream()
+            && self.request.head.last_event.is_some_and(|event| event > 0)
+    }
+
+    /// Records at the first event of a response which version the stream is bound to, here and at agents,
+    /// which outlive the gateways.
+    pub(crate) fn record_software(&mut self, send: &InFlightSend) {
+        let software = self.software.get_or_insert_with(|| send.software.clone()).clone();
+        if !self.request.plan.kind.may_run_again() {
+            return;
+        }
+        let service = short_hash(self.request.plan.service.as_bytes());
+        let origin = StreamOrigin { attempt: self.first_attempt(), service, software };
+        let now = self.app.clock.now();
+        self.app.streams.borrow_mut().record(&origin, now);
+        let keepers = self.app.fleet.borrow().stream_keepers(origin.attempt, false, KEEPERS);
+        let peer_port = self.app.settings().peer_port;
+        for keeper in keepers {
+            let body = DatagramBody::StreamBegun(origin.clone());
+            self.send_to_agent(SocketAddr::new(keeper, peer_port), body, now);
+        }
+    }
+
+    fn send_to_agent(&self, address: SocketAddr, body: DatagramBody, now: Timestamp) {
+        let echo = Echo { sent_micros: now.micros, ..Echo::default() };
+        let datagram = Datagram { from: self.app.process.clone(), echo, body };
+        self.link.socket.send(&datagram, address);
+    }
+
+    /// Whether a target that has not failed the request runs the version of the stream.
+    pub(crate) fn may_find_software(&self) -> bool {
+        let fleet = self.app.fleet.borrow();
+        self.software.as_ref().is_none_or(|software| {
+            fleet.has_software(&self.request.plan.service, software, &self.excluded)
+        })
+    }
+
+    /// Finds the version at which a stream of an earlier attempt must go on.
+    ///
+    /// # Errors
+    ///
+    /// `no_capacity` if it can't be known; the request has not run.
+    pub(crate) async fn find_software(&mut self) -> Result<(), ApiError> {
+        if !self.is_taken_up() || self.software.is_some() {
+            return Ok(());
+        }
+        let started = self.app.clock.now();
+        let (ruling, source) = match self.ruling_here(started) {
+            Some(ruling) => (ruling, "own"),
+            None => (self.ask_keepers().await, "agents"),
+        };
+        let (outcome, software) = match ruling {
+            Ruling::Known(software) => ("known", Some(software)),
+            Ruling::OnlyVersion(software) => ("only_version", Some(software)),
+            Ruling::Unknown => ("unknown", None),
+        };
+        log::info!(
+            "event=stream_software request_id={} resumes={} outcome={outcome} source={source} software={} waited_ms={}",
+            quote(&self.request.id),
+            quote(self.request.head.resumes.as_deref().unwrap_or("-")),
+            quote(software.as_deref().unwrap_or("-")),
+            self.app.clock.now().since(started).as_millis()
+        );
+        self.software = software;
+        if self.software.is_none() {
+            let text = "several software versions may have begun the stream";
+            return Err(
+                ApiError::new(ErrorCode::NoCapacity, text).with_retry_after(NO_TARGET_RETRY_AFTER)
+            );
+        }
+        Ok(())
+    }
+
+    /// Ruling of this gateway alone, if it was there when the stream began.
+    fn ruling_here(&self, now: Timestamp) -> Option<Ruling> {
+        let service = &self.request.plan.service;
+        let hash = short_hash(service.as_bytes());
+        let streams = self.app.streams.borrow();
+        if let Some(software) = streams.software_of(self.first_attempt(), hash, now) {
+            return Some(Ruling::Known(software.clone()));
+        }
+        let versions = self.app.fleet.borrow().software_versions(service, now);
+        match versions.as_slice() {
+            [software] if now.since(Timestamp::default()) >= SOFTWARE_RETENTION => {
+                Some(Ruling::OnlyVersion(software.clone()))
+            }
+            _ => None,
+        }
+    }
+
+    async fn ask_keepers(&self) -> Ruling {
+        let app = &self.app;
+        let attempt = self.first_attempt();
+        let service = &self.request.plan.service;
+        let peer_port = app.settings().peer_port;
+        let started = app.clock.now();
+        let lookup = {
+            let fleet = app.fleet.borrow();
+            let keepers = fleet.stream_keepers(attempt, true, ASKED_KEEPERS);
+            let asked = keepers.into_iter().map(|ip| SocketAddr::new(ip, peer_port)).collect();
+            Lookup::new(asked, fleet.software_versions(service, started))
+        };
+        let id = app.stream_lookups.borrow_mut().begin(attempt, lookup);
+        let _guard = SearchGuard { app, id };
+        let ask = StreamAsk { attempt, service: short_hash(service.as_bytes()) };
+        let mut ask_at = started;
+        loop {
+            let answered = app.stream_answered.notified();
+            let now = app.clock.now();
+            let open = {
+                let lookups = app.stream_lookups.borrow();
+                let Some(lookup) = lookups.get(id) else { return Ruling::Unknown };
+                if lookup.is_complete() || now.since(started) >= LOOKUP_TIMEOUT {
+                    return lookup.ruling();
+                }
+                lookup.open().to_vec()
+            };
+            if now >= ask_at {
+                ask_at = now + ASK_INTERVAL;
+                for agent in open {
+                    self.send_to_agent(agent, DatagramBody::StreamAsk(ask), now);
+                }
+            }
+            let _answered = timeout(ask_at.since(now), answered).await;
+        }
+    }
+}
--- a/components/gateway/src/target_watch.rs
+++ b/components/gateway/src/target_watch.rs
@@ -201,16 +201,17 @@
     pub(crate) fn apply_target_update(&self, update: &TargetNews, now: Timestamp) {
         let Some(entry) = &update.entry else {
             log::info!("event=target_gone target={} offset={}", quote(&update.id), update.offset.0);
-            if let Some(address) = self.fleet.borrow_mut().mark_unlisted(&update.id) {
+            if let Some(address) = self.fleet.borrow_mut().mark_unlisted(&update.id, now) {
                 self.pool.remove(address);
             }
             return;
         };
         let models: Vec<&str> = entry.models.iter().map(|loaded| loaded.model.as_str()).collect();
         log::info!(
-            "event=target_announced target={} address={} state={} models={} cold_ms={} offset={}",
+            "event=target_announced target={} address={} software={} state={} models={} cold_ms={} offset={}",
             quote(&update.id),
             entry.address,
+            quote(&entry.software),
             match entry.state {
                 TargetState::Ready => "ready",
                 TargetState::Leaving { .. } => "leaving",
--- a/components/membership/tests/cold_entries.rs
+++ b/components/membership/tests/cold_entries.rs
@@ -12,6 +12,7 @@
         id: "target-1".into(),
         born_ms: Some(1),
         service: "web".into(),
+        software: "v1".into(),
         address: SocketAddr::from(([127, 0, 0, 1], 9_000)),
         data_centre: "north-a".into(),
         slots: 8,
--- a/components/membership/tests/target_directory.rs
+++ b/components/membership/tests/target_directory.rs
@@ -21,6 +21,7 @@
         id: id.into(),
         born_ms: Some(born_ms),
         service: "engines".into(),
+        software: "v1".into(),
         address: SocketAddr::from(([127, 0, 0, 1], 9_000)),
         data_centre: "north-a".into(),
         slots: 8,
--- a/components/routing/src/direct_choice.rs
+++ b/components/routing/src/direct_choice.rs
@@ -22,6 +22,8 @@
     pub prompt_tokens: u64,
     /// Estimated number of output tokens.
     pub output_tokens: u64,
+    /// Version of the software that must serve the request; any if none.
+    pub software: Option<&'a str>,
     /// Targets that must not be chosen, because they failed this request before.
     pub exclude: &'a [TargetKey],
 }
@@ -39,6 +41,8 @@
 pub struct DirectPlainRequirements<'a> {
     /// Service whose targets may be chosen.
     pub service: &'a str,
+    /// Version of the software that must serve the request; any if none.
+    pub software: Option<&'a str>,
     /// Targets that must not be chosen.
     pub exclude: &'a [TargetKey],
 }
--- a/components/routing/src/direct_fleet.rs
+++ b/components/routing/src/direct_fleet.rs
@@ -5,6 +5,7 @@
 
 use base::{ProcessName, SortedMap, Timestamp, rendezvous_score};
 use compact_str::CompactString;
+use streams::SoftwareHistory;
 use wire::{AgentState, SendCopy, TargetEntry, TargetWorkCopy};
 
 use crate::direct_choice::{
@@ -12,6 +13,7 @@
 };
 use crate::direct_target::TYPICAL_RUN_MS;
 use crate::silent_targets::Hearing;
+use crate::software_versions::SOFTWARE_RETENTION;
 use crate::target_speed::spread_ms;
 use crate::usual_times::UsualTimes;
 use crate::{
@@ -57,6 +59,8 @@
     /// Data centres whose targets receive no requests, sorted by name.
     evacuated: Vec<CompactString>,
     pub(crate) hearing: Hearing,
+    /// Versions of software that targets ran before they changed or left the list.
+    pub(crate) software_history: SoftwareHistory,
 }
 
 impl DirectFleet {
@@ -76,6 +80,7 @@
             cold_rules: ColdRules::default(),
             evacuated: Vec::new(),
             hearing: Hearing::default(),
+            software_history: SoftwareHistory::default(),
         }
     }
 
@@ -94,7 +99,9 @@
 
     /// Applies the entry of a target in the target list.
     pub fn apply_entry(&mut self, entry: &TargetEntry, now: Timestamp) {
+        self.software_history.record(&entry.service, &entry.software, SOFTWARE_RETENTION, now);
         if let Some(key) = self.by_id.get(&entry.id).copied() {
+            self.record_software(key, now);
             self.targets[key.0 as usize].apply_entry(entry, now);
             self.record_coldness(key, Some(entry.cold_ms), now);
             return;
@@ -151,8 +158,9 @@
 
     /// Records that a target was removed from the list; returns its address, if the target is
     /// known.
-    pub fn mark_unlisted(&mut self, id: &str) -> Option<SocketAddr> {
-        let key = self.by_id.get(id)?;
+    pub fn mark_unlisted(&mut self, id: &str, now: Timestamp) -> Option<SocketAddr> {
+        let key = self.by_id.get(id).copied()?;
+        self.record_software(key, now);
         let target = &mut self.targets[key.0 as usize];
         target.record_unlisted();
         Some(target.address)
@@ -395,11 +403,13 @@
     fn usable<'a>(
         &'a self,
         service: &'a str,
+        software: Option<&'a str>,
         exclude: &'a [TargetKey],
         now: Timestamp,
     ) -> impl Iterator<Item = (TargetKey, &'a DirectTarget)> {
         (0..).map(TargetKey).zip(&self.targets).filter(move |(key, target)| {
             target.service == service
+                && software.is_none_or(|software| target.software == software)
                 && !exclude.contains(key)
                 && target.is_usable(now)
                 && !self.is_evacuated(target)
@@ -417,7 +427,9 @@
         let mut limited: Option<(Timestamp, TargetKey)> = None;
         let mut best: Option<(f64, DirectPick)> = None;
         let affinity_target = self.affinity_target(requirements, now);
-        for (key, target) in self.usable(requirements.service, requirements.exclude, now) {
+        for (key, target) in
+            self.usable(requirements.service, requirements.software, requirements.exclude, now)
+        {
             any_usable = true;
             if target.serves(requirements.model).is_none() {
                 if let Some(change) =
@@ -463,7 +475,7 @@
         let shared =
             requirements.links.len().checked_sub(2).and_then(|at| requirements.links.get(at))?;
         let hash = shared.hash.to_le_bytes();
-        self.usable(requirements.service, &[], now)
+        self.usable(requirements.service, requirements.software, &[], now)
             .filter(|(_, target)| target.serves(requirements.model).is_some())
             .max_by_key(|(_, target)| rendezvous_score(&hash, &target.id))
             .map(|(key, _)| key)
@@ -552,7 +564,9 @@
         let mut best: Option<((bool, f64), DirectPick)> = None;
         let mut limited: Option<(Timestamp, TargetKey)> = None;
         let service_ms = self.usual_times.service_ms(requirements.service);
-        for (key, target) in self.usable(requirements.service, requirements.exclude, now) {
+        for (key, target) in
+            self.usable(requirements.service, requirements.software, requirements.exclude, now)
+        {
             if !target.is_open(now) {
                 let candidate = (target.next_return(now), key);
                 limited = Some(limited.map_or(candidate, |known| known.min(candidate)));
--- a/components/routing/src/direct_target.rs
+++ b/components/routing/src/direct_target.rs
@@ -57,6 +57,8 @@
     pub address: SocketAddr,
     /// Service that the target belongs to.
     pub service: CompactString,
+    /// Version of the target's software.
+    pub software: CompactString,
     /// Data centre of the target.
     pub data_centre: CompactString,
     /// Maximum number of concurrently running requests.
@@ -146,6 +148,7 @@
             hash: short_hash(entry.id.as_bytes()),
             address: entry.address,
             service: entry.service.clone(),
+            software: entry.software.clone(),
             data_centre: entry.data_centre.clone(),
             slots: entry.slots,
             accepts_work: false,
@@ -194,6 +197,7 @@
         }
         self.address = entry.address;
         self.service.clone_from(&entry.service);
+        self.software.clone_from(&entry.software);
         self.data_centre.clone_from(&entry.data_centre);
         self.slots = entry.slots;
         self.is_unlisted = false;
@@ -362,6 +366,11 @@
         self.limit.per_s().is_some_and(|limit_per_s| limit_per_s < THROTTLED_SHARE * usual_per_s)
     }
 
+    /// Returns whether the target is in the target list.
+    pub const fn is_listed(&self) -> bool {
+        !self.is_unlisted && !self.is_superseded
+    }
+
     /// Returns whether a state from a local agent was ever received.
     pub const fn has_local_agent(&self) -> bool {
         self.has_local_agent
--- a/components/routing/tests/cold_limit.rs
+++ b/components/routing/tests/cold_limit.rs
@@ -30,6 +30,7 @@
         id: format!("target-{number}").into(),
         born_ms: Some(u64::from(number)),
         service: "web".into(),
+        software: "v1".into(),
         address: SocketAddr::from(([127, 0, 0, 1], 9_000 + number)),
         data_centre: "north-a".into(),
         slots: 1_000,
@@ -54,7 +55,10 @@
 }
 
 fn choose(fleet: &DirectFleet, ms: u64) -> DirectChoice {
-    fleet.choose_plain(&DirectPlainRequirements { service: "web", exclude: &[] }, at(ms))
+    fleet.choose_plain(
+        &DirectPlainRequirements { service: "web", software: None, exclude: &[] },
+        at(ms),
+    )
 }
 
 /// Sends requests until the fleet names no target that may take one; returns their number.
@@ -179,7 +183,8 @@
         fleet.record_plain(pick.key, at(now));
     }
     let exclude = [TargetKey(0)];
-    let requirements = DirectPlainRequirements { service: "web", exclude: &exclude };
+    let requirements =
+        DirectPlainRequirements { service: "web", software: None, exclude: &exclude };
     let DirectChoice::Serve(pick) = fleet.choose_plain(&requirements, at(now)) else {
         panic!("not served")
     };
--- a/components/routing/tests/direct_fleet.rs
+++ b/components/routing/tests/direct_fleet.rs
@@ -20,6 +20,7 @@
         id: format_compact!("engine-{number}"),
         born_ms: Some(1),
         service: "engines".into(),
+        software: "v1".into(),
         address: SocketAddr::from(([127, 0, 0, 1], 9_000 + number)),
         data_centre: data_centre.into(),
         slots: 8,
@@ -77,6 +78,7 @@
         links,
         prompt_tokens: 2_000,
         output_tokens: 100,
+        software: None,
         exclude,
     }
 }
@@ -311,7 +313,7 @@
     let prompt = links(7);
     let missing = GenerationRequirements { model: "other", ..requirements(&prompt, &[]) };
     assert_eq!(fleet.choose_generation(&missing, at(0)), DirectChoice::NoCopy { loading_ms: None });
-    let nowhere = DirectPlainRequirements { service: "other", exclude: &[] };
+    let nowhere = DirectPlainRequirements { service: "other", software: None, exclude: &[] };
     assert_eq!(fleet.choose_plain(&nowhere, at(0)), DirectChoice::NoTarget);
 }
 
@@ -534,3 +536,66 @@
     fleet.apply_entry(&TargetEntry { born_ms: Some(2), ..entry(1, "north-a") }, at(4_100));
     assert_eq!(fleet.target(key).speed.slowdown(WorkKind::Prefill, at(4_100)), 1.0);
 }
+
+/// Guards against a stream that goes on at another version of the software: each choice has the version
+/// of the stream, and its targets only.
+#[test]
+fn only_targets_of_the_version_are_chosen() {
+    let mut fleet = fleet();
+    for number in [1, 3] {
+        fleet.apply_entry(
+            &TargetEntry { software: "v2".into(), ..entry(number, "north-a") },
+            at(10),
+        );
+    }
+    let prompt = links(3);
+    for (software, ids) in [("v1", ["engine-0", "engine-2"]), ("v2", ["engine-1", "engine-3"])] {
+        let of_version =
+            GenerationRequirements { software: Some(software), ..requirements(&prompt, &[]) };
+        let first = pick(&fleet, &of_version, 10);
+        let excluded = [first.key];
+        let second = pick(&fleet, &GenerationRequirements { exclude: &excluded, ..of_version }, 10);
+        let mut chosen = [first.id, second.id];
+        chosen.sort_unstable();
+        assert_eq!(chosen, ids);
+    }
+    let none = GenerationRequirements { software: Some("v3"), ..requirements(&prompt, &[]) };
+    assert_eq!(fleet.choose_generation(&none, at(10)), DirectChoice::NoTarget);
+    assert!(!fleet.has_software("engines", "v3", &[]));
+    assert!(fleet.has_software("engines", "v2", &[TargetKey(1)]));
+}
+
+/// Guards against a version that is taken for the only one although its predecessor has just left.
+#[test]
+fn a_version_that_left_may_have_begun_streams() {
+    let mut fleet = fleet();
+    for number in 0..4 {
+        let changed = TargetEntry { software: "v2".into(), ..entry(number, "north-a") };
+        fleet.apply_entry(&changed, at(1_000));
+    }
+    assert_eq!(fleet.software_versions("engines", at(30_000)), ["v1", "v2"]);
+    assert_eq!(fleet.software_versions("engines", at(70_000)), ["v2"]);
+    fleet.mark_unlisted("engine-0", at(70_000));
+    assert_eq!(fleet.software_versions("engines", at(70_000)), ["v2"]);
+}
+
+/// Guards against a stream whose keepers are not found again: a gateway that knows more or fewer engines
+/// asks the agents that were told.
+#[test]
+fn the_keepers_of_a_stream_are_found_after_engines_came_and_went() {
+    let many = |count: u16| {
+        let mut fleet = DirectFleet::new("north-a");
+        for number in 0..count {
+            let address = SocketAddr::from(([10, 0, 0, number as u8], 9_000));
+            fleet.apply_entry(&TargetEntry { address, ..entry(number, "north-a") }, at(0));
+        }
+        fleet
+    };
+    let (then, mut now) = (many(16), many(18));
+    now.mark_unlisted("engine-3", at(1));
+    for attempt in 0..500 {
+        let told = then.stream_keepers(attempt, false, 2);
+        let asked = now.stream_keepers(attempt, true, 4);
+        assert!(told.iter().any(|keeper| asked.contains(keeper)), "{attempt}");
+    }
+}
--- a/components/routing/tests/evacuation.rs
+++ b/components/routing/tests/evacuation.rs
@@ -19,6 +19,7 @@
         id: format!("target-{number}").into(),
         born_ms: Some(1),
         service: "s".into(),
+        software: "v1".into(),
         address: SocketAddr::from(([127, 0, 0, 1], 9_000 + number)),
         data_centre: data_centre.into(),
         slots: 8,
@@ -33,8 +34,10 @@
 /// Chooses a target for a plain request and for generations with several prompts; all must agree on
 /// the data centre.
 fn chosen_data_centre(fleet: &DirectFleet) -> Option<String> {
-    let mut choices =
-        vec![fleet.choose_plain(&DirectPlainRequirements { service: "s", exclude: &[] }, at(10))];
+    let mut choices = vec![fleet.choose_plain(
+        &DirectPlainRequirements { service: "s", software: None, exclude: &[] },
+        at(10),
+    )];
     for conversation in 0..20 {
         let parts = [1, conversation, 1_000].map(|id| PromptPart { id, tokens: 500 });
         let links = prefix_links("m", None, &parts);
@@ -45,6 +48,7 @@
             links: &links,
             prompt_tokens: 1_500,
             output_tokens: 100,
+            software: None,
             exclude: &[],
         };
         choices.push(fleet.choose_generation(&requirements, at(10)));
--- a/components/routing/tests/homes.rs
+++ b/components/routing/tests/homes.rs
@@ -27,6 +27,7 @@
             id: data_centre.into(),
             born_ms: Some(1),
             service: "web".into(),
+            software: "v1".into(),
             address: SocketAddr::from(([127, 0, 0, 1], 9_000 + number)),
             data_centre: data_centre.into(),
             slots: 8,
@@ -47,7 +48,8 @@
     let mut exclude: Vec<TargetKey> = fleet.outside_homes("web", homes, &regions());
     let mut reached = Vec::new();
     loop {
-        let requirements = DirectPlainRequirements { service: "web", exclude: &exclude };
+        let requirements =
+            DirectPlainRequirements { service: "web", software: None, exclude: &exclude };
         match fleet.choose_plain(&requirements, Timestamp::from_millis(10)) {
             DirectChoice::Serve(pick) => {
                 exclude.push(pick.key);
--- a/components/routing/tests/silent_targets.rs
+++ b/components/routing/tests/silent_targets.rs
@@ -27,6 +27,7 @@
             id: format_compact!("engine-{number}"),
             born_ms: Some(1),
             service: "engines".into(),
+            software: "v1".into(),
             address: SocketAddr::from(([127, 0, 0, 1], 9_000 + number)),
             data_centre: "north-a".into(),
             slots: 8,
@@ -49,6 +50,7 @@
         links: &[],
         prompt_tokens: 500,
         output_tokens: 100,
+        software: None,
         exclude,
     }
 }
--- a/components/routing/tests/target_limit.rs
+++ b/components/routing/tests/target_limit.rs
@@ -77,6 +77,7 @@
         id: "target-1".into(),
         born_ms: Some(born_ms),
         service: "web".into(),
+        software: "v1".into(),
         address: SocketAddr::from(([127, 0, 0, 1], 9_000)),
         data_centre: "north-a".into(),
         slots: 8,
@@ -178,7 +179,7 @@
         let (now_ms, limit_per_s) = (self.now_ms, self.limit_per_s);
         let gateway = &mut self.gateways[index];
         let now = age(gateway.started_ms, now_ms);
-        let requirements = DirectPlainRequirements { service: "web", exclude: &[] };
+        let requirements = DirectPlainRequirements { service: "web", software: None, exclude: &[] };
         match gateway.fleet.choose_plain(&requirements, now) {
             DirectChoice::Serve(pick) => {
                 let id = gateway.fleet.record_plain(pick.key, now);
--- a/components/routing/tests/target_speed.rs
+++ b/components/routing/tests/target_speed.rs
@@ -90,6 +90,7 @@
         id: format_compact!("target-{number}"),
         born_ms: Some(1),
         service: "web".into(),
+        software: "v1".into(),
         address: SocketAddr::from(([127, 0, 0, 1], 9_000 + number as u16)),
         data_centre: "north-a".into(),
         slots: SLOTS,
@@ -110,7 +111,7 @@
 }
 
 fn choose(fleet: &DirectFleet, now: Timestamp) -> DirectPick {
-    let requirements = DirectPlainRequirements { service: "web", exclude: &[] };
+    let requirements = DirectPlainRequirements { service: "web", software: None, exclude: &[] };
     match fleet.choose_plain(&requirements, now) {
         DirectChoice::Serve(pick) => pick,
         other => panic!("{other:?}"),
--- /dev/null
+++ b/components/streams/src/lib.rs
@@ -0,0 +1,11 @@
+//! Which version of a service's software began a stream.
+//!
+//! What two versions write doesn't fit together, so a stream goes on only at the version that began it.
+
+mod lookup;
+mod origins;
+mod software_history;
+
+pub use lookup::{Lookup, Ruling};
+pub use origins::{StreamOrigins, StreamOriginsSettings};
+pub use software_history::SoftwareHistory;
--- a/components/wire/src/fleet_state.rs
+++ b/components/wire/src/fleet_state.rs
@@ -7,7 +7,10 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
-use crate::{EvacuationReport, SubjectReport, TargetEntry, TargetLimitReport, TargetSpeedReport};
+use crate::{
+    EvacuationReport, StreamAnswer, StreamAsk, StreamOrigin, SubjectReport, TargetEntry,
+    TargetLimitReport, TargetSpeedReport,
+};
 
 /// A datagram.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -36,6 +39,12 @@
         /// States.
         items: Vec<RelayedItem>,
     },
+    /// What an agent knows of a stream.
+    StreamAnswer(StreamAnswer),
+    /// Asks an agent for the version that began a stream.
+    StreamAsk(StreamAsk),
+    /// A stream has begun.
+    StreamBegun(StreamOrigin),
 }
 
 /// A state that is passed on.
--- a/components/wire/src/target_entry.rs
+++ b/components/wire/src/target_entry.rs
@@ -29,6 +29,8 @@
     pub born_ms: Option<u64>,
     /// Service.
     pub service: CompactString,
+    /// Version of its software; empty if it does not say.
+    pub software: CompactString,
     /// Where it takes requests.
     pub address: SocketAddr,
     /// Data centre.
