Tell streams only to machines that have an agent

On large fleets most engines have no agent and gateways give their orders. A stream told to such machines is forgotten, and its take-up is refused while two versions serve. Found by reading, not by a play.

Gateways tell agents that they know of.

No fleet with few agents was played.

--- a/components/gateway/src/stream_software.rs
+++ b/components/gateway/src/stream_software.rs
@@ -5,7 +5,7 @@
 
 use api::{ApiError, ErrorCode};
 use base::{Timestamp, hash_bytes, short_hash};
-use routing::SOFTWARE_RETENTION;
+use routing::{KeeperContact, SOFTWARE_RETENTION};
 use streams::{Lookup, Ruling};
 use telemetry::quote;
 use tokio::time::timeout;
@@ -99,7 +99,8 @@
         let origin = StreamOrigin { attempt: self.first_attempt(), service, software };
         let now = self.app.clock.now();
         self.app.streams.borrow_mut().record(&origin, now);
-        let keepers = self.app.fleet.borrow().stream_keepers(origin.attempt, false, KEEPERS);
+        let keepers =
+            self.app.fleet.borrow().stream_keepers(origin.attempt, KeeperContact::Tell, KEEPERS);
         let peer_port = self.app.settings().peer_port;
         for keeper in keepers {
             let body = DatagramBody::StreamBegun(origin.clone());
@@ -182,7 +183,7 @@
         let started = app.clock.now();
         let lookup = {
             let fleet = app.fleet.borrow();
-            let keepers = fleet.stream_keepers(attempt, true, ASKED_KEEPERS);
+            let keepers = fleet.stream_keepers(attempt, KeeperContact::Ask, ASKED_KEEPERS);
             let asked = keepers.into_iter().map(|ip| SocketAddr::new(ip, peer_port)).collect();
             Lookup::new(asked, fleet.software_versions(service, started))
         };
--- a/components/routing/src/software_versions.rs
+++ b/components/routing/src/software_versions.rs
@@ -13,6 +13,23 @@
 /// the attempts to take it up.
 pub const SOFTWARE_RETENTION: Duration = Duration::from_secs(60);
 
+/// What the agents that remember streams are contacted for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum KeeperContact {
+    /// To ask for a stream. Machines that are about to go may know it, and so may those of which this
+    /// process, after a restart, doesn't know yet whether they have an agent.
+    Ask,
+    /// To tell them of a stream.
+    Tell,
+}
+
+impl DirectTarget {
+    /// Returns whether the target is an engine of which no state has said whether it has an agent.
+    fn may_have_agent(&self) -> bool {
+        !self.models().is_empty() && self.agent_state_received_at.is_none()
+    }
+}
+
 impl DirectFleet {
     /// Records the version that a target runs now, before it changes or leaves the list.
     pub(crate) fn record_software(&mut self, key: TargetKey, now: Timestamp) {
@@ -45,24 +62,24 @@
         versions
     }
 
-    /// Returns the machines whose agents remember the stream of an attempt, the first ones first: those of
-    /// engines, in an order that depends on the attempt alone. With `leaving`, machines that are about
-    /// to go are among them, for streams that were recorded before.
-    pub fn stream_keepers(&self, attempt: u64, leaving: bool, most: usize) -> Vec<IpAddr> {
+    /// Returns the machines whose agents remember the stream of an attempt, the first ones first, in an order
+    /// that depends on the attempt alone.
+    pub fn stream_keepers(&self, attempt: u64, contact: KeeperContact, most: usize) -> Vec<IpAddr> {
         let key = attempt.to_le_bytes();
-        let has_agent = |target: &&DirectTarget| {
-            !target.models.is_empty() || target.agent_state_received_at.is_some()
+        let listed = || self.targets.iter().filter(|target| target.is_listed());
+        let any_agent = listed().any(DirectTarget::has_local_agent);
+        let is_candidate = |target: &&DirectTarget| match contact {
+            KeeperContact::Ask => target.has_local_agent() || target.may_have_agent(),
+            KeeperContact::Tell if any_agent => target.has_local_agent() && target.accepts_work,
+            KeeperContact::Tell => target.may_have_agent() && target.accepts_work,
         };
-        let mut ranked: Vec<(u64, IpAddr)> = self
-            .targets
-            .iter()
-            .filter(has_agent)
-            .filter(|target| target.is_listed() && (leaving || target.accepts_work))
+        let mut ranked: Vec<(u64, IpAddr)> = listed()
+            .filter(is_candidate)
             .map(|target| target.address.ip())
             .map(|ip| (rendezvous_score(&key, &ip.to_string()), ip))
             .collect();
         ranked.sort_unstable_by(|a, b| b.cmp(a));
         ranked.dedup();
-        ranked.into_iter().take(most).map(|(_, address)| address).collect()
+        ranked.into_iter().take(most).map(|(_, ip)| ip).collect()
     }
 }
--- a/components/routing/tests/direct_fleet.rs
+++ b/components/routing/tests/direct_fleet.rs
@@ -7,7 +7,8 @@
 use compact_str::format_compact;
 use routing::{
     DirectChoice, DirectFleet, DirectPick, DirectPlainRequirements, GenerationRequirements,
-    PromptPart, TargetKey, TargetLoadSample, TargetOutcome, TargetPhase, WorkKind, prefix_links,
+    KeeperContact, PromptPart, TargetKey, TargetLoadSample, TargetOutcome, TargetPhase, WorkKind,
+    prefix_links,
 };
 use wire::{SendCopy, TargetEntry, TargetState, TargetWorkCopy};
 
@@ -594,8 +595,31 @@
     let (then, mut now) = (many(16), many(18));
     now.mark_unlisted("engine-3", at(1));
     for attempt in 0..500 {
-        let told = then.stream_keepers(attempt, false, 2);
-        let asked = now.stream_keepers(attempt, true, 4);
+        let told = then.stream_keepers(attempt, KeeperContact::Tell, 2);
+        let asked = now.stream_keepers(attempt, KeeperContact::Ask, 4);
         assert!(told.iter().any(|keeper| asked.contains(keeper)), "{attempt}");
     }
 }
+
+/// Guards against streams that nobody remembers where most engines have no agent: gateways give their
+/// orders, and nothing on their machines listens.
+#[test]
+fn only_machines_with_an_agent_remember_streams() {
+    let mut fleet = DirectFleet::new("north-a");
+    let address = |number: u16| SocketAddr::from(([10, 0, 0, number as u8], 9_000));
+    for number in 0..20 {
+        let entry = TargetEntry { address: address(number), ..entry(number, "north-a") };
+        fleet.apply_entry(&entry, at(0));
+    }
+    let asked_keepers = |fleet: &DirectFleet| fleet.stream_keepers(1, KeeperContact::Ask, 20).len();
+    assert_eq!(asked_keepers(&fleet), 20, "nothing is known yet");
+    for number in 0..20 {
+        let asked_at = (number >= 3).then(|| address(100));
+        let id = format_compact!("engine-{number}");
+        fleet.apply_agent_state(&wire::AgentState { asked_at, ..agent_state(&id, 1) }, at(1));
+    }
+    assert_eq!(asked_keepers(&fleet), 3);
+    let mut told = fleet.stream_keepers(1, KeeperContact::Tell, 20);
+    told.sort_unstable();
+    assert_eq!(told, [address(0).ip(), address(1).ip(), address(2).ip()]);
+}
