--- a/components/gateway/src/app.rs
+++ b/components/gateway/src/app.rs
@@ -24,7 +24,7 @@
 use crate::engine_orders::EngineOrders;
 use crate::rate_limits::RateLimits;
 use crate::shared_bytes::SharedBytes;
-use crate::stream_software::StreamLookups;
+use crate::stream_lookups::StreamLookups;
 use crate::target_pool::TargetPool;
 
 /// Share of the key revocation deadline for which freshness evidence is valid. The rest covers the
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 mod store_eras;
 mod stored_quarantines;
 mod stream_failover;
+mod stream_lookups;
 mod stream_software;
 mod target_limits;
 mod target_pool;
--- a/components/gateway/src/stream_software.rs
+++ b/components/gateway/src/stream_software.rs
@@ -9,7 +9,7 @@
 use streams::{Lookup, Ruling};
 use telemetry::quote;
 use tokio::time::timeout;
-use wire::{Datagram, DatagramBody, Echo, StreamAnswer, StreamAsk, StreamOrigin};
+use wire::{Datagram, DatagramBody, Echo, StreamAsk, StreamOrigin};
 
 use crate::app::App;
 use crate::dispatch::{Dispatch, NO_TARGET_RETRY_AFTER};
@@ -25,43 +25,6 @@
 /// Longest wait for the answers of agents.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Searches in progress.
-#[derive(Debug, Default)]
-pub(crate) struct StreamLookups {
-    next_id: u64,
-    searches: Vec<StreamLookup>,
-}
-
-#[derive(Debug)]
-struct StreamLookup {
-    id: u64,
-    attempt: u64,
-    lookup: Lookup,
-}
-
-impl StreamLookups {
-    fn begin(&mut self, attempt: u64, lookup: Lookup) -> u64 {
-        self.next_id += 1;
-        self.searches.push(StreamLookup { id: self.next_id, attempt, lookup });
-        self.next_id
-    }
-
-    fn get(&self, id: u64) -> Option<&Lookup> {
-        let at = self.searches.binary_search_by_key(&id, |search| search.id).ok()?;
-        self.searches.get(at).map(|search| &search.lookup)
-    }
-
-    fn end(&mut self, id: u64) {
-        self.searches.retain(|search| search.id != id);
-    }
-
-    /// Applies an answer to the searches for its stream.
-    pub(crate) fn apply(&mut self, from: SocketAddr, answer: &StreamAnswer) {
-        let searches = self.searches.iter_mut().filter(|search| search.attempt == answer.attempt);
-        searches.for_each(|search| search.lookup.apply(from, answer));
-    }
-}
-
 /// A search that ends when it is dropped.
 struct SearchGuard<'a> {
     app: &'a App,
--- a/tests/silent_target.rs
+++ b/tests/silent_target.rs
@@ -11,10 +11,11 @@
 use platform::header_names::{LAST_EVENT_ID, RESPONSE_SIGNATURE};
 use platform_standin::{CallerKind, RouteKind, RouteSpec};
 use support::{
-    PlainGateway, header_value, id_line, plain_call, plain_route, read_head, wait_until,
+    PlainGateway, header_value, id_line, plain_call, plain_route, read_head, start_target,
+    wait_until,
 };
 use tokio::io::AsyncWriteExt;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::time::sleep;
 
 /// Events of a complete stream.
@@ -36,16 +37,8 @@
 
 impl StreamTarget {
     async fn start(&self) -> SocketAddr {
-        let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
-        let address = listener.local_addr().unwrap();
         let target = self.clone();
-        tokio::spawn(async move {
-            loop {
-                let (socket, _) = listener.accept().await.unwrap();
-                tokio::spawn(target.clone().serve(socket));
-            }
-        });
-        address
+        start_target(move |socket| target.clone().serve(socket)).await
     }
 
     async fn serve(self, mut socket: TcpStream) {
--- a/tests/software_versions.rs
+++ b/tests/software_versions.rs
@@ -12,9 +12,11 @@
 use platform_standin::{
     CallerConnection, CallerKind, CallerRequest, CallerResponse, RouteKind, RouteSpec,
 };
-use support::{CUSTOMER_KEY, HOST, PlainGateway, header_value, id_line, plain_route, read_head};
+use support::{
+    CUSTOMER_KEY, HOST, PlainGateway, header_value, id_line, plain_route, read_head, start_target,
+};
 use tokio::io::AsyncWriteExt;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 
 /// Events of a complete stream.
 const EVENTS: u64 = 4;
@@ -36,16 +38,8 @@
     }
 
     async fn start(&self) -> SocketAddr {
-        let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
-        let address = listener.local_addr().unwrap();
         let target = self.clone();
-        tokio::spawn(async move {
-            loop {
-                let (socket, _) = listener.accept().await.unwrap();
-                tokio::spawn(target.clone().serve(socket));
-            }
-        });
-        address
+        start_target(move |socket| target.clone().serve(socket)).await
     }
 
     async fn serve(self, mut socket: TcpStream) {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -22,7 +22,7 @@
     plain_call_at, plain_route,
 };
 pub use process::Process;
-pub use raw_target::{CountingTarget, echo_target, header_value, id_line, read_head};
+pub use raw_target::{CountingTarget, echo_target, header_value, id_line, read_head, start_target};
 pub use standins::StandinProcess;
 use tokio::time::{Instant, sleep};
 
--- a/tests/support/raw_target.rs
+++ b/tests/support/raw_target.rs
@@ -32,6 +32,22 @@
     id.map_or_else(String::new, |id| format!("{REQUEST_ID}: {id}\r\n"))
 }
 
+/// Starts a target that handles each connection with `serve`.
+pub async fn start_target<F>(serve: impl Fn(TcpStream) -> F + Send + 'static) -> SocketAddr
+where
+    F: Future<Output = ()> + Send + 'static,
+{
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        loop {
+            let (socket, _) = listener.accept().await.unwrap();
+            tokio::spawn(serve(socket));
+        }
+    });
+    address
+}
+
 /// Starts a target that answers each request with 200.
 pub async fn echo_target() -> SocketAddr {
     CountingTarget::start(false).await.address
