--- a/components/routing/src/direct_fleet.rs
+++ b/components/routing/src/direct_fleet.rs
@@ -3,10 +3,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use base::{ProcessName, SortedMap, Timestamp, rendezvous_score};
+use base::{SortedMap, Timestamp, rendezvous_score};
 use compact_str::CompactString;
 use streams::SoftwareHistory;
-use wire::{AgentState, SendCopy, TargetEntry, TargetWorkCopy};
+use wire::{AgentState, TargetEntry};
 
 use crate::direct_choice::{
     DirectChoice, DirectPick, DirectPlainRequirements, GenerationRequirements,
@@ -17,8 +17,8 @@
 use crate::target_speed::spread_ms;
 use crate::usual_times::UsualTimes;
 use crate::{
-    ColdRules, DirectTarget, PrefillEstimator, PrefillGaps, PrefixLink, RequestWork, SendId,
-    SharingGateways, TargetKey, TargetLoadSample, TargetOutcome, TargetPhase, WorkKind, Workload,
+    ColdRules, DirectTarget, PrefillEstimator, PrefillGaps, RequestWork, SendId, SharingGateways,
+    TargetKey, TargetLoadSample, TargetOutcome, TargetPhase, WorkKind,
 };
 
 /// Delay of a new request per request in the batch, which lengthens decoding, in milliseconds.
@@ -177,80 +177,6 @@
         is_new
     }
 
-    /// Applies a peer's report of its work at targets; targets missing from the report have none.
-    pub fn apply_peer_work(&mut self, peer: &ProcessName, work: &[TargetWorkCopy], now: Timestamp) {
-        if !work.is_empty() {
-            self.cold_rules.record_traffic();
-        }
-        let named: SortedMap<u32, &TargetWorkCopy> =
-            work.iter().map(|copy| (copy.target, copy)).collect();
-        for target in &mut self.targets {
-            let workload =
-                named.get(&target.hash).map_or_else(Workload::default, |copy| Workload {
-                    pending_prefill_ms: f64::from(copy.unread_ms),
-                    waiting: copy.waiting,
-                    running: copy.running,
-                    cache_tokens: copy.cache_tokens,
-                });
-            target.work.update_peer(peer, workload, now);
-            if let Some(quiet_ms) = named.get(&target.hash).and_then(|copy| copy.quiet_ms) {
-                target.silence.record_peer(now - Duration::from_millis(u64::from(quiet_ms)));
-            }
-        }
-    }
-
-    /// Records a prompt that a peer sent to a target.
-    pub fn apply_peer_send(&mut self, send: &SendCopy, now: Timestamp) {
-        let Some(key) = self.by_hash.get(&send.target) else { return };
-        let links: Vec<PrefixLink> = send
-            .links
-            .iter()
-            .map(|link| PrefixLink { hash: link.hash, tokens: link.tokens })
-            .collect();
-        self.targets[key.0 as usize].prefixes.record_prompt(&links, now);
-    }
-
-    /// Returns the work of this process at each target where it has any.
-    pub fn local_work(&self, now: Timestamp) -> Vec<TargetWorkCopy> {
-        self.targets
-            .iter()
-            .filter(|target| !target.work.is_idle())
-            .map(|target| {
-                let local = target.work.local();
-                TargetWorkCopy {
-                    target: target.hash,
-                    unread_ms: local.pending_prefill_ms.round().clamp(0.0, f64::from(u32::MAX))
-                        as u32,
-                    waiting: local.waiting,
-                    running: local.running,
-                    cache_tokens: local.cache_tokens,
-                    quiet_ms: target
-                        .silence
-                        .own_sign_at()
-                        .map(|at| u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX)),
-                }
-            })
-            .collect()
-    }
-
-    /// Returns the short hashes of the targets that recently did not respond to this process.
-    pub fn unresponsive_targets(&self, now: Timestamp) -> Vec<u32> {
-        self.targets
-            .iter()
-            .filter(|target| target.accepts_work && !target.health.is_usable(now))
-            .map(|target| target.hash)
-            .collect()
-    }
-
-    /// Applies a peer's report of targets that do not respond to it.
-    pub fn apply_peer_unresponsive(&mut self, targets: &[u32], now: Timestamp) {
-        for hash in targets {
-            if let Some(key) = self.by_hash.get(hash) {
-                self.targets[key.0 as usize].record_peer_unresponsive(now);
-            }
-        }
-    }
-
     /// Returns the target with this key.
     pub fn target(&self, key: TargetKey) -> &DirectTarget {
         &self.targets[key.0 as usize]
