Choose free ports and one retry in the stand-ins of the review

Cause: the two ports of a machine could be the same, so that one run of case 8 exited with 2; the installation's sheet has one retry, the callers of cases 6 and 8 had more. Change: all ports from one free base; one retry.

--- a/review/standin-2/src/deployment.rs
+++ b/review/standin-2/src/deployment.rs
@@ -20,6 +20,12 @@
 const HEARTBEAT_MS: u64 = 600;
 /// Time without a sign of a worker after which its entry is removed.
 const ENTRY_LIFETIME: Duration = Duration::from_millis(3 * HEARTBEAT_MS);
+/// First of the ports for callers that are tried, and how far apart they are.
+const FIRST_BASE_PORT: u16 = 8_221;
+const PORT_STEP: u16 = 50;
+/// Ports of workers and of messages between processes, after that for callers.
+const ENGINE_PORT: u16 = 7;
+const PEER_PORT: u16 = 20;
 /// Data centre of all machines.
 pub const ZONE: &str = "zone-a";
 /// Service of the workers.
@@ -179,20 +185,17 @@
         let folder = std::env::temp_dir().join(format!("review-standin-2-{pid}"));
         fs::create_dir_all(&folder)?;
         let first = Ipv4Addr::new(127, net[0], net[1], 2);
-        let free = |_| TcpListener::bind((first, 0))?.local_addr().map(|address| address.port());
-        let ports = [0, 1].map(free);
-        let [peer_port, caller_port] = ports;
+        let base = free_ports(first)?;
         let store = Store::start(Ipv4Addr::new(127, net[0], net[1], 1).into())?;
         let deployment = Self {
             record,
             store,
             folder,
             net,
-            peer_port: peer_port?.min(60_000),
-            caller_port: caller_port?.min(60_000),
+            peer_port: base + PEER_PORT,
+            caller_port: base,
             runs: Arc::default(),
         };
-        UdpSocket::bind((first, deployment.peer_port))?;
         let configuration = format!(
             "{{\"version\":7,\"routes\":[{{\"name\":\"r-1\",\"host\":\"{HOST}\",\"path_prefix\":\"/calls/\",\
              \"kind\":{route},\"timeout_ms\":{deadline_ms},\"target_latency_ms\":1500,\"priority\":1,\
@@ -290,7 +293,7 @@
     /// Options of a worker on its own machine that holds the model from the start.
     pub fn engine(&self, number: u8, id: &str, version: &str) -> EngineOptions {
         EngineOptions {
-            address: SocketAddr::new(self.ip(number), self.caller_port + 7),
+            address: SocketAddr::new(self.ip(number), self.caller_port + ENGINE_PORT),
             id: id.to_owned(),
             version: version.to_owned(),
             model: MODEL.to_owned(),
@@ -393,6 +396,20 @@
     }
 }
 
+/// Finds a base from which all ports of a machine are free. They are below those that the kernel gives to
+/// clients, and the same on all machines.
+fn free_ports(ip: Ipv4Addr) -> io::Result<u16> {
+    let is_free = |base: &u16| {
+        let ports = [*base, base + 1, base + ENGINE_PORT, base + PEER_PORT];
+        ports.iter().all(|port| TcpListener::bind((ip, *port)).is_ok())
+            && UdpSocket::bind((ip, base + PEER_PORT)).is_ok()
+    };
+    (0..100)
+        .map(|step| FIRST_BASE_PORT + step * PORT_STEP)
+        .find(is_free)
+        .ok_or_else(|| io::ErrorKind::AddrInUse.into())
+}
+
 fn write_entry(worker: &Worker, store: &Store) {
     let state = if worker.is_draining.load(Ordering::Relaxed) { "draining" } else { "ready" };
     let born_ms = worker.born_ms.load(Ordering::Relaxed);
--- a/review/standin-2/src/rolled.rs
+++ b/review/standin-2/src/rolled.rs
@@ -21,8 +21,6 @@
 const GAP: Duration = Duration::from_millis(1_000);
 /// Time from the exit of a process until it starts again.
 const RESTART_DELAY: Duration = Duration::from_millis(400);
-/// Attempts of a caller to take its stream up.
-const MAX_TAKE_UPS: u64 = 3;
 
 /// Plays the case; returns whether the rule was broken.
 pub fn play(record: Record, trouble: bool) -> io::Result<bool> {
@@ -122,26 +120,21 @@
     if answer.end != StreamEnd::Cut {
         return None;
     }
-    for attempt in 0..MAX_TAKE_UPS {
-        let left = until.saturating_duration_since(Instant::now()).as_millis() as u64;
-        let again = StreamRequest {
-            resumes: Some((last.number, first.id.clone())),
-            ..request(format!("t{number:02}{attempt}"), number, EVENTS, left)
-        };
-        let answer = again.call(gateways[1]);
-        record.note(&format!(
-            "caller {number} took the stream up with {}: {:?}, events: {}, of version {:?}",
-            again.id,
-            answer.end,
-            answer.events.len(),
-            answer.events.first().map(|event| &event.version)
-        ));
-        if !answer.events.is_empty() {
-            return Some(true);
-        }
-        sleep(Duration::from_millis(600));
-    }
-    Some(false)
+    // The installation's sheet has one retry.
+    let left = until.saturating_duration_since(Instant::now()).as_millis() as u64;
+    let again = StreamRequest {
+        resumes: Some((last.number, first.id.clone())),
+        ..request(format!("t{number:02}"), number, EVENTS, left)
+    };
+    let answer = again.call(gateways[1]);
+    record.note(&format!(
+        "caller {number} took the stream up with {}: {:?}, events: {}, of version {:?}",
+        again.id,
+        answer.end,
+        answer.events.len(),
+        answer.events.first().map(|event| &event.version)
+    ));
+    Some(!answer.events.is_empty())
 }
 
 /// A caller of a new stream; returns whether it began.
--- a/review/standin-2/src/versions.rs
+++ b/review/standin-2/src/versions.rs
@@ -13,8 +13,10 @@
 const CALLERS: u64 = 8;
 const EVENTS: u64 = 150;
 const DEADLINE_MS: u64 = 15_000;
-/// Most attempts of a caller.
-const MAX_ATTEMPTS: usize = 6;
+/// Attempts of a caller: the first one and one retry, as on the installation's sheet.
+const MAX_ATTEMPTS: usize = 2;
+/// Time that a caller waits before its retry.
+const RETRY_DELAY: Duration = Duration::from_millis(3_500);
 /// Streams with events of two versions that the rule tolerates.
 const TOLERATED: usize = 2;
 
@@ -130,7 +132,7 @@
         if answer.end == StreamEnd::Complete {
             break;
         }
-        sleep(Duration::from_millis(1_000));
+        sleep(RETRY_DELAY);
     }
     events
 }
