Log which refusals are take-ups and what their version lacks

request_refused and request_ended name the resumed attempt; version_unserved counts the targets of the version; resumed_streams counts outcomes.

--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -124,7 +124,10 @@
         loop {
             let chosen = match self.choose().await {
                 Ok(chosen) => chosen,
-                Err(error) => return self.finish_without_target(error),
+                Err(error) => {
+                    self.log_unserved_version();
+                    return self.finish_without_target(error);
+                }
             };
             if !self.charged {
                 charge(&self.app, &self.request, self.app.clock.now())?;
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -293,6 +293,9 @@
         let now = self.dispatch.app.clock.now();
         if self.events == 0 {
             self.dispatch.record_output(now);
+            if self.dispatch.request.is_taken_up() {
+                self.dispatch.app.metrics.record_resumed_stream("continued");
+            }
         }
         self.events += 1;
         self.next_event_begun = false;
--- a/components/gateway/src/request.rs
+++ b/components/gateway/src/request.rs
@@ -119,6 +119,20 @@
             .unwrap_or_else(|| self.links.iter().map(|link| u64::from(link.tokens)).sum())
     }
 
+    /// Whether the caller has events of the stream from another attempt.
+    pub(crate) fn is_taken_up(&self) -> bool {
+        self.plan.kind.is_stream() && self.head.last_event.is_some_and(|event| event > 0)
+    }
+
+    /// Id of the attempt whose stream the request takes up, for log lines.
+    pub(crate) fn resumed_attempt(&self) -> &str {
+        match &self.head.resumes {
+            Some(attempt) if self.is_taken_up() => attempt,
+            None if self.is_taken_up() => "unnamed",
+            Some(_) | None => "-",
+        }
+    }
+
     /// Expected tokens of the output.
     pub(crate) fn output_tokens(&self) -> u64 {
         let most = self.head.max_output_tokens.unwrap_or_default();
--- a/components/gateway/src/request_handler.rs
+++ b/components/gateway/src/request_handler.rs
@@ -171,8 +171,11 @@
 ) -> CallerResponse {
     let now = app.clock.now();
     app.metrics.record_refusal(error.code.as_str());
+    if request.is_some_and(CallerRequest::is_taken_up) {
+        app.metrics.record_resumed_stream("refused");
+    }
     log::info!(
-        "event=request_refused request_id={} code={} reason={} ran={} retry_after_ms={} route={} customer={} after_ms={} config={} evidence_age_ms={}",
+        "event=request_refused request_id={} code={} reason={} ran={} retry_after_ms={} route={} customer={} resumes={} after_ms={} config={} evidence_age_ms={}",
         quote(id),
         error.code.as_str(),
         quote(&error.message),
@@ -180,6 +183,7 @@
         error.retry_after_ms.unwrap_or_default(),
         request.map_or("-", |request| request.plan.route.as_str()),
         request.and_then(|request| request.customer.as_deref()).unwrap_or("-"),
+        quote(request.map_or("-", CallerRequest::resumed_attempt)),
         now.since(arrived).as_millis(),
         app.version().0,
         app.evidence_age(now).map_or(-1, |age| age.as_millis() as i64)
@@ -226,11 +230,12 @@
     }
     app.metrics.record_total(customer, class, total, request.output_tokens());
     log::info!(
-        "event=request_ended request_id={} end={end} status={status} route={} kind={} customer={} sends={sends} events={} longest_gap_ms={} first_event_ms={} total_ms={} objective_ms={} framing={} rest_bytes={}",
+        "event=request_ended request_id={} end={end} status={status} route={} kind={} customer={} resumes={} sends={sends} events={} longest_gap_ms={} first_event_ms={} total_ms={} objective_ms={} framing={} rest_bytes={}",
         quote(&request.id),
         quote(&request.plan.route),
         request.plan.kind.as_str(),
         quote(customer),
+        quote(request.resumed_attempt()),
         relay.map_or(0, |relay| relay.events),
         relay.map_or(0, |relay| relay.longest_gap.as_millis()),
         first_event_at.map_or(-1, |at| at.since(request.arrived).as_millis() as i64),
--- a/components/gateway/src/stream_software.rs
+++ b/components/gateway/src/stream_software.rs
@@ -41,16 +41,10 @@
     /// Hash of the attempt that brought the first event of the stream.
     fn first_attempt(&self) -> u64 {
         let request = &self.request;
-        let earlier = request.head.resumes.as_ref().filter(|_| self.is_taken_up());
+        let earlier = request.head.resumes.as_ref().filter(|_| request.is_taken_up());
         hash_bytes(earlier.unwrap_or(&request.id).as_bytes())
     }
 
-    /// Whether the caller has events of the stream from another attempt.
-    fn is_taken_up(&self) -> bool {
-        self.request.plan.kind.is_stream()
-            && self.request.head.last_event.is_some_and(|event| event > 0)
-    }
-
     /// Records at the first event of a response which version the stream is bound to, here and at agents,
     /// which outlive the gateways.
     pub(crate) fn record_software(&mut self, send: &InFlightSend) {
@@ -91,7 +85,7 @@
     ///
     /// `no_capacity` if it can't be known; the request has not run.
     pub(crate) async fn find_software(&mut self) -> Result<(), ApiError> {
-        if !self.is_taken_up() || self.software.is_some() {
+        if !self.request.is_taken_up() || self.software.is_some() {
             return Ok(());
         }
         let started = self.app.clock.now();
@@ -121,6 +115,30 @@
         Ok(())
     }
 
+    /// Logs what the targets of the stream's version can do for it, if no target takes it.
+    pub(crate) fn log_unserved_version(&self) {
+        let Some(software) = &self.software else { return };
+        let model = self.request.head.model.as_deref().unwrap_or_default();
+        let targets = self.app.fleet.borrow().version_targets(
+            &self.request.plan.service,
+            software,
+            model,
+            self.app.clock.now(),
+        );
+        log::info!(
+            "event=version_unserved request_id={} software={} model={} accepting={} usable={} with_model={} loading={} leaving_with_model={} excluded={}",
+            quote(&self.request.id),
+            quote(software),
+            quote(model),
+            targets.accepting,
+            targets.usable,
+            targets.with_model,
+            targets.loading,
+            targets.leaving_with_model,
+            self.excluded.len()
+        );
+    }
+
     /// Ruling of this gateway alone, if it was there when the stream began.
     fn ruling_here(&self, now: Timestamp) -> Option<Ruling> {
         let service = &self.request.plan.service;
--- a/components/routing/src/software_versions.rs
+++ b/components/routing/src/software_versions.rs
@@ -23,6 +23,21 @@
     Tell,
 }
 
+/// Targets of one version of a service's software, counted by what they can do for a model.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct VersionTargets {
+    /// Targets in the list that accept work.
+    pub accepting: usize,
+    /// Of these, targets that requests may be sent to now.
+    pub usable: usize,
+    /// Of these, targets that serve the model.
+    pub with_model: usize,
+    /// Targets that accept work and load the model.
+    pub loading: usize,
+    /// Targets in the list that serve the model and don't accept work.
+    pub leaving_with_model: usize,
+}
+
 impl DirectTarget {
     /// Returns whether the target is an engine of which no state has said whether it has an agent.
     fn may_have_agent(&self) -> bool {
@@ -48,6 +63,34 @@
         })
     }
 
+    /// Returns the targets of a service that run this version.
+    pub fn version_targets(
+        &self,
+        service: &str,
+        software: &str,
+        model: &str,
+        now: Timestamp,
+    ) -> VersionTargets {
+        let mut count = VersionTargets::default();
+        let of_version = self.targets.iter().filter(|target| {
+            target.service == service && target.software == software && target.is_listed()
+        });
+        for target in of_version {
+            let serves = target.serves(model).is_some();
+            if !target.accepts_work {
+                count.leaving_with_model += usize::from(serves);
+                continue;
+            }
+            let is_usable = target.is_usable(now);
+            let loads = target.model_change().is_some_and(|c| c.loading && c.model == model);
+            count.accepting += 1;
+            count.usable += usize::from(is_usable);
+            count.with_model += usize::from(is_usable && serves);
+            count.loading += usize::from(loads);
+        }
+        count
+    }
+
     /// Returns the versions of a service that are in service or were lately, sorted.
     pub fn software_versions(&self, service: &str, now: Timestamp) -> Vec<CompactString> {
         let listed = self
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -50,6 +50,7 @@
     budget_rejections: Counter<u64>,
     in_flight: Gauge<u64>,
     late_streams: Counter<u64>,
+    resumed_streams: Counter<u64>,
     settings_reads: Counter<u64>,
     settings_age: Gauge<f64>,
     configuration_offset: Gauge<u64>,
@@ -108,6 +109,10 @@
             budget_rejections: count("budget_rejections", "Rejections for want of room"),
             in_flight: number("requests_in_flight", "Requests in progress"),
             late_streams: count("late_streams", "Streams that were late, by cause"),
+            resumed_streams: count(
+                "resumed_streams",
+                "Attempts to take up a stream of an earlier attempt, by outcome",
+            ),
             settings_reads: count("settings_reads", "Changes of the settings file, by outcome"),
             settings_age: seconds("settings_age", "Age of the settings in force"),
             configuration_offset: number("configuration_offset", "Configuration in force"),
@@ -220,6 +225,11 @@
             .add(1, &[KeyValue::new("cause", cause), KeyValue::new("data_centre", data_centre)]);
     }
 
+    /// Counts an attempt to take up a stream of an earlier attempt; `outcome` is one of a closed set.
+    pub fn record_resumed_stream(&self, outcome: &'static str) {
+        self.resumed_streams.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Counts a change of the settings file; `outcome` is one of a closed set.
     pub fn record_settings_read(&self, outcome: &'static str) {
         self.settings_reads.add(1, &[KeyValue::new("outcome", outcome)]);
