Load models at the version that streams are bound to

Cause: placement counted copies of a model whatever version their engines ran. When engines leave in a release, the planner replaces models without a copy on the old engines, whose disks have them, and unloads hot models there, which the new engines have by then. Streams of the hot models, bound to the old version, are left with one copy or none. After a crash nothing loaded one: a bound stream that waits asked for a copy anywhere, and there were enough.

A model that bound streams wait for is loaded at their version; its last copy there is kept, and replaced when its engine goes. No load is planned on an engine that doesn't answer.

--- a/components/gateway/src/app.rs
+++ b/components/gateway/src/app.rs
@@ -11,7 +11,7 @@
 use config::{FleetConfig, GatewaySettings};
 use ingress::{CallerBudgetSettings, SharedCallerBudget, ShutdownStage};
 use membership::{Authority, Evacuations, GatewayTable, StoreEra, TargetDirectory};
-use placement::{FleetPlanner, ModelDemandTable};
+use placement::{BoundDemandTable, FleetPlanner, ModelDemandTable};
 use platform::{Configuration, StoreClient};
 use quarantine::Quarantine;
 use rates::GatewayCount;
@@ -85,6 +85,8 @@
     pub stored_quarantines_changed: Notify,
     /// Demand for each model.
     pub demand: RefCell<ModelDemandTable>,
+    /// Streams that are bound to a version of the targets' software.
+    pub bound_demand: RefCell<BoundDemandTable>,
     /// Placement planner; used only while this gateway leads the planning.
     pub planner: RefCell<FleetPlanner>,
     /// Orders to engines that have no agent.
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -12,13 +12,14 @@
 use platform::forwarded_response_headers;
 use routing::{
     Admission, Attempts, DirectChoice, DirectPick, DirectPlainRequirements, GenerationRequirements,
-    LoadWait, Slack, TargetKey, TargetOutcome, TargetPhase, admit, wait_for_model,
+    LoadWait, Slack, TargetKey, TargetOutcome, TargetPhase, TargetRange, admit, wait_for_model,
     waits_for_adapter,
 };
 use telemetry::quote;
 use tokio::time::timeout;
 
 use crate::app::App;
+use crate::bound_stream::BoundStreamGuard;
 use crate::exchange::{ExchangeFailure, NoResponse, ReadResponse, TargetResponse, exchange};
 use crate::fleet_link::{FleetLink, query_agent};
 use crate::in_flight_send::InFlightSend;
@@ -67,8 +68,8 @@
     pub(crate) attempts: Attempts,
     /// When the last event was passed to the caller.
     pub(crate) last_event_at: Option<Timestamp>,
-    /// Version of the software that began the stream; none before the first event.
-    pub(crate) software: Option<CompactString>,
+    /// Version of the software that the stream is bound to; none before the first event.
+    pub(crate) bound: Option<BoundStreamGuard>,
     /// Id of the last event that was passed to the caller.
     pub last_event: Option<u64>,
     charged: bool,
@@ -101,7 +102,7 @@
             without_adapter: Vec::new(),
             attempts,
             last_event_at: None,
-            software: None,
+            bound: None,
             last_event,
             charged: false,
             ended_its_target: false,
@@ -387,7 +388,9 @@
                 }
                 DirectChoice::Serve(pick) => return self.admit(pick, now),
                 DirectChoice::NoCopy { loading_ms } => {
-                    waiting.get_or_insert_with(|| WaitingGuard::new(&self.app, &self.request));
+                    waiting.get_or_insert_with(|| {
+                        WaitingGuard::new(&self.app, &self.request, self.software().cloned())
+                    });
                     self.wait_for_copy(loading_ms, wait_started).await?;
                 }
                 DirectChoice::Limited { key } => return Err(self.limited_error(key, now)),
@@ -421,7 +424,7 @@
         let mut excluded = fleet.outside_homes(&plan.service, &plan.homes, regions);
         excluded.extend(exclude);
         let exclude = excluded.as_slice();
-        let software = self.software.as_deref();
+        let software = self.software().map(CompactString::as_str);
         if plan.engine {
             let requirements = generation_requirements(&self.request, exclude);
             fleet.choose_generation(&GenerationRequirements { software, ..requirements }, now)
@@ -558,7 +561,11 @@
         let now = self.app.clock.now();
         let loading = loading_ms.map(|ms| Duration::from_millis(u64::from(ms)));
         let allowed = self.time_for_first_event(wait_started);
-        match wait_for_model(loading, now.since(wait_started), allowed) {
+        let range = match self.bound {
+            Some(_) => TargetRange::OneVersion,
+            None => TargetRange::Any,
+        };
+        match wait_for_model(range, loading, now.since(wait_started), allowed) {
             LoadWait::Wait => {
                 self.reject_if_draining(now.since(wait_started))?;
                 self.wait_for_engine_change().await;
--- a/components/gateway/src/fleet_link.rs
+++ b/components/gateway/src/fleet_link.rs
@@ -207,6 +207,10 @@
         let speeds = fleet.speed_reports(now);
         (fleet.local_work(now), fleet.unresponsive_targets(now), fleet.limit_reports(now), speeds)
     };
+    let bound_streams = match app.fleet.borrow().has_mixed_software() {
+        true => app.bound_demand.borrow_mut().own_streams(now),
+        false => Vec::new(),
+    };
     GatewayState {
         from: app.process.clone(),
         address: SocketAddr::new(settings.ip, settings.peer_port),
@@ -225,6 +229,7 @@
         work,
         sends: link.recent(&link.sends, SEND_REPEAT_ROUNDS),
         demand: app.demand.borrow_mut().own_loads(now),
+        bound_streams,
         news: link.recent(&link.target_updates, UPDATE_REPEAT_ROUNDS),
         silent_targets,
         further_sends,
--- a/components/gateway/src/fleet_receiver.rs
+++ b/components/gateway/src/fleet_receiver.rs
@@ -139,6 +139,7 @@
     app.rates.borrow_mut().retries.update_peer(&state.from, &state.further_sends, now);
     app.apply_crash_reports(&state.suspects, EvidenceSource::Gateway, now);
     app.demand.borrow_mut().update_peer(&state.from.name, state.demand.clone(), now);
+    app.bound_demand.borrow_mut().update_peer(&state.from, state.bound_streams.clone(), now);
     {
         let mut fleet = app.fleet.borrow_mut();
         fleet.apply_peer_work(&state.from.name, &state.work, now);
--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -11,7 +11,7 @@
 use config::GatewaySettings;
 use ingress::{SharedCallerBudget, ShutdownStage};
 use membership::{Authority, Evacuations, GatewayTable, StoreEra, TargetDirectory};
-use placement::{FleetPlanner, ModelDemandTable};
+use placement::{BoundDemandTable, FleetPlanner, ModelDemandTable};
 use platform::StoreClient;
 use quarantine::{Quarantine, QuarantineSettings};
 use routing::DirectFleet;
@@ -121,6 +121,7 @@
         changed_quarantines: RefCell::default(),
         stored_quarantines_changed: Notify::new(),
         demand: RefCell::new(ModelDemandTable::new()),
+        bound_demand: RefCell::new(BoundDemandTable::default()),
         planner: RefCell::new(FleetPlanner::new()),
         engine_orders: EngineOrders::new(&settings.bounds),
         large_events: SharedBytes::new(MAX_LARGE_EVENT_BYTES),
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -1,6 +1,7 @@
 //! Gateway process: accepts requests from callers and forwards each one directly to a target.
 
 mod app;
+mod bound_stream;
 mod callers;
 mod configuration_watch;
 mod crash_quarantine;
--- a/components/gateway/src/planning.rs
+++ b/components/gateway/src/planning.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use base::{ModelId, ServiceId, Timestamp};
+use compact_str::CompactString;
 use config::{EngineLimits, FleetConfig};
 use ingress::ShutdownStage;
-use placement::{FleetEngine, FleetModel};
+use placement::{FleetEngine, FleetModel, VersionDemand};
 use telemetry::quote;
 use tokio::time::{MissedTickBehavior, interval};
 
@@ -64,6 +65,8 @@
 fn plan(app: &App, link: &FleetLink, config: &FleetConfig, logs_demand: bool, now: Timestamp) {
     for (service_id, service) in (0..).map(ServiceId).zip(&config.services) {
         let Some(limits) = service.engine else { continue };
+        let engines = engines(app, config, &service.name, limits, now);
+        let versions = versions(&engines);
         let models: Vec<FleetModel> = (0..)
             .map(ModelId)
             .zip(&config.models)
@@ -71,6 +74,7 @@
             .map(|(id, model)| {
                 let adapters = config.adapters.iter().filter(|a| a.model == id).count();
                 let (work_ms_per_s, waiting) = app.demand.borrow_mut().total(&model.name, now);
+                let bound = bound_demand(app, &versions, &model.name, now);
                 FleetModel {
                     name: model.name.clone(),
                     memory_mb: model.memory_mb,
@@ -80,10 +84,10 @@
                     disk_load_ms: model.disk_load_ms,
                     work_ms_per_s,
                     waiting,
+                    bound,
                 }
             })
             .collect();
-        let engines = engines(app, config, &service.name, limits, now);
         let budget = fetch_budget(app, &service.name, limits, now);
         if logs_demand {
             log_demand(app, &models, &engines, budget);
@@ -93,8 +97,14 @@
         let moves = app.planner.borrow_mut().plan(&models, &engines, budget, now);
         for planned in moves {
             log::info!(
-                "event=move_planned target={} load={} unload={} reason={} fetch={} fetch_room={budget}",
+                "event=move_planned target={} software={} load={} unload={} reason={} fetch={} fetch_room={budget}",
                 quote(&planned.engine),
+                quote(
+                    engines
+                        .iter()
+                        .find(|engine| engine.id == planned.engine)
+                        .map_or("-", |engine| engine.software.as_str())
+                ),
                 quote(&planned.load),
                 planned.unload.first().map_or("-", |model| model.as_str()),
                 planned.reason.as_str(),
@@ -108,6 +118,36 @@
     }
 }
 
+/// Returns the versions of the engines' software, sorted.
+fn versions(engines: &[FleetEngine]) -> Vec<CompactString> {
+    let mut versions: Vec<CompactString> =
+        engines.iter().map(|engine| engine.software.clone()).collect();
+    versions.sort_unstable();
+    versions.dedup();
+    versions
+}
+
+/// Returns the demand of bound streams for a model at each version. A single version is a choice for
+/// all requests, bound or not.
+fn bound_demand(
+    app: &App,
+    versions: &[CompactString],
+    model: &str,
+    now: Timestamp,
+) -> Vec<VersionDemand> {
+    if versions.len() < 2 {
+        return Vec::new();
+    }
+    let table = app.bound_demand.borrow();
+    versions
+        .iter()
+        .map(|software| VersionDemand {
+            software: software.clone(),
+            demand: table.total(model, software, now),
+        })
+        .collect()
+}
+
 fn log_demand(app: &App, models: &[FleetModel], engines: &[FleetEngine], fetch_budget: usize) {
     let busiest = app.planner.borrow().busiest(models, engines);
     for (model, status) in busiest.iter().take(MAX_LOGGED_MODELS).filter(|b| b.1.demand > 0.0) {
@@ -154,7 +194,9 @@
                 changing: target.model_change().cloned(),
                 warm: target.warm_copies().clone(),
                 requests: work.running + work.waiting,
+                software: target.software.clone(),
                 accepts_orders: target.has_recent_agent_state(now),
+                is_unresponsive: !target.responds(now),
                 is_throttled: target.is_throttled(),
             }
         })
--- a/components/gateway/src/stream_software.rs
+++ b/components/gateway/src/stream_software.rs
@@ -5,6 +5,7 @@
 
 use api::{ApiError, ErrorCode};
 use base::{Timestamp, hash_bytes, short_hash};
+use compact_str::CompactString;
 use routing::{KeeperContact, SOFTWARE_RETENTION};
 use streams::{Lookup, Ruling};
 use telemetry::quote;
@@ -12,6 +13,7 @@
 use wire::{Datagram, DatagramBody, Echo, StreamAsk, StreamOrigin};
 
 use crate::app::App;
+use crate::bound_stream::BoundStreamGuard;
 use crate::dispatch::{Dispatch, NO_TARGET_RETRY_AFTER};
 use crate::in_flight_send::InFlightSend;
 
@@ -45,13 +47,26 @@
         hash_bytes(earlier.unwrap_or(&request.id).as_bytes())
     }
 
+    /// Version of the software that the stream is bound to.
+    pub(crate) fn software(&self) -> Option<&CompactString> {
+        self.bound.as_ref().map(BoundStreamGuard::software)
+    }
+
+    fn bind(&mut self, software: &str) {
+        let model = self.request.head.model.as_deref().unwrap_or_default();
+        self.bound = Some(BoundStreamGuard::new(&self.app, model, software));
+    }
+
     /// Records at the first event of a response which version the stream is bound to, here and at agents,
     /// which outlive the gateways.
     pub(crate) fn record_software(&mut self, send: &InFlightSend) {
-        let software = self.software.get_or_insert_with(|| send.software.clone()).clone();
         if !self.request.plan.kind.may_run_again() {
             return;
         }
+        if self.bound.is_none() {
+            self.bind(&send.software);
+        }
+        let software = self.software().unwrap_or(&send.software).clone();
         let service = short_hash(self.request.plan.service.as_bytes());
         let origin = StreamOrigin { attempt: self.first_attempt(), service, software };
         let now = self.app.clock.now();
@@ -74,7 +89,7 @@
     /// Whether a target that has not failed the request runs the version of the stream.
     pub(crate) fn may_find_software(&self) -> bool {
         let fleet = self.app.fleet.borrow();
-        self.software.as_ref().is_none_or(|software| {
+        self.software().is_none_or(|software| {
             fleet.has_software(&self.request.plan.service, software, &self.excluded)
         })
     }
@@ -85,7 +100,7 @@
     ///
     /// `no_capacity` if it can't be known; the request has not run.
     pub(crate) async fn find_software(&mut self) -> Result<(), ApiError> {
-        if !self.request.is_taken_up() || self.software.is_some() {
+        if !self.request.is_taken_up() || self.bound.is_some() {
             return Ok(());
         }
         let started = self.app.clock.now();
@@ -105,19 +120,19 @@
             quote(software.as_deref().unwrap_or("-")),
             self.app.clock.now().since(started).as_millis()
         );
-        self.software = software;
-        if self.software.is_none() {
+        let Some(software) = software else {
             let text = "several software versions may have begun the stream";
             return Err(
                 ApiError::new(ErrorCode::NoCapacity, text).with_retry_after(NO_TARGET_RETRY_AFTER)
             );
-        }
+        };
+        self.bind(&software);
         Ok(())
     }
 
     /// Logs what the targets of the stream's version can do for it, if no target takes it.
     pub(crate) fn log_unserved_version(&self) {
-        let Some(software) = &self.software else { return };
+        let Some(software) = self.software() else { return };
         let model = self.request.head.model.as_deref().unwrap_or_default();
         let targets = self.app.fleet.borrow().version_targets(
             &self.request.plan.service,
--- a/components/gateway/src/waiting.rs
+++ b/components/gateway/src/waiting.rs
@@ -11,18 +11,32 @@
 pub(crate) struct WaitingGuard {
     app: Rc<App>,
     model: CompactString,
+    /// Version of the engines' software at which the copy must be; any if none.
+    software: Option<CompactString>,
 }
 
 impl WaitingGuard {
-    pub(crate) fn new(app: &Rc<App>, request: &CallerRequest) -> Self {
+    pub(crate) fn new(
+        app: &Rc<App>,
+        request: &CallerRequest,
+        software: Option<CompactString>,
+    ) -> Self {
         let model = request.head.model.clone().unwrap_or_default();
-        app.demand.borrow_mut().record_waiting(&model, true);
-        Self { app: Rc::clone(app), model }
+        let guard = Self { app: Rc::clone(app), model, software };
+        guard.record(true);
+        guard
+    }
+
+    fn record(&self, starts: bool) {
+        self.app.demand.borrow_mut().record_waiting(&self.model, starts);
+        if let Some(software) = &self.software {
+            self.app.bound_demand.borrow_mut().record_waiting(&self.model, software, starts);
+        }
     }
 }
 
 impl Drop for WaitingGuard {
     fn drop(&mut self) {
-        self.app.demand.borrow_mut().record_waiting(&self.model, false);
+        self.record(false);
     }
 }
--- a/components/membership/tests/gateway_table.rs
+++ b/components/membership/tests/gateway_table.rs
@@ -35,6 +35,7 @@
         work: Vec::new(),
         sends: Vec::new(),
         demand: Vec::new(),
+        bound_streams: Vec::new(),
         news: Vec::new(),
         silent_targets: Vec::new(),
         further_sends: Vec::new(),
--- a/components/placement/src/fleet_planner.rs
+++ b/components/placement/src/fleet_planner.rs
@@ -6,11 +6,11 @@
 
 use std::time::Duration;
 
-use base::{SortedMap, Timestamp, WarmCopies, rendezvous_score};
+use base::{SortedMap, Timestamp, rendezvous_score};
 use compact_str::CompactString;
-use wire::ModelChange;
 
 use crate::engine_order_scheduler::PLAN_LIFETIME;
+use crate::{BoundDemand, FleetEngine, FleetModel, FleetMove, MoveReason};
 
 /// Target utilisation of an engine's time by the demand for its models. A higher value leaves no
 /// headroom for the bursts of a few hundred ms in which requests arrive.
@@ -37,8 +37,15 @@
 /// Cost per request at an engine that is added to a move onto that engine, in milliseconds.
 const COST_PER_REQUEST_MS: f64 = 40.0;
 
+/// Added to the number of copies of a model, so that the shortage of one without copies is finite.
+const NO_COPIES_DIVISOR: f64 = 0.1;
 /// Additional cost of unloading a desired copy, in milliseconds, compared with a superfluous one.
 const DESIRED_COPY_COST_MS: f64 = 500.0;
+/// Additional cost of unloading the last copy of a model, in milliseconds: it is loaded again elsewhere.
+const LAST_COPY_COST_MS: f64 = 2_000.0;
+/// Additional cost of unloading a copy while streams run at its version, in milliseconds: the unload
+/// waits until they have ended.
+const RUNNING_STREAMS_COST_MS: f64 = 4_000.0;
 /// Maximum ratio of the demand per copy of a model that loses a copy to that of the model that
 /// gains one, both after the move; less than 1, so that copies don't move back and forth.
 const DEMAND_RATIO_LIMIT: f64 = 0.6;
@@ -46,92 +53,6 @@
 /// without this limit, copies of two hot models changed places every few seconds.
 const SURPLUS_DEMAND_RATIO_LIMIT: f64 = 0.8;
 
-/// Planner's view of a model.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct FleetModel {
-    /// Model name.
-    pub name: CompactString,
-    /// Memory of a copy in MB.
-    pub memory_mb: u64,
-    /// Number of adapters.
-    pub adapters: u32,
-    /// Time to load from the weight store, in milliseconds.
-    pub load_ms: u64,
-    /// Time to load from the host's memory, in milliseconds.
-    pub host_load_ms: u64,
-    /// Time to load from the host's disk, in milliseconds.
-    pub disk_load_ms: u64,
-    /// Demand in milliseconds of engine time per second.
-    pub work_ms_per_s: f64,
-    /// Requests that wait because no engine serves the model.
-    pub waiting: u32,
-}
-
-/// Planner's view of an engine.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct FleetEngine {
-    /// Id of the engine's incarnation.
-    pub id: CompactString,
-    /// Memory for weights and adapters in MB.
-    pub capacity_mb: u64,
-    /// Memory used by adapters in MB.
-    pub adapters_mb: u64,
-    /// Served models, sorted by name.
-    pub models: Vec<CompactString>,
-    /// Model load or unload in progress.
-    pub changing: Option<ModelChange>,
-    /// Copies of weights in the host's memory or on its disk.
-    pub warm: WarmCopies,
-    /// Running and queued requests.
-    pub requests: u32,
-    /// Whether the engine's agent can send it orders.
-    pub accepts_orders: bool,
-    /// Whether the engine takes so few requests that its copies don't carry their part of the demand.
-    pub is_throttled: bool,
-}
-
-/// A planned load of a model, which may require another model to be unloaded first.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct FleetMove {
-    /// Id of the engine.
-    pub engine: CompactString,
-    /// Model to load.
-    pub load: CompactString,
-    /// Memory of the model to load in MB.
-    pub memory_mb: u64,
-    /// Whether the model may be fetched from the weight store.
-    pub may_fetch: bool,
-    /// Models that may be unloaded to make room, in order of preference.
-    pub unload: Vec<CompactString>,
-    /// Reason for the move.
-    pub reason: MoveReason,
-}
-
-/// Reason for a move, in order of decreasing urgency.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub enum MoveReason {
-    /// Requests wait for a copy of the model.
-    Waiting,
-    /// No engine serves the model.
-    NoCopy,
-    /// The demand needs more copies.
-    Demand,
-    /// Memory is free and the model is likely to be requested.
-    Prior,
-}
-
-impl MoveReason {
-    /// Returns the reason as a log value.
-    pub const fn as_str(self) -> &'static str {
-        match self {
-            Self::Waiting => "waiting",
-            Self::NoCopy => "no_copy",
-            Self::Demand => "demand",
-            Self::Prior => "prior",
-        }
-    }
-}
-
 /// Input of one search for a move.
 #[derive(Clone, Copy, Debug)]
 struct FleetView<'a> {
@@ -146,6 +67,15 @@
     idle_yield: bool,
 }
 
+/// Model that lacks a copy: anywhere, or at engines of one version.
+#[derive(Clone, Copy, Debug)]
+struct Lack<'a> {
+    model_index: usize,
+    reason: MoveReason,
+    /// Version at which the copy must be; any if none.
+    software: Option<&'a str>,
+}
+
 #[derive(Clone, Debug)]
 struct PendingMove {
     planned: FleetMove,
@@ -365,25 +295,56 @@
     }
 
     fn copies(&self, model: &FleetModel, engines: &[FleetEngine]) -> usize {
-        engines
-            .iter()
-            .filter(|engine| !engine.is_throttled)
-            .filter(|engine| {
-                let change = engine.changing.as_ref();
-                let unloading = change.is_some_and(|c| !c.loading && c.model == model.name);
-                let loading = change.is_some_and(|c| c.loading && c.model == model.name);
-                let pending = self.pending.get(&engine.id).map(|pending| &pending.planned);
-                let planned = pending.is_some_and(|planned| planned.load == model.name);
-                let planned_unload =
-                    pending.is_some_and(|planned| planned.unload.first() == Some(&model.name));
-                let serves = engine.models.contains(&model.name) && !unloading && !planned_unload;
-                serves || loading || planned
-            })
-            .count()
+        engines.iter().filter(|engine| self.has_copy(model, engine)).count()
+    }
+
+    /// Whether the engine has a copy of the model, or is about to, that carries its part of the demand.
+    fn has_copy(&self, model: &FleetModel, engine: &FleetEngine) -> bool {
+        let change = engine.changing.as_ref();
+        let unloading = change.is_some_and(|c| !c.loading && c.model == model.name);
+        let loading = change.is_some_and(|c| c.loading && c.model == model.name);
+        let pending = self.pending.get(&engine.id).map(|pending| &pending.planned);
+        let planned = pending.is_some_and(|planned| planned.load == model.name);
+        let planned_unload =
+            pending.is_some_and(|planned| planned.unload.first() == Some(&model.name));
+        let serves = engine.models.contains(&model.name) && !unloading && !planned_unload;
+        !engine.is_throttled && (serves || loading || planned)
+    }
+
+    /// Returns the models whose streams are bound to a version of which no engine has a copy.
+    ///
+    /// While requests wait, copies of engines that don't answer don't count: the requests would wait in
+    /// vain for an engine that has ended.
+    fn version_lacks<'a>(
+        &'a self,
+        fleet: FleetView<'a>,
+    ) -> impl Iterator<Item = (Lack<'a>, BoundDemand)> {
+        let lacks = move |model: &'a FleetModel, software: &str, demand: BoundDemand| {
+            let mut of_version =
+                fleet.engines.iter().filter(|engine| engine.software == software).peekable();
+            of_version.peek().is_some()
+                && !of_version.any(|engine| {
+                    let may_serve = demand.waiting == 0 || !engine.is_unresponsive;
+                    may_serve && self.has_copy(model, engine)
+                })
+        };
+        fleet.models.iter().enumerate().flat_map(move |(model_index, model)| {
+            model
+                .bound
+                .iter()
+                .filter(|version| version.demand != BoundDemand::default())
+                .filter(move |version| lacks(model, &version.software, version.demand))
+                .map(move |version| {
+                    let waits = version.demand.waiting > 0;
+                    let reason = if waits { MoveReason::Waiting } else { MoveReason::BoundStreams };
+                    let software = Some(version.software.as_str());
+                    (Lack { model_index, reason, software }, version.demand)
+                })
+        })
     }
 
     fn next_move(&self, fleet: FleetView<'_>) -> Option<FleetMove> {
-        let mut candidates: Vec<(MoveReason, f64, usize)> = fleet
+        let mut candidates: Vec<(f64, Lack<'_>)> = fleet
             .statuses
             .iter()
             .enumerate()
@@ -402,34 +363,37 @@
                     return None;
                 };
                 let waiting = f64::from(fleet.models[at].waiting);
-                let shortage = (status.demand + waiting) / (status.copies as f64 + 0.1);
-                Some((reason, shortage, at))
+                let shortage =
+                    (status.demand + waiting) / (status.copies as f64 + NO_COPIES_DIVISOR);
+                Some((shortage, Lack { model_index: at, reason, software: None }))
             })
             .collect();
-        candidates.sort_by(|a, b| a.0.cmp(&b.0).then(b.1.total_cmp(&a.1)));
-        candidates.into_iter().find_map(|(reason, _, at)| self.cheapest_move(at, reason, fleet))
+        candidates.extend(self.version_lacks(fleet).map(|(lack, demand)| {
+            (f64::from(demand.streams + demand.waiting) / NO_COPIES_DIVISOR, lack)
+        }));
+        candidates.sort_by(|a, b| a.1.reason.cmp(&b.1.reason).then(b.0.total_cmp(&a.0)));
+        candidates.into_iter().find_map(|(_, lack)| self.cheapest_move(lack, fleet))
     }
 
     /// Returns the move that places a copy on the engine with the lowest cost.
-    fn cheapest_move(
-        &self,
-        model_index: usize,
-        reason: MoveReason,
-        fleet: FleetView<'_>,
-    ) -> Option<FleetMove> {
-        let model = &fleet.models[model_index];
+    fn cheapest_move(&self, lack: Lack<'_>, fleet: FleetView<'_>) -> Option<FleetMove> {
+        let model = &fleet.models[lack.model_index];
         let mut best: Option<(f64, FleetMove)> = None;
         for engine in fleet.engines {
             let is_busy = engine.changing.is_some() || self.pending.contains_key(&engine.id);
-            let takes_loads = engine.accepts_orders && !engine.is_throttled;
+            let takes_loads =
+                engine.accepts_orders && !engine.is_throttled && !engine.is_unresponsive;
             if is_busy || !takes_loads || engine.models.contains(&model.name) {
                 continue;
             }
+            if lack.software.is_some_and(|software| engine.software != software) {
+                continue;
+            }
             let (load_ms, may_fetch) = load_time(model, engine);
             if may_fetch && fleet.fetch_room == 0 {
                 continue;
             }
-            let Some((unload, unload_ms)) = make_room(model_index, reason, engine, fleet) else {
+            let Some((unload, unload_ms)) = self.make_room(lack, engine, fleet) else {
                 continue;
             };
             if !unload.is_empty() && !fleet.may_swap {
@@ -448,13 +412,79 @@
                     memory_mb: model.memory_mb,
                     may_fetch,
                     unload,
-                    reason,
+                    reason: lack.reason,
                 };
                 best = Some((cost, planned));
             }
         }
         best.map(|(_, planned)| planned)
     }
+
+    /// Returns the models to unload so that the lacking one fits, empty if it fits already, and the cost
+    /// in milliseconds.
+    fn make_room(
+        &self,
+        lack: Lack<'_>,
+        engine: &FleetEngine,
+        fleet: FleetView<'_>,
+    ) -> Option<(Vec<CompactString>, f64)> {
+        let model = &fleet.models[lack.model_index];
+        let gaining = fleet.statuses[lack.model_index];
+        let used_mb = used_mb(fleet.models, engine);
+        if used_mb + model.memory_mb <= engine.capacity_mb {
+            return Some((Vec::new(), 0.0));
+        }
+        let shortfall_mb = (used_mb + model.memory_mb).saturating_sub(engine.capacity_mb);
+        engine
+            .models
+            .iter()
+            .filter_map(|name| {
+                let at = fleet.models.iter().position(|model| model.name == *name)?;
+                let losing = &fleet.models[at];
+                let status = fleet.statuses[at];
+                let serves_nowhere = gaining.copies == 0 && model.waiting > 0;
+                if !serves_nowhere && self.is_last_for_streams(losing, engine, fleet.engines) {
+                    return None;
+                }
+                let may_unload = match (lack.reason, lack.software) {
+                    (MoveReason::Waiting, Some(_)) if status.copies <= 1 => {
+                        losing.waiting == 0 && has_room_elsewhere(losing, engine, fleet)
+                    }
+                    (_, Some(_)) => status.copies > 1,
+                    (reason, None) => may_unload(model, gaining, status, reason, fleet.idle_yield),
+                };
+                // A desired copy is unloaded only for a needed one.
+                let copy_cost =
+                    if status.copies > status.desired { 0.0 } else { DESIRED_COPY_COST_MS };
+                let last_cost = if status.copies > 1 { 0.0 } else { LAST_COPY_COST_MS };
+                let runs_cost = match losing.bound_at(&engine.software).streams {
+                    0 => 0.0,
+                    _ => RUNNING_STREAMS_COST_MS,
+                };
+                let load = status.demand / status.copies.max(1) as f64;
+                let cost = copy_cost + last_cost + runs_cost + 1_000.0 * load;
+                (may_unload && losing.memory_mb >= shortfall_mb).then(|| (name.clone(), cost))
+            })
+            .min_by(|a, b| a.1.total_cmp(&b.1))
+            .map(|(name, cost)| (vec![name], cost))
+    }
+
+    /// Whether the engine has the last copy of a model at its version, to which streams are bound. They
+    /// could go on nowhere else if they break.
+    fn is_last_for_streams(
+        &self,
+        model: &FleetModel,
+        engine: &FleetEngine,
+        engines: &[FleetEngine],
+    ) -> bool {
+        model.bound_at(&engine.software) != BoundDemand::default()
+            && !engines.iter().any(|other| {
+                other.id != engine.id
+                    && other.software == engine.software
+                    && !other.is_unresponsive
+                    && self.has_copy(model, other)
+            })
+    }
 }
 
 /// Returns the demand for a model, in engines at the target utilisation.
@@ -505,60 +535,42 @@
     engine.models.iter().map(size).sum::<u64>() + engine.adapters_mb
 }
 
-/// Returns the models to unload so that the one at `model_index` fits, empty if it fits already,
-/// and the cost in milliseconds.
-fn make_room(
-    model_index: usize,
+/// Returns whether a copy with this status may be unloaded on an engine to load one of `gaining`.
+fn may_unload(
+    gaining_model: &FleetModel,
+    gaining: ModelCopyStatus,
+    losing: ModelCopyStatus,
     reason: MoveReason,
-    engine: &FleetEngine,
-    fleet: FleetView<'_>,
-) -> Option<(Vec<CompactString>, f64)> {
-    let model = &fleet.models[model_index];
-    let gaining = fleet.statuses[model_index];
-    let size = |name: &CompactString| {
-        fleet.models.iter().find(|model| model.name == *name).map_or(0, |model| model.memory_mb)
-    };
-    let used_mb = used_mb(fleet.models, engine);
-    if used_mb + model.memory_mb <= engine.capacity_mb {
-        return Some((Vec::new(), 0.0));
+    idle_yield: bool,
+) -> bool {
+    match reason {
+        // A needed copy is unloaded only for the first copy of a model that requests wait for. While
+        // idle models yield, no model may have more copies than it needs.
+        MoveReason::Waiting | MoveReason::NoCopy if gaining.copies == 0 => {
+            losing.copies > losing.needed
+                || ((gaining_model.waiting > 0 || idle_yield) && losing.copies > 1)
+        }
+        MoveReason::Waiting | MoveReason::NoCopy | MoveReason::Demand if losing.needed == 0 => true,
+        MoveReason::Waiting | MoveReason::NoCopy | MoveReason::Demand => {
+            let surplus = losing.copies > losing.needed;
+            may_transfer_copy(
+                gaining,
+                losing,
+                if surplus { SURPLUS_DEMAND_RATIO_LIMIT } else { DEMAND_RATIO_LIMIT },
+            )
+        }
+        // The models loaded at the start predict the demand better than the number of adapters.
+        MoveReason::BoundStreams | MoveReason::Prior => false,
     }
-    let shortfall_mb = (used_mb + model.memory_mb).saturating_sub(engine.capacity_mb);
-    engine
-        .models
-        .iter()
-        .filter_map(|name| {
-            let at = fleet.models.iter().position(|model| model.name == *name)?;
-            let status = fleet.statuses[at];
-            let may_unload = match reason {
-                // A needed copy is unloaded only for the first copy of a model that requests wait
-                // for. While idle models yield, no model may have more copies than it needs.
-                MoveReason::Waiting | MoveReason::NoCopy if gaining.copies == 0 => {
-                    status.copies > status.needed
-                        || ((model.waiting > 0 || fleet.idle_yield) && status.copies > 1)
-                }
-                MoveReason::Waiting | MoveReason::NoCopy | MoveReason::Demand
-                    if status.needed == 0 =>
-                {
-                    true
-                }
-                MoveReason::Waiting | MoveReason::NoCopy | MoveReason::Demand => {
-                    let surplus = status.copies > status.needed;
-                    may_transfer_copy(
-                        gaining,
-                        status,
-                        if surplus { SURPLUS_DEMAND_RATIO_LIMIT } else { DEMAND_RATIO_LIMIT },
-                    )
-                }
-                // The models loaded at the start predict the demand better than the number of
-                // adapters.
-                MoveReason::Prior => false,
-            };
-            // A desired copy is unloaded only for a needed one.
-            let copy_cost = if status.copies > status.desired { 0.0 } else { DESIRED_COPY_COST_MS };
-            let load = status.demand / status.copies.max(1) as f64;
-            (may_unload && size(name) >= shortfall_mb)
-                .then(|| (name.clone(), copy_cost + 1_000.0 * load))
-        })
-        .min_by(|a, b| a.1.total_cmp(&b.1))
-        .map(|(name, cost)| (vec![name], cost))
+}
+
+/// Returns whether another engine has free memory for a model, so that it is loaded there at once.
+fn has_room_elsewhere(model: &FleetModel, engine: &FleetEngine, fleet: FleetView<'_>) -> bool {
+    fleet.engines.iter().any(|other| {
+        other.id != engine.id
+            && other.accepts_orders
+            && !other.is_throttled
+            && !other.is_unresponsive
+            && used_mb(fleet.models, other) + model.memory_mb <= other.capacity_mb
+    })
 }
--- a/components/placement/tests/fleet_planner.rs
+++ b/components/placement/tests/fleet_planner.rs
@@ -25,7 +25,7 @@
         host_load_ms: 200,
         disk_load_ms: 600,
         work_ms_per_s: *work_ms_per_s,
-        waiting: 0,
+        ..FleetModel::default()
     };
     demands.iter().map(model).collect()
 }
--- a/components/routing/src/direct_target.rs
+++ b/components/routing/src/direct_target.rs
@@ -387,12 +387,16 @@
         self.agent_state_received_at.is_some_and(|at| now.since(at) < AGENT_STATE_TTL)
     }
 
+    /// Returns whether the target answers its agent, as far as a recent state tells.
+    pub fn responds(&self, now: Timestamp) -> bool {
+        self.responds_to_agent || !self.has_recent_agent_state(now)
+    }
+
     /// Returns whether the target may receive work now.
     pub fn is_usable(&self, now: Timestamp) -> bool {
-        let responsive = self.responds_to_agent || !self.has_recent_agent_state(now);
         let is_before = |until: Option<Timestamp>| until.is_some_and(|until| now < until);
         self.accepts_work
-            && responsive
+            && self.responds(now)
             && !is_before(self.misdirected_until)
             && !is_before(self.backoff_until)
             && self.health.is_usable(now)
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -53,7 +53,7 @@
 pub use direct_target::{AgentLoad, DirectTarget, TargetKey};
 pub use homes::Homes;
 pub use latency_objectives::LatencyObjectives;
-pub use load_wait::{LoadWait, wait_for_model, waits_for_adapter};
+pub use load_wait::{LoadWait, TargetRange, wait_for_model, waits_for_adapter};
 pub use prefill_estimator::PrefillEstimator;
 pub use prefill_gaps::PrefillGaps;
 pub use prefix::{CacheEvent, CacheEventKind, PrefixIndex, prefix_blocks};
--- a/components/routing/src/software_versions.rs
+++ b/components/routing/src/software_versions.rs
@@ -63,6 +63,20 @@
         })
     }
 
+    /// Returns whether targets of one service run several versions.
+    pub fn has_mixed_software(&self) -> bool {
+        let mut listed = self.targets.iter().filter(|target| target.is_listed());
+        let Some(first) = listed.next() else { return false };
+        let mut known: Vec<(&str, &str)> = vec![(&first.service, &first.software)];
+        listed.any(|target| match known.iter().find(|(service, _)| *service == target.service) {
+            Some((_, software)) => *software != target.software,
+            None => {
+                known.push((&target.service, &target.software));
+                false
+            }
+        })
+    }
+
     /// Returns the targets of a service that run this version.
     pub fn version_targets(
         &self,
--- a/components/routing/tests/waits.rs
+++ b/components/routing/tests/waits.rs
@@ -6,7 +6,7 @@
 use proptest::prelude::*;
 use routing::{
     Admission, LatencyObjectives, LoadWait, PrefillEstimator, PrefixCacheEstimate, PrefixLink,
-    Slack, TargetHealth, TargetOutcome, admit, wait_for_model, waits_for_adapter,
+    Slack, TargetHealth, TargetOutcome, TargetRange, admit, wait_for_model, waits_for_adapter,
 };
 
 const fn ms(ms: u64) -> Duration {
@@ -57,7 +57,7 @@
         waited in 0..20_000u64,
         allowed in 1..20_000u64,
     ) {
-        match wait_for_model(loading.map(ms), ms(waited), ms(allowed)) {
+        match wait_for_model(TargetRange::Any, loading.map(ms), ms(waited), ms(allowed)) {
             LoadWait::Wait => {
                 let until = waited + loading.unwrap_or(0);
                 prop_assert!(until <= allowed * 45 / 100 + 1 || loading.is_none() && waited < 700);
@@ -73,13 +73,16 @@
 /// requested, and are refused if the load takes longer than they can wait.
 #[test]
 fn requests_wait_for_a_load_that_ends_soon() {
-    assert_eq!(wait_for_model(Some(ms(400)), ms(0), ms(3_000)), LoadWait::Wait);
+    assert_eq!(wait_for_model(TargetRange::Any, Some(ms(400)), ms(0), ms(3_000)), LoadWait::Wait);
     assert_eq!(
-        wait_for_model(Some(ms(2_000)), ms(0), ms(3_000)),
+        wait_for_model(TargetRange::Any, Some(ms(2_000)), ms(0), ms(3_000)),
         LoadWait::Refuse { retry_after: ms(1_000) }
     );
-    assert_eq!(wait_for_model(None, ms(699), ms(3_000)), LoadWait::Wait);
-    assert!(matches!(wait_for_model(None, ms(700), ms(3_000)), LoadWait::Refuse { .. }));
+    assert_eq!(wait_for_model(TargetRange::Any, None, ms(699), ms(3_000)), LoadWait::Wait);
+    assert!(matches!(
+        wait_for_model(TargetRange::Any, None, ms(700), ms(3_000)),
+        LoadWait::Refuse { .. }
+    ));
     assert!(waits_for_adapter(ms(349)) && !waits_for_adapter(ms(350)));
 }
 
@@ -167,3 +170,15 @@
     cache.clear();
     assert_eq!(cache.matched_tokens(&[link(1)]), 0);
 }
+
+/// Guards against a stream that is refused although the only targets that may go on with it will have
+/// loaded its model before its caller gives up.
+#[test]
+fn bound_streams_wait_for_loads_that_end_before_their_callers_leave() {
+    let wait =
+        |loading, waited| wait_for_model(TargetRange::OneVersion, loading, ms(waited), ms(3_000));
+    assert_eq!(wait(Some(ms(2_000)), 500), LoadWait::Wait);
+    assert!(matches!(wait(Some(ms(2_600)), 0), LoadWait::Refuse { .. }));
+    assert_eq!(wait(None, 1_499), LoadWait::Wait);
+    assert!(matches!(wait(None, 1_500), LoadWait::Refuse { .. }));
+}
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -109,10 +109,7 @@
             budget_rejections: count("budget_rejections", "Rejections for want of room"),
             in_flight: number("requests_in_flight", "Requests in progress"),
             late_streams: count("late_streams", "Streams that were late, by cause"),
-            resumed_streams: count(
-                "resumed_streams",
-                "Attempts to take up a stream of an earlier attempt, by outcome",
-            ),
+            resumed_streams: count("resumed_streams", "Attempts to resume streams, by outcome"),
             settings_reads: count("settings_reads", "Changes of the settings file, by outcome"),
             settings_age: seconds("settings_age", "Age of the settings in force"),
             configuration_offset: number("configuration_offset", "Configuration in force"),
--- a/components/wire/src/fleet_state.rs
+++ b/components/wire/src/fleet_state.rs
@@ -103,6 +103,8 @@
     pub sends: Vec<SendCopy>,
     /// Demand that it sees.
     pub demand: Vec<ModelLoad>,
+    /// Its bound streams, while targets of several versions serve.
+    pub bound_streams: Vec<BoundStreams>,
     /// What it has read of targets lately.
     pub news: Vec<TargetNews>,
     /// Short hashes of targets that gave it no answer lately.
@@ -211,6 +213,19 @@
     pub waiting: u32,
 }
 
+/// Streams of a model that may go on only at one version of the engines' software.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct BoundStreams {
+    /// Short hash of the model's name.
+    pub model: u32,
+    /// Short hash of the version.
+    pub software: u32,
+    /// Streams that run or have just ended.
+    pub streams: u32,
+    /// Requests that wait for a copy at an engine of the version.
+    pub waiting: u32,
+}
+
 /// What a gateway wants of the agent beside a target.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct AgentAsk {
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -35,9 +35,9 @@
 pub use error::WireError;
 pub use evacuation_report::{EvacuationRecord, EvacuationReport};
 pub use fleet_state::{
-    AdapterName, AdmittedTokens, AgentAsk, AgentState, Datagram, DatagramBody, Echo, EnginePlan,
-    FurtherSends, GatewayRecord, GatewayState, LinkCopy, ModelChange, ModelLoad, OrderGiver,
-    PlannedCopy, RelayedItem, SendCopy, TargetNews, TargetWorkCopy,
+    AdapterName, AdmittedTokens, AgentAsk, AgentState, BoundStreams, Datagram, DatagramBody, Echo,
+    EnginePlan, FurtherSends, GatewayRecord, GatewayState, LinkCopy, ModelChange, ModelLoad,
+    OrderGiver, PlannedCopy, RelayedItem, SendCopy, TargetNews, TargetWorkCopy,
 };
 pub use forward::{ForwardDown, ForwardHead, ForwardUp, Header};
 pub use frames::{FrameReceiver, FrameSender};
--- a/tests/documentation.rs
+++ b/tests/documentation.rs
@@ -108,6 +108,7 @@
     metrics.record_budget_rejections("body", 1);
     metrics.set_in_flight(1);
     metrics.record_late_stream("pause", "north-a");
+    metrics.record_resumed_stream("continued");
     metrics.record_settings_read("taken");
     metrics.set_freshness(wait, Some(wait), 1, 0);
     metrics.set_quarantined(0, 0);
