Plan nothing from states of before a standstill

Cause: the first gateway by name stood still from 11 to 18 s and planned 10 ms after it woke. What it had read by then were datagrams that its socket had buffered since the begin of the standstill, taken for new states; the loads that another planner had ordered since 13.6 s were not among them, and the room in the limit was taken twice. The class is that of a gateway that rules on streams from an old list: a decision from what one process has seen, without regard to whether it could have seen more.

--- a/components/gateway/src/planning.rs
+++ b/components/gateway/src/planning.rs
@@ -7,7 +7,7 @@
 use compact_str::CompactString;
 use config::{EngineLimits, FleetConfig};
 use ingress::ShutdownStage;
-use placement::{FleetEngine, FleetModel, VersionDemand};
+use placement::{FleetEngine, FleetModel, PlanningRounds, VersionDemand};
 use telemetry::quote;
 use tokio::time::{MissedTickBehavior, interval};
 
@@ -38,11 +38,16 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut planning = false;
     let mut round: u64 = 0;
+    let mut rounds = PlanningRounds::default();
     loop {
         ticks.tick().await;
         round += 1;
         let now = app.clock.now();
+        if rounds.record(now) {
+            log::info!("event=planner_resumed");
+        }
         let leads = app.gateways.borrow().is_first(now)
+            && !rounds.is_view_outdated(now)
             && *app.stage.borrow() == ShutdownStage::Serving
             && is_settled(&app, now);
         if leads != planning {
--- a/components/placement/src/lib.rs
+++ b/components/placement/src/lib.rs
@@ -23,6 +23,7 @@
 mod permit_search;
 mod pin_table;
 mod planner;
+mod planning_rounds;
 mod quarantine;
 mod unanswered_orders;
 
@@ -47,5 +48,6 @@
 pub use planner::{
     Move, MoveKind, PlannedModel, PlannedTarget, Planner, PlannerSettings, TargetCopy,
 };
+pub use planning_rounds::PlanningRounds;
 pub use quarantine::Quarantine;
 pub use unanswered_orders::UnansweredOrders;
