Admit resumed streams before new requests

Cause: a take-up was one request among the new ones. Buckets of restarted gateways are empty, and after a reset all callers come at once; whoever came first took the tokens, and a gateway whose own share was used up refused take-ups although the bucket of all had tokens (level=32918 own_level=-11013).

Change: a take-up needs no own share while the shared level is above zero, may begin at a debt of up to 0.2 of the tolerated excess of a window, divided among all known gateways, and new requests leave the tokens that take-ups were refused in the last second. What is admitted in a window grows by the overdraft at most, once: later requests repay it.

Ruled out: no charge at all, since the bound counts what runs.

--- a/components/gateway/src/rate_limits.rs
+++ b/components/gateway/src/rate_limits.rs
@@ -11,6 +11,9 @@
 /// Share of the tolerated excess over a customer's rate that is admitted.
 const ADMITTED_EXCESS_SHARE: f64 = 0.6;
 
+/// Share of the tolerated excess in one window by which resumed streams may overdraw a bucket.
+const OVERDRAFT_EXCESS_SHARE: f64 = 0.2;
+
 /// Rate limit buckets by customer, and retry budgets by service.
 #[derive(Debug)]
 pub(crate) struct RateLimits {
@@ -100,7 +103,8 @@
 /// Admitted rate and burst of a customer.
 ///
 /// The deployment tolerates an excess over the rate in each window. The customer gets a share of
-/// it; the rest covers what gateways admit before they receive each other's reports.
+/// it, and resumed streams another one, as a debt that later requests repay; the rest covers what
+/// gateways admit before they receive each other's reports.
 fn admitted_rate(customer: &Customer, bounds: &FleetBounds) -> CustomerRate {
     let rate = customer.rate_tokens_per_s;
     if rate == 0 {
@@ -111,5 +115,6 @@
     CustomerRate {
         tokens_per_s: rate + (ADMITTED_EXCESS_SHARE * excess) as u64,
         burst_tokens: customer.burst_tokens,
+        overdraft_tokens: (OVERDRAFT_EXCESS_SHARE * excess * window_s) as u64,
     }
 }
--- a/components/gateway/src/request.rs
+++ b/components/gateway/src/request.rs
@@ -14,7 +14,7 @@
 use platform::RequestHead;
 use quarantine::RequestIdentity;
 use rand::Rng;
-use rates::{GatewayCount, SharedBucket};
+use rates::{GatewayCount, RequestRank, SharedBucket};
 use routing::{Homes, LatencyObjectives, PrefixLink, prefix_links};
 use telemetry::quote;
 
@@ -133,6 +133,14 @@
         }
     }
 
+    /// Rank within the customer's rate.
+    fn rate_rank(&self) -> RequestRank {
+        match self.is_taken_up() && self.plan.kind.may_run_again() {
+            true => RequestRank::Resumed,
+            false => RequestRank::New(self.plan.rate_priority),
+        }
+    }
+
     /// Expected tokens of the output.
     pub(crate) fn output_tokens(&self) -> u64 {
         let most = self.head.max_output_tokens.unwrap_or_default();
@@ -313,7 +321,7 @@
     let mut rates = app.rates.borrow_mut();
     // Every customer of the configuration in force has a bucket.
     let Some(bucket) = rates.bucket_mut(customer) else { return Ok(()) };
-    bucket.check(request.tokens, request.plan.rate_priority, gateways, now).map_err(|wait| {
+    bucket.check(request.tokens, request.rate_rank(), gateways, now).map_err(|wait| {
         log_rate(request, customer, bucket, gateways, false);
         rate_exceeded(request, wait, now)
     })
@@ -329,7 +337,7 @@
     let gateways = app.gateway_count(now);
     let mut rates = app.rates.borrow_mut();
     let Some(bucket) = rates.bucket_mut(customer) else { return Ok(()) };
-    let result = bucket.take(request.tokens, request.plan.rate_priority, gateways, now);
+    let result = bucket.take(request.tokens, request.rate_rank(), gateways, now);
     log_rate(request, customer, bucket, gateways, result.is_ok());
     result.map_err(|wait| rate_exceeded(request, wait, now))
 }
--- a/components/rates/src/lib.rs
+++ b/components/rates/src/lib.rs
@@ -14,6 +14,7 @@
 mod permits;
 mod planner;
 mod record;
+mod request_rank;
 mod retry_budget;
 mod retry_budgets;
 mod share;
@@ -31,6 +32,7 @@
     BucketLayoutRecord, CustomerLevel, ReplacedOwner, SlotEntry, SlotRecord, SlotSnapshot,
     SnapshotSlot, WriterPosition,
 };
+pub use request_rank::RequestRank;
 pub use retry_budget::{FleetRetryBudget, RetryBudgetSettings, RetryCounts, RetryDecision};
 pub use retry_budgets::RetryBudgets;
 pub use share::{
--- a/components/rates/src/shared_bucket.rs
+++ b/components/rates/src/shared_bucket.rs
@@ -9,6 +9,8 @@
 
 use base::{Incarnation, ProcessName, SortedMap, Timestamp};
 
+use crate::RequestRank;
+
 /// Level, as a fraction of the burst, above which any gateway may take tokens; at or below it, a
 /// gateway admits no more than its own share of the accruing tokens.
 const SHARED_LEVEL_FRACTION: f64 = 0.3;
@@ -36,6 +38,8 @@
     pub tokens_per_s: u64,
     /// Largest level.
     pub burst_tokens: u64,
+    /// Largest debt that the resumed streams of all gateways together begin at.
+    pub overdraft_tokens: u64,
 }
 
 /// Levels of a bucket in tokens; negative for a debt.
@@ -88,6 +92,8 @@
     admitted: u64,
     demand_per_s: f64,
     refused_per_s: f64,
+    /// Exponential average of the resumed streams that were refused and have not come back.
+    refused_resumed_per_s: f64,
     peers: SortedMap<ProcessName, PeerReport>,
 }
 
@@ -107,6 +113,7 @@
             admitted: 0,
             demand_per_s: 0.0,
             refused_per_s: 0.0,
+            refused_resumed_per_s: 0.0,
             peers: SortedMap::new(),
         }
     }
@@ -163,7 +170,7 @@
 
     /// Checks whether a request of `tokens` would be admitted now, without taking them.
     ///
-    /// `rank` 0 is the most urgent. A refused request is counted in the demand.
+    /// A refused request is counted in the demand.
     ///
     /// # Errors
     ///
@@ -171,10 +178,11 @@
     pub fn check(
         &mut self,
         tokens: u64,
-        rank: u8,
+        rank: impl Into<RequestRank>,
         gateways: GatewayCount,
         now: Timestamp,
     ) -> Result<(), Duration> {
+        let rank = rank.into();
         if self.rate.tokens_per_s == 0 {
             return Ok(());
         }
@@ -183,11 +191,11 @@
             return Ok(());
         }
         self.record_demand(tokens);
-        self.record_refusal(tokens);
+        self.record_refusal(tokens, rank);
         Err(self.advised_wait(gateways))
     }
 
-    /// Admits a request of `tokens` or returns the advised wait; `rank` 0 is the most urgent.
+    /// Admits a request of `tokens` or returns the advised wait.
     ///
     /// # Errors
     ///
@@ -195,10 +203,11 @@
     pub fn take(
         &mut self,
         tokens: u64,
-        rank: u8,
+        rank: impl Into<RequestRank>,
         gateways: GatewayCount,
         now: Timestamp,
     ) -> Result<(), Duration> {
+        let rank = rank.into();
         self.check(tokens, rank, gateways, now)?;
         self.admitted += tokens;
         if self.rate.tokens_per_s == 0 {
@@ -210,6 +219,10 @@
             self.own_level -= tokens as f64;
         }
         self.level -= tokens as f64;
+        if rank == RequestRank::Resumed {
+            let per_s = tokens as f64 / DEMAND_TIME_CONSTANT.as_secs_f64();
+            self.refused_resumed_per_s = (self.refused_resumed_per_s - per_s).max(0.0);
+        }
         Ok(())
     }
 
@@ -217,12 +230,23 @@
     ///
     /// Any level above the reserve for higher ranks admits a request of any size, so that small
     /// requests don't starve large ones; the resulting debt delays the requests that follow.
-    fn source(&self, rank: u8, gateways: GatewayCount) -> Option<Source> {
-        let reserved =
-            self.rate.tokens_per_s as f64 * RANK_RESERVE_TIME.as_secs_f64() * f64::from(rank);
-        if self.level > SHARED_LEVEL_FRACTION * self.reporting_burst(gateways) {
+    fn source(&self, rank: RequestRank, gateways: GatewayCount) -> Option<Source> {
+        let (least_shared, least_level, least_own) = match rank {
+            // The levels of gateways that don't hear each other must not add up to a larger debt.
+            RequestRank::Resumed => {
+                let overdraft = self.rate.overdraft_tokens as f64;
+                (0.0, -overdraft, -overdraft / f64::from(gateways.known.max(1)))
+            }
+            RequestRank::New(rank) => {
+                let least_shared = SHARED_LEVEL_FRACTION * self.reporting_burst(gateways);
+                let reserve_s = RANK_RESERVE_TIME.as_secs_f64() * f64::from(rank);
+                let returning = self.refused_resumed_per_s * DEMAND_TIME_CONSTANT.as_secs_f64();
+                (least_shared, self.rate.tokens_per_s as f64 * reserve_s + returning, 0.0)
+            }
+        };
+        if self.level > least_shared {
             Some(Source::Shared)
-        } else if self.level > reserved && self.own_level > 0.0 {
+        } else if self.level > least_level && self.own_level > least_own {
             Some(Source::Own)
         } else {
             None
@@ -233,8 +257,12 @@
         self.demand_per_s += tokens as f64 / DEMAND_TIME_CONSTANT.as_secs_f64();
     }
 
-    fn record_refusal(&mut self, tokens: u64) {
-        self.refused_per_s += tokens as f64 / DEMAND_TIME_CONSTANT.as_secs_f64();
+    fn record_refusal(&mut self, tokens: u64, rank: RequestRank) {
+        let per_s = tokens as f64 / DEMAND_TIME_CONSTANT.as_secs_f64();
+        self.refused_per_s += per_s;
+        if rank == RequestRank::Resumed {
+            self.refused_resumed_per_s += per_s;
+        }
     }
 
     fn reporting_burst(&self, gateways: GatewayCount) -> f64 {
@@ -271,6 +299,7 @@
         let decay = (-elapsed / DEMAND_TIME_CONSTANT.as_secs_f64()).exp();
         self.demand_per_s *= decay;
         self.refused_per_s *= decay;
+        self.refused_resumed_per_s *= decay;
     }
 
     /// Returns this gateway's share of the demand on all gateways, at least `MIN_SHARE_OF_EQUAL` of
