Keep copies in proportion to the streams of a version

Cause: one copy a version was kept, whatever the number of streams there.

Change: a copy a version for eight bound streams.

--- a/components/gateway/src/fleet_link.rs
+++ b/components/gateway/src/fleet_link.rs
@@ -207,10 +207,10 @@
         let speeds = fleet.speed_reports(now);
         (fleet.local_work(now), fleet.unresponsive_targets(now), fleet.limit_reports(now), speeds)
     };
-    let bound_streams = match app.fleet.borrow().has_mixed_software() {
-        true => app.bound_demand.borrow_mut().own_streams(now),
-        false => Vec::new(),
-    };
+    let mut bound_streams = app.bound_demand.borrow_mut().own_streams(now);
+    if !app.fleet.borrow().has_mixed_software() {
+        bound_streams.clear();
+    }
     GatewayState {
         from: app.process.clone(),
         address: SocketAddr::new(settings.ip, settings.peer_port),
--- a/components/gateway/src/planning.rs
+++ b/components/gateway/src/planning.rs
@@ -3,11 +3,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use base::{ModelId, ServiceId, Timestamp};
+use base::{ModelId, ServiceId, SortedMap, Timestamp, short_hash};
 use compact_str::CompactString;
 use config::{EngineLimits, FleetConfig};
 use ingress::ShutdownStage;
-use placement::{FleetEngine, FleetModel, PlanningRounds, VersionDemand};
+use placement::{BoundDemand, FleetEngine, FleetModel, PlanningRounds, VersionDemand};
 use telemetry::quote;
 use tokio::time::{MissedTickBehavior, interval};
 
@@ -72,6 +72,11 @@
         let Some(limits) = service.engine else { continue };
         let engines = engines(app, config, &service.name, limits, now);
         let versions = versions(&engines);
+        // With a single version all engines are a choice, also for bound streams.
+        let bound = match versions.len() {
+            0 | 1 => SortedMap::new(),
+            _ => app.bound_demand.borrow().totals(now),
+        };
         let models: Vec<FleetModel> = (0..)
             .map(ModelId)
             .zip(&config.models)
@@ -79,7 +84,7 @@
             .map(|(id, model)| {
                 let adapters = config.adapters.iter().filter(|a| a.model == id).count();
                 let (work_ms_per_s, waiting) = app.demand.borrow_mut().total(&model.name, now);
-                let bound = bound_demand(app, &versions, &model.name, now);
+                let bound = version_demand(&bound, &versions, &model.name);
                 FleetModel {
                     name: model.name.clone(),
                     memory_mb: model.memory_mb,
@@ -132,25 +137,18 @@
     versions
 }
 
-/// Returns the demand of bound streams for a model at each version. A single version is a choice for
-/// all requests, bound or not.
-fn bound_demand(
-    app: &App,
+/// Returns the versions at which streams of a model are bound, with their demand.
+fn version_demand(
+    bound: &SortedMap<(u32, u32), BoundDemand>,
     versions: &[CompactString],
     model: &str,
-    now: Timestamp,
 ) -> Vec<VersionDemand> {
-    if versions.len() < 2 {
-        return Vec::new();
-    }
-    let table = app.bound_demand.borrow();
-    versions
-        .iter()
-        .map(|software| VersionDemand {
-            software: software.clone(),
-            demand: table.total(model, software, now),
-        })
-        .collect()
+    let model = short_hash(model.as_bytes());
+    let demand = |software: &CompactString| {
+        let demand = *bound.get(&(model, short_hash(software.as_bytes())))?;
+        Some(VersionDemand { software: software.clone(), demand })
+    };
+    versions.iter().filter_map(demand).collect()
 }
 
 fn log_demand(app: &App, models: &[FleetModel], engines: &[FleetEngine], fetch_budget: usize) {
--- a/components/placement/src/bound_demand.rs
+++ b/components/placement/src/bound_demand.rs
@@ -14,6 +14,10 @@
 /// Time for which an ended stream counts: if it broke, its caller takes it up soon.
 const ENDED_STREAM_LIFETIME: Duration = Duration::from_secs(3);
 
+/// Streams that may break at once and go on at one engine: their prompts are read one after the other,
+/// within about a second.
+const STREAMS_PER_COPY: u32 = 8;
+
 /// Demand for a model at one version of the engines' software.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct BoundDemand {
@@ -23,6 +27,13 @@
     pub waiting: u32,
 }
 
+impl BoundDemand {
+    /// Returns the number of copies that the streams need.
+    pub(crate) const fn needed_copies(self) -> usize {
+        self.streams.saturating_add(self.waiting).div_ceil(STREAMS_PER_COPY) as usize
+    }
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct OwnDemand {
     streams: u32,
@@ -46,7 +57,7 @@
 }
 
 impl BoundDemandTable {
-    /// Records the begin of a stream that is bound to a version.
+    /// Records the start of a stream that is bound to a version.
     pub fn record_begin(&mut self, model: &str, software: &str) {
         self.entry(model, software).streams += 1;
     }
@@ -96,21 +107,30 @@
             .collect()
     }
 
-    /// Returns the demand of all gateways for a model at a version.
-    pub fn total(&self, model: &str, software: &str, now: Timestamp) -> BoundDemand {
-        let own = self.own.get(&(CompactString::new(model), CompactString::new(software)));
-        let mut total = own.map(|own| own.demand(now)).unwrap_or_default();
-        let (model, software) = (short_hash(model.as_bytes()), short_hash(software.as_bytes()));
-        for (reports, received) in self.peers.values() {
+    /// Returns the demand of all gateways, by the short hashes of model and version.
+    pub fn totals(&self, now: Timestamp) -> SortedMap<(u32, u32), BoundDemand> {
+        let own = self.own.iter().map(|((model, software), own)| {
+            ((short_hash(model.as_bytes()), short_hash(software.as_bytes())), own.demand(now))
+        });
+        let peers = self.peers.values().flat_map(|(reports, received)| {
             let age = now.since(*received);
-            let matching = reports
-                .iter()
-                .filter(|report| report.model == model && report.software == software);
-            for report in matching.filter(|_| age < PEER_REPORT_LIFETIME) {
-                total.streams += report.streams;
-                total.waiting += if age < WAITING_REPORT_LIFETIME { report.waiting } else { 0 };
-            }
+            reports.iter().filter(move |_| age < PEER_REPORT_LIFETIME).map(move |report| {
+                let waiting = if age < WAITING_REPORT_LIFETIME { report.waiting } else { 0 };
+                ((report.model, report.software), BoundDemand { streams: report.streams, waiting })
+            })
+        });
+        let mut totals: SortedMap<(u32, u32), BoundDemand> = SortedMap::new();
+        for (key, demand) in own.chain(peers) {
+            let total = totals.get_or_insert_with(key, BoundDemand::default);
+            total.streams += demand.streams;
+            total.waiting += demand.waiting;
         }
-        total
+        totals
+    }
+
+    /// Returns the demand of all gateways for a model at a version.
+    pub fn total(&self, model: &str, software: &str, now: Timestamp) -> BoundDemand {
+        let key = (short_hash(model.as_bytes()), short_hash(software.as_bytes()));
+        self.totals(now).get(&key).copied().unwrap_or_default()
     }
 }
--- a/components/placement/src/fleet_planner.rs
+++ b/components/placement/src/fleet_planner.rs
@@ -10,6 +10,7 @@
 use compact_str::CompactString;
 
 use crate::engine_order_scheduler::PLAN_LIFETIME;
+use crate::missing_copy::MissingCopy;
 use crate::{BoundDemand, FleetEngine, FleetModel, FleetMove, MoveReason};
 
 /// Target utilisation of an engine's time by the demand for its models. A higher value leaves no
@@ -65,15 +66,8 @@
     may_swap: bool,
     /// Whether the demand needs the places of idle models.
     idle_yield: bool,
-}
-
-/// Model that lacks a copy: anywhere, or at engines of one version.
-#[derive(Clone, Copy, Debug)]
-struct Lack<'a> {
-    model_index: usize,
-    reason: MoveReason,
-    /// Version at which the copy must be; any if none.
-    software: Option<&'a str>,
+    /// Copies that bound streams need at versions of the software.
+    missing_at_versions: &'a [(MissingCopy<'a>, BoundDemand)],
 }
 
 #[derive(Clone, Debug)]
@@ -162,6 +156,7 @@
         let reserved = self.planned_fetches(engines) + self.dropped_fetches.len();
         let mut remaining_fetches = fetch_room.saturating_sub(reserved);
         let max_swaps = ((engines.len() as f64 * MAX_SWAPPING_FRACTION).ceil() as usize).max(1);
+        let mut missing_at_versions = self.missing_at_versions(models, engines);
         let mut planned = Vec::new();
         loop {
             let swaps = self.moves().filter(|planned| !planned.unload.is_empty()).count();
@@ -172,11 +167,17 @@
                 fetch_room: remaining_fetches,
                 may_swap: swaps < max_swaps,
                 idle_yield: self.idle_yield,
+                missing_at_versions: &missing_at_versions,
             };
             let Some(next) = self.next_move(fleet) else { break };
             let index = models.iter().position(|model| model.name == next.load);
             let Some(index) = index else { break };
             statuses[index].copies += 1;
+            let engine = engines.iter().find(|engine| engine.id == next.engine);
+            missing_at_versions.retain(|(missing, _)| {
+                missing.model_index != index
+                    || engine.is_none_or(|engine| missing.software != Some(&engine.software))
+            });
             if let Some(unloaded) = next.unload.first()
                 && let Some(at) = models.iter().position(|model| model.name == *unloaded)
             {
@@ -299,7 +300,7 @@
     }
 
     /// Whether the engine has a copy of the model, or is about to, that carries its part of the demand.
-    fn has_copy(&self, model: &FleetModel, engine: &FleetEngine) -> bool {
+    pub(crate) fn has_copy(&self, model: &FleetModel, engine: &FleetEngine) -> bool {
         let change = engine.changing.as_ref();
         let unloading = change.is_some_and(|c| !c.loading && c.model == model.name);
         let loading = change.is_some_and(|c| c.loading && c.model == model.name);
@@ -311,40 +312,8 @@
         !engine.is_throttled && (serves || loading || planned)
     }
 
-    /// Returns the models whose streams are bound to a version of which no engine has a copy.
-    ///
-    /// While requests wait, copies of engines that don't answer don't count: the requests would wait in
-    /// vain for an engine that has ended.
-    fn version_lacks<'a>(
-        &'a self,
-        fleet: FleetView<'a>,
-    ) -> impl Iterator<Item = (Lack<'a>, BoundDemand)> {
-        let lacks = move |model: &'a FleetModel, software: &str, demand: BoundDemand| {
-            let mut of_version =
-                fleet.engines.iter().filter(|engine| engine.software == software).peekable();
-            of_version.peek().is_some()
-                && !of_version.any(|engine| {
-                    let may_serve = demand.waiting == 0 || !engine.is_unresponsive;
-                    may_serve && self.has_copy(model, engine)
-                })
-        };
-        fleet.models.iter().enumerate().flat_map(move |(model_index, model)| {
-            model
-                .bound
-                .iter()
-                .filter(|version| version.demand != BoundDemand::default())
-                .filter(move |version| lacks(model, &version.software, version.demand))
-                .map(move |version| {
-                    let waits = version.demand.waiting > 0;
-                    let reason = if waits { MoveReason::Waiting } else { MoveReason::BoundStreams };
-                    let software = Some(version.software.as_str());
-                    (Lack { model_index, reason, software }, version.demand)
-                })
-        })
-    }
-
     fn next_move(&self, fleet: FleetView<'_>) -> Option<FleetMove> {
-        let mut candidates: Vec<(f64, Lack<'_>)> = fleet
+        let mut candidates: Vec<(f64, MissingCopy<'_>)> = fleet
             .statuses
             .iter()
             .enumerate()
@@ -365,19 +334,19 @@
                 let waiting = f64::from(fleet.models[at].waiting);
                 let shortage =
                     (status.demand + waiting) / (status.copies as f64 + NO_COPIES_DIVISOR);
-                Some((shortage, Lack { model_index: at, reason, software: None }))
+                Some((shortage, MissingCopy { model_index: at, reason, software: None }))
             })
             .collect();
-        candidates.extend(self.version_lacks(fleet).map(|(lack, demand)| {
-            (f64::from(demand.streams + demand.waiting) / NO_COPIES_DIVISOR, lack)
+        candidates.extend(fleet.missing_at_versions.iter().map(|(missing, demand)| {
+            (f64::from(demand.streams + demand.waiting) / NO_COPIES_DIVISOR, *missing)
         }));
         candidates.sort_by(|a, b| a.1.reason.cmp(&b.1.reason).then(b.0.total_cmp(&a.0)));
-        candidates.into_iter().find_map(|(_, lack)| self.cheapest_move(lack, fleet))
+        candidates.into_iter().find_map(|(_, missing)| self.cheapest_move(missing, fleet))
     }
 
     /// Returns the move that places a copy on the engine with the lowest cost.
-    fn cheapest_move(&self, lack: Lack<'_>, fleet: FleetView<'_>) -> Option<FleetMove> {
-        let model = &fleet.models[lack.model_index];
+    fn cheapest_move(&self, missing: MissingCopy<'_>, fleet: FleetView<'_>) -> Option<FleetMove> {
+        let model = &fleet.models[missing.model_index];
         let mut best: Option<(f64, FleetMove)> = None;
         for engine in fleet.engines {
             let is_busy = engine.changing.is_some() || self.pending.contains_key(&engine.id);
@@ -386,14 +355,14 @@
             if is_busy || !takes_loads || engine.models.contains(&model.name) {
                 continue;
             }
-            if lack.software.is_some_and(|software| engine.software != software) {
+            if missing.software.is_some_and(|software| engine.software != software) {
                 continue;
             }
             let (load_ms, may_fetch) = load_time(model, engine);
             if may_fetch && fleet.fetch_room == 0 {
                 continue;
             }
-            let Some((unload, unload_ms)) = self.make_room(lack, engine, fleet) else {
+            let Some((unload, unload_ms)) = self.make_room(missing, engine, fleet) else {
                 continue;
             };
             if !unload.is_empty() && !fleet.may_swap {
@@ -412,7 +381,7 @@
                     memory_mb: model.memory_mb,
                     may_fetch,
                     unload,
-                    reason: lack.reason,
+                    reason: missing.reason,
                 };
                 best = Some((cost, planned));
             }
@@ -420,16 +389,16 @@
         best.map(|(_, planned)| planned)
     }
 
-    /// Returns the models to unload so that the lacking one fits, empty if it fits already, and the cost
+    /// Returns the models to unload so that the missing one fits, empty if it fits already, and the cost
     /// in milliseconds.
     fn make_room(
         &self,
-        lack: Lack<'_>,
+        missing: MissingCopy<'_>,
         engine: &FleetEngine,
         fleet: FleetView<'_>,
     ) -> Option<(Vec<CompactString>, f64)> {
-        let model = &fleet.models[lack.model_index];
-        let gaining = fleet.statuses[lack.model_index];
+        let model = &fleet.models[missing.model_index];
+        let gaining = fleet.statuses[missing.model_index];
         let used_mb = used_mb(fleet.models, engine);
         if used_mb + model.memory_mb <= engine.capacity_mb {
             return Some((Vec::new(), 0.0));
@@ -442,17 +411,17 @@
                 let at = fleet.models.iter().position(|model| model.name == *name)?;
                 let losing = &fleet.models[at];
                 let status = fleet.statuses[at];
-                let serves_nowhere = gaining.copies == 0 && model.waiting > 0;
-                if !serves_nowhere && self.is_last_for_streams(losing, engine, fleet.engines) {
-                    return None;
-                }
-                let may_unload = match (lack.reason, lack.software) {
+                let may_unload = match (missing.reason, missing.software) {
                     (MoveReason::Waiting, Some(_)) if status.copies <= 1 => {
-                        losing.waiting == 0 && has_room_elsewhere(losing, engine, fleet)
+                        losing.waiting == 0 && self.has_room_elsewhere(losing, engine, fleet)
                     }
-                    (_, Some(_)) => status.copies > 1,
+                    (MoveReason::Waiting, Some(_)) => true,
+                    (_, Some(_)) => status.copies > status.needed,
                     (reason, None) => may_unload(model, gaining, status, reason, fleet.idle_yield),
                 };
+                let is_unserved = gaining.copies == 0 && model.waiting > 0;
+                let may_unload = may_unload
+                    && (is_unserved || !self.is_needed_for_streams(losing, engine, fleet.engines));
                 // A desired copy is unloaded only for a needed one.
                 let copy_cost =
                     if status.copies > status.desired { 0.0 } else { DESIRED_COPY_COST_MS };
@@ -469,21 +438,26 @@
             .map(|(name, cost)| (vec![name], cost))
     }
 
-    /// Whether the engine has the last copy of a model at its version, to which streams are bound. They
-    /// could go on nowhere else if they break.
-    fn is_last_for_streams(
+    /// Whether another engine can load a model at once, beside the models that have no copy now.
+    fn has_room_elsewhere(
         &self,
         model: &FleetModel,
         engine: &FleetEngine,
-        engines: &[FleetEngine],
+        fleet: FleetView<'_>,
     ) -> bool {
-        model.bound_at(&engine.software) != BoundDemand::default()
-            && !engines.iter().any(|other| {
-                other.id != engine.id
-                    && other.software == engine.software
-                    && !other.is_unresponsive
-                    && self.has_copy(model, other)
-            })
+        let unserved =
+            fleet.statuses.iter().filter(|status| status.copies == 0 && status.needed > 0).count();
+        let with_room = fleet.engines.iter().filter(|other| {
+            other.id != engine.id
+                && other.accepts_orders
+                && !other.is_throttled
+                && !other.is_unresponsive
+                && other.changing.is_none()
+                && !self.pending.contains_key(&other.id)
+                && used_mb(fleet.models, other) + model.memory_mb <= other.capacity_mb
+                && (fleet.fetch_room > unserved || !load_time(model, other).1)
+        });
+        with_room.count() > unserved
     }
 }
 
@@ -563,14 +537,3 @@
         MoveReason::BoundStreams | MoveReason::Prior => false,
     }
 }
-
-/// Returns whether another engine has free memory for a model, so that it is loaded there at once.
-fn has_room_elsewhere(model: &FleetModel, engine: &FleetEngine, fleet: FleetView<'_>) -> bool {
-    fleet.engines.iter().any(|other| {
-        other.id != engine.id
-            && other.accepts_orders
-            && !other.is_throttled
-            && !other.is_unresponsive
-            && used_mb(fleet.models, other) + model.memory_mb <= other.capacity_mb
-    })
-}
--- a/components/placement/src/lib.rs
+++ b/components/placement/src/lib.rs
@@ -17,6 +17,7 @@
 mod fleet_planner;
 mod item;
 mod memory_ledger;
+mod missing_copy;
 mod model_demand;
 mod order;
 mod partition_lease;
--- a/components/placement/tests/bound_streams.rs
+++ b/components/placement/tests/bound_streams.rs
@@ -7,7 +7,7 @@
     BoundDemand, BoundDemandTable, FleetEngine, FleetModel, FleetMove, FleetPlanner, MoveReason,
     VersionDemand,
 };
-use wire::BoundStreams;
+use wire::{BoundStreams, ModelChange};
 
 fn at(ms: u64) -> Timestamp {
     Timestamp::from_millis(ms)
@@ -74,6 +74,93 @@
     assert_eq!(load_at(&moves, "a", "v1").unwrap().reason, MoveReason::BoundStreams);
 }
 
+/// Guards against one copy for many streams of a version: when they break at once, their prompts are read
+/// one after the other.
+#[test]
+fn copies_follow_the_number_of_bound_streams() {
+    let models = [model("a", 24, 0), model("b", 0, 0), model("c", 0, 0)];
+    let engines =
+        [engines("v1", &[&["a"], &["b"], &["c"], &[]]), engines("v2", &[&["a"], &["b", "c"]])]
+            .concat();
+    let planned = plan(&models, &engines);
+    let added = planned.iter().filter(|p| p.load == "a" && p.engine.starts_with("v1")).count();
+    assert_eq!(added, 1, "one more copy a round: {planned:?}");
+    // The demand for all versions needs a single copy.
+    let without = [model("a", 0, 0), model("b", 0, 0), model("c", 0, 0)];
+    assert!(plan(&without, &engines).iter().all(|p| p.load != "a"));
+}
+
+/// Guards against copies that are loaded for a few streams in place of copies that the demand needs, and
+/// loaded again when the streams have ended.
+#[test]
+fn running_streams_take_no_copy_that_the_demand_needs() {
+    let hot = |name, work_ms_per_s| FleetModel { work_ms_per_s, ..model(name, 0, 0) };
+    let models = [model("a", 1, 0), hot("b", 1_200.0), hot("c", 800.0)];
+    let engines =
+        [engines("v1", &[&["b", "c"], &["b", "c"]]), engines("v2", &[&["a", "b"]])].concat();
+    let planned = plan(&models, &engines);
+    assert!(planned.is_empty(), "{planned:?}");
+}
+
+/// Guards against the unload of a copy because another engine of the version is still loading one.
+#[test]
+fn a_copy_that_is_being_loaded_does_not_replace_one_that_streams_need() {
+    let hot = FleetModel { work_ms_per_s: 1_600.0, waiting: 3, ..model("b", 0, 0) };
+    let models = [model("a", 5, 0), hot];
+    let mut engines = [engines("v1", &[&["a"], &[]]), engines("v2", &[&["a", "b"]])].concat();
+    engines[0].capacity_mb = 40;
+    engines[1].changing =
+        Some(ModelChange { model: "a".into(), loading: true, remaining_ms: 4_000 });
+    let planned = plan(&models, &engines);
+    assert!(planned.iter().all(|planned| planned.unload != ["a"]), "{planned:?}");
+}
+
+/// Guards against a hot model without places while each of many versions keeps its copies of other models
+/// for streams that could go on at no second engine anyway.
+#[test]
+fn streams_of_versions_with_one_engine_keep_no_places() {
+    let versions: Vec<CompactString> = (0..6).map(|at| format_compact!("v{at}")).collect();
+    let demand = BoundDemand { streams: 1, waiting: 0 };
+    let bound: Vec<VersionDemand> = versions
+        .iter()
+        .map(|software| VersionDemand { software: software.clone(), demand })
+        .collect();
+    let cold =
+        |name: &str| FleetModel { bound: bound.clone(), work_ms_per_s: 5.0, ..model(name, 0, 0) };
+    let hot =
+        FleetModel { work_ms_per_s: 1_600.0, waiting: 30, bound: Vec::new(), ..model("hot", 0, 0) };
+    let models = [hot, cold("a"), cold("b")];
+    let engines: Vec<FleetEngine> =
+        versions.iter().flat_map(|software| engines(software, &[&["a", "b"]])).collect();
+    let moves = plan(&models, &engines);
+    assert!(moves.iter().filter(|planned| planned.load == "hot").count() > 1, "{moves:?}");
+}
+
+/// Guards against loads on an engine that has just ended.
+#[test]
+fn nothing_is_loaded_on_unresponsive_engines() {
+    let models = [model("a", 0, 0)];
+    let mut engines = engines("v1", &[&[], &[]]);
+    engines[0].is_unresponsive = true;
+    let moves = plan(&models, &engines);
+    assert!(!moves.is_empty() && moves.iter().all(|planned| planned.engine == "v1-1"), "{moves:?}");
+}
+
+/// Guards against the unload of a model's last copy for room elsewhere that can't be used, since the
+/// weight store allows no load now.
+#[test]
+fn a_last_copy_stays_if_it_could_not_be_loaded_elsewhere() {
+    let models = [model("a", 0, 2), model("c", 0, 0), model("d", 0, 0)];
+    let mut engines = [engines("v1", &[&["c", "d"]]), engines("v2", &[&["a"], &["a"]])].concat();
+    engines[0].warm = WarmCopies { on_disk: vec!["a".into()], ..WarmCopies::default() };
+    let unloads = |fetch_room| {
+        let moves = FleetPlanner::new().plan(&models, &engines, fetch_room, at(0));
+        moves.iter().any(|planned| planned.engine == "v1-0")
+    };
+    assert!(unloads(100));
+    assert!(!unloads(0));
+}
+
 /// Guards against a copy that streams need at their version and that another model takes the place of,
 /// since copies at another version are counted.
 #[test]
@@ -82,7 +169,8 @@
     for (streams, is_kept) in [(0, false), (5, true)] {
         let models = [model("a", streams, 0), hot.clone(), model("c", 0, 0)];
         let mut engines =
-            [engines("v1", &[&["a", "b"]]), engines("v2", &[&["a", "b"], &["a", "b"]])].concat();
+            [engines("v1", &[&["a", "b"], &["b"]]), engines("v2", &[&["a", "b"], &["a", "b"]])]
+                .concat();
         engines[1..].iter_mut().for_each(|engine| engine.accepts_orders = false);
         let moves = plan(&models, &engines);
         let unloaded =
@@ -162,19 +250,22 @@
     assert!(table.own_streams(at(4_000)).is_empty());
 }
 
-/// Guards against an unload that waits for streams which can go nowhere else, since the other engine
-/// that had their model has just ended.
+/// Guards against an unload of the only copy that is left at a version, since the other engine that had
+/// the model has just ended.
 #[test]
 fn a_copy_is_the_last_one_if_the_other_engine_has_ended() {
-    let models = [model("a", 0, 2), model("b", 4, 0), model("c", 0, 0), model("d", 0, 0)];
-    let mut engines = [
-        engines("v1", &[&["b", "c"], &["a", "b"]]),
-        engines("v2", &[&["a", "b"], &["a", "c"], &["d"]]),
-    ]
-    .concat();
-    engines[1].is_unresponsive = true;
-    let moves = plan(&models, &engines);
-    assert_eq!(load_at(&moves, "a", "v1").unwrap().unload, ["c"], "{moves:?}");
+    let hot = FleetModel { work_ms_per_s: 1_200.0, ..model("b", 0, 0) };
+    let models = [model("a", 4, 0), hot, model("c", 0, 0)];
+    for is_unresponsive in [false, true] {
+        let mut engines =
+            [engines("v1", &[&["a", "b"], &["a", "b"]]), engines("v2", &[&["a", "b"]])].concat();
+        engines[1].is_unresponsive = is_unresponsive;
+        engines[1].accepts_orders = false;
+        engines[2].accepts_orders = false;
+        let moves = plan(&models, &engines);
+        let unloaded = moves.iter().any(|planned| planned.unload == ["a"]);
+        assert_eq!(unloaded, !is_unresponsive, "{moves:?}");
+    }
 }
 
 /// Guards against streams that wait for an unload until all streams of another model have ended, while a
