Plan nothing from states of before a cut

Cause: the first gateway by name was cut off from 11 to 18 s. Its rounds went on, so it didn't count as stopped, and when it was heard again it planned two loads from states of before the cut, beside those that another planner had ordered.

Change: a planner that hears nothing for a second, in a fleet with agents, plans nothing until 900 ms after it hears again. Without agents there may be nobody left to be heard.

--- a/components/gateway/src/planning.rs
+++ b/components/gateway/src/planning.rs
@@ -43,8 +43,10 @@
         ticks.tick().await;
         round += 1;
         let now = app.clock.now();
-        if rounds.record(now) {
-            log::info!("event=planner_resumed");
+        let was_outdated = rounds.is_view_outdated(now);
+        rounds.record(app.fleet.borrow().agents_heard_at(), now);
+        if rounds.is_view_outdated(now) != was_outdated {
+            log::info!("event=planner_view outdated={}", !was_outdated);
         }
         let leads = app.gateways.borrow().is_first(now)
             && !rounds.is_view_outdated(now)
--- a/components/placement/src/planning_rounds.rs
+++ b/components/placement/src/planning_rounds.rs
@@ -1,34 +1,34 @@
-//! Times of planning rounds, which show whether the planner's process stood still.
+//! Times of planning rounds, which show whether the planner may know the state of the fleet.
 
 use std::time::Duration;
 
 use base::Timestamp;
 
-/// Time without a round from which the process stood still. What it then reads first is as old as that.
-const MIN_STANDSTILL: Duration = Duration::from_millis(1_000);
-/// Time after a standstill until every agent has been queried twice and has answered.
-const RESUMED_SETTLE_TIME: Duration = Duration::from_millis(900);
+/// Gap between rounds after which the process counts as having been stopped, and time without a datagram
+/// after which it counts as cut off. Datagrams that were buffered meanwhile are old.
+const MAX_GAP: Duration = Duration::from_millis(1_000);
+/// Time after such a gap until every agent has been queried twice and has answered.
+const SETTLE_TIME: Duration = Duration::from_millis(900);
 
 /// Rounds of one process.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct PlanningRounds {
     last_at: Option<Timestamp>,
-    resumed_at: Option<Timestamp>,
+    gap_ended_at: Option<Timestamp>,
 }
 
 impl PlanningRounds {
-    /// Records a round; returns whether the process stood still before it.
-    pub fn record(&mut self, now: Timestamp) -> bool {
-        let stood_still = self.last_at.is_some_and(|at| now.since(at) >= MIN_STANDSTILL);
-        self.last_at = Some(now);
-        if stood_still {
-            self.resumed_at = Some(now);
+    /// Records a round. `heard_at` is the time of the last datagram, none if there is nobody to be heard.
+    pub fn record(&mut self, heard_at: Option<Timestamp>, now: Timestamp) {
+        let is_gap = |at: Option<Timestamp>| at.is_some_and(|at| now.since(at) >= MAX_GAP);
+        if is_gap(self.last_at) || is_gap(heard_at) {
+            self.gap_ended_at = Some(now);
         }
-        stood_still
+        self.last_at = Some(now);
     }
 
-    /// Returns whether the state of the fleet may still be from before a standstill.
+    /// Returns whether the known state of the fleet may be from before a gap.
     pub fn is_view_outdated(&self, now: Timestamp) -> bool {
-        self.resumed_at.is_some_and(|at| now.since(at) < RESUMED_SETTLE_TIME)
+        self.gap_ended_at.is_some_and(|at| now.since(at) < SETTLE_TIME)
     }
 }
--- a/components/routing/src/silent_targets.rs
+++ b/components/routing/src/silent_targets.rs
@@ -4,7 +4,7 @@
 
 use base::Timestamp;
 
-use crate::{DirectFleet, ExpectedSigns, SilenceChange, SilenceSettings, TargetKey};
+use crate::{DirectFleet, DirectTarget, ExpectedSigns, SilenceChange, SilenceSettings, TargetKey};
 
 /// Longest time between two signs of anybody after which this process still counts as hearing others.
 /// Gateways report ten times a second.
@@ -38,6 +38,13 @@
         self.hearing.record(now);
     }
 
+    /// Returns when something last arrived from another process or a target; none in a fleet without
+    /// agents, where the others may have ended.
+    pub fn agents_heard_at(&self) -> Option<Timestamp> {
+        let has_agents = self.targets.iter().any(DirectTarget::has_local_agent);
+        has_agents.then_some(self.hearing.heard_at)
+    }
+
     /// Records that a part of a response arrived from a target.
     pub fn record_sign(&mut self, key: TargetKey, now: Timestamp) {
         self.hearing.record(now);
