--- a/components/side/tests/forward.rs
+++ b/components/side/tests/forward.rs
@@ -16,6 +16,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
+use tokio::time::sleep;
 use wire::{ForwardHead, ForwardUp, RefuseReason};
 
 async fn start(settings: PlainSettings) -> (Platform, PlainServer, RunningSide) {
@@ -248,3 +249,53 @@
         }
     });
 }
+
+/// Answers health checks, and each call with half a body before it has read the call's body; then resets the
+/// connection, after it has said that the response has ended if it `ends_first`.
+async fn start_resetting_service(ends_first: bool) -> SocketAddr {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    spawn_local(async move {
+        loop {
+            let (mut socket, _) = listener.accept().await.unwrap();
+            let mut request = [0; 64];
+            let length = socket.read(&mut request).await.unwrap();
+            if !request[..length].starts_with(b"POST") {
+                socket.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n").await.unwrap();
+                continue;
+            }
+            socket.write_all(b"HTTP/1.1 200 OK\r\n\r\nhalf").await.unwrap();
+            if ends_first {
+                socket.shutdown().await.unwrap();
+            }
+            sleep(Duration::from_millis(10)).await;
+            socket.set_zero_linger().unwrap();
+        }
+    });
+    address
+}
+
+/// Guards against half a response that is passed on as complete after its connection was reset while the
+/// call's body was still being written; also where the response is kept for repeats.
+#[test]
+fn responses_that_are_reset_during_the_upload_are_not_complete() {
+    run_test(async {
+        let body = vec![b'a'; 700_000];
+        for (ends_first, key) in
+            [(false, None), (true, None), (false, Some([7; 32])), (true, Some([8; 32]))]
+        {
+            let platform = Platform::start().await;
+            let address = start_resetting_service(ends_first).await;
+            let settings = side_settings(&platform, "p1", address);
+            let side = RunningSide::start(settings, config()).await;
+            side.wait_ready().await;
+            let client = connect(side.address).await;
+            let body_bytes = Some(body.len() as u64);
+            let head = ForwardHead { idempotency_key_sha256: key, body_bytes, ..head() };
+            let answer = call(&client, &head, &body).await;
+            let seen = (answer.whole, answer.failed);
+            let expected = (false, Some(ExecutionState::Unknown));
+            assert_eq!(seen, expected, "ends first: {ends_first}, key {}", key.is_some());
+        }
+    });
+}
