Pass on no response with a status above 599

Callers got bytes of a target with a status that no answer has, 600 to 999, as its answer.

Cause: the HTTP library reads any three digits from 100 on, and both clients of targets only refused informational statuses. Change: one rule for both, api::is_final_status: 200 to 599; any other response counts as none.

A status of 000, 0, 099 or 1000, and others that aren't three digits from 100 on, were already taken for a broken connection, and 101 for no response; the tests keep that.

--- a/components/api/src/lib.rs
+++ b/components/api/src/lib.rs
@@ -6,6 +6,7 @@
 mod error_code;
 mod estimate;
 mod event_boundary;
+mod final_status;
 mod generation_request;
 mod head_check;
 mod headers;
@@ -22,6 +23,7 @@
 pub use error_code::ErrorCode;
 pub use estimate::estimate_tokens;
 pub use event_boundary::{EventBoundary, is_event_stream};
+pub use final_status::is_final_status;
 pub use generation_request::{GenerationRequest, GenerationRequestError};
 pub use head_check::{BodyFraming, ChunkedScanner, HeadError, check_head};
 pub use headers::{
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use api::{RunEnd, is_event_stream};
+use api::{RunEnd, is_event_stream, is_final_status};
 use base::Timestamp;
 use bytes::Bytes;
 use calls::WatchedBody;
@@ -181,11 +181,9 @@
         None => connection.has_single_request(),
     };
     let is_complete = !head.encoded && (head.signed || !parts.status.is_success());
-    // No request asks for a change of protocol, the only informational status that ends a response.
-    let is_final = !parts.status.is_informational();
     // Only the target can promise that it won't run the request, and this one doesn't.
     let promises_in_vain = guarantees_not_run(parts.status) && !head.not_run;
-    if !belongs || !is_complete || !is_final || promises_in_vain {
+    if !belongs || !is_complete || !is_final_status(parts.status) || promises_in_vain {
         return Err(ExchangeFailure::NoResponse(NoResponse::Mismatched));
     }
     Ok(TargetResponse { status: parts.status, headers: parts.headers, head, body, connection })
--- a/components/side/src/plain_client.rs
+++ b/components/side/src/plain_client.rs
@@ -4,10 +4,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use api::is_final_status;
 use bytes::Bytes;
 use calls::{ResponseWatch, WatchedBody, open_http};
 use http::header::{self, HeaderName, HeaderValue};
-use http::{HeaderMap, Method, Request, Response, Uri, Version};
+use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, Version};
 use http_body::Body;
 use hyper::client::conn::http1::SendRequest;
 use tokio::net::TcpStream;
@@ -34,15 +35,15 @@
 pub(crate) enum NoResponse {
     /// The connection failed.
     Broken(hyper::Error),
-    /// The target changed the protocol, which no call asks for.
-    ProtocolChanged,
+    /// The status is none that ends a call.
+    NotFinal(StatusCode),
 }
 
 impl fmt::Display for NoResponse {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Broken(error) => error.fmt(f),
-            Self::ProtocolChanged => f.write_str("the target changed the protocol"),
+            Self::NotFinal(status) => write!(f, "status {} ends no call", status.as_u16()),
         }
     }
 }
@@ -90,8 +91,8 @@
     ) -> Result<Response<WatchedBody>, NoResponse> {
         self.watch.watch(&mut request);
         match self.sender.send_request(request).await {
-            Ok(response) if response.status().is_informational() => {
-                Err(NoResponse::ProtocolChanged)
+            Ok(response) if !is_final_status(response.status()) => {
+                Err(NoResponse::NotFinal(response.status()))
             }
             Ok(response) => Ok(self.watch.watch_body(response)),
             Err(error) => Err(NoResponse::Broken(error)),
--- a/components/side/tests/cut_responses.rs
+++ b/components/side/tests/cut_responses.rs
@@ -114,7 +114,7 @@
 }
 
 /// Guards against a head that is not one of a response and that is passed on: with a folded line, a line
-/// without a colon or with a space before it, lengths that differ, or a status of one digit.
+/// without a colon or with a space before it, lengths that differ, or a status that no answer has.
 #[test]
 fn malformed_heads_are_no_responses() {
     run_test(async {
@@ -127,6 +127,11 @@
             "HTTP/1.1 200 OK\r\ncontent-length: -2\r\n\r\nok",
             "HTTP/1.0 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
             "HTTP/1.1 2\r\n\r\n",
+            "HTTP/1.1 000 OK\r\ncontent-length: 2\r\n\r\nok",
+            "HTTP/1.1 099 OK\r\ncontent-length: 2\r\n\r\nok",
+            "HTTP/1.1 1000 OK\r\ncontent-length: 2\r\n\r\nok",
+            "HTTP/1.1 600 OK\r\ncontent-length: 2\r\n\r\nok",
+            "HTTP/1.1 999 OK\r\n\r\nok",
             "\r\n\r\n",
         ] {
             let answer = fixture.call(response.as_bytes(), None).await;
