Read the name of the last transfer coding as a whole

A caller got half a response of a killed target as the whole one if the target named a transfer coding whose name ends in the letters of chunked.

Cause: ResponseFraming compared the end of the header's value, the HTTP library the last coding in the list. So the library read such a body until the end of the connection, and this project took it for one with chunks, whose end needs no check. Change: both compare the last coding.

Measured, in debug builds: tests/unframed_responses.rs, half_a_response_with_an_unknown_coding_is_no_success fails on the unchanged code with 200 and passes now.

--- a/components/api/src/response_framing.rs
+++ b/components/api/src/response_framing.rs
@@ -21,9 +21,7 @@
     pub fn decode(headers: &HeaderMap) -> Self {
         let last_coding = headers.get_all(TRANSFER_ENCODING).iter().next_back();
         match last_coding.and_then(|value| value.to_str().ok()) {
-            Some(codings) if codings.trim_end().to_ascii_lowercase().ends_with("chunked") => {
-                Self::Chunked
-            }
+            Some(codings) if ends_with_chunked(codings) => Self::Chunked,
             Some(_) => Self::ConnectionEnd,
             None if headers.contains_key(CONTENT_LENGTH) => Self::Length,
             None => Self::ConnectionEnd,
@@ -48,3 +46,8 @@
         }
     }
 }
+
+fn ends_with_chunked(codings: &str) -> bool {
+    let last = codings.rsplit(',').next();
+    last.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
+}
--- a/tests/unframed_responses.rs
+++ b/tests/unframed_responses.rs
@@ -24,13 +24,15 @@
 #[derive(Clone, Copy, Debug)]
 struct First {
     status_line: &'static str,
+    /// Further header lines.
+    fields: &'static str,
     body: &'static str,
     /// Whether the target closes its port before the connection, as the kernel does for a killed
     /// process.
     exits: bool,
 }
 
-const KILLED: First = First { status_line: "200 OK", body: "a whole", exits: true };
+const KILLED: First = First { status_line: "200 OK", fields: "", body: "a whole", exits: true };
 
 async fn target(first: First, runs: Arc<AtomicUsize>) -> SocketAddr {
     let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
@@ -42,12 +44,13 @@
             let Some(head) = read_head(&mut socket).await else { continue };
             let run = match runs.fetch_add(1, Ordering::SeqCst) {
                 0 => first,
-                _ => First { status_line: "200 OK", body: BODY, exits: false },
+                _ => First { body: BODY, exits: false, ..KILLED },
             };
             let response = format!(
-                "HTTP/1.1 {}\r\n{RESPONSE_SIGNATURE}: s\r\n{}\r\n{}",
+                "HTTP/1.1 {}\r\n{RESPONSE_SIGNATURE}: s\r\n{}{}\r\n{}",
                 run.status_line,
                 id_line(&head),
+                run.fields,
                 run.body
             );
             socket.write_all(response.as_bytes()).await.unwrap();
@@ -91,6 +94,14 @@
     assert_eq!(response.body, BODY);
 }
 
+/// Guards against the same where the name of a coding only ends like that of chunks.
+#[tokio::test]
+async fn half_a_response_with_an_unknown_coding_is_no_success() {
+    let first = First { fields: "transfer-encoding: xchunked\r\n", ..KILLED };
+    let (response, runs) = call(RouteKind::Once, first).await;
+    assert_eq!((response.status, runs), (Some(502), 1), "{response:?}");
+}
+
 /// Guards against error responses of a killed target that are delivered in part.
 #[tokio::test]
 async fn half_an_error_of_a_killed_target_is_not_delivered() {
@@ -114,7 +125,7 @@
 /// Guards against responses that never have a body and are taken for cut off.
 #[tokio::test]
 async fn a_response_without_body_of_a_killed_target_is_complete() {
-    let first = First { status_line: "204 No Content", body: "", exits: true };
+    let first = First { status_line: "204 No Content", body: "", ..KILLED };
     let (response, runs) = call(RouteKind::Once, first).await;
     assert_eq!((response.status, runs), (Some(204), 1), "{response:?}");
 }
