Ask whether the very target lives when its response ends

Cause: Dispatch::is_alive only opened a connection to the address, whoever listens there by then.

Change: such a response is complete only if the target with the same id and start is known to live after the end. In this order: the connection is refused, or the fleet state has another start or a later target at the address: ended. The request was sent less than bounds.reuse_after_s ago, 1 s at most, on the clock that counts suspension: alive. A view of the list read after the connection was opened still has the target in service: alive; the gateway takes the reads that are made anyway, its own or those of others, and after 0.6 s one of its own. Else (it leaves, is not listed, doesn't answer its agent, the store is away) it is asked with the instance that the check is meant for: an engine for its report, which names its start, other targets for their health. What others read is dated by a datagram that answers one of this process, so that datagrams that waited during the pause don't make old reads look new.

--- a/components/config/src/fleet_bounds.rs
+++ b/components/config/src/fleet_bounds.rs
@@ -12,6 +12,8 @@
     pub configuration_ms: u64,
     /// Longest time for which a leaving target gets work after it said so, in milliseconds.
     pub drain_ms: u64,
+    /// Shortest time from the end of a target to the use of its address by another one, in milliseconds.
+    pub reuse_after_ms: u64,
     /// Time from the signal to stop to the end by force, in milliseconds.
     pub grace_ms: u64,
     /// Longest time for an event of a stream to pass through, in milliseconds.
@@ -53,6 +55,7 @@
             revocation_ms: 5_000,
             configuration_ms: 2_000,
             drain_ms: 2_000,
+            reuse_after_ms: 2_000,
             grace_ms: 8_000,
             pass_ms: 120,
             retry_ratio: 0.2,
--- a/components/gateway/src/app.rs
+++ b/components/gateway/src/app.rs
@@ -107,6 +107,8 @@
     pub store_read_at: Cell<Option<Timestamp>>,
     /// Start of the last successful read of the target list.
     pub targets_read_at: Cell<Option<Timestamp>>,
+    /// Time as of which the target list must be known, whatever other gateways read.
+    pub targets_wanted_at: Cell<Option<Timestamp>>,
     /// Whether the gateway registry was read since the start.
     pub registry_read: Cell<bool>,
     /// Notified when the state of an engine has changed.
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -358,10 +358,7 @@
     async fn is_complete(&self, read: &ReadResponse, send: &InFlightSend) -> bool {
         match read.end {
             RunEnd::Complete => true,
-            RunEnd::CompleteIfAlive => {
-                let left = self.request.deadline.since(self.app.clock.now());
-                timeout(left, self.is_alive(send)).await.unwrap_or(false)
-            }
+            RunEnd::CompleteIfAlive => self.is_alive(send).await,
             RunEnd::Truncated => false,
         }
     }
--- a/components/gateway/src/fleet_receiver.rs
+++ b/components/gateway/src/fleet_receiver.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use base::{ProcessId, Timestamp, short_hash};
 use membership::StaleState;
@@ -107,6 +108,10 @@
     let Some(echoed_at) = echoed_at else { return };
     let view = LogView { end_read_age_ms: state.evidence_age_ms };
     app.authority.borrow_mut().note_peer(address, view, state.config, echoed_at);
+    if let Some(age_ms) = state.targets_read_age_ms {
+        let age = Duration::from_millis(u64::from(age_ms));
+        app.gateways.borrow_mut().record_targets_read(&state.from.name, age, echoed_at);
+    }
 }
 
 fn apply_gateway_state(
--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -132,6 +132,7 @@
         budget: SharedCallerBudget::new(App::budget_settings(&settings)),
         store_read_at: Cell::new(None),
         targets_read_at: Cell::new(None),
+        targets_wanted_at: Cell::new(None),
         document: RefCell::new(None),
         peer_client: HttpClient::new(PEER_CONNECT_TIMEOUT),
         registry_read: Cell::new(false),
--- a/components/gateway/src/in_flight_send.rs
+++ b/components/gateway/src/in_flight_send.rs
@@ -20,6 +20,8 @@
     pub pick: DirectPick,
     /// Version of the target's software.
     pub software: CompactString,
+    /// Unix time of the target's start in milliseconds, if known.
+    pub born_ms: Option<u64>,
     /// Id of the attempt at the target.
     pub number: SendId,
     /// When it was sent.
@@ -32,16 +34,21 @@
 
 impl Drop for InFlightSend {
     fn drop(&mut self) {
-        self.app.fleet.borrow_mut().record_end(self.pick.key, self.number);
+        self.record_end();
     }
 }
 
 impl InFlightSend {
     /// An attempt that starts now.
     pub(crate) fn new(app: Rc<App>, pick: DirectPick, number: SendId, now: Timestamp) -> Self {
-        let software = app.fleet.borrow().target(pick.key).software.clone();
+        let (software, born_ms) = {
+            let fleet = app.fleet.borrow();
+            let target = fleet.target(pick.key);
+            (target.software.clone(), target.started_unix_ms)
+        };
         Self {
             software,
+            born_ms,
             app,
             pick,
             number,
@@ -51,6 +58,11 @@
         }
     }
 
+    /// Removes the request from the target's load.
+    pub(crate) fn record_end(&self) {
+        self.app.fleet.borrow_mut().record_end(self.pick.key, self.number);
+    }
+
     /// Records the outcome for the health of the target.
     pub(crate) fn record_outcome(&self, outcome: TargetOutcome) {
         let now = self.app.clock.now();
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -33,6 +33,7 @@
 mod stream_failover;
 mod stream_lookups;
 mod stream_software;
+mod target_life;
 mod target_limits;
 mod target_pool;
 mod target_signals;
--- a/components/gateway/src/stream_failover.rs
+++ b/components/gateway/src/stream_failover.rs
@@ -4,7 +4,6 @@
 
 use base::Timestamp;
 use routing::{DirectChoice, TargetOutcome};
-use telemetry::quote;
 use tokio::time::sleep;
 
 use crate::dispatch::Dispatch;
@@ -42,20 +41,6 @@
         send.record_outcome(TargetOutcome::Failed);
     }
 
-    /// Whether a target still serves, after its connection has ended; if it doesn't, it may have
-    /// exited in the middle of its response.
-    pub(crate) async fn is_alive(&self, send: &InFlightSend) -> bool {
-        let alive = self.app.pool.add_connection(send.pick.address).await.is_ok();
-        if !alive {
-            log::info!(
-                "event=target_gone_after_answer request_id={} target={}",
-                quote(&self.request.id),
-                quote(&send.pick.id)
-            );
-        }
-        alive
-    }
-
     /// Waits until the target of a send stands still and another target can take the request at once.
     pub(crate) async fn target_silent(&self, current: &InFlightSend) {
         loop {
--- /dev/null
+++ b/components/gateway/src/target_life.rs
@@ -0,0 +1,144 @@
+//! Whether a target still lives after its connection has ended with a response.
+
+use std::time::Duration;
+
+use base::Timestamp;
+use config::ServiceKind;
+use platform::StatusCheck;
+use routing::{EndedRun, TargetLife};
+use telemetry::quote;
+use tokio::time::{sleep, timeout};
+
+use crate::app::App;
+use crate::dispatch::Dispatch;
+use crate::in_flight_send::InFlightSend;
+
+/// Time after its end within which no target starts again under the same id; crashed ones take seconds.
+const RESTART_TIME: Duration = Duration::from_millis(1_000);
+/// Wait for a newer view of the target list after which this gateway reads it itself: a read interval
+/// and a call. Gateways hear of reads in other data centres later, or not at all.
+const LIST_WAIT: Duration = Duration::from_millis(600);
+/// Longest wait for such a view, with the own read.
+const LIST_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Time between two looks at the view.
+const LIST_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// Timeout of a status check, which may wait for a slot.
+const STATUS_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// What showed whether the target lives.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Evidence {
+    /// Nothing accepts connections at its address.
+    Connection,
+    /// The connection alone, or the target list.
+    List,
+    /// The deadline of the request passed before.
+    None,
+    /// Its answer, or that of another target at its address.
+    Status,
+}
+
+impl Evidence {
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Connection => "connection",
+            Self::List => "list",
+            Self::None => "none",
+            Self::Status => "status",
+        }
+    }
+}
+
+impl Dispatch {
+    /// Whether the target of a send still serves, after its connection has ended; if it doesn't, it may
+    /// have exited in the middle of its response.
+    pub(crate) async fn is_alive(&self, send: &InFlightSend) -> bool {
+        let ended_at = self.app.clock.now();
+        // The target works on the request no longer.
+        send.record_end();
+        let left = self.request.deadline.since(ended_at);
+        let found = timeout(left, self.find_life(send)).await;
+        let (is_alive, evidence) = found.unwrap_or((false, Evidence::None));
+        let details = format!(
+            "request_id={} target={} evidence={} waited_ms={}",
+            quote(&self.request.id),
+            quote(&send.pick.id),
+            evidence.as_str(),
+            self.app.clock.now().since(ended_at).as_millis()
+        );
+        if is_alive {
+            log::info!("event=target_lives_after_answer {details}");
+        } else {
+            log::info!("event=target_gone_after_answer {details}");
+        }
+        is_alive
+    }
+
+    async fn find_life(&self, send: &InFlightSend) -> (bool, Evidence) {
+        let app = &self.app;
+        if app.pool.add_connection(send.pick.address).await.is_err() {
+            return (false, Evidence::Connection);
+        }
+        let connected_at = app.clock.now();
+        let reuse_after = Duration::from_millis(app.settings().bounds.reuse_after_ms);
+        let run = EndedRun {
+            sent_at: send.sent_at,
+            born_ms: send.born_ms,
+            connected_at,
+            replaced_after: reuse_after.min(RESTART_TIME),
+        };
+        loop {
+            let now = app.clock.now();
+            let list_known_at = app.targets_known_at();
+            let life = run.judge(app.fleet.borrow().target(send.pick.key), list_known_at, now);
+            let waited = now.since(connected_at);
+            // During an outage of the store no view will come.
+            let may_come = waited < LIST_TIMEOUT && !app.directory.borrow().is_failing();
+            match life {
+                TargetLife::Alive => return (true, Evidence::List),
+                TargetLife::Ended => return (false, Evidence::List),
+                TargetLife::AwaitList if may_come => {
+                    if waited >= LIST_WAIT {
+                        let wanted_at = app.targets_wanted_at.get().max(Some(connected_at));
+                        app.targets_wanted_at.set(wanted_at);
+                    }
+                    sleep(LIST_CHECK_INTERVAL).await;
+                }
+                TargetLife::AwaitList | TargetLife::Ask => {
+                    return (self.ask_target(send).await, Evidence::Status);
+                }
+            }
+        }
+    }
+
+    /// Asks the process at the target's address whether it is the target.
+    async fn ask_target(&self, send: &InFlightSend) -> bool {
+        let Some(config) = self.app.config() else { return false };
+        let plan = &self.request.plan;
+        let Some(service) = config.services.iter().find(|service| service.name == plan.service)
+        else {
+            return false;
+        };
+        let check = StatusCheck {
+            address: send.pick.address,
+            target: &send.pick.id,
+            born_ms: send.born_ms,
+            health_path: match service.kind {
+                ServiceKind::Engine => None,
+                ServiceKind::Plain => Some(&service.health_path),
+            },
+            timeout: STATUS_TIMEOUT,
+        };
+        check.is_same_target(&self.app.peer_client).await
+    }
+}
+
+impl App {
+    /// Time as of which the list of targets is known: the start of the newest read by this gateway, or by
+    /// another one that has the same list.
+    pub(crate) fn targets_known_at(&self) -> Option<Timestamp> {
+        let digest = self.directory.borrow().digest();
+        let known_by_others = self.gateways.borrow().targets_known_at(digest);
+        self.targets_read_at.get().max(known_by_others)
+    }
+}
--- a/components/gateway/src/target_watch.rs
+++ b/components/gateway/src/target_watch.rs
@@ -84,6 +84,9 @@
     let now = app.clock.now();
     let gateways = app.gateways.borrow();
     let Some(own_read_at) = app.targets_read_at.get() else { return true };
+    if app.targets_wanted_at.get() >= Some(own_read_at) {
+        return true;
+    }
     let rank = gateways.rank(now);
     let Some((digest, read_at)) = gateways.freshest_targets(now).filter(|_| rank > 0) else {
         return true;
--- a/components/membership/src/gateway_table.rs
+++ b/components/membership/src/gateway_table.rs
@@ -46,6 +46,8 @@
     pub store_read_at: Option<Timestamp>,
     /// Upper bound on the time at which it read the list of targets.
     pub targets_read_at: Option<Timestamp>,
+    /// Lower bound on that time, from a datagram of its own that answers one of this process.
+    pub targets_known_at: Option<Timestamp>,
     /// Digest of its list of targets.
     pub targets_digest: u32,
     /// Sender clock in its newest state.
@@ -85,6 +87,7 @@
             config: Offset::default(),
             store_read_at: None,
             targets_read_at: None,
+            targets_known_at: None,
             targets_digest: 0,
             state_sent_micros: 0,
             datagram_sent_micros: 0,
@@ -123,9 +126,9 @@
         }) {
             return Err(StaleState);
         }
-        let datagram_sent_micros = known
-            .filter(|peer| peer.incarnation == from.incarnation)
-            .map_or(0, |peer| peer.datagram_sent_micros);
+        let same_process = known.filter(|peer| peer.incarnation == from.incarnation);
+        let datagram_sent_micros = same_process.map_or(0, |peer| peer.datagram_sent_micros);
+        let targets_known_at = same_process.and_then(|peer| peer.targets_known_at);
         let at_age = |age_ms: u32| now - Duration::from_millis(u64::from(age_ms));
         let peer = GatewayPeer {
             address: state.address,
@@ -136,6 +139,7 @@
             config: state.config,
             store_read_at: state.store_read_age_ms.map(at_age),
             targets_read_at: state.targets_read_age_ms.map(at_age),
+            targets_known_at,
             targets_digest: state.targets_digest,
             state_sent_micros: state.sent_micros,
             datagram_sent_micros,
@@ -161,6 +165,21 @@
         answers_own_run.then(|| Timestamp::from_micros(echo.heard_micros))
     }
 
+    /// Records that a gateway read the list of targets `age` before it sent a datagram that answers one
+    /// which this process sent at `echoed_at`.
+    pub fn record_targets_read(&mut self, name: &ProcessName, age: Duration, echoed_at: Timestamp) {
+        if let Some(peer) = self.peers.get_mut(name) {
+            peer.targets_known_at = peer.targets_known_at.max(Some(echoed_at - age));
+        }
+    }
+
+    /// Returns the time of the newest read of the list of targets by a gateway whose list has this digest.
+    /// The gateway may have read it later.
+    pub fn targets_known_at(&self, digest: u32) -> Option<Timestamp> {
+        let peers = self.peers.values().filter(|peer| peer.targets_digest == digest);
+        peers.filter_map(|peer| peer.targets_known_at).max()
+    }
+
     /// Returns the timestamps for a datagram to a gateway.
     pub fn echo_for(&self, name: &ProcessName, now: Timestamp) -> Echo {
         let peer = self.peers.get(name);
--- a/components/membership/src/target_directory.rs
+++ b/components/membership/src/target_directory.rs
@@ -78,6 +78,11 @@
         self.failing_since.get_or_insert(now);
     }
 
+    /// Whether the last read of the list by this process failed.
+    pub const fn is_failing(&self) -> bool {
+        self.failing_since.is_some()
+    }
+
     /// Records that the store answered a read.
     pub fn note_contact(&mut self, now: Timestamp) {
         if self.failing_since.take().is_some() {
--- a/components/membership/tests/gateway_table.rs
+++ b/components/membership/tests/gateway_table.rs
@@ -2,6 +2,7 @@
 #![allow(clippy::unwrap_used, reason = "a missing value fails the test")]
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use base::{Incarnation, Offset, ProcessId, ProcessName, Timestamp};
 use membership::GatewayTable;
@@ -183,3 +184,16 @@
     assert!(table.expire(at(40_900)).is_empty());
     assert_eq!(table.expire(at(41_000)), [ProcessName::new("b")]);
 }
+
+/// Guards against datagrams that waited while this process stood still and make old reads of the list look
+/// new, and against a peer whose list differs.
+#[test]
+fn peer_reads_of_the_list_are_dated_by_the_own_datagram_that_the_peer_received() {
+    let mut table = table();
+    let sent = GatewayState { targets_read_age_ms: Some(50), ..state("b", "north", 100) };
+    table.apply_state(&sent, at(5_000)).unwrap();
+    assert_eq!(table.targets_known_at(sent.targets_digest), None);
+    table.record_targets_read(&sent.from.name, Duration::from_millis(50), at(1_000));
+    assert_eq!(table.targets_known_at(sent.targets_digest), Some(at(950)));
+    assert_eq!(table.targets_known_at(sent.targets_digest + 1), None);
+}
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -13,6 +13,7 @@
 mod direct_choice;
 mod direct_fleet;
 mod direct_target;
+mod ended_run;
 mod homes;
 mod latency_objectives;
 mod load_wait;
@@ -51,6 +52,7 @@
 };
 pub use direct_fleet::DirectFleet;
 pub use direct_target::{AgentLoad, DirectTarget, TargetKey};
+pub use ended_run::{EndedRun, TargetLife};
 pub use homes::Homes;
 pub use latency_objectives::LatencyObjectives;
 pub use load_wait::{LoadWait, wait_for_model, waits_for_adapter};
--- a/tests/support/gateway.rs
+++ b/tests/support/gateway.rs
@@ -131,6 +131,12 @@
         announce(self.store(), number, address);
     }
 
+    /// Writes the entry of a target that has started at this Unix time, by its number from one.
+    pub fn announce_born(&self, number: usize, address: SocketAddr, born_ms: u64) {
+        let notice = TargetAnnouncement { born_ms, ..announcement() };
+        put_entry(self.store(), "north-a", number, address, notice);
+    }
+
     /// Writes the entry of a target in a data centre, by its number from one.
     pub fn announce_in(&self, data_centre: &str, number: usize, address: SocketAddr) {
         put_entry(self.store(), data_centre, number, address, announcement());
