Keep a register of the versions in service on the store

What callers saw: while all targets of a service are replaced by ones of another software version, all gateways are killed at once.

Cause: a gateway that starts knows only the versions that are listed then. The former version had left the list, the agents that know the streams were not asked, and the others, who don't know the streams, were taken for evidence that no other version began them.

Change: the gateways keep a record of each version in service on the store (topic `software`). The first gateway by rank writes it, the second one half a second later if it is still missing; each reads before it writes. A record is removed when its version was not listed for 60 s, and written again after a restoration of the store. A gateway reads the register at its start and takes a version for the only one only if it has read it, or has watched the list for 60 s. No request waits for it.

Why it works: the register outlives all gateways and agents, and names the former version for as long as its streams may be taken up.

--- a/components/gateway/src/app.rs
+++ b/components/gateway/src/app.rs
@@ -16,7 +16,7 @@
 use quarantine::Quarantine;
 use rates::GatewayCount;
 use routing::DirectFleet;
-use streams::StreamOrigins;
+use streams::{SoftwareRegister, StreamOrigins, VersionView};
 use telemetry::Metrics;
 use tokio::sync::{Notify, watch};
 use wire::{StoredDocument, Subject};
@@ -111,6 +111,10 @@
     pub registry_read: Cell<bool>,
     /// Notified when the state of an engine has changed.
     pub engines_changed: Notify,
+    /// Versions of software that the store has, as of the last read.
+    pub software_register: RefCell<SoftwareRegister>,
+    /// When this gateway learned of the versions in service.
+    pub version_view: Cell<VersionView>,
     /// Versions that began the streams of this gateway.
     pub streams: RefCell<StreamOrigins>,
     /// Searches for the versions that began other streams.
--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -36,6 +36,7 @@
 use crate::relay::MAX_LARGE_EVENT_BYTES;
 use crate::shared_bytes::SharedBytes;
 use crate::shutdown::drain;
+use crate::software_register::maintain_software_register;
 use crate::stored_quarantines::maintain_stored_quarantines;
 use crate::target_pool::TargetPool;
 use crate::target_watch::watch_targets;
@@ -80,6 +81,7 @@
     tasks.spawn_local(watch_targets(Rc::clone(&app), Rc::clone(&link)));
     tasks.spawn_local(maintain_registration(Rc::clone(&app)));
     tasks.spawn_local(maintain_stored_quarantines(Rc::clone(&app)));
+    tasks.spawn_local(maintain_software_register(Rc::clone(&app)));
     tasks.spawn_local(broadcast_state(Rc::clone(&app), Rc::clone(&link)));
     tasks.spawn_local(plan_placement(Rc::clone(&app), Rc::clone(&link)));
     tasks.spawn_local(coordinate_engine_orders(Rc::clone(&app), Rc::clone(&link)));
@@ -136,6 +138,8 @@
         peer_client: HttpClient::new(PEER_CONNECT_TIMEOUT),
         registry_read: Cell::new(false),
         engines_changed: Notify::new(),
+        software_register: RefCell::default(),
+        version_view: Cell::default(),
         streams: RefCell::default(),
         stream_lookups: RefCell::default(),
         stream_answered: Notify::new(),
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 mod shared_bytes;
 mod shutdown;
 mod silent_targets;
+mod software_register;
 mod store_eras;
 mod stored_quarantines;
 mod stream_failover;
--- a/components/gateway/src/stream_software.rs
+++ b/components/gateway/src/stream_software.rs
@@ -5,7 +5,7 @@
 
 use api::{ApiError, ErrorCode};
 use base::{Timestamp, hash_bytes, short_hash};
-use routing::{KeeperContact, SOFTWARE_RETENTION};
+use routing::KeeperContact;
 use streams::{Lookup, Ruling};
 use telemetry::quote;
 use tokio::time::timeout;
@@ -149,13 +149,16 @@
         }
         let versions = self.app.fleet.borrow().software_versions(service, now);
         match versions.as_slice() {
-            [software] if now.since(Timestamp::default()) >= SOFTWARE_RETENTION => {
-                Some(Ruling::OnlyVersion(software.clone()))
-            }
+            [software] if self.knows_versions(now) => Some(Ruling::OnlyVersion(software.clone())),
             _ => None,
         }
     }
 
+    /// Whether this gateway knows all versions that were in service lately.
+    fn knows_versions(&self, now: Timestamp) -> bool {
+        self.app.version_view.get().is_complete(now)
+    }
+
     async fn ask_keepers(&self) -> Ruling {
         let app = &self.app;
         let attempt = self.first_attempt();
@@ -179,7 +182,7 @@
                 let lookups = app.stream_lookups.borrow();
                 let Some(lookup) = lookups.get(id) else { return Ruling::Unknown };
                 if lookup.is_complete() || now.since(started) >= LOOKUP_TIMEOUT {
-                    return lookup.ruling();
+                    return lookup.ruling(self.knows_versions(now));
                 }
                 lookup.open().to_vec()
             };
--- a/components/routing/src/software_versions.rs
+++ b/components/routing/src/software_versions.rs
@@ -6,6 +6,7 @@
 
 use base::{Timestamp, rendezvous_score};
 use compact_str::CompactString;
+use wire::SoftwareVersion;
 
 use crate::{DirectFleet, DirectTarget, TargetKey};
 
@@ -91,6 +92,34 @@
         count
     }
 
+    /// Records a version that was in service lately, as another process has seen.
+    pub fn record_former_software(&mut self, version: &SoftwareVersion, now: Timestamp) {
+        let SoftwareVersion { service, software } = version;
+        self.software_history.record(service, software, SOFTWARE_RETENTION, now);
+    }
+
+    /// Returns the versions that listed targets run, of all services, sorted.
+    pub fn listed_software(&self) -> Vec<SoftwareVersion> {
+        let mut found: Vec<SoftwareVersion> = Vec::new();
+        for target in self.targets.iter().filter(|target| target.is_listed()) {
+            let key = (&target.service, &target.software);
+            if let Err(at) =
+                found.binary_search_by(|known| (&known.service, &known.software).cmp(&key))
+            {
+                let (service, software) = (target.service.clone(), target.software.clone());
+                found.insert(at, SoftwareVersion { service, software });
+            }
+        }
+        found
+    }
+
+    /// Returns the versions that were recorded lately, of all services, sorted. A version without changes
+    /// among its targets may be missing while it is listed.
+    pub fn former_software(&self, now: Timestamp) -> Vec<SoftwareVersion> {
+        let seen = self.software_history.all(SOFTWARE_RETENTION, now);
+        seen.cloned().map(|(service, software)| SoftwareVersion { service, software }).collect()
+    }
+
     /// Returns the versions of a service that are in service or were lately, sorted.
     pub fn software_versions(&self, service: &str, now: Timestamp) -> Vec<CompactString> {
         let listed = self
--- a/components/store/src/topic.rs
+++ b/components/store/src/topic.rs
@@ -12,6 +12,8 @@
     Operators,
     /// Requests and prompt parts in quarantine, each under its name.
     Quarantines,
+    /// Versions of services' software that are or were lately in service, each under its key.
+    Software,
     /// Targets, each under its id; read-only for this system.
     Targets,
 }
@@ -24,6 +26,7 @@
             Self::Gateways => "gateways",
             Self::Operators => "operators",
             Self::Quarantines => "quarantines",
+            Self::Software => "software",
             Self::Targets => "targets",
         }
     }
--- a/components/streams/src/lib.rs
+++ b/components/streams/src/lib.rs
@@ -5,7 +5,13 @@
 mod lookup;
 mod origins;
 mod software_history;
+mod software_register;
+mod version_view;
 
 pub use lookup::{Lookup, Ruling};
 pub use origins::{StreamOrigins, StreamOriginsSettings};
 pub use software_history::SoftwareHistory;
+pub use software_register::{
+    RegisterStep, SoftwareRegister, SoftwareRegisterSettings, VersionsSeen,
+};
+pub use version_view::{VersionView, VersionViewSettings};
--- a/components/streams/src/lookup.rs
+++ b/components/streams/src/lookup.rs
@@ -10,7 +10,7 @@
 pub enum Ruling {
     /// At targets of this version: one of the asked knows that it began the stream.
     Known(CompactString),
-    /// At targets of this version: no other one was in service lately, as far as anybody asked knows.
+    /// At targets of this version: no other one was in service lately.
     OnlyVersion(CompactString),
     /// Nowhere: several versions may have begun it.
     Unknown,
@@ -63,11 +63,12 @@
         &self.asked
     }
 
-    /// Rules on what was found. Two answers that disagree are no knowledge.
-    pub fn ruling(&self) -> Ruling {
+    /// Rules on what was found. Two answers that disagree are no knowledge. Silence of agents isn't either:
+    /// `knows_versions` tells whether the asking gateway knows all versions that were in service lately.
+    pub fn ruling(&self, knows_versions: bool) -> Ruling {
         match (self.named.as_slice(), self.possible.as_slice()) {
             ([software], _) => Ruling::Known(software.clone()),
-            ([], [software]) => Ruling::OnlyVersion(software.clone()),
+            ([], [software]) if knows_versions => Ruling::OnlyVersion(software.clone()),
             _ => Ruling::Unknown,
         }
     }
--- a/components/streams/src/software_history.rs
+++ b/components/streams/src/software_history.rs
@@ -19,6 +19,15 @@
         self.seen.insert((service.into(), software.into()), now);
     }
 
+    /// Iterates over the services and versions that were seen within `retention`, sorted.
+    pub fn all(
+        &self,
+        retention: Duration,
+        now: Timestamp,
+    ) -> impl Iterator<Item = &(CompactString, CompactString)> {
+        self.seen.iter().filter(move |(_, at)| now.since(**at) < retention).map(|(key, _)| key)
+    }
+
     /// Returns the versions of a service that were seen within `retention`, sorted.
     pub fn versions<'a>(
         &'a self,
--- a/components/streams/tests/streams.rs
+++ b/components/streams/tests/streams.rs
@@ -36,7 +36,7 @@
     for (number, answer) in (0..).zip(answers) {
         lookup.apply(agent(number), answer);
     }
-    lookup.ruling()
+    lookup.ruling(true)
 }
 
 /// Guards against a record that grows with the streams that callers begin.
@@ -96,6 +96,14 @@
     assert_eq!(ruling(&[], &[]), Ruling::Unknown);
 }
 
+/// Guards against silence that counts as knowledge: a gateway that may have missed a version guesses.
+#[test]
+fn silence_names_no_version() {
+    let lookup = Lookup::new(vec![agent(0)], ["v2".into()]);
+    assert_eq!(lookup.ruling(false), Ruling::Unknown);
+    assert_eq!(lookup.ruling(true), Ruling::OnlyVersion("v2".into()));
+}
+
 /// Guards against a search that waits for agents that have answered, or ends on the word of others.
 #[test]
 fn a_search_ends_with_the_last_answer() {
@@ -107,7 +115,7 @@
     assert_eq!(lookup.open(), [agent(1)]);
     lookup.apply(agent(1), &answer(None, &[]));
     assert!(lookup.is_complete());
-    assert_eq!(lookup.ruling(), Ruling::Unknown);
+    assert_eq!(lookup.ruling(true), Ruling::Unknown);
 }
 
 /// Guards against a version that counts for ever, or not at all, after its last target has left.
--- a/components/wire/src/stream_origin.rs
+++ b/components/wire/src/stream_origin.rs
@@ -1,6 +1,7 @@
 //! Which version of a service's software began a stream, told to and asked of agents.
 
-use compact_str::CompactString;
+use base::hash_bytes;
+use compact_str::{CompactString, format_compact};
 use serde::{Deserialize, Serialize};
 
 /// A stream that has begun, or that another attempt goes on with.
@@ -33,3 +34,21 @@
     /// Versions of the service that began any stream that the agent knows, sorted.
     pub versions: Vec<CompactString>,
 }
+
+/// A version of a service's software that is in service, as the store keeps it.
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct SoftwareVersion {
+    /// Service.
+    pub service: CompactString,
+    /// Version of the software of some of its targets.
+    pub software: CompactString,
+}
+
+impl SoftwareVersion {
+    /// Returns the key under which the store keeps the version, short whatever the names are.
+    pub fn key(&self) -> CompactString {
+        let [service, software] =
+            [&self.service, &self.software].map(|name| hash_bytes(name.as_bytes()));
+        format_compact!("{service:016x}-{software:016x}")
+    }
+}
--- a/tests/software_versions.rs
+++ b/tests/software_versions.rs
@@ -10,18 +10,22 @@
 use compact_str::CompactString;
 use platform::header_names::{LAST_EVENT_ID, RESPONSE_SIGNATURE};
 use platform_standin::{
-    CallerConnection, CallerKind, CallerRequest, CallerResponse, RouteKind, RouteSpec,
+    CallerConnection, CallerKind, CallerRequest, CallerResponse, DeploymentSpec, RouteKind,
+    RouteSpec,
 };
 use support::{
     CUSTOMER_KEY, HOST, PlainGateway, header_value, id_line, plain_route, read_head, start_target,
 };
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
+use tokio::time::sleep;
 
 /// Events of a complete stream.
 const EVENTS: u64 = 4;
 /// Events before a stream breaks off.
 const BEFORE_BREAK: u64 = 2;
+/// Time in which a gateway reads the list and writes what it has seen to the store.
+const SETTLE_TIME: Duration = Duration::from_millis(1_500);
 
 /// A target of event streams whose events name its version.
 #[derive(Clone)]
@@ -85,8 +89,12 @@
 }
 
 async fn call(gateway: &PlainGateway, id: &str, after: Option<(&str, u64)>) -> CallerResponse {
+    call_at(gateway.callers, id, after).await
+}
+
+async fn call_at(callers: SocketAddr, id: &str, after: Option<(&str, u64)>) -> CallerResponse {
     let deadline = Duration::from_secs(4);
-    let mut connection = CallerConnection::open(gateway.callers, deadline).await.unwrap();
+    let mut connection = CallerConnection::open(callers, deadline).await.unwrap();
     let request = CallerRequest {
         id: id.into(),
         host: HOST.into(),
@@ -156,3 +164,46 @@
     assert_eq!(versions(&response), ["v1"]);
     assert!(response.is_complete, "{response:?}");
 }
+
+/// Takes a stream up that the gateway knows nothing of.
+async fn take_up_unknown(callers: SocketAddr, id: &str) -> CallerResponse {
+    call_at(callers, id, Some(("begun-elsewhere", BEFORE_BREAK))).await
+}
+
+/// Replaces the target of the former version while the gateway doesn't run, and starts it again.
+async fn replace_target_while_down(gateway: &mut PlainGateway, new: &VersionedTarget) {
+    gateway.process.kill().await;
+    gateway.remove_target(1);
+    gateway.announce_version(2, new.start().await, new.version);
+    gateway.restart().await;
+}
+
+/// Guards against gateways that were all killed while the targets of a service were replaced, and take
+/// the version that they find for the only one that can have begun a stream.
+#[tokio::test]
+async fn gateways_that_were_killed_in_a_release_know_the_former_version() {
+    let [old, new] = ["v1", "v2"].map(|version| VersionedTarget::new(version, false));
+    let mut gateway = gateway(&[&old]).await;
+    sleep(SETTLE_TIME).await;
+    replace_target_while_down(&mut gateway, &new).await;
+    sleep(SETTLE_TIME).await;
+    let response = take_up_unknown(gateway.callers, "again").await;
+    assert!(response.guarantees_not_run(), "{response:?}");
+    assert_eq!(*new.requests.lock().unwrap(), 0);
+}
+
+/// Guards against a register of versions that a store lacks after it came back from an older copy.
+#[tokio::test]
+async fn versions_in_service_are_registered_again_on_a_restored_store() {
+    let [old, new] = ["v1", "v2"].map(|version| VersionedTarget::new(version, false));
+    let mut gateway = gateway(&[&old]).await;
+    sleep(SETTLE_TIME).await;
+    let copy = gateway.store().copy();
+    gateway.store().restore(copy.without_topic(DeploymentSpec::SOFTWARE));
+    sleep(SETTLE_TIME * 2).await;
+    replace_target_while_down(&mut gateway, &new).await;
+    sleep(SETTLE_TIME * 2).await;
+    let response = take_up_unknown(gateway.callers, "again").await;
+    assert!(response.guarantees_not_run(), "{response:?}");
+    assert_eq!(*new.requests.lock().unwrap(), 0);
+}
