Rule on the only version in service from a fresh view alone

What callers saw: in a release one gateway is cut off from the others, or stands still, for some seconds while targets of a new version join.

Cause: a gateway took the version that it knew for the only one however old its list of targets was, and ruled so when the agents that it asked had not answered.

Change: a version counts as the only one only while the newest read of the list is at most 1.5 s old, and the history has no gap: with more than 1.5 s between two reads a version can have come and gone, so the register on the store is read again. All other take-ups of streams that neither the gateway nor an agent knows are refused as not run. A gateway reports the age of its view beside its digest. A receiver with the same digest counts that age from its own datagram that the reporting gateway had last received, as for keys, so that reports that waited in its queue during a freeze are not new. The digest now covers the software, and an entry with another version is distributed.

Why it works: ages use the clock that counts suspension, and each step on the way of a report adds to its age, also through the relays of data centres.

Measured: tests/software_versions.rs, a_gateway_that_stood_still_... and a_gateway_without_the_store_..., fail on the unchanged code (the streams go on at v1) and pass now. reports_of_the_list_count_from_the_time_that_they_name was written for the change and not run before it; its first half also guards against refusals at a gateway that doesn't read the list itself.

--- a/components/gateway/src/app.rs
+++ b/components/gateway/src/app.rs
@@ -113,6 +113,8 @@
     pub engines_changed: Notify,
     /// Versions of software that the store has, as of the last read.
     pub software_register: RefCell<SoftwareRegister>,
+    /// Digest of the target list when this gateway last reported it.
+    pub targets_digest: Cell<u32>,
     /// When this gateway learned of the versions in service.
     pub version_view: Cell<VersionView>,
     /// Versions that began the streams of this gateway.
--- a/components/gateway/src/fleet_link.rs
+++ b/components/gateway/src/fleet_link.rs
@@ -207,6 +207,8 @@
         let speeds = fleet.speed_reports(now);
         (fleet.local_work(now), fleet.unresponsive_targets(now), fleet.limit_reports(now), speeds)
     };
+    let targets_digest = app.directory.borrow().digest();
+    app.targets_digest.set(targets_digest);
     GatewayState {
         from: app.process.clone(),
         address: SocketAddr::new(settings.ip, settings.peer_port),
@@ -219,7 +221,12 @@
         evidence_age_ms: app.evidence_age(now).map(|age| millis(age).saturating_add(1)),
         store_read_age_ms: app.store_read_at.get().map(|at| millis(now.since(at))),
         targets_read_age_ms: app.targets_read_at.get().map(|at| millis(now.since(at))),
-        targets_digest: app.directory.borrow().digest(),
+        targets_view_age_ms: app
+            .version_view
+            .get()
+            .list_age(now)
+            .map(|age| millis(age).saturating_add(1)),
+        targets_digest,
         draining: *app.stage.borrow() > ShutdownStage::Serving,
         admitted,
         work,
--- a/components/gateway/src/fleet_receiver.rs
+++ b/components/gateway/src/fleet_receiver.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use base::{ProcessId, Timestamp, short_hash};
 use membership::StaleState;
@@ -107,6 +108,12 @@
     let Some(echoed_at) = echoed_at else { return };
     let view = LogView { end_read_age_ms: state.evidence_age_ms };
     app.authority.borrow_mut().note_peer(address, view, state.config, echoed_at);
+    // The digest of the last report is enough: what was applied since is newer.
+    if state.targets_digest == app.targets_digest.get()
+        && let Some(age_ms) = state.targets_view_age_ms
+    {
+        app.record_list_read(echoed_at - Duration::from_millis(u64::from(age_ms)));
+    }
 }
 
 fn apply_gateway_state(
--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -139,6 +139,7 @@
         registry_read: Cell::new(false),
         engines_changed: Notify::new(),
         software_register: RefCell::default(),
+        targets_digest: Cell::default(),
         version_view: Cell::default(),
         streams: RefCell::default(),
         stream_lookups: RefCell::default(),
--- a/components/gateway/src/software_register.rs
+++ b/components/gateway/src/software_register.rs
@@ -40,11 +40,15 @@
 
 fn next_step(app: &App) -> RegisterStep {
     let now = app.clock.now();
-    if !app.version_view.get().is_complete(now) {
+    let view = app.version_view.get();
+    if !view.has_history(now) {
         // What a restored store has is no evidence until the gateways have written again what it lacks.
         let is_due = app.store_is_settled(now) || !app.software_register.borrow().is_read();
         return if is_due { RegisterStep::Read } else { RegisterStep::Wait };
     }
+    if !view.is_fresh(now) {
+        return RegisterStep::Wait;
+    }
     let config = app.config();
     let (in_service, lately) = {
         let fleet = app.fleet.borrow();
@@ -102,12 +106,12 @@
         return Ok(());
     }
     register.record_read(requested_at, app.store_era.get().known());
-    if !app.version_view.get().is_complete(now) {
+    if !app.version_view.get().has_history(now) {
         let mut fleet = app.fleet.borrow_mut();
         register.versions().for_each(|version| fleet.record_former_software(version, now));
         if app.store_is_settled(now) {
             let mut view = app.version_view.get();
-            view.record_register_read();
+            view.record_register_read(requested_at);
             app.version_view.set(view);
         }
     }
--- a/components/gateway/src/stream_software.rs
+++ b/components/gateway/src/stream_software.rs
@@ -98,16 +98,21 @@
             Ruling::OnlyVersion(software) => ("only_version", Some(software)),
             Ruling::Unknown => ("unknown", None),
         };
+        let ruled_at = self.app.clock.now();
+        let view = self.app.version_view.get();
         log::info!(
-            "event=stream_software request_id={} resumes={} outcome={outcome} source={source} software={} waited_ms={}",
+            "event=stream_software request_id={} resumes={} outcome={outcome} source={source} software={} waited_ms={} view_age_ms={} history={}",
             quote(&self.request.id),
             quote(self.request.head.resumes.as_deref().unwrap_or("-")),
             quote(software.as_deref().unwrap_or("-")),
-            self.app.clock.now().since(started).as_millis()
+            ruled_at.since(started).as_millis(),
+            view.list_age(ruled_at)
+                .map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX)),
+            view.has_history(ruled_at)
         );
         self.software = software;
         if self.software.is_none() {
-            let text = "several software versions may have begun the stream";
+            let text = "the software version that began the stream is not known";
             return Err(
                 ApiError::new(ErrorCode::NoCapacity, text).with_retry_after(NO_TARGET_RETRY_AFTER)
             );
--- a/components/gateway/src/target_watch.rs
+++ b/components/gateway/src/target_watch.rs
@@ -65,6 +65,7 @@
                     continue;
                 }
                 app.targets_read_at.set(Some(requested_at));
+                app.record_list_read(requested_at);
                 mismatch_since = None;
                 sleep(TargetDirectory::read_interval(now.since(Timestamp::default()))).await;
             }
@@ -197,6 +198,13 @@
 }
 
 impl App {
+    /// Records that the list known here is at least as new as a read at `read_at`.
+    pub(crate) fn record_list_read(&self, read_at: Timestamp) {
+        let mut view = self.version_view.get();
+        view.record_list_read(read_at);
+        self.version_view.set(view);
+    }
+
     /// Applies an update of a target.
     pub(crate) fn apply_target_update(&self, update: &TargetNews, now: Timestamp) {
         let Some(entry) = &update.entry else {
--- a/components/membership/src/target_directory.rs
+++ b/components/membership/src/target_directory.rs
@@ -223,6 +223,7 @@
                 let entry = &listed.entry;
                 let leaving = u64::from(entry.state != TargetState::Ready);
                 let mut bytes = entry.id.as_bytes().to_vec();
+                bytes.extend(entry.software.as_bytes());
                 bytes.extend(entry.born_ms.unwrap_or_default().to_le_bytes());
                 bytes.extend(leaving.to_le_bytes());
                 if entry.cold_ms > 0 {
@@ -261,6 +262,7 @@
         || former.address != entry.address
         || leaving(former) != leaving(entry)
         || former.service != entry.service
+        || former.software != entry.software
         || models(former) != models(entry)
         // The remaining time decreases by itself.
         || (former.cold_ms > 0) != (entry.cold_ms > 0)
--- a/components/membership/tests/gateway_table.rs
+++ b/components/membership/tests/gateway_table.rs
@@ -29,6 +29,7 @@
         evidence_age_ms: None,
         store_read_age_ms: Some(0),
         targets_read_age_ms: Some(0),
+        targets_view_age_ms: Some(0),
         targets_digest: 0,
         draining: false,
         admitted: Vec::new(),
--- a/components/streams/src/version_view.rs
+++ b/components/streams/src/version_view.rs
@@ -7,13 +7,16 @@
 /// Bounds of a view.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct VersionViewSettings {
+    /// Age of the newest read of the target list up to which the view is fresh: two intervals between
+    /// reads, and the way of the news through the relays of two data centres.
+    pub max_age: Duration,
     /// Time for which a version counts after its last target left.
     pub retention: Duration,
 }
 
 impl Default for VersionViewSettings {
     fn default() -> Self {
-        Self { retention: Duration::from_secs(60) }
+        Self { max_age: Duration::from_millis(1_500), retention: Duration::from_secs(60) }
     }
 }
 
@@ -21,10 +24,12 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct VersionView {
     settings: VersionViewSettings,
-    /// Time from which on no version can have been missed.
+    /// Newest read of the target list that this gateway made, or was told of together with its result.
+    read_at: Option<Timestamp>,
+    /// First read of those that follow each other without a gap in which a version can have come and gone.
     watched_since: Timestamp,
-    /// Whether the register of versions was read since then.
-    register_read: bool,
+    /// Start of the newest read of the whole register of versions.
+    register_read_at: Option<Timestamp>,
 }
 
 impl VersionView {
@@ -33,13 +38,44 @@
         Self { settings, ..Self::default() }
     }
 
-    /// Records a read of the whole register of versions.
-    pub const fn record_register_read(&mut self) {
-        self.register_read = true;
+    /// Records that the known list is at least as new as a read at `read_at`.
+    pub fn record_list_read(&mut self, read_at: Timestamp) {
+        if self.read_at.is_some_and(|known| read_at <= known) {
+            return;
+        }
+        let follows = |known: Timestamp| read_at.since(known) <= self.settings.max_age;
+        if !self.read_at.is_some_and(follows) {
+            self.watched_since = read_at;
+        }
+        self.read_at = Some(read_at);
     }
 
-    /// Returns whether no version that was in service lately can have been missed.
+    /// Records a read of the whole register of versions that began at `requested_at`.
+    pub const fn record_register_read(&mut self, requested_at: Timestamp) {
+        self.register_read_at = Some(requested_at);
+    }
+
+    /// Returns the age of the known list; none if it was never read.
+    pub fn list_age(&self, now: Timestamp) -> Option<Duration> {
+        self.read_at.map(|at| now.since(at))
+    }
+
+    /// Returns whether the known list is recent.
+    pub fn is_fresh(&self, now: Timestamp) -> bool {
+        self.list_age(now).is_some_and(|age| age <= self.settings.max_age)
+    }
+
+    /// Returns whether no version that was in service lately, up to the newest read of the list, can have
+    /// been missed.
+    pub fn has_history(&self, now: Timestamp) -> bool {
+        // At a start, the register may be read just before the list.
+        let needed_at = self.watched_since - self.settings.max_age;
+        self.register_read_at.is_some_and(|at| at >= needed_at)
+            || now.since(self.watched_since) >= self.settings.retention
+    }
+
+    /// Returns whether all versions are known that were in service lately.
     pub fn is_complete(&self, now: Timestamp) -> bool {
-        self.register_read || now.since(self.watched_since) >= self.settings.retention
+        self.is_fresh(now) && self.has_history(now)
     }
 }
--- a/components/streams/tests/software_register.rs
+++ b/components/streams/tests/software_register.rs
@@ -1,7 +1,9 @@
 //! Register of the versions in service, and what a gateway can know of them.
 
+use std::time::Duration;
+
 use base::Timestamp;
-use streams::{RegisterStep, SoftwareRegister, VersionsSeen};
+use streams::{RegisterStep, SoftwareRegister, VersionView, VersionViewSettings, VersionsSeen};
 use wire::SoftwareVersion;
 
 fn at(ms: u64) -> Timestamp {
@@ -101,3 +103,53 @@
     let long = SoftwareVersion { service: "s".repeat(300).into(), software: "v".into() };
     assert!(long.key().len() < 64, "a key of the store has at most 255 bytes");
 }
+
+/// A view that is fresh for 1 s and complete after 10 s.
+fn view() -> VersionView {
+    VersionView::new(VersionViewSettings {
+        max_age: Duration::from_millis(1_000),
+        retention: Duration::from_millis(10_000),
+    })
+}
+
+/// Guards against a gateway that stood still or was cut off, and takes what it knew before for all that is.
+#[test]
+fn an_old_view_names_no_only_version() {
+    let mut view = view();
+    view.record_register_read(at(0));
+    assert!(!view.is_complete(at(100)), "the list was never read");
+    view.record_list_read(at(100));
+    assert!(view.is_complete(at(1_100)));
+    assert!(!view.is_complete(at(1_101)));
+    view.record_list_read(at(50));
+    assert_eq!(
+        view.list_age(at(200)),
+        Some(Duration::from_millis(100)),
+        "an older read says nothing"
+    );
+}
+
+/// Guards against versions that came and went while a gateway saw nothing: it must read the register again.
+#[test]
+fn a_gap_in_the_view_needs_the_register_again() {
+    let mut view = view();
+    view.record_register_read(at(0));
+    view.record_list_read(at(100));
+    view.record_list_read(at(1_100));
+    assert!(view.is_complete(at(1_200)), "the reads follow each other");
+    view.record_list_read(at(5_000));
+    assert!(!view.is_complete(at(5_100)));
+    view.record_register_read(at(5_100));
+    assert!(view.is_complete(at(5_200)));
+}
+
+/// Guards against a gateway that refuses for ever where the register can't be read.
+#[test]
+fn a_view_without_gaps_is_complete_after_a_while() {
+    let mut view = view();
+    for second in 0..10 {
+        assert!(!view.is_complete(at(second * 1_000)));
+        view.record_list_read(at(second * 1_000));
+    }
+    assert!(view.is_complete(at(10_000)));
+}
--- a/components/wire/src/fleet_state.rs
+++ b/components/wire/src/fleet_state.rs
@@ -91,6 +91,9 @@
     pub store_read_age_ms: Option<u32>,
     /// Time since it read the list of targets itself, in milliseconds.
     pub targets_read_age_ms: Option<u32>,
+    /// Upper bound on the age of the list of targets that it knows, from its own reads and those that
+    /// others told it of, in milliseconds.
+    pub targets_view_age_ms: Option<u32>,
     /// Digest of the targets that it knows.
     pub targets_digest: u32,
     /// It takes no new work.
--- a/tests/software_versions.rs
+++ b/tests/software_versions.rs
@@ -13,8 +13,11 @@
     CallerConnection, CallerKind, CallerRequest, CallerResponse, DeploymentSpec, RouteKind,
     RouteSpec,
 };
+use rustix::process::Signal;
+use standin::Service;
 use support::{
-    CUSTOMER_KEY, HOST, PlainGateway, header_value, id_line, plain_route, read_head, start_target,
+    CUSTOMER_KEY, HOST, PeerGateway, PlainGateway, header_value, id_line, plain_route, read_head,
+    start_target,
 };
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -24,6 +27,8 @@
 const EVENTS: u64 = 4;
 /// Events before a stream breaks off.
 const BEFORE_BREAK: u64 = 2;
+/// Time without a read after which the list of targets says nothing of the versions in service, and more.
+const STALE_TIME: Duration = Duration::from_millis(2_500);
 /// Time in which a gateway reads the list and writes what it has seen to the store.
 const SETTLE_TIME: Duration = Duration::from_millis(1_500);
 
@@ -167,7 +172,7 @@
 
 /// Takes a stream up that the gateway knows nothing of.
 async fn take_up_unknown(callers: SocketAddr, id: &str) -> CallerResponse {
-    call_at(callers, id, Some(("begun-elsewhere", BEFORE_BREAK))).await
+    call_at(callers, id, Some((&format!("begun-elsewhere-{id}"), BEFORE_BREAK))).await
 }
 
 /// Replaces the target of the former version while the gateway doesn't run, and starts it again.
@@ -207,3 +212,62 @@
     assert!(response.guarantees_not_run(), "{response:?}");
     assert_eq!(*new.requests.lock().unwrap(), 0);
 }
+
+/// Guards against a gateway that stood still while a target of a new version joined, and takes the
+/// version that it knew before for the only one.
+#[tokio::test]
+async fn a_gateway_that_stood_still_refuses_streams_that_it_does_not_know() {
+    let [old, new] = ["v1", "v2"].map(|version| VersionedTarget::new(version, false));
+    let gateway = gateway(&[&old]).await;
+    sleep(SETTLE_TIME).await;
+    let response = take_up_unknown(gateway.callers, "before").await;
+    assert_eq!(versions(&response), ["v1"], "one version is known to serve: {response:?}");
+    gateway.process.signal(Signal::STOP);
+    gateway.announce_version(2, new.start().await, new.version);
+    // The kernel takes the request, which the gateway finds when it wakes.
+    let waiting = tokio::spawn(take_up_unknown(gateway.callers, "again"));
+    sleep(STALE_TIME).await;
+    gateway.process.signal(Signal::CONT);
+    let response = waiting.await.unwrap();
+    assert!(response.guarantees_not_run(), "{response:?}");
+}
+
+/// Guards against a gateway that has the list from another one: against refusals although it knows the list,
+/// and against reports that waited in its queue while it stood still and count as new.
+#[tokio::test]
+async fn reports_of_the_list_count_from_the_time_that_they_name() {
+    let [old, new] = ["v1", "v2"].map(|version| VersionedTarget::new(version, false));
+    let first = gateway(&[&old]).await;
+    let second = PeerGateway::start(&first, first.store_address()).await;
+    sleep(SETTLE_TIME * 2).await;
+    for number in 0..10 {
+        let response = take_up_unknown(second.callers, &format!("before-{number}")).await;
+        assert_eq!(versions(&response), ["v1"], "{response:?}");
+        sleep(Duration::from_millis(110)).await;
+    }
+    second.process.signal(Signal::STOP);
+    sleep(Duration::from_millis(200)).await;
+    first.announce_version(2, new.start().await, new.version);
+    let waiting = tokio::spawn(take_up_unknown(second.callers, "again"));
+    sleep(STALE_TIME).await;
+    second.process.signal(Signal::CONT);
+    let response = waiting.await.unwrap();
+    assert!(response.guarantees_not_run(), "{response:?}");
+}
+
+/// Guards against a gateway without a way to the store that takes the versions of its last read for all
+/// that serve.
+#[tokio::test]
+async fn a_gateway_without_the_store_refuses_streams_that_it_does_not_know() {
+    let old = VersionedTarget::new("v1", false);
+    let gateway = gateway(&[&old]).await;
+    sleep(SETTLE_TIME).await;
+    gateway.store().settings().lock().unwrap().outage = true;
+    sleep(STALE_TIME).await;
+    let response = take_up_unknown(gateway.callers, "again").await;
+    assert!(response.guarantees_not_run(), "{response:?}");
+    gateway.store().settings().lock().unwrap().outage = false;
+    sleep(SETTLE_TIME).await;
+    let response = take_up_unknown(gateway.callers, "later").await;
+    assert_eq!(versions(&response), ["v1"], "the list is read again: {response:?}");
+}
