Tell keepers of streams again, and hand on what agents know

What callers saw: a gateway and then the agents are stopped in turn, while two software versions serve.

Cause: a gateway told two agents once, at the first event. An agent that ran anew knew nothing, one that stopped handed nothing on, and agents beside targets that had left the list were not asked.

Change: a gateway keeps a table of the streams that it relays and looks every 200 ms whether their keepers have changed: agents that join, leave, run anew or are not heard for 2.5 s. It tells new keepers then, and all of them after 30 s of a stream, since agents forget after 60 s. An agent that gets SIGTERM sends its last 4,096 streams, with their ages, to the two gateways that it heard last; these pass them on to present keepers and know them themselves. Agents beside targets that leave, or left the list within 60 s, are asked too, and are keepers while fewer than two others are there.

Why it works: whoever knows a stream tells those that come, before it goes. Nothing is sent while no agent comes or goes; a round ranks at most 50,000 pairs of a stream and an agent, and datagrams have at most some 8,000 bytes.

--- a/components/agent/src/gateway_link.rs
+++ b/components/agent/src/gateway_link.rs
@@ -1,10 +1,12 @@
 //! Datagrams to and from gateways.
 
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use base::ProcessId;
+use streams::pack_streams;
 use telemetry::quote;
 use wire::{AgentAsk, Datagram, DatagramBody, Echo, StreamAnswer, StreamAsk};
 
@@ -13,6 +15,11 @@
 /// Time after its last datagram for which a gateway receives state changes.
 const GATEWAY_EXPIRY: Duration = Duration::from_secs(2);
 
+/// Gateways to which a stopping agent sends its streams, so that one may stand still.
+const HAND_OVER_GATEWAYS: usize = 2;
+/// Most streams that are sent, the last ones: the receivers' buffers hold these at once.
+const MAX_HANDED_OVER: usize = 4_096;
+
 /// Handles datagrams until the task is aborted.
 pub(crate) async fn receive_datagrams(app: Rc<App>) {
     let mut buffer = Vec::new();
@@ -23,6 +30,10 @@
             DatagramBody::StreamBegun(origin) => {
                 app.streams.borrow_mut().record(&origin, app.clock.now());
             }
+            DatagramBody::StreamsKnown(known) => {
+                let mut streams = app.streams.borrow_mut();
+                known.iter().for_each(|stream| streams.record_known(stream, app.clock.now()));
+            }
             DatagramBody::StreamAsk(ask) => answer_stream_ask(&app, ask, &gateway, echo, from),
             DatagramBody::Agent(_)
             | DatagramBody::Gateway(_)
@@ -94,6 +105,25 @@
     app.socket.send(&Datagram { from: app.process.clone(), echo, body }, from);
 }
 
+/// Sends the streams that this agent knows to gateways, which pass them on to other agents.
+pub(crate) fn hand_over_streams(app: &App) {
+    let now = app.clock.now();
+    let known = app.streams.borrow().known_streams(now).take(MAX_HANDED_OVER).collect::<Vec<_>>();
+    let mut gateways: Vec<ActiveGateway> = app.active_gateways.borrow().values().copied().collect();
+    gateways.retain(|peer| now.since(peer.queried_at) < GATEWAY_EXPIRY);
+    gateways.sort_unstable_by_key(|peer| Reverse(peer.queried_at));
+    gateways.truncate(HAND_OVER_GATEWAYS);
+    log::info!("event=streams_handed_over streams={} gateways={}", known.len(), gateways.len());
+    let packed = pack_streams(known);
+    for peer in gateways {
+        for streams in &packed {
+            let echo = Echo { sent_micros: now.micros, ..Echo::default() };
+            let body = DatagramBody::StreamsKnown(streams.clone());
+            app.socket.send(&Datagram { from: app.process.clone(), echo, body }, peer.address);
+        }
+    }
+}
+
 /// Sends the state to all gateways that sent a query recently and want state changes.
 pub(crate) fn send_state_to_all(app: &App) {
     let now = app.clock.now();
--- a/components/agent/src/handle.rs
+++ b/components/agent/src/handle.rs
@@ -20,7 +20,7 @@
 use crate::configuration_watch::watch_configuration;
 use crate::engine_driver::drive_engine;
 use crate::error::AgentError;
-use crate::gateway_link::receive_datagrams;
+use crate::gateway_link::{hand_over_streams, receive_datagrams};
 use crate::start_record::write_start_record;
 
 /// Timeout for a connection to a gateway, which is usually in the same data centre.
@@ -76,6 +76,11 @@
 }
 
 impl AgentHandle {
+    /// Hands the streams that this agent knows to gateways, before the process ends.
+    pub fn stop(&self) {
+        hand_over_streams(&self.app);
+    }
+
     /// Applies changed settings; only the address of the store can change at run time.
     pub fn reload(&self, settings: &AgentSettings) {
         log::info!("event=settings_reloaded store={}", settings.store_address);
--- a/components/agent/tests/streams.rs
+++ b/components/agent/tests/streams.rs
@@ -4,12 +4,15 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
-use base::{Incarnation, ProcessId, ProcessName};
+use base::{Incarnation, Offset, ProcessId, ProcessName};
 use config::AgentSettings;
 use tokio::net::UdpSocket;
 use tokio::task::LocalSet;
 use tokio::time::timeout;
-use wire::{Datagram, DatagramBody, DatagramSocket, Echo, StreamAnswer, StreamAsk, StreamOrigin};
+use wire::{
+    AgentAsk, Datagram, DatagramBody, DatagramSocket, Echo, KnownStream, StreamAnswer, StreamAsk,
+    StreamOrigin,
+};
 
 /// Bound on the wait for an answer on the loopback interface.
 const WAIT_LIMIT: Duration = Duration::from_secs(10);
@@ -80,3 +83,50 @@
     };
     local.run_until(run).await;
 }
+
+/// Guards against streams whose versions are lost with an agent that is stopped as planned.
+#[tokio::test]
+async fn a_stopping_agent_hands_its_streams_to_a_gateway() {
+    let local = LocalSet::new();
+    let run = async {
+        let free = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+        let address = free.local_addr().unwrap();
+        drop(free);
+        let settings = AgentSettings {
+            name: "side-1".into(),
+            ip: address.ip(),
+            peer_port: address.port(),
+            ..AgentSettings::default()
+        };
+        let agent = agent::start(settings).await.unwrap();
+        let gateway = Gateway::start(1, address).await;
+        let origin = StreamOrigin { attempt: 7, service: 1, software: "v1".into() };
+        gateway.send(DatagramBody::StreamBegun(origin.clone()));
+        gateway.send(DatagramBody::Ask(AgentAsk {
+            wants_state: false,
+            config: Offset::default(),
+            store_era: None,
+            target: "engine-1".into(),
+            born_ms: None,
+            used_adapters: Vec::new(),
+            wanted_adapters: Vec::new(),
+            plan: None,
+        }));
+        assert!(gateway.ask(7).await.software.is_some(), "both datagrams have arrived");
+        agent.stop();
+        let mut buffer = Vec::new();
+        let received = timeout(WAIT_LIMIT, gateway.socket.receive(&mut buffer)).await;
+        let DatagramBody::StreamsKnown(known) = received.unwrap().0.body else {
+            panic!("another datagram")
+        };
+        assert_eq!(known.len(), 1);
+        assert_eq!(known[0].origin, origin);
+        // A further agent is told of it by the gateway.
+        gateway.send(DatagramBody::StreamsKnown(vec![KnownStream {
+            origin: StreamOrigin { attempt: 8, ..origin },
+            age_ms: 1_000,
+        }]));
+        assert_eq!(gateway.ask(8).await.software, Some("v1".into()));
+    };
+    local.run_until(run).await;
+}
--- a/components/gateway/src/app.rs
+++ b/components/gateway/src/app.rs
@@ -16,7 +16,7 @@
 use quarantine::Quarantine;
 use rates::GatewayCount;
 use routing::DirectFleet;
-use streams::{SoftwareRegister, StreamOrigins, VersionView};
+use streams::{KeeperSet, LiveStreams, SoftwareRegister, StreamOrigins, VersionView};
 use telemetry::Metrics;
 use tokio::sync::{Notify, watch};
 use wire::{StoredDocument, Subject};
@@ -119,6 +119,10 @@
     pub version_view: Cell<VersionView>,
     /// Versions that began the streams of this gateway.
     pub streams: RefCell<StreamOrigins>,
+    /// Streams that this gateway relays or passes on, for the agents that remember them.
+    pub live_streams: RefCell<LiveStreams>,
+    /// Agents that are told of streams.
+    pub keepers: RefCell<KeeperSet>,
     /// Searches for the versions that began other streams.
     pub stream_lookups: RefCell<StreamLookups>,
     /// Notified when an agent has answered in such a search.
--- a/components/gateway/src/fleet_link.rs
+++ b/components/gateway/src/fleet_link.rs
@@ -23,6 +23,8 @@
 /// Rounds between two state datagrams to other data centres; traffic between data centres is
 /// expensive.
 const REMOTE_STATE_ROUNDS: u64 = 2;
+/// Rounds between two checks of the agents that remember streams.
+const KEEPER_ROUNDS: u64 = 2;
 /// Rounds between two queries to an agent.
 const AGENT_QUERY_ROUNDS: u64 = 4;
 /// Rounds between two updates of the freshness metrics: one second.
@@ -178,6 +180,9 @@
         if round.is_multiple_of(REMOTE_STATE_ROUNDS) {
             send_to_remote_gateways(&app, &link, state, now);
         }
+        if round.is_multiple_of(KEEPER_ROUNDS) {
+            app.tell_keepers(&link.socket, now);
+        }
         let all = round.is_multiple_of(AGENT_QUERY_ROUNDS);
         if all || now.since(Timestamp::default()) < EAGER_QUERY_PERIOD {
             query_agents(&app, &link, all, now);
--- a/components/gateway/src/fleet_receiver.rs
+++ b/components/gateway/src/fleet_receiver.rs
@@ -69,6 +69,7 @@
             app.stream_lookups.borrow_mut().apply(address, &answer);
             app.stream_answered.notify_waiters();
         }
+        DatagramBody::StreamsKnown(streams) => app.take_over_streams(&streams, address.ip(), now),
         DatagramBody::StreamAsk(_) | DatagramBody::StreamBegun(_) => {
             log::debug!("event=datagram_misplaced from={address}");
         }
--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -142,6 +142,8 @@
         targets_digest: Cell::default(),
         version_view: Cell::default(),
         streams: RefCell::default(),
+        live_streams: RefCell::default(),
+        keepers: RefCell::default(),
         stream_lookups: RefCell::default(),
         stream_answered: Notify::new(),
         target_silent: Notify::new(),
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -32,6 +32,7 @@
 mod store_eras;
 mod stored_quarantines;
 mod stream_failover;
+mod stream_keepers;
 mod stream_lookups;
 mod stream_software;
 mod target_limits;
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -15,6 +15,7 @@
 use crate::exchange::{StreamPart, TargetResponse, TargetStream};
 use crate::in_flight_send::InFlightSend;
 use crate::run_end::RunState;
+use crate::stream_keepers::LiveStreamGuard;
 
 /// Shortest time between two searches for a target that can resume a stalled stream.
 pub(crate) const MOVE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -78,6 +79,8 @@
     pub rest_bytes: usize,
     /// Whether a target broke off inside the event that the caller lacks next.
     next_event_begun: bool,
+    /// Entry in the table of streams whose keepers are told of changes.
+    live_stream: Option<LiveStreamGuard>,
 }
 
 impl StreamRelay {
@@ -94,6 +97,7 @@
             framing: ResponseFraming::default(),
             rest_bytes: 0,
             next_event_begun: false,
+            live_stream: None,
         }
     }
 
@@ -223,8 +227,8 @@
                         if needs_ids && event.id.is_none() {
                             return RelayEnd::Broken;
                         }
-                        if self.events == 0 {
-                            self.dispatch.record_software(send);
+                        if self.events == 0 && self.live_stream.is_none() {
+                            self.live_stream = self.dispatch.record_software(send);
                         }
                         match self.forward_event(event).await {
                             Ok(true) => {}
--- a/components/gateway/src/stream_software.rs
+++ b/components/gateway/src/stream_software.rs
@@ -1,25 +1,19 @@
 //! Keeps each stream at the version of the software that began it, across gateways and attempts.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use api::{ApiError, ErrorCode};
 use base::{Timestamp, hash_bytes, short_hash};
-use routing::KeeperContact;
 use streams::{Lookup, Ruling};
 use telemetry::quote;
 use tokio::time::timeout;
-use wire::{Datagram, DatagramBody, Echo, StreamAsk, StreamOrigin};
+use wire::{DatagramBody, StreamAsk, StreamOrigin};
 
 use crate::app::App;
 use crate::dispatch::{Dispatch, NO_TARGET_RETRY_AFTER};
 use crate::in_flight_send::InFlightSend;
+use crate::stream_keepers::LiveStreamGuard;
 
-/// Agents that are told of a stream, so that one of them may be lost.
-const KEEPERS: usize = 2;
-/// Agents that are asked for a stream: the keepers, and as many that may have moved down since machines
-/// were added.
-const ASKED_KEEPERS: usize = 4;
 /// Time between two asks of an agent that has not answered.
 const ASK_INTERVAL: Duration = Duration::from_millis(60);
 /// Longest wait for the answers of agents.
@@ -46,29 +40,16 @@
     }
 
     /// Records at the first event of a response which version the stream is bound to, here and at agents,
-    /// which outlive the gateways.
-    pub(crate) fn record_software(&mut self, send: &InFlightSend) {
+    /// which outlive the gateways. The agents are told again while the returned entry lasts.
+    pub(crate) fn record_software(&mut self, send: &InFlightSend) -> Option<LiveStreamGuard> {
         let software = self.software.get_or_insert_with(|| send.software.clone()).clone();
         if !self.request.plan.kind.may_run_again() {
-            return;
+            return None;
         }
         let service = short_hash(self.request.plan.service.as_bytes());
         let origin = StreamOrigin { attempt: self.first_attempt(), service, software };
         let now = self.app.clock.now();
-        self.app.streams.borrow_mut().record(&origin, now);
-        let keepers =
-            self.app.fleet.borrow().stream_keepers(origin.attempt, KeeperContact::Tell, KEEPERS);
-        let peer_port = self.app.settings().peer_port;
-        for keeper in keepers {
-            let body = DatagramBody::StreamBegun(origin.clone());
-            self.send_to_agent(SocketAddr::new(keeper, peer_port), body, now);
-        }
-    }
-
-    fn send_to_agent(&self, address: SocketAddr, body: DatagramBody, now: Timestamp) {
-        let echo = Echo { sent_micros: now.micros, ..Echo::default() };
-        let datagram = Datagram { from: self.app.process.clone(), echo, body };
-        self.link.socket.send(&datagram, address);
+        Some(self.app.begin_stream(&self.link.socket, origin, now))
     }
 
     /// Whether a target that has not failed the request runs the version of the stream.
@@ -168,14 +149,9 @@
         let app = &self.app;
         let attempt = self.first_attempt();
         let service = &self.request.plan.service;
-        let peer_port = app.settings().peer_port;
         let started = app.clock.now();
-        let lookup = {
-            let fleet = app.fleet.borrow();
-            let keepers = fleet.stream_keepers(attempt, KeeperContact::Ask, ASKED_KEEPERS);
-            let asked = keepers.into_iter().map(|ip| SocketAddr::new(ip, peer_port)).collect();
-            Lookup::new(asked, fleet.software_versions(service, started))
-        };
+        let asked = app.keepers_to_ask(attempt, started);
+        let lookup = Lookup::new(asked, app.fleet.borrow().software_versions(service, started));
         let id = app.stream_lookups.borrow_mut().begin(attempt, lookup);
         let _guard = SearchGuard { app, id };
         let ask = StreamAsk { attempt, service: short_hash(service.as_bytes()) };
@@ -194,7 +170,8 @@
             if now >= ask_at {
                 ask_at = now + ASK_INTERVAL;
                 for agent in open {
-                    self.send_to_agent(agent, DatagramBody::StreamAsk(ask), now);
+                    let body = DatagramBody::StreamAsk(ask);
+                    app.send_to_agent(&self.link.socket, agent.ip(), body, now);
                 }
             }
             let _answered = timeout(ask_at.since(now), answered).await;
--- a/components/routing/src/direct_fleet.rs
+++ b/components/routing/src/direct_fleet.rs
@@ -162,7 +162,7 @@
         let key = self.by_id.get(id).copied()?;
         self.record_software(key, now);
         let target = &mut self.targets[key.0 as usize];
-        target.record_unlisted();
+        target.record_unlisted(now);
         Some(target.address)
     }
 
--- a/components/routing/src/direct_target.rs
+++ b/components/routing/src/direct_target.rs
@@ -67,8 +67,8 @@
     pub accepts_work: bool,
     /// Whether a target that started later has the same address.
     pub(crate) is_superseded: bool,
-    /// Whether the target was removed from the target list.
-    is_unlisted: bool,
+    /// When the target was removed from the target list.
+    pub(crate) unlisted_at: Option<Timestamp>,
     /// Whether the target reported in a response that it is leaving.
     announced_leaving: bool,
     /// End of the backoff that the target requested.
@@ -116,7 +116,7 @@
     agent_state_version: Option<(Incarnation, u64)>,
     pub(crate) agent_load: Option<AgentLoad>,
     /// Incarnation of the agent in the last state received.
-    agent_incarnation: Option<Incarnation>,
+    pub(crate) agent_incarnation: Option<Incarnation>,
     /// Start times of loads from the weight store ordered by the current incarnation of the agent.
     weight_loads: Vec<Timestamp>,
     /// Start times of loads from the weight store ordered by earlier incarnations.
@@ -153,7 +153,7 @@
             slots: entry.slots,
             accepts_work: false,
             is_superseded: false,
-            is_unlisted: false,
+            unlisted_at: None,
             announced_leaving: false,
             backoff_until: None,
             connection_refused_at: None,
@@ -200,7 +200,7 @@
         self.software.clone_from(&entry.software);
         self.data_centre.clone_from(&entry.data_centre);
         self.slots = entry.slots;
-        self.is_unlisted = false;
+        self.unlisted_at = None;
         let is_ready = entry.state == TargetState::Ready && !self.announced_leaving;
         self.accepts_work = is_ready && !self.is_superseded;
         // A recent state from the agent is newer than the entry.
@@ -308,8 +308,8 @@
     }
 
     /// Records that the target was removed from the target list.
-    pub(crate) fn record_unlisted(&mut self) {
-        self.is_unlisted = true;
+    pub(crate) fn record_unlisted(&mut self, now: Timestamp) {
+        self.unlisted_at = Some(now);
         self.accepts_work = false;
     }
 
@@ -337,7 +337,7 @@
         let unresponsive = self.has_recent_agent_state(now) && !self.responds_to_agent;
         if self.is_superseded || refused {
             TargetPhase::Ended
-        } else if self.is_unlisted || unresponsive {
+        } else if self.unlisted_at.is_some() || unresponsive {
             TargetPhase::Unheard
         } else if self.accepts_work {
             TargetPhase::Active
@@ -368,7 +368,7 @@
 
     /// Returns whether the target is in the target list.
     pub const fn is_listed(&self) -> bool {
-        !self.is_unlisted && !self.is_superseded
+        self.unlisted_at.is_none() && !self.is_superseded
     }
 
     /// Returns whether a state from a local agent was ever received.
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -64,7 +64,7 @@
 pub use router::{MAX_CANDIDATES, Router};
 pub use score::{NetworkDelays, Reachability, reachability_of};
 pub use sends::SendId;
-pub use software_versions::{KeeperContact, SOFTWARE_RETENTION, VersionTargets};
+pub use software_versions::{SOFTWARE_RETENTION, VersionTargets};
 pub use target_health::{TargetHealth, TargetOutcome};
 pub use target_limit::{NamedLimit, SharingGateways, TargetLimit};
 pub use target_silence::{ExpectedSigns, SilenceChange, SilenceSettings, TargetSilence};
--- a/components/routing/src/software_versions.rs
+++ b/components/routing/src/software_versions.rs
@@ -1,11 +1,11 @@
 //! Which versions of their software the targets of a service run, and who remembers the streams that
 //! they began.
 
-use std::net::IpAddr;
 use std::time::Duration;
 
-use base::{Timestamp, rendezvous_score};
+use base::Timestamp;
 use compact_str::CompactString;
+use streams::Keeper;
 use wire::SoftwareVersion;
 
 use crate::{DirectFleet, DirectTarget, TargetKey};
@@ -14,16 +14,6 @@
 /// the attempts to take it up.
 pub const SOFTWARE_RETENTION: Duration = Duration::from_secs(60);
 
-/// What the agents that remember streams are contacted for.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum KeeperContact {
-    /// To ask for a stream. Machines that are about to go may know it, and so may those of which this
-    /// process, after a restart, doesn't know yet whether they have an agent.
-    Ask,
-    /// To tell them of a stream.
-    Tell,
-}
-
 /// Targets of one version of a service's software, counted by what they can do for a model.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct VersionTargets {
@@ -134,24 +124,46 @@
         versions
     }
 
-    /// Returns the machines whose agents remember the stream of an attempt, the first ones first, in an order
-    /// that depends on the attempt alone.
-    pub fn stream_keepers(&self, attempt: u64, contact: KeeperContact, most: usize) -> Vec<IpAddr> {
-        let key = attempt.to_le_bytes();
+    /// Returns the agents that are told of streams: those that were heard lately and run beside targets that
+    /// accept work. With fewer than `least` machines of these, others on listed machines are added, and then
+    /// those that may have an agent: after a restart, this process hasn't heard of them yet.
+    pub fn keepers(&self, least: usize, now: Timestamp) -> Vec<Keeper> {
         let listed = || self.targets.iter().filter(|target| target.is_listed());
-        let any_agent = listed().any(DirectTarget::has_local_agent);
-        let is_candidate = |target: &&DirectTarget| match contact {
-            KeeperContact::Ask => target.has_local_agent() || target.may_have_agent(),
-            KeeperContact::Tell if any_agent => target.has_local_agent() && target.accepts_work,
-            KeeperContact::Tell => target.may_have_agent() && target.accepts_work,
+        let serves = |target: &&DirectTarget| {
+            target.has_local_agent() && target.accepts_work && target.has_recent_agent_state(now)
         };
-        let mut ranked: Vec<(u64, IpAddr)> = listed()
-            .filter(is_candidate)
-            .map(|target| target.address.ip())
-            .map(|ip| (rendezvous_score(&key, &ip.to_string()), ip))
-            .collect();
-        ranked.sort_unstable_by(|a, b| b.cmp(a));
-        ranked.dedup();
-        ranked.into_iter().take(most).map(|(_, ip)| ip).collect()
+        let mut keepers = distinct(listed().filter(serves));
+        if keepers.len() < least {
+            keepers = distinct(listed().filter(|target| target.has_local_agent()));
+        }
+        if keepers.len() < least {
+            let may_know =
+                |target: &&DirectTarget| target.has_local_agent() || target.may_have_agent();
+            keepers = distinct(listed().filter(may_know));
+        }
+        keepers
     }
+
+    /// Returns the other agents that may have been told of streams, whose targets don't accept work or left
+    /// the list lately; `keepers` are those that are told now.
+    pub fn former_keepers(&self, keepers: &[Keeper], now: Timestamp) -> Vec<Keeper> {
+        let may_know = |target: &&DirectTarget| {
+            let since_unlisted = target.unlisted_at.map(|at| now.since(at));
+            (target.has_local_agent() || target.may_have_agent())
+                && since_unlisted.is_none_or(|since| since < SOFTWARE_RETENTION)
+        };
+        let mut former = distinct(self.targets.iter().filter(may_know));
+        former.retain(|one| keepers.binary_search_by_key(&one.ip, |keeper| keeper.ip).is_err());
+        former
+    }
+}
+
+/// Agents beside these targets, sorted by machine; the newest run of each machine.
+fn distinct<'a>(targets: impl Iterator<Item = &'a DirectTarget>) -> Vec<Keeper> {
+    let mut keepers: Vec<Keeper> = targets
+        .map(|target| Keeper { ip: target.address.ip(), incarnation: target.agent_incarnation })
+        .collect();
+    keepers.sort_unstable_by(|a, b| a.ip.cmp(&b.ip).then(b.incarnation.cmp(&a.incarnation)));
+    keepers.dedup_by_key(|keeper| keeper.ip);
+    keepers
 }
--- a/components/routing/tests/direct_fleet.rs
+++ b/components/routing/tests/direct_fleet.rs
@@ -1,62 +1,15 @@
 //! Target selection by a gateway that calls targets directly.
 #![allow(clippy::unwrap_used, reason = "a missing value fails the test")]
 
-use std::net::SocketAddr;
+mod common;
 
-use base::{LoadedModel, ProcessName, Timestamp, WarmCopies, short_hash};
-use compact_str::format_compact;
+use base::{LoadedModel, ProcessName, short_hash};
+use common::{agent_state, at, entry};
 use routing::{
     DirectChoice, DirectFleet, DirectPick, DirectPlainRequirements, GenerationRequirements,
-    KeeperContact, PromptPart, TargetKey, TargetLoadSample, TargetOutcome, TargetPhase, WorkKind,
-    prefix_links,
+    PromptPart, TargetKey, TargetLoadSample, TargetOutcome, TargetPhase, WorkKind, prefix_links,
 };
-use wire::{SendCopy, TargetEntry, TargetState, TargetWorkCopy};
-
-fn at(ms: u64) -> Timestamp {
-    Timestamp::from_millis(ms)
-}
-
-fn entry(number: u16, data_centre: &str) -> TargetEntry {
-    TargetEntry {
-        id: format_compact!("engine-{number}"),
-        born_ms: Some(1),
-        service: "engines".into(),
-        software: "v1".into(),
-        address: SocketAddr::from(([127, 0, 0, 1], 9_000 + number)),
-        data_centre: data_centre.into(),
-        slots: 8,
-        state: TargetState::Ready,
-        cold_ms: 0,
-        orders_accepted: 0,
-        models: vec![LoadedModel { model: "m".into(), version: 1, adapters: Vec::new() }],
-        warm: WarmCopies::default(),
-    }
-}
-
-/// State reported by the agent of an engine without models.
-fn agent_state(engine: &str, sent_ms: u64) -> wire::AgentState {
-    wire::AgentState {
-        from: base::ProcessId {
-            name: ProcessName::new("agent-1"),
-            incarnation: base::Incarnation(1),
-        },
-        sent_micros: sent_ms * 1_000,
-        waited_ms: 0,
-        target: engine.into(),
-        born_ms: Some(1),
-        answers: true,
-        orders_accepted: 0,
-        models: Vec::new(),
-        changing: None,
-        free_adapter_slots: 4,
-        running: 0,
-        waiting: 0,
-        cache_used_tokens: 0,
-        warm: WarmCopies::default(),
-        fetch_ages_ms: Vec::new(),
-        asked_at: None,
-    }
-}
+use wire::{SendCopy, TargetEntry, TargetWorkCopy};
 
 /// Returns a fleet of four engines in the gateway's data centre.
 fn fleet() -> DirectFleet {
@@ -579,47 +532,3 @@
     fleet.mark_unlisted("engine-0", at(70_000));
     assert_eq!(fleet.software_versions("engines", at(70_000)), ["v2"]);
 }
-
-/// Guards against a stream whose keepers are not found again: a gateway that knows more or fewer engines
-/// asks the agents that were told.
-#[test]
-fn the_keepers_of_a_stream_are_found_after_engines_came_and_went() {
-    let many = |count: u16| {
-        let mut fleet = DirectFleet::new("north-a");
-        for number in 0..count {
-            let address = SocketAddr::from(([10, 0, 0, number as u8], 9_000));
-            fleet.apply_entry(&TargetEntry { address, ..entry(number, "north-a") }, at(0));
-        }
-        fleet
-    };
-    let (then, mut now) = (many(16), many(18));
-    now.mark_unlisted("engine-3", at(1));
-    for attempt in 0..500 {
-        let told = then.stream_keepers(attempt, KeeperContact::Tell, 2);
-        let asked = now.stream_keepers(attempt, KeeperContact::Ask, 4);
-        assert!(told.iter().any(|keeper| asked.contains(keeper)), "{attempt}");
-    }
-}
-
-/// Guards against streams that nobody remembers where most engines have no agent: gateways give their
-/// orders, and nothing on their machines listens.
-#[test]
-fn only_machines_with_an_agent_remember_streams() {
-    let mut fleet = DirectFleet::new("north-a");
-    let address = |number: u16| SocketAddr::from(([10, 0, 0, number as u8], 9_000));
-    for number in 0..20 {
-        let entry = TargetEntry { address: address(number), ..entry(number, "north-a") };
-        fleet.apply_entry(&entry, at(0));
-    }
-    let asked_keepers = |fleet: &DirectFleet| fleet.stream_keepers(1, KeeperContact::Ask, 20).len();
-    assert_eq!(asked_keepers(&fleet), 20, "nothing is known yet");
-    for number in 0..20 {
-        let asked_at = (number >= 3).then(|| address(100));
-        let id = format_compact!("engine-{number}");
-        fleet.apply_agent_state(&wire::AgentState { asked_at, ..agent_state(&id, 1) }, at(1));
-    }
-    assert_eq!(asked_keepers(&fleet), 3);
-    let mut told = fleet.stream_keepers(1, KeeperContact::Tell, 20);
-    told.sort_unstable();
-    assert_eq!(told, [address(0).ip(), address(1).ip(), address(2).ip()]);
-}
--- a/components/streams/src/origins.rs
+++ b/components/streams/src/origins.rs
@@ -5,7 +5,7 @@
 
 use base::{SortedMap, Timestamp};
 use compact_str::CompactString;
-use wire::StreamOrigin;
+use wire::{KnownStream, StreamOrigin};
 
 /// Bounds of a record.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -47,14 +47,27 @@
 
     /// Records a stream that has begun, or goes on.
     pub fn record(&mut self, origin: &StreamOrigin, now: Timestamp) {
+        self.record_at(origin, now, now);
+    }
+
+    /// Records a stream that another process knows; what is known of it since then stays.
+    pub fn record_known(&mut self, known: &KnownStream, now: Timestamp) {
+        let at = now - Duration::from_millis(u64::from(known.age_ms));
+        let is_newer = |earlier: &Known| earlier.at < at;
+        if self.streams.get(&known.origin.attempt).is_none_or(is_newer) {
+            self.record_at(&known.origin, at, now);
+        }
+    }
+
+    fn record_at(&mut self, origin: &StreamOrigin, at: Timestamp, now: Timestamp) {
         self.forget_old(now);
         while self.streams.len() >= self.settings.max_streams {
             let Some((at, attempt)) = self.order.pop_front() else { break };
             self.forget(attempt, at);
         }
         let software = origin.software.clone();
-        self.streams.insert(origin.attempt, Known { service: origin.service, software, at: now });
-        self.order.push_back((now, origin.attempt));
+        self.streams.insert(origin.attempt, Known { service: origin.service, software, at });
+        self.order.push_back((at, origin.attempt));
     }
 
     /// Returns the version that began the stream of an attempt.
@@ -70,6 +83,17 @@
             .map(|known| &known.software)
     }
 
+    /// Iterates over the streams for another process, the last ones first.
+    pub fn known_streams(&self, now: Timestamp) -> impl Iterator<Item = KnownStream> {
+        self.order.iter().rev().filter_map(move |(at, attempt)| {
+            let known = self.streams.get(attempt).filter(|known| known.at == *at)?;
+            let software = known.software.clone();
+            let origin = StreamOrigin { attempt: *attempt, service: known.service, software };
+            let age_ms = u32::try_from(now.since(known.at).as_millis()).unwrap_or(u32::MAX);
+            self.is_recent(known.at, now).then_some(KnownStream { origin, age_ms })
+        })
+    }
+
     /// Returns the versions of a service that began streams, sorted.
     pub fn versions(&self, service: u32, now: Timestamp) -> Vec<CompactString> {
         let mut versions: Vec<CompactString> = Vec::new();
--- a/components/wire/src/fleet_state.rs
+++ b/components/wire/src/fleet_state.rs
@@ -8,8 +8,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    EvacuationReport, StreamAnswer, StreamAsk, StreamOrigin, SubjectReport, TargetEntry,
-    TargetLimitReport, TargetSpeedReport,
+    EvacuationReport, KnownStream, StreamAnswer, StreamAsk, StreamOrigin, SubjectReport,
+    TargetEntry, TargetLimitReport, TargetSpeedReport,
 };
 
 /// A datagram.
@@ -45,6 +45,9 @@
     StreamAsk(StreamAsk),
     /// A stream has begun.
     StreamBegun(StreamOrigin),
+    /// Streams that the sender knows: from an agent that stops to a gateway, which passes them on, or from a
+    /// gateway to agents that should know them now.
+    StreamsKnown(Vec<KnownStream>),
 }
 
 /// A state that is passed on.
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -58,7 +58,7 @@
 pub use start_record::{FLEET_STREAM, StartRecord};
 pub use status::{ProcessStatus, StatusProblem};
 pub use stored_document::StoredDocument;
-pub use stream_origin::{SoftwareVersion, StreamAnswer, StreamAsk, StreamOrigin};
+pub use stream_origin::{KnownStream, SoftwareVersion, StreamAnswer, StreamAsk, StreamOrigin};
 pub use subject_report::{CrashCopy, HoldCopy, StoredSubject, Subject, SubjectReport};
 pub use target_entry::{TargetEntry, TargetState};
 pub use target_limit_report::TargetLimitReport;
--- a/components/wire/src/stream_origin.rs
+++ b/components/wire/src/stream_origin.rs
@@ -1,5 +1,7 @@
 //! Which version of a service's software began a stream, told to and asked of agents.
 
+use std::time::Duration;
+
 use base::hash_bytes;
 use compact_str::{CompactString, format_compact};
 use serde::{Deserialize, Serialize};
@@ -15,6 +17,28 @@
     pub software: CompactString,
 }
 
+/// A stream that a process knows, for another one.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct KnownStream {
+    /// The stream.
+    pub origin: StreamOrigin,
+    /// Time since it was last recorded as begun or gone on, in milliseconds.
+    pub age_ms: u32,
+}
+
+impl KnownStream {
+    /// Adds the time that the stream waited at a process that passes it on.
+    pub fn add_age(&mut self, waited: Duration) {
+        let waited_ms = u32::try_from(waited.as_millis()).unwrap_or(u32::MAX);
+        self.age_ms = self.age_ms.saturating_add(waited_ms);
+    }
+
+    /// Returns an upper bound on the bytes that it takes in a datagram.
+    pub fn max_bytes(&self) -> usize {
+        24 + self.origin.software.len()
+    }
+}
+
 /// Asks an agent for the version that began a stream.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct StreamAsk {
--- a/src/cmd/agent.rs
+++ b/src/cmd/agent.rs
@@ -20,7 +20,7 @@
       --log-level LEVEL  error, warn, info, debug or trace (info)
   -h, --help             show this text
 
-SIGTERM ends the process.
+SIGTERM ends the process, after it has told gateways which streams it knows.
 
 Exit code: 0 after SIGTERM, 1 for a failure, 2 for wrong usage.
 ";
@@ -49,6 +49,7 @@
             },
         }
     }
+    handle.stop();
     log::info!("event=agent_stopped");
     ExitCode::SUCCESS
 }
--- a/tests/software_versions.rs
+++ b/tests/software_versions.rs
@@ -16,8 +16,8 @@
 use rustix::process::Signal;
 use standin::Service;
 use support::{
-    CUSTOMER_KEY, HOST, PeerGateway, PlainGateway, header_value, id_line, plain_route, read_head,
-    start_target,
+    CUSTOMER_KEY, EngineMachine, HOST, PeerGateway, PlainGateway, header_value, id_line,
+    plain_route, read_head, start_target,
 };
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -29,6 +29,8 @@
 const BEFORE_BREAK: u64 = 2;
 /// Time without a read after which the list of targets says nothing of the versions in service, and more.
 const STALE_TIME: Duration = Duration::from_millis(2_500);
+/// Time in which a gateway hears of an agent that starts, and tells it of streams.
+const HEARD_TIME: Duration = Duration::from_millis(1_000);
 /// Time in which a gateway reads the list and writes what it has seen to the store.
 const SETTLE_TIME: Duration = Duration::from_millis(1_500);
 
@@ -38,12 +40,19 @@
     version: &'static str,
     /// Whether it breaks off each stream that begins there.
     breaks: Arc<Mutex<bool>>,
+    /// Time that passes before it does.
+    breaks_after: Duration,
     requests: Arc<Mutex<usize>>,
 }
 
 impl VersionedTarget {
     fn new(version: &'static str, breaks: bool) -> Self {
-        Self { version, breaks: Arc::new(Mutex::new(breaks)), requests: Arc::default() }
+        Self {
+            version,
+            breaks: Arc::new(Mutex::new(breaks)),
+            breaks_after: Duration::ZERO,
+            requests: Arc::default(),
+        }
     }
 
     async fn start(&self) -> SocketAddr {
@@ -67,7 +76,11 @@
                 id_line(&head),
                 body.len() + usize::from(breaks)
             );
-            if socket.write_all(response.as_bytes()).await.is_err() || breaks {
+            if socket.write_all(response.as_bytes()).await.is_err() {
+                return;
+            }
+            if breaks {
+                sleep(self.breaks_after).await;
                 return;
             }
         }
@@ -271,3 +284,65 @@
     let response = take_up_unknown(gateway.callers, "later").await;
     assert_eq!(versions(&response), ["v1"], "the list is read again: {response:?}");
 }
+
+/// A gateway that knows targets of two versions, and the agents that remember its streams.
+async fn gateway_with_agents(breaks_after: Duration) -> (PlainGateway, [EngineMachine; 2]) {
+    let targets = ["v1", "v2"]
+        .map(|version| VersionedTarget { breaks_after, ..VersionedTarget::new(version, true) });
+    let gateway = gateway(&[&targets[0], &targets[1]]).await;
+    let machines =
+        [EngineMachine::start(&gateway, 1).await, EngineMachine::start(&gateway, 2).await];
+    sleep(HEARD_TIME).await;
+    (gateway, machines)
+}
+
+/// Takes streams up at a gateway that runs anew and knows nothing of them.
+async fn assert_taken_up(gateway: &mut PlainGateway, begun: &[(String, CallerResponse)]) {
+    gateway.restart().await;
+    sleep(HEARD_TIME).await;
+    for (id, first) in begun {
+        assert_eq!(versions(first).len(), 1, "{first:?}");
+        let again = call(gateway, &format!("{id}-again"), Some((id, BEFORE_BREAK))).await;
+        assert_eq!(versions(&again), versions(first), "{id}: {again:?}");
+    }
+}
+
+/// Guards against streams that nobody remembers after the agents were stopped in turn.
+#[tokio::test]
+async fn agents_that_are_stopped_in_turn_hand_their_streams_on() {
+    let (mut gateway, mut machines) = gateway_with_agents(Duration::ZERO).await;
+    let mut begun = Vec::new();
+    for number in 0..4 {
+        let id = format!("request-{number}");
+        let response = call(&gateway, &id, None).await;
+        begun.push((id, response));
+    }
+    for machine in &mut machines {
+        machine.restart_agent(Signal::TERM).await;
+        sleep(HEARD_TIME).await;
+    }
+    assert_taken_up(&mut gateway, &begun).await;
+}
+
+/// Guards against streams that nobody remembers after the agents were killed in turn while they lasted.
+#[tokio::test]
+async fn agents_that_start_are_told_of_streams_that_last() {
+    let (mut gateway, mut machines) = gateway_with_agents(HEARD_TIME * 3).await;
+    let callers = gateway.callers;
+    let streams: Vec<_> = (0..4)
+        .map(|number| {
+            let id = format!("request-{number}");
+            tokio::spawn(async move { (id.clone(), call_at(callers, &id, None).await) })
+        })
+        .collect();
+    sleep(HEARD_TIME / 4).await;
+    for machine in &mut machines {
+        machine.restart_agent(Signal::KILL).await;
+        sleep(HEARD_TIME).await;
+    }
+    let mut begun = Vec::new();
+    for stream in streams {
+        begun.push(stream.await.unwrap());
+    }
+    assert_taken_up(&mut gateway, &begun).await;
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -5,6 +5,7 @@
 #![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
 
 mod caller;
+mod engine_machine;
 mod fleet;
 mod gateway;
 mod process;
@@ -16,6 +17,7 @@
 use std::time::Duration;
 
 pub use caller::{Caller, StreamedAnswer};
+pub use engine_machine::EngineMachine;
 pub use fleet::{Entry, Fleet, FleetOptions, KEY, MODEL, Side};
 pub use gateway::{
     CUSTOMER_KEY, HOST, PeerGateway, PlainGateway, SERVICE, gateway_machine, plain_call,
