Hand streams on from agents whose targets have left

Cause: gateways don't query agents whose targets leave, and an agent hands its streams only to gateways that it heard within 2 s, while its machine stops later than that after its target began to leave.

Change: an agent hands its streams to the last two gateways that it heard within 60 s, the time for which it remembers streams.

--- a/components/agent/src/gateway_link.rs
+++ b/components/agent/src/gateway_link.rs
@@ -17,6 +17,9 @@
 
 /// Gateways to which a stopping agent sends its streams, so that one may stand still.
 const HAND_OVER_GATEWAYS: usize = 2;
+/// Time after its last datagram for which a gateway receives them: gateways don't speak to agents whose
+/// targets leave, and these stop some seconds later.
+const HAND_OVER_EXPIRY: Duration = Duration::from_secs(60);
 /// Most streams that are sent, the last ones: the receivers' buffers hold these at once.
 const MAX_HANDED_OVER: usize = 4_096;
 
@@ -110,7 +113,7 @@
     let now = app.clock.now();
     let known = app.streams.borrow().known_streams(now).take(MAX_HANDED_OVER).collect::<Vec<_>>();
     let mut gateways: Vec<ActiveGateway> = app.active_gateways.borrow().values().copied().collect();
-    gateways.retain(|peer| now.since(peer.queried_at) < GATEWAY_EXPIRY);
+    gateways.retain(|peer| now.since(peer.queried_at) < HAND_OVER_EXPIRY);
     gateways.sort_unstable_by_key(|peer| Reverse(peer.queried_at));
     gateways.truncate(HAND_OVER_GATEWAYS);
     log::info!("event=streams_handed_over streams={} gateways={}", known.len(), gateways.len());
--- a/components/agent/tests/streams.rs
+++ b/components/agent/tests/streams.rs
@@ -8,7 +8,7 @@
 use config::AgentSettings;
 use tokio::net::UdpSocket;
 use tokio::task::LocalSet;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 use wire::{
     AgentAsk, Datagram, DatagramBody, DatagramSocket, Echo, KnownStream, StreamAnswer, StreamAsk,
     StreamOrigin,
@@ -84,7 +84,8 @@
     local.run_until(run).await;
 }
 
-/// Guards against streams whose versions are lost with an agent that is stopped as planned.
+/// Guards against streams whose versions are lost with an agent that is stopped as planned, also after its
+/// target has left.
 #[tokio::test]
 async fn a_stopping_agent_hands_its_streams_to_a_gateway() {
     let local = LocalSet::new();
@@ -113,6 +114,8 @@
             plan: None,
         }));
         assert!(gateway.ask(7).await.software.is_some(), "both datagrams have arrived");
+        // Gateways don't speak to agents whose targets leave.
+        sleep(Duration::from_millis(2_500)).await;
         agent.stop();
         let mut buffer = Vec::new();
         let received = timeout(WAIT_LIMIT, gateway.socket.receive(&mut buffer)).await;
