--- a/components/gateway/src/app.rs
+++ b/components/gateway/src/app.rs
@@ -16,7 +16,7 @@
 use quarantine::Quarantine;
 use rates::GatewayCount;
 use routing::DirectFleet;
-use streams::StreamOrigins;
+use streams::{KeeperSet, LiveStreams, SoftwareRegister, StreamOrigins, VersionView};
 use telemetry::Metrics;
 use tokio::sync::{Notify, watch};
 use wire::{StoredDocument, Subject};
@@ -115,8 +115,18 @@
     pub registry_read: Cell<bool>,
     /// Notified when the state of an engine has changed.
     pub engines_changed: Notify,
+    /// Versions of software that the store has, as of the last read.
+    pub software_register: RefCell<SoftwareRegister>,
+    /// Digest of the target list when this gateway last reported it.
+    pub targets_digest: Cell<u32>,
+    /// When this gateway learned of the versions in service.
+    pub version_view: Cell<VersionView>,
     /// Versions that began the streams of this gateway.
     pub streams: RefCell<StreamOrigins>,
+    /// Streams that this gateway relays or passes on, for the agents that remember them.
+    pub live_streams: RefCell<LiveStreams>,
+    /// Agents that are told of streams.
+    pub keepers: RefCell<KeeperSet>,
     /// Searches for the versions that began other streams.
     pub stream_lookups: RefCell<StreamLookups>,
     /// Notified when an agent has answered in such a search.
--- a/components/gateway/src/fleet_receiver.rs
+++ b/components/gateway/src/fleet_receiver.rs
@@ -69,6 +69,7 @@
             app.stream_lookups.borrow_mut().apply(address, &answer);
             app.stream_answered.notify_waiters();
         }
+        DatagramBody::StreamsKnown(streams) => app.take_over_streams(&streams, address.ip(), now),
         DatagramBody::StreamAsk(_) | DatagramBody::StreamBegun(_) => {
             log::debug!("event=datagram_misplaced from={address}");
         }
@@ -112,6 +113,12 @@
         let age = Duration::from_millis(u64::from(age_ms));
         app.gateways.borrow_mut().record_targets_read(&state.from.name, age, echoed_at);
     }
+    // The digest of the last report is enough: what was applied since is newer.
+    if state.targets_digest == app.targets_digest.get()
+        && let Some(age_ms) = state.targets_view_age_ms
+    {
+        app.record_list_read(echoed_at - Duration::from_millis(u64::from(age_ms)));
+    }
 }
 
 fn apply_gateway_state(
--- a/components/routing/src/software_versions.rs
+++ b/components/routing/src/software_versions.rs
@@ -1,11 +1,12 @@
 //! Which versions of their software the targets of a service run, and who remembers the streams that
 //! they began.
 
-use std::net::IpAddr;
 use std::time::Duration;
 
-use base::{Timestamp, rendezvous_score};
+use base::Timestamp;
 use compact_str::CompactString;
+use streams::Keeper;
+use wire::SoftwareVersion;
 
 use crate::{DirectFleet, DirectTarget, TargetKey};
 
@@ -13,16 +14,6 @@
 /// the attempts to take it up.
 pub const SOFTWARE_RETENTION: Duration = Duration::from_secs(60);
 
-/// What the agents that remember streams are contacted for.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum KeeperContact {
-    /// To ask for a stream. Machines that are about to go may know it, and so may those of which this
-    /// process, after a restart, doesn't know yet whether they have an agent.
-    Ask,
-    /// To tell them of a stream.
-    Tell,
-}
-
 /// Targets of one version of a service's software, counted by what they can do for a model.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct VersionTargets {
@@ -105,6 +96,34 @@
         count
     }
 
+    /// Records a version that was in service lately, as another process has seen.
+    pub fn record_former_software(&mut self, version: &SoftwareVersion, now: Timestamp) {
+        let SoftwareVersion { service, software } = version;
+        self.software_history.record(service, software, SOFTWARE_RETENTION, now);
+    }
+
+    /// Returns the versions that listed targets run, of all services, sorted.
+    pub fn listed_software(&self) -> Vec<SoftwareVersion> {
+        let mut found: Vec<SoftwareVersion> = Vec::new();
+        for target in self.targets.iter().filter(|target| target.is_listed()) {
+            let key = (&target.service, &target.software);
+            if let Err(at) =
+                found.binary_search_by(|known| (&known.service, &known.software).cmp(&key))
+            {
+                let (service, software) = (target.service.clone(), target.software.clone());
+                found.insert(at, SoftwareVersion { service, software });
+            }
+        }
+        found
+    }
+
+    /// Returns the versions that were recorded lately, of all services, sorted. A version without changes
+    /// among its targets may be missing while it is listed.
+    pub fn former_software(&self, now: Timestamp) -> Vec<SoftwareVersion> {
+        let seen = self.software_history.all(SOFTWARE_RETENTION, now);
+        seen.cloned().map(|(service, software)| SoftwareVersion { service, software }).collect()
+    }
+
     /// Returns the versions of a service that are in service or were lately, sorted.
     pub fn software_versions(&self, service: &str, now: Timestamp) -> Vec<CompactString> {
         let listed = self
@@ -119,24 +138,46 @@
         versions
     }
 
-    /// Returns the machines whose agents remember the stream of an attempt, the first ones first, in an order
-    /// that depends on the attempt alone.
-    pub fn stream_keepers(&self, attempt: u64, contact: KeeperContact, most: usize) -> Vec<IpAddr> {
-        let key = attempt.to_le_bytes();
+    /// Returns the agents that are told of streams: those that were heard lately and run beside targets that
+    /// accept work. With fewer than `least` machines of these, others on listed machines are added, and then
+    /// those that may have an agent: after a restart, this process hasn't heard of them yet.
+    pub fn keepers(&self, least: usize, now: Timestamp) -> Vec<Keeper> {
         let listed = || self.targets.iter().filter(|target| target.is_listed());
-        let any_agent = listed().any(DirectTarget::has_local_agent);
-        let is_candidate = |target: &&DirectTarget| match contact {
-            KeeperContact::Ask => target.has_local_agent() || target.may_have_agent(),
-            KeeperContact::Tell if any_agent => target.has_local_agent() && target.accepts_work,
-            KeeperContact::Tell => target.may_have_agent() && target.accepts_work,
+        let serves = |target: &&DirectTarget| {
+            target.has_local_agent() && target.accepts_work && target.has_recent_agent_state(now)
         };
-        let mut ranked: Vec<(u64, IpAddr)> = listed()
-            .filter(is_candidate)
-            .map(|target| target.address.ip())
-            .map(|ip| (rendezvous_score(&key, &ip.to_string()), ip))
-            .collect();
-        ranked.sort_unstable_by(|a, b| b.cmp(a));
-        ranked.dedup();
-        ranked.into_iter().take(most).map(|(_, ip)| ip).collect()
+        let mut keepers = distinct(listed().filter(serves));
+        if keepers.len() < least {
+            keepers = distinct(listed().filter(|target| target.has_local_agent()));
+        }
+        if keepers.len() < least {
+            let may_know =
+                |target: &&DirectTarget| target.has_local_agent() || target.may_have_agent();
+            keepers = distinct(listed().filter(may_know));
+        }
+        keepers
     }
+
+    /// Returns the other agents that may have been told of streams, whose targets don't accept work or left
+    /// the list lately; `keepers` are those that are told now.
+    pub fn former_keepers(&self, keepers: &[Keeper], now: Timestamp) -> Vec<Keeper> {
+        let may_know = |target: &&DirectTarget| {
+            let since_unlisted = target.unlisted_at.map(|at| now.since(at));
+            (target.has_local_agent() || target.may_have_agent())
+                && since_unlisted.is_none_or(|since| since < SOFTWARE_RETENTION)
+        };
+        let mut former = distinct(self.targets.iter().filter(may_know));
+        former.retain(|one| keepers.binary_search_by_key(&one.ip, |keeper| keeper.ip).is_err());
+        former
+    }
+}
+
+/// Agents beside these targets, sorted by machine; the newest run of each machine.
+fn distinct<'a>(targets: impl Iterator<Item = &'a DirectTarget>) -> Vec<Keeper> {
+    let mut keepers: Vec<Keeper> = targets
+        .map(|target| Keeper { ip: target.address.ip(), incarnation: target.agent_incarnation })
+        .collect();
+    keepers.sort_unstable_by(|a, b| a.ip.cmp(&b.ip).then(b.incarnation.cmp(&a.incarnation)));
+    keepers.dedup_by_key(|keeper| keeper.ip);
+    keepers
 }
--- a/components/wire/src/fleet_state.rs
+++ b/components/wire/src/fleet_state.rs
@@ -8,8 +8,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    EvacuationReport, StreamAnswer, StreamAsk, StreamOrigin, SubjectReport, TargetEntry,
-    TargetLimitReport, TargetSpeedReport,
+    EvacuationReport, KnownStream, StreamAnswer, StreamAsk, StreamOrigin, SubjectReport,
+    TargetEntry, TargetLimitReport, TargetSpeedReport,
 };
 
 /// A datagram.
@@ -45,6 +45,9 @@
     StreamAsk(StreamAsk),
     /// A stream has begun.
     StreamBegun(StreamOrigin),
+    /// Streams that the sender knows: from an agent that stops to a gateway, which passes them on, or from a
+    /// gateway to agents that should know them now.
+    StreamsKnown(Vec<KnownStream>),
 }
 
 /// A state that is passed on.
@@ -91,6 +94,9 @@
     pub store_read_age_ms: Option<u32>,
     /// Time since it read the list of targets itself, in milliseconds.
     pub targets_read_age_ms: Option<u32>,
+    /// Upper bound on the age of the list of targets that it knows, from its own reads and those that
+    /// others told it of, in milliseconds.
+    pub targets_view_age_ms: Option<u32>,
     /// Digest of the targets that it knows.
     pub targets_digest: u32,
     /// It takes no new work.
