Tell an outage of the store from a gateway that it turns away

Callers of requests that may run only once got 502, and requests reached targets up to 0.4 s later than they serve on after their entry was removed, if the store had turned the first gateway by name away shortly before.

The target directory took each failed read for an outage of the store: for 2 s after the next read that worked, a missing entry was no evidence, as entries lapse in an outage. The list was kept with the removed target in it, and its read counted as fresh for all other gateways, which therefore read nothing themselves.

An outage is now a time in which no gateway read the list, by the ages of reads in all gateways' states: one and a half announcement intervals, 1.5 s at least. Entries lapse only in an outage of two intervals, so nothing that lapses is missed, and the standby gateways read within about a second. A gateway that stood still, or hears no other one, can't tell and holds entries back as before, now also if no read of its own failed. A list with entries held back doesn't count as a fresh read, so that the others read by themselves; the missing targets are judged when the 2 s are over, not at the next usual read. A request that may run only once goes to a target without an entry only if something was heard of it within 1 s.

Weighed: a field that says whether a gateway saw an outage, which needs another datagram and says no more than the ages. During the 2 s after an outage each gateway reads the list every 550 ms where only the first one did.

tests/target_list.rs: a_removed_target_is_not_used_after_the_store_turned_one_gateway_away fails on the code before (the entry ends 2.2 s after the removal) and passes now.

--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -420,6 +420,9 @@
         let regions = &self.app.settings().data_centre_regions;
         let mut excluded = fleet.outside_homes(&plan.service, &plan.homes, regions);
         excluded.extend(exclude);
+        if !plan.kind.may_run_again() {
+            excluded.extend(fleet.missing_unheard(&plan.service, now));
+        }
         let exclude = excluded.as_slice();
         let software = self.software.as_deref();
         if plan.engine {
--- a/components/gateway/src/fleet_receiver.rs
+++ b/components/gateway/src/fleet_receiver.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use base::{ProcessId, Timestamp, short_hash};
 use membership::StaleState;
@@ -131,6 +132,10 @@
             app.record_settled_era(era);
         }
     }
+    if let Some(age_ms) = state.targets_read_age_ms {
+        let read_at = now - Duration::from_millis(u64::from(age_ms));
+        app.directory.borrow_mut().note_peer_contact(read_at);
+    }
     app.rates.borrow_mut().update_peer_admitted(
         &state.from.name,
         state.from.incarnation,
--- a/components/gateway/src/handle.rs
+++ b/components/gateway/src/handle.rs
@@ -8,7 +8,7 @@
 use base::{ProcessId, ProcessName};
 use calls::HttpClient;
 use clock::{BootClock, new_incarnation};
-use config::GatewaySettings;
+use config::{FleetBounds, GatewaySettings};
 use ingress::{SharedCallerBudget, ShutdownStage};
 use membership::{Authority, Evacuations, GatewayTable, StoreEra, TargetDirectory};
 use placement::{FleetPlanner, ModelDemandTable};
@@ -111,7 +111,7 @@
         store_era: Cell::new(StoreEra::default()),
         store_restored: Notify::new(),
         authority: RefCell::new(Authority::new(limit)),
-        directory: RefCell::new(TargetDirectory::new()),
+        directory: RefCell::new(target_directory(&settings.bounds)),
         evacuations: RefCell::new(Evacuations::default()),
         fleet: RefCell::new(DirectFleet::new(&settings.data_centre)),
         gateways: RefCell::new(GatewayTable::new(process.clone(), &settings.data_centre)),
@@ -145,6 +145,12 @@
     })
 }
 
+fn target_directory(bounds: &FleetBounds) -> TargetDirectory {
+    let mut directory = TargetDirectory::new();
+    directory.set_announce_interval(Duration::from_millis(bounds.announce_ms));
+    directory
+}
+
 impl GatewayHandle {
     /// Applies changed settings. The addresses on which the process listens don't change.
     pub fn reload(&self, settings: GatewaySettings) {
@@ -153,6 +159,8 @@
         self.app.settings_applied_at.set(self.app.clock.now());
         self.app.store.set_address(settings.store_address);
         self.app.rates.borrow_mut().set_bounds(settings.bounds);
+        let announce_interval = Duration::from_millis(settings.bounds.announce_ms);
+        self.app.directory.borrow_mut().set_announce_interval(announce_interval);
         self.app.budget.set_settings(App::budget_settings(&settings));
         self.app.authority.borrow_mut().set_limit(App::evidence_limit(&settings));
         *self.app.settings.borrow_mut() = Rc::new(settings);
--- a/components/gateway/src/target_watch.rs
+++ b/components/gateway/src/target_watch.rs
@@ -39,6 +39,8 @@
     let mut reader = KeyedReader::new(Topic::Targets);
     let mut reachable = true;
     let mut mismatch_since: Option<Timestamp> = None;
+    // Time until missing targets are judged, at the last read.
+    let mut judgement_due: Option<Duration> = None;
     loop {
         if !is_read_due(&app, &mut mismatch_since) {
             sleep(CHECK_INTERVAL).await;
@@ -59,14 +61,20 @@
                     app.apply_target_update(&update, now);
                     link.record_target_update(update);
                 }
+                app.record_missing_targets();
                 app.store_read_at.set(Some(requested_at));
                 if !read.page().reaches_end() {
                     // Such a read does not show that the list is known: the rest is read at once.
                     continue;
                 }
-                app.targets_read_at.set(Some(requested_at));
+                judgement_due = app.log_missing_targets(judgement_due, now);
+                // A list with targets that have no entry must not keep other gateways from reading.
+                if judgement_due.is_none() {
+                    app.targets_read_at.set(Some(requested_at));
+                }
                 mismatch_since = None;
-                sleep(TargetDirectory::read_interval(now.since(Timestamp::default()))).await;
+                let interval = TargetDirectory::read_interval(now.since(Timestamp::default()));
+                sleep(judgement_due.map_or(interval, |due| due.min(interval))).await;
             }
             Err(error) => {
                 if reachable {
@@ -85,6 +93,9 @@
     let gateways = app.gateways.borrow();
     let Some(own_read_at) = app.targets_read_at.get() else { return true };
     let rank = gateways.rank(now);
+    if app.directory.borrow().has_missing() {
+        return true;
+    }
     let Some((digest, read_at)) = gateways.freshest_targets(now).filter(|_| rank > 0) else {
         return true;
     };
@@ -197,6 +208,23 @@
 }
 
 impl App {
+    /// Marks the targets without an entry whose end is not certain yet.
+    fn record_missing_targets(&self) {
+        let directory = self.directory.borrow();
+        self.fleet.borrow_mut().set_missing(directory.missing());
+    }
+
+    /// Returns the time until missing targets are judged, and logs it when the first one is missing.
+    fn log_missing_targets(&self, former: Option<Duration>, now: Timestamp) -> Option<Duration> {
+        let directory = self.directory.borrow();
+        let due = directory.judgement_due(now)?;
+        if former.is_none() {
+            let count = directory.missing().count();
+            log::warn!("event=targets_missing targets={count} judged_in_ms={}", due.as_millis());
+        }
+        Some(due)
+    }
+
     /// Applies an update of a target.
     pub(crate) fn apply_target_update(&self, update: &TargetNews, now: Timestamp) {
         let Some(entry) = &update.entry else {
--- a/components/membership/src/lib.rs
+++ b/components/membership/src/lib.rs
@@ -9,6 +9,7 @@
 mod member;
 mod membership;
 mod schedule;
+mod store_contact;
 mod store_era;
 mod target_directory;
 mod termination_proof;
--- a/components/membership/src/target_directory.rs
+++ b/components/membership/src/target_directory.rs
@@ -12,6 +12,8 @@
 use compact_str::CompactString;
 use wire::{TargetEntry, TargetNews, TargetState};
 
+use crate::store_contact::StoreContact;
+
 /// Time between two reads of the list. Each read is paid for. A leaving target must be noticed
 /// within the 2,000 ms for which it still serves, and a failed call takes half of that.
 const READ_INTERVAL: Duration = Duration::from_millis(550);
@@ -46,26 +48,30 @@
 /// Targets by id with their last entries.
 ///
 /// Entries expire while the store is unavailable, so an entry that is missing shortly after an
-/// outage is no evidence that its target is gone.
-#[derive(Clone, Debug, Default)]
+/// outage is no evidence that its target is gone. If the store only turned this gateway away, the other
+/// gateways read it meanwhile, and a missing entry means what it always does.
+#[derive(Clone, Debug)]
 pub struct TargetDirectory {
     targets: SortedMap<CompactString, ListedTarget>,
     tombstones: SortedMap<CompactString, Tombstone>,
-    /// First failed read since the last successful one.
-    failing_since: Option<Timestamp>,
-    /// End of the last outage.
-    recovered_at: Option<Timestamp>,
+    store: StoreContact,
+}
+
+impl Default for TargetDirectory {
+    fn default() -> Self {
+        Self::new()
+    }
 }
 
 impl TargetDirectory {
     /// Creates an empty directory.
     pub const fn new() -> Self {
-        Self {
-            targets: SortedMap::new(),
-            tombstones: SortedMap::new(),
-            failing_since: None,
-            recovered_at: None,
-        }
+        Self { targets: SortedMap::new(), tombstones: SortedMap::new(), store: StoreContact::new() }
+    }
+
+    /// Sets the time between two announcements of a target.
+    pub const fn set_announce_interval(&mut self, interval: Duration) {
+        self.store.set_announce_interval(interval);
     }
 
     /// Returns the time until the next read of the list by a process that started `age` ago.
@@ -73,21 +79,29 @@
         if age < STARTUP_PERIOD { STARTUP_READ_INTERVAL } else { READ_INTERVAL }
     }
 
+    /// Returns the time until the missing targets are to be judged; none if there are none.
+    pub fn judgement_due(&self, now: Timestamp) -> Option<Duration> {
+        self.has_missing().then(|| self.remaining_recovery(now).unwrap_or_default())
+    }
+
     /// Records that the store did not answer a read or answered that it is unavailable.
     pub fn note_failure(&mut self, now: Timestamp) {
-        self.failing_since.get_or_insert(now);
+        self.store.note_failure(now);
     }
 
     /// Records that the store answered a read.
     pub fn note_contact(&mut self, now: Timestamp) {
-        if self.failing_since.take().is_some() {
-            self.recovered_at = Some(now);
-        }
+        self.store.note_read(now);
+    }
+
+    /// Records that another gateway read the whole list at `at`.
+    pub fn note_peer_contact(&mut self, at: Timestamp) {
+        self.store.note_peer_read(at);
     }
 
     /// Records that the store came back from an older copy: what is missing in it is no evidence.
     pub fn note_restored(&mut self, now: Timestamp) {
-        self.recovered_at = Some(now);
+        self.store.note_restored(now);
     }
 
     /// Applies a record of the list. Returns the update to distribute, if the record changes
@@ -208,11 +222,24 @@
         Some(TargetNews { offset, id: CompactString::new(id), entry: None })
     }
 
-    /// Whether the store is unavailable or has just recovered, so that missing entries are no
-    /// evidence.
+    /// Time for which missing entries are no evidence yet, because the store has just recovered.
+    fn remaining_recovery(&self, now: Timestamp) -> Option<Duration> {
+        self.store.remaining(REREGISTRATION_PERIOD, now)
+    }
+
     fn is_recovering(&self, now: Timestamp) -> bool {
-        self.failing_since.is_some()
-            || self.recovered_at.is_some_and(|at| now.since(at) < REREGISTRATION_PERIOD)
+        self.remaining_recovery(now).is_some()
+    }
+
+    /// Iterates over the targets without an entry whose end is not certain yet.
+    pub fn missing(&self) -> impl Iterator<Item = &str> {
+        let missing = self.targets.iter().filter(|(_, listed)| listed.missing_at.is_some());
+        missing.map(|(id, _)| id.as_str())
+    }
+
+    /// Whether targets without an entry are kept, so that the directory is not what the store says.
+    pub fn has_missing(&self) -> bool {
+        self.missing().next().is_some()
     }
 
     /// Returns a digest of the targets and their states, equal for equal directories.
--- a/components/membership/tests/target_directory.rs
+++ b/components/membership/tests/target_directory.rs
@@ -226,3 +226,55 @@
     assert!(directory.replace(entries, &["b".into()], Offset(9), at(100)).is_empty());
     assert_eq!(ids(&directory), ["a", "b"]);
 }
+
+/// Guards against removed targets that stay in use because reads failed for this gateway alone, while
+/// another one read the list as usual.
+#[test]
+fn reads_that_fail_for_one_gateway_hold_no_entry_back() {
+    let mut directory = directory(&["a", "b"]);
+    directory.note_contact(at(1_000));
+    for ms in (1_600..5_000).step_by(250) {
+        directory.note_failure(at(ms));
+    }
+    for ms in (1_900..5_000).step_by(1_000) {
+        directory.note_peer_contact(at(ms));
+    }
+    directory.note_contact(at(5_000));
+    assert!(directory.apply(Offset(9), "a", None, at(5_000)).is_some());
+    assert_eq!((ids(&directory), directory.has_missing()), (vec!["b"], false));
+}
+
+/// Guards against a removed target that stays in use for two seconds because one answer of the store was
+/// lost: no entry can expire in that time.
+#[test]
+fn one_failed_read_holds_no_entry_back() {
+    let mut directory = directory(&["a"]);
+    directory.note_contact(at(1_000));
+    directory.note_failure(at(1_600));
+    directory.note_contact(at(1_900));
+    assert!(directory.apply(Offset(9), "a", None, at(1_900)).is_some());
+}
+
+/// Guards against a gateway that takes an outage of the store for one of its own because another gateway
+/// reached the store again a moment before it, and drops the fleet; and against one that stood still
+/// during the outage and saw no failure.
+#[test]
+fn an_outage_for_all_gateways_is_recognized_by_each() {
+    for has_failures in [true, false] {
+        let mut directory = directory(&["a"]);
+        directory.note_contact(at(1_000));
+        directory.note_peer_contact(at(1_500));
+        if has_failures {
+            (2_000..9_000).step_by(250).for_each(|ms| directory.note_failure(at(ms)));
+        }
+        directory.note_peer_contact(at(9_000));
+        // A report that was sent before the outage arrives late.
+        directory.note_peer_contact(at(1_700));
+        directory.note_contact(at(9_100));
+        assert!(directory.replace(Vec::new(), &[], Offset(40), at(9_100)).is_empty());
+        assert_eq!(directory.missing().collect::<Vec<_>>(), ["a"]);
+        assert_eq!(directory.judgement_due(at(9_100)), Some(Duration::from_millis(1_900)));
+        assert!(directory.expire(at(10_999)).is_empty());
+        assert_eq!(directory.expire(at(11_000)).len(), 1);
+    }
+}
--- a/components/routing/src/direct_target.rs
+++ b/components/routing/src/direct_target.rs
@@ -69,6 +69,8 @@
     pub(crate) is_superseded: bool,
     /// Whether the target was removed from the target list.
     is_unlisted: bool,
+    /// Whether the target has no entry in the list, which may not have been restored after an outage yet.
+    pub(crate) is_missing: bool,
     /// Whether the target reported in a response that it is leaving.
     announced_leaving: bool,
     /// End of the backoff that the target requested.
@@ -154,6 +156,7 @@
             accepts_work: false,
             is_superseded: false,
             is_unlisted: false,
+            is_missing: false,
             announced_leaving: false,
             backoff_until: None,
             connection_refused_at: None,
@@ -201,6 +204,7 @@
         self.data_centre.clone_from(&entry.data_centre);
         self.slots = entry.slots;
         self.is_unlisted = false;
+        self.is_missing = false;
         let is_ready = entry.state == TargetState::Ready && !self.announced_leaving;
         self.accepts_work = is_ready && !self.is_superseded;
         // A recent state from the agent is newer than the entry.
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -16,6 +16,7 @@
 mod homes;
 mod latency_objectives;
 mod load_wait;
+mod missing_targets;
 mod prefill_estimator;
 mod prefill_gaps;
 mod prefix;
--- a/components/routing/src/target_silence.rs
+++ b/components/routing/src/target_silence.rs
@@ -85,6 +85,11 @@
         self.own_sign_at
     }
 
+    /// Returns whether this process or another gateway has had a sign of life within `limit`.
+    pub fn was_heard_within(&self, limit: Duration, now: Timestamp) -> bool {
+        self.own_sign_at.max(self.peer_sign_at).is_some_and(|at| now.since(at) < limit)
+    }
+
     /// Returns whether the target counts as silent.
     pub const fn is_silent(&self) -> bool {
         self.silent_since.is_some()
--- a/components/routing/tests/silent_targets.rs
+++ b/components/routing/tests/silent_targets.rs
@@ -221,3 +221,20 @@
     let fell = judge_until(&mut fleet, 0, 5_000, |fleet, ms| fleet.record_heard(at(ms)));
     assert_eq!(fell, None);
 }
+
+/// Guards against requests that may run only once and are sent to a target that has no entry and may have
+/// ended, and against live targets that are not used while their entries come back after an outage.
+#[test]
+fn a_missing_target_takes_once_only_requests_while_it_is_heard() {
+    let mut fleet = fleet();
+    let ids = |fleet: &DirectFleet, ms: u64| fleet.missing_unheard("engines", at(ms));
+    assert_eq!(ids(&fleet, 1_000), [], "all are listed");
+    fleet.set_missing(["engine-0", "engine-1"].into_iter());
+    assert_eq!(ids(&fleet, 1_000).len(), 2);
+    fleet.record_sign(BUSY, at(1_000));
+    assert_eq!(ids(&fleet, 1_900), [TargetKey(1)]);
+    assert_eq!(ids(&fleet, 2_100).len(), 2, "the last sign is old");
+    assert_eq!(fleet.missing_unheard("others", at(2_100)), []);
+    fleet.set_missing(["engine-1"].into_iter());
+    assert_eq!(ids(&fleet, 9_000), [TargetKey(1)]);
+}
--- a/tests/target_list.rs
+++ b/tests/target_list.rs
@@ -10,7 +10,7 @@
 
 use platform::header_names::RESPONSE_SIGNATURE;
 use platform_standin::{CallerKind, RouteKind};
-use standin::Service;
+use standin::{Link, Service};
 use support::{
     PeerGateway, PlainGateway, echo_target, id_line, plain_call_at, plain_route, read_head,
 };
@@ -56,12 +56,13 @@
 }
 
 /// Sends requests one after the other for `lasting`; returns their number.
-async fn call_for(callers: SocketAddr, name: &str, lasting: Duration) -> usize {
+async fn call_for(callers: SocketAddr, route: &str, name: &str, lasting: Duration) -> usize {
     let until = Instant::now() + lasting;
     let mut calls = 0;
     while Instant::now() < until {
         let id = format!("{name}-{calls}");
-        let response = plain_call_at(callers, &id, "/reads/1", CallerKind::Read).await;
+        let path = format!("/{route}/1");
+        let response = plain_call_at(callers, &id, &path, CallerKind::Read).await;
         assert_eq!(response.status, Some(200), "{response:?}");
         calls += 1;
         sleep(CALL_INTERVAL).await;
@@ -86,7 +87,7 @@
     let second = PeerGateway::start(&first, first.store_address()).await;
     // The first gateway by name reads the list; the second one has read it only at its start.
     sleep(Duration::from_millis(2_500)).await;
-    call_for(second.callers, "before", Duration::from_millis(500)).await;
+    call_for(second.callers, "reads", "before", Duration::from_millis(500)).await;
     assert!(count.load(Ordering::SeqCst) > 0, "the target is in use before it leaves");
     (0..OLD_RECORDS).for_each(|_| first.announce(1, leaving));
     first.announce_leaving(1, leaving);
@@ -95,7 +96,7 @@
     limit_pages(&first, 100);
     first.process.kill().await;
     let known = count.load(Ordering::SeqCst);
-    let calls = call_for(second.callers, "after", Duration::from_millis(3_500)).await;
+    let calls = call_for(second.callers, "reads", "after", Duration::from_millis(3_500)).await;
     let late = count.load(Ordering::SeqCst) - known;
     assert_eq!(late, 0, "of {calls} requests, {late} reached the leaving target");
 }
@@ -113,7 +114,37 @@
     gateway.announce_leaving(1, leaving);
     sleep(DRAIN_WITHIN).await;
     let known = count.load(Ordering::SeqCst);
-    let calls = call_for(gateway.callers, "after", Duration::from_millis(500)).await;
+    let calls = call_for(gateway.callers, "reads", "after", Duration::from_millis(500)).await;
     let late = count.load(Ordering::SeqCst) - known;
     assert_eq!(late, 0, "of {calls} requests, {late} reached the leaving target");
 }
+
+/// Guards against entries that a gateway holds back for all others because the store turned it alone away:
+/// requests reached a removed target later than it serves on.
+#[tokio::test]
+async fn a_removed_target_is_not_used_after_the_store_turned_one_gateway_away() {
+    let (removed, count) = counting_target().await;
+    let targets = [removed, echo_target().await];
+    let mut first = PlainGateway::start(plain_route("writes", RouteKind::Once), &targets).await;
+    let second = PeerGateway::start(&first, first.store_address()).await;
+    let mut link = Link::start(first.store_address()).await.unwrap();
+    first.move_to_store(link.address());
+    first.process.wait_for_line("event=settings_reloaded").await;
+    sleep(Duration::from_millis(2_500)).await;
+    call_for(second.callers, "writes", "before", Duration::from_millis(500)).await;
+    assert!(count.load(Ordering::SeqCst) > 0, "the target is in use before it is removed");
+
+    link.refuse().await;
+    link.cut();
+    first.process.wait_for_line("event=store_lost topic=targets").await;
+    sleep(Duration::from_millis(3_000)).await;
+    link.accept_again().await.unwrap();
+    first.process.wait_for_line("event=store_regained topic=targets").await;
+    // From now on the second gateway leaves the reading to the first one.
+    first.remove_target(1);
+    call_for(second.callers, "writes", "drain", DRAIN_WITHIN).await;
+    let known = count.load(Ordering::SeqCst);
+    let calls = call_for(second.callers, "writes", "after", Duration::from_millis(1_000)).await;
+    let late = count.load(Ordering::SeqCst) - known;
+    assert_eq!(late, 0, "of {calls} requests, {late} reached the removed target");
+}
