Quarantine parts that end targets before the head of a response

Callers saw targets end one after the other, and most sound requests fail, while requests with one part of a prompt came that ends each target that begins to answer it before the head of the response is sent: the part was never quarantined.

A connection that broke before the head counted against the whole request only, since a target holds many requests without a head, and their parts are not to blame. No two requests with the part were alike, so none was ever in two crashes.

Such crashes now count against parts too, as weaker evidence (docs/design/crashing-requests.md). A part is named if it was, without an answer on it, in four crashes by different requests that are 500 ms apart, six if it was answered before, if every other part was beside it in two fewer at least, and if that is unlikely at the rate of crashes where it was not. The cause is in each of its crashes and has no answer; an answer anywhere clears a sound part. Requests with a part that was never answered are not sent again after a crash by another request with it. The rule for crashes after the head is as before. These parts have places of their own in memory and in reports, so that they don't displace other evidence.

--- a/components/gateway/src/crash_quarantine.rs
+++ b/components/gateway/src/crash_quarantine.rs
@@ -171,7 +171,7 @@
     /// Checks whether the target of a response that broke off before its first output has ended, and
     /// records this as evidence against the request and its parts; returns whether the request may be
     /// sent again. An engine reads prompts before it sends the head of a response, many at a time, so
-    /// that parts are suspected only after it.
+    /// that the evidence against parts is weaker without it.
     pub(crate) async fn allows_retry_after_break(
         &self,
         send: &InFlightSend,
@@ -190,16 +190,16 @@
         let now = self.app.clock.now();
         self.app.fleet.borrow_mut().record_connection_refused(send.pick.key, now);
         let target = short_hash(send.pick.id.as_bytes());
-        let subjects = match has_head {
-            true => self.subjects(),
-            false => RequestSubjects { parts: &[], ..self.subjects() },
-        };
+        let subjects = self.subjects();
         let mut quarantine = self.app.quarantine.borrow_mut();
-        quarantine.record_crash(&subjects, target, broken_at);
+        match has_head {
+            true => quarantine.record_crash(&subjects, target, broken_at),
+            false => quarantine.record_crash_before_head(&subjects, target, broken_at),
+        }
         let allowed = quarantine.allows_retry(&subjects, now);
         drop(quarantine);
         log::info!(
-            "event=crash_recorded request_id={} digest={:x} target={} parts={} retry={allowed}",
+            "event=crash_recorded request_id={} digest={:x} target={} parts={} head={has_head} retry={allowed}",
             quote(&self.request.id),
             self.request.digest,
             quote(&send.pick.id),
--- a/components/quarantine/src/background.rs
+++ b/components/quarantine/src/background.rs
@@ -70,13 +70,42 @@
                     others += service.others.iter().filter(is_other).count();
                 }
                 let others = others as f64;
-                (others, service.outputs.iter().copied().map(f64::from).sum())
+                (others, service.output_count())
             });
-        (others + PRIOR_CRASHES) / (others + outputs + PRIOR_REQUESTS)
+        probability(others, outputs)
+    }
+
+    /// The same for all requests, with a response begun or not, at targets that no request with the
+    /// suspected part ran at; `is_explained` takes a target.
+    pub fn crash_probability_beside(
+        &self,
+        suspect: &Suspect,
+        is_explained: impl Fn(u32) -> bool,
+    ) -> f64 {
+        let last = suspect.part_crashes.as_slice().last().map(|crash| crash.service);
+        let service = last.and_then(|service| self.services.get(&service));
+        service.map_or_else(
+            || probability(0.0, 0.0),
+            |service| {
+                let crashes = service.begun.iter().chain(&service.others);
+                let others = crashes
+                    .filter(|crash| !suspect.was_at(crash.target) && !is_explained(crash.target))
+                    .count();
+                probability(others as f64, service.output_count())
+            },
+        )
     }
 }
 
+fn probability(crashes: f64, outputs: f64) -> f64 {
+    (crashes + PRIOR_CRASHES) / (crashes + outputs + PRIOR_REQUESTS)
+}
+
 impl ServiceBackground {
+    fn output_count(&self) -> f64 {
+        self.outputs.iter().copied().map(f64::from).sum()
+    }
+
     fn expire(&mut self, now: Timestamp) {
         for crashes in [&mut self.begun, &mut self.others] {
             while crashes.front().is_some_and(|crash| now.since(crash.at) > WINDOW) {
--- a/components/quarantine/src/crash.rs
+++ b/components/quarantine/src/crash.rs
@@ -15,11 +15,18 @@
     pub prompt: u32,
     /// Short hash of the name of the gateway that saw it. Times from one gateway are exact.
     pub reporter: u32,
+    /// Whether the target had sent the head of a response to the request.
+    pub has_head: bool,
     /// When it was seen.
     pub at: Timestamp,
 }
 
 impl Crash {
+    /// Whether both are the same crash during the same request, seen by the same gateway.
+    pub(crate) fn is_same(&self, other: &Self) -> bool {
+        (self.target, self.prompt, self.reporter) == (other.target, other.prompt, other.reporter)
+    }
+
     /// Time between two crashes.
     pub(crate) fn distance(&self, other: &Self) -> Duration {
         self.at.since(other.at).max(other.at.since(self.at))
--- a/components/quarantine/src/lib.rs
+++ b/components/quarantine/src/lib.rs
@@ -4,6 +4,8 @@
 mod background;
 mod crash;
 mod hold;
+mod part_crashes;
+mod part_judgement;
 mod quarantine;
 mod request_identity;
 mod request_subjects;
--- a/components/quarantine/src/quarantine.rs
+++ b/components/quarantine/src/quarantine.rs
@@ -14,6 +14,7 @@
 use crate::background::Background;
 use crate::crash::Crash;
 use crate::hold::Hold;
+use crate::part_judgement::explains_crashes;
 use crate::request_subjects::RequestSubjects;
 use crate::settings::QuarantineSettings;
 use crate::suspect::Suspect;
@@ -21,6 +22,9 @@
 /// Crashes by the same prompt after which it is refused for a while.
 const MAX_CRASHES_BY_PROMPT: usize = 2;
 
+/// Time after which other parts of those that take turns are reported: a round of reports.
+const ROTATION_MICROS: u64 = 100_000;
+
 /// A request that must not be sent.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Refusal {
@@ -85,13 +89,35 @@
         }
     }
 
-    /// Records that `target` ended while it ran the request with these subjects.
+    /// Records that `target` ended after it had sent the head of a response to the request with these
+    /// subjects.
     pub fn record_crash(&mut self, subjects: &RequestSubjects<'_>, target: u32, now: Timestamp) {
+        self.record_end(subjects, target, true, now);
+    }
+
+    /// Records that `target` ended before it had sent the head of a response to the request with these
+    /// subjects. It may have held many such requests, so that this is weaker evidence against parts.
+    pub fn record_crash_before_head(
+        &mut self,
+        subjects: &RequestSubjects<'_>,
+        target: u32,
+        now: Timestamp,
+    ) {
+        self.record_end(subjects, target, false, now);
+    }
+
+    fn record_end(
+        &mut self,
+        subjects: &RequestSubjects<'_>,
+        target: u32,
+        has_head: bool,
+        now: Timestamp,
+    ) {
         let settings = self.settings;
         let reporter = (self.process_hash >> 32) as u32;
         let (prompt, service) = (subjects.prompt_hash(), subjects.service);
-        let crash = Crash { target, service, prompt, reporter, at: now };
-        self.background.record_crash(crash, !subjects.parts.is_empty());
+        let crash = Crash { target, service, prompt, reporter, has_head, at: now };
+        self.background.record_crash(crash, has_head && !subjects.parts.is_empty());
         for subject in subjects.iter(settings.max_parts_of_request) {
             let output = self.outputs.get(&subject).copied();
             let suspect =
@@ -103,7 +129,7 @@
                 let length = hold_length(&settings, failed_trials);
                 suspect.hold =
                     Some(Hold { since: now, until: now + length, failed_trials, on_trial: false });
-                let crashes = suspect.crashes.len();
+                let crashes = suspect.all_crashes().count();
                 self.changes.push(QuarantineChange::Begun {
                     subject,
                     crashes,
@@ -142,24 +168,26 @@
             let suspect = self.suspects.get(&subject)?;
             let until = match (suspect.hold, subject) {
                 (Some(hold), _) => self.trial_time(subject, hold),
-                (None, Subject::Part(_)) if suspect.crashes_by(prompt) >= MAX_CRASHES_BY_PROMPT => {
-                    suspect.crashes.last()?.at + self.settings.trial_spread
+                (None, Subject::Part(_)) => {
+                    let gap = self.settings.crash_gap;
+                    let repeated_at = suspect.repeated_at(prompt, MAX_CRASHES_BY_PROMPT, gap)?;
+                    repeated_at + self.settings.trial_spread
                 }
-                (None, Subject::Part(_) | Subject::Request(_)) => return None,
+                (None, Subject::Request(_)) => return None,
             };
             (now < until).then(|| Refusal { subject, remaining: until.since(now) })
         })
     }
 
     /// Whether a request with these subjects may be sent again after a crash: the same request was in
-    /// no other crash, and none of its parts was in a crash by another prompt.
+    /// no other crash, and none of its parts was in crashes by other prompts that speak against it.
     pub fn allows_retry(&self, subjects: &RequestSubjects<'_>, now: Timestamp) -> bool {
         let prompt = subjects.prompt_hash();
         self.refusal(subjects, now).is_none()
             && subjects.iter(self.settings.max_parts_of_request).all(|subject| {
                 let Some(suspect) = self.suspects.get(&subject) else { return true };
                 match subject {
-                    Subject::Part(_) => suspect.crashes.iter().all(|crash| crash.prompt == prompt),
+                    Subject::Part(_) => !suspect.discourages_retry(prompt, self.settings.crash_gap),
                     Subject::Request(_) => {
                         let first = suspect.crashes.first().map(|crash| crash.target);
                         suspect.crashes.iter().all(|crash| Some(crash.target) == first)
@@ -191,6 +219,7 @@
         let mut due: Vec<_> = self
             .suspects
             .iter()
+            .filter(|(_, suspect)| !suspect.is_headless())
             .filter_map(|(subject, suspect)| {
                 let age = |at: Timestamp| now.since(at);
                 let cleared =
@@ -207,8 +236,35 @@
             })
             .collect();
         due.sort_by_key(|(strength, ..)| Reverse(*strength));
-        due.truncate(settings.max_reported);
-        due.into_iter().map(|(_, subject, suspect)| report_of(subject, suspect, now)).collect()
+        due.truncate(settings.max_reported.saturating_sub(settings.max_headless_reported));
+        due.into_iter()
+            .map(|(_, subject, suspect)| (subject, suspect))
+            .chain(self.due_headless(now))
+            .map(|(subject, suspect)| report_of(subject, suspect, now))
+            .collect()
+    }
+
+    /// Parts to report that were only in crashes of targets that had sent no head. Those that were in
+    /// crashes of several targets come first; the others, which may be many, take turns.
+    fn due_headless(&self, now: Timestamp) -> Vec<(Subject, &Suspect)> {
+        let settings = &self.settings;
+        let round = now.micros / ROTATION_MICROS;
+        let mut due: Vec<_> = self
+            .suspects
+            .iter()
+            .filter_map(|(subject, suspect)| {
+                let targets = suspect.part_crashes.target_count();
+                let newest = suspect.part_crashes.as_slice().last().map(|crash| crash.at);
+                let is_due = targets != 1
+                    || newest.is_some_and(|at| now.since(at) < settings.single_crash_reported);
+                let turn = hash_bytes(&(subject.value() ^ round).to_le_bytes());
+                let rank = (targets.max(1), turn);
+                (suspect.is_headless() && is_due).then_some((rank, *subject, suspect))
+            })
+            .collect();
+        due.sort_by_key(|(rank, ..)| Reverse(*rank));
+        due.truncate(settings.max_headless_reported);
+        due.into_iter().map(|(_, subject, suspect)| (subject, suspect)).collect()
     }
 
     /// Evidence on a subject in quarantine, for the store; none if it isn't in quarantine.
@@ -227,8 +283,8 @@
             let suspect =
                 self.suspects.get_or_insert_with(subject, || Suspect::new(subject, output));
             for copy in &report.crashes {
-                let CrashCopy { target, service, prompt, reporter, age_ms } = *copy;
-                let crash = Crash { target, service, prompt, reporter, at: ago(age_ms) };
+                let CrashCopy { target, service, prompt, reporter, has_head, age_ms } = *copy;
+                let crash = Crash { target, service, prompt, reporter, has_head, at: ago(age_ms) };
                 suspect.add_crash(crash, self.settings.crash_gap);
             }
             if let Some(copy) = report.hold {
@@ -242,7 +298,7 @@
                     suspect.hold = Some(Hold { since, until, failed_trials, on_trial: false });
                     self.changes.push(QuarantineChange::Begun {
                         subject,
-                        crashes: suspect.crashes.len(),
+                        crashes: suspect.all_crashes().count(),
                         hold: until.since(now),
                         failed_trials,
                         is_own: false,
@@ -282,7 +338,15 @@
             .suspects
             .iter()
             .filter(|(subject, suspect)| {
-                suspect.hold.is_none() && self.is_guilty(**subject, suspect, now)
+                suspect.hold.is_none()
+                    && (self.is_guilty(**subject, suspect, now)
+                        || explains_crashes(
+                            suspect,
+                            &self.suspects,
+                            &self.background,
+                            &self.settings,
+                            now,
+                        ))
             })
             .map(|(subject, _)| *subject)
             .collect();
@@ -291,7 +355,7 @@
             if let Some(suspect) = self.suspects.get_mut(&subject) {
                 let until = now + hold;
                 suspect.hold = Some(Hold { since: now, until, failed_trials: 0, on_trial: false });
-                let crashes = suspect.crashes.len();
+                let crashes = suspect.all_crashes().count();
                 self.changes.push(QuarantineChange::Begun {
                     subject,
                     crashes,
@@ -377,23 +441,27 @@
             }
             let cleared_lately =
                 suspect.own_cleared_at.is_some_and(|at| now.since(at) < clear_reported);
-            suspect.hold.is_some() || !suspect.crashes.is_empty() || cleared_lately
+            suspect.hold.is_some() || suspect.has_crashes() || cleared_lately
         });
     }
 
-    /// Drops the weakest evidence beyond the limit.
+    /// Drops the weakest evidence beyond the limits. The parts of all requests that were at a target without
+    /// a head have a limit of their own, so that they and the other evidence don't displace each other.
     fn evict(&mut self) {
-        while self.suspects.len() > self.settings.max_subjects {
-            let weakest = self
-                .suspects
-                .iter()
-                .min_by_key(|(_, suspect)| {
-                    let newest = suspect.crashes.last().map(|crash| crash.at);
-                    (suspect.hold.is_some(), suspect.crashes.len(), newest)
-                })
-                .map(|(subject, _)| *subject);
-            let Some(weakest) = weakest else { return };
-            self.suspects.remove(&weakest);
+        let QuarantineSettings { max_subjects, max_headless_parts, .. } = self.settings;
+        let limits = [max_subjects.saturating_sub(max_headless_parts), max_headless_parts];
+        for (is_headless, limit) in [false, true].into_iter().zip(limits) {
+            let of_kind = |suspect: &Suspect| suspect.is_headless() == is_headless;
+            while self.suspects.values().filter(|suspect| of_kind(suspect)).count() > limit {
+                let weakest = self
+                    .suspects
+                    .iter()
+                    .filter(|(_, suspect)| of_kind(suspect))
+                    .min_by_key(|(_, suspect)| suspect.strength())
+                    .map(|(subject, _)| *subject);
+                let Some(weakest) = weakest else { break };
+                self.suspects.remove(&weakest);
+            }
         }
     }
 
@@ -416,11 +484,12 @@
 
 fn report_of(subject: Subject, suspect: &Suspect, now: Timestamp) -> SubjectReport {
     let age_ms = |at: Timestamp| millis(now.since(at));
-    let crashes = suspect.crashes.iter().map(|crash| CrashCopy {
+    let crashes = suspect.all_crashes().map(|crash| CrashCopy {
         target: crash.target,
         service: crash.service,
         prompt: crash.prompt,
         reporter: crash.reporter,
+        has_head: crash.has_head,
         age_ms: age_ms(crash.at),
     });
     SubjectReport {
--- a/components/quarantine/src/settings.rs
+++ b/components/quarantine/src/settings.rs
@@ -7,11 +7,15 @@
 pub struct QuarantineSettings {
     /// Fewest crashes that quarantine a subject.
     pub min_crashes: usize,
-    /// Further crashes needed if a target has answered the same request before, which speaks against
-    /// it as the cause.
+    /// Further crashes needed if a target has answered the same request before, or a request with the part
+    /// if the targets had not sent a head; this speaks against it as the cause.
     pub answered_crashes: usize,
     /// Further crashes needed if another request was in exactly the same crashes.
     pub ambiguous_crashes: usize,
+    /// Fewest crashes that quarantine a part if the targets had not sent the head of a response.
+    pub headless_crashes: usize,
+    /// By how many of these crashes the part must exceed each other one that was beside it.
+    pub headless_lead: usize,
     /// Probability that a sound part was in that many crashes in a row, below which a part is
     /// quarantined.
     pub false_positive: f64,
@@ -50,10 +54,14 @@
     pub max_outputs: usize,
     /// Most subjects with evidence; bounds the memory.
     pub max_subjects: usize,
+    /// Most of these that are parts and were only in crashes of targets that had sent no head.
+    pub max_headless_parts: usize,
     /// Most parts of a request that are suspected.
     pub max_parts_of_request: usize,
     /// Most subjects in a report to the other gateways.
     pub max_reported: usize,
+    /// Most of these that are parts and were only in crashes of targets that had sent no head.
+    pub max_headless_reported: usize,
 }
 
 impl Default for QuarantineSettings {
@@ -62,6 +70,8 @@
             min_crashes: 3,
             answered_crashes: 2,
             ambiguous_crashes: 1,
+            headless_crashes: 4,
+            headless_lead: 2,
             false_positive: 1e-6,
             request_false_positive: 1e-5,
             crash_gap: Duration::from_millis(500),
@@ -77,9 +87,11 @@
             single_crash_reported: Duration::from_secs(30),
             clear_reported: Duration::from_secs(5),
             max_outputs: 2_048,
-            max_subjects: 256,
+            max_subjects: 512,
+            max_headless_parts: 256,
             max_parts_of_request: 16,
-            max_reported: 32,
+            max_reported: 48,
+            max_headless_reported: 16,
         }
     }
 }
--- a/components/quarantine/src/suspect.rs
+++ b/components/quarantine/src/suspect.rs
@@ -7,20 +7,27 @@
 
 use crate::crash::Crash;
 use crate::hold::Hold;
+use crate::part_crashes::PartCrashes;
 use crate::settings::QuarantineSettings;
 
 /// Crashes of a subject up to which all are kept; beyond them only those that count by themselves.
 const FULL_CRASHES: usize = 8;
 /// Most crashes kept of a subject.
 const MAX_CRASHES: usize = 24;
+/// Crashes by other prompts, of targets that had sent no head, up to which a request with a part that was
+/// answered before is sent again.
+const ANSWERED_CRASHES_BESIDE: usize = 1;
 
 /// A part or a request that was at a target when that crashed.
 #[derive(Clone, Debug)]
 pub(crate) struct Suspect {
     /// What it is.
     pub subject: Subject,
-    /// Crashes after the last output, in order of time.
+    /// Crashes after the last output, in order of time; of a part only those of targets that had sent the
+    /// head of a response.
     pub crashes: Vec<Crash>,
+    /// All crashes of a part after the last output.
+    pub part_crashes: PartCrashes,
     /// Last output on it at any gateway.
     pub cleared_at: Option<Timestamp>,
     /// Last output on it at this gateway.
@@ -33,10 +40,11 @@
 
 impl Suspect {
     /// A subject without crashes, with its last output at this gateway.
-    pub const fn new(subject: Subject, output_at: Option<Timestamp>) -> Self {
+    pub fn new(subject: Subject, output_at: Option<Timestamp>) -> Self {
         Self {
             subject,
             crashes: Vec::new(),
+            part_crashes: PartCrashes::default(),
             cleared_at: output_at,
             own_cleared_at: output_at,
             is_own: false,
@@ -49,10 +57,13 @@
         if self.cleared_at.is_some_and(|cleared| cleared >= crash.at) {
             return;
         }
-        let known = self.crashes.iter().position(|known| {
-            (known.target, known.prompt, known.reporter)
-                == (crash.target, crash.prompt, crash.reporter)
-        });
+        if matches!(self.subject, Subject::Part(_)) {
+            self.part_crashes.add(crash);
+            if !crash.has_head {
+                return;
+            }
+        }
+        let known = self.crashes.iter().position(|known| known.is_same(&crash));
         match known {
             // Reports take time, so the earliest time is the closest.
             Some(at) => self.crashes[at].at = self.crashes[at].at.min(crash.at),
@@ -73,6 +84,7 @@
     pub fn clear(&mut self, at: Timestamp, precision: Duration) -> bool {
         self.cleared_at = self.cleared_at.max(Some(at));
         self.crashes.retain(|crash| crash.at > at);
+        self.part_crashes.drop_until(at);
         let ends = self.hold.is_some_and(|hold| hold.since < at + precision);
         if ends {
             self.hold = None;
@@ -83,6 +95,34 @@
     /// Drops crashes from before `oldest`.
     pub fn expire(&mut self, oldest: Timestamp) {
         self.crashes.retain(|crash| crash.at >= oldest);
+        self.part_crashes.drop_before(oldest);
+    }
+
+    /// Whether there is any evidence against it.
+    pub fn has_crashes(&self) -> bool {
+        !self.crashes.is_empty() || !self.part_crashes.as_slice().is_empty()
+    }
+
+    /// Whether it is a part with nothing but crashes of targets that had sent no head, or outputs.
+    pub fn is_headless(&self) -> bool {
+        matches!(self.subject, Subject::Part(_)) && self.crashes.is_empty() && self.hold.is_none()
+    }
+
+    /// All crashes, each once.
+    pub fn all_crashes(&self) -> impl Iterator<Item = &Crash> {
+        let headless = self.part_crashes.as_slice().iter().filter(|crash| !crash.has_head);
+        self.crashes.iter().chain(headless)
+    }
+
+    /// Order in which evidence is worth keeping.
+    pub fn strength(&self) -> (bool, usize, usize, Option<Timestamp>) {
+        let newest = self.all_crashes().map(|crash| crash.at).max();
+        (self.hold.is_some(), self.crashes.len(), self.part_crashes.target_count(), newest)
+    }
+
+    /// Whether a request with it was at a target when that ended.
+    pub fn was_at(&self, target: u32) -> bool {
+        self.crashes.iter().any(|crash| crash.target == target) || self.part_crashes.were_at(target)
     }
 
     /// Number of crashes up to `settled` that count; `others` tells whether other requests met
@@ -166,9 +206,27 @@
         seen
     }
 
-    /// Number of crashes by a prompt.
-    pub fn crashes_by(&self, prompt: u32) -> usize {
-        self.crashes.iter().filter(|crash| crash.prompt == prompt).count()
+    /// When a part was last in a crash, if `limit` targets have ended while they ran this prompt. Without
+    /// the head of a response this counts only for a part that was never answered; then one target is
+    /// enough if another prompt with the part was in a crash too.
+    pub fn repeated_at(&self, prompt: u32, limit: usize, gap: Duration) -> Option<Timestamp> {
+        let of_prompt = self.crashes.iter().filter(|crash| crash.prompt == prompt).count();
+        if of_prompt >= limit {
+            return self.crashes.last().map(|crash| crash.at);
+        }
+        let of_prompt = self.part_crashes.count_by(prompt);
+        let is_repeated = self.cleared_at.is_none()
+            && (of_prompt >= limit
+                || of_prompt > 0 && self.part_crashes.count_beside(prompt, gap) > 0);
+        self.part_crashes.as_slice().last().filter(|_| is_repeated).map(|crash| crash.at)
+    }
+
+    /// Whether a part was in crashes by other prompts that speak against another send of this one.
+    /// Requests beside the cause of a crash have sound parts, most of which were answered before.
+    pub fn discourages_retry(&self, prompt: u32, gap: Duration) -> bool {
+        let allowed = if self.cleared_at.is_some() { ANSWERED_CRASHES_BESIDE } else { 0 };
+        self.crashes.iter().any(|crash| crash.prompt != prompt)
+            || self.part_crashes.count_beside(prompt, gap) > allowed
     }
 
     /// Whether the subject was in this crash: a part in a request that met it, a whole request at the
--- a/components/wire/src/subject_report.rs
+++ b/components/wire/src/subject_report.rs
@@ -99,6 +99,8 @@
     pub prompt: u32,
     /// Short hash of the name of the gateway that saw it.
     pub reporter: u32,
+    /// Whether the target had sent the head of a response to the request.
+    pub has_head: bool,
     /// Time since it was seen, in milliseconds.
     pub age_ms: u32,
 }
--- a/tests/query_of_death.rs
+++ b/tests/query_of_death.rs
@@ -32,9 +32,22 @@
 /// Most requests with the deadly part that reach targets, attempts included: five crashes and three more.
 const MAX_CRASHES: usize = 8;
 
-/// Answers requests on a connection; a deadly one ends the target after the head of its response.
-async fn serve(mut socket: TcpStream, end: watch::Sender<bool>) {
+/// Whether a target sends the head of a response before a deadly request ends it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum DeadlyHead {
+    Sent,
+    Unsent,
+}
+
+/// Answers requests on a connection; a deadly one ends the target before or after the head of its response.
+async fn serve(mut socket: TcpStream, end: watch::Sender<bool>, deadly_head: DeadlyHead) {
     while let Some(head) = read_head(&mut socket).await {
+        let parts = header_value(&head, PROMPT_PARTS.as_str()).unwrap();
+        let is_deadly = parts.contains(&format!("{DEADLY:x}:"));
+        if is_deadly && deadly_head == DeadlyHead::Unsent {
+            let _ended = end.send(true);
+            return;
+        }
         let response = format!(
             "HTTP/1.1 200 OK\r\n{RESPONSE_SIGNATURE}: s\r\ncontent-type: text/event-stream\r\n\
              {}content-length: {}\r\n\r\n",
@@ -43,8 +56,7 @@
         );
         socket.write_all(response.as_bytes()).await.unwrap();
         sleep(Duration::from_millis(10)).await;
-        let parts = header_value(&head, PROMPT_PARTS.as_str()).unwrap();
-        if parts.contains(&format!("{DEADLY:x}:")) {
+        if is_deadly {
             let _ended = end.send(true);
             return;
         }
@@ -54,7 +66,11 @@
     }
 }
 
-async fn target(number: usize, ended: UnboundedSender<usize>) -> SocketAddr {
+async fn target(
+    number: usize,
+    ended: UnboundedSender<usize>,
+    deadly_head: DeadlyHead,
+) -> SocketAddr {
     let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
     let address = listener.local_addr().unwrap();
     tokio::spawn(async move {
@@ -63,7 +79,7 @@
         loop {
             tokio::select! {
                 accepted = listener.accept() => {
-                    connections.spawn(serve(accepted.unwrap().0, end.clone()));
+                    connections.spawn(serve(accepted.unwrap().0, end.clone(), deadly_head));
                 }
                 _ = is_over.changed() => break,
             }
@@ -75,11 +91,11 @@
 }
 
 /// A gateway with targets, and the number of those that have ended, which leave the list at once.
-async fn start(targets: usize) -> (Arc<PlainGateway>, Arc<AtomicUsize>) {
+async fn start(targets: usize, deadly_head: DeadlyHead) -> (Arc<PlainGateway>, Arc<AtomicUsize>) {
     let (sender, mut ends) = unbounded_channel();
     let mut addresses = Vec::new();
     for number in 1..=targets {
-        addresses.push(target(number, sender.clone()).await);
+        addresses.push(target(number, sender.clone(), deadly_head).await);
     }
     let gateway = Arc::new(PlainGateway::start(route(), &addresses).await);
     let ended = Arc::new(AtomicUsize::new(0));
@@ -128,7 +144,7 @@
 /// Guards against a request that ends its target and is resumed at one target after the other.
 #[tokio::test]
 async fn a_request_ends_two_targets_at_most() {
-    let (gateway, ended) = start(6).await;
+    let (gateway, ended) = start(6, DeadlyHead::Sent).await;
     let response = call(gateway.callers, "deadly-1", DEADLY).await;
     assert!(!response.is_complete);
     assert_eq!(response.body.len(), 0);
@@ -140,7 +156,18 @@
 /// sound requests of the same caller that are refused with them.
 #[tokio::test]
 async fn requests_with_a_part_that_ends_targets_are_refused() {
-    let (gateway, ended) = start(MAX_CRASHES + 2).await;
+    send_deadly_requests(DeadlyHead::Sent, 8).await;
+}
+
+/// Guards against the same with targets that end before they have sent the head of a response: no part was
+/// ever suspected then.
+#[tokio::test]
+async fn requests_with_a_part_that_ends_targets_before_the_head_are_refused() {
+    send_deadly_requests(DeadlyHead::Unsent, 6).await;
+}
+
+async fn send_deadly_requests(deadly_head: DeadlyHead, least_refused: usize) {
+    let (gateway, ended) = start(MAX_CRASHES + 2, deadly_head).await;
     for number in 0..SOUND_BEFORE {
         let sound = call(gateway.callers, &format!("before-{number}"), SOUND).await;
         assert!(sound.is_complete, "{number}: {sound:?}");
@@ -163,7 +190,7 @@
     }
     let ended = ended.load(Ordering::Relaxed);
     assert!(ended <= MAX_CRASHES, "{ended} targets ended");
-    assert!(refused >= 8, "{refused} of 12 deadly requests were refused");
+    assert!(refused >= least_refused, "{refused} of 12 deadly requests were refused");
     gateway.process.wait_for_line("event=quarantine_begun").await;
 }
 
@@ -174,7 +201,7 @@
     let (sender, mut ends) = unbounded_channel();
     let mut addresses = Vec::new();
     for number in 1..=MAX_CRASHES + 2 {
-        addresses.push(target(number, sender.clone()).await);
+        addresses.push(target(number, sender.clone(), DeadlyHead::Sent).await);
     }
     let mut gateway = PlainGateway::start(route(), &addresses).await;
     for number in 0..MAX_CRASHES {
