--- a/components/routing/src/direct_target.rs
+++ b/components/routing/src/direct_target.rs
@@ -69,6 +69,8 @@
     pub(crate) is_superseded: bool,
     /// When the target was removed from the target list.
     pub(crate) unlisted_at: Option<Timestamp>,
+    /// Whether the target has no entry in the list, which may not have been restored after an outage yet.
+    pub(crate) is_missing: bool,
     /// Whether the target reported in a response that it is leaving.
     announced_leaving: bool,
     /// End of the backoff that the target requested.
@@ -154,6 +156,7 @@
             accepts_work: false,
             is_superseded: false,
             unlisted_at: None,
+            is_missing: false,
             announced_leaving: false,
             backoff_until: None,
             connection_refused_at: None,
@@ -201,6 +204,7 @@
         self.data_centre.clone_from(&entry.data_centre);
         self.slots = entry.slots;
         self.unlisted_at = None;
+        self.is_missing = false;
         let is_ready = entry.state == TargetState::Ready && !self.announced_leaving;
         self.accepts_work = is_ready && !self.is_superseded;
         // A recent state from the agent is newer than the entry.
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -17,6 +17,7 @@
 mod homes;
 mod latency_objectives;
 mod load_wait;
+mod missing_targets;
 mod prefill_estimator;
 mod prefill_gaps;
 mod prefix;
