Rule on the only version from a view that is as new as the request

What callers saw: a version joins, and a stream that a gateway doesn't know is taken up there before its next read of the target list: it goes on at the former version (ORDER).

Cause: a view of the list of at most 1.5 s of age counted as fresh. The age compares it with the present, but what matters is whether it is newer than the stream.

Change: the only version in service is ruled from a view that was read after the request arrived. Agents are asked first. A request that none of them knows waits for the reads that are made anyway, for one of its own after 0.6 s, and for 1 s at most; without a view it is refused as not run. Versions that are seen meanwhile count. The wait is shared with responses that end with their connection (list_wait.rs); there, failed reads of this gateway alone no longer exclude a view, since others may read the list.

Alternatives: a read for each such request, which is paid for; a refusal at once, which takes away streams that go on today after agents restarted.

--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod fleet_receiver;
 mod handle;
 mod in_flight_send;
+mod list_wait;
 mod load_wait;
 mod operators;
 mod peer_configuration;
--- a/components/gateway/src/stream_lookups.rs
+++ b/components/gateway/src/stream_lookups.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use compact_str::CompactString;
 use streams::Lookup;
 use wire::StreamAnswer;
 
@@ -33,6 +34,13 @@
         self.searches.get(at).map(|search| &search.lookup)
     }
 
+    /// Adds versions that were seen since a search began.
+    pub(crate) fn add_in_service(&mut self, id: u64, versions: &[CompactString]) {
+        if let Ok(at) = self.searches.binary_search_by_key(&id, |search| search.id) {
+            self.searches[at].lookup.add_in_service(versions);
+        }
+    }
+
     /// Ends a search.
     pub(crate) fn end(&mut self, id: u64) {
         self.searches.retain(|search| search.id != id);
--- a/components/gateway/src/stream_software.rs
+++ b/components/gateway/src/stream_software.rs
@@ -14,6 +14,7 @@
 use crate::bound_stream::BoundStreamGuard;
 use crate::dispatch::{Dispatch, NO_TARGET_RETRY_AFTER};
 use crate::in_flight_send::InFlightSend;
+use crate::list_wait::LIST_CHECK_INTERVAL;
 use crate::stream_keepers::LiveStreamGuard;
 
 /// Time between two asks of an agent that has not answered.
@@ -87,12 +88,12 @@
         let started = self.app.clock.now();
         let (ruling, source) = match self.ruling_here(started) {
             Some(ruling) => (ruling, "own"),
-            None => (self.ask_keepers().await, "agents"),
+            None => (self.search_software().await, "agents"),
         };
-        let (outcome, software) = match ruling {
-            Ruling::Known(software) => ("known", Some(software)),
-            Ruling::OnlyVersion(software) => ("only_version", Some(software)),
-            Ruling::Unknown => ("unknown", None),
+        let (outcome, source, software) = match ruling {
+            Ruling::Known(software) => ("known", source, Some(software)),
+            Ruling::OnlyVersion(software) => ("only_version", "list", Some(software)),
+            Ruling::Unknown => ("unknown", source, None),
         };
         let ruled_at = self.app.clock.now();
         let view = self.app.version_view.get();
@@ -142,54 +143,51 @@
 
     /// Ruling of this gateway alone, if it was there when the stream began.
     fn ruling_here(&self, now: Timestamp) -> Option<Ruling> {
-        let service = &self.request.plan.service;
-        let hash = short_hash(service.as_bytes());
+        let service = short_hash(self.request.plan.service.as_bytes());
         let streams = self.app.streams.borrow();
-        if let Some(software) = streams.software_of(self.first_attempt(), hash, now) {
-            return Some(Ruling::Known(software.clone()));
-        }
-        let versions = self.app.fleet.borrow().software_versions(service, now);
-        match versions.as_slice() {
-            [software] if self.knows_versions(now) => Some(Ruling::OnlyVersion(software.clone())),
-            _ => None,
-        }
-    }
-
-    /// Whether this gateway knows all versions that were in service lately.
-    fn knows_versions(&self, now: Timestamp) -> bool {
-        self.app.version_view.get().is_complete(now)
+        let software = streams.software_of(self.first_attempt(), service, now)?;
+        Some(Ruling::Known(software.clone()))
     }
 
-    async fn ask_keepers(&self) -> Ruling {
+    /// Asks agents for the version, and meanwhile waits for a view of the target list that is as new as the
+    /// request: the stream began before it, at a target that was listed then.
+    async fn search_software(&self) -> Ruling {
         let app = &self.app;
         let attempt = self.first_attempt();
         let service = &self.request.plan.service;
         let started = app.clock.now();
         let asked = app.keepers_to_ask(attempt, started);
-        let lookup = Lookup::new(asked, app.fleet.borrow().software_versions(service, started));
-        let id = app.stream_lookups.borrow_mut().begin(attempt, lookup);
+        let id = app.stream_lookups.borrow_mut().begin(attempt, Lookup::new(asked, []));
         let _guard = SearchGuard { app, id };
         let ask = StreamAsk { attempt, service: short_hash(service.as_bytes()) };
         let mut ask_at = started;
         loop {
             let answered = app.stream_answered.notified();
             let now = app.clock.now();
+            let waited = now.since(started);
+            let in_service = app.fleet.borrow().software_versions(service, now);
             let open = {
-                let lookups = app.stream_lookups.borrow();
+                let mut lookups = app.stream_lookups.borrow_mut();
+                lookups.add_in_service(id, &in_service);
                 let Some(lookup) = lookups.get(id) else { return Ruling::Unknown };
-                if lookup.is_complete() || now.since(started) >= LOOKUP_TIMEOUT {
-                    return lookup.ruling(self.knows_versions(now));
+                let has_view = app.version_view.get().is_complete_as_of(started, now);
+                let has_answers = lookup.is_complete() || waited >= LOOKUP_TIMEOUT;
+                if has_answers
+                    && (has_view || !lookup.awaits_view() || !app.may_get_list(waited, now))
+                {
+                    return lookup.ruling(has_view);
                 }
                 lookup.open().to_vec()
             };
-            if now >= ask_at {
+            app.request_list(started, waited);
+            if now >= ask_at && waited < LOOKUP_TIMEOUT {
                 ask_at = now + ASK_INTERVAL;
                 for agent in open {
                     let body = DatagramBody::StreamAsk(ask);
                     app.send_to_agent(&self.link.socket, agent.ip(), body, now);
                 }
             }
-            let _answered = timeout(ask_at.since(now), answered).await;
+            let _answered = timeout(LIST_CHECK_INTERVAL, answered).await;
         }
     }
 }
--- a/components/gateway/src/target_life.rs
+++ b/components/gateway/src/target_life.rs
@@ -2,26 +2,18 @@
 
 use std::time::Duration;
 
-use base::Timestamp;
 use config::ServiceKind;
 use platform::StatusCheck;
 use routing::{EndedRun, TargetLife};
 use telemetry::quote;
 use tokio::time::{sleep, timeout};
 
-use crate::app::App;
 use crate::dispatch::Dispatch;
 use crate::in_flight_send::InFlightSend;
+use crate::list_wait::LIST_CHECK_INTERVAL;
 
 /// Time after its end within which no target starts again under the same id; crashed ones take seconds.
 const RESTART_TIME: Duration = Duration::from_millis(1_000);
-/// Wait for a newer view of the target list after which this gateway reads it itself: a read interval
-/// and a call. Gateways hear of reads in other data centres later, or not at all.
-const LIST_WAIT: Duration = Duration::from_millis(600);
-/// Longest wait for such a view, with the own read.
-const LIST_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Time between two looks at the view.
-const LIST_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Timeout of a status check, which may wait for a slot.
 const STATUS_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -92,16 +84,11 @@
             let list_known_at = app.targets_known_at();
             let life = run.judge(app.fleet.borrow().target(send.pick.key), list_known_at, now);
             let waited = now.since(connected_at);
-            // During an outage of the store no view will come.
-            let may_come = waited < LIST_TIMEOUT && !app.directory.borrow().is_failing();
             match life {
                 TargetLife::Alive => return (true, Evidence::List),
                 TargetLife::Ended => return (false, Evidence::List),
-                TargetLife::AwaitList if may_come => {
-                    if waited >= LIST_WAIT {
-                        let wanted_at = app.targets_wanted_at.get().max(Some(connected_at));
-                        app.targets_wanted_at.set(wanted_at);
-                    }
+                TargetLife::AwaitList if app.may_get_list(waited, now) => {
+                    app.request_list(connected_at, waited);
                     sleep(LIST_CHECK_INTERVAL).await;
                 }
                 TargetLife::AwaitList | TargetLife::Ask => {
@@ -132,13 +119,3 @@
         check.is_same_target(&self.app.peer_client).await
     }
 }
-
-impl App {
-    /// Time as of which the list of targets is known: the start of the newest read by this gateway, or by
-    /// another one that has the same list.
-    pub(crate) fn targets_known_at(&self) -> Option<Timestamp> {
-        let digest = self.directory.borrow().digest();
-        let known_by_others = self.gateways.borrow().targets_known_at(digest);
-        self.targets_read_at.get().max(known_by_others)
-    }
-}
--- a/components/streams/src/lookup.rs
+++ b/components/streams/src/lookup.rs
@@ -53,7 +53,17 @@
         }
     }
 
-    /// Returns whether nothing more is to be expected.
+    /// Adds versions that the asking gateway has seen since the search began.
+    pub fn add_in_service(&mut self, versions: &[CompactString]) {
+        versions.iter().for_each(|software| insert(&mut self.possible, software));
+    }
+
+    /// Returns whether a newer view of the target list can still change the ruling from `Unknown`.
+    pub const fn awaits_view(&self) -> bool {
+        self.named.is_empty() && self.possible.len() == 1
+    }
+
+    /// Returns whether nothing more is to be expected from agents.
     pub const fn is_complete(&self) -> bool {
         !self.named.is_empty() || self.asked.is_empty()
     }
@@ -64,7 +74,8 @@
     }
 
     /// Rules on what was found. Two answers that disagree are no knowledge. Silence of agents isn't either:
-    /// `knows_versions` tells whether the asking gateway knows all versions that were in service lately.
+    /// `knows_versions` tells whether the asking gateway knows all versions that were in service lately, up to
+    /// the request.
     pub fn ruling(&self, knows_versions: bool) -> Ruling {
         match (self.named.as_slice(), self.possible.as_slice()) {
             ([software], _) => Ruling::Known(software.clone()),
--- a/components/streams/src/version_view.rs
+++ b/components/streams/src/version_view.rs
@@ -78,4 +78,11 @@
     pub fn is_complete(&self, now: Timestamp) -> bool {
         self.is_fresh(now) && self.has_history(now)
     }
+
+    /// Returns whether all versions are known that were in service lately, up to `as_of`.
+    ///
+    /// A fresh view doesn't show this: a version may have joined, and begun a stream, since the read.
+    pub fn is_complete_as_of(&self, as_of: Timestamp, now: Timestamp) -> bool {
+        self.read_at.is_some_and(|at| at >= as_of) && self.is_complete(now)
+    }
 }
--- a/components/streams/tests/software_register.rs
+++ b/components/streams/tests/software_register.rs
@@ -129,6 +129,17 @@
     );
 }
 
+/// Guards against a version that joined after a read that is recent but older than the stream.
+#[test]
+fn a_fresh_view_says_nothing_of_what_came_after_it() {
+    let mut view = view();
+    view.record_register_read(at(0));
+    view.record_list_read(at(100));
+    assert!(view.is_complete_as_of(at(100), at(200)));
+    assert!(!view.is_complete_as_of(at(101), at(200)), "a version may have joined at 100 ms");
+    assert!(!view.is_complete_as_of(at(100), at(1_101)), "as old as any other view");
+}
+
 /// Guards against versions that came and went while a gateway saw nothing: it must read the register again.
 #[test]
 fn a_gap_in_the_view_needs_the_register_again() {
--- a/components/streams/tests/streams.rs
+++ b/components/streams/tests/streams.rs
@@ -104,6 +104,17 @@
     assert_eq!(lookup.ruling(true), Ruling::OnlyVersion("v2".into()));
 }
 
+/// Guards against a ruling on what was seen when the search began, although a version has joined since.
+#[test]
+fn a_version_that_is_seen_during_a_search_counts() {
+    let mut lookup = Lookup::new(vec![agent(0)], []);
+    lookup.add_in_service(&["v1".into()]);
+    assert!(lookup.awaits_view(), "a newer view shows whether it is the only one");
+    lookup.add_in_service(&["v1".into(), "v2".into()]);
+    assert!(!lookup.awaits_view());
+    assert_eq!(lookup.ruling(true), Ruling::Unknown);
+}
+
 /// Guards against a search that waits for agents that have answered, or ends on the word of others.
 #[test]
 fn a_search_ends_with_the_last_answer() {
--- a/tests/software_versions.rs
+++ b/tests/software_versions.rs
@@ -245,6 +245,24 @@
     assert!(response.guarantees_not_run(), "{response:?}");
 }
 
+/// Guards against a view of the list that is fresh but older than the stream: a version joined and began a
+/// stream since the last read, and the stream goes on at the former version.
+#[tokio::test]
+async fn a_version_that_joined_since_the_last_read_of_the_list_is_not_missed() {
+    let [old, new] = ["v1", "v2"].map(|version| VersionedTarget::new(version, false));
+    let gateway = gateway(&[&old]).await;
+    sleep(SETTLE_TIME).await;
+    let new = new.start().await;
+    for number in 0..5 {
+        let response = take_up_unknown(gateway.callers, &format!("before-{number}")).await;
+        assert_eq!(versions(&response), ["v1"], "one version is known to serve: {response:?}");
+    }
+    gateway.announce_version(2, new, "v2");
+    // Any stream that the gateway does not know may be one of the new version by now.
+    let response = take_up_unknown(gateway.callers, "again").await;
+    assert!(response.guarantees_not_run(), "{response:?}");
+}
+
 /// Guards against a gateway that has the list from another one: against refusals although it knows the list,
 /// and against reports that waited in its queue while it stood still and count as new.
 #[tokio::test]
