Take no news of targets from before the own reads of the list

Cause: the directory compared offsets only for targets that it holds or held. A gateway that had read the whole list, without a target, took older news of it from a gateway that had read less. Its reader continues after the removal and never meets it, and equal digests keep the others from reading.

Change: the directory keeps the offset up to which its gateway has read the list, and takes news of other targets only above it. So do targets that are missing after an outage, up to the read that lacked them. A missing entry is recorded as of the last record read, not of the read's end, which is the offset of the next record: a target that registered there was ignored until its next heartbeat. The test of lapsed entries expected the end's offset, 40; it expects 39 now, as strictly.

Alternatives: tombstones for all that is absent, which are without number; a read by all gateways after each start, which is paid for and only makes the time shorter.

--- a/components/base/src/offset.rs
+++ b/components/base/src/offset.rs
@@ -34,6 +34,11 @@
         self.0 & MAX_NUMBER
     }
 
+    /// The position before this one; that of a record before a read's end, since the next record is at the end.
+    pub const fn previous(self) -> Self {
+        Self(self.0.saturating_sub(1))
+    }
+
     /// The position after this one.
     pub const fn next(self) -> Self {
         Self(self.0.saturating_add(1))
--- a/components/gateway/src/target_watch.rs
+++ b/components/gateway/src/target_watch.rs
@@ -130,6 +130,7 @@
         KeyedRead::Snapshot(page) => replace_list(&mut directory, page, now),
         KeyedRead::Changes(page) => apply_records(&mut directory, &page.records, now),
     };
+    directory.note_read_to(page.next);
     // Request counts and adapters aren't part of an update but are used here.
     let mut fleet = app.fleet.borrow_mut();
     for record in &page.records {
--- a/components/membership/src/evacuations.rs
+++ b/components/membership/src/evacuations.rs
@@ -73,8 +73,7 @@
         end: Offset,
         now: Timestamp,
     ) -> Vec<EvacuationChange> {
-        // The next record may be at `end` itself.
-        let last = Offset(end.0.saturating_sub(1));
+        let last = end.previous();
         let is_absent = |data_centre: &CompactString| {
             !records.iter().any(|record| record.data_centre == *data_centre)
         };
--- a/components/membership/src/target_directory.rs
+++ b/components/membership/src/target_directory.rs
@@ -2,7 +2,9 @@
 //! holds it.
 //!
 //! A few gateways read the list and distribute the changes to the others. Each record has an
-//! offset, so duplicate, late and reordered updates have no effect. The first record of a target in a
+//! offset, so duplicate, late and reordered updates have no effect. That a target has no entry is known
+//! as of an offset too: of the targets that a reader doesn't hold, as of the last record that it has read.
+//! The first record of a target in a
 //! new era of the store may come from the copy that the store was restored from; it undoes neither the
 //! leaving nor the end of a target. The target itself writes a later one if it still serves.
 
@@ -38,6 +40,13 @@
     missing_at: Option<Offset>,
 }
 
+impl ListedTarget {
+    /// Offset as of which the store is known to have this entry, or none.
+    fn known_offset(&self) -> Offset {
+        self.missing_at.map_or(self.offset, |at| at.max(self.offset))
+    }
+}
+
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 struct Tombstone {
     offset: Offset,
@@ -54,6 +63,8 @@
 pub struct TargetDirectory {
     targets: SortedMap<CompactString, ListedTarget>,
     tombstones: SortedMap<CompactString, Tombstone>,
+    /// Last record of the list that this gateway has read itself, with all before it.
+    read_to: Option<Offset>,
     store: StoreContact,
 }
 
@@ -66,7 +77,12 @@
 impl TargetDirectory {
     /// Creates an empty directory.
     pub const fn new() -> Self {
-        Self { targets: SortedMap::new(), tombstones: SortedMap::new(), store: StoreContact::new() }
+        Self {
+            targets: SortedMap::new(),
+            tombstones: SortedMap::new(),
+            read_to: None,
+            store: StoreContact::new(),
+        }
     }
 
     /// Sets the time between two announcements of a target.
@@ -127,7 +143,12 @@
         }
     }
 
-    /// Applies the whole list as of offset `end`; entries that can't be decoded, given by their ids,
+    /// Records that all records of the list before `next` were read and applied.
+    pub fn note_read_to(&mut self, next: Offset) {
+        self.read_to = self.read_to.max(Some(next.previous()));
+    }
+
+    /// Applies the whole list before offset `end`; entries that can't be decoded, given by their ids,
     /// change nothing. Returns the updates to distribute.
     pub fn replace(
         &mut self,
@@ -148,13 +169,17 @@
             .collect();
         let absent: Vec<CompactString> =
             self.targets.keys().filter(|id| ids.binary_search(id).is_err()).cloned().collect();
-        updates.extend(absent.into_iter().filter_map(|id| self.apply(end, &id, None, now)));
+        let last = end.previous();
+        updates.extend(absent.into_iter().filter_map(|id| self.apply(last, &id, None, now)));
+        self.note_read_to(end);
         updates
     }
 
-    /// Applies an update from another gateway; returns whether it changes anything.
+    /// Applies an update from another gateway; returns whether it changes anything. The sender may have read
+    /// less of the list than this gateway, which would not read the removal of such a target again.
     pub fn apply_update(&mut self, update: &TargetNews, now: Timestamp) -> bool {
-        if self.known_offset(&update.id).is_some_and(|known| update.offset <= known) {
+        let known = self.known_offset(&update.id).or(self.read_to);
+        if known.is_some_and(|known| update.offset <= known) {
             return false;
         }
         match &update.entry {
@@ -181,7 +206,7 @@
     }
 
     fn known_offset(&self, id: &str) -> Option<Offset> {
-        let listed = self.targets.get(id).map(|listed| listed.offset);
+        let listed = self.targets.get(id).map(ListedTarget::known_offset);
         listed.or_else(|| self.tombstones.get(id).map(|tombstone| tombstone.offset))
     }
 
--- a/components/membership/tests/target_directory.rs
+++ b/components/membership/tests/target_directory.rs
@@ -59,7 +59,8 @@
     // One target registers again.
     directory.apply(Offset(41), "a", Some(entry("a", 1)), at(21_000));
     let updates = directory.expire(at(22_000));
-    assert_eq!(updates, [TargetNews { offset: Offset(40), id: "b".into(), entry: None }]);
+    // The last record that was read is the one before the end: the next one gets the offset of the end.
+    assert_eq!(updates, [TargetNews { offset: Offset(39), id: "b".into(), entry: None }]);
     assert_eq!(ids(&directory), ["a"]);
 }
 
@@ -278,3 +279,57 @@
         assert_eq!(directory.expire(at(11_000)).len(), 1);
     }
 }
+
+fn news(offset: u64, id: &str) -> TargetNews {
+    TargetNews { offset: Offset(offset), id: id.into(), entry: Some(entry(id, 1)) }
+}
+
+/// Guards against a removed target that comes back with the news of a gateway that has read less of the list:
+/// the reader never meets the removal again.
+#[test]
+fn news_from_before_a_read_adds_no_target() {
+    let mut directory = TargetDirectory::new();
+    assert!(directory.apply_update(&news(11, "a"), at(0)), "nothing was read yet");
+    let entries = vec![(Offset(20), entry("b", 1))];
+    directory.replace(entries, &[], Offset(90), at(100));
+    assert!(!directory.apply_update(&news(11, "c"), at(200)));
+    assert!(!directory.apply_update(&news(89, "c"), at(200)));
+    assert_eq!(ids(&directory), ["b"]);
+    assert!(directory.apply_update(&news(90, "c"), at(200)), "a record after the read");
+    directory.note_read_to(Offset(100));
+    assert!(!directory.apply_update(&news(99, "d"), at(300)), "changes were read up to there");
+    assert!(directory.apply_update(&news(100, "d"), at(300)));
+}
+
+/// Guards against the same once the removal is long past and its tombstone is dropped.
+#[test]
+fn news_from_before_a_read_adds_no_target_after_its_tombstone_is_gone() {
+    let mut directory = directory(&["a"]);
+    directory.apply(Offset(50), "a", None, at(1_000));
+    directory.note_read_to(Offset(51));
+    directory.expire(at(600_000));
+    assert!(!directory.apply_update(&news(11, "a"), at(600_100)));
+}
+
+/// Guards against an entry that counts as present again because news from before the read that lacked it
+/// arrive late: it is never judged.
+#[test]
+fn news_from_before_a_read_ends_no_wait_for_a_missing_target() {
+    let mut directory = directory(&["a"]);
+    directory.note_contact(at(1_000));
+    directory.note_contact(at(20_000));
+    directory.replace(Vec::new(), &[], Offset(90), at(20_000));
+    assert!(directory.has_missing());
+    assert!(!directory.apply_update(&news(50, "a"), at(20_100)));
+    assert_eq!(directory.expire(at(22_000)).len(), 1);
+}
+
+/// Guards against a target that is ignored until its next heartbeat because its record is the first one after
+/// a read that lacked it, and so at the offset of that read's end.
+#[test]
+fn target_that_registers_right_after_a_read_is_taken() {
+    let mut directory = directory(&["a"]);
+    assert_eq!(directory.replace(Vec::new(), &[], Offset(40), at(100)).len(), 1);
+    assert!(directory.apply(Offset(40), "a", Some(entry("a", 2)), at(200)).is_some());
+    assert_eq!(ids(&directory), ["a"]);
+}
--- a/tests/target_list.rs
+++ b/tests/target_list.rs
@@ -10,6 +10,7 @@
 
 use platform::header_names::RESPONSE_SIGNATURE;
 use platform_standin::{CallerKind, RouteKind};
+use rustix::process::Signal;
 use standin::{Link, Service};
 use support::{
     PeerGateway, PlainGateway, echo_target, id_line, plain_call_at, plain_route, read_head,
@@ -119,6 +120,36 @@
     assert_eq!(late, 0, "of {calls} requests, {late} reached the leaving target");
 }
 
+/// Guards against a removed target that a gateway uses again because another one, which has read less of the
+/// list, tells it of the target: it has read past the removal and doesn't meet it again.
+#[tokio::test]
+async fn a_removed_target_does_not_come_back_with_the_news_of_a_gateway_that_has_read_less() {
+    let (removed, count) = counting_target().await;
+    let kept = echo_target().await;
+    let mut first = PlainGateway::start(plain_route("reads", RouteKind::Repeatable), &[kept]).await;
+    let mut link = Link::start(first.store_address()).await.unwrap();
+    first.move_to_store(link.address());
+    first.process.wait_for_line("event=settings_reloaded").await;
+    sleep(Duration::from_millis(2_500)).await;
+    first.announce(2, removed);
+    first.process.wait_for_line("event=target_announced target=target-2").await;
+    // The news of the target wait in a gateway that does not learn of its removal.
+    first.process.signal(Signal::STOP);
+    link.refuse().await;
+    link.cut();
+    first.remove_target(2);
+    let wake = async {
+        sleep(Duration::from_millis(1_000)).await;
+        first.process.signal(Signal::CONT);
+    };
+    let (second, ()) = tokio::join!(PeerGateway::start(&first, first.store_address()), wake);
+    sleep(DRAIN_WITHIN).await;
+    let known = count.load(Ordering::SeqCst);
+    let calls = call_for(second.callers, "reads", "after", Duration::from_millis(500)).await;
+    let late = count.load(Ordering::SeqCst) - known;
+    assert_eq!(late, 0, "of {calls} requests, {late} reached the removed target");
+}
+
 /// Guards against entries that a gateway holds back for all others because the store turned it alone away:
 /// requests reached a removed target later than it serves on.
 #[tokio::test]
