Take no report of an evacuation from before the own reads

What callers would see: gateways that start after an evacuation has ended send nothing to its data centre, as long as any of them lives.

Cause: the end is the removal of the record, of which a gateway that starts later knows nothing. It takes the report of a gateway that was cut off before the end, and passes it on.

Change: a report of a data centre without a record counts only from after the last record of the operators' topic that this gateway has read, or from another era of the store.

--- a/components/gateway/src/evacuation.rs
+++ b/components/gateway/src/evacuation.rs
@@ -21,10 +21,13 @@
             let mut evacuations = self.evacuations.borrow_mut();
             match read {
                 KeyedRead::Snapshot(page) => evacuations.apply_snapshot(&records, page.end, now),
-                KeyedRead::Changes(_) => records
-                    .iter()
-                    .filter_map(|record| evacuations.apply_record(record, now))
-                    .collect(),
+                KeyedRead::Changes(page) => {
+                    evacuations.note_read_to(page.next);
+                    records
+                        .iter()
+                        .filter_map(|record| evacuations.apply_record(record, now))
+                        .collect()
+                }
             }
         };
         self.apply_evacuation_changes(&changes, "store", now);
--- a/components/membership/src/evacuations.rs
+++ b/components/membership/src/evacuations.rs
@@ -2,7 +2,8 @@
 //!
 //! Each record has an offset, and of two records on a data centre the one at the higher offset
 //! counts, from whichever source it comes. Records of an end are kept, so that an old record of the
-//! beginning changes nothing. Where it is uncertain whether an evacuation has ended, it goes on: an
+//! beginning changes nothing; of a data centre without a record, it is known up to where the store was
+//! read that none is evacuated. Where it is uncertain whether an evacuation has ended, it goes on: an
 //! empty data centre costs capacity, a request that reaches an evacuated one breaks a promise.
 
 use std::time::Duration;
@@ -41,6 +42,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Evacuations {
     by_data_centre: SortedMap<CompactString, Evacuation>,
+    /// Last record of the store that this gateway has read itself, with all before it.
+    read_to: Option<Offset>,
 }
 
 impl Evacuations {
@@ -64,7 +67,12 @@
         self.apply(record, Duration::ZERO, now)
     }
 
-    /// Applies a snapshot of all records as of offset `end`. An evacuation without a record has
+    /// Records that all records of the store before `next` were read and applied.
+    pub fn note_read_to(&mut self, next: Offset) {
+        self.read_to = self.read_to.max(Some(next.previous()));
+    }
+
+    /// Applies a snapshot of all records before offset `end`. An evacuation without a record has
     /// ended, unless the store came back from an older copy since it began and may have lost the
     /// record. Returns the changes.
     pub fn apply_snapshot(
@@ -91,15 +99,26 @@
                 is_active: false,
             })
             .collect();
+        self.note_read_to(end);
         records.iter().chain(&ended).filter_map(|record| self.apply_record(record, now)).collect()
     }
 
     /// Applies the report of another gateway. Returns the change, if there is one.
+    ///
+    /// An evacuation without a record here has ended if this gateway has read further than its beginning in
+    /// the same era of the store.
     pub fn apply_report(
         &mut self,
         report: &EvacuationReport,
         now: Timestamp,
     ) -> Option<EvacuationChange> {
+        let has_ended = self
+            .read_to
+            .is_some_and(|read| report.offset <= read && report.offset.era() == read.era())
+            && !self.by_data_centre.contains_key(&report.data_centre);
+        if has_ended {
+            return None;
+        }
         let record = EvacuationRecord {
             data_centre: report.data_centre.clone(),
             offset: report.offset,
--- a/components/membership/tests/evacuations.rs
+++ b/components/membership/tests/evacuations.rs
@@ -123,3 +123,27 @@
     assert!(evacuations.reports(at(0)).len() <= 64);
     assert_eq!(evacuations.active().len(), 20);
 }
+
+/// Guards against an evacuation that has ended and comes back with the report of a gateway that doesn't know
+/// it: gateways that started since would tell one another of it for ever.
+#[test]
+fn reports_from_before_a_read_begin_no_evacuation() {
+    let report = |offset: Offset| EvacuationReport {
+        data_centre: "north-a".into(),
+        offset,
+        is_active: true,
+        age_ms: 10,
+    };
+    let mut evacuations = Evacuations::default();
+    evacuations.apply_snapshot(&[], Offset::in_era(1, 9), at(0));
+    assert_eq!(evacuations.apply_report(&report(Offset::in_era(1, 5)), at(1)), None);
+    assert!(evacuations.active().is_empty());
+    // The copy that the store came back from may lack the record.
+    assert!(evacuations.apply_report(&report(Offset(5)), at(2)).is_some());
+    let mut evacuations = Evacuations::default();
+    evacuations.apply_snapshot(&[], Offset(9), at(0));
+    assert!(
+        evacuations.apply_report(&report(Offset(9)), at(1)).is_some(),
+        "a record after the read"
+    );
+}
