Ask engines which life answers after a response has ended

Cause: an address, or an entry in the list, was taken for the life of a target. The list of a later time was evidence enough, but a process that has taken an engine's address and not entered itself yet leaves the old entry alone there. And a response that broke off before its first output was no evidence against its request if anything accepted a connection at the address, so that a gateway that stood still missed the crash.

Change: an engine is asked for its report, which names its id and start, unless there was no time to replace it. Breaks before the first output ask the same question, for 250 ms at most. An answer that doesn't come shows neither: the response is cut off, the request may be sent again.

Alternatives: a margin after the connection for late entries, which is safe only while the other process is on time; to ask plain targets as well, whose health checks name no start and wait for a slot.

--- a/components/gateway/src/crash_quarantine.rs
+++ b/components/gateway/src/crash_quarantine.rs
@@ -12,7 +12,7 @@
 use crate::app::App;
 use crate::dispatch::Dispatch;
 use crate::in_flight_send::InFlightSend;
-use crate::target_pool::SendFailure;
+use crate::target_life::{Evidence, TargetFate};
 
 /// Longest check whether a target has ended. A refusal takes a round trip, and the request waits for it.
 const MAX_CHECK_TIME: Duration = Duration::from_millis(250);
@@ -182,13 +182,15 @@
         if !self.app.fleet.borrow().target(send.pick.key).accepts_work {
             return true;
         }
-        let checked =
-            timeout(MAX_CHECK_TIME, self.app.pool.add_connection(send.pick.address)).await;
-        if !matches!(checked, Ok(Err(SendFailure::Refused))) {
+        // Another target may serve at the address, or the same one again, if this process stood still.
+        let Ok((TargetFate::Ended, evidence)) = timeout(MAX_CHECK_TIME, self.find_life(send)).await
+        else {
             return true;
-        }
+        };
         let now = self.app.clock.now();
-        self.app.fleet.borrow_mut().record_connection_refused(send.pick.key, now);
+        if evidence == Evidence::Connection {
+            self.app.fleet.borrow_mut().record_connection_refused(send.pick.key, now);
+        }
         let target = short_hash(send.pick.id.as_bytes());
         let subjects = self.subjects();
         let mut quarantine = self.app.quarantine.borrow_mut();
--- a/components/gateway/src/target_life.rs
+++ b/components/gateway/src/target_life.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
+use compact_str::CompactString;
 use config::ServiceKind;
-use platform::StatusCheck;
+use platform::{StatusAnswer, StatusCheck};
 use routing::{EndedRun, TargetLife};
 use telemetry::quote;
 use tokio::time::{sleep, timeout};
@@ -11,16 +12,28 @@
 use crate::dispatch::Dispatch;
 use crate::in_flight_send::InFlightSend;
 use crate::list_wait::LIST_CHECK_INTERVAL;
+use crate::target_pool::SendFailure;
 
 /// Time after its end within which no target starts again under the same id; crashed ones take seconds.
 const RESTART_TIME: Duration = Duration::from_millis(1_000);
 /// Timeout of a status check, which may wait for a slot.
 const STATUS_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Whether the target of a send still lives.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum TargetFate {
+    /// It serves.
+    Alive,
+    /// It has ended, whoever serves at its address now.
+    Ended,
+    /// Nothing shows either.
+    Unknown,
+}
+
 /// What showed whether the target lives.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Evidence {
-    /// Nothing accepts connections at its address.
+pub(crate) enum Evidence {
+    /// No connection to its address could be opened.
     Connection,
     /// The connection alone, or the target list.
     List,
@@ -50,7 +63,8 @@
         send.record_end();
         let left = self.request.deadline.since(ended_at);
         let found = timeout(left, self.find_life(send)).await;
-        let (is_alive, evidence) = found.unwrap_or((false, Evidence::None));
+        let (fate, evidence) = found.unwrap_or((TargetFate::Unknown, Evidence::None));
+        let is_alive = fate == TargetFate::Alive;
         let details = format!(
             "request_id={} target={} evidence={} waited_ms={}",
             quote(&self.request.id),
@@ -66,10 +80,16 @@
         is_alive
     }
 
-    async fn find_life(&self, send: &InFlightSend) -> (bool, Evidence) {
+    /// Finds out whether the target of a send, in the life that it was sent to, still serves after its
+    /// connection has ended.
+    pub(crate) async fn find_life(&self, send: &InFlightSend) -> (TargetFate, Evidence) {
         let app = &self.app;
-        if app.pool.add_connection(send.pick.address).await.is_err() {
-            return (false, Evidence::Connection);
+        match app.pool.add_connection(send.pick.address).await {
+            Ok(()) => {}
+            Err(SendFailure::Refused) => return (TargetFate::Ended, Evidence::Connection),
+            Err(SendFailure::NotSent | SendFailure::NoResponse) => {
+                return (TargetFate::Unknown, Evidence::Connection);
+            }
         }
         let connected_at = app.clock.now();
         let reuse_after = Duration::from_millis(app.settings().bounds.reuse_after_ms);
@@ -78,6 +98,7 @@
             born_ms: send.born_ms,
             connected_at,
             replaced_after: reuse_after.min(RESTART_TIME),
+            names_start: self.health_path().is_none(),
         };
         loop {
             let now = app.clock.now();
@@ -85,8 +106,8 @@
             let life = run.judge(app.fleet.borrow().target(send.pick.key), list_known_at, now);
             let waited = now.since(connected_at);
             match life {
-                TargetLife::Alive => return (true, Evidence::List),
-                TargetLife::Ended => return (false, Evidence::List),
+                TargetLife::Alive => return (TargetFate::Alive, Evidence::List),
+                TargetLife::Ended => return (TargetFate::Ended, Evidence::List),
                 TargetLife::AwaitList if app.may_get_list(waited, now) => {
                     app.request_list(connected_at, waited);
                     sleep(LIST_CHECK_INTERVAL).await;
@@ -99,23 +120,30 @@
     }
 
     /// Asks the process at the target's address whether it is the target.
-    async fn ask_target(&self, send: &InFlightSend) -> bool {
-        let Some(config) = self.app.config() else { return false };
-        let plan = &self.request.plan;
-        let Some(service) = config.services.iter().find(|service| service.name == plan.service)
-        else {
-            return false;
-        };
+    async fn ask_target(&self, send: &InFlightSend) -> TargetFate {
+        let health_path = self.health_path();
         let check = StatusCheck {
             address: send.pick.address,
             target: &send.pick.id,
             born_ms: send.born_ms,
-            health_path: match service.kind {
-                ServiceKind::Engine => None,
-                ServiceKind::Plain => Some(&service.health_path),
-            },
+            health_path: health_path.as_deref(),
             timeout: STATUS_TIMEOUT,
         };
-        check.is_same_target(&self.app.peer_client).await
+        match check.ask(&self.app.peer_client).await {
+            StatusAnswer::Same => TargetFate::Alive,
+            StatusAnswer::Other => TargetFate::Ended,
+            StatusAnswer::Unknown => TargetFate::Unknown,
+        }
+    }
+
+    /// Path of the health check of the request's service; none for engines, whose report names their start.
+    fn health_path(&self) -> Option<CompactString> {
+        let config = self.app.config()?;
+        let plan = &self.request.plan;
+        let service = config.services.iter().find(|service| service.name == plan.service)?;
+        match service.kind {
+            ServiceKind::Engine => None,
+            ServiceKind::Plain => Some(service.health_path.clone()),
+        }
     }
 }
--- a/components/routing/src/ended_run.rs
+++ b/components/routing/src/ended_run.rs
@@ -1,4 +1,4 @@
-//! Whether the target of a response that ended with its connection still lives.
+//! Whether the target of a response that ended, or broke off, with its connection still lives.
 
 use std::time::Duration;
 
@@ -6,7 +6,8 @@
 
 use crate::{DirectTarget, TargetPhase};
 
-/// A response that ended with its connection, after which the target's address accepted another one.
+/// A response that ended or broke off with its connection, after which the target's address accepted
+/// another one.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct EndedRun {
     /// When its request was sent.
@@ -18,6 +19,8 @@
     /// Shortest time from the end of a target to the start of another one at its address, or of the same
     /// one.
     pub replaced_after: Duration,
+    /// Whether the target, if it is asked, says when it started.
+    pub names_start: bool,
 }
 
 /// What is known of the target that began a response.
@@ -36,9 +39,10 @@
 impl EndedRun {
     /// Judges what is known of the target, with the target list as of `list_known_at`.
     ///
-    /// The process that accepted the connection is the target if there was no time to replace it, or if
-    /// the list as of a later time still has it: a process at an address enters itself in the list when
-    /// it starts. A target that is leaving, or that the list lacks, may still serve.
+    /// The process that accepted the connection is the target if there was no time to replace it. Otherwise
+    /// only its own word shows which life of which target it is. Where it doesn't name its start, it counts
+    /// as the target if the list as of a later time still has that: a process at an address enters itself in
+    /// the list when it starts. A target that is leaving, or that the list lacks, may still serve.
     pub fn judge(
         &self,
         target: &DirectTarget,
@@ -52,6 +56,7 @@
             return TargetLife::Alive;
         }
         match target.phase(now) {
+            TargetPhase::Active if self.names_start => TargetLife::Ask,
             TargetPhase::Active if list_known_at > Some(self.connected_at) => TargetLife::Alive,
             TargetPhase::Active => TargetLife::AwaitList,
             TargetPhase::Ended | TargetPhase::Leaving | TargetPhase::Unheard => TargetLife::Ask,
--- a/tests/reused_addresses.rs
+++ b/tests/reused_addresses.rs
@@ -55,7 +55,7 @@
 }
 
 /// Answers status checks of a target with this id, and requests with part of a response, which ends with
-/// its connection after `finish`.
+/// its connection after `finish`; with nothing if there is no `content`.
 async fn serve(mut socket: TcpStream, id: &str, content: &str, finish: &Notify) {
     let Some(head) = read_head(&mut socket).await else { return };
     if header_value(&head, EXPECT_TARGET.as_str()) != Some(id) {
@@ -63,6 +63,8 @@
             .write_all(b"HTTP/1.1 421 Misdirected Request\r\ncontent-length: 0\r\n\r\n")
             .await
             .unwrap();
+    } else if head.contains(" /calls/") && content.is_empty() {
+        finish.notified().await;
     } else if head.contains(" /calls/") {
         let head = format!(
             "HTTP/1.1 200 OK\r\n{RESPONSE_SIGNATURE}: s\r\n{}content-type: {content}\r\n\r\n{EVENTS}",
@@ -177,6 +179,32 @@
     }
 }
 
+/// Guards against a crash that is no evidence against the request that the target ran, because the target is back
+/// at its address by the time the broken connection is read.
+#[tokio::test]
+async fn a_crash_is_recorded_although_the_target_is_back() {
+    let listener = StdListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let address = listener.local_addr().unwrap();
+    let finish = start_target(listener, "target-1", "", true);
+    let route = plain_route("calls", RouteKind::Repeatable);
+    let gateway = PlainGateway::start(route, &[address]).await;
+    let callers = gateway.callers;
+    let answer = tokio::spawn(async move {
+        plain_call_at(callers, "request-1", "/calls/1", CallerKind::Read).await
+    });
+    gateway.process.wait_for_line("event=request_sent request_id=request-1").await;
+    sleep(RUN_TIME).await;
+    gateway.process.signal(Signal::STOP);
+    sleep(SHORT).await;
+    finish.notify_one();
+    sleep(SHORT).await;
+    start_target(StdListener::bind(address).unwrap(), "target-1", "", false);
+    gateway.announce_born(1, address, 2);
+    gateway.process.signal(Signal::CONT);
+    gateway.process.wait_for_line("event=crash_recorded request_id=request-1").await;
+    answer.abort();
+}
+
 /// Guards against whole responses that are lost because they ended while the gateway stood still, their
 /// target leaves, or the store is away.
 #[tokio::test]
