Add the wait at a relay to all ages in a state

What callers would see: after a relay between data centres stood still, a gateway elsewhere reads the list later than it should, or takes an outage of the store for none and drops the targets whose entries lapsed in it.

Cause: ages of reads, limits and evacuations in a state that is passed on were those at its arrival, and the receiver counts them from its own.

Change: GatewayState::add_age covers every age in a state.

--- a/components/gateway/src/fleet_link.rs
+++ b/components/gateway/src/fleet_link.rs
@@ -276,9 +276,7 @@
     let items = std::iter::once(state)
         .chain(local.values().map(|(state, arrived)| {
             let mut state = state.clone();
-            let waited_ms = u32::try_from(now.since(*arrived).as_millis()).unwrap_or(u32::MAX);
-            state.suspects.iter_mut().for_each(|report| report.add_age(waited_ms));
-            state.work.iter_mut().for_each(|work| work.add_age(waited_ms));
+            state.add_age(now.since(*arrived));
             state
         }))
         .map(RelayedItem::Gateway)
--- a/components/membership/tests/gateway_table.rs
+++ b/components/membership/tests/gateway_table.rs
@@ -199,3 +199,18 @@
     assert_eq!(table.targets_known_at(sent.targets_digest), Some(at(950)));
     assert_eq!(table.targets_known_at(sent.targets_digest + 1), None);
 }
+
+/// Guards against reads that look new because the relay that passes them on stood still: the receiver would take
+/// the list for known, and the store for reachable, at a time when nobody read it.
+#[test]
+fn reads_in_a_state_that_waited_at_a_relay_are_older() {
+    let read = GatewayState { targets_read_age_ms: Some(50), ..state("b", "south", 100) };
+    let mut relayed = read.clone();
+    relayed.add_age(Duration::from_millis(4_000));
+    assert_eq!(relayed.targets_view_age_ms, Some(4_000));
+    for (state, read_at) in [(read, at(9_950)), (relayed, at(5_950))] {
+        let mut table = table();
+        table.apply_state(&state, at(10_000)).unwrap();
+        assert_eq!(table.freshest_targets(at(10_000)), Some((0, read_at)));
+    }
+}
--- a/components/wire/src/fleet_state.rs
+++ b/components/wire/src/fleet_state.rs
@@ -2,6 +2,7 @@
 //! one is made up for by the next.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use base::{LoadedModel, Offset, ProcessId, WarmCopies};
 use compact_str::CompactString;
@@ -127,6 +128,28 @@
     pub target_speeds: Vec<TargetSpeedReport>,
 }
 
+impl GatewayState {
+    /// Adds the time that the state waited at a gateway that passes it on. What it says of the past is that
+    /// much older for a receiver, which knows only when the state arrived.
+    pub fn add_age(&mut self, waited: Duration) {
+        let waited_ms = u32::try_from(waited.as_millis()).unwrap_or(u32::MAX);
+        let ages_of_reads = [
+            &mut self.evidence_age_ms,
+            &mut self.store_read_age_ms,
+            &mut self.targets_read_age_ms,
+            &mut self.targets_view_age_ms,
+        ];
+        let ages = ages_of_reads
+            .into_iter()
+            .flatten()
+            .chain(self.target_limits.iter_mut().map(|report| &mut report.age_ms))
+            .chain(self.evacuations.iter_mut().map(|report| &mut report.age_ms));
+        ages.for_each(|age_ms| *age_ms = age_ms.saturating_add(waited_ms));
+        self.suspects.iter_mut().for_each(|report| report.add_age(waited_ms));
+        self.work.iter_mut().for_each(|work| work.add_age(waited_ms));
+    }
+}
+
 /// Requests to a service, and sends to further targets.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct FurtherSends {
