Count reads of other gateways from the own datagram they had received

What callers would see: a gateway that stood still as an outage of the store began drops the targets whose entries lapsed less than a second after the store is back, and the others with it, though targets have 2 s to register.

Cause: ages of reads counted from the arrival of the states that name them. States that waited in the queue during the pause made the last read look as recent as the pause was long, and the rest of the outage too short for one.

Change: they count from the own datagram that the sender of the state had received, as evidence for keys does; those of other data centres from the relay's.

--- a/components/gateway/src/fleet_receiver.rs
+++ b/components/gateway/src/fleet_receiver.rs
@@ -35,6 +35,7 @@
             }
             let is_new = apply_gateway_state(app, link, &state, now).is_ok();
             let echoed_at = app.gateways.borrow_mut().apply_echo(&from, echo);
+            record_store_contact(app, &state, echoed_at);
             record_evidence(app, &state, address, echoed_at);
             if is_new {
                 link.record_local_gateway(state, now);
@@ -89,6 +90,7 @@
         RelayedItem::Gateway(state) => {
             // Outdated state is ignored; the same state may arrive from several relays.
             let _applied = apply_gateway_state(app, link, state, now);
+            record_store_contact(app, state, echoed_at);
             if state.from == *relay {
                 record_evidence(app, state, address, echoed_at);
             }
@@ -99,6 +101,15 @@
     }
 }
 
+/// Records when a gateway last read the target list, as of the own datagram that the sender of its state had
+/// received: a state that waited while this process stood still tells nothing of the time since.
+fn record_store_contact(app: &App, state: &GatewayState, echoed_at: Option<Timestamp>) {
+    if let (Some(age_ms), Some(echoed_at)) = (state.targets_read_age_ms, echoed_at) {
+        let read_at = echoed_at - Duration::from_millis(u64::from(age_ms));
+        app.directory.borrow_mut().note_peer_contact(read_at);
+    }
+}
+
 /// Records the evidence of a gateway whose datagram was received directly from it.
 fn record_evidence(
     app: &App,
@@ -143,10 +154,6 @@
             app.record_settled_era(era);
         }
     }
-    if let Some(age_ms) = state.targets_read_age_ms {
-        let read_at = now - Duration::from_millis(u64::from(age_ms));
-        app.directory.borrow_mut().note_peer_contact(read_at);
-    }
     app.rates.borrow_mut().update_peer_admitted(
         &state.from.name,
         state.from.incarnation,
--- a/tests/target_list.rs
+++ b/tests/target_list.rs
@@ -150,6 +150,31 @@
     assert_eq!(late, 0, "of {calls} requests, {late} reached the removed target");
 }
 
+/// Guards against states of other gateways that waited while this one stood still and count as new: an outage of
+/// the store seems over before it is, and targets are dropped before they could register again.
+#[tokio::test]
+async fn targets_have_time_to_register_again_at_a_gateway_that_stood_still_in_the_outage() {
+    let (target, _) = counting_target().await;
+    let first = PlainGateway::start(plain_route("reads", RouteKind::Repeatable), &[target]).await;
+    let second = PeerGateway::start(&first, first.store_address()).await;
+    sleep(Duration::from_millis(2_500)).await;
+    second.process.signal(Signal::STOP);
+    sleep(Duration::from_millis(200)).await;
+    first.store().settings().lock().unwrap().outage = true;
+    sleep(Duration::from_millis(3_000)).await;
+    second.process.signal(Signal::CONT);
+    sleep(Duration::from_millis(900)).await;
+    // The entry has expired; its target has 2 s to register again.
+    first.remove_target(1);
+    first.store().settings().lock().unwrap().outage = false;
+    sleep(Duration::from_millis(1_700)).await;
+    for process in [&first.process, &second.process] {
+        let log = process.log();
+        assert!(log.iter().any(|line| line.contains("event=targets_missing")));
+        assert!(!log.iter().any(|line| line.contains("event=target_gone")));
+    }
+}
+
 /// Guards against entries that a gateway holds back for all others because the store turned it alone away:
 /// requests reached a removed target later than it serves on.
 #[tokio::test]
