Remember the removal of targets that a gateway doesn't know

What callers would see: a removed target gets requests for up to 1.4 s at a gateway that had not heard of it before its removal.

Cause: the removal of an unknown target left no tombstone, and a state names news from the newest to the oldest, so that the entry came after it. The digest then differs from the reader's, and after 0.8 s the gateway reads.

Change: such a removal leaves a tombstone as well. The random test of the order of updates begins with unknown targets too; it repeats all updates in order at the end, and so passes without the tombstone.

Measured: removal_of_an_unknown_target_outlasts_late_news_of_its_entry fails without the tombstone and passes now.

--- a/components/membership/src/target_directory.rs
+++ b/components/membership/src/target_directory.rs
@@ -183,11 +183,18 @@
             return false;
         }
         match &update.entry {
-            Some(entry) => self.apply_entry(update.offset, entry.clone()),
+            Some(entry) => self.apply_entry(update.offset, entry.clone()).is_some(),
             // The sender has already waited for the re-registration period.
-            None => self.drop_target(update.offset, &update.id, now),
+            None if self.targets.contains_key(&update.id) => {
+                self.drop_target(update.offset, &update.id, now).is_some()
+            }
+            None => {
+                // News of its entry may arrive later than those of its removal.
+                let tombstone = Tombstone { offset: update.offset, born_ms: None, at: now };
+                self.tombstones.insert(update.id.clone(), tombstone);
+                false
+            }
         }
-        .is_some()
     }
 
     /// Drops the targets that are still missing after the re-registration period. Returns the
--- a/components/membership/tests/target_directory.rs
+++ b/components/membership/tests/target_directory.rs
@@ -111,7 +111,7 @@
         ..Config::default()
     });
     runner
-        .run(&(records, any::<u64>()), |(records, shuffle)| {
+        .run(&(records, any::<u64>(), any::<bool>()), |(records, shuffle, are_known)| {
             // One record per offset, as on a log.
             let mut updates: Vec<TargetNews> = records
                 .iter()
@@ -124,10 +124,9 @@
             updates.sort_by_key(|update| update.offset);
             updates.dedup_by_key(|update| update.offset);
             let mut in_order = TargetDirectory::new();
-            // A target that is not known can't be dropped, so all are added first.
             let mut other = TargetDirectory::new();
             for directory in [&mut in_order, &mut other] {
-                for id in ["t0", "t1", "t2", "t3"] {
+                for id in ["t0", "t1", "t2", "t3"].into_iter().filter(|_| are_known) {
                     directory.apply(Offset(0), id, Some(entry(id, 0)), at(0));
                 }
             }
@@ -333,3 +332,14 @@
     assert!(directory.apply(Offset(40), "a", Some(entry("a", 2)), at(200)).is_some());
     assert_eq!(ids(&directory), ["a"]);
 }
+
+/// Guards against a target that is added after its removal because the news of both arrive in the other order at a
+/// gateway that had not heard of it.
+#[test]
+fn removal_of_an_unknown_target_outlasts_late_news_of_its_entry() {
+    let mut directory = TargetDirectory::new();
+    let gone = TargetNews { offset: Offset(60), id: "a".into(), entry: None };
+    assert!(!directory.apply_update(&gone, at(0)), "nothing changes");
+    assert!(!directory.apply_update(&news(50, "a"), at(0)));
+    assert!(directory.apply_update(&news(61, "a"), at(0)));
+}
