Count versions that came and went between two reads of the list

Cause: a reader applied only the last of several records of a target, so the removal of one that it had not heard of changed nothing.

Change: superseded records count if they name a version that no listed target of the service runs, and are reported to the others, in the order in which they came.

--- a/components/gateway/src/fleet_link.rs
+++ b/components/gateway/src/fleet_link.rs
@@ -128,7 +128,9 @@
         while queue.front().is_some_and(|(at, _)| at + rounds < round) {
             queue.pop_front();
         }
-        queue.iter().rev().take(MAX_REPORTS_PER_STATE).map(|(_, item)| item.clone()).collect()
+        // The newest ones, in the order in which they came.
+        let surplus = queue.len().saturating_sub(MAX_REPORTS_PER_STATE);
+        queue.iter().skip(surplus).map(|(_, item)| item.clone()).collect()
     }
 
     /// Returns the agent states that are due to be forwarded.
--- a/components/gateway/src/target_watch.rs
+++ b/components/gateway/src/target_watch.rs
@@ -203,8 +203,10 @@
         .collect();
     let mut updates = Vec::new();
     for (at, (record, entry)) in decoded.iter().enumerate() {
-        // Only the last of several records of a target counts.
-        if decoded[at + 1..].iter().any(|(later, _)| later.key == record.key) {
+        // Only the last of several records of a target counts, unless another one names a version that was in
+        // service meanwhile: it may have begun streams.
+        let is_superseded = decoded[at + 1..].iter().any(|(later, _)| later.key == record.key);
+        if is_superseded && !entry.as_ref().is_some_and(|entry| is_new_version(directory, entry)) {
             continue;
         }
         updates.extend(directory.apply(record.offset, &record.key, entry.clone(), now));
@@ -212,6 +214,13 @@
     updates
 }
 
+/// Whether no listed target of the service runs the version of this entry.
+fn is_new_version(directory: &TargetDirectory, entry: &TargetEntry) -> bool {
+    !directory
+        .entries()
+        .any(|known| known.service == entry.service && known.software == entry.software)
+}
+
 impl App {
     /// Records that the list known here is at least as new as a read at `read_at`.
     pub(crate) fn record_list_read(&self, read_at: Timestamp) {
--- a/tests/software_versions.rs
+++ b/tests/software_versions.rs
@@ -263,6 +263,22 @@
     assert!(response.guarantees_not_run(), "{response:?}");
 }
 
+/// Guards against a version whose only target enters the list and leaves it between two reads, at the gateway that
+/// reads and at one that it tells: a stream that began there goes on at the former version.
+#[tokio::test]
+async fn a_version_that_came_and_went_between_two_reads_is_not_missed() {
+    let [old, new] = ["v1", "v2"].map(|version| VersionedTarget::new(version, false));
+    let first = gateway(&[&old]).await;
+    let second = PeerGateway::start(&first, first.store_address()).await;
+    sleep(SETTLE_TIME * 2).await;
+    first.announce_version(2, new.start().await, "v2");
+    first.remove_target(2);
+    for callers in [first.callers, second.callers] {
+        let response = take_up_unknown(callers, "again").await;
+        assert!(response.guarantees_not_run(), "{response:?}");
+    }
+}
+
 /// Guards against a gateway that has the list from another one: against refusals although it knows the list,
 /// and against reports that waited in its queue while it stood still and count as new.
 #[tokio::test]
