Charge no further send where nothing reached a target

Cause: each send after the first drew on the budget, which bounds arrivals at targets. A refused connection is none. A gateway that has just started has nearly no budget, and knows least of which targets are gone.

Change: attempts tell sends of which nothing reached a target from refused ones; only a send after one that may have arrived is charged. The number of sends of a request stays bounded as before.

--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -480,7 +480,7 @@
     }
 
     fn admit(&mut self, pick: DirectPick, now: Timestamp) -> Result<ChosenTarget, ApiError> {
-        if self.attempts.count() > 0 && !self.try_take_retry(now) {
+        if self.attempts.may_have_arrived() && !self.try_take_retry(now) {
             let text = "the budget of further attempts is used up";
             return Err(
                 ApiError::new(ErrorCode::NoCapacity, text).with_retry_after(NO_TARGET_RETRY_AFTER)
--- a/components/gateway/src/target_signals.rs
+++ b/components/gateway/src/target_signals.rs
@@ -90,11 +90,11 @@
         self.excluded.push(send.pick.key);
         match failure {
             ExchangeFailure::NotSent => {
-                self.attempts.record_not_run();
+                self.attempts.record_not_sent();
                 send.record_outcome(TargetOutcome::NoResponse);
             }
             ExchangeFailure::Refused => {
-                self.attempts.record_not_run();
+                self.attempts.record_not_sent();
                 send.record_outcome(TargetOutcome::NoResponse);
                 let now = self.app.clock.now();
                 self.app.fleet.borrow_mut().record_connection_refused(send.pick.key, now);
--- a/components/routing/src/attempts.rs
+++ b/components/routing/src/attempts.rs
@@ -13,6 +13,8 @@
 enum SendState {
     /// No response yet; the target may be running the request.
     Open,
+    /// Nothing of the request reached the target.
+    NotSent,
     /// The target did not run the request.
     NotRun,
     /// The target ran the request or may have run it.
@@ -52,6 +54,16 @@
     attempts: Vec<Attempt>,
 }
 
+impl SendState {
+    /// Returns whether the target may have run the request.
+    const fn may_have_run(self) -> bool {
+        match self {
+            Self::Open | Self::MayHaveRun | Self::Broken => true,
+            Self::NotSent | Self::NotRun => false,
+        }
+    }
+}
+
 impl Attempt {
     /// Returns whether the run is over because its target ended or cut it off while leaving.
     fn is_lost(&self, phase: TargetPhase) -> bool {
@@ -61,7 +73,7 @@
                 SendState::Broken,
                 TargetPhase::Ended | TargetPhase::Unheard | TargetPhase::Leaving,
             ) => true,
-            (SendState::NotRun, _)
+            (SendState::NotSent | SendState::NotRun, _)
             | (_, TargetPhase::Active | TargetPhase::Leaving | TargetPhase::Unheard) => false,
         }
     }
@@ -78,6 +90,11 @@
         self.attempts.push(Attempt { target, state: SendState::Open });
     }
 
+    /// Records that nothing of the request reached the target of the last send.
+    pub fn record_not_sent(&mut self) {
+        self.set_last_state(SendState::NotSent);
+    }
+
     /// Records that the last send did not run.
     pub fn record_not_run(&mut self) {
         self.set_last_state(SendState::NotRun);
@@ -106,7 +123,12 @@
 
     /// Returns whether a target may have run the request or may be running it now.
     pub fn may_have_run(&self) -> bool {
-        self.attempts.iter().any(|attempt| attempt.state != SendState::NotRun)
+        self.attempts.iter().any(|attempt| attempt.state.may_have_run())
+    }
+
+    /// Returns whether the request may have reached a target, so that the next send is a further one.
+    pub fn may_have_arrived(&self) -> bool {
+        self.attempts.iter().any(|attempt| attempt.state != SendState::NotSent)
     }
 
     /// Returns whether the request may be sent once more; `phase_of` returns the current phase of a
@@ -125,7 +147,7 @@
     fn allow_after(&self, further: usize, phase_of: impl Fn(TargetKey) -> TargetPhase) -> bool {
         let lost = self.attempts.iter().filter(|attempt| attempt.is_lost(phase_of(attempt.target)));
         let replaced = lost.count().min(MAX_REPLACED_RUNS);
-        let ran = self.attempts.iter().filter(|attempt| attempt.state != SendState::NotRun).count();
+        let ran = self.attempts.iter().filter(|attempt| attempt.state.may_have_run()).count();
         ran - replaced + further < self.max_runs
             && self.attempts.len() - replaced + further
                 < self.max_runs.saturating_add(MAX_SENDS_NOT_RUN)
--- a/components/routing/tests/attempts.rs
+++ b/components/routing/tests/attempts.rs
@@ -191,3 +191,16 @@
         TargetKey(_) => TargetPhase::Active,
     }));
 }
+
+/// Guards against a budget of further sends that is charged for targets that the request has not reached.
+#[test]
+fn a_send_that_reached_no_target_makes_the_next_one_no_further_one() {
+    let mut attempts = Attempts::new(2);
+    attempts.begin(TargetKey(0));
+    assert!(attempts.may_have_arrived(), "its end is not known yet");
+    attempts.record_not_sent();
+    assert!(!attempts.may_have_arrived() && !attempts.may_have_run());
+    attempts.begin(TargetKey(1));
+    attempts.record_not_run();
+    assert!(attempts.may_have_arrived() && !attempts.may_have_run());
+}
