--- a/components/base/src/offset.rs
+++ b/components/base/src/offset.rs
@@ -34,7 +34,7 @@
         self.0 & MAX_NUMBER
     }
 
-    /// The position before this one; that of a record before a read's end, since the next record is at the end.
+    /// The position before this one: of the last record of a read, from the read's end.
     pub const fn previous(self) -> Self {
         Self(self.0.saturating_sub(1))
     }
