--- a/review/standin-3/src/cases/crowds.rs
+++ b/review/standin-3/src/cases/crowds.rs
@@ -104,6 +104,7 @@
             };
             let request = ModelRequest {
                 id: &id,
+                key: KEY,
                 model: MODEL.name,
                 parts: &parts,
                 prompt_tokens: PARTS,
@@ -128,6 +129,7 @@
             let parts = format!("5c1e07a2:60,{:x}:40", part_id(&id));
             let request = ModelRequest {
                 id: &id,
+                key: KEY,
                 model: MODEL.name,
                 parts: &parts,
                 prompt_tokens: 100,
@@ -194,6 +196,7 @@
             let model = format!("{own}-{}", "x".repeat(NAME_BYTES));
             let request = ModelRequest {
                 id: &id,
+                key: KEY,
                 model: &model,
                 parts: "5c1e07a2:60",
                 prompt_tokens: 60,
--- a/review/standin-3/src/cases/limits.rs
+++ b/review/standin-3/src/cases/limits.rs
@@ -86,7 +86,7 @@
     }
 
     fn verdict(&self) -> Verdict {
-        for line in log_lines(SIDE, &["event=configuration_in_force", "event=order_given"]) {
+        for line in log_lines(&format!("{SIDE}1"), &["event=configuration_in_force", "event=order_given"]) {
             self.record.line(&format!("log of the agent: {line}"));
         }
         match self.engine.has_crashed() {
--- a/review/standin-3/src/deployment.rs
+++ b/review/standin-3/src/deployment.rs
@@ -12,11 +12,12 @@
 use crate::store::Store;
 
 const GATEWAY_HOST: u8 = 1;
-const SIDE_HOST: u8 = 11;
+/// The side machines have this host number and those that follow.
+const FIRST_SIDE_HOST: u8 = 11;
 /// Name of the gateway's machine.
 pub const GATEWAY: &str = "front-caerdydd-a-1";
-/// Name of the machine of the worker and its agent.
-pub const SIDE: &str = "side-caerdydd-a-1";
+/// Names of the machines of workers and their agents, without the number.
+pub const SIDE: &str = "side-caerdydd-a-";
 const SERVICE: &str = "llais-models";
 /// Key of the one tenant.
 pub const KEY: &str = "key-of-the-chapel";
@@ -72,6 +73,7 @@
 /// A request of a requester.
 pub struct ModelRequest<'a> {
     pub id: &'a str,
+    pub key: &'a str,
     pub model: &'a str,
     /// Parts of the prompt, as the header has them.
     pub parts: &'a str,
@@ -85,33 +87,53 @@
 pub struct Deployment {
     pub store: Store,
     pub engine: Engine,
+    /// The other workers of the service.
+    _others: Vec<Engine>,
     pub record: Record,
 }
 
 impl Deployment {
-    /// Starts all, and waits until the gateway is ready; none if it doesn't become so.
+    /// Starts all with one worker, and waits until the gateway is ready; none if it doesn't become so.
     pub fn start(
         first: &Configuration<'_>,
         sizes: &[ModelSize],
         preloaded: &[&'static str],
         record: &Record,
+    ) -> io::Result<Option<Self>> {
+        Self::start_with(first, sizes, preloaded, 1, None, record)
+    }
+
+    /// The same with so many workers, which a part of a prompt may crash.
+    pub fn start_with(
+        first: &Configuration<'_>,
+        sizes: &[ModelSize],
+        preloaded: &[&'static str],
+        workers: u8,
+        crashing_part: Option<(String, Duration)>,
+        record: &Record,
     ) -> io::Result<Option<Self>> {
         let store = Store::start(store_address())?;
         store.put("keyed.op", "config", first.document().as_bytes());
-        let settings = EngineSettings {
-            id: "i-7f3a91c2".into(),
-            service: SERVICE.into(),
-            address: engine_address(SIDE_HOST),
-            weights_mb: WEIGHTS_MB,
-            adapter_slots: ADAPTER_SLOTS,
-            load: Duration::from_millis(1_200),
-            sizes: sizes.to_vec(),
-            preloaded: preloaded.to_vec(),
-        };
-        let engine = Engine::start(settings, &store, record)?;
-        start_agent(SIDE, SIDE_HOST, SERVICE)?;
+        let mut engines = Vec::new();
+        for number in 0..workers {
+            let host = FIRST_SIDE_HOST + number;
+            let settings = EngineSettings {
+                id: format!("i-7f3a91c{number}"),
+                service: SERVICE.into(),
+                address: engine_address(host),
+                weights_mb: WEIGHTS_MB,
+                adapter_slots: ADAPTER_SLOTS,
+                load: Duration::from_millis(1_200),
+                sizes: sizes.to_vec(),
+                preloaded: preloaded.to_vec(),
+                crashing_part: crashing_part.clone(),
+            };
+            engines.push(Engine::start(settings, &store, record)?);
+            start_agent(&format!("{SIDE}{}", number + 1), host, SERVICE)?;
+        }
         start_gateway(GATEWAY, GATEWAY_HOST)?;
-        let deployment = Self { store, engine, record: record.clone() };
+        let engine = engines.remove(0);
+        let deployment = Self { store, engine, _others: engines, record: record.clone() };
         Ok(wait_until(Duration::from_secs(10), || deployment.is_ready()).then_some(deployment))
     }
 
@@ -129,12 +151,12 @@
 
     /// Sends one request and reads the answer for `patience` beyond the deadline.
     pub fn send(&self, request: &ModelRequest<'_>, patience: Duration) -> Answer {
-        let ModelRequest { id, model, parts, prompt_tokens, output_tokens, deadline } = request;
+        let ModelRequest { id, key, model, parts, prompt_tokens, output_tokens, deadline } = request;
         let head = format!(
             "POST /captions/1 HTTP/1.1\r\nHost: captions.example\r\nPlantainbeam-Attempt-Id: {id}\r\n\
              Plantainbeam-Model: {model}\r\nPlantainbeam-Token-Counts: {prompt_tokens},{output_tokens}\r\n\
              Plantainbeam-Prompt-Prefix: {parts}\r\nPlantainbeam-Deadline-Milliseconds: {}\r\n\
-             Authorization: Bearer {KEY}\r\n",
+             Authorization: Bearer {key}\r\n",
             deadline.as_millis()
         );
         call(caller_address(GATEWAY_HOST), &head, b"prompt", *deadline + patience)
@@ -145,6 +167,7 @@
         let parts = format!("5c1e07a2:60,{:x}:40", part_id(id));
         let request = ModelRequest {
             id,
+            key: KEY,
             model,
             parts: &parts,
             prompt_tokens: 100,
--- a/review/standin-3/src/engine.rs
+++ b/review/standin-3/src/engine.rs
@@ -1,13 +1,13 @@
 //! Stand-in of a model worker: its memory, its orders and its streams, as PROTOCOL.md has them.
 
 use std::io::{self, BufReader, Write};
-use std::net::{Shutdown, SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use crate::http::{Request, json_number, json_text, respond, serve};
+use crate::http::{Request, json_number, json_text, respond};
 use crate::record::Record;
 use crate::store::Store;
 
@@ -36,12 +36,16 @@
     pub adapter_slots: usize,
     pub load: Duration,
     pub sizes: Vec<ModelSize>,
-    /// Models that it holds at its start.
+    /// Models that it holds at its first start.
     pub preloaded: Vec<&'static str>,
+    /// Part of a prompt that ends it when it begins to write an answer on it, and the time until it is back.
+    pub crashing_part: Option<(String, Duration)>,
 }
 
 #[derive(Default)]
 struct State {
+    /// Unix time of its start in milliseconds.
+    born_ms: u128,
     /// Models with their adapters.
     held: Vec<(String, Vec<String>)>,
     /// Model that is being loaded, and when it is there.
@@ -58,9 +62,11 @@
 pub struct Engine {
     settings: Arc<EngineSettings>,
     state: Arc<Mutex<State>>,
-    born_ms: u128,
     /// Whether it was ordered to load more than it holds and has ended.
     crashed: Arc<AtomicBool>,
+    /// Number of its life; it changes when a crash begins.
+    life: Arc<AtomicU64>,
+    store: Store,
     record: Record,
 }
 
@@ -68,23 +74,73 @@
     /// Starts a worker that keeps its entry in the store.
     pub fn start(settings: EngineSettings, store: &Store, record: &Record) -> io::Result<Self> {
         let held = settings.preloaded.iter().map(|name| ((*name).to_owned(), Vec::new())).collect();
+        let born_ms = unix_ms();
         let engine = Self {
-            state: Arc::new(Mutex::new(State { held, ..State::default() })),
+            state: Arc::new(Mutex::new(State { held, born_ms, ..State::default() })),
             settings: Arc::new(settings),
-            born_ms: SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis(),
             crashed: Arc::default(),
+            life: Arc::default(),
+            store: store.clone(),
             record: record.clone(),
         };
-        let served = engine.clone();
-        serve(engine.settings.address, move |socket| served.serve_connection(socket))?;
-        let (beating, store) = (engine.clone(), store.clone());
+        engine.begin_life()?;
+        Ok(engine)
+    }
+
+    /// Listens, and keeps its entry in the store, until the life ends.
+    fn begin_life(&self) -> io::Result<()> {
+        let life = self.life.load(Ordering::SeqCst);
+        let listener = TcpListener::bind(self.settings.address)?;
+        listener.set_nonblocking(true)?;
+        let engine = self.clone();
+        thread::spawn(move || {
+            while engine.lives(life) {
+                match listener.accept() {
+                    Ok((socket, _)) => {
+                        let engine = engine.clone();
+                        thread::spawn(move || engine.serve_connection(socket, life));
+                    }
+                    Err(_) => thread::sleep(Duration::from_millis(1)),
+                }
+            }
+        });
+        let engine = self.clone();
         thread::spawn(move || {
-            while !beating.has_crashed() {
-                store.put("keyed.servers", &beating.settings.id, beating.entry().as_bytes());
+            while engine.lives(life) {
+                engine.store.put("keyed.servers", &engine.id(life), engine.entry().as_bytes());
                 thread::sleep(HEARTBEAT);
             }
         });
-        Ok(engine)
+        Ok(())
+    }
+
+    /// Ends the life; the worker is back after this time, empty and under another identifier.
+    fn crash_for(&self, time: Duration) {
+        let life = self.life.fetch_add(1, Ordering::SeqCst);
+        self.record.line(&format!("worker {} crashes", self.id(life)));
+        let engine = self.clone();
+        thread::spawn(move || {
+            thread::sleep(time);
+            // The entry of the life before goes after three heartbeats of silence.
+            *engine.state() = State { born_ms: unix_ms(), ..State::default() };
+            if let Err(error) = engine.begin_life() {
+                engine.record.line(&format!("the worker doesn't come back: {error}"));
+            }
+            thread::sleep((3 * HEARTBEAT).saturating_sub(time));
+            engine.store.put("keyed.servers", &engine.id(life), b"");
+        });
+    }
+
+    /// Identifier in this life.
+    fn id(&self, life: u64) -> String {
+        match life {
+            0 => self.settings.id.clone(),
+            _ => format!("{}-{life}", self.settings.id),
+        }
+    }
+
+    fn lives(&self, life: u64) -> bool {
+        !self.has_crashed() && self.life.load(Ordering::SeqCst) == life
     }
 
     /// Whether an order has ended it.
@@ -134,7 +190,7 @@
              \"stage\":\"both\",\"models\":{},\"sequence\":{},\"born\":{}}}",
             Self::models_json(&state),
             state.sequence,
-            self.born_ms
+            state.born_ms
         )
     }
 
@@ -154,26 +210,28 @@
             state.sequence,
             state.running.len(),
             incoming.join(","),
-            self.born_ms
+            state.born_ms
         )
     }
 
-    fn serve_connection(&self, socket: TcpStream) {
+    fn serve_connection(&self, socket: TcpStream, life: u64) {
+        let _blocking = socket.set_nonblocking(false);
+        let _nodelay = socket.set_nodelay(true);
         let Ok(mut writer) = socket.try_clone() else { return };
         let mut reader = BufReader::new(socket);
         while let Ok(Some(request)) = Request::read(&mut reader) {
-            if self.has_crashed() {
+            if !self.lives(life) {
                 break;
             }
             let is_other = request
                 .header("plantainbeam-expect-instance")
-                .is_some_and(|expected| expected != self.settings.id);
+                .is_some_and(|expected| expected != self.id(life));
             let answered = match (request.method.as_str(), request.path()) {
                 ("GET", "/report") => {
                     let body = self.report();
                     respond(&mut writer, "200 OK", "Content-Type: application/json\r\n", body.as_bytes())
                 }
-                _ if is_other => self.misdirected(&request, &mut writer),
+                _ if is_other => self.misdirected(&request, &mut writer, life),
                 ("POST", "/order") => {
                     let status = self.take_order(&request.body);
                     if self.has_crashed() {
@@ -181,7 +239,7 @@
                     }
                     respond(&mut writer, status, "", b"")
                 }
-                _ => self.generate(&request, &mut writer),
+                _ => self.generate(&request, &mut writer, life),
             };
             if answered.is_err() {
                 break;
@@ -190,11 +248,11 @@
         let _closed = writer.shutdown(Shutdown::Both);
     }
 
-    fn misdirected(&self, request: &Request, writer: &mut TcpStream) -> io::Result<()> {
+    fn misdirected(&self, request: &Request, writer: &mut TcpStream, life: u64) -> io::Result<()> {
         let id = request.header("plantainbeam-attempt-id").unwrap_or_default();
         let headers = format!(
             "Plantainbeam-Attempt-Id: {id}\r\nPlantainbeam-Instance-Id: {}\r\nPlantainbeam-Not-Executed: 1\r\n",
-            self.settings.id
+            self.id(life)
         );
         respond(writer, "421 Misdirected Request", &headers, b"")
     }
@@ -291,7 +349,7 @@
         false
     }
 
-    fn generate(&self, request: &Request, writer: &mut TcpStream) -> io::Result<()> {
+    fn generate(&self, request: &Request, writer: &mut TcpStream, life: u64) -> io::Result<()> {
         let id = request.header("plantainbeam-attempt-id").unwrap_or_default().to_owned();
         let name = request.header("plantainbeam-model").unwrap_or_default().to_owned();
         let (model, adapter) = match name.split_once('/') {
@@ -305,12 +363,12 @@
             });
             if !is_held {
                 drop(state);
-                return self.misdirected(request, writer);
+                return self.misdirected(request, writer, life);
             }
             state.running.push(name.clone());
         }
         self.record.line(&format!("the worker runs {id} on {name}"));
-        let result = self.stream(request, &id, writer);
+        let result = self.stream(request, &id, writer, life);
         let mut state = self.state();
         if let Some(at) = state.running.iter().position(|run| *run == name) {
             state.running.remove(at);
@@ -318,7 +376,13 @@
         result
     }
 
-    fn stream(&self, request: &Request, id: &str, writer: &mut TcpStream) -> io::Result<()> {
+    fn stream(
+        &self,
+        request: &Request,
+        id: &str,
+        writer: &mut TcpStream,
+        life: u64,
+    ) -> io::Result<()> {
         let counts = request.header("plantainbeam-token-counts").unwrap_or("100,40");
         let output: u64 = counts.split(',').nth(1).and_then(|text| text.parse().ok()).unwrap_or(40);
         let head = format!(
@@ -327,9 +391,19 @@
              Plantainbeam-Weight-Versions: 1\r\n\r\n"
         );
         writer.write_all(head.as_bytes())?;
+        if let Some((part, down)) = &self.settings.crashing_part {
+            let parts = request.header("plantainbeam-prompt-prefix").unwrap_or_default();
+            if parts.split(',').any(|named| named.split(':').next() == Some(part)) {
+                thread::sleep(EVENT_INTERVAL / 2);
+                if self.lives(life) {
+                    self.crash_for(*down);
+                }
+                return Err(io::ErrorKind::ConnectionReset.into());
+            }
+        }
         for number in 1..=output.div_ceil(4) {
             thread::sleep(EVENT_INTERVAL);
-            if self.has_crashed() {
+            if !self.lives(life) {
                 return Err(io::ErrorKind::ConnectionReset.into());
             }
             let event = format!("id: {number}\ndata: {number}\n\n");
@@ -338,3 +412,7 @@
         writer.write_all(b"0\r\n\r\n")
     }
 }
+
+fn unix_ms() -> u128 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis()
+}
--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -11,6 +11,7 @@
 mod engine;
 mod http;
 mod machine;
+mod plain;
 mod record;
 mod store;
 
