--- a/review/standin-3/src/cases/crowds.rs
+++ b/review/standin-3/src/cases/crowds.rs
@@ -114,7 +114,9 @@
             let sent = Instant::now();
             let answer = deployment.send(&request, Duration::from_secs(20));
             let took = sent.elapsed().as_millis();
-            deployment.record.line(&format!("{id} of the crowd after {took} ms: {}", answer.text()));
+            deployment
+                .record
+                .line(&format!("{id} of the crowd after {took} ms: {}", answer.text()));
             if !answer.is_success() {
                 thread::sleep(RETRY_PAUSE);
             }
@@ -148,7 +150,11 @@
             for (count, _) in tests.iter().filter(|(_, holds)| *holds) {
                 count.fetch_add(1, Ordering::SeqCst);
             }
-            deployment.record.line(&format!("{id} after {} ms: {}", took.as_millis(), answer.text()));
+            deployment.record.line(&format!(
+                "{id} after {} ms: {}",
+                took.as_millis(),
+                answer.text()
+            ));
             thread::sleep(RETRY_PAUSE);
         })
     };
@@ -160,8 +166,9 @@
     }
     ordinary.end();
     crowd.end();
-    let [sent, served, late, overdue] = [&counts.sent, &counts.served, &counts.late, &counts.overdue]
-        .map(|count| count.load(Ordering::SeqCst));
+    let [sent, served, late, overdue] =
+        [&counts.sent, &counts.served, &counts.late, &counts.overdue]
+            .map(|count| count.load(Ordering::SeqCst));
     record.line(&format!(
         "ordinary requests: {sent} sent, {served} served, {late} without an answer at the route's timeout, \
          {overdue} of these {} ms later; {unready} of 20 questions whether the gateway is ready had no 200",
@@ -206,7 +213,9 @@
             let answer = deployment.send(&request, Duration::from_secs(2));
             let number = sent.fetch_add(1, Ordering::SeqCst);
             if number % 1_000 == 0 {
-                deployment.record.line(&format!("request {number} of the crowd: {}", answer.text()));
+                deployment
+                    .record
+                    .line(&format!("request {number} of the crowd: {}", answer.text()));
             }
         })
     };
@@ -235,7 +244,9 @@
          {after} MB; its machine has {MEMORY_LIMIT_MB} MB"
     ));
     match most > MEMORY_LIMIT_MB {
-        true => Ok(Verdict::Broken("a process takes more than limits.memory_mb, and is killed".into())),
+        true => {
+            Ok(Verdict::Broken("a process takes more than limits.memory_mb, and is killed".into()))
+        }
         false => Ok(Verdict::Held),
     }
 }
--- a/review/standin-3/src/cases/limits.rs
+++ b/review/standin-3/src/cases/limits.rs
@@ -19,7 +19,8 @@
 /// Fits beside the first two, with room for two adapters.
 const THIRD: ModelSize = ModelSize { name: "emynau", weights_mb: 54_500, adapter_mb: ADAPTER_MB };
 /// Fits only in the place of the third.
-const FOURTH: ModelSize = ModelSize { name: "emynau-2", weights_mb: 54_500, adapter_mb: ADAPTER_MB };
+const FOURTH: ModelSize =
+    ModelSize { name: "emynau-2", weights_mb: 54_500, adapter_mb: ADAPTER_MB };
 const ALL: [ModelSize; 4] = [FIRST, SECOND, THIRD, FOURTH];
 /// Key that a second configuration adds.
 const SECOND_KEY: &str = "key-of-the-hall";
@@ -73,7 +74,9 @@
         let streams = (1..=4)
             .map(|number| {
                 let deployment = Arc::clone(self);
-                thread::spawn(move || deployment.request(&format!("stream-{number}"), SECOND.name, 360))
+                thread::spawn(move || {
+                    deployment.request(&format!("stream-{number}"), SECOND.name, 360)
+                })
             })
             .collect();
         thread::sleep(Duration::from_millis(500));
@@ -81,16 +84,21 @@
     }
 
     fn await_streams(&self, streams: Vec<JoinHandle<bool>>) {
-        let whole = streams.into_iter().filter_map(|stream| stream.join().ok()).filter(|whole| *whole);
+        let whole =
+            streams.into_iter().filter_map(|stream| stream.join().ok()).filter(|whole| *whole);
         self.record.line(&format!("{} of 4 streams were served whole", whole.count()));
     }
 
     fn verdict(&self) -> Verdict {
-        for line in log_lines(&format!("{SIDE}1"), &["event=configuration_in_force", "event=order_given"]) {
+        for line in
+            log_lines(&format!("{SIDE}1"), &["event=configuration_in_force", "event=order_given"])
+        {
             self.record.line(&format!("log of the agent: {line}"));
         }
         match self.engine.has_crashed() {
-            true => Verdict::Broken("LIMIT: the worker was ordered to load more than weights_mb".into()),
+            true => {
+                Verdict::Broken("LIMIT: the worker was ordered to load more than weights_mb".into())
+            }
             false => Verdict::Held,
         }
     }
--- a/review/standin-3/src/cases/plain.rs
+++ b/review/standin-3/src/cases/plain.rs
@@ -108,7 +108,9 @@
                     let versions: BTreeSet<&str> =
                         text.lines().filter_map(|line| line.strip_prefix("data: ")).collect();
                     if versions.len() > 1 {
-                        deployment.record.line(&format!("{id} holds events of versions {versions:?}"));
+                        deployment
+                            .record
+                            .line(&format!("{id} holds events of versions {versions:?}"));
                         mixed.lock().unwrap_or_else(PoisonError::into_inner).push(id);
                     }
                 }));
@@ -133,9 +135,14 @@
     stop.store(true, Ordering::SeqCst);
     let _joined = arrivals.join();
     let mixed = mixed.lock().unwrap_or_else(PoisonError::into_inner).len();
-    record.line(&format!("{} streams, {mixed} with events of two versions", number.load(Ordering::SeqCst)));
+    record.line(&format!(
+        "{} streams, {mixed} with events of two versions",
+        number.load(Ordering::SeqCst)
+    ));
     match mixed > 2 {
-        true => Ok(Verdict::Broken(format!("ORDER: {mixed} streams hold events of two software versions"))),
+        true => Ok(Verdict::Broken(format!(
+            "ORDER: {mixed} streams hold events of two software versions"
+        ))),
         false => Ok(Verdict::Held),
     }
 }
--- a/review/standin-3/src/cases/quarantine.rs
+++ b/review/standin-3/src/cases/quarantine.rs
@@ -26,7 +26,8 @@
 /// Sound requests before the crashes, and while requests that crash workers come.
 const SOUND_REQUESTS: usize = 20;
 /// Time between two requests that crash workers, at first and later.
-const CRASHING_INTERVALS: [Duration; 2] = [Duration::from_millis(600), Duration::from_millis(1_500)];
+const CRASHING_INTERVALS: [Duration; 2] =
+    [Duration::from_millis(600), Duration::from_millis(1_500)];
 /// `contact_ms` of the settings.
 const CONTACT: Duration = Duration::from_secs(3);
 
@@ -52,7 +53,9 @@
     let requests: Vec<_> = (0..count)
         .map(|number| {
             let (deployment, id) = (Arc::clone(deployment), format!("{name}-{number}"));
-            let request = thread::spawn(move || send(&deployment, &id, KEY, &format!("{SHARED_PART}:120,7a:40")));
+            let request = thread::spawn(move || {
+                send(&deployment, &id, KEY, &format!("{SHARED_PART}:120,7a:40"))
+            });
             thread::sleep(SOUND_INTERVAL);
             request
         })
@@ -84,13 +87,17 @@
         thread::spawn(move || {
             for number in 0.. {
                 let (deployment, id) = (Arc::clone(&deployment), format!("other-{number}"));
-                thread::spawn(move || send(&deployment, &id, OTHER_KEY, &format!("{:x}:120", number % 5 + 16)));
+                thread::spawn(move || {
+                    send(&deployment, &id, OTHER_KEY, &format!("{:x}:120", number % 5 + 16))
+                });
                 thread::sleep(Duration::from_millis(200));
             }
         });
     }
     let before = send_sound(&deployment, "before", SOUND_REQUESTS);
-    record.line(&format!("{before} of {SOUND_REQUESTS} sound requests with the shared part begin before"));
+    record.line(&format!(
+        "{before} of {SOUND_REQUESTS} sound requests with the shared part begin before"
+    ));
     let crashes_began = Instant::now();
     {
         let deployment = Arc::clone(&deployment);
@@ -120,7 +127,9 @@
          {before} of {SOUND_REQUESTS} before"
     ));
     match during * 2 < before {
-        true => Ok(Verdict::Broken(format!("LOST: {during} sound requests begin, {before} before"))),
+        true => {
+            Ok(Verdict::Broken(format!("LOST: {during} sound requests begin, {before} before")))
+        }
         false => Ok(Verdict::Held),
     }
 }
--- a/review/standin-3/src/deployment.rs
+++ b/review/standin-3/src/deployment.rs
@@ -146,12 +146,15 @@
     pub fn configure(&self, configuration: &Configuration<'_>, what: &str) {
         self.store.put("keyed.op", "config", configuration.document().as_bytes());
         let version = configuration.version;
-        self.record.line(&format!("the store acknowledges version {version} of the configuration: {what}"));
+        self.record.line(&format!(
+            "the store acknowledges version {version} of the configuration: {what}"
+        ));
     }
 
     /// Sends one request and reads the answer for `patience` beyond the deadline.
     pub fn send(&self, request: &ModelRequest<'_>, patience: Duration) -> Answer {
-        let ModelRequest { id, key, model, parts, prompt_tokens, output_tokens, deadline } = request;
+        let ModelRequest { id, key, model, parts, prompt_tokens, output_tokens, deadline } =
+            request;
         let head = format!(
             "POST /captions/1 HTTP/1.1\r\nHost: captions.example\r\nPlantainbeam-Attempt-Id: {id}\r\n\
              Plantainbeam-Model: {model}\r\nPlantainbeam-Token-Counts: {prompt_tokens},{output_tokens}\r\n\
--- a/review/standin-3/src/engine.rs
+++ b/review/standin-3/src/engine.rs
@@ -174,8 +174,12 @@
             .held
             .iter()
             .map(|(name, adapters)| {
-                let adapters: Vec<String> = adapters.iter().map(|name| format!("\"{name}\"")).collect();
-                format!("{{\"name\":\"{name}\",\"version\":1,\"adapters\":[{}]}}", adapters.join(","))
+                let adapters: Vec<String> =
+                    adapters.iter().map(|name| format!("\"{name}\"")).collect();
+                format!(
+                    "{{\"name\":\"{name}\",\"version\":1,\"adapters\":[{}]}}",
+                    adapters.join(",")
+                )
             })
             .collect();
         format!("[{}]", models.join(","))
@@ -229,7 +233,12 @@
             let answered = match (request.method.as_str(), request.path()) {
                 ("GET", "/report") => {
                     let body = self.report();
-                    respond(&mut writer, "200 OK", "Content-Type: application/json\r\n", body.as_bytes())
+                    respond(
+                        &mut writer,
+                        "200 OK",
+                        "Content-Type: application/json\r\n",
+                        body.as_bytes(),
+                    )
                 }
                 _ if is_other => self.misdirected(&request, &mut writer, life),
                 ("POST", "/order") => {
@@ -297,7 +306,11 @@
                 if !self.has_room(&state, &format!("{model}/{adapter}"), needed, 1) {
                     return CONFLICT;
                 }
-                state.incoming.push((model.clone(), adapter.clone(), Instant::now() + ADAPTER_LOAD));
+                state.incoming.push((
+                    model.clone(),
+                    adapter.clone(),
+                    Instant::now() + ADAPTER_LOAD,
+                ));
                 self.record.line(&format!("the worker loads {model}/{adapter} of {needed} MB"));
             }
             (false, None, Some(at)) => {
@@ -330,12 +343,15 @@
     /// Whether there is room; if not, the worker crashes, as PROTOCOL.md says.
     fn has_room(&self, state: &State, what: &str, needed_mb: u64, slots: usize) -> bool {
         let models: u64 = state.held.iter().map(|(name, _)| self.size(name).weights_mb).sum();
-        let loaded = state.held.iter().flat_map(|(name, adapters)| adapters.iter().map(move |_| name));
+        let loaded =
+            state.held.iter().flat_map(|(name, adapters)| adapters.iter().map(move |_| name));
         let coming = state.incoming.iter().map(|(name, _, _)| name);
-        let adapters: Vec<u64> = loaded.chain(coming).map(|name| self.size(name).adapter_mb).collect();
+        let adapters: Vec<u64> =
+            loaded.chain(coming).map(|name| self.size(name).adapter_mb).collect();
         let used_mb = models + adapters.iter().sum::<u64>();
         let limit_mb = self.settings.weights_mb;
-        if used_mb + needed_mb <= limit_mb && adapters.len() + slots <= self.settings.adapter_slots {
+        if used_mb + needed_mb <= limit_mb && adapters.len() + slots <= self.settings.adapter_slots
+        {
             return true;
         }
         self.record.line(&format!(
@@ -359,7 +375,8 @@
         {
             let mut state = self.state();
             let is_held = state.held.iter().any(|(held, adapters)| {
-                held == model && adapter.is_none_or(|adapter| adapters.iter().any(|known| known == adapter))
+                held == model
+                    && adapter.is_none_or(|adapter| adapters.iter().any(|known| known == adapter))
             });
             if !is_held {
                 drop(state);
--- a/review/standin-3/src/http.rs
+++ b/review/standin-3/src/http.rs
@@ -28,7 +28,11 @@
     /// Value of a field of the query.
     pub fn query(&self, name: &str) -> Option<&str> {
         let (_, query) = self.target.split_once('?')?;
-        query.split('&').filter_map(|pair| pair.split_once('=')).find(|pair| pair.0 == name).map(|pair| pair.1)
+        query
+            .split('&')
+            .filter_map(|pair| pair.split_once('='))
+            .find(|pair| pair.0 == name)
+            .map(|pair| pair.1)
     }
 
     /// Reads a request; none at the end of the connection.
@@ -71,7 +75,8 @@
 
 /// Writes a response with a body of known length.
 pub fn respond(socket: &mut TcpStream, status: &str, headers: &str, body: &[u8]) -> io::Result<()> {
-    let mut bytes = format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n", body.len()).into_bytes();
+    let mut bytes = format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n", body.len())
+        .into_bytes();
     bytes.extend_from_slice(body);
     socket.write_all(&bytes)
 }
--- a/review/standin-3/src/machine.rs
+++ b/review/standin-3/src/machine.rs
@@ -98,14 +98,20 @@
         .stdout(log.try_clone()?)
         .stderr(log)
         .spawn()?;
-    RUNNING.lock().unwrap_or_else(std::sync::PoisonError::into_inner).push((node.to_owned(), child));
+    RUNNING
+        .lock()
+        .unwrap_or_else(std::sync::PoisonError::into_inner)
+        .push((node.to_owned(), child));
     Ok(())
 }
 
 /// Lines of the log of a program that contain one of these texts.
 pub fn log_lines(node: &str, texts: &[&str]) -> Vec<String> {
     let log = fs::read_to_string(folder().join(format!("{node}.log"))).unwrap_or_default();
-    log.lines().filter(|line| texts.iter().any(|text| line.contains(text))).map(str::to_owned).collect()
+    log.lines()
+        .filter(|line| texts.iter().any(|text| line.contains(text)))
+        .map(str::to_owned)
+        .collect()
 }
 
 /// Memory that a program takes now, in MB; none if it has ended.
--- a/review/standin-3/src/plain.rs
+++ b/review/standin-3/src/plain.rs
@@ -2,8 +2,8 @@
 
 use std::io::{self, BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -30,7 +30,13 @@
 
 impl PlainWorker {
     /// A worker that has not started.
-    pub fn new(id: &str, service: &str, address: SocketAddr, store: &Store, record: &Record) -> Self {
+    pub fn new(
+        id: &str,
+        service: &str,
+        address: SocketAddr,
+        store: &Store,
+        record: &Record,
+    ) -> Self {
         Self {
             id: id.to_owned(),
             service: service.to_owned(),
@@ -120,7 +126,10 @@
             return respond(writer, "200 OK", &headers, b"");
         }
         let id = request.header("plantainbeam-attempt-id").unwrap_or_default().to_owned();
-        if request.header("plantainbeam-expect-instance").is_some_and(|expected| expected != self.id) {
+        if request
+            .header("plantainbeam-expect-instance")
+            .is_some_and(|expected| expected != self.id)
+        {
             let headers = format!(
                 "Plantainbeam-Attempt-Id: {id}\r\nPlantainbeam-Instance-Id: {}\r\n\
                  Plantainbeam-Not-Executed: 1\r\n",
--- a/review/standin-3/src/store.rs
+++ b/review/standin-3/src/store.rs
@@ -126,7 +126,9 @@
                     *generation
                 };
                 // No engine of these cases lacks an agent, so that no part is ever dealt.
-                let body = format!("{{\"generation\":{generation},\"lifetime_ms\":{lifetime},\"parts\":[]}}");
+                let body = format!(
+                    "{{\"generation\":{generation},\"lifetime_ms\":{lifetime},\"parts\":[]}}"
+                );
                 respond(writer, "200 OK", JSON, body.as_bytes())
             }
             ("POST", "/log-leave") => respond(writer, "200 OK", JSON, b"{}"),
@@ -154,7 +156,8 @@
                 }
                 return Some(body);
             }
-            state = self.appended.wait_timeout(state, left).unwrap_or_else(PoisonError::into_inner).0;
+            state =
+                self.appended.wait_timeout(state, left).unwrap_or_else(PoisonError::into_inner).0;
         }
     }
 
@@ -163,7 +166,8 @@
         let Some(partition) = state.topics.get(topic) else {
             return "{\"items\":[],\"more\":false,\"end\":0}".into();
         };
-        let left: Vec<_> = partition.newest.iter().filter(|(key, _)| key.as_str() > after).collect();
+        let left: Vec<_> =
+            partition.newest.iter().filter(|(key, _)| key.as_str() > after).collect();
         let items: Vec<String> = left
             .iter()
             .take(PAGE_KEYS)
@@ -194,7 +198,8 @@
     const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
     for chunk in bytes.chunks(3) {
-        let bits = chunk.iter().fold(0_u32, |bits, byte| bits << 8 | u32::from(*byte)) << (8 * (3 - chunk.len()));
+        let bits = chunk.iter().fold(0_u32, |bits, byte| bits << 8 | u32::from(*byte))
+            << (8 * (3 - chunk.len()));
         for at in 0..4 {
             match at <= chunk.len() {
                 true => text.push(char::from(DIGITS[(bits >> (18 - 6 * at) & 63) as usize])),
